--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
@@ -0,0 +1,189 @@
+"""HTTP client of the platform, with a circuit breaker."""
+
+from __future__ import annotations
+
+import json
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import Any
+from urllib.parse import quote
+
+from result import Err
+from result import Ok
+from result import Result
+
+from plankspindle_core.http.fetch import HttpAnswer
+from plankspindle_core.http.fetch import fetch
+from plankspindle_daemon.platform.circuit_breaker import CircuitBreaker
+from plankspindle_daemon.platform.errors import ConditionFailed
+from plankspindle_daemon.platform.errors import PlatformUnavailable
+from plankspindle_daemon.platform.live_list import ListedVm
+from plankspindle_daemon.platform.live_list import parse_live_list
+from plankspindle_daemon.platform.table import ABSENT
+from plankspindle_daemon.platform.table import Row
+
+if TYPE_CHECKING:
+    from plankspindle_core.endpoint import Endpoint
+    from plankspindle_daemon.platform.table import Transaction
+
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 409
+
+
+class PlatformClient:
+    """Reads and writes at the platform.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Address of the platform's service.
+    timeout_s : float
+        Longest wait for one answer, in seconds.
+
+    Attributes
+    ----------
+    reads, writes : int
+        Calls made, for the budget of a node.
+    """
+
+    def __init__(self, *, endpoint: Endpoint, timeout_s: float) -> None:
+        self._endpoint = endpoint
+        self._timeout_s = timeout_s
+        self._breaker = CircuitBreaker()
+        self.reads = 0
+        self.writes = 0
+
+    @property
+    def available(self) -> bool:
+        """Whether the last calls were answered."""
+        return self._breaker.closed
+
+    async def read_row(self, key: str) -> Result[Row, PlatformUnavailable]:
+        """Read one row; an absent one has version ``ABSENT``."""
+        self.reads += 1
+        answer = await self._call("GET", f"/table/{quote(key, safe='')}")
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        if answer.unwrap().status == _NOT_FOUND:
+            return Ok(Row(key=key, version=ABSENT))
+        return self._decoded(answer.unwrap()).map(
+            lambda found: Row(key=key, version=found["version"], value=found["value"])
+        )
+
+    async def read_rows(
+        self, keys: list[str]
+    ) -> Result[dict[str, Row], PlatformUnavailable]:
+        """Read several rows with one call.
+
+        Parameters
+        ----------
+        keys : list of str
+            Rows to read.
+
+        Returns
+        -------
+        Result
+            A row for each key.
+        """
+        self.reads += 1
+        answer = await self._call("POST", "/table/read", {"keys": keys})
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        return self._decoded(answer.unwrap()).map(
+            lambda found: {
+                key: Row(key=key, version=row["version"], value=row["value"])
+                for key, row in found["rows"].items()
+            }
+        )
+
+    async def commit(
+        self, transaction: Transaction
+    ) -> Result[None, ConditionFailed | PlatformUnavailable]:
+        """Commit a transaction.
+
+        Returns
+        -------
+        Result
+            Nothing if it took effect; :class:`ConditionFailed` if it did not; after
+            :class:`PlatformUnavailable` its effect is not known.
+        """
+        self.writes += 1
+        body = {
+            "writes": [
+                {
+                    "key": write.key,
+                    "expected_version": write.expected_version,
+                    "value": write.value,
+                }
+                for write in transaction.writes
+            ]
+        }
+        answer = await self._call("POST", "/table/commit", body)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        decoded = self._decoded(answer.unwrap(), accepted=(_OK, _CONFLICT))
+        if decoded.is_err():
+            return Err(decoded.unwrap_err())
+        if answer.unwrap().status == _CONFLICT:
+            return Err(ConditionFailed(tuple(decoded.unwrap()["failed"])))
+        return Ok(None)
+
+    async def put_object(
+        self, name: str, content: bytes
+    ) -> Result[None, PlatformUnavailable]:
+        """Store an object; names are digests, so storing it twice is harmless."""
+        self.writes += 1
+        answer = await self._call("PUT", f"/objects/{name}", content)
+        return answer.and_then(self._decoded).map(lambda _: None)
+
+    async def get_object(self, name: str) -> Result[bytes | None, PlatformUnavailable]:
+        """Read an object, or None if there is none of that name."""
+        self.reads += 1
+        answer = await self._call("GET", f"/objects/{name}")
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        match answer.unwrap().status:
+            case 200:
+                return Ok(answer.unwrap().body)
+            case 404:
+                return Ok(None)
+            case status:
+                return Err(PlatformUnavailable(f"status {status}"))
+
+    async def read_live_list(self) -> Result[list[ListedVm], PlatformUnavailable]:
+        """Read the platform's list of live and leaving VMs."""
+        self.reads += 1
+        answer = await self._call("GET", "/vms")
+        return answer.and_then(self._decoded).and_then(parse_live_list)
+
+    async def _call(
+        self, method: str, target: str, body: Any = b""
+    ) -> Result[HttpAnswer, PlatformUnavailable]:
+        if not self._breaker.allows(monotonic()):
+            return Err(PlatformUnavailable("recent calls failed; not tried"))
+        content = body if isinstance(body, bytes) else json.dumps(body).encode()
+        answer = await fetch(
+            self._endpoint,
+            method=method,
+            target=target,
+            body=content,
+            timeout_s=self._timeout_s,
+        )
+        failed = answer.is_err() or answer.unwrap().status >= 500
+        self._breaker.note(failed=failed, now=monotonic())
+        if answer.is_err():
+            return Err(PlatformUnavailable(str(answer.unwrap_err())))
+        if failed:
+            return Err(PlatformUnavailable(f"status {answer.unwrap().status}"))
+        return Ok(answer.unwrap())
+
+    def _decoded(
+        self, answer: HttpAnswer, accepted: tuple[int, ...] = (_OK,)
+    ) -> Result[Any, PlatformUnavailable]:
+        if answer.status not in accepted:
+            return Err(PlatformUnavailable(f"status {answer.status}"))
+        try:
+            return Ok(json.loads(answer.body or b"{}"))
+        except ValueError as error:
+            return Err(PlatformUnavailable(f"not valid JSON: {error}"))
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/platform/table.py
@@ -0,0 +1,62 @@
+"""Rows and transactions of the table service."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from attrs import Factory
+from attrs import frozen
+
+ABSENT = 0
+"""Version of a row that does not exist."""
+
+
+@frozen(kw_only=True)
+class Row:
+    """One row as read.
+
+    Parameters
+    ----------
+    key : str
+        Its key.
+    version : int
+        Its version, raised by every write; ``ABSENT`` if there is no such row.
+    value : dict, optional
+        Its content.
+    """
+
+    key: str
+    version: int
+    value: dict[str, Any] | None = None
+
+
+@frozen(kw_only=True)
+class RowWrite:
+    """A write that is made only if the row has an expected version.
+
+    Parameters
+    ----------
+    key : str
+        Row to write.
+    expected_version : int
+        Version that the row must have.
+    value : dict, optional
+        New content; None deletes the row.
+    """
+
+    key: str
+    expected_version: int
+    value: dict[str, Any] | None
+
+
+@frozen(kw_only=True)
+class Transaction:
+    """Writes that are made together or not at all.
+
+    Parameters
+    ----------
+    writes : list of RowWrite
+        The writes, each row once.
+    """
+
+    writes: list[RowWrite] = Factory(list)
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/retries/__init__.py
@@ -0,0 +1,3 @@
+"""Bounds on retries."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/retries/retry_budget.py
@@ -0,0 +1,47 @@
+"""A budget that keeps retries a small share of fresh requests."""
+
+from __future__ import annotations
+
+from attrs import define
+
+from plankspindle_core.invariants import check_invariant
+
+BURST = 10.0
+"""Retries that may be made before any fresh request was counted."""
+
+
+@define(kw_only=True)
+class RetryBudget:
+    """Token bucket filled by fresh requests and emptied by retries.
+
+    Parameters
+    ----------
+    percent : int
+        Retries allowed for each hundred fresh requests.
+    """
+
+    percent: int
+    fresh: int = 0
+    retried: int = 0
+    _tokens: float = BURST
+
+    def note_fresh(self) -> None:
+        """Count a fresh request."""
+        self.fresh += 1
+        self._tokens = min(BURST, self._tokens + self.percent / 100)
+
+    def take(self) -> bool:
+        """Use the budget for one retry.
+
+        Returns
+        -------
+        bool
+            False if there is none left; the request must not be retried.
+        """
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        self.retried += 1
+        allowed = BURST + self.fresh * self.percent / 100
+        check_invariant("retries-within-budget", self.retried <= allowed)
+        return True
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Settings of one daemon process."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/settings/daemon_settings.py
@@ -0,0 +1,188 @@
+"""Settings of one daemon, read from a YAML file."""
+
+from __future__ import annotations
+
+from attrs import Factory
+from attrs import field
+from attrs import frozen
+from attrs import validators
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.http.limits import HttpLimits
+
+MIN_PEER_KEY_HEX = 32
+
+
+@frozen(kw_only=True)
+class ListenSettings:
+    """Addresses of the three listeners.
+
+    Parameters
+    ----------
+    caller : Endpoint
+        TCP address for callers.
+    operator : Endpoint
+        TCP address for operators, metrics and state dumps.
+    peer : Endpoint
+        UDP address for the other entry VMs.
+    """
+
+    caller: Endpoint
+    operator: Endpoint
+    peer: Endpoint
+
+
+@frozen(kw_only=True)
+class TimingSettings:
+    """Periods and time limits, in milliseconds.
+
+    Parameters
+    ----------
+    heartbeat_ms : int
+        Period of heartbeats to each peer while they fit the byte budget.
+    suspect_after_ms : int
+        Silence after which a peer gets no forwarded requests.
+    live_list_ms : int
+        Period of reading the platform's list of VMs.
+    configuration_ms : int
+        Period of reading the head of the configuration.
+    probe_ms : int
+        Period of reading an upstream's load report.
+    platform_timeout_ms : int
+        Longest wait for one answer of the platform.
+    connect_timeout_ms : int
+        Longest wait for a connection to an upstream.
+    pause_ms : int
+        Gap in the loop's clock after which the process treats itself as paused.
+    leave_ms : int
+        Longest time for running requests to finish after SIGTERM.
+    """
+
+    heartbeat_ms: int = field(default=500, validator=validators.gt(0))
+    suspect_after_ms: int = field(default=2_000, validator=validators.gt(0))
+    live_list_ms: int = field(default=1_000, validator=validators.gt(0))
+    configuration_ms: int = field(default=500, validator=validators.gt(0))
+    probe_ms: int = field(default=1_000, validator=validators.gt(0))
+    platform_timeout_ms: int = field(default=1_000, validator=validators.gt(0))
+    connect_timeout_ms: int = field(default=300, validator=validators.gt(0))
+    pause_ms: int = field(default=1_000, validator=validators.gt(0))
+    leave_ms: int = field(default=600_000, validator=validators.ge(0))
+
+
+@frozen(kw_only=True)
+class SecretSettings:
+    """Keys shared between processes.
+
+    Parameters
+    ----------
+    peer_keys : list of str
+        Keys of the messages between entry VMs, in hexadecimal. The first signs; all
+        are accepted, so that keys can be rotated.
+    operator_token : str, optional
+        Bearer token of the operator listener. It may be missing on loopback only.
+    """
+
+    peer_keys: list[str]
+    operator_token: str | None = None
+
+
+@frozen(kw_only=True)
+class RequestSettings:
+    """Bounds on requests and on what is remembered of them.
+
+    Parameters
+    ----------
+    max_keyed_body_bytes : int
+        Longest body of a request with a key or a request id.
+    max_recorded_answer_bytes : int
+        Longest answer that is kept for replay.
+    max_remembered_ids : int
+        Issued ids that may be remembered at once.
+    request_id_ttl_ms : int
+        Life of an issued id.
+    max_connections_per_upstream : int
+        Open connections to one upstream.
+    """
+
+    max_keyed_body_bytes: int = field(default=1_048_576, validator=validators.gt(0))
+    max_recorded_answer_bytes: int = field(default=32_768, validator=validators.gt(0))
+    max_remembered_ids: int = field(default=50_000, validator=validators.gt(0))
+    request_id_ttl_ms: int = field(default=600_000, validator=validators.gt(0))
+    max_connections_per_upstream: int = field(default=200, validator=validators.gt(0))
+
+
+@frozen(kw_only=True)
+class DaemonSettings:
+    """All settings of one daemon.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the entry VM.
+    failure_domain : str
+        Failure domain it stands in.
+    listen : ListenSettings
+        Its addresses.
+    platform : Endpoint
+        Address of the platform's service.
+    secrets : SecretSettings
+        Keys and tokens.
+    peers : list of Endpoint
+        Peer addresses to greet before the list of VMs can be read.
+    timing : TimingSettings
+        Periods and time limits.
+    requests : RequestSettings
+        Bounds on requests.
+    http : HttpLimits
+        Limits of the caller listener.
+    """
+
+    vm: str
+    failure_domain: str
+    listen: ListenSettings
+    platform: Endpoint
+    secrets: SecretSettings
+    peers: list[Endpoint] = Factory(list)
+    timing: TimingSettings = Factory(TimingSettings)
+    requests: RequestSettings = Factory(RequestSettings)
+    http: HttpLimits = Factory(HttpLimits)
+
+    def problems(self) -> list[str]:
+        """List what is wrong beyond the types of single keys.
+
+        Returns
+        -------
+        list of str
+            One line a problem, beginning with the path of the key.
+        """
+        found = []
+        if self.listen.caller == self.listen.operator:
+            found.append(
+                f"listen.operator: {self.listen.operator} is already listen.caller;"
+                " give it another port"
+            )
+        if not self.secrets.peer_keys:
+            found.append("secrets.peer_keys: name at least one key")
+        for index, key in enumerate(self.secrets.peer_keys):
+            if not _is_key(key):
+                found.append(
+                    f"secrets.peer_keys[{index}]: write at least {MIN_PEER_KEY_HEX}"
+                    " hexadecimal digits"
+                )
+        if not self.secrets.operator_token and not _is_loopback(self.listen.operator):
+            found.append(
+                "secrets.operator_token: set a token; only a listener on loopback may"
+                " go without"
+            )
+        return found
+
+
+def _is_key(text: str) -> bool:
+    try:
+        return len(bytes.fromhex(text)) * 2 >= MIN_PEER_KEY_HEX
+    except ValueError:
+        return False
+
+
+def _is_loopback(endpoint: Endpoint) -> bool:
+    return endpoint.host.startswith("127.") or endpoint.host == "::1"
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/steering/__init__.py
@@ -0,0 +1,3 @@
+"""Which entry VMs a caller should use."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/steering/hash_ring.py
@@ -0,0 +1,62 @@
+"""Consistent hashing of client blocks to the entry VMs of a failure domain."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+POINTS_PER_VM = 16
+
+
+class HashRing:
+    """A ring of VM names.
+
+    Parameters
+    ----------
+    names : iterable of str
+        The VMs.
+
+    Notes
+    -----
+    When a VM joins or leaves, only its own part of the callers moves, so caches of the
+    others stay warm.
+    """
+
+    def __init__(self, *, names: Iterable[str]) -> None:
+        points = sorted(
+            (stable_hash(f"{name}#{number}"), name)
+            for name in names
+            for number in range(POINTS_PER_VM)
+        )
+        self._points = [point for point, _ in points]
+        self._names = [name for _, name in points]
+
+    def first(self, key: str, count: int) -> list[str]:
+        """Give the first distinct VMs after a key.
+
+        Parameters
+        ----------
+        key : str
+            What to place on the ring.
+        count : int
+            VMs wanted; fewer are given if there are fewer.
+        """
+        found: list[str] = []
+        size = len(self._names)
+        start = bisect_right(self._points, stable_hash(key))
+        for step in range(size):
+            name = self._names[(start + step) % size]
+            if name not in found:
+                found.append(name)
+                if len(found) == count:
+                    break
+        return found
+
+
+def stable_hash(text: str) -> int:
+    """Hash a text to 64 bits, the same in every process."""
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/steering/steering.py
@@ -0,0 +1,193 @@
+"""Answers to the question which entry VMs a caller should use."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import define
+from attrs import field
+from attrs import frozen
+
+from plankspindle_core.configuration.configuration import Configuration
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.steering.block_table import BlockTable
+from plankspindle_daemon.steering.hash_ring import HashRing
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+TTL_S = 5
+VMS_PER_DOMAIN = 2
+MAX_NAMED = 6
+
+
+class NamedBecause(Enum):
+    """Why an entry VM is named."""
+
+    HOME = "home"
+    NEXT_NEAREST = "next-nearest"
+    LAST_RESORT = "last-resort"
+
+
+@frozen(kw_only=True)
+class EntryVm:
+    """An entry VM that callers may use.
+
+    Parameters
+    ----------
+    name : str
+        Name of the VM.
+    failure_domain : str
+        Where it stands.
+    endpoint : Endpoint
+        Its caller listener.
+    usable : bool
+        Whether it is ready, not leaving and not overloaded, as far as known.
+    """
+
+    name: str
+    failure_domain: str
+    endpoint: Endpoint
+    usable: bool = True
+
+
+@frozen(kw_only=True)
+class NamedVm:
+    """One line of the answer to a look-up."""
+
+    vm: EntryVm
+    because: NamedBecause
+
+
+@frozen(kw_only=True)
+class LookupAnswer:
+    """Entry VMs in the order in which a caller should try them.
+
+    Parameters
+    ----------
+    site : str, optional
+        Site of the caller's block; None if no block holds it.
+    ttl_s : int
+        Time for which the answer may be kept, in seconds.
+    vms : tuple of NamedVm
+        Never empty while any entry VM is known.
+    """
+
+    site: str | None
+    ttl_s: int
+    vms: tuple[NamedVm, ...]
+
+
+@define(kw_only=True)
+class Steering:
+    """Look-ups on one version of the configuration and one set of entry VMs.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        The version.
+    home_domain : str
+        Failure domain taken for callers whose block is not known.
+    """
+
+    configuration: Configuration
+    home_domain: str
+    table: BlockTable = field()
+    _vms_by_name: dict[str, EntryVm] = Factory(dict)
+    _rings_by_domain: dict[str, HashRing] = Factory(dict)
+    _domains_by_query: dict[tuple[str, str], list[str]] = Factory(dict)
+
+    @table.default
+    def _make_table(self) -> BlockTable:
+        return BlockTable(site_by_prefix=self.configuration.site_by_prefix)
+
+    def use_vms(self, vms: Iterable[EntryVm]) -> None:
+        """Take the present set of entry VMs."""
+        by_name = {each.name: each for each in vms}
+        if by_name == self._vms_by_name:
+            return
+        self._vms_by_name = by_name
+        names_by_domain: dict[str, list[str]] = {}
+        for vm in by_name.values():
+            if vm.usable:
+                names_by_domain.setdefault(vm.failure_domain, []).append(vm.name)
+        self._rings_by_domain = {
+            domain: HashRing(names=names) for domain, names in names_by_domain.items()
+        }
+
+    def look_up(self, *, service: str, address: str) -> LookupAnswer:
+        """Name the entry VMs for a service and a caller's address.
+
+        Parameters
+        ----------
+        service : str
+            Name of a declared service.
+        address : str
+            IP number of the caller.
+
+        Returns
+        -------
+        LookupAnswer
+            The VMs of the home domain first, then those of the next nearest domains
+            that run the service, then whatever else is known.
+
+        Raises
+        ------
+        ValueError
+            If ``address`` is not an IP number.
+        """
+        site = self.table.site_of(address)
+        home = self.home_domain
+        if site is not None:
+            home = self.configuration.sites_by_name[site].failure_domain
+        named = self._named_in_order(service, home, address)
+        return LookupAnswer(site=site, ttl_s=TTL_S, vms=tuple(named))
+
+    def _named_in_order(self, service: str, home: str, key: str) -> list[NamedVm]:
+        named: list[NamedVm] = []
+        for domain in self._domains_for(service, home):
+            ring = self._rings_by_domain.get(domain)
+            if ring is None:
+                continue
+            because = NamedBecause.HOME if domain == home else NamedBecause.NEXT_NEAREST
+            for name in ring.first(key, VMS_PER_DOMAIN):
+                named.append(NamedVm(vm=self._vms_by_name[name], because=because))
+            if len(named) >= MAX_NAMED:
+                return named[:MAX_NAMED]
+        return named or self._last_resort(home)
+
+    def _last_resort(self, home: str) -> list[NamedVm]:
+        ordered = sorted(
+            self._vms_by_name.values(),
+            key=lambda vm: (
+                not vm.usable,
+                self.configuration.distance_ms(home, vm.failure_domain),
+                vm.name,
+            ),
+        )
+        return [
+            NamedVm(vm=vm, because=NamedBecause.LAST_RESORT)
+            for vm in ordered[:MAX_NAMED]
+        ]
+
+    def _domains_for(self, service: str, home: str) -> list[str]:
+        query = (service, home)
+        found = self._domains_by_query.get(query)
+        if found is None:
+            found = self._sort_domains(service, home)
+            self._domains_by_query[query] = found
+        return found
+
+    def _sort_domains(self, service: str, home: str) -> list[str]:
+        domains = {
+            upstream.failure_domain
+            for upstream in self.configuration.upstreams_by_name.values()
+            if upstream.service == service
+        }
+        return sorted(
+            domains,
+            key=lambda each: (self.configuration.distance_ms(home, each), each),
+        )
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/__init__.py
@@ -0,0 +1,3 @@
+"""Slot limits, health and choice of upstreams."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/health.py
@@ -0,0 +1,125 @@
+"""Health of an upstream: which part of its share may be used."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+from attrs import define
+from attrs import frozen
+
+RAMP_S = 2.0
+BACK_OFF_S = 0.2
+MAX_BACK_OFF_S = 10.0
+_MAX_DOUBLINGS = 10
+
+
+@frozen
+class Warm:
+    """The whole share may be used."""
+
+
+@frozen
+class Ramping:
+    """The usable part of the share grows from one slot on (slow start).
+
+    Parameters
+    ----------
+    since : float
+        Monotonic seconds.
+    """
+
+    since: float
+
+
+@frozen
+class BackedOff:
+    """Nothing may be sent until a probe after some time succeeds.
+
+    Parameters
+    ----------
+    until : float
+        Earliest probe, monotonic seconds.
+    failures : int
+        Failures in a row.
+    """
+
+    until: float
+    failures: int
+
+
+HealthState = Warm | Ramping | BackedOff
+
+
+@define(kw_only=True)
+class UpstreamHealth:
+    """State machine of one upstream's health.
+
+    Parameters
+    ----------
+    random : Random
+        Source of the jitter that keeps entry VMs from returning together.
+    state : HealthState
+        Present state.
+    """
+
+    random: Random
+    state: HealthState
+    _failures: int = 0
+
+    def limit(self, share: int, now: float) -> int:
+        """Give the usable part of a share.
+
+        Parameters
+        ----------
+        share : int
+            Slots that may be used when warm.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        int
+            At most ``share``; zero while backed off.
+        """
+        match self.state:
+            case Warm():
+                return share
+            case BackedOff():
+                return 0
+            case Ramping(since=since):
+                if now - since >= RAMP_S:
+                    self.state = Warm()
+                    return share
+                ramped = 1 + math.floor((share - 1) * (now - since) / RAMP_S)
+                return min(share, ramped)
+
+    def note_success(self) -> None:
+        """Record that a request was answered."""
+        self._failures = 0
+
+    def note_refusal(self, now: float) -> None:
+        """Record that the upstream failed, or shed a request."""
+        if isinstance(self.state, BackedOff):
+            return
+        self._back_off(now)
+
+    def note_probe(self, *, answered: bool, now: float) -> None:
+        """Record how a probe of a backed-off upstream ended."""
+        if not isinstance(self.state, BackedOff):
+            return
+        if answered:
+            self.state = Ramping(now)
+        else:
+            self._back_off(now)
+
+    def probe_is_due(self, now: float) -> bool:
+        """Tell whether a backed-off upstream is to be probed."""
+        return isinstance(self.state, BackedOff) and now >= self.state.until
+
+    def _back_off(self, now: float) -> None:
+        doublings = min(self._failures, _MAX_DOUBLINGS)
+        self._failures += 1
+        longest = min(MAX_BACK_OFF_S, BACK_OFF_S * 2.0**doublings)
+        jittered = longest * self.random.uniform(0.5, 1.0)
+        self.state = BackedOff(now + jittered, self._failures)
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/load_report.py
@@ -0,0 +1,80 @@
+"""What an upstream says of itself."""
+
+from __future__ import annotations
+
+import json
+
+from attrs import frozen
+from result import Err
+from result import Ok
+from result import Result
+
+MAX_AGE_S = 3.0
+
+
+@frozen
+class BadReport:
+    """A load report that cannot be read.
+
+    Parameters
+    ----------
+    detail : str
+        What is wrong with it.
+    """
+
+    detail: str
+
+
+@frozen(kw_only=True)
+class LoadReport:
+    """A load report; it lags and can mislead, so it never raises a limit.
+
+    Parameters
+    ----------
+    in_flight : int
+        Requests the upstream says it runs.
+    slots : int
+        Slots it says it has.
+    leaving : bool
+        Whether it is leaving.
+    leaves_at : float, optional
+        Planned time of leaving, seconds since the Unix epoch.
+    """
+
+    in_flight: int = 0
+    slots: int = 1
+    leaving: bool = False
+    leaves_at: float | None = None
+
+    @property
+    def utilisation(self) -> float:
+        """Share of its slots in use, from 0 to 1."""
+        return min(1.0, max(0.0, self.in_flight / max(1, self.slots)))
+
+
+def parse_load_report(body: bytes) -> Result[LoadReport, BadReport]:
+    """Read the JSON body of an upstream's load endpoint.
+
+    Parameters
+    ----------
+    body : bytes
+        JSON object with ``in_flight``, ``slots``, ``leaving`` and ``leaves_at``.
+
+    Returns
+    -------
+    Result
+        The report, or what is wrong with it.
+    """
+    try:
+        document = json.loads(body)
+        leaves_at = document.get("leaves_at")
+        return Ok(
+            LoadReport(
+                in_flight=int(document.get("in_flight", 0)),
+                slots=int(document.get("slots", 1)),
+                leaving=bool(document.get("leaving", False)),
+                leaves_at=None if leaves_at is None else float(leaves_at),
+            )
+        )
+    except (ValueError, TypeError, AttributeError) as error:
+        return Err(BadReport(str(error)))
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -0,0 +1,138 @@
+"""Everything an entry VM knows of one upstream."""
+
+from __future__ import annotations
+
+import math
+
+from attrs import define
+
+from plankspindle_core.configuration.upstream import Upstream
+from plankspindle_daemon.upstreams.health import UpstreamHealth
+from plankspindle_daemon.upstreams.load_report import MAX_AGE_S
+from plankspindle_daemon.upstreams.load_report import LoadReport
+from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
+
+LATENCY_WEIGHT = 0.2
+MIN_LATENCY = 0.1
+MAX_LATENCY = 10.0
+LATENCY_FADES_S = 1.0
+REPORT_WEIGHT = 0.5
+
+
+@define(kw_only=True)
+class UpstreamState:
+    """Limits, health and latency of one upstream.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    upstream : Upstream
+        Its declaration.
+    health : UpstreamHealth
+        Its health.
+    ledger : SlotLedger
+        Its slots.
+    relative_latency : float
+        Moving average of its latency over that of all upstreams; 1 is average.
+    leaving : bool
+        Whether it takes no new work.
+    leaves_at : float, optional
+        Planned time of leaving, monotonic seconds.
+    """
+
+    name: str
+    upstream: Upstream
+    health: UpstreamHealth
+    ledger: SlotLedger
+    relative_latency: float = 1.0
+    leaving: bool = False
+    leaves_at: float | None = None
+    _report: LoadReport | None = None
+    _reported_at: float = 0.0
+    _latency_at: float = 0.0
+    _listed_leaving: bool = False
+
+    def can_take(self, *, now: float, deadline: float, ends_by: float) -> bool:
+        """Tell whether a request may start here.
+
+        Parameters
+        ----------
+        now, deadline : float
+            Monotonic seconds.
+        ends_by : float
+            When the request is expected to end; a planned leave must be later.
+        """
+        if self.leaving or (self.leaves_at is not None and ends_by > self.leaves_at):
+            return False
+        allowed = self.ledger.allowance(now, deadline)
+        return self.ledger.in_flight < self.health.limit(allowed, now)
+
+    def limit(self, now: float) -> int:
+        """Requests that may run here at this moment."""
+        if self.leaving:
+            return 0
+        return self.health.limit(self.ledger.own_allowance(now), now)
+
+    def score(self, now: float) -> float:
+        """Expected cost of one more request; the lowest is chosen.
+
+        Notes
+        -----
+        Own counts and measured latency decide. A fresh report can only make the
+        upstream less attractive, so one that claims to be idle gains nothing.
+        """
+        limit = max(1, self.limit(now))
+        load = (self.ledger.in_flight + 1) / limit
+        return self._present_latency(now) * load * self._report_penalty(now)
+
+    def _present_latency(self, now: float) -> float:
+        """Let an old latency fade, so that an unlucky answer is not held for ever."""
+        age_s = max(0.0, now - self._latency_at)
+        fading = math.exp(-age_s / LATENCY_FADES_S)
+        return 1.0 + (self.relative_latency - 1.0) * fading
+
+    def _report_penalty(self, now: float) -> float:
+        if self._report is None or now - self._reported_at > MAX_AGE_S:
+            return 1.0
+        own = self.ledger.in_flight / max(1, self.upstream.slots)
+        excess = max(0.0, self._report.utilisation - own)
+        return 1.0 + REPORT_WEIGHT * excess
+
+    def note_latency(self, relative: float, now: float) -> None:
+        """Take the latency of one answer, relative to the operation's average."""
+        bounded = min(MAX_LATENCY, max(MIN_LATENCY, relative))
+        present = self._present_latency(now)
+        self.relative_latency = present + LATENCY_WEIGHT * (bounded - present)
+        self._latency_at = now
+
+    def note_report(self, report: LoadReport, *, now: float, wall: float) -> None:
+        """Take a load report.
+
+        Parameters
+        ----------
+        report : LoadReport
+            What the upstream says.
+        now : float
+            Monotonic seconds.
+        wall : float
+            Seconds since the Unix epoch, to place a planned leave.
+        """
+        self._report = report
+        self._reported_at = now
+        self._set_leaving(now=now, wall=wall, leaves_at=report.leaves_at)
+
+    def note_listed(
+        self, *, leaving: bool, leaves_at: float | None, now: float, wall: float
+    ) -> None:
+        """Take what the platform's list says of leaving."""
+        self._listed_leaving = leaving
+        self._set_leaving(now=now, wall=wall, leaves_at=leaves_at)
+
+    def _set_leaving(self, *, now: float, wall: float, leaves_at: float | None) -> None:
+        reported = self._report is not None and self._report.leaving
+        self.leaving = reported or self._listed_leaving
+        if leaves_at is not None:
+            self.leaves_at = now + (leaves_at - wall)
+        elif self._report is None or self._report.leaves_at is None:
+            self.leaves_at = None
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -0,0 +1,49 @@
+@0xd3c1f0a58b7e4926;
+
+# Messages between entry VMs. Fields are only ever added, never renumbered, so that
+# processes of different versions understand each other.
+
+enum Readiness {
+  starting @0;
+  ready @1;
+  overloaded @2;
+  leaving @3;
+  left @4;
+}
+
+struct Heartbeat {
+  incarnation @0 :UInt64;
+  sequence @1 :UInt64;
+  failureDomain @2 :Text;
+  callerEndpoint @3 :Text;
+  peerEndpoint @4 :Text;
+  readiness @5 :Readiness;
+  viewDigest @6 :UInt64;
+  overShare @7 :List(Text);
+  configurationVersion @8 :UInt64;
+}
+
+struct SlotRequest {
+  requestId @0 :UInt64;
+  upstream @1 :Text;
+  count @2 :UInt16;
+  durationMs @3 :UInt32;
+  incarnation @4 :UInt64;
+}
+
+struct SlotGrant {
+  requestId @0 :UInt64;
+  upstream @1 :Text;
+  count @2 :UInt16;
+  durationMs @3 :UInt32;
+  borrowerIncarnation @4 :UInt64;
+}
+
+struct PeerMessage {
+  sender @0 :Text;
+  union {
+    heartbeat @1 :Heartbeat;
+    slotRequest @2 :SlotRequest;
+    slotGrant @3 :SlotGrant;
+  }
+}
--- /dev/null
+++ b/packages/daemon/tests/upstreams/test_slot_share.py
@@ -0,0 +1,30 @@
+"""Tests of the division of slots."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plankspindle_daemon.upstreams.slot_share import share_of
+
+
+@given(count=st.integers(1, 40), slots=st.integers(1, 64), upstream=st.text(max_size=8))
+def test_shares_add_up_to_slots(count: int, slots: int, upstream: str) -> None:
+    members = [f"vm-{number:02}" for number in range(count)]
+    shares = [
+        share_of(vm=vm, members=members, upstream=upstream, slots=slots)
+        for vm in members
+    ]
+    assert sum(shares) == slots
+    assert max(shares) - min(shares) <= 1
+
+
+def test_remainders_go_to_different_members() -> None:
+    members = ["a", "b", "c"]
+    favoured = {
+        vm
+        for number in range(20)
+        for vm in members
+        if share_of(vm=vm, members=members, upstream=f"u{number}", slots=1)
+    }
+    assert favoured == set(members)
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/builders.py
@@ -0,0 +1,196 @@
+"""Builders of configurations and settings for tests, demo and benchmarks."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from attrs import frozen
+
+from plankspindle_core.configuration.caller import Caller
+from plankspindle_core.configuration.caller import hash_api_key
+from plankspindle_core.configuration.configuration import Configuration
+from plankspindle_core.configuration.configuration import FailureDomain
+from plankspindle_core.configuration.configuration import Site
+from plankspindle_core.configuration.distances import Distances
+from plankspindle_core.configuration.operation import Operation
+from plankspindle_core.configuration.service import Service
+from plankspindle_core.configuration.upstream import Upstream
+from plankspindle_core.endpoint import Endpoint
+
+PEER_KEY = "00112233445566778899aabbccddeeff"
+GOLD_KEY = "gold-key-of-a-dealer"
+BRONZE_KEY = "bronze-key-of-a-desk"
+
+REGISTRY_OPERATIONS = [
+    Operation(
+        method="GET",
+        path_prefix="/plates",
+        idempotent=True,
+        timeout_ms=2_000,
+        expected_ms=10,
+    ),
+    Operation(
+        method="POST", path_prefix="/transfers", timeout_ms=5_000, expected_ms=20
+    ),
+    Operation(
+        method="GET",
+        path_prefix="/bytes",
+        idempotent=True,
+        timeout_ms=120_000,
+        expected_ms=1_000,
+    ),
+]
+
+
+def build_configuration(
+    *,
+    upstreams_by_name: dict[str, Upstream] | None = None,
+    services_by_name: dict[str, Service] | None = None,
+    **fields: Any,
+) -> Configuration:
+    """Build a small valid configuration: two regions, one service.
+
+    Parameters
+    ----------
+    upstreams_by_name : dict of str to Upstream, optional
+        One upstream with two slots if not given.
+    services_by_name : dict of str to Service, optional
+        The registry if not given.
+    **fields : object
+        Any other field of the configuration.
+
+    Returns
+    -------
+    Configuration
+        Valid as long as the given fields are.
+    """
+    defaults: dict[str, Any] = {
+        "failure_domains_by_name": {
+            "ba-1": FailureDomain(region="bratislava"),
+            "ba-2": FailureDomain(region="bratislava"),
+            "ke-1": FailureDomain(region="kosice"),
+        },
+        "priority_classes": ["gold", "silver", "bronze"],
+        "callers_by_name": {
+            "dealer": build_caller(GOLD_KEY, "gold"),
+            "desk": build_caller(BRONZE_KEY, "bronze"),
+        },
+        "sites_by_name": {
+            "bratislava": Site(failure_domain="ba-1"),
+            "kosice": Site(failure_domain="ke-1"),
+        },
+        "site_by_prefix": {"127.0.0.0/8": "bratislava", "10.2.0.0/16": "kosice"},
+        "distances": Distances(
+            between_failure_domains_ms=1, between_regions_ms=35, to_callers_ms=8
+        ),
+    }
+    defaults.update(fields)
+    return Configuration(
+        services_by_name=services_by_name or {"registry": build_service()},
+        upstreams_by_name=upstreams_by_name or {"r1": build_upstream()},
+        **defaults,
+    )
+
+
+def build_service(**fields: Any) -> Service:
+    """Build the registry service, with the given fields changed."""
+    defaults: dict[str, Any] = {
+        "operations": REGISTRY_OPERATIONS,
+        "default_class": "bronze",
+    }
+    return Service(**{**defaults, **fields})
+
+
+def build_upstream(**fields: Any) -> Upstream:
+    """Build an upstream of the registry, with the given fields changed."""
+    defaults: dict[str, Any] = {
+        "service": "registry",
+        "failure_domain": "ba-1",
+        "endpoint": Endpoint("127.0.0.1", 9001),
+        "slots": 2,
+    }
+    return Upstream(**{**defaults, **fields})
+
+
+def build_caller(key: str, priority_class: str) -> Caller:
+    """Build a caller with an API key."""
+    return Caller(priority_class=priority_class, key_sha256=hash_api_key(key.encode()))
+
+
+@frozen(kw_only=True)
+class VmPlace:
+    """An entry VM and its addresses on loopback.
+
+    Parameters
+    ----------
+    name, failure_domain : str
+        The VM and where it stands.
+    host : str
+        Loopback number.
+    base_port : int
+        Port of the caller listener; operator and peer use the next two.
+    """
+
+    name: str
+    failure_domain: str
+    host: str
+    base_port: int
+
+    @property
+    def caller(self) -> Endpoint:
+        """Caller listener."""
+        return Endpoint(self.host, self.base_port)
+
+    @property
+    def operator(self) -> Endpoint:
+        """Operator listener."""
+        return Endpoint(self.host, self.base_port + 1)
+
+    @property
+    def peer(self) -> Endpoint:
+        """Peer listener."""
+        return Endpoint(self.host, self.base_port + 2)
+
+    def listed(self, *, leaving: bool = False) -> dict[str, Any]:
+        """Give its line in the platform's list of VMs."""
+        return {
+            "name": self.name,
+            "kind": "entry",
+            "failure_domain": self.failure_domain,
+            "leaving": leaving,
+            "caller": str(self.caller),
+            "peer": str(self.peer),
+        }
+
+
+def build_settings_mapping(
+    place: VmPlace, *, platform: Endpoint, **sections: Any
+) -> dict[str, Any]:
+    """Build the settings document of a daemon.
+
+    Parameters
+    ----------
+    place : VmPlace
+        The VM.
+    platform : Endpoint
+        The platform.
+    **sections : object
+        Further sections, such as ``timing``.
+
+    Returns
+    -------
+    dict
+        To be written as YAML.
+    """
+    return {
+        "vm": place.name,
+        "failure_domain": place.failure_domain,
+        "listen": {
+            "caller": str(place.caller),
+            "operator": str(place.operator),
+            "peer": str(place.peer),
+        },
+        "platform": str(platform),
+        "secrets": {"peer_keys": [PEER_KEY]},
+        **sections,
+    }
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/demo.py
@@ -0,0 +1,187 @@
+"""The demo: a small installation on loopback, from look-up to confirmed shift."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+from collections import Counter
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from plankspindle_core import header_names
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.http.headers import find_header
+from plankspindle_testkit.builders import VmPlace
+from plankspindle_testkit.builders import build_caller
+from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.processes import Processes
+from plankspindle_testkit.processes import call
+from plankspindle_testkit.processes import confirm_intent
+from plankspindle_testkit.processes import put_in_force
+from plankspindle_testkit.processes import state_of
+from plankspindle_testkit.processes import wait_until
+
+if TYPE_CHECKING:
+    from plankspindle_core.configuration.configuration import Configuration
+
+PLATFORM = Endpoint("127.0.0.1", 17000)
+PLACES = [
+    VmPlace(name="ba-1-a", failure_domain="ba-1", host="127.0.0.11", base_port=17100),
+    VmPlace(name="ba-1-b", failure_domain="ba-1", host="127.0.0.12", base_port=17100),
+    VmPlace(name="ke-1-a", failure_domain="ke-1", host="127.0.0.13", base_port=17100),
+]
+UPSTREAMS = {
+    "registry-ba-1": build_upstream(endpoint=Endpoint("127.0.0.21", 17200), slots=9),
+    "registry-ba-2": build_upstream(endpoint=Endpoint("127.0.0.22", 17200), slots=9),
+    "registry-ke-1": build_upstream(
+        endpoint=Endpoint("127.0.0.23", 17200), slots=9, failure_domain="ke-1"
+    ),
+}
+REQUESTS = 200
+DEALERS = 25
+PLATE = "/v1/services/registry/plates/BA123AB"
+
+
+def main() -> None:
+    """Run the demo; it ends its own processes."""
+    with tempfile.TemporaryDirectory() as folder:
+        processes = Processes(folder=Path(folder))
+        try:
+            _start(processes)
+            _show_lookup()
+            _show_requests("before any shift")
+            _show_transfer()
+            _show_shift()
+            _show_requests("after the shift")
+            _show_meter()
+        finally:
+            processes.close()
+    print("demo: done")
+
+
+def _start(processes: Processes) -> None:
+    processes.start_module(
+        "platform", "plankspindle_testkit.platform_stand_in", str(PLATFORM)
+    )
+    upstreams = [
+        f"{name}={each.endpoint}={each.slots}" for name, each in UPSTREAMS.items()
+    ]
+    processes.start_module(
+        "upstreams", "plankspindle_testkit.upstream_stand_in", *upstreams
+    )
+    wait_until(lambda: call(PLATFORM, target="/vms").status == 200, what="platform")
+    vms = {"vms": [place.listed() for place in PLACES]}
+    call(PLATFORM, "POST", "/control", body=json.dumps(vms).encode())
+    for place in PLACES:
+        processes.start_daemon(place, platform=PLATFORM)
+        _wait_for_health(place)
+    version = put_in_force(PLACES[0], _configuration())
+    for place in PLACES:
+        _wait_for_version(place, version)
+    print(f"started {len(PLACES)} entry VMs, version {version} is in force on each")
+
+
+def _configuration() -> Configuration:
+    dealers = {
+        f"dealer-{number}": build_caller(_dealer_key(number), "gold")
+        for number in range(DEALERS)
+    }
+    return build_configuration(upstreams_by_name=UPSTREAMS, callers_by_name=dealers)
+
+
+def _dealer_key(number: int) -> str:
+    return f"key-of-dealer-{number:02}"
+
+
+def _wait_for_health(place: VmPlace) -> None:
+    wait_until(
+        lambda: call(place.operator, target="/health").status == 200, what=place.name
+    )
+
+
+def _wait_for_version(place: VmPlace, version: int) -> None:
+    def has_it() -> bool:
+        found = state_of(place)
+        upstreams = found["services"].get("registry", {}).get("upstreams", {})
+        in_force = bool(found["configuration"]["version"] >= version)
+        return in_force and all(each["share"] for each in upstreams.values())
+
+    wait_until(has_it, what=f"version {version} at {place.name}")
+
+
+def _show_lookup() -> None:
+    answer = call(PLACES[2].caller, target="/v1/lookup?service=registry")
+    print("look-up for a caller of 127.0.0.1:")
+    for vm in json.loads(answer.body)["vms"]:
+        print(f"  {vm['vm']} {vm['ip']}:{vm['port']} ({vm['reason']})")
+
+
+def _show_requests(title: str) -> None:
+    served: Counter[str] = Counter()
+    for number in range(REQUESTS):
+        place = PLACES[number % 2]
+        key = b"Bearer " + _dealer_key(number % DEALERS).encode()
+        answer = call(
+            place.caller, target=PLATE, headers=[(header_names.AUTHORIZATION, key)]
+        )
+        name = find_header(answer.headers, header_names.SERVED_BY) or b"nobody"
+        served[name.decode()] += 1
+    print(f"{REQUESTS} plate look-ups in Bratislava, {title}:")
+    for by, count in sorted(served.items()):
+        print(f"  {count:4} served by {by}")
+
+
+def _show_transfer() -> None:
+    issued = call(PLACES[0].caller, "POST", "/v1/request-ids")
+    request_id = json.loads(issued.body)["request_ids"][0]
+    print("one transfer with an issued request id, sent three times to two VMs:")
+    for place in (PLACES[0], PLACES[0], PLACES[1]):
+        answer = call(
+            place.caller,
+            "POST",
+            "/v1/services/registry/transfers",
+            headers=[
+                (header_names.REQUEST_ID, request_id.encode()),
+                (b"x-run", b"transfer"),
+            ],
+            body=b"BA123AB to a new owner",
+        )
+        outcome = find_header(answer.headers, header_names.OUTCOME) or b""
+        replayed = find_header(answer.headers, header_names.REPLAYED) is not None
+        how = "replayed" if replayed else "run"
+        print(f"  {place.name}: {answer.status} {outcome.decode()} ({how})")
+    runs = sum(_runs(each.endpoint) for each in UPSTREAMS.values())
+    print(f"  executions at the upstreams: {runs}")
+
+
+def _runs(endpoint: Endpoint) -> int:
+    counts = json.loads(call(endpoint, "POST", "/control").body)
+    return int(counts["runs"])
+
+
+def _show_shift() -> None:
+    intent = {
+        "kind": "shift",
+        "shift_id": "relief",
+        "shift": {
+            "service": "registry",
+            "from_region": "bratislava",
+            "to_region": "kosice",
+            "cap_percent": 20.0,
+        },
+    }
+    version = confirm_intent(PLACES[0], intent)
+    for place in PLACES:
+        _wait_for_version(place, version)
+    print(f"20 percent shift to Košice: confirmed, version {version} is in force")
+
+
+def _show_meter() -> None:
+    for place in PLACES[:2]:
+        shift = state_of(place)["shifts"]["relief"]
+        print(f"  {place.name}: moved {shift['moved']} of {shift['total']}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/processes.py
@@ -0,0 +1,174 @@
+"""Daemons and stand-ins as processes on loopback, for demo, tests and benchmarks."""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+import yaml
+from attrs import define
+from attrs import field
+
+from plankspindle_core.configuration.codec import configuration_to_mapping
+from plankspindle_core.http.fetch import HttpAnswer
+from plankspindle_core.http.fetch import fetch
+from plankspindle_testkit.builders import VmPlace
+from plankspindle_testkit.builders import build_settings_mapping
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from plankspindle_core.configuration.configuration import Configuration
+    from plankspindle_core.endpoint import Endpoint
+    from plankspindle_core.http.headers import HeaderList
+
+END_TIMEOUT_S = 10.0
+POLL_S = 0.02
+
+
+@define(kw_only=True)
+class Processes:
+    """Processes started here, ended by :meth:`close`.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs go.
+    """
+
+    folder: Path
+    by_name: dict[str, subprocess.Popen[bytes]] = field(factory=dict)
+
+    def start_module(self, name: str, module: str, *arguments: str) -> None:
+        """Start ``python -m module`` under a name."""
+        self._start(name, [sys.executable, "-m", module, *arguments])
+
+    def start_daemon(
+        self, place: VmPlace, *, platform: Endpoint, **sections: Any
+    ) -> None:
+        """Start a daemon, writing its settings first."""
+        mapping = build_settings_mapping(place, platform=platform, **sections)
+        path = self.folder / f"{place.name}.yaml"
+        path.write_text(yaml.safe_dump(mapping), encoding="utf-8")
+        entry = "from plankspindle_daemon.console.application import main; main()"
+        self._start(place.name, [sys.executable, "-c", entry, "run", str(path)])
+
+    def _start(self, name: str, command: list[str]) -> None:
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.by_name[name] = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process started here."""
+        self.by_name[name].send_signal(number)
+
+    def wait(self, name: str, *, timeout_s: float = END_TIMEOUT_S) -> int:
+        """Wait for the end of a process and give its exit status."""
+        return self.by_name[name].wait(timeout_s)
+
+    def log_of(self, name: str) -> str:
+        """Give what a process wrote."""
+        return (self.folder / f"{name}.log").read_text(encoding="utf-8")
+
+    def close(self) -> None:
+        """End every process that still runs."""
+        running = [each for each in self.by_name.values() if each.poll() is None]
+        for process in running:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in running:
+            process.wait(END_TIMEOUT_S)
+
+
+def call(
+    endpoint: Endpoint,
+    method: str = "GET",
+    target: str = "/",
+    *,
+    headers: HeaderList | None = None,
+    body: bytes = b"",
+    timeout_s: float = 10.0,
+) -> HttpAnswer:
+    """Make one HTTP call from outside a curio kernel.
+
+    Raises
+    ------
+    ConnectionError
+        If no complete answer came.
+    """
+
+    async def run() -> Any:
+        return await fetch(
+            endpoint,
+            method=method,
+            target=target,
+            headers=headers,
+            body=body,
+            timeout_s=timeout_s,
+        )
+
+    answer = curio.run(run)
+    if answer.is_err():
+        raise ConnectionError(f"{endpoint}{target}: {answer.unwrap_err()}")
+    found: HttpAnswer = answer.unwrap()
+    return found
+
+
+def wait_until(
+    check: Callable[[], bool], *, what: str, timeout_s: float = 15.0
+) -> None:
+    """Wait until a check holds; a refused connection counts as not yet.
+
+    Raises
+    ------
+    TimeoutError
+        If it does not hold in time.
+    """
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        try:
+            if check():
+                return
+        except ConnectionError:
+            pass
+        time.sleep(POLL_S)
+    raise TimeoutError(f"not in {timeout_s} s: {what}")
+
+
+def state_of(place: VmPlace) -> dict[str, Any]:
+    """Read the state dump of a daemon."""
+    dumped: dict[str, Any] = json.loads(call(place.operator, target="/state").body)
+    return dumped
+
+
+def put_in_force(place: VmPlace, configuration: Configuration) -> int:
+    """Plan and confirm a whole configuration through one daemon.
+
+    Returns
+    -------
+    int
+        The version it became.
+    """
+    mapping = configuration_to_mapping(configuration)
+    return confirm_intent(place, {"kind": "apply", "configuration": mapping})
+
+
+def confirm_intent(place: VmPlace, intent: dict[str, Any]) -> int:
+    """Plan and confirm an intent, and give the version it became."""
+    made = call(place.operator, "POST", "/v1/plans", body=json.dumps(intent).encode())
+    plan = json.loads(made.body)
+    if made.status != 201:
+        raise ConnectionError(f"no plan: {plan}")
+    confirmed = call(place.operator, "POST", f"/v1/plans/{plan['id']}/confirm")
+    if confirmed.status != 200:
+        raise ConnectionError(f"not confirmed: {confirmed.body!r}")
+    version: int = plan["base_version"] + 1
+    return version
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/serving.py
@@ -0,0 +1,34 @@
+"""Running stand-ins as processes of their own."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from curio import sleep
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+FOREVER_S = 3600.0
+
+
+class Startable(Protocol):
+    """Something with an explicit start and close."""
+
+    async def start(self) -> None:
+        """Start."""
+
+    async def close(self) -> None:
+        """Close."""
+
+
+async def serve_until_ended(servers: Sequence[Startable]) -> None:
+    """Start servers and keep them until the process is ended, at most an hour."""
+    for server in servers:
+        await server.start()
+    try:
+        await sleep(FOREVER_S)
+    finally:
+        for server in servers:
+            await server.close()
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/upstream_stand_in/__init__.py
@@ -0,0 +1,3 @@
+"""A small stand-in for an upstream."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/upstream_stand_in/upstream_stand_in.py
@@ -0,0 +1,188 @@
+"""HTTP server of the upstream stand-in."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import field
+from curio import sleep
+
+from plankspindle_core import header_names
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.http.headers import find_header
+from plankspindle_core.http.limits import HttpLimits
+from plankspindle_core.http.server import HttpServer
+from plankspindle_core.http.server_exchange import CallerGoneError
+from plankspindle_testkit.upstream_stand_in.behaviour import Behaviour
+from plankspindle_testkit.upstream_stand_in.behaviour import Mode
+
+if TYPE_CHECKING:
+    from plankspindle_core.http.headers import HeaderList
+    from plankspindle_core.http.server_exchange import ServerExchange
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+CHUNK = b"x" * 65_536
+RUN_HEADER = b"x-run"
+
+
+@define(kw_only=True)
+class UpstreamStandIn:
+    """Serve requests with a limited number of slots, shedding the rest.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Address to listen on.
+    name : str
+        Named in every answer.
+    slots : int
+        Requests that may run at once.
+
+    Attributes
+    ----------
+    runs_by_mark : Counter of str
+        Executions by the value of the ``x-run`` header of requests.
+    most_in_flight : int
+        Most requests that ran at once.
+    """
+
+    endpoint: Endpoint
+    name: str
+    slots: int
+    behaviour: Behaviour = field(factory=Behaviour)
+    in_flight: int = 0
+    most_in_flight: int = 0
+    runs_by_mark: Counter[str] = field(factory=Counter)
+    shed: int = 0
+    cancelled: int = 0
+    refused_late: int = 0
+    _server: HttpServer = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._server = HttpServer(
+            endpoint=self.endpoint, limits=HttpLimits(), handler=self._handle
+        )
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._server.close()
+
+    async def _handle(self, source: ServerExchange) -> None:
+        body = await source.read_body(max_bytes=MAX_BODY_BYTES) or b""
+        path = source.target.partition("?")[0]
+        if path == "/load":
+            await source.answer(status=200, body=json.dumps(self._report()).encode())
+        elif path == "/control":
+            await self._control(source, body)
+        elif self._refuses(source):
+            shed = [(header_names.SHED, b"1")]
+            await source.answer(status=503, headers=shed, body=b"shed\n")
+        else:
+            await self._run(source, path, body)
+
+    def _report(self) -> dict[str, object]:
+        idle = self.behaviour.claims_idle
+        return {
+            "in_flight": 0 if idle else self.in_flight,
+            "slots": self.slots,
+            "leaving": self.behaviour.leaving,
+            "leaves_at": self.behaviour.leaves_at,
+        }
+
+    def _refuses(self, source: ServerExchange) -> bool:
+        if self.behaviour.mode is Mode.SHED or self.in_flight >= self.slots:
+            self.shed += 1
+            return True
+        deadline = find_header(source.headers, header_names.DEADLINE)
+        if deadline is not None and time.time() * 1000 > int(deadline):
+            self.refused_late += 1
+            return True
+        return False
+
+    async def _run(self, source: ServerExchange, path: str, body: bytes) -> None:
+        mark = find_header(source.headers, RUN_HEADER)
+        if mark is not None:
+            self.runs_by_mark[mark.decode()] += 1
+        self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        watcher = await source.watch_caller()
+        try:
+            await sleep(self.behaviour.service_ms / 1000)
+            await self._answer(source, path, body)
+        except CallerGoneError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.in_flight -= 1
+            await watcher.cancel()
+
+    async def _answer(self, source: ServerExchange, path: str, body: bytes) -> None:
+        match self.behaviour.mode:
+            case Mode.FAIL:
+                await source.answer(status=500, body=b"failed\n")
+            case Mode.HANG:
+                await sleep(3600)
+            case Mode.CLOSE_AFTER_RUN:
+                source.abort()
+            case Mode.TRUNCATE:
+                length = [(b"content-length", b"1000")]
+                await source.send_head(status=200, headers=length)
+                await source.send_data(b"only this")
+                source.abort()
+            case Mode.EXTRA_BYTES:
+                await source.answer(status=200, body=b"{}")
+                await source._socket.sendall(b"HTTP/1.1 200 OK\r\n\r\nstray")
+            case Mode.SERVE | Mode.SHED:
+                await self._answer_whole(source, path, body)
+
+    async def _answer_whole(
+        self, source: ServerExchange, path: str, body: bytes
+    ) -> None:
+        if path.startswith("/bytes/"):
+            await self._send_bytes(source, int(path.removeprefix("/bytes/")))
+            return
+        content = {"upstream": self.name, "path": path, "body_bytes": len(body)}
+        kind = [(b"content-type", b"application/json")]
+        encoded = json.dumps(content).encode()
+        await source.answer(status=200, headers=kind, body=encoded)
+
+    async def _send_bytes(self, source: ServerExchange, size: int) -> None:
+        first = 0
+        status = 200
+        headers: HeaderList = [(b"accept-ranges", b"bytes")]
+        wanted = find_header(source.headers, b"range")
+        if wanted is not None:
+            first = int(wanted.removeprefix(b"bytes=").partition(b"-")[0])
+            status = 206
+            span = f"bytes {first}-{size - 1}/{size}"
+            headers.append((b"content-range", span.encode()))
+        left = size - first
+        headers.append((b"content-length", str(left).encode()))
+        await source.send_head(status=status, headers=headers)
+        while left > 0:
+            await source.send_data(CHUNK[:left])
+            left -= min(left, len(CHUNK))
+        await source.finish()
+
+    async def _control(self, source: ServerExchange, body: bytes) -> None:
+        wanted = json.loads(body or b"{}")
+        if wanted:
+            wanted["mode"] = Mode(wanted.get("mode", "serve"))
+            self.behaviour = Behaviour(**wanted)
+        counts = {
+            "runs": sum(self.runs_by_mark.values()),
+            "most_runs": max(self.runs_by_mark.values(), default=0),
+            "most_in_flight": self.most_in_flight,
+            "shed": self.shed,
+            "cancelled": self.cancelled,
+            "refused_late": self.refused_late,
+        }
+        await source.answer(status=200, body=json.dumps(counts).encode())
