--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatch_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatch_runner.py
@@ -11,6 +11,7 @@
 from attrs import field
 from curio import Event
 
+from plankspindle_core.http.errors import ConnectFailed
 from plankspindle_core.http.fetch import fetch
 from plankspindle_core.supervisor import Supervisor
 from plankspindle_daemon.dispatch.messages import Arrived
@@ -128,5 +129,10 @@
         report: LoadReport | None = None
         if answer.is_ok() and answer.unwrap().status == _OK:
             report = parse_load_report(answer.unwrap().body).unwrap_or(None)
-        probed = Probed(upstream=probe.upstream, report=report, wall=time.time())
+        probed = Probed(
+            upstream=probe.upstream,
+            report=report,
+            wall=time.time(),
+            reached=not isinstance(answer.err(), ConnectFailed),
+        )
         await self.tell(service, probed)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -46,6 +46,7 @@
 MAX_RETRY_AFTER_S = 30.0
 MAX_LOAN_S = 5.0
 ASK_PERIOD_S = 0.05
+MIN_PROBE_GAP_S = 0.05
 
 
 @define(kw_only=True)
@@ -78,6 +79,7 @@
     rejected_by_reason: dict[RejectReason, int] = Factory(dict)
     assigned: int = 0
     _next_probe_by_name: dict[str, float] = field(factory=dict)
+    _last_probe_by_name: dict[str, float] = field(factory=dict)
     _asked_at_by_id: dict[int, tuple[str, float, float]] = field(factory=dict)
     _next_ask: float = 0.0
 
@@ -118,7 +120,8 @@
             case Paused():
                 for upstream in self.upstreams_by_name.values():
                     upstream.ledger.drop_borrowed()
-                return self._give_up_late(now)
+                    upstream.is_unconfirmed = True
+                return [*self._give_up_late(now), *self._probe_all(now)]
 
     def free_slots(self, now: float) -> int:
         """Requests that could start at this moment."""
@@ -252,11 +255,16 @@
         upstream = self.upstreams_by_name.get(probed.upstream)
         if upstream is None:
             return
+        upstream.is_unconfirmed = False
         if probed.report is None:
-            upstream.health.note_probe(answered=False, now=now)
+            upstream.health.note_silence(reached=probed.reached, now=now)
             return
         upstream.note_report(probed.report, now=now, wall=probed.wall)
-        upstream.health.note_probe(answered=True, now=now)
+        upstream.health.note_report(now)
+
+    def _probe_all(self, now: float) -> list[DispatchEffect]:
+        self._next_probe_by_name.clear()
+        return self._probes(now)
 
     def _probes(self, now: float) -> list[DispatchEffect]:
         effects: list[DispatchEffect] = []
@@ -265,15 +273,14 @@
             if due or self._returns_by_probe(name, upstream, now):
                 jittered = self.probe_s * self.random.uniform(0.8, 1.2)
                 self._next_probe_by_name[name] = now + jittered
+                self._last_probe_by_name[name] = now
                 endpoint = upstream.upstream.endpoint
                 effects.append(Probe(upstream=name, endpoint=endpoint))
         return effects
 
     def _returns_by_probe(self, name: str, upstream: UpstreamState, now: float) -> bool:
-        if not upstream.health.probe_is_due(now):
-            return False
-        last = self._next_probe_by_name.get(name, 0.0) - self.probe_s
-        return now - last > ASK_PERIOD_S
+        last = self._last_probe_by_name.get(name, 0.0)
+        return upstream.health.probe_is_due(now) and now - last >= MIN_PROBE_GAP_S
 
     def _ask(self, now: float) -> list[DispatchEffect]:
         if now < self._next_ask:
@@ -284,7 +291,7 @@
             for each in self.upstreams_by_name.values()
             if not each.leaving
             and each.name not in waiting.excluded
-            and each.health.limit(self._shared_slots(each), now) > each.limit(now)
+            and each.health.limit(each.upstream.slots, now) > each.limit(now)
         ]
         if not full:
             return []
@@ -304,9 +311,6 @@
         self._asked_at_by_id[request.request_id] = (chosen.name, now, until)
         return [AskSlots(request)]
 
-    def _shared_slots(self, upstream: UpstreamState) -> int:
-        return upstream.upstream.slots
-
     def _forget_old_asks(self, now: float) -> None:
         self._asked_at_by_id = {
             number: asked
--- a/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
@@ -70,14 +70,17 @@
     upstream : str
         Which one.
     report : LoadReport, optional
-        What it reported; None if it did not answer.
+        What it reported; None if it reported nothing that can be read.
     wall : float
         Seconds since the Unix epoch.
+    reached : bool
+        Whether a connection to it was made.
     """
 
     upstream: str
     report: LoadReport | None
     wall: float
+    reached: bool = True
 
 
 @frozen(kw_only=True)
--- a/packages/daemon/src/plankspindle_daemon/exchange/exchange.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/exchange.py
@@ -132,7 +132,7 @@
                 fresh = not self.terms.idempotent
                 return [OpenConnection(endpoint=endpoint, fresh=fresh)]
             case Refused(reason=reason, retry_after_s=retry_after_s):
-                return self._give_up(_UNAVAILABLE, reason, retry_after_s)
+                return self._give_up(reason, retry_after_s=retry_after_s)
             case Connected():
                 return self._send()
             case ConnectFailed():
@@ -179,8 +179,7 @@
         if upstream is not None:
             self.excluded |= {upstream}
         if not self._may_try_again() or not self.budget.take():
-            status = _BAD_GATEWAY if self.may_have_run else _UNAVAILABLE
-            return [*effects, *self._give_up(status, reason, None)]
+            return [*effects, *self._give_up(reason)]
         self.route = ToUpstream()
         return [*effects, FindUpstream(self.excluded)]
 
@@ -198,10 +197,7 @@
     def _take_deadline(self) -> list[ExchangeEffect]:
         match self.state:
             case Waiting():
-                return [
-                    WithdrawTicket(),
-                    *self._give_up(_UNAVAILABLE, "too-late", None),
-                ]
+                return [WithdrawTicket(), *self._give_up("too-late", late=True)]
             case Relaying():
                 return [*self._end_upstream(Verdict.CANCELLED, Over()), AbortCaller()]
             case Over():
@@ -210,23 +206,25 @@
                 sent = isinstance(self.state, Sent)
                 verdict = Verdict.FAILED if sent else Verdict.CANCELLED
                 effects = self._end_upstream(verdict, Over())
-                status = _GATEWAY_TIMEOUT if self.may_have_run else _UNAVAILABLE
-                return [*effects, *self._give_up(status, "too-late", None)]
+                return [*effects, *self._give_up("too-late", late=True)]
 
     def _give_up(
-        self, status: int, reason: str, retry_after_s: float | None
+        self, reason: str, *, late: bool = False, retry_after_s: float | None = None
     ) -> list[ExchangeEffect]:
         self.state = Over()
-        in_doubt = self.may_have_run or self.terms.may_have_run_elsewhere
-        outcome = Outcome.UNKNOWN if in_doubt else Outcome.NOT_RUN
-        return [
-            AnswerCaller(
-                status=status,
-                outcome=outcome,
-                reason=reason,
-                retry_after_s=retry_after_s,
+        if self.may_have_run or self.terms.may_have_run_elsewhere:
+            status = _GATEWAY_TIMEOUT if late else _BAD_GATEWAY
+            unknown = AnswerCaller(
+                status=status, outcome=Outcome.UNKNOWN, reason=reason
             )
-        ]
+            return [unknown]
+        not_run = AnswerCaller(
+            status=_UNAVAILABLE,
+            outcome=Outcome.NOT_RUN,
+            reason=reason,
+            retry_after_s=retry_after_s,
+        )
+        return [not_run]
 
     def _end_upstream(
         self, verdict: Verdict, state: ExchangeState
--- a/packages/daemon/src/plankspindle_daemon/upstreams/health.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/health.py
@@ -104,13 +104,23 @@
             return
         self._back_off(now)
 
-    def note_probe(self, *, answered: bool, now: float) -> None:
-        """Record how a probe of a backed-off upstream ended."""
-        if not isinstance(self.state, BackedOff):
-            return
-        if answered:
+    def note_report(self, now: float) -> None:
+        """Record that a probe brought a report, which ends a back-off."""
+        if isinstance(self.state, BackedOff):
             self.state = Ramping(now)
-        else:
+
+    def note_silence(self, *, reached: bool, now: float) -> None:
+        """Record that a probe brought nothing.
+
+        Parameters
+        ----------
+        reached : bool
+            Whether a connection was made. While it was, an upstream that is not backed
+            off goes on: reports may stop arriving while requests are served.
+        now : float
+            Monotonic seconds.
+        """
+        if not reached or isinstance(self.state, BackedOff):
             self._back_off(now)
 
     def probe_is_due(self, now: float) -> bool:
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -39,6 +39,9 @@
         Whether it takes no new work.
     leaves_at : float, optional
         Planned time of leaving, monotonic seconds.
+    is_unconfirmed : bool
+        Whether this process stood still since it last heard that the upstream stays;
+        until the next probe or list it gets no new work.
     """
 
     name: str
@@ -48,6 +51,7 @@
     relative_latency: float = 1.0
     leaving: bool = False
     leaves_at: float | None = None
+    is_unconfirmed: bool = False
     _report: LoadReport | None = None
     _reported_at: float = 0.0
     _latency_at: float = 0.0
@@ -63,14 +67,18 @@
         ends_by : float
             When the request is expected to end; a planned leave must be later.
         """
-        if self.leaving or (self.leaves_at is not None and ends_by > self.leaves_at):
+        if (
+            self.is_unconfirmed
+            or self.leaving
+            or (self.leaves_at is not None and ends_by > self.leaves_at)
+        ):
             return False
         allowed = self.ledger.allowance(now, deadline)
         return self.ledger.in_flight < self.health.limit(allowed, now)
 
     def limit(self, now: float) -> int:
         """Requests that may run here at this moment."""
-        if self.leaving:
+        if self.leaving or self.is_unconfirmed:
             return 0
         return self.health.limit(self.ledger.own_allowance(now), now)
 
@@ -127,6 +135,7 @@
     ) -> None:
         """Take what the platform's list says of leaving."""
         self._listed_leaving = leaving
+        self.is_unconfirmed = False
         self._set_leaving(now=now, wall=wall, leaves_at=leaves_at)
 
     def _set_leaving(self, *, now: float, wall: float, leaves_at: float | None) -> None:
--- /dev/null
+++ b/packages/daemon/tests/admission/test_class_queue.py
@@ -0,0 +1,60 @@
+"""State-machine test of the queue by class."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from plankspindle_daemon.admission.class_queue import ClassQueue
+from plankspindle_daemon.admission.class_queue import Queued
+from plankspindle_daemon.admission.class_queue import QueueFull
+from plankspindle_testkit.builders import build_ticket
+
+LIMIT = 5
+
+
+class QueueMachine(RuleBasedStateMachine):
+    """Hold the queue against a sorted list."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.queue = ClassQueue(limit=LIMIT)
+        self.model: list[tuple[int, int]] = []
+        self.number = 0
+
+    @rule(rank=st.integers(0, 2))
+    def offer(self, rank: int) -> None:
+        self.number += 1
+        lowest = max(self.model, default=None)
+        offered = self.queue.offer(build_ticket(self.number, rank=rank))
+        if len(self.model) < LIMIT:
+            assert offered == Queued(None)
+        elif lowest is not None and lowest[0] > rank:
+            assert isinstance(offered, Queued)
+            assert offered.evicted is not None
+            assert (offered.evicted.rank, offered.evicted.id) == lowest
+            self.model.remove(lowest)
+        else:
+            assert isinstance(offered, QueueFull)
+            return
+        self.model.append((rank, self.number))
+
+    @precondition(lambda self: self.model)
+    @rule()
+    def take_first(self) -> None:
+        first = next(iter(self.queue))
+        assert (first.rank, first.id) == min(self.model)
+        self.queue.remove(first.id)
+        self.model.remove(min(self.model))
+
+    @invariant()
+    def serves_in_order(self) -> None:
+        served = [(ticket.rank, ticket.id) for ticket in self.queue]
+        assert served == sorted(self.model)
+        assert len(self.queue) == len(self.model)
+
+
+TestClassQueue = QueueMachine.TestCase
--- /dev/null
+++ b/packages/daemon/tests/dispatch/test_dispatcher.py
@@ -0,0 +1,245 @@
+"""Tests of the dispatcher: classes, deadlines, limits, misleading reports, leaving."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.dispatch import messages as d
+from plankspindle_daemon.upstreams.health import BackedOff
+from plankspindle_daemon.upstreams.health import Ramping
+from plankspindle_daemon.upstreams.load_report import LoadReport
+from plankspindle_daemon.upstreams.messages import SlotRequest
+from plankspindle_testkit.builders import build_dispatcher
+from plankspindle_testkit.builders import build_ticket
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.dispatch.dispatcher import Dispatcher
+
+WALL = 1000.0
+
+
+def arrive(dispatcher: Dispatcher, number: int, now: float = 0.0, **fields: object):  # noqa: ANN201
+    return dispatcher.handle(d.Arrived(build_ticket(number, **fields)), now)
+
+
+def assigned(effects: list[d.DispatchEffect]) -> list[tuple[int, str]]:
+    return [(e.ticket.id, e.upstream) for e in effects if isinstance(e, d.Assign)]
+
+
+def rejected(effects: list[d.DispatchEffect]) -> list[tuple[int, d.RejectReason]]:
+    return [(e.ticket.id, e.reason) for e in effects if isinstance(e, d.Reject)]
+
+
+def end(
+    dispatcher: Dispatcher,
+    number: int,
+    upstream: str,
+    now: float,
+    verdict: d.Verdict = d.Verdict.ANSWERED,
+    took_s: float = 0.1,
+) -> list[d.DispatchEffect]:
+    ended = d.Ended(
+        ticket=build_ticket(number),
+        upstream=upstream,
+        verdict=verdict,
+        head_s=took_s,
+        total_s=took_s,
+    )
+    return dispatcher.handle(ended, now)
+
+
+def test_the_most_important_class_is_served_first_and_in_order() -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"u": 1})
+    arrive(dispatcher, 1)
+    for number, rank in ((2, 2), (3, 0), (4, 1), (5, 0)):
+        assert not assigned(arrive(dispatcher, number, rank=rank))
+    order = []
+    running = 1
+    for step in range(4):
+        effects = end(dispatcher, running, "u", 0.1 * (step + 1))
+        running = assigned(effects)[0][0]
+        order.append(running)
+    assert order == [3, 5, 4, 2]
+
+
+def test_a_full_queue_evicts_the_lowest_class() -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"u": 1}, queue_limit=2)
+    for number, rank in ((1, 0), (2, 2), (3, 1)):
+        arrive(dispatcher, number, rank=rank)
+    assert rejected(arrive(dispatcher, 4, rank=0)) == [(2, d.RejectReason.EVICTED)]
+    assert rejected(arrive(dispatcher, 5, rank=1)) == [(5, d.RejectReason.QUEUE_FULL)]
+
+
+def test_what_cannot_end_in_time_is_rejected_at_once() -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"u": 1})
+    arrive(dispatcher, 1)
+    end(dispatcher, 1, "u", 1.0, took_s=1.0)
+    arrive(dispatcher, 2, now=1.0, deadline=20.0)
+    for number in range(3, 8):
+        arrive(dispatcher, number, now=1.0, deadline=20.0)
+    effects = arrive(dispatcher, 9, now=1.0, deadline=4.0)
+    assert rejected(effects) == [(9, d.RejectReason.TOO_LATE)]
+    reject = effects[0]
+    assert isinstance(reject, d.Reject)
+    assert reject.retry_after_s > 1.0
+
+
+def test_a_waiting_request_is_given_up_as_soon_as_it_is_too_late() -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"u": 1})
+    arrive(dispatcher, 1)
+    arrive(dispatcher, 2, deadline=1.0)
+    assert not rejected(dispatcher.handle(d.TimePassed(), 0.9))
+    effects = dispatcher.handle(d.TimePassed(), 0.96)
+    assert rejected(effects) == [(2, d.RejectReason.TOO_LATE)]
+
+
+def test_slots_are_never_passed() -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"u": 2, "v": 3})
+    started = [assigned(arrive(dispatcher, number)) for number in range(20)]
+    assert sum(map(len, started)) == 5
+
+
+def test_an_upstream_that_claims_to_be_idle_gains_nothing() -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"honest": 20, "liar": 20})
+    for name, in_flight in (("honest", 10), ("liar", 0)):
+        report = LoadReport(in_flight=in_flight, slots=20)
+        dispatcher.handle(d.Probed(upstream=name, report=report, wall=WALL), 0.0)
+    chosen = [assigned(arrive(dispatcher, number))[0][1] for number in range(30)]
+    assert 15 <= chosen.count("liar") <= 20
+    assert dispatcher.upstreams_by_name["liar"].ledger.in_flight <= 20
+
+
+def test_a_stale_report_is_ignored() -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"u": 20, "v": 20})
+    report = LoadReport(in_flight=20, slots=20)
+    dispatcher.handle(d.Probed(upstream="u", report=report, wall=WALL), 0.0)
+    fresh = [assigned(arrive(dispatcher, n, now=1.0))[0][1] for n in range(4)]
+    assert "u" not in fresh[:1]
+    late = [
+        assigned(arrive(dispatcher, n, now=9.0, deadline=99.0))[0][1]
+        for n in range(10, 20)
+    ]
+    assert abs(late.count("u") - late.count("v")) <= 4
+
+
+def test_a_leaving_upstream_gets_nothing_new_and_its_work_ends() -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"u": 2, "v": 1})
+    for number in range(3):
+        arrive(dispatcher, number)
+    report = LoadReport(leaving=True)
+    dispatcher.handle(d.Probed(upstream="u", report=report, wall=WALL), 0.1)
+    assert not assigned(arrive(dispatcher, 9))
+    in_u = list(dispatcher.upstreams_by_name["u"].ledger.deadlines_by_ticket)
+    assert len(in_u) == 2
+    assert not assigned(end(dispatcher, in_u[0], "u", 0.2))
+    in_v = list(dispatcher.upstreams_by_name["v"].ledger.deadlines_by_ticket)
+    assert assigned(end(dispatcher, in_v[0], "v", 0.3)) == [(9, "v")]
+
+
+def test_without_any_upstream_a_request_is_rejected_at_once() -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"u": 2})
+    dispatcher.upstreams_by_name["u"].leaving = True
+    effects = arrive(dispatcher, 1)
+    assert rejected(effects) == [(1, d.RejectReason.NO_UPSTREAM)]
+
+
+def test_work_that_would_outlive_a_planned_leave_goes_elsewhere() -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"leaves": 9, "stays": 1})
+    report = LoadReport(leaves_at=WALL + 5.0)
+    dispatcher.handle(d.Probed(upstream="leaves", report=report, wall=WALL), 0.0)
+    long_one = arrive(dispatcher, 1, expected_s=60.0, deadline=120.0)
+    assert assigned(long_one) == [(1, "stays")]
+    assert not assigned(arrive(dispatcher, 2, expected_s=60.0, deadline=120.0))
+    assert assigned(arrive(dispatcher, 3, expected_s=0.1)) == [(3, "leaves")]
+
+
+def test_after_a_pause_nothing_is_sent_before_an_upstream_was_heard_again() -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"u": 2})
+    effects = dispatcher.handle(d.Paused(), 100.0)
+    assert [e.upstream for e in effects if isinstance(e, d.Probe)] == ["u"]
+    assert not assigned(arrive(dispatcher, 1, now=100.0, deadline=110.0))
+    report = LoadReport(leaving=True)
+    heard = d.Probed(upstream="u", report=report, wall=WALL)
+    assert not assigned(dispatcher.handle(heard, 100.1))
+    heard = d.Probed(upstream="u", report=LoadReport(), wall=WALL)
+    assert assigned(dispatcher.handle(heard, 101.0)) == [(1, "u")]
+
+
+@pytest.mark.parametrize("verdict", [d.Verdict.SHED, d.Verdict.FAILED])
+def test_a_failing_upstream_returns_by_probe_and_slowly(verdict: d.Verdict) -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"u": 9})
+    arrive(dispatcher, 1)
+    end(dispatcher, 1, "u", 0.0, verdict)
+    upstream = dispatcher.upstreams_by_name["u"]
+    assert isinstance(upstream.health.state, BackedOff)
+    assert not assigned(arrive(dispatcher, 2, now=0.01))
+    effects = dispatcher.handle(d.TimePassed(), 0.5)
+    assert any(isinstance(effect, d.Probe) for effect in effects)
+    heard = d.Probed(upstream="u", report=LoadReport(), wall=WALL)
+    assert len(assigned(dispatcher.handle(heard, 0.5))) == 1
+    assert isinstance(upstream.health.state, Ramping)
+    assert not assigned(arrive(dispatcher, 3, now=0.5))
+    assert upstream.limit(1.5) == 5
+    assert upstream.limit(2.5) == 9
+
+
+def test_back_off_grows_while_probes_find_nobody() -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"u": 9})
+    health = dispatcher.upstreams_by_name["u"].health
+    waits = []
+    now = 0.0
+    unreached = d.Probed(upstream="u", report=None, wall=WALL, reached=False)
+    for _ in range(8):
+        dispatcher.handle(unreached, now)
+        assert isinstance(health.state, BackedOff)
+        waits.append(health.state.until - now)
+        now = health.state.until
+    assert waits[0] <= 0.2
+    assert 5.0 <= waits[-1] <= 10.0
+
+
+def test_idle_slots_are_lent_once_and_come_back() -> None:
+    lender = build_dispatcher(slots_by_upstream={"u": 4}, vm="lender")
+    request = SlotRequest(
+        sender="borrower",
+        request_id=5,
+        upstream="u",
+        count=4,
+        duration_ms=1000,
+        incarnation=9,
+    )
+    asked = d.SlotsAsked(request=request, reply_to=Endpoint("127.0.0.1", 1))
+    granted = lender.handle(asked, 0.0)
+    assert [e.grant.count for e in granted if isinstance(e, d.GrantSlots)] == [2]
+    assert lender.handle(asked, 0.0) == []
+    assert lender.free_slots(0.5) == 2
+    assert lender.free_slots(1.1) == 4
+
+
+def test_borrowed_slots_carry_only_what_ends_before_the_loan() -> None:
+    borrower = build_dispatcher(slots_by_upstream={"u": 4})
+    borrower.upstreams_by_name["u"].ledger.share = 1
+    arrive(borrower, 1)
+    effects = arrive(borrower, 2, deadline=0.8)
+    asks = [e.request for e in effects if isinstance(e, d.AskSlots)]
+    assert len(asks) == 1
+    lender = build_dispatcher(slots_by_upstream={"u": 4}, vm="lender")
+    asked = d.SlotsAsked(request=asks[0], reply_to=Endpoint("127.0.0.1", 1))
+    grants = [e for e in lender.handle(asked, 0.0) if isinstance(e, d.GrantSlots)]
+    taken = borrower.handle(d.SlotsGranted(grants[0].grant), 0.1)
+    assert assigned(taken) == [(2, "u")]
+    assert borrower.handle(d.SlotsGranted(grants[0].grant), 0.1) == []
+    assert not assigned(arrive(borrower, 3, now=0.2, deadline=5.0))
+
+
+def test_choices_are_the_same_for_the_same_seed() -> None:
+    def choices() -> list[tuple[int, str]]:
+        dispatcher = build_dispatcher(slots_by_upstream={"u": 5, "v": 5, "w": 5})
+        dispatcher.random = Random(3)
+        return [assigned(arrive(dispatcher, number))[0] for number in range(10)]
+
+    assert choices() == choices()
--- /dev/null
+++ b/packages/daemon/tests/exchange/test_exchange.py
@@ -0,0 +1,176 @@
+"""State-machine test of one exchange against upstreams that know the truth."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.outcome import Outcome
+from plankspindle_daemon.dispatch.messages import Verdict
+from plankspindle_daemon.exchange import messages as m
+from plankspindle_daemon.exchange.exchange import Exchange
+from plankspindle_daemon.exchange.exchange import Over
+from plankspindle_daemon.retries.retry_budget import RetryBudget
+
+ENDPOINT = Endpoint("127.0.0.1", 9001)
+
+
+class ExchangeMachine(RuleBasedStateMachine):
+    """Drive an exchange through every fault at every step."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runs = 0
+        self.answers: list[m.AnswerCaller | m.AbortCaller | m.RelayAnswer] = []
+        self.slots_taken = 0
+        self.slots_returned = 0
+        self.effects: list[m.ExchangeEffect] = []
+
+    @initialize(idempotent=st.booleans(), resendable=st.booleans(), moved=st.booleans())
+    def begin(self, idempotent: bool, resendable: bool, moved: bool) -> None:
+        route = m.ToPeer(endpoint=ENDPOINT, may_stay=True) if moved else m.ToUpstream()
+        self.idempotent = idempotent
+        self.exchange = Exchange(
+            terms=m.Terms(idempotent=idempotent, resendable=resendable, recorded=False),
+            route=route,
+            budget=RetryBudget(percent=100),
+        )
+        self._take(self.exchange.begin())
+
+    def _take(self, effects: list[m.ExchangeEffect]) -> None:
+        self.effects = effects
+        for effect in effects:
+            if isinstance(effect, m.EndUpstream):
+                self.slots_returned += 1
+            if isinstance(effect, m.AnswerCaller | m.AbortCaller):
+                self.answers.append(effect)
+            if isinstance(effect, m.AnswerCaller) and effect.outcome is Outcome.NOT_RUN:
+                assert self.runs == 0
+
+    def _awaits(self, kind: type[m.ExchangeEffect]) -> bool:
+        return bool(self.effects) and isinstance(self.effects[-1], kind)
+
+    def _handle(self, event: m.ExchangeEvent) -> None:
+        self._take(self.exchange.handle(event))
+
+    @precondition(lambda self: self._awaits(m.FindUpstream))
+    @rule()
+    def upstream_found(self) -> None:
+        self.slots_taken += 1
+        name = f"u{self.slots_taken}"
+        assert name not in self.exchange.excluded
+        self._handle(m.Assigned(upstream=name, endpoint=ENDPOINT))
+
+    @precondition(lambda self: self._awaits(m.FindUpstream))
+    @rule()
+    def upstream_refused(self) -> None:
+        self._handle(m.Refused(reason="queue-full", retry_after_s=1.0))
+
+    @precondition(lambda self: self._awaits(m.OpenConnection))
+    @rule(succeeds=st.booleans())
+    def connection_opened(self, succeeds: bool) -> None:
+        wanted = self.effects[-1]
+        assert isinstance(wanted, m.OpenConnection)
+        assert wanted.fresh or self.idempotent
+        self._handle(m.Connected() if succeeds else m.ConnectFailed())
+
+    @precondition(lambda self: self._awaits(m.SendRequest))
+    @rule(ran=st.booleans(), handed_over=st.booleans())
+    def upstream_lost(self, ran: bool, handed_over: bool) -> None:
+        self.runs += int(ran and handed_over)
+        assert self.idempotent or self.runs <= 1
+        self._handle(m.Broke(bytes_handed_over=handed_over))
+
+    @precondition(lambda self: self._awaits(m.SendRequest))
+    @rule()
+    def upstream_sheds(self) -> None:
+        self._handle(m.HeadArrived(proves_not_run=True))
+
+    @precondition(lambda self: self._awaits(m.SendRequest))
+    @rule()
+    def upstream_answers(self) -> None:
+        self.runs += 1
+        assert self.idempotent or self.runs <= 1
+        self._handle(m.HeadArrived())
+
+    @precondition(lambda self: self._awaits(m.RelayAnswer))
+    @rule(whole=st.booleans())
+    def answer_relayed(self, whole: bool) -> None:
+        self._handle(m.AnswerEnded() if whole else m.Broke(bytes_handed_over=True))
+        assert whole or isinstance(self.effects[-1], m.AbortCaller)
+
+    @rule(ran=st.booleans())
+    def deadline_passes(self, ran: bool) -> None:
+        self.runs += int(ran and self._awaits(m.SendRequest))
+        self._handle(m.DeadlinePassed())
+        assert isinstance(self.exchange.state, Over)
+
+    @precondition(lambda self: bool(self.effects))
+    @rule()
+    def caller_goes(self) -> None:
+        self._handle(m.CallerGone())
+        assert not any(
+            isinstance(effect, m.EndUpstream) and effect.verdict is Verdict.ANSWERED
+            for effect in self.effects
+        )
+
+    def teardown(self) -> None:
+        assert len(self.answers) <= 1
+        if not isinstance(self.exchange.state, Over):
+            self._handle(m.DeadlinePassed())
+        assert self.slots_taken == self.slots_returned
+
+
+TestExchange = ExchangeMachine.TestCase
+
+
+def test_a_request_that_may_repeat_is_tried_at_another_upstream() -> None:
+    exchange = Exchange(
+        terms=m.Terms(idempotent=True, resendable=True, recorded=False),
+        route=m.ToUpstream(),
+        budget=RetryBudget(percent=10),
+    )
+    exchange.begin()
+    exchange.handle(m.Assigned(upstream="u1", endpoint=ENDPOINT))
+    exchange.handle(m.Connected())
+    effects = exchange.handle(m.Broke(bytes_handed_over=True))
+    assert effects == [
+        m.EndUpstream(Verdict.FAILED),
+        m.FindUpstream(frozenset({"u1"})),
+    ]
+
+
+def test_a_transfer_whose_connection_broke_is_unknown_and_not_tried_again() -> None:
+    exchange = Exchange(
+        terms=m.Terms(idempotent=False, resendable=True, recorded=True),
+        route=m.ToUpstream(),
+        budget=RetryBudget(percent=10),
+    )
+    exchange.begin()
+    exchange.handle(m.Assigned(upstream="u1", endpoint=ENDPOINT))
+    exchange.handle(m.Connected())
+    effects = exchange.handle(m.Broke(bytes_handed_over=True))
+    answer = effects[-1]
+    assert isinstance(answer, m.AnswerCaller)
+    assert answer.outcome is Outcome.UNKNOWN
+
+
+def test_a_foreign_id_is_never_answered_not_run() -> None:
+    exchange = Exchange(
+        terms=m.Terms(
+            idempotent=False,
+            resendable=True,
+            recorded=True,
+            may_have_run_elsewhere=True,
+        ),
+        route=m.ToPeer(endpoint=ENDPOINT, may_stay=False),
+        budget=RetryBudget(percent=10),
+    )
+    exchange.begin()
+    answer = exchange.handle(m.ConnectFailed())[-1]
+    assert isinstance(answer, m.AnswerCaller)
+    assert answer.outcome is Outcome.UNKNOWN
--- /dev/null
+++ b/packages/daemon/tests/retries/test_retry_budget.py
@@ -0,0 +1,21 @@
+"""Tests of the retry budget."""
+
+from __future__ import annotations
+
+from plankspindle_daemon.retries.retry_budget import BURST
+from plankspindle_daemon.retries.retry_budget import RetryBudget
+
+
+def test_retries_are_a_share_of_fresh_requests() -> None:
+    budget = RetryBudget(percent=10)
+    taken = 0
+    for _ in range(10_000):
+        budget.note_fresh()
+        taken += budget.take()
+    assert taken <= BURST + 1_000
+    assert taken >= 1_000
+
+
+def test_without_fresh_requests_only_the_burst_is_left() -> None:
+    budget = RetryBudget(percent=100)
+    assert sum(budget.take() for _ in range(100)) == BURST
--- /dev/null
+++ b/packages/daemon/tests/shifts/test_shift_meter.py
@@ -0,0 +1,81 @@
+"""Tests of the shift meter."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plankspindle_core.configuration.shift import Shift
+from plankspindle_daemon.shifts.shift_meter import Move
+from plankspindle_daemon.shifts.shift_meter import ShiftMeter
+
+
+def build_shift(cap_percent: float) -> Shift:
+    return Shift(
+        service="registry",
+        from_region="bratislava",
+        to_region="kosice",
+        cap_percent=cap_percent,
+    )
+
+
+def build_meter(**caps: float) -> ShiftMeter:
+    meter = ShiftMeter.create(region="bratislava")
+    meter.use_shifts({name: build_shift(cap) for name, cap in caps.items()})
+    return meter
+
+
+def moved(meter: ShiftMeter, callers: list[str]) -> list[str]:
+    return [
+        caller
+        for caller in callers
+        if isinstance(meter.choose(service="registry", caller_key=caller), Move)
+    ]
+
+
+@given(
+    callers=st.lists(st.sampled_from([f"dealer-{n}" for n in range(9)]), max_size=300),
+    caps=st.lists(st.floats(0, 50), min_size=1, max_size=2),
+)
+def test_each_shift_stays_within_its_cap_at_every_moment(
+    callers: list[str], caps: list[float]
+) -> None:
+    meter = build_meter(**{f"s{index}": cap for index, cap in enumerate(caps)})
+    counts = [0] * len(caps)
+    for total, caller in enumerate(callers, start=1):
+        chosen = meter.choose(service="registry", caller_key=caller)
+        if isinstance(chosen, Move):
+            counts[int(chosen.shift_id[1:])] += 1
+        for count, cap in zip(counts, caps, strict=True):
+            assert count * 100 <= cap * total
+
+
+def test_one_dealer_that_is_all_the_traffic_cannot_pass_the_cap() -> None:
+    dealer = next(
+        name
+        for name in (f"dealer-{number}" for number in range(100))
+        if moved(build_meter(s=20.0), [name] * 5)
+    )
+    assert len(moved(build_meter(s=20.0), [dealer] * 1000)) == 200
+
+
+def test_the_callers_of_a_smaller_shift_are_among_those_of_a_larger_one() -> None:
+    callers = [f"dealer-{number}" for number in range(400)] * 5
+    small = set(moved(build_meter(s=20.0), callers))
+    large = set(moved(build_meter(s=30.0), callers))
+    assert small
+    assert small < large
+
+
+def test_a_meter_of_another_region_moves_nothing() -> None:
+    meter = ShiftMeter.create(region="kosice")
+    meter.use_shifts({"s": build_shift(100.0)})
+    assert moved(meter, ["dealer"] * 10) == []
+
+
+def test_counts_survive_another_version_of_the_configuration() -> None:
+    meter = build_meter(s=20.0)
+    moved(meter, ["dealer"] * 10)
+    meter.use_shifts({"s": build_shift(20.0), "t": build_shift(10.0)})
+    assert meter.counts_by_id()["s"].total == 10
+    assert meter.counts_by_id()["t"].total == 0
--- /dev/null
+++ b/packages/daemon/tests/steering/test_steering.py
@@ -0,0 +1,69 @@
+"""Tests of look-ups."""
+
+from __future__ import annotations
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.steering.steering import EntryVm
+from plankspindle_daemon.steering.steering import NamedBecause
+from plankspindle_daemon.steering.steering import Steering
+from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_upstream
+
+
+def build_steering(**usable_by_name: bool) -> Steering:
+    configuration = build_configuration(
+        upstreams_by_name={
+            "u1": build_upstream(failure_domain="ba-1"),
+            "u2": build_upstream(failure_domain="ke-1"),
+        }
+    )
+    steering = Steering(configuration=configuration, home_domain="ba-1")
+    steering.use_vms(
+        EntryVm(
+            name=name,
+            failure_domain="ke-1" if name.startswith("ke") else "ba-1",
+            endpoint=Endpoint("127.0.0.1", 7000),
+            usable=usable,
+        )
+        for name, usable in usable_by_name.items()
+    )
+    return steering
+
+
+def names(steering: Steering, address: str) -> list[tuple[str, NamedBecause]]:
+    answer = steering.look_up(service="registry", address=address)
+    return [(named.vm.name, named.because) for named in answer.vms]
+
+
+def test_the_home_domain_is_named_first() -> None:
+    steering = build_steering(ba_a=True, ba_b=True, ke_a=True)
+    in_bratislava = names(steering, "127.0.0.1")
+    assert {name for name, _ in in_bratislava[:2]} == {"ba_a", "ba_b"}
+    assert in_bratislava[2] == ("ke_a", NamedBecause.NEXT_NEAREST)
+    assert names(steering, "10.2.3.4")[0] == ("ke_a", NamedBecause.HOME)
+
+
+def test_an_unusable_vm_is_not_named_while_another_is_usable() -> None:
+    steering = build_steering(ba_a=False, ba_b=True)
+    assert [name for name, _ in names(steering, "127.0.0.1")] == ["ba_b"]
+
+
+def test_the_answer_is_never_empty_while_a_vm_is_known() -> None:
+    steering = build_steering(ba_a=False, ke_a=False)
+    assert names(steering, "127.0.0.1") == [
+        ("ba_a", NamedBecause.LAST_RESORT),
+        ("ke_a", NamedBecause.LAST_RESORT),
+    ]
+
+
+def test_when_a_vm_joins_few_callers_change_their_first_vm() -> None:
+    before = build_steering(ba_a=True, ba_b=True, ba_c=True)
+    after = build_steering(ba_a=True, ba_b=True, ba_c=True, ba_d=True)
+    addresses = [f"127.0.{number}.1" for number in range(256)]
+    moved = [
+        address
+        for address in addresses
+        if names(before, address)[0] != names(after, address)[0]
+    ]
+    assert all(names(after, address)[0][0] == "ba_d" for address in moved)
+    assert len(moved) < 128
--- /dev/null
+++ b/packages/daemon/tests/test_real_processes.py
@@ -0,0 +1,349 @@
+"""Real daemons on loopback: kills, pauses, planned stops, outages, garbage."""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+import pytest
+
+from plankspindle_core import header_names
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.http.headers import find_header
+from plankspindle_testkit.builders import BRONZE_KEY
+from plankspindle_testkit.builders import GOLD_KEY
+from plankspindle_testkit.builders import VmPlace
+from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.processes import Processes
+from plankspindle_testkit.processes import call
+from plankspindle_testkit.processes import put_in_force
+from plankspindle_testkit.processes import state_of
+from plankspindle_testkit.processes import wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+    from plankspindle_core.http.fetch import HttpAnswer
+
+PLATFORM = Endpoint("127.0.7.1", 17000)
+PLACES = [
+    VmPlace(name="ba-1-a", failure_domain="ba-1", host="127.0.7.11", base_port=17100),
+    VmPlace(name="ba-1-b", failure_domain="ba-1", host="127.0.7.12", base_port=17100),
+]
+FIRST, SECOND = PLACES
+UPSTREAMS = {
+    "u1": build_upstream(endpoint=Endpoint("127.0.7.21", 17200), slots=4),
+    "u2": build_upstream(endpoint=Endpoint("127.0.7.22", 17200), slots=4),
+}
+GOLD = (header_names.AUTHORIZATION, b"Bearer " + GOLD_KEY.encode())
+BRONZE = (header_names.AUTHORIZATION, b"Bearer " + BRONZE_KEY.encode())
+SERVICES = "/v1/services/registry"
+TIMING = {"live_list_ms": 200, "configuration_ms": 100, "probe_ms": 200}
+
+
+@pytest.fixture
+def processes(tmp_path: Path) -> Iterator[Processes]:
+    started = Processes(folder=tmp_path)
+    try:
+        start_all(started)
+        yield started
+    finally:
+        started.close()
+
+
+def start_all(started: Processes) -> None:
+    started.start_module(
+        "platform", "plankspindle_testkit.platform_stand_in", str(PLATFORM)
+    )
+    for name, upstream in UPSTREAMS.items():
+        text = f"{name}={upstream.endpoint}={upstream.slots}"
+        started.start_module(name, "plankspindle_testkit.upstream_stand_in", text)
+    wait_until(lambda: call(PLATFORM, target="/vms").status == 200, what="platform")
+    list_vms()
+    for place in PLACES:
+        started.start_daemon(place, platform=PLATFORM, timing=TIMING)
+    for place in PLACES:
+        wait_for_health(place)
+    put_in_force(FIRST, build_configuration(upstreams_by_name=UPSTREAMS))
+    for place in PLACES:
+        wait_for_shares(place)
+
+
+def list_vms(**leaving: bool) -> None:
+    vms = [place.listed() for place in PLACES]
+    vms += [
+        {"name": name, "kind": "upstream", "failure_domain": "ba-1", "leaving": True}
+        for name in leaving
+    ]
+    control_platform(vms=vms)
+
+
+def control_platform(**wanted: object) -> None:
+    call(PLATFORM, "POST", "/control", body=json.dumps(wanted).encode())
+
+
+def control_upstream(name: str, **wanted: object) -> dict[str, int]:
+    body = json.dumps(wanted).encode()
+    answer = call(UPSTREAMS[name].endpoint, "POST", "/control", body=body)
+    counts: dict[str, int] = json.loads(answer.body)
+    return counts
+
+
+def total_runs() -> int:
+    return sum(control_upstream(name)["runs"] for name in UPSTREAMS)
+
+
+def wait_for_health(place: VmPlace) -> None:
+    wait_until(
+        lambda: call(place.operator, target="/health").status == 200, what=place.name
+    )
+
+
+def upstreams_at(place: VmPlace) -> dict[str, dict[str, object]]:
+    service = state_of(place)["services"].get("registry", {})
+    found: dict[str, dict[str, object]] = service.get("upstreams", {})
+    return found
+
+
+def wait_for_shares(place: VmPlace) -> None:
+    wait_until(
+        lambda: (
+            len(upstreams_at(place)) == len(UPSTREAMS)
+            and all(each["share"] for each in upstreams_at(place).values())
+        ),
+        what=f"shares of {place.name}",
+    )
+
+
+def outcome_of(answer: HttpAnswer) -> str:
+    return (find_header(answer.headers, header_names.OUTCOME) or b"").decode()
+
+
+def transfer(
+    place: VmPlace,
+    *,
+    request_id: str | None = None,
+    key: str | None = None,
+    body: bytes = b"BA123AB",
+    caller: tuple[bytes, bytes] = GOLD,
+) -> HttpAnswer:
+    headers = [caller, (b"x-run", (request_id or key or "plain").encode())]
+    if request_id is not None:
+        headers.append((header_names.REQUEST_ID, request_id.encode()))
+    if key is not None:
+        headers.append((header_names.IDEMPOTENCY_KEY, key.encode()))
+    return call(
+        place.caller, "POST", SERVICES + "/transfers", headers=headers, body=body
+    )
+
+
+def issue_id(place: VmPlace) -> str:
+    answer = call(place.caller, "POST", "/v1/request-ids")
+    issued: str = json.loads(answer.body)["request_ids"][0]
+    return issued
+
+
+def test_keys_run_once_are_replayed_and_bound_to_caller_and_body(
+    processes: Processes,
+) -> None:
+    first = transfer(FIRST, key="k1")
+    assert (first.status, outcome_of(first)) == (200, "done")
+    wait_until(
+        lambda: (
+            find_header(transfer(SECOND, key="k1").headers, header_names.REPLAYED)
+            == b"1"
+        ),
+        what="the recorded answer at the other entry VM",
+    )
+    again = transfer(SECOND, key="k1")
+    assert again.body == first.body
+    assert transfer(SECOND, key="k1", body=b"other").status == 422
+    assert transfer(SECOND, key="k1", caller=BRONZE).status == 422
+    assert total_runs() == 1
+
+
+def test_a_lost_answer_of_the_store_is_settled_by_reading_back(
+    processes: Processes,
+) -> None:
+    control_platform(faults={"lose_answers": 1})
+    answer = transfer(FIRST, key="k1")
+    assert (answer.status, outcome_of(answer)) == (200, "done")
+    assert total_runs() == 1
+
+
+def test_with_the_platform_down_keys_are_not_run_and_the_rest_goes_on(
+    processes: Processes,
+) -> None:
+    request_id = issue_id(FIRST)
+    control_platform(faults={"down": True})
+    answer = transfer(FIRST, key="k1")
+    assert (answer.status, outcome_of(answer)) == (503, "not-run")
+    assert find_header(answer.headers, header_names.RETRY_AFTER) is not None
+    assert (
+        call(FIRST.caller, target=SERVICES + "/plates/1", headers=[GOLD]).status == 200
+    )
+    assert outcome_of(transfer(FIRST, request_id=request_id)) == "done"
+    assert call(FIRST.caller, target="/v1/lookup?service=registry").status == 200
+    assert total_runs() == 1
+
+
+def test_an_id_of_a_killed_process_is_unknown_and_never_runs(
+    processes: Processes,
+) -> None:
+    request_id = issue_id(FIRST)
+    processes.send_signal(FIRST.name, signal.SIGKILL)
+    processes.wait(FIRST.name)
+    answer = transfer(SECOND, request_id=request_id)
+    assert (answer.status, outcome_of(answer)) == (502, "unknown")
+    processes.start_daemon(FIRST, platform=PLATFORM, timing=TIMING)
+    wait_for_health(FIRST)
+    wait_for_shares(FIRST)
+    answer = transfer(FIRST, request_id=request_id)
+    assert (answer.status, outcome_of(answer)) == (409, "unknown")
+    assert total_runs() == 0
+
+
+def test_a_transfer_whose_answer_is_lost_is_unknown_and_not_repeated(
+    processes: Processes,
+) -> None:
+    for name in UPSTREAMS:
+        control_upstream(name, mode="close-after-run")
+    request_id = issue_id(FIRST)
+    assert outcome_of(transfer(FIRST, request_id=request_id)) == "unknown"
+    assert outcome_of(transfer(FIRST, request_id=request_id)) == "unknown"
+    assert total_runs() == 1
+
+
+def test_lookups_survive_an_upstream_that_breaks(processes: Processes) -> None:
+    control_upstream("u1", mode="close-after-run")
+    for number in range(10):
+        target = f"{SERVICES}/plates/{number}"
+        answer = call(FIRST.caller, target=target, headers=[GOLD])
+        assert (answer.status, outcome_of(answer)) == (200, "done")
+
+
+def test_a_truncated_answer_resets_the_caller(processes: Processes) -> None:
+    for name in UPSTREAMS:
+        control_upstream(name, mode="truncate")
+    with pytest.raises(ConnectionError):
+        call(FIRST.caller, target=SERVICES + "/plates/1", headers=[GOLD])
+
+
+def test_stray_bytes_of_one_answer_never_reach_another_caller(
+    processes: Processes,
+) -> None:
+    for name in UPSTREAMS:
+        control_upstream(name, mode="extra-bytes")
+    for number in range(10):
+        target = f"{SERVICES}/plates/{number}"
+        assert call(FIRST.caller, target=target, headers=[GOLD]).body == b"{}"
+
+
+def test_a_planned_stop_finishes_a_running_download(processes: Processes) -> None:
+    size = 30_000_000
+    with socket.create_connection((FIRST.host, FIRST.base_port)) as slow:
+        head = f"GET {SERVICES}/bytes/{size} HTTP/1.1\r\nhost: a\r\n\r\n"
+        slow.sendall(head.encode())
+        received = len(slow.recv(1000))
+        processes.send_signal(FIRST.name, signal.SIGTERM)
+        wait_until(
+            lambda: state_of(FIRST)["readiness"] == "leaving", what="leaving is known"
+        )
+        named = json.loads(
+            call(SECOND.caller, target="/v1/lookup?service=registry").body
+        )
+        wait_until(
+            lambda: (
+                FIRST.name
+                not in {
+                    vm["vm"]
+                    for vm in json.loads(
+                        call(SECOND.caller, target="/v1/lookup?service=registry").body
+                    )["vms"]
+                }
+            ),
+            what="not named any more",
+        )
+        assert named["vms"]
+        late = call(FIRST.caller, target=SERVICES + "/plates/1", headers=[GOLD])
+        assert late.status == 200
+        assert find_header(late.headers, b"connection") == b"close"
+        while chunk := slow.recv(1_000_000):
+            received += len(chunk)
+    assert received > size
+    assert processes.wait(FIRST.name, timeout_s=30) == 0
+    assert "cut_off=0" in processes.log_of(FIRST.name)
+
+
+def test_a_leaving_upstream_gets_nothing_new(processes: Processes) -> None:
+    list_vms(u1=True)
+    wait_until(lambda: bool(upstreams_at(FIRST)["u1"]["leaving"]), what="leaving")
+    for number in range(10):
+        target = f"{SERVICES}/plates/{number}"
+        answer = call(FIRST.caller, target=target, headers=[GOLD])
+        by = find_header(answer.headers, header_names.SERVED_BY)
+        assert by == b"ba-1-a/u2"
+
+
+def test_a_paused_process_takes_no_decision_on_what_it_knew(
+    processes: Processes,
+) -> None:
+    processes.send_signal(FIRST.name, signal.SIGSTOP)
+    time.sleep(1.5)
+    control_upstream("u1", leaving=True)
+    processes.send_signal(FIRST.name, signal.SIGCONT)
+    for number in range(5):
+        target = f"{SERVICES}/plates/{number}"
+        answer = call(FIRST.caller, target=target, headers=[GOLD])
+        assert find_header(answer.headers, header_names.SERVED_BY) == b"ba-1-a/u2"
+    assert "event=paused" in processes.log_of(FIRST.name)
+
+
+def test_garbage_to_every_port_is_counted_and_refused(processes: Processes) -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+        for garbage in (b"", b"x" * 1400, b"PS\x01" + b"\0" * 30):
+            udp.sendto(garbage, (FIRST.host, FIRST.base_port + 2))
+    smuggled = (
+        b"POST /v1/services/registry/transfers HTTP/1.1\r\nhost: a\r\n"
+        b"content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"
+    )
+    for port in (FIRST.base_port, FIRST.base_port + 1):
+        for garbage in (b"\x16\x03\x01" * 40, smuggled, b"GET / HTTP/1.1\r\n" * 9):
+            with socket.create_connection((FIRST.host, port)) as tcp:
+                tcp.sendall(garbage + b"\r\n\r\n")
+                tcp.settimeout(5)
+                answer = tcp.recv(1000)
+                assert answer.startswith(b"HTTP/1.1 400")
+    dropped = state_of(FIRST)["peers"]["dropped"]
+    assert sum(dropped.values()) >= 2
+    assert (
+        call(FIRST.caller, target=SERVICES + "/plates/1", headers=[GOLD]).status == 200
+    )
+    assert total_runs() == 0
+
+
+def test_the_slots_of_an_upstream_hold_under_load_from_two_vms(
+    processes: Processes,
+) -> None:
+    for name in UPSTREAMS:
+        control_upstream(name, service_ms=50)
+
+    def look_up(number: int) -> str:
+        place = PLACES[number % 2]
+        target = f"{SERVICES}/plates/{number}"
+        return outcome_of(call(place.caller, target=target, headers=[GOLD]))
+
+    with ThreadPoolExecutor(24) as pool:
+        outcomes = list(pool.map(look_up, range(120)))
+    assert set(outcomes) <= {"done", "not-run"}
+    assert outcomes.count("done") >= 60
+    for name, upstream in UPSTREAMS.items():
+        counts = control_upstream(name)
+        assert counts["most_in_flight"] <= upstream.slots
+        assert counts["shed"] == 0
--- /dev/null
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -0,0 +1,83 @@
+"""Tests of frames and messages between entry VMs."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.membership.messages import Heartbeat
+from plankspindle_daemon.membership.readiness import Readiness
+from plankspindle_daemon.upstreams.messages import SlotGrant
+from plankspindle_daemon.upstreams.messages import SlotRequest
+from plankspindle_daemon.wire.codec import PeerMessage
+from plankspindle_daemon.wire.codec import decode
+from plankspindle_daemon.wire.codec import encode
+from plankspindle_daemon.wire.frame import FrameSealer
+
+OLD = b"o" * 16
+NEW = b"n" * 16
+MESSAGES = [
+    Heartbeat(
+        sender="ba-1-a",
+        incarnation=2**64 - 1,
+        sequence=5,
+        failure_domain="ba-1",
+        caller_endpoint=Endpoint("127.0.0.1", 1),
+        peer_endpoint=Endpoint("::1", 2),
+        readiness=Readiness.OVERLOADED,
+        view_digest=2**63,
+        over_share=("u1", "u2"),
+        configuration_version=9,
+    ),
+    SlotRequest(
+        sender="a",
+        request_id=1,
+        upstream="u",
+        count=2,
+        duration_ms=3,
+        incarnation=4,
+    ),
+    SlotGrant(
+        sender="a",
+        request_id=1,
+        upstream="u",
+        count=2,
+        duration_ms=3,
+        borrower_incarnation=4,
+    ),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda each: type(each).__name__)
+def test_messages_arrive_as_they_were_sent(message: PeerMessage) -> None:
+    assert decode(encode(message)).unwrap() == message
+
+
+@given(payload=st.binary(max_size=200))
+def test_garbage_in_a_frame_is_an_error_value(payload: bytes) -> None:
+    decoded = decode(payload)
+    assert decoded.is_ok() or decoded.unwrap_err().reason.startswith("message")
+
+
+@given(at=st.integers(0, 1000), change=st.integers(1, 255))
+def test_a_changed_frame_is_refused(at: int, change: int) -> None:
+    sealer = FrameSealer(keys=[NEW])
+    frame = bytearray(sealer.seal(encode(MESSAGES[0])))
+    frame[at % len(frame)] ^= change
+    assert sealer.open(bytes(frame)).is_err()
+
+
+def test_keys_can_be_rotated() -> None:
+    old, both, new = (FrameSealer(keys=keys) for keys in ([OLD], [NEW, OLD], [NEW]))
+    assert both.open(old.seal(b"x")).unwrap() == b"x"
+    assert new.open(both.seal(b"x")).unwrap() == b"x"
+    assert new.open(old.seal(b"x")).unwrap_err().reason == "authentication"
+
+
+def test_a_frame_of_another_size_or_format_is_refused() -> None:
+    sealer = FrameSealer(keys=[NEW])
+    assert sealer.open(b"").unwrap_err().reason == "size"
+    assert sealer.open(b"y" * 1401).unwrap_err().reason == "size"
+    assert sealer.open(b"y" * 100).unwrap_err().reason == "format"
--- a/packages/testkit/src/plankspindle_testkit/builders.py
+++ b/packages/testkit/src/plankspindle_testkit/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import Any
 
 from attrs import frozen
@@ -16,6 +17,13 @@
 from plankspindle_core.configuration.service import Service
 from plankspindle_core.configuration.upstream import Upstream
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.admission.class_queue import ClassQueue
+from plankspindle_daemon.admission.ticket import Ticket
+from plankspindle_daemon.dispatch.dispatcher import Dispatcher
+from plankspindle_daemon.upstreams.health import UpstreamHealth
+from plankspindle_daemon.upstreams.health import Warm
+from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
+from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
 PEER_KEY = "00112233445566778899aabbccddeeff"
 GOLD_KEY = "gold-key-of-a-dealer"
@@ -194,3 +202,48 @@
         "secrets": {"peer_keys": [PEER_KEY]},
         **sections,
     }
+
+
+def build_ticket(number: int, **fields: Any) -> Ticket:
+    """Build a ticket of the most important class with ten seconds to go."""
+    defaults: dict[str, Any] = {
+        "rank": 0,
+        "operation": "GET /",
+        "deadline": 10.0,
+        "expected_s": 0.1,
+    }
+    return Ticket(id=number, **{**defaults, **fields})
+
+
+def build_dispatcher(
+    *, slots_by_upstream: dict[str, int], queue_limit: int = 100, vm: str = "a"
+) -> Dispatcher:
+    """Build a dispatcher with warm upstreams whose slots are all its own share.
+
+    Parameters
+    ----------
+    slots_by_upstream : dict of str to int
+        Slots of each upstream.
+    queue_limit : int
+        Longest queue.
+    vm : str
+        Name of the entry VM.
+    """
+    random = Random(7)
+    upstreams = {
+        name: UpstreamState(
+            name=name,
+            upstream=build_upstream(slots=slots),
+            health=UpstreamHealth(random=random, state=Warm()),
+            ledger=SlotLedger(slots=slots, share=slots),
+        )
+        for name, slots in slots_by_upstream.items()
+    }
+    return Dispatcher(
+        vm=vm,
+        incarnation=1,
+        random=random,
+        queue=ClassQueue(limit=queue_limit),
+        probe_s=1.0,
+        upstreams_by_name=upstreams,
+    )
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/trial/fake_platform.py
@@ -0,0 +1,129 @@
+"""The platform's interface without sockets: outages, lost answers, late writes."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+
+from attrs import define
+from attrs import field
+from result import Err
+from result import Ok
+from result import Result
+
+from plankspindle_daemon.platform.errors import ConditionFailed
+from plankspindle_daemon.platform.errors import PlatformUnavailable
+from plankspindle_daemon.platform.table import Row
+from plankspindle_daemon.platform.table import Transaction
+from plankspindle_testkit.platform_stand_in.table_store import TableStore
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+Answer = TypeVar("Answer")
+
+
+def run_to_end(coroutine: Coroutine[Any, Any, Answer]) -> Answer:
+    """Run a coroutine that never blocks.
+
+    Raises
+    ------
+    RuntimeError
+        If it does block.
+    """
+    try:
+        coroutine.send(None)
+    except StopIteration as stopped:
+        answer: Answer = stopped.value
+        return answer
+    raise RuntimeError("the coroutine blocks; a trial has no event loop")
+
+
+@define(kw_only=True)
+class FakePlatform:
+    """Table service and object store with the daemon's own interface.
+
+    Parameters
+    ----------
+    random : Random
+        Source of faults.
+    fault_rate : float
+        Probability that a call goes wrong in one of the ways.
+    """
+
+    random: Random
+    fault_rate: float = 0.1
+    down: bool = False
+    table: TableStore = field(factory=TableStore)
+    objects_by_name: dict[str, bytes] = field(factory=dict)
+    _late: list[Transaction] = field(factory=list)
+
+    def _fails(self) -> bool:
+        return self.down or self.random.random() < self.fault_rate
+
+    async def read_row(self, key: str) -> Result[Row, PlatformUnavailable]:
+        """Read one row."""
+        if self._fails():
+            return Err(PlatformUnavailable("trial"))
+        return Ok(self._row(key))
+
+    async def read_rows(
+        self, keys: list[str]
+    ) -> Result[dict[str, Row], PlatformUnavailable]:
+        """Read several rows."""
+        if self._fails():
+            return Err(PlatformUnavailable("trial"))
+        return Ok({key: self._row(key) for key in keys})
+
+    def _row(self, key: str) -> Row:
+        stored = self.table.read(key)
+        return Row(key=key, version=stored.version, value=stored.value)
+
+    async def commit(
+        self, transaction: Transaction
+    ) -> Result[None, ConditionFailed | PlatformUnavailable]:
+        """Commit, maybe without effect, maybe late, maybe with a lost answer."""
+        if self._fails():
+            way = self.random.choice(["nothing", "late", "answer-lost"])
+            if way == "late":
+                self._late.append(transaction)
+            if way == "answer-lost" and not self.down:
+                self._commit(transaction)
+            return Err(PlatformUnavailable(way))
+        failed = self._commit(transaction)
+        return Err(ConditionFailed(tuple(failed))) if failed else Ok(None)
+
+    def _commit(self, transaction: Transaction) -> list[str]:
+        return self.table.commit(
+            [
+                {
+                    "key": write.key,
+                    "expected_version": write.expected_version,
+                    "value": write.value,
+                }
+                for write in transaction.writes
+            ]
+        )
+
+    def land_late_write(self) -> None:
+        """Let one late write arrive."""
+        if self._late and not self.down:
+            index = self.random.randrange(len(self._late))
+            self._commit(self._late.pop(index))
+
+    async def put_object(
+        self, name: str, content: bytes
+    ) -> Result[None, PlatformUnavailable]:
+        """Store an object."""
+        if self._fails():
+            return Err(PlatformUnavailable("trial"))
+        self.objects_by_name[name] = content
+        return Ok(None)
+
+    async def get_object(self, name: str) -> Result[bytes | None, PlatformUnavailable]:
+        """Read an object."""
+        if self._fails():
+            return Err(PlatformUnavailable("trial"))
+        return Ok(self.objects_by_name.get(name))
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/trial/runs.py
@@ -0,0 +1,88 @@
+"""Standard trials by seed."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.invariants import InvariantError
+from plankspindle_testkit.builders import VmPlace
+from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.trial.trial import Trial
+from plankspindle_testkit.trial.trial import TrialOptions
+from plankspindle_testkit.trial.truth import BrokenPromiseError
+
+
+@frozen(kw_only=True)
+class TrialVerdict:
+    """How a trial ended.
+
+    Parameters
+    ----------
+    requests, done : int
+        Requests sent, and those answered whole.
+    broken : str, optional
+        The promise that was broken.
+    trace : list of str
+        What happened, newest last.
+    """
+
+    requests: int
+    done: int
+    broken: str | None
+    trace: list[str]
+
+
+def build_trial(*, seed: int, cuts: bool = False, fault_rate: float = 0.5) -> Trial:
+    """Build the standard trial: three entry VMs and three upstreams of one domain."""
+    places = [
+        VmPlace(
+            name=f"ba-1-{letter}",
+            failure_domain="ba-1",
+            host=f"127.0.1.{number}",
+            base_port=7000,
+        )
+        for number, letter in enumerate("abc", start=1)
+    ]
+    upstreams = {
+        f"u{number}": build_upstream(
+            endpoint=Endpoint("127.0.2.1", 9000 + number), slots=slots
+        )
+        for number, slots in enumerate((2, 3, 9))
+    }
+    options = TrialOptions(
+        seed=seed,
+        configuration=build_configuration(upstreams_by_name=upstreams),
+        places=places,
+        cuts_within_domains=cuts,
+        fault_rate=fault_rate,
+    )
+    return Trial(options=options)
+
+
+def run_trial(
+    *, seed: int, simulated_s: float, cuts: bool = False, fault_rate: float = 0.5
+) -> TrialVerdict:
+    """Run one trial and say how it ended.
+
+    Parameters
+    ----------
+    seed : int
+        Its seed.
+    simulated_s : float
+        Its length in simulated seconds.
+    cuts : bool
+        Whether VMs of the domain are cut off from each other.
+    fault_rate : float
+        Faults each simulated second.
+    """
+    trial = build_trial(seed=seed, cuts=cuts, fault_rate=fault_rate)
+    broken = None
+    try:
+        trial.run(simulated_s)
+    except (BrokenPromiseError, InvariantError) as error:
+        broken = f"at {trial.now:.2f}: {error}"
+    return TrialVerdict(
+        requests=trial.requests, done=trial.done, broken=broken, trace=trial.trace
+    )
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial_request.py
@@ -0,0 +1,105 @@
+"""One request of a trial: an exchange, its record and its upstream."""
+
+from __future__ import annotations
+
+from attrs import define
+from attrs import field
+
+from plankspindle_core.outcome import Outcome
+from plankspindle_daemon.admission.ticket import Ticket
+from plankspindle_daemon.dispatch import messages as dispatch
+from plankspindle_daemon.exchange import messages as m
+from plankspindle_daemon.exchange.exchange import Exchange
+from plankspindle_daemon.idempotency.recorded_answer import RecordedAnswer
+from plankspindle_daemon.idempotency.records import RequestRecord
+
+ANSWER = RecordedAnswer(status=200, headers=[], body=b"done")
+
+
+@define(kw_only=True, eq=False)
+class TrialRequest:
+    """One request on one entry VM.
+
+    Parameters
+    ----------
+    number : int
+        Number of the request in the trial, also of its ticket.
+    mark : str
+        Shared by the repeats of one request.
+    vm, service : str
+        Where it runs and what it asks for.
+    exchange : Exchange
+        Its decisions.
+    ticket : Ticket
+        The request as admission sees it.
+    record : RequestRecord
+        What must learn how it ended.
+    """
+
+    number: int
+    mark: str
+    vm: str
+    service: str
+    exchange: Exchange
+    ticket: Ticket
+    record: RequestRecord
+    upstream: str | None = None
+    sent_at: float | None = None
+    told: Outcome | None = None
+    aborted: bool = False
+    over: bool = False
+    awaited: m.ExchangeEffect | None = None
+    ended: list[dispatch.Ended] = field(factory=list)
+
+    def begin(self) -> None:
+        """Take the first step."""
+        self._take(self.exchange.begin(), now=None)
+
+    def handle(self, event: m.ExchangeEvent, now: float) -> None:
+        """Give an event to the exchange and take its effects."""
+        if not self.over:
+            self._take(self.exchange.handle(event), now=now)
+
+    def _take(self, effects: list[m.ExchangeEffect], now: float | None) -> None:
+        self.awaited = None
+        for effect in effects:
+            match effect:
+                case m.EndUpstream(verdict=verdict):
+                    self._end_upstream(verdict, now)
+                case m.AnswerCaller(outcome=outcome):
+                    self.told = outcome
+                    self.over = True
+                    if outcome is Outcome.NOT_RUN:
+                        self.record.release()
+                case m.AbortCaller():
+                    self.aborted = True
+                    self.over = True
+                case m.FindUpstream(excluded=excluded):
+                    for name in excluded:
+                        self.ticket = self.ticket.excluding(name)
+                    self.awaited = effect
+                case _:
+                    self.awaited = effect
+
+    def _end_upstream(self, verdict: dispatch.Verdict, now: float | None) -> None:
+        assert self.upstream is not None
+        answered = verdict is dispatch.Verdict.ANSWERED
+        took = now - self.sent_at if answered and now and self.sent_at else None
+        self.ended.append(
+            dispatch.Ended(
+                ticket=self.ticket,
+                upstream=self.upstream,
+                verdict=verdict,
+                head_s=took,
+                total_s=took,
+            )
+        )
+        self.upstream = None
+
+    def answer_whole(self, now: float) -> None:
+        """Take the whole answer of the upstream."""
+        self.handle(m.HeadArrived(), now)
+        self.record.finish(ANSWER)
+        self.handle(m.AnswerEnded(), now)
+        self.told = Outcome.DONE
+        self.over = True
--- /dev/null
+++ b/packages/testkit/tests/trial/test_trials.py
@@ -0,0 +1,69 @@
+"""Randomised trials with fixed seeds, and proof that they can fail."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from plankspindle_daemon.exchange.exchange import Exchange
+from plankspindle_daemon.idempotency.claim_attempt import ClaimAttempt
+from plankspindle_daemon.idempotency.verdicts import RunIt
+from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
+from plankspindle_daemon.upstreams.upstream_state import UpstreamState
+from plankspindle_testkit.trial.runs import run_trial
+
+SEEDS = range(1, 9)
+MUTATION_SEEDS = range(1, 30)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_promises_hold_under_faults(seed: int) -> None:
+    verdict = run_trial(seed=seed, simulated_s=60.0)
+    assert verdict.broken is None
+    assert verdict.done > 0
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_bound_on_slots_holds_with_vms_cut_apart(seed: int) -> None:
+    verdict = run_trial(seed=seed, simulated_s=30.0, cuts=True)
+    assert verdict.broken is None
+
+
+def _claim_without_nonce(self: ClaimAttempt, row: Any) -> Any:
+    if row.version == 0:
+        return [self._write()]
+    return self._settle(RunIt())
+
+
+MUTATIONS = [
+    (SlotLedger, "own_allowance", lambda self, now: self.share, "u"),
+    (SlotLedger, "shrink_share", lambda self, share: None, "u"),
+    (Exchange, "_may_try_again", lambda self: True, "non-idempotent-sent-once"),
+    (UpstreamState, "_set_leaving", lambda self, **_: None, "while leaving"),
+    (ClaimAttempt, "_take_row", _claim_without_nonce, "ran twice"),
+]
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "mutant", "caught_as"),
+    MUTATIONS,
+    ids=[
+        "lender-uses-lent-slots",
+        "share-never-shrinks",
+        "retry-what-may-have-run",
+        "ignore-leaving",
+        "drop-the-nonce",
+    ],
+)
+def test_a_mutation_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+    owner: type,
+    name: str,
+    mutant: Any,
+    caught_as: str,
+) -> None:
+    monkeypatch.setattr(owner, name, mutant)
+    found = (run_trial(seed=seed, simulated_s=60.0).broken for seed in MUTATION_SEEDS)
+    broken = next((each for each in found if each is not None), "")
+    assert caught_as in broken
