Hold slots when a process wakes, a lender leaves or a view lags

Now a woken process gives up its share and listens as a new one does, slots are lent to counted members only and not while leaving, and loans end when the share grows. Ruled out: loss and repetition of grants (dropped by request id).

Settings and configuration errors name the key of the document, not the field of the class.

--- a/packages/core/src/plankspindle_core/configuration/codec.py
+++ b/packages/core/src/plankspindle_core/configuration/codec.py
@@ -71,7 +71,9 @@
     Result
         The valid configuration, or all problems found.
     """
-    structured = structure(_CONVERTER, mapping, Configuration)
+    structured = structure(
+        _CONVERTER, mapping, Configuration, key_by_field=KEY_BY_FIELD
+    )
     if structured.is_err():
         return structured
     problems = structured.unwrap().problems()
--- a/packages/core/src/plankspindle_core/settings/structure.py
+++ b/packages/core/src/plankspindle_core/settings/structure.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import re
+from types import MappingProxyType
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
 
@@ -15,8 +18,13 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.errors import InvalidDocument
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 Structured = TypeVar("Structured")
 ROOT_PATH = "$"
+_QUOTED_KEY = re.compile(r"\['([^']*)'\]")
+_CHECKED_FIELD = re.compile(r"'(\w+)' (must be [^:]+): (.*)")
 
 
 def make_converter() -> Converter:
@@ -55,7 +63,11 @@
 
 
 def structure(
-    converter: Converter, value: Any, wanted: type[Structured]
+    converter: Converter,
+    value: Any,
+    wanted: type[Structured],
+    *,
+    key_by_field: Mapping[str, str] = MappingProxyType({}),
 ) -> Result[Structured, InvalidDocument]:
     """Structure a mapping, turning failures into lines with key paths.
 
@@ -67,6 +79,8 @@
         Plain mapping as loaded from YAML or JSON.
     wanted : type
         attrs class to build.
+    key_by_field : mapping of str to str
+        Keys of the document that differ from the names of their fields.
 
     Returns
     -------
@@ -77,7 +91,11 @@
         return Ok(converter.structure(value, wanted))
     except BaseValidationError as error:
         lines = transform_error(error, path=ROOT_PATH, format_exception=_describe)
-        return Err(InvalidDocument(tuple(_with_path_first(line) for line in lines)))
+        return Err(
+            InvalidDocument(
+                tuple(_with_path_first(line, key_by_field) for line in lines)
+            )
+        )
 
 
 def _describe(error: BaseException, _: type[Any] | None) -> str:
@@ -91,6 +109,13 @@
     return str(error)
 
 
-def _with_path_first(line: str) -> str:
+def _with_path_first(line: str, key_by_field: Mapping[str, str]) -> str:
     message, _, path = line.rpartition(" @ ")
-    return f"{path.removeprefix(ROOT_PATH).removeprefix('.') or 'document'}: {message}"
+    path = _QUOTED_KEY.sub(r".\1", path)
+    parts = path.removeprefix(ROOT_PATH).removeprefix(".").split(".")
+    keys = [key_by_field.get(part, part) for part in parts if part]
+    checked = _CHECKED_FIELD.match(message)
+    if checked is not None:
+        keys.append(checked[1])
+        message = f"{checked[2]}, not {checked[3]}"
+    return f"{'.'.join(keys) or 'document'}: {message}"
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -22,7 +22,6 @@
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
 from plankspindle_daemon.control.plan_store import PlanStore
 from plankspindle_daemon.dispatch.dispatch_runner import DispatchRunner
-from plankspindle_daemon.dispatch.messages import SlotsAsked
 from plankspindle_daemon.dispatch.messages import SlotsGranted
 from plankspindle_daemon.idempotency.claim_store import ClaimStore
 from plankspindle_daemon.idempotency.gate import IdempotencyGate
@@ -236,20 +235,12 @@
                     self.node.take_membership(event, now=monotonic(), wall=time.time())
                 )
             case SlotRequest():
-                service = self._service_of(message.upstream)
-                asked = SlotsAsked(request=message, reply_to=sender)
-                await self._dispatch.tell(service, asked)
+                effects = self.node.take_slot_request(message, sender, monotonic())
+                await self._perform(effects)
             case SlotGrant():
-                service = self._service_of(message.upstream)
+                service = self.node.service_of(message.upstream)
                 await self._dispatch.tell(service, SlotsGranted(message))
 
-    def _service_of(self, upstream: str) -> str:
-        configuration = self.node.configuration
-        if configuration is None:
-            return ""
-        declared = configuration.upstreams_by_name.get(upstream)
-        return declared.service if declared is not None else ""
-
     async def _perform(self, effects: list[NodeEffect]) -> None:
         heartbeat = None
         for effect in effects:
--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -119,7 +119,7 @@
                 return [*self._give_up_late(now), *self._serve(now), *self._probes(now)]
             case Paused():
                 for upstream in self.upstreams_by_name.values():
-                    upstream.ledger.drop_borrowed()
+                    upstream.ledger.give_up_all()
                     upstream.is_unconfirmed = True
                 return [*self._give_up_late(now), *self._probe_all(now)]
 
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -46,6 +46,7 @@
     from plankspindle_daemon.membership.messages import MembershipEffect
     from plankspindle_daemon.membership.messages import MembershipEvent
     from plankspindle_daemon.platform.live_list import ListedVm
+    from plankspindle_daemon.upstreams.messages import SlotRequest
 
 OVERLOADED_SHARE = 0.5
 """Share of a queue's limit from which on look-ups do not name this VM."""
@@ -109,9 +110,13 @@
     dispatchers_by_service: dict[str, Dispatcher] = Factory(dict)
     budgets_by_service: dict[str, RetryBudget] = Factory(dict)
     list_read_at: float | None = None
+    settling_since: float = field(init=False)
     _sequence: int = 0
     _next_refresh: float = field(default=0.0)
 
+    def __attrs_post_init__(self) -> None:
+        self.settling_since = self.started_at
+
     def adopt(
         self, configuration: Configuration, *, version: int, now: float
     ) -> list[NodeEffect]:
@@ -268,6 +273,26 @@
             return []
         return [OfService(service, each) for each in dispatcher.handle(event, now)]
 
+    def take_slot_request(
+        self, request: SlotRequest, reply_to: Endpoint, now: float
+    ) -> list[NodeEffect]:
+        """Lend slots to a member, unless this VM leaves.
+
+        Whoever this VM does not count gets none, since its share may overlap.
+        """
+        known = request.sender in self.membership.members_by_name
+        if not known or self.leave.is_leaving:
+            return []
+        asked = dispatch.SlotsAsked(request=request, reply_to=reply_to)
+        return self.take_dispatch(self.service_of(request.upstream), asked, now)
+
+    def service_of(self, upstream: str) -> str:
+        """Name the service of an upstream; empty if it is not declared."""
+        if self.configuration is None:
+            return ""
+        declared = self.configuration.upstreams_by_name.get(upstream)
+        return declared.service if declared is not None else ""
+
     def tick(self, *, now: float, wall: float) -> list[NodeEffect]:
         """Let some time pass."""
         effects = self.take_membership(membership.TimePassed(), now=now, wall=wall)
@@ -281,9 +306,12 @@
 
     def wake_from_pause(self, *, now: float, wall: float) -> list[NodeEffect]:
         """Distrust what was agreed before the process stood still."""
-        effects = self.take_membership(membership.Paused(), now=now, wall=wall)
+        self.settling_since = now
+        self.list_read_at = None
+        effects: list[NodeEffect] = []
         for service in self.dispatchers_by_service:
             effects += self.take_dispatch(service, dispatch.Paused(), now)
+        effects += self.take_membership(membership.Paused(), now=now, wall=wall)
         return effects
 
     def _update_shares(self, now: float) -> list[NodeEffect]:
@@ -327,7 +355,7 @@
     def _has_settled(self, now: float) -> bool:
         if self.list_read_at is not None:
             return True
-        return now - self.started_at >= self.settle_s
+        return now - self.settling_since >= self.settle_s
 
     def readiness(self) -> Readiness:
         """What this VM says of itself."""
--- a/packages/daemon/src/plankspindle_daemon/upstreams/slot_ledger.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/slot_ledger.py
@@ -109,8 +109,16 @@
         self.share = min(self.share, share)
 
     def grow_share(self, share: int) -> None:
-        """Take a larger share, once no other member can still use its slots."""
-        self.share = max(self.share, share)
+        """Take a larger share, once no other member can still use its slots.
+
+        Notes
+        -----
+        Loans end with it: the lender may have left, and its slots are part of the
+        larger share.
+        """
+        if share > self.share:
+            self.share = share
+            self._borrowed.clear()
 
     def lend(self, *, request_id: int, count: int, now: float, until: float) -> int:
         """Lend idle slots of the own share.
@@ -145,8 +153,12 @@
         if loan.until > now and not known:
             self._borrowed.append(loan)
 
-    def drop_borrowed(self) -> None:
-        """Give up all borrowed slots, as after a pause."""
+    def give_up_all(self) -> None:
+        """Give up share and loans, since others may have taken them in a pause.
+
+        Running requests stay counted, and slots that were lent stay lent.
+        """
+        self.share = 0
         self._borrowed.clear()
 
     def _expire(self, now: float) -> None:
--- a/packages/testkit/src/plankspindle_testkit/trial/runs.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/runs.py
@@ -4,15 +4,20 @@
 
 from attrs import frozen
 
+from plankspindle_core.configuration.operation import Operation
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.invariants import InvariantError
 from plankspindle_testkit.builders import VmPlace
 from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_service
 from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.trial.trial import SERVICE
 from plankspindle_testkit.trial.trial import Trial
 from plankspindle_testkit.trial.trial import TrialOptions
 from plankspindle_testkit.trial.truth import BrokenPromiseError
 
+OPERATION = Operation(method="GET", timeout_ms=3_000, expected_ms=100)
+
 
 @frozen(kw_only=True)
 class TrialVerdict:
@@ -53,7 +58,10 @@
     }
     options = TrialOptions(
         seed=seed,
-        configuration=build_configuration(upstreams_by_name=upstreams),
+        configuration=build_configuration(
+            upstreams_by_name=upstreams,
+            services_by_name={SERVICE: build_service(operations=[OPERATION])},
+        ),
         places=places,
         cuts_within_domains=cuts,
         fault_rate=fault_rate,
--- a/packages/testkit/src/plankspindle_testkit/trial/trial.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial.py
@@ -34,6 +34,7 @@
 from plankspindle_daemon.idempotency.records import RequestRecord
 from plankspindle_daemon.idempotency.verdicts import ClaimVerdict
 from plankspindle_daemon.idempotency.verdicts import RunIt
+from plankspindle_daemon.leaving.leave import Left
 from plankspindle_daemon.membership import messages as membership
 from plankspindle_daemon.node.effects import BeginLeaving
 from plankspindle_daemon.node.effects import NodeEffect
@@ -68,6 +69,7 @@
 WALL_OFFSET_S = 1_000_000.0
 LIST_PERIOD_S = 1.0
 CONFIGURATION_PERIOD_S = 0.5
+LIST_LAG_S = 3.0
 LEAVE_BOUND_S = 3.0
 SERVICE = "registry"
 FINGERPRINT = Fingerprint(caller="dealer", digest="aa")
@@ -128,7 +130,7 @@
     _next_list: dict[str, float] = field(factory=dict)
     _next_read: dict[str, float] = field(factory=dict)
     _closings: list[tuple[str, ClaimRow]] = field(factory=list)
-    _dead_since: dict[str, float] = field(factory=dict)
+    _silent_since: dict[str, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.options.seed)
@@ -241,7 +243,7 @@
         if len(self.vms_by_name) < 2:
             return
         del self.vms_by_name[name]
-        self._dead_since[name] = self.now
+        self._silent_since[name] = self.now
         if not power_loss:
             for upstream in self.upstreams_by_name.values():
                 upstream.cancel_all_of(name)
@@ -251,7 +253,7 @@
         for place in self.options.places:
             if place.name in self.vms_by_name or self._still_runs(place.name):
                 continue
-            del self._dead_since[place.name]
+            self._silent_since.pop(place.name, None)
             self._list_vm(place)
             self._start_vm(place)
             return
@@ -330,8 +332,8 @@
                 event = membership.HeartbeatReceived(message)
                 self._take_membership(vm, event)
             case SlotRequest():
-                asked = dispatch.SlotsAsked(request=message, reply_to=sender)
-                self._take_dispatch(vm, SERVICE, asked)
+                effects = vm.node.take_slot_request(message, sender, self.now)
+                self._perform(vm, effects)
             case SlotGrant():
                 self._take_dispatch(vm, SERVICE, dispatch.SlotsGranted(message))
 
@@ -358,6 +360,20 @@
         for request in list(vm.requests_by_number.values()):
             if self.now >= request.ticket.deadline:
                 self._event(vm, request, m.DeadlinePassed())
+        self._advance_leave(vm)
+
+    def _advance_leave(self, vm: TrialVm) -> None:
+        running = len(vm.requests_by_number)
+        state = vm.node.leave.advance(running=running, now=self.now)
+        if not isinstance(state, Left):
+            return
+        if state.cut_off:
+            raise BrokenPromiseError(f"{vm.place.name} left with {state.cut_off} cut")
+        goodbye = vm.node.heartbeat(now=self.now, left=True)
+        for endpoint in vm.node.membership.peer_endpoints():
+            self._send(vm, goodbye, endpoint)
+        self._note(f"{vm.place.name} left")
+        self._kill(vm.place.name, power_loss=False)
 
     def _read_platform(self, vm: TrialVm) -> None:
         name = vm.place.name
@@ -371,9 +387,14 @@
         self._update_list()
 
     def _update_list(self) -> None:
-        """The list drops a dead VM some seconds after its death."""
-        for name, since in self._dead_since.items():
-            if self.now - since > 5.0:
+        """Drop VMs from the list some seconds after they died or stood still."""
+        for name, vm in self.vms_by_name.items():
+            if vm.is_running(self.now):
+                self._silent_since.pop(name, None)
+            else:
+                self._silent_since.setdefault(name, self.now)
+        for name, since in self._silent_since.items():
+            if self.now - since > LIST_LAG_S:
                 self.listed_by_name.pop(name, None)
 
     def _read_configuration(self, vm: TrialVm) -> None:
@@ -393,7 +414,8 @@
                     self._send(vm, heartbeat, to)
                 case OfService(service=service, effect=inner):
                     self._perform_dispatch(vm, service, inner)
-                case BeginLeaving():
+                case BeginLeaving(reason=reason):
+                    self._note(f"{vm.place.name} leaves: {reason}")
                     vm.node.leave.begin(self.now)
 
     def _send(self, vm: TrialVm, message: PeerMessage, to: Endpoint) -> None:
@@ -429,6 +451,8 @@
         vm = self.vms_by_name[self.random.choice(sorted(self.vms_by_name))]
         if vm.node.configuration is None or not vm.is_running(self.now):
             return
+        if not vm.node.leave.accepts:
+            return
         way = self.random.choice(["lookup", "lookup", "transfer", "id", "id", "key"])
         self.requests += 1
         number = self.requests
