--- a/packages/daemon/tests/test_real_processes.py
+++ b/packages/daemon/tests/test_real_processes.py
@@ -245,6 +245,47 @@
         assert call(FIRST.caller, target=target, headers=[GOLD]).body == b"{}"
 
 
+def test_a_caller_that_goes_cancels_its_upstream(processes: Processes) -> None:
+    for name in UPSTREAMS:
+        control_upstream(name, service_ms=5_000)
+    with socket.create_connection((FIRST.host, FIRST.base_port)) as caller:
+        caller.sendall(f"GET {SERVICES}/plates/1 HTTP/1.1\r\nhost: a\r\n\r\n".encode())
+        wait_until(
+            lambda: any(each["in_flight"] for each in upstreams_at(FIRST).values()),
+            what="the request runs",
+        )
+    wait_until(
+        lambda: sum(control_upstream(name)["cancelled"] for name in UPSTREAMS) == 1,
+        what="the upstream is cancelled",
+    )
+    assert not any(each["in_flight"] for each in upstreams_at(FIRST).values())
+
+
+def test_a_download_is_resumed_by_range(processes: Processes) -> None:
+    answer = call(
+        FIRST.caller,
+        target=f"{SERVICES}/bytes/100000",
+        headers=[(b"range", b"bytes=99000-")],
+    )
+    assert answer.status == 206
+    assert len(answer.body) == 1000
+    assert find_header(answer.headers, b"content-range") == b"bytes 99000-99999/100000"
+
+
+def test_a_request_ends_at_the_deadline_of_its_caller(
+    processes: Processes,
+) -> None:
+    for name in UPSTREAMS:
+        control_upstream(name, service_ms=1_000)
+    headers = [GOLD, (header_names.TIMEOUT, b"300")]
+    answer = call(FIRST.caller, target=SERVICES + "/plates/1", headers=headers)
+    assert (answer.status, outcome_of(answer)) == (504, "unknown")
+    wait_until(
+        lambda: sum(control_upstream(name)["cancelled"] for name in UPSTREAMS) == 1,
+        what="the upstream is cancelled",
+    )
+
+
 def test_a_planned_stop_finishes_a_running_download(processes: Processes) -> None:
     size = 30_000_000
     with socket.create_connection((FIRST.host, FIRST.base_port)) as slow:
