--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -24,6 +24,7 @@
 from plankspindle_daemon.dispatch.dispatch_runner import DispatchRunner
 from plankspindle_daemon.dispatch.messages import SlotsGranted
 from plankspindle_daemon.idempotency.claim_store import ClaimStore
+from plankspindle_daemon.idempotency.claim_sweeper import ClaimSweeper
 from plankspindle_daemon.idempotency.gate import IdempotencyGate
 from plankspindle_daemon.idempotency.issued_ids import IssuedIds
 from plankspindle_daemon.leaving.leave import Leave
@@ -102,6 +103,12 @@
         self._claims = ClaimStore(
             platform=self._platform, random=random, supervisor=self._supervisor
         )
+        self._sweeper = ClaimSweeper(
+            platform=self._platform,
+            membership=self.node.membership,
+            random=random,
+            supervisor=self._supervisor,
+        )
         requests = RequestMetrics()
         self._metrics = MetricsReader(node=self.node, requests=requests)
         self._callers = CallerListener(
@@ -137,6 +144,7 @@
         await self._callers.start()
         await self._operators.start()
         await self._claims.start()
+        await self._sweeper.start()
         self._metrics.start()
         log_event(
             "started",
@@ -151,6 +159,7 @@
         self._metrics.close()
         await self._callers.close()
         await self._operators.close()
+        await self._sweeper.close()
         await self._claims.close()
         await self._pool.close()
         await self._peers.close()
--- a/packages/daemon/src/plankspindle_daemon/idempotency/claim_row.py
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/claim_row.py
@@ -17,6 +17,9 @@
 from plankspindle_daemon.idempotency.recorded_answer import RecordedAnswer
 from plankspindle_daemon.idempotency.recorded_answer import answer_from_mapping
 
+CLAIM_PREFIX = "claims/"
+"""Keys of claims go on with a digest, so that they are spread evenly."""
+
 
 class ClaimState(Enum):
     """Where the request of a key stands."""
@@ -105,5 +108,5 @@
     idempotency_key : str
         Key as chosen by the caller.
     """
-    digest = hashlib.sha256(idempotency_key.encode("latin-1")).hexdigest()
-    return f"claims/{service}/{digest}"
+    named = f"{service}/{idempotency_key}".encode("latin-1", "replace")
+    return CLAIM_PREFIX + hashlib.sha256(named).hexdigest()
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/claim_sweeper.py
@@ -0,0 +1,99 @@
+"""Removal of claim rows that have expired, so that the table stays bounded."""
+
+from __future__ import annotations
+
+import time
+from random import Random
+from typing import Any
+
+from attrs import define
+from curio import sleep
+
+from plankspindle_core.supervisor import Supervisor
+from plankspindle_daemon.idempotency.claim_row import CLAIM_PREFIX
+from plankspindle_daemon.idempotency.claim_row import claim_row_from_mapping
+from plankspindle_daemon.membership.membership import Membership
+from plankspindle_daemon.platform.platform_client import PlatformClient
+from plankspindle_daemon.platform.table import Row
+from plankspindle_daemon.platform.table import RowWrite
+from plankspindle_daemon.platform.table import Transaction
+
+SWEEP_PERIOD_S = 10.0
+PAGE_ROWS = 100
+KEY_DIGITS = 8
+
+
+@define(kw_only=True)
+class ClaimSweeper:
+    """Read pages of claims at random places and delete what has expired.
+
+    Parameters
+    ----------
+    platform : PlatformClient
+        The table service.
+    membership : Membership
+        Its size sets how often this process takes its turn.
+    random : Random
+        Source of places and turns.
+    supervisor : Supervisor
+        Starter of the task.
+
+    Notes
+    -----
+    Nobody is elected. Each process sweeps with probability one over the number of
+    members, so a domain sweeps about one page a period whatever its size, and two that
+    meet do no harm: a delete demands the version that was read.
+    """
+
+    platform: PlatformClient
+    membership: Membership
+    random: Random
+    supervisor: Supervisor
+    removed: int = 0
+    _task: Any = None
+
+    async def start(self) -> None:
+        """Start sweeping."""
+        self._task = await self.supervisor.spawn(self._run)
+
+    async def close(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            await self._task.cancel()
+            self._task = None
+
+    async def _run(self) -> None:
+        while True:
+            await sleep(SWEEP_PERIOD_S * self.random.uniform(0.5, 1.5))
+            if self.random.random() * len(self.membership.view()) < 1.0:
+                await self.sweep(time.time())
+
+    async def sweep(self, wall: float) -> None:
+        """Read one page and delete its expired rows.
+
+        Parameters
+        ----------
+        wall : float
+            Seconds since the Unix epoch.
+        """
+        place = f"{self.random.getrandbits(4 * KEY_DIGITS):0{KEY_DIGITS}x}"
+        page = await self.platform.read_range(
+            prefix=CLAIM_PREFIX, after=CLAIM_PREFIX + place, limit=PAGE_ROWS
+        )
+        if page.is_err():
+            return
+        expired = [row for row in page.unwrap() if _has_expired(row, wall)]
+        if not expired:
+            return
+        writes = [
+            RowWrite(key=row.key, expected_version=row.version, value=None)
+            for row in expired
+        ]
+        committed = await self.platform.commit(Transaction(writes=writes))
+        if committed.is_ok():
+            self.removed += len(writes)
+
+
+def _has_expired(row: Row, wall: float) -> bool:
+    decoded = claim_row_from_mapping(row.value)
+    return decoded.is_ok() and decoded.unwrap().expires_at < wall
--- a/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 from urllib.parse import quote
+from urllib.parse import urlencode
 
 from result import Err
 from result import Ok
@@ -97,6 +98,30 @@
             }
         )
 
+    async def read_range(
+        self, *, prefix: str, after: str, limit: int
+    ) -> Result[list[Row], PlatformUnavailable]:
+        """Read rows in the order of their keys.
+
+        Parameters
+        ----------
+        prefix : str
+            What the keys begin with.
+        after : str
+            Key after which to begin.
+        limit : int
+            Most rows to read.
+        """
+        self.reads += 1
+        query = urlencode({"prefix": prefix, "after": after, "limit": limit})
+        answer = await self._call("GET", f"/table?{query}")
+        return answer.and_then(self._decoded).map(
+            lambda found: [
+                Row(key=row["key"], version=row["version"], value=row["value"])
+                for row in found["rows"]
+            ]
+        )
+
     async def commit(
         self, transaction: Transaction
     ) -> Result[None, ConditionFailed | PlatformUnavailable]:
--- a/packages/testkit/src/plankspindle_testkit/platform_stand_in/platform_stand_in.py
+++ b/packages/testkit/src/plankspindle_testkit/platform_stand_in/platform_stand_in.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 from typing import Any
+from urllib.parse import parse_qs
 from urllib.parse import unquote
 
 from attrs import define
@@ -70,11 +71,14 @@
         if self.faults.down:
             await source.answer(status=503)
             return
-        path = source.target.partition("?")[0]
+        path, _, query = source.target.partition("?")
         is_write = (source.method, path) == ("POST", "/table/commit")
         is_write = is_write or source.method == "PUT"
         self.calls_by_kind["writes" if is_write else "reads"] += 1
-        status, content = self._serve(source.method, path, body)
+        if (source.method, path) == ("GET", "/table"):
+            status, content = 200, self._read_range(parse_qs(query))
+        else:
+            status, content = self._serve(source.method, path, body)
         if self.faults.delay_ms:
             await sleep(self.faults.delay_ms / 1000)
         if is_write and self.faults.loses_this_answer():
@@ -82,6 +86,17 @@
             return
         await source.answer(status=status, body=content)
 
+    def _read_range(self, fields: dict[str, list[str]]) -> bytes:
+        prefix, after = fields["prefix"][0], fields["after"][0]
+        keys = sorted(
+            key
+            for key in self.table.rows_by_key
+            if key.startswith(prefix) and key > after
+        )
+        page = keys[: int(fields["limit"][0])]
+        rows = [{"key": key, **_row_mapping(self.table, key)} for key in page]
+        return _json({"rows": rows})
+
     def _serve(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
         match method, path:
             case "GET", "/vms":
