--- a/packages/client/src/plankspindle_client/console/commands/plan.py
+++ b/packages/client/src/plankspindle_client/console/commands/plan.py
@@ -5,6 +5,7 @@
 import click
 
 from plankspindle_client.console.context import api_of
+from plankspindle_client.console.context import show_json
 from plankspindle_client.console.context import show_plan
 from plankspindle_client.console.context import unwrap_or_exit
 
@@ -24,6 +25,7 @@
     type=click.FloatRange(0, 100),
     help="Largest share of the requests that may move.",
 )
+@click.option("--ramp-s", default=30.0, help="Time to grow to the cap, in seconds.")
 @click.option("--id", "shift_id", help="Name of the shift; a known one is replaced.")
 @click.pass_context
 def shift(
@@ -32,6 +34,7 @@
     from_region: str,
     to_region: str,
     percent: float,
+    ramp_s: float,
     shift_id: str | None,
 ) -> None:
     """Plan to move part of a service's requests to another region."""
@@ -43,11 +46,84 @@
             "from_region": from_region,
             "to_region": to_region,
             "cap_percent": percent,
+            "ramp_s": ramp_s,
         },
     }
     show_plan(context, unwrap_or_exit(api_of(context).post("/v1/plans", intent)))
 
 
+@plan.command()
+@click.option("--region", help="Region to drain.")
+@click.option("--failure-domain", help="Failure domain to drain.")
+@click.option("--upstream", help="Upstream to drain.")
+@click.option("--vm", help="Entry VM to drain.")
+@click.option("--at", type=float, help="Unix time from which it gets nothing new.")
+@click.option("--id", "drain_id", help="Name of the drain; a known one is replaced.")
+@click.pass_context
+def drain(
+    context: click.Context,
+    region: str | None,
+    failure_domain: str | None,
+    upstream: str | None,
+    vm: str | None,
+    at: float | None,
+    drain_id: str | None,
+) -> None:
+    """Plan to keep new work from a place while running work finishes."""
+    names = {
+        "region": region,
+        "failure-domain": failure_domain,
+        "upstream": upstream,
+        "vm": vm,
+    }
+    given = {kind: name for kind, name in names.items() if name is not None}
+    if len(given) != 1:
+        raise click.UsageError(
+            "name one of --region, --failure-domain, --upstream and --vm"
+        )
+    kind, name = given.popitem()
+    intent = {
+        "kind": "drain",
+        "drain_id": drain_id or f"{kind}-{name}",
+        "drain": {"kind": kind, "name": name, "at": at},
+    }
+    show_plan(context, unwrap_or_exit(api_of(context).post("/v1/plans", intent)))
+
+
+@plan.command("undo-drain")
+@click.argument("drain_id")
+@click.pass_context
+def undo_drain(context: click.Context, drain_id: str) -> None:
+    """Plan to end the drain DRAIN_ID."""
+    intent = {"kind": "undo-drain", "drain_id": drain_id}
+    show_plan(context, unwrap_or_exit(api_of(context).post("/v1/plans", intent)))
+
+
+@plan.command("class")
+@click.argument("caller")
+@click.argument("priority_class")
+@click.pass_context
+def change_class(context: click.Context, caller: str, priority_class: str) -> None:
+    """Plan to serve CALLER as PRIORITY_CLASS."""
+    intent = {"kind": "class", "caller": caller, "priority_class": priority_class}
+    show_plan(context, unwrap_or_exit(api_of(context).post("/v1/plans", intent)))
+
+
+@plan.command("list")
+@click.pass_context
+def list_plans(context: click.Context) -> None:
+    """List the plans that are kept."""
+    found = unwrap_or_exit(api_of(context).get("/v1/plans"))["plans"]
+    if context.obj["output"] == "json":
+        show_json(found)
+        return
+    for each in found:
+        click.echo(
+            f"{each['id']} {each['state']} on version {each['base_version']}"
+            f" by {each['operator']}: {each['effects'][0]}"
+        )
+
+
 @plan.command("undo-shift")
 @click.argument("shift_id")
 @click.pass_context
--- a/packages/client/src/plankspindle_client/console/commands/status.py
+++ b/packages/client/src/plankspindle_client/console/commands/status.py
@@ -52,6 +52,18 @@
             f"service {name}: {used} of {usable} slots in use,"
             f" {service['queued']} queued, {service['assigned']} assigned"
         )
+    for name, domain in sorted(found["failure_domains"].items()):
+        heard = domain["heard_s_ago"]
+        age = "not heard" if heard is None else f"heard {heard:g} s ago"
+        lines.append(
+            f"failure domain {name} of {domain['region']}: {age},"
+            f" version {domain['lowest_version']}"
+        )
+        for service, load in sorted(domain["services"].items()):
+            lines.append(
+                f"  {service}: {load['in_flight']} of {load['capacity']} in use,"
+                f" {load['queued']} queued"
+            )
     for name, shift in sorted(found["shifts"].items()):
         lines.append(
             f"shift {name} of {shift['service']} to {shift['to_region']}:"
--- a/packages/core/src/plankspindle_core/configuration/codec.py
+++ b/packages/core/src/plankspindle_core/configuration/codec.py
@@ -31,6 +31,7 @@
     "sites_by_name": "sites",
     "site_by_prefix": "client_blocks",
     "shifts_by_id": "shifts",
+    "drains_by_id": "drains",
 }
 
 
--- a/packages/core/src/plankspindle_core/configuration/configuration.py
+++ b/packages/core/src/plankspindle_core/configuration/configuration.py
@@ -9,6 +9,8 @@
 
 from plankspindle_core.configuration.caller import Caller
 from plankspindle_core.configuration.distances import Distances
+from plankspindle_core.configuration.drain import Drain
+from plankspindle_core.configuration.drain import DrainKind
 from plankspindle_core.configuration.service import Service
 from plankspindle_core.configuration.shift import Shift
 from plankspindle_core.configuration.upstream import Upstream
@@ -64,6 +66,8 @@
         Site name by client block, such as ``10.1.0.0/16``.
     shifts_by_id : dict of str to Shift
         Confirmed shifts.
+    drains_by_id : dict of str to Drain
+        Confirmed drains.
     distances : Distances
         Declared delays.
     """
@@ -76,6 +80,7 @@
     sites_by_name: dict[str, Site] = Factory(dict)
     site_by_prefix: dict[str, str] = Factory(dict)
     shifts_by_id: dict[str, Shift] = Factory(dict)
+    drains_by_id: dict[str, Drain] = Factory(dict)
     distances: Distances = Factory(Distances)
 
     def region_of(self, failure_domain: str) -> str | None:
@@ -83,6 +88,38 @@
         found = self.failure_domains_by_name.get(failure_domain)
         return found.region if found else None
 
+    def drains_of(
+        self, *, failure_domain: str, vm: str | None = None, upstream: str | None = None
+    ) -> dict[str, Drain]:
+        """Give the drains that hold for an entry VM or an upstream, by id.
+
+        Parameters
+        ----------
+        failure_domain : str
+            Where it stands.
+        vm, upstream : str, optional
+            Its name, as one or the other.
+        """
+        names_by_kind = {
+            DrainKind.REGION: self.region_of(failure_domain),
+            DrainKind.FAILURE_DOMAIN: failure_domain,
+            DrainKind.VM: vm,
+            DrainKind.UPSTREAM: upstream,
+        }
+        return {
+            drain_id: drain
+            for drain_id, drain in self.drains_by_id.items()
+            if names_by_kind[drain.kind] == drain.name
+        }
+
+    def domains_of(self, region: str) -> set[str]:
+        """Name the failure domains of a region."""
+        return {
+            name
+            for name, domain in self.failure_domains_by_name.items()
+            if domain.region == region
+        }
+
     def distance_ms(self, one: str, other: str) -> float:
         """Give the declared one-way delay between two failure domains.
 
@@ -115,6 +152,7 @@
             *self._upstream_problems(),
             *self._block_problems(),
             *self._shift_problems(),
+            *self._drain_problems(),
         ]
 
     def _class_problems(self) -> list[str]:
@@ -188,3 +226,17 @@
             if total > MAX_TOTAL_SHIFT_PERCENT:
                 found.append(f"shifts.{name}: shifts of one source pass 100 percent")
         return found
+
+    def _drain_problems(self) -> list[str]:
+        regions = {each.region for each in self.failure_domains_by_name.values()}
+        known_by_kind = {
+            DrainKind.REGION: regions,
+            DrainKind.FAILURE_DOMAIN: set(self.failure_domains_by_name),
+            DrainKind.UPSTREAM: set(self.upstreams_by_name),
+        }
+        return [
+            f"drains.{drain_id}.name: {drain.name!r} is not declared"
+            for drain_id, drain in self.drains_by_id.items()
+            if drain.kind in known_by_kind
+            and drain.name not in known_by_kind[drain.kind]
+        ]
--- a/packages/core/src/plankspindle_core/configuration/shift.py
+++ b/packages/core/src/plankspindle_core/configuration/shift.py
@@ -22,9 +22,13 @@
     cap_percent : float
         Largest share of the requests received in ``from_region`` that may move, in
         percent.
+    ramp_s : float
+        Time over which the moved share grows from nothing to the cap, in seconds, so
+        that caches of the receiving region can warm.
     """
 
     service: str
     from_region: str
     to_region: str
     cap_percent: float = field(validator=[validators.ge(0), validators.le(100)])
+    ramp_s: float = field(default=30.0, validator=validators.ge(0))
--- a/packages/daemon/src/plankspindle_daemon/control/intents.py
+++ b/packages/daemon/src/plankspindle_daemon/control/intents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import TypeVar
 
 from attrs import evolve
 from attrs import frozen
@@ -12,6 +13,7 @@
 
 from plankspindle_core.configuration.codec import configuration_from_mapping
 from plankspindle_core.configuration.configuration import Configuration
+from plankspindle_core.configuration.drain import Drain
 from plankspindle_core.configuration.shift import Shift
 from plankspindle_core.errors import InvalidDocument
 from plankspindle_core.settings.structure import make_converter
@@ -48,8 +50,63 @@
     shift_id: str
 
 
-Intent = ApplyIntent | ShiftIntent | UndoShiftIntent
+@frozen(kw_only=True)
+class DrainIntent:
+    """Add or replace a drain.
+
+    Parameters
+    ----------
+    drain_id : str
+        Name of the drain.
+    drain : Drain
+        The drain.
+    """
+
+    drain_id: str
+    drain: Drain
+
+
+@frozen(kw_only=True)
+class UndoDrainIntent:
+    """End a drain."""
+
+    drain_id: str
+
+
+@frozen(kw_only=True)
+class ClassIntent:
+    """Give a caller another priority class.
+
+    Parameters
+    ----------
+    caller : str
+        Name of the caller.
+    priority_class : str
+        Its new class.
+    """
+
+    caller: str
+    priority_class: str
+
+
+Intent = (
+    ApplyIntent
+    | ShiftIntent
+    | UndoShiftIntent
+    | DrainIntent
+    | UndoDrainIntent
+    | ClassIntent
+)
+_CLASS_BY_KIND: dict[str, type[Any]] = {
+    "shift": ShiftIntent,
+    "undo-shift": UndoShiftIntent,
+    "drain": DrainIntent,
+    "undo-drain": UndoDrainIntent,
+    "class": ClassIntent,
+}
+_APPLY = "apply"
 _CONVERTER = make_converter()
+Kept = TypeVar("Kept")
 
 
 def intent_from_mapping(mapping: Any) -> Result[Intent, InvalidDocument]:
@@ -68,21 +125,16 @@
     if not isinstance(mapping, dict):
         return Err(InvalidDocument(("document: expected an object",)))
     fields = {key: value for key, value in mapping.items() if key != "kind"}
-    match mapping.get("kind"):
-        case "apply":
-            return configuration_from_mapping(fields.get("configuration")).map(
-                lambda found: ApplyIntent(configuration=found)
-            )
-        case "shift":
-            return _widen(structure(_CONVERTER, fields, ShiftIntent))
-        case "undo-shift":
-            return _widen(structure(_CONVERTER, fields, UndoShiftIntent))
-        case kind:
-            problem = f"kind: {kind!r} is not one of apply, shift, undo-shift"
-            return Err(InvalidDocument((problem,)))
-
-
-def _widen(found: Result[Any, InvalidDocument]) -> Result[Intent, InvalidDocument]:
+    kind = mapping.get("kind")
+    if kind == _APPLY:
+        return configuration_from_mapping(fields.get("configuration")).map(
+            lambda found: ApplyIntent(configuration=found)
+        )
+    wanted = _CLASS_BY_KIND.get(str(kind))
+    if wanted is None:
+        known = ", ".join([_APPLY, *_CLASS_BY_KIND])
+        return Err(InvalidDocument((f"kind: {kind!r} is not one of {known}",)))
+    found: Result[Intent, InvalidDocument] = structure(_CONVERTER, fields, wanted)
     return found
 
 
@@ -103,20 +155,51 @@
     Result
         The valid configuration, or why the intent is refused.
     """
+    if isinstance(intent, ApplyIntent):
+        wanted: Result[Configuration, InvalidDocument] = Ok(intent.configuration)
+    elif base is None:
+        wanted = _refused("no configuration is in force yet; apply one first")
+    else:
+        wanted = _change(intent, base)
+    return wanted.and_then(_checked)
+
+
+def _refused(problem: str) -> Result[Configuration, InvalidDocument]:
+    return Err(InvalidDocument((problem,)))
+
+
+def _checked(configuration: Configuration) -> Result[Configuration, InvalidDocument]:
+    problems = configuration.problems()
+    return Err(InvalidDocument(tuple(problems))) if problems else Ok(configuration)
+
+
+def _change(
+    intent: Intent, base: Configuration
+) -> Result[Configuration, InvalidDocument]:
     match intent:
         case ApplyIntent(configuration=configuration):
-            wanted = configuration
-        case _ if base is None:
-            problem = "no configuration is in force yet; apply one first"
-            return Err(InvalidDocument((problem,)))
+            return Ok(configuration)
         case ShiftIntent(shift_id=shift_id, shift=shift):
             shifts = {**base.shifts_by_id, shift_id: shift}
-            wanted = evolve(base, shifts_by_id=shifts)
+            return Ok(evolve(base, shifts_by_id=shifts))
+        case DrainIntent(drain_id=drain_id, drain=drain):
+            drains = {**base.drains_by_id, drain_id: drain}
+            return Ok(evolve(base, drains_by_id=drains))
         case UndoShiftIntent(shift_id=shift_id):
             if shift_id not in base.shifts_by_id:
-                return Err(InvalidDocument((f"shift_id: no shift {shift_id!r}",)))
-            shifts = dict(base.shifts_by_id)
-            del shifts[shift_id]
-            wanted = evolve(base, shifts_by_id=shifts)
-    problems = wanted.problems()
-    return Err(InvalidDocument(tuple(problems))) if problems else Ok(wanted)
+                return _refused(f"shift_id: no shift {shift_id!r}")
+            return Ok(evolve(base, shifts_by_id=_without(base.shifts_by_id, shift_id)))
+        case UndoDrainIntent(drain_id=drain_id):
+            if drain_id not in base.drains_by_id:
+                return _refused(f"drain_id: no drain {drain_id!r}")
+            return Ok(evolve(base, drains_by_id=_without(base.drains_by_id, drain_id)))
+        case ClassIntent(caller=name, priority_class=priority_class):
+            if name not in base.callers_by_name:
+                return _refused(f"caller: no caller {name!r}")
+            caller = evolve(base.callers_by_name[name], priority_class=priority_class)
+            callers = {**base.callers_by_name, name: caller}
+            return Ok(evolve(base, callers_by_name=callers))
+
+
+def _without(by_id: dict[str, Kept], removed: str) -> dict[str, Kept]:
+    return {key: value for key, value in by_id.items() if key != removed}
--- a/packages/daemon/src/plankspindle_daemon/control/plan.py
+++ b/packages/daemon/src/plankspindle_daemon/control/plan.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING
 from typing import Any
 
 from attrs import evolve
@@ -12,15 +11,8 @@
 from result import Ok
 from result import Result
 
-from plankspindle_daemon.control.intents import ApplyIntent
-from plankspindle_daemon.control.intents import ShiftIntent
-from plankspindle_daemon.control.intents import UndoShiftIntent
-
-if TYPE_CHECKING:
-    from plankspindle_core.configuration.configuration import Configuration
-    from plankspindle_daemon.control.intents import Intent
-
 PLAN_LIFE_S = 900.0
+PLANS_PREFIX = "plans/"
 
 
 class PlanState(Enum):
@@ -114,78 +106,4 @@
 
 def plan_key(plan_id: str) -> str:
     """Name the row of a plan."""
-    return f"plans/{plan_id}"
-
-
-def describe_effects(
-    intent: Intent, base: Configuration | None, wanted: Configuration
-) -> tuple[str, ...]:
-    """Say what an intent moves and what that costs.
-
-    Parameters
-    ----------
-    intent : Intent
-        What is wanted.
-    base : Configuration, optional
-        Version that it is based on.
-    wanted : Configuration
-        Version that it leads to.
-
-    Returns
-    -------
-    tuple of str
-        A sentence an effect.
-    """
-    match intent:
-        case ShiftIntent(shift_id=shift_id, shift=shift):
-            before = base.shifts_by_id.get(shift_id) if base else None
-            here = _slots(wanted, shift.service, shift.from_region)
-            there = _slots(wanted, shift.service, shift.to_region)
-            was = before.cap_percent if before else 0.0
-            added = wanted.distances.between_regions_ms * 2
-            return (
-                f"at most {shift.cap_percent:g} percent of the requests of"
-                f" {shift.service} received in {shift.from_region} move to"
-                f" {shift.to_region} (was {was:g} percent)",
-                f"each moved request takes about {added:g} ms longer",
-                f"{shift.to_region} has {there} slots of {shift.service},"
-                f" {shift.from_region} has {here}",
-                "requests with an issued request id stay where it was issued",
-            )
-        case UndoShiftIntent(shift_id=shift_id):
-            return (f"shift {shift_id} ends; its requests stay in their region",)
-        case ApplyIntent():
-            return tuple(_differences(base, wanted)) or ("nothing changes",)
-
-
-def _slots(configuration: Configuration, service: str, region: str) -> int:
-    return sum(
-        upstream.slots
-        for upstream in configuration.upstreams_by_name.values()
-        if upstream.service == service
-        and configuration.region_of(upstream.failure_domain) == region
-    )
-
-
-def _differences(base: Configuration | None, wanted: Configuration) -> list[str]:
-    sections = {
-        "services": "services_by_name",
-        "upstreams": "upstreams_by_name",
-        "callers": "callers_by_name",
-        "sites": "sites_by_name",
-        "client blocks": "site_by_prefix",
-        "shifts": "shifts_by_id",
-        "failure domains": "failure_domains_by_name",
-    }
-    found = []
-    for title, field in sections.items():
-        old: dict[str, Any] = getattr(base, field) if base else {}
-        new: dict[str, Any] = getattr(wanted, field)
-        added = len(new.keys() - old.keys())
-        removed = len(old.keys() - new.keys())
-        changed = sum(1 for key in new.keys() & old.keys() if new[key] != old[key])
-        if added or removed or changed:
-            found.append(
-                f"{title}: {added} added, {removed} removed, {changed} changed"
-            )
-    return found
+    return PLANS_PREFIX + plan_id
--- a/packages/daemon/src/plankspindle_daemon/control/plan_store.py
+++ b/packages/daemon/src/plankspindle_daemon/control/plan_store.py
@@ -20,13 +20,15 @@
 from plankspindle_daemon.configuration.head_row import HeadRow
 from plankspindle_daemon.configuration.head_row import head_row_from_mapping
 from plankspindle_daemon.configuration.head_row import object_name
+from plankspindle_daemon.control.forecast import Forecast
 from plankspindle_daemon.control.intents import apply_intent
 from plankspindle_daemon.control.plan import PLAN_LIFE_S
+from plankspindle_daemon.control.plan import PLANS_PREFIX
 from plankspindle_daemon.control.plan import Plan
 from plankspindle_daemon.control.plan import PlanState
-from plankspindle_daemon.control.plan import describe_effects
 from plankspindle_daemon.control.plan import plan_from_mapping
 from plankspindle_daemon.control.plan import plan_key
+from plankspindle_daemon.digests.digest_book import DigestBook
 from plankspindle_daemon.platform.platform_client import PlatformClient
 from plankspindle_daemon.platform.table import ABSENT
 from plankspindle_daemon.platform.table import Row
@@ -39,6 +41,7 @@
     from plankspindle_daemon.platform.errors import ConditionFailed
 
 CONFIRM_TRIES = 3
+MAX_LISTED = 200
 
 
 @frozen
@@ -100,11 +103,24 @@
         Reader of versions.
     random : Random
         Source of plan ids.
+    digests : DigestBook
+        Load of all failure domains, as far as heard.
     """
 
     platform: PlatformClient
     reader: ConfigurationReader
     random: Random
+    digests: DigestBook
+
+    async def list_all(self) -> Result[list[Plan], NotPossible]:
+        """Read the plans that are kept, at most ``MAX_LISTED``."""
+        page = await self.platform.read_range(
+            prefix=PLANS_PREFIX, after=PLANS_PREFIX, limit=MAX_LISTED
+        )
+        if page.is_err():
+            return Err(NotPossible(page.unwrap_err().detail))
+        decoded = [plan_from_mapping(row.value) for row in page.unwrap()]
+        return Ok([each.unwrap() for each in decoded if each.is_ok()])
 
     async def make(self, intent: Intent, operator: str) -> Result[Plan, PlanError]:
         """Work out a plan on the newest version and keep it.
@@ -131,6 +147,14 @@
         wanted = apply_intent(intent, configuration)
         if wanted.is_err():
             return Err(wanted.unwrap_err())
+        effects = Forecast(
+            base=configuration,
+            wanted=wanted.unwrap(),
+            digests=self.digests,
+            now=time.monotonic(),
+        ).effects_of(intent)
+        if effects.is_err():
+            return Err(effects.unwrap_err())
         content = encode_configuration(wanted.unwrap())
         plan = Plan(
             id=f"{self.random.getrandbits(48):012x}",
@@ -138,7 +162,7 @@
             base_version=head.version if head else 0,
             base_row_version=row.unwrap().version,
             digest=content_digest(content),
-            effects=describe_effects(intent, configuration, wanted.unwrap()),
+            effects=effects.unwrap(),
             expires_at=time.time() + PLAN_LIFE_S,
         )
         return await self._keep(plan, content)
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -21,8 +21,11 @@
 from plankspindle_core.supervisor import Supervisor
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
 from plankspindle_daemon.control.plan_store import PlanStore
+from plankspindle_daemon.digests.messages import LoadDigest
 from plankspindle_daemon.dispatch.dispatch_runner import DispatchRunner
 from plankspindle_daemon.dispatch.messages import SlotsGranted
+from plankspindle_daemon.headroom.messages import HeadroomGrant
+from plankspindle_daemon.headroom.messages import HeadroomRequest
 from plankspindle_daemon.idempotency.claim_store import ClaimStore
 from plankspindle_daemon.idempotency.claim_sweeper import ClaimSweeper
 from plankspindle_daemon.idempotency.gate import IdempotencyGate
@@ -39,6 +42,7 @@
 from plankspindle_daemon.membership.messages import SendHeartbeat
 from plankspindle_daemon.membership.peer_link import PeerLink
 from plankspindle_daemon.node.effects import BeginLeaving
+from plankspindle_daemon.node.effects import SendToPeer
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.observability.metrics import MetricsReader
 from plankspindle_daemon.observability.metrics import RequestMetrics
@@ -125,7 +129,10 @@
             supervisor=self._supervisor,
             node=self.node,
             plans=PlanStore(
-                platform=self._platform, reader=self._reader, random=random
+                platform=self._platform,
+                reader=self._reader,
+                random=random,
+                digests=self.node.digests,
             ),
             metrics=self._metrics,
             dump_shells=self._dump_shells,
@@ -246,6 +253,14 @@
             case SlotRequest():
                 effects = self.node.take_slot_request(message, sender, monotonic())
                 await self._perform(effects)
+            case HeadroomRequest():
+                await self._perform(
+                    self.node.take_headroom_request(message, sender, monotonic())
+                )
+            case HeadroomGrant():
+                self.node.grants.take_grant(message, monotonic())
+            case LoadDigest():
+                self.node.digests.take(message, monotonic())
             case SlotGrant():
                 service = self.node.service_of(message.upstream)
                 await self._dispatch.tell(service, SlotsGranted(message))
@@ -257,6 +272,8 @@
                 case SendHeartbeat(to=to):
                     heartbeat = heartbeat or self.node.heartbeat(now=monotonic())
                     await self._peers.send(heartbeat, to)
+                case SendToPeer(message=message, to=to):
+                    await self._peers.send(message, to)
                 case BeginLeaving(reason=reason):
                     self.leave(reason)
                 case _:
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/digests/digest_book.py
@@ -0,0 +1,75 @@
+"""The newest load digests of all entry VMs that were heard."""
+
+from __future__ import annotations
+
+from attrs import define
+from attrs import field
+from attrs import frozen
+
+from plankspindle_daemon.digests.messages import LoadDigest
+from plankspindle_daemon.digests.messages import ServiceLoad
+
+MAX_AGE_S = 30.0
+MAX_SENDERS = 10_000
+
+
+@frozen(kw_only=True)
+class HeardDigest:
+    """A digest and when it came."""
+
+    digest: LoadDigest
+    at: float
+
+
+@define(kw_only=True)
+class DigestBook:
+    """Digests by sender.
+
+    Attributes
+    ----------
+    heard_by_vm : dict of str to HeardDigest
+        The newest digest of each VM.
+    """
+
+    heard_by_vm: dict[str, HeardDigest] = field(factory=dict)
+
+    def take(self, digest: LoadDigest, now: float) -> None:
+        """Keep a digest; the oldest goes when there are too many."""
+        self.heard_by_vm.pop(digest.sender, None)
+        if len(self.heard_by_vm) >= MAX_SENDERS:
+            del self.heard_by_vm[next(iter(self.heard_by_vm))]
+        self.heard_by_vm[digest.sender] = HeardDigest(digest=digest, at=now)
+
+    def load_of(self, *, service: str, domains: set[str], now: float) -> ServiceLoad:
+        """Add up the load of a service in some failure domains, as far as heard.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        domains : set of str
+            Names of failure domains.
+        now : float
+            Monotonic seconds; digests older than ``MAX_AGE_S`` do not count.
+        """
+        loads = [
+            load
+            for heard in self.heard_by_vm.values()
+            if heard.digest.failure_domain in domains and now - heard.at <= MAX_AGE_S
+            for load in heard.digest.loads
+            if load.service == service
+        ]
+        return ServiceLoad(
+            service=service,
+            capacity=sum(each.capacity for each in loads),
+            in_flight=sum(each.in_flight for each in loads),
+            queued=sum(each.queued for each in loads),
+        )
+
+    def heard_domains(self, now: float) -> set[str]:
+        """Name the failure domains that were heard lately."""
+        return {
+            heard.digest.failure_domain
+            for heard in self.heard_by_vm.values()
+            if now - heard.at <= MAX_AGE_S
+        }
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/digests/messages.py
@@ -0,0 +1,47 @@
+"""Load digests between failure domains."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+
+@frozen(kw_only=True)
+class ServiceLoad:
+    """Load of one service on one entry VM.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    capacity : int
+        Requests that may run at once.
+    in_flight, queued : int
+        Requests that run and wait.
+    """
+
+    service: str
+    capacity: int
+    in_flight: int
+    queued: int
+
+
+@frozen(kw_only=True)
+class LoadDigest:
+    """Load of one entry VM.
+
+    Parameters
+    ----------
+    sender : str
+        Name of the VM.
+    failure_domain : str
+        Where it stands.
+    configuration_version : int
+        Version it has in force.
+    loads : tuple of ServiceLoad
+        One entry a service.
+    """
+
+    sender: str
+    failure_domain: str
+    configuration_version: int
+    loads: tuple[ServiceLoad, ...]
--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -138,8 +138,12 @@
         """Requests that may run at once at this moment."""
         return sum(each.limit(now) for each in self.upstreams_by_name.values())
 
+    def in_flight(self) -> int:
+        """Requests that run at upstreams."""
+        return sum(each.ledger.in_flight for each in self.upstreams_by_name.values())
+
     def _admit(self, ticket: Ticket, now: float) -> list[DispatchEffect]:
-        if not self._has_candidate(ticket):
+        if not self._has_candidate(ticket, now):
             return [self._reject(ticket, RejectReason.NO_UPSTREAM, now)]
         if not self.queue:
             assigned = self._assign(ticket, now)
@@ -155,9 +159,9 @@
             effects.append(self._reject(offered.evicted, RejectReason.EVICTED, now))
         return [*effects, *self._serve(now)]
 
-    def _has_candidate(self, ticket: Ticket) -> bool:
+    def _has_candidate(self, ticket: Ticket, now: float) -> bool:
         return any(
-            not each.leaving and each.name not in ticket.excluded
+            not each.takes_nothing_new(now) and each.name not in ticket.excluded
             for each in self.upstreams_by_name.values()
         )
 
@@ -191,7 +195,11 @@
         if not fitting:
             return None
         chosen = min(fitting, key=lambda each: (each.score(now), self.random.random()))
-        check_invariant("leaving-gets-nothing-new", not chosen.leaving, chosen.name)
+        check_invariant(
+            "leaving-gets-nothing-new",
+            not chosen.takes_nothing_new(now),
+            chosen.name,
+        )
         chosen.ledger.start(ticket=ticket.id, now=now, deadline=ticket.deadline)
         self.assigned += 1
         return Assign(
@@ -295,7 +303,7 @@
         full = [
             each
             for each in self.upstreams_by_name.values()
-            if not each.leaving
+            if not each.takes_nothing_new(now)
             and each.name not in waiting.excluded
             and each.health.limit(each.upstream.slots, now) > each.limit(now)
         ]
@@ -327,7 +335,7 @@
     def _lend(self, asked: SlotsAsked, now: float) -> list[DispatchEffect]:
         request = asked.request
         upstream = self.upstreams_by_name.get(request.upstream)
-        if upstream is None or upstream.leaving or len(self.queue) > 0:
+        if upstream is None or upstream.takes_nothing_new(now) or self.queue:
             return []
         idle = upstream.limit(now) - upstream.ledger.in_flight
         duration_s = min(MAX_LOAN_S, request.duration_ms / 1000)
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/drains/__init__.py
@@ -0,0 +1,3 @@
+"""When confirmed drains take effect on VMs and upstreams."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/drains/drain_clock.py
@@ -0,0 +1,100 @@
+"""Times from which confirmed drains keep new work away."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import field
+
+from plankspindle_core.configuration.configuration import Configuration
+from plankspindle_core.configuration.drain import DrainKind
+from plankspindle_daemon.steering.steering import TTL_S
+
+if TYPE_CHECKING:
+    from plankspindle_core.configuration.drain import Drain
+
+LINGER_S = float(TTL_S)
+"""Time for which a drained place still takes work, until kept look-ups run out."""
+
+
+@define(kw_only=True)
+class DrainClock:
+    """Drains of the version in force, and since when they are.
+
+    Notes
+    -----
+    A drained upstream gets nothing new at once. A drained place is no longer named at
+    once, and its entry VMs and upstreams go on for ``LINGER_S``, so that callers which
+    kept an answer are still served.
+    """
+
+    configuration: Configuration | None = None
+    _since_by_id: dict[str, float] = field(factory=dict)
+
+    def use(self, configuration: Configuration, now: float) -> None:
+        """Take the drains of another version; known ones keep their time."""
+        self.configuration = configuration
+        self._since_by_id = {
+            drain_id: self._since_by_id.get(drain_id, now)
+            for drain_id in configuration.drains_by_id
+        }
+
+    def upstream_drained_at(
+        self, name: str, failure_domain: str, *, now: float, wall: float
+    ) -> float | None:
+        """Give the time from which an upstream gets nothing new.
+
+        Parameters
+        ----------
+        name, failure_domain : str
+            The upstream and where it stands.
+        now : float
+            Monotonic seconds.
+        wall : float
+            Seconds since the Unix epoch.
+
+        Returns
+        -------
+        float or None
+            Monotonic seconds; None if it is not drained.
+        """
+        if self.configuration is None:
+            return None
+        drains = self.configuration.drains_of(
+            failure_domain=failure_domain, upstream=name
+        )
+        return self._earliest(drains, now=now, wall=wall)
+
+    def vm_refuses_from(
+        self, name: str, failure_domain: str, *, now: float, wall: float
+    ) -> float | None:
+        """Give the time from which an entry VM refuses requests, or None."""
+        if self.configuration is None:
+            return None
+        drains = self.configuration.drains_of(failure_domain=failure_domain, vm=name)
+        return self._earliest(drains, now=now, wall=wall)
+
+    def vm_is_drained(self, name: str, failure_domain: str, *, wall: float) -> bool:
+        """Tell whether look-ups must not name an entry VM."""
+        if self.configuration is None:
+            return False
+        drains = self.configuration.drains_of(failure_domain=failure_domain, vm=name)
+        return any(each.at is None or each.at <= wall for each in drains.values())
+
+    def _earliest(
+        self, drains: dict[str, Drain], *, now: float, wall: float
+    ) -> float | None:
+        times = [
+            self._time_of(drain_id, drain, now=now, wall=wall)
+            for drain_id, drain in drains.items()
+        ]
+        return min(times, default=None)
+
+    def _time_of(
+        self, drain_id: str, drain: Drain, *, now: float, wall: float
+    ) -> float:
+        if drain.at is not None:
+            return now + (drain.at - wall)
+        linger = 0.0 if drain.kind is DrainKind.UPSTREAM else LINGER_S
+        return self._since_by_id[drain_id] + linger
--- a/packages/daemon/src/plankspindle_daemon/exchange/caller_request.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/caller_request.py
@@ -18,7 +18,7 @@
 
 SERVICES_PREFIX = "/v1/services/"
 MAX_KEY_CHARACTERS = 255
-_MAX_DIGITS = 15
+_MAX_DIGITS = 20
 _REPLACED = frozenset(
     {b"host", b"authorization", b"expect", b"content-length", b"transfer-encoding"}
 )
@@ -59,6 +59,8 @@
         What marks the request as one that must not repeat.
     forwarded : bool
         Whether another entry VM passed it on.
+    grant : int, optional
+        Grant of headroom under which it was moved here.
     """
 
     service: str
@@ -68,6 +70,7 @@
     idempotency_key: str | None
     request_id: str | None
     forwarded: bool
+    grant: int | None = None
 
 
 def parse_caller_request(
@@ -90,7 +93,8 @@
     service, slash, rest = target.removeprefix(SERVICES_PREFIX).partition("/")
     timeout = _number(headers, header_names.TIMEOUT)
     deadline = _number(headers, header_names.DEADLINE)
-    for number in (timeout, deadline):
+    grant = _number(headers, header_names.GRANT)
+    for number in (timeout, deadline, grant):
         if number.is_err():
             return Err(number.unwrap_err())
     key = _text(headers, header_names.IDEMPOTENCY_KEY)
@@ -110,6 +114,7 @@
             idempotency_key=key,
             request_id=request_id,
             forwarded=find_header(headers, header_names.FORWARDED) is not None,
+            grant=grant.unwrap(),
         )
     )
 
@@ -119,7 +124,7 @@
     if text is None:
         return Ok(None)
     if not text.isdigit() or len(text) > _MAX_DIGITS:
-        return Err(BadRequest(400, f"{name.decode()} is a whole number of ms"))
+        return Err(BadRequest(400, f"{name.decode()} is a whole number"))
     return Ok(int(text))
 
 
@@ -156,6 +161,6 @@
 def headers_for_peer(headers: HeaderList) -> HeaderList:
     """Give the headers that go on to another entry VM, without framing and deadline."""
     dropped = {b"host", b"expect", b"content-length", header_names.DEADLINE}
-    dropped |= {header_names.TIMEOUT, header_names.FORWARDED}
+    dropped |= {header_names.TIMEOUT, header_names.FORWARDED, header_names.GRANT}
     kept = [each for each in without_hop_by_hop(headers) if each[0] not in dropped]
     return [*kept, (header_names.FORWARDED, b"1")]
--- a/packages/daemon/src/plankspindle_daemon/listeners/caller_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/caller_listener.py
@@ -58,6 +58,7 @@
     from plankspindle_core.http.server_exchange import ServerExchange
     from plankspindle_daemon.admission.caller_directory import Identity
     from plankspindle_daemon.exchange.request_body import RequestBody
+    from plankspindle_daemon.headroom.grant_book import HeldGrant
     from plankspindle_daemon.idempotency.records import RequestRecord
     from plankspindle_daemon.steering.steering import LookupAnswer
 
@@ -189,10 +190,24 @@
             error = parsed.err() or identified.unwrap_err()
             await _refuse(source, error)
             return
-        if not self.node.leave.accepts:
+        if not self.node.accepts(monotonic()):
             await answer_with_outcome(source, _not_run("leaving"))
             return
         request = parsed.unwrap()
+        if request.grant is None:
+            await self._serve_body(source, request, identified.unwrap())
+            return
+        if not self.node.begin_moved(request.service, request.grant, monotonic()):
+            await answer_with_outcome(source, _not_run("no-headroom"))
+            return
+        try:
+            await self._serve_body(source, request, identified.unwrap())
+        finally:
+            self.node.end_moved(request.service, request.grant)
+
+    async def _serve_body(
+        self, source: ServerExchange, request: CallerRequest, identity: Identity
+    ) -> None:
         body = await read_request_body(
             source, max_bytes=self.settings.requests.max_keyed_body_bytes
         )
@@ -200,7 +215,7 @@
             limit = self.settings.requests.max_keyed_body_bytes
             await _refuse(source, BadRequest(413, f"send at most {limit} bytes"))
             return
-        await self._run(source, request, identified.unwrap(), body)
+        await self._run(source, request, identity, body)
 
     def _identify(
         self, source: ServerExchange, request: CallerRequest
@@ -235,7 +250,13 @@
         operation = service.operation_for(source.method, request.path)
         deadline_ms = _deadline_ms(request, operation)
         deadline = monotonic() + (deadline_ms - wall_ms()) / 1000
-        route = self._route(source, request, identity)
+        held = self._choose_move(source, request, identity)
+        route: Route = ToUpstream()
+        peer_headers = headers_for_peer(source.headers)
+        if held is not None:
+            may_stay = request.idempotency_key is None
+            route = ToPeer(endpoint=held.endpoint, may_stay=may_stay)
+            peer_headers.append((header_names.GRANT, str(held.request_id).encode()))
         record: RequestRecord = NoRecord()
         elsewhere = False
         if _is_marked(request) and isinstance(route, ToUpstream):
@@ -284,7 +305,7 @@
             upstream_headers=headers_for_upstream(
                 source.headers, caller=identity.caller, peer_host=source.peer_host
             ),
-            peer_headers=headers_for_peer(source.headers),
+            peer_headers=peer_headers,
             body=body,
             record=record,
             dispatch=self.dispatch,
@@ -292,25 +313,32 @@
             max_recorded_bytes=self.settings.requests.max_recorded_answer_bytes,
         )
         began = monotonic()
-        await runner.run()
+        try:
+            await runner.run()
+        finally:
+            if held is not None:
+                self.node.grants.give_back(held)
         self.metrics.note_request(
             service=request.service, rank=identity.rank, seconds=monotonic() - began
         )
 
-    def _route(
+    def _choose_move(
         self, source: ServerExchange, request: CallerRequest, identity: Identity
-    ) -> Route:
+    ) -> HeldGrant | None:
+        """Count a request for the shifts, and take a grant if it is to be moved."""
         if request.forwarded or request.request_id is not None:
-            return ToUpstream()
-        chosen = self.node.meter.choose(
-            service=request.service, caller_key=identity.caller or source.peer_host
-        )
+            return None
+        meter, now = self.node.meter, monotonic()
+        caller_key = identity.caller or source.peer_host
+        chosen = meter.choose(service=request.service, caller_key=caller_key, now=now)
         if not isinstance(chosen, Move):
-            return ToUpstream()
-        endpoint = self.node.peer_in_region(chosen.to_region)
-        if endpoint is None:
-            return ToUpstream()
-        return ToPeer(endpoint=endpoint, may_stay=request.idempotency_key is None)
+            return None
+        held = self.node.grants.use(
+            service=request.service, region=chosen.to_region, now=now
+        )
+        if held is not None:
+            meter.count_move(service=request.service, move=chosen)
+        return held
 
     async def _tell(self, source: ServerExchange, told: Told) -> None:
         match told.verdict:
--- a/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
@@ -138,6 +138,13 @@
         elif method == "POST" and plan_id.endswith(_CONFIRM_SUFFIX):
             plan_id = plan_id.removesuffix(_CONFIRM_SUFFIX)
             await self._confirm(source, operator, plan_id)
+        elif method == "GET" and not plan_id:
+            listed = await self.plans.list_all()
+            if listed.is_err():
+                await _answer_error(source, listed.unwrap_err())
+            else:
+                shown = [plan.to_mapping() for plan in listed.unwrap()]
+                await _answer(source, 200, {"plans": shown})
         elif method == "GET" and plan_id:
             read = await self.plans.read(plan_id)
             if read.is_err():
--- a/packages/daemon/src/plankspindle_daemon/membership/membership.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/membership.py
@@ -35,6 +35,13 @@
 
 HEARTBEAT_BYTES = 200
 """Upper estimate of one heartbeat on the wire, IP and UDP headers included."""
+UNHEARD_WAIT_S = 10.0
+"""Longest wait for a member that is listed but was never heard, in seconds.
+
+It may stand still with slots of its own, so a new process waits as long as its work can
+run; with work of minutes it does not wait for all of it, since the upstreams shed what
+passes their slots, while a domain without slots serves nobody.
+"""
 HEARTBEAT_BYTES_PER_S = 5_000
 """Share of a node's 14 KB/s of control traffic that heartbeats may send."""
 
@@ -184,7 +191,8 @@
         longest_work_s: float,
     ) -> bool:
         if member.last_heard is None:
-            return now - member.counted_since > self.suspect_after_s()
+            unheard_s = max(self.suspect_after_s(), min(longest_work_s, UNHEARD_WAIT_S))
+            return now - member.counted_since > unheard_s
         if member.is_silent(now=now, suspect_after_s=self.suspect_after_s()):
             return now - member.last_heard > longest_work_s
         over = {upstream, EVERY_UPSTREAM} & member.over_share
--- a/packages/daemon/src/plankspindle_daemon/node/effects.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effects.py
@@ -4,8 +4,10 @@
 
 from attrs import frozen
 
+from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.dispatch.messages import DispatchEffect
 from plankspindle_daemon.membership.messages import SendHeartbeat
+from plankspindle_daemon.wire.codec import PeerMessage
 
 
 @frozen
@@ -23,4 +25,12 @@
     reason: str
 
 
-NodeEffect = OfService | SendHeartbeat | BeginLeaving
+@frozen(kw_only=True)
+class SendToPeer:
+    """A message is to be sent to another entry VM."""
+
+    message: PeerMessage
+    to: Endpoint
+
+
+NodeEffect = OfService | SendHeartbeat | BeginLeaving | SendToPeer
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -14,8 +14,16 @@
 from plankspindle_core.invariants import check_invariant
 from plankspindle_daemon.admission.caller_directory import CallerDirectory
 from plankspindle_daemon.admission.class_queue import ClassQueue
+from plankspindle_daemon.digests.digest_book import DigestBook
+from plankspindle_daemon.digests.messages import LoadDigest
+from plankspindle_daemon.digests.messages import ServiceLoad
 from plankspindle_daemon.dispatch import messages as dispatch
 from plankspindle_daemon.dispatch.dispatcher import Dispatcher
+from plankspindle_daemon.drains.drain_clock import DrainClock
+from plankspindle_daemon.headroom.grant_book import GrantBook
+from plankspindle_daemon.headroom.headroom_ledger import HeadroomLedger
+from plankspindle_daemon.headroom.messages import HeadroomGrant
+from plankspindle_daemon.headroom.messages import HeadroomRequest
 from plankspindle_daemon.idempotency.issued_ids import IssuedIds
 from plankspindle_daemon.leaving.leave import Leave
 from plankspindle_daemon.membership import messages as membership
@@ -26,6 +34,7 @@
 from plankspindle_daemon.node.effects import BeginLeaving
 from plankspindle_daemon.node.effects import NodeEffect
 from plankspindle_daemon.node.effects import OfService
+from plankspindle_daemon.node.effects import SendToPeer
 from plankspindle_daemon.platform.live_list import VmKind
 from plankspindle_daemon.retries.retry_budget import RetryBudget
 from plankspindle_daemon.shifts.shift_meter import ShiftMeter
@@ -51,6 +60,12 @@
 OVERLOADED_SHARE = 0.5
 """Share of a queue's limit from which on look-ups do not name this VM."""
 MAX_OVER_SHARE_NAMED = 16
+MAX_LOADS_IN_DIGEST = 16
+MAX_HEADROOM_ASKED = 64
+GRANT_DURATION_MS = 2_000
+GRANT_PERIOD_S = 0.25
+DIGEST_PERIOD_S = 1.0
+REFRESH_S = 0.25
 
 
 @define(kw_only=True)
@@ -110,13 +125,22 @@
     meter: ShiftMeter = Factory(lambda: ShiftMeter.create(region=None))
     dispatchers_by_service: dict[str, Dispatcher] = Factory(dict)
     budgets_by_service: dict[str, RetryBudget] = Factory(dict)
+    grants: GrantBook = field(init=False)
+    headroom_by_service: dict[str, HeadroomLedger] = Factory(dict)
+    digests: DigestBook = Factory(DigestBook)
+    drains: DrainClock = Factory(DrainClock)
     list_read_at: float | None = None
     settling_since: float = field(init=False)
+    refuses_from: float | None = None
+    drained_vms: set[str] = Factory(set)
     _sequence: int = 0
-    _next_refresh: float = field(default=0.0)
+    _next_refresh: float = 0.0
+    _next_digest: float = 0.0
+    _next_grant_round: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         self.settling_since = self.started_at
+        self.grants = GrantBook(incarnation=self.incarnation)
 
     def adopt(
         self, configuration: Configuration, *, version: int, now: float
@@ -151,7 +175,8 @@
         region = configuration.region_of(self.failure_domain)
         if region != self.meter.region:
             self.meter = ShiftMeter.create(region=region)
-        self.meter.use_shifts(configuration.shifts_by_id)
+        self.meter.use_shifts(configuration.shifts_by_id, now)
+        self.drains.use(configuration, now)
         self._use_services(configuration, now)
         self._refresh_steering()
         return self._update_shares(now)
@@ -300,14 +325,165 @@
         for service in self.dispatchers_by_service:
             effects += self.take_dispatch(service, dispatch.TimePassed(), now)
         if now >= self._next_refresh:
-            self._next_refresh = now + 0.25
+            self._next_refresh = now + REFRESH_S
+            self._apply_drains(now=now, wall=wall)
             self._refresh_steering()
             self.ids.expire(now)
+        return [*effects, *self._talk_to_other_domains(now)]
+
+    def _apply_drains(self, *, now: float, wall: float) -> None:
+        if self.configuration is None:
+            return
+        for dispatcher in self.dispatchers_by_service.values():
+            for name, upstream in dispatcher.upstreams_by_name.items():
+                upstream.drained_at = self.drains.upstream_drained_at(
+                    name, self.failure_domain, now=now, wall=wall
+                )
+        self.refuses_from = self.drains.vm_refuses_from(
+            self.vm, self.failure_domain, now=now, wall=wall
+        )
+        self.drained_vms = {
+            name
+            for name, domain in self._domains_by_vm().items()
+            if self.drains.vm_is_drained(name, domain, wall=wall)
+        }
+
+    def _domains_by_vm(self) -> dict[str, str]:
+        listed = {
+            each.name: each.failure_domain
+            for each in self.membership.listed_by_name.values()
+            if each.kind is VmKind.ENTRY
+        }
+        members = dict.fromkeys(self.membership.view(), self.failure_domain)
+        return {**listed, **members}
+
+    def accepts(self, now: float) -> bool:
+        """Tell whether new requests are accepted here."""
+        drained = self.refuses_from is not None and now >= self.refuses_from
+        return self.leave.accepts and not drained
+
+    def _talk_to_other_domains(self, now: float) -> list[NodeEffect]:
+        effects: list[NodeEffect] = []
+        if now >= self._next_digest:
+            self._next_digest = now + DIGEST_PERIOD_S
+            effects += self._send_digests(now)
+        if now >= self._next_grant_round:
+            self._next_grant_round = now + GRANT_PERIOD_S
+            effects += self._ask_for_headroom(now)
+        return effects
+
+    def _send_digests(self, now: float) -> list[NodeEffect]:
+        """Send the own load to one VM of each failure domain."""
+        if self.configuration is None:
+            return []
+        digest = self.load_digest(now)
+        self.digests.take(digest, now)
+        endpoints_by_domain: dict[str, list[Endpoint]] = {}
+        for listed in self.membership.listed_by_name.values():
+            if listed.peer_endpoint is not None and listed.name != self.vm:
+                endpoints = endpoints_by_domain.setdefault(listed.failure_domain, [])
+                endpoints.append(listed.peer_endpoint)
+        return [
+            SendToPeer(message=digest, to=self.random.choice(sorted(endpoints)))
+            for _, endpoints in sorted(endpoints_by_domain.items())
+        ]
+
+    def load_digest(self, now: float) -> LoadDigest:
+        """Sum up the own load."""
+        loads = [
+            ServiceLoad(
+                service=service,
+                capacity=dispatcher.capacity(now),
+                in_flight=dispatcher.in_flight(),
+                queued=len(dispatcher.queue),
+            )
+            for service, dispatcher in sorted(self.dispatchers_by_service.items())
+        ]
+        return LoadDigest(
+            sender=self.vm,
+            failure_domain=self.failure_domain,
+            configuration_version=self.version,
+            loads=tuple(loads[:MAX_LOADS_IN_DIGEST]),
+        )
+
+    def _ask_for_headroom(self, now: float) -> list[NodeEffect]:
+        effects: list[NodeEffect] = []
+        for metered in self.meter.counts_by_id().values():
+            service, region = metered.shift.service, metered.shift.to_region
+            wanted = self.grants.wanted(service=service, region=region, now=now)
+            target = self._vm_in_region(region)
+            if wanted == 0 or target is None:
+                continue
+            request = HeadroomRequest(
+                sender=self.vm,
+                request_id=self.random.getrandbits(63),
+                service=service,
+                count=min(wanted, MAX_HEADROOM_ASKED),
+                duration_ms=GRANT_DURATION_MS,
+                incarnation=self.incarnation,
+            )
+            caller, peer = target
+            self.grants.note_asked(request, region=region, endpoint=caller, now=now)
+            effects.append(SendToPeer(message=request, to=peer))
         return effects
 
+    def _vm_in_region(self, region: str) -> tuple[Endpoint, Endpoint] | None:
+        if self.configuration is None:
+            return None
+        domains = self.configuration.domains_of(region)
+        fitting = [
+            (listed.caller_endpoint, listed.peer_endpoint)
+            for listed in self.membership.listed_by_name.values()
+            if listed.failure_domain in domains
+            and not listed.leaving
+            and listed.name not in self.drained_vms
+            and listed.caller_endpoint is not None
+            and listed.peer_endpoint is not None
+        ]
+        return self.random.choice(sorted(fitting)) if fitting else None
+
+    def take_headroom_request(
+        self, request: HeadroomRequest, reply_to: Endpoint, now: float
+    ) -> list[NodeEffect]:
+        """Promise headroom from own counts, or say nothing."""
+        dispatcher = self.dispatchers_by_service.get(request.service)
+        if dispatcher is None or dispatcher.queue or not self.accepts(now):
+            return []
+        ledger = self.headroom_by_service.setdefault(request.service, HeadroomLedger())
+        duration_ms = min(request.duration_ms, GRANT_DURATION_MS)
+        count = ledger.grant(
+            request_id=request.request_id,
+            wanted=request.count,
+            capacity=dispatcher.capacity(now),
+            in_flight=dispatcher.in_flight(),
+            now=now,
+            until=now + duration_ms / 1000,
+        )
+        if count == 0:
+            return []
+        grant = HeadroomGrant(
+            sender=self.vm,
+            request_id=request.request_id,
+            service=request.service,
+            count=count,
+            duration_ms=duration_ms,
+            holder_incarnation=request.incarnation,
+        )
+        return [SendToPeer(message=grant, to=reply_to)]
+
+    def begin_moved(self, service: str, request_id: int, now: float) -> bool:
+        """Start a request that was moved here, if a promise allows it."""
+        ledger = self.headroom_by_service.get(service)
+        return ledger is not None and ledger.begin(request_id, now)
+
+    def end_moved(self, service: str, request_id: int) -> None:
+        """End a request that was moved here."""
+        self.headroom_by_service[service].end(request_id)
+
     def wake_from_pause(self, *, now: float, wall: float) -> list[NodeEffect]:
         """Distrust what was agreed before the process stood still."""
         self.settling_since = now
+        self.grants.drop_all()
         effects: list[NodeEffect] = []
         for service in self.dispatchers_by_service:
             effects += self.take_dispatch(service, dispatch.Paused(), now)
@@ -357,7 +533,7 @@
 
     def readiness(self) -> Readiness:
         """What this VM says of itself."""
-        if self.leave.is_leaving:
+        if self.leave.is_leaving or self.vm in self.drained_vms:
             return Readiness.LEAVING
         if self.configuration is None:
             return Readiness.STARTING
@@ -408,12 +584,16 @@
         entries = {
             vm.name: vm
             for listed in self.membership.listed_by_name.values()
-            if (vm := _listed_entry(listed)) is not None
+            if (vm := self._listed_entry(listed)) is not None
         }
         for member in self.membership.members_by_name.values():
             if member.caller_endpoint is None:
                 continue
-            usable = member.readiness is Readiness.READY and not member.listed_leaving
+            usable = (
+                member.readiness is Readiness.READY
+                and not member.listed_leaving
+                and member.name not in self.drained_vms
+            )
             entries[member.name] = EntryVm(
                 name=member.name,
                 failure_domain=self.failure_domain,
@@ -428,20 +608,6 @@
         )
         self.steering.use_vms(entries.values())
 
-    def peer_in_region(self, region: str) -> Endpoint | None:
-        """Choose an entry VM of another region, as far as the list knows them."""
-        if self.configuration is None:
-            return None
-        fitting = [
-            listed.caller_endpoint
-            for listed in self.membership.listed_by_name.values()
-            if listed.kind is VmKind.ENTRY
-            and not listed.leaving
-            and listed.caller_endpoint is not None
-            and self.configuration.region_of(listed.failure_domain) == region
-        ]
-        return self.random.choice(sorted(fitting)) if fitting else None
-
     def home_of(self, vm: str) -> Endpoint | None:
         """Give the caller listener of an entry VM by its name."""
         member = self.membership.members_by_name.get(vm)
@@ -450,13 +616,12 @@
         listed = self.membership.listed_by_name.get(vm)
         return listed.caller_endpoint if listed is not None else None
 
-
-def _listed_entry(listed: ListedVm) -> EntryVm | None:
-    if listed.kind is not VmKind.ENTRY or listed.caller_endpoint is None:
-        return None
-    return EntryVm(
-        name=listed.name,
-        failure_domain=listed.failure_domain,
-        endpoint=listed.caller_endpoint,
-        usable=not listed.leaving,
-    )
+    def _listed_entry(self, listed: ListedVm) -> EntryVm | None:
+        if listed.kind is not VmKind.ENTRY or listed.caller_endpoint is None:
+            return None
+        return EntryVm(
+            name=listed.name,
+            failure_domain=listed.failure_domain,
+            endpoint=listed.caller_endpoint,
+            usable=not listed.leaving and listed.name not in self.drained_vms,
+        )
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -60,6 +60,13 @@
             }
             for shift_id, metered in node.meter.counts_by_id().items()
         },
+        "drained_vms": sorted(node.drained_vms),
+        "headroom": {
+            service: {"granted": ledger.granted, "refused": ledger.refused}
+            for service, ledger in node.headroom_by_service.items()
+        },
+        "grants_missed": node.grants.missed,
+        "failure_domains": _dump_domains(node, now),
         "request_ids": {
             "issued": node.ids.issued,
             "ran": node.ids.ran,
@@ -124,6 +131,35 @@
     }
 
 
+def _dump_domains(node: Node, now: float) -> dict[str, Any]:
+    if node.configuration is None:
+        return {}
+    heard = node.digests.heard_by_vm.values()
+    dumped = {}
+    for domain, declared in node.configuration.failure_domains_by_name.items():
+        digests = [each for each in heard if each.digest.failure_domain == domain]
+        versions = [each.digest.configuration_version for each in digests]
+        loads = {
+            service: node.digests.load_of(service=service, domains={domain}, now=now)
+            for service in node.configuration.services_by_name
+        }
+        dumped[domain] = {
+            "region": declared.region,
+            "heard_vms": len(digests),
+            "heard_s_ago": min((round(now - e.at, 3) for e in digests), default=None),
+            "lowest_version": min(versions, default=None),
+            "services": {
+                service: {
+                    "capacity": load.capacity,
+                    "in_flight": load.in_flight,
+                    "queued": load.queued,
+                }
+                for service, load in loads.items()
+            },
+        }
+    return dumped
+
+
 def _dump_steering(node: Node) -> dict[str, Any]:
     if node.steering is None:
         return {}
--- a/packages/daemon/src/plankspindle_daemon/shifts/shift_meter.py
+++ b/packages/daemon/src/plankspindle_daemon/shifts/shift_meter.py
@@ -41,6 +41,8 @@
     ----------
     shift : Shift
         The shift.
+    since : float
+        When it came in force here, monotonic seconds.
     total : int
         Requests of the service since the shift is in force here.
     moved : int
@@ -48,6 +50,7 @@
     """
 
     shift: Shift
+    since: float
     total: int = 0
     moved: int = 0
 
@@ -55,6 +58,13 @@
         """Tell whether one more moved request keeps within the cap."""
         return (self.moved + 1) * 100 <= self.shift.cap_percent * self.total
 
+    def ramped_percent(self, now: float) -> float:
+        """Give the share of the callers that may move by now, in percent."""
+        if self.shift.ramp_s == 0:
+            return self.shift.cap_percent
+        done = min(1.0, max(0.0, now - self.since) / self.shift.ramp_s)
+        return self.shift.cap_percent * done
+
 
 @define(kw_only=True)
 class ShiftMeter:
@@ -81,7 +91,7 @@
         """Make a meter without shifts."""
         return cls(region=region, by_id_by_service={})
 
-    def use_shifts(self, shifts_by_id: dict[str, Shift]) -> None:
+    def use_shifts(self, shifts_by_id: dict[str, Shift], now: float) -> None:
         """Take the shifts of another version; counts of unchanged ones are kept."""
         before = {
             shift_id: metered
@@ -94,11 +104,11 @@
                 continue
             metered = before.get(shift_id)
             if metered is None or metered.shift != shift:
-                metered = MeteredShift(shift=shift)
+                metered = MeteredShift(shift=shift, since=now)
             self._by_id_by_service.setdefault(shift.service, {})[shift_id] = metered
 
-    def choose(self, *, service: str, caller_key: str) -> Stay | Move:
-        """Count a request and decide whether it moves.
+    def choose(self, *, service: str, caller_key: str, now: float) -> Stay | Move:
+        """Count a request and decide whether it may move.
 
         Parameters
         ----------
@@ -106,6 +116,13 @@
             Service of the request.
         caller_key : str
             Stable name of the caller.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        Stay or Move
+            A move has to be counted with :meth:`count_move` if it is made.
         """
         by_id = self._by_id_by_service.get(service)
         if not by_id:
@@ -115,18 +132,22 @@
         chosen: Stay | Move = Stay()
         for shift_id, metered in by_id.items():
             metered.total += 1
-            end = begin + metered.shift.cap_percent
-            if begin <= place < end and metered.may_move():
-                metered.moved += 1
+            moving = begin + metered.ramped_percent(now)
+            if begin <= place < moving and metered.may_move():
                 chosen = Move(shift_id, metered.shift.to_region)
-            begin = end
-            check_invariant(
-                "shift-within-cap",
-                metered.moved * 100 <= metered.shift.cap_percent * metered.total,
-                shift_id,
-            )
+            begin += metered.shift.cap_percent
         return chosen
 
+    def count_move(self, *, service: str, move: Move) -> None:
+        """Count a request that is moved."""
+        metered = self._by_id_by_service[service][move.shift_id]
+        metered.moved += 1
+        check_invariant(
+            "shift-within-cap",
+            metered.moved * 100 <= metered.shift.cap_percent * metered.total,
+            move.shift_id,
+        )
+
     def counts_by_id(self) -> dict[str, MeteredShift]:
         """Give every shift with its counts."""
         return {
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -42,6 +42,8 @@
     is_unconfirmed : bool
         Whether this process stood still since it last heard that the upstream stays;
         until the next probe or list it gets no new work.
+    drained_at : float, optional
+        Time from which a confirmed drain keeps new work away, monotonic seconds.
     """
 
     name: str
@@ -52,11 +54,17 @@
     leaving: bool = False
     leaves_at: float | None = None
     is_unconfirmed: bool = False
+    drained_at: float | None = None
     _report: LoadReport | None = None
     _reported_at: float = 0.0
     _latency_at: float = 0.0
     _listed_leaving: bool = False
 
+    def takes_nothing_new(self, now: float) -> bool:
+        """Tell whether it is leaving or drained."""
+        drained = self.drained_at is not None and now >= self.drained_at
+        return self.leaving or drained
+
     def can_take(self, *, now: float, deadline: float, ends_by: float) -> bool:
         """Tell whether a request may start here.
 
@@ -69,8 +77,9 @@
         """
         if (
             self.is_unconfirmed
-            or self.leaving
+            or self.takes_nothing_new(now)
             or (self.leaves_at is not None and ends_by > self.leaves_at)
+            or (self.drained_at is not None and ends_by > self.drained_at)
         ):
             return False
         allowed = self.ledger.allowance(now, deadline)
@@ -78,7 +87,7 @@
 
     def limit(self, now: float) -> int:
         """Requests that may run here at this moment."""
-        if self.leaving or self.is_unconfirmed:
+        if self.takes_nothing_new(now) or self.is_unconfirmed:
             return 0
         return self.health.limit(self.ledger.own_allowance(now), now)
 
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -2,25 +2,79 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import capnp
+from attrs import fields
+from attrs import frozen
 from result import Err
 from result import Ok
 from result import Result
 
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.digests.messages import LoadDigest
+from plankspindle_daemon.digests.messages import ServiceLoad
+from plankspindle_daemon.headroom.messages import HeadroomGrant
+from plankspindle_daemon.headroom.messages import HeadroomRequest
 from plankspindle_daemon.membership.messages import Heartbeat
 from plankspindle_daemon.membership.readiness import Readiness
 from plankspindle_daemon.upstreams.messages import SlotGrant
 from plankspindle_daemon.upstreams.messages import SlotRequest
 from plankspindle_daemon.wire.frame import BadFrame
 
-PeerMessage = Heartbeat | SlotRequest | SlotGrant
+PeerMessage = (
+    Heartbeat | SlotRequest | SlotGrant | HeadroomRequest | HeadroomGrant | LoadDigest
+)
 
 capnp.remove_import_hook()
 _SCHEMA: Any = capnp.load(str(Path(__file__).with_name("peer.capnp")))
+_SENDER = "sender"
+
+
+@frozen(kw_only=True)
+class _Conversion:
+    """How a field that is no number or text is written and read."""
+
+    write: Callable[[Any], Any]
+    read: Callable[[Any], Any]
+
+
+_ENDPOINT = _Conversion(write=str, read=Endpoint.parse)
+_CONVERSION_BY_FIELD = {
+    "caller_endpoint": _ENDPOINT,
+    "peer_endpoint": _ENDPOINT,
+    "readiness": _Conversion(
+        write=lambda readiness: readiness.value,
+        read=lambda read: Readiness(str(read)),
+    ),
+    "over_share": _Conversion(write=list, read=tuple),
+    "loads": _Conversion(
+        write=lambda loads: [_as_mapping(each) for each in loads],
+        read=lambda read: tuple(_read_fields(ServiceLoad, each, {}) for each in read),
+    ),
+}
+_CLASS_BY_UNION_MEMBER: dict[str, type[Any]] = {
+    "heartbeat": Heartbeat,
+    "slotRequest": SlotRequest,
+    "slotGrant": SlotGrant,
+    "headroomRequest": HeadroomRequest,
+    "headroomGrant": HeadroomGrant,
+    "loadDigest": LoadDigest,
+}
+_UNION_MEMBER_BY_CLASS = {cls: name for name, cls in _CLASS_BY_UNION_MEMBER.items()}
+
+
+def _camel(name: str) -> str:
+    first, *rest = name.split("_")
+    return first + "".join(part.capitalize() for part in rest)
+
+
+_KEYS_BY_CLASS: dict[type[Any], list[tuple[str, str]]] = {
+    cls: [(field.name, _camel(field.name)) for field in fields(cls)]
+    for cls in (*_CLASS_BY_UNION_MEMBER.values(), ServiceLoad)
+}
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -28,7 +82,7 @@
 
     Parameters
     ----------
-    message : Heartbeat, SlotRequest or SlotGrant
+    message : PeerMessage
         The message.
 
     Returns
@@ -36,93 +90,41 @@
     bytes
         Payload of a frame.
     """
-    builder = _SCHEMA.PeerMessage.new_message(sender=message.sender)
-    match message:
-        case Heartbeat():
-            _fill_heartbeat(builder.init("heartbeat"), message)
-        case SlotRequest():
-            _fill_slot_request(builder.init("slotRequest"), message)
-        case SlotGrant():
-            _fill_slot_grant(builder.init("slotGrant"), message)
-    packed: bytes = builder.to_bytes_packed()
+    member = _UNION_MEMBER_BY_CLASS[type(message)]
+    content = {_SENDER: message.sender, member: _as_mapping(message)}
+    packed: bytes = _SCHEMA.PeerMessage.new_message(**content).to_bytes_packed()
     return packed
 
 
-def _fill_heartbeat(part: Any, message: Heartbeat) -> None:
-    part.incarnation = message.incarnation
-    part.sequence = message.sequence
-    part.failureDomain = message.failure_domain
-    part.callerEndpoint = str(message.caller_endpoint)
-    part.peerEndpoint = str(message.peer_endpoint)
-    part.readiness = message.readiness.value
-    part.viewDigest = message.view_digest
-    part.overShare = list(message.over_share)
-    part.configurationVersion = message.configuration_version
-
-
-def _fill_slot_request(part: Any, message: SlotRequest) -> None:
-    part.requestId = message.request_id
-    part.upstream = message.upstream
-    part.count = message.count
-    part.durationMs = message.duration_ms
-    part.incarnation = message.incarnation
-
-
-def _fill_slot_grant(part: Any, message: SlotGrant) -> None:
-    part.requestId = message.request_id
-    part.upstream = message.upstream
-    part.count = message.count
-    part.durationMs = message.duration_ms
-    part.borrowerIncarnation = message.borrower_incarnation
+def _as_mapping(message: Any) -> dict[str, Any]:
+    mapping = {}
+    for name, key in _KEYS_BY_CLASS[type(message)]:
+        if name == _SENDER:
+            continue
+        value = getattr(message, name)
+        conversion = _CONVERSION_BY_FIELD.get(name)
+        mapping[key] = value if conversion is None else conversion.write(value)
+    return mapping
 
 
 def decode(payload: bytes) -> Result[PeerMessage, BadFrame]:
     """Decode the payload of an authenticated frame."""
     try:
         reader = _SCHEMA.PeerMessage.from_bytes_packed(payload)
-        return Ok(_read(reader))
+        member = str(reader.which())
+        cls = _CLASS_BY_UNION_MEMBER[member]
+        sender = {_SENDER: reader.sender}
+        return Ok(_read_fields(cls, getattr(reader, member), sender))
     except (capnp.KjException, ValueError, KeyError, AttributeError) as error:
         return Err(BadFrame(f"message: {type(error).__name__}"))
 
 
-def _read(reader: Any) -> PeerMessage:
-    match reader.which():
-        case "heartbeat":
-            return _read_heartbeat(reader.sender, reader.heartbeat)
-        case "slotRequest":
-            part = reader.slotRequest
-            return SlotRequest(
-                sender=reader.sender,
-                request_id=part.requestId,
-                upstream=part.upstream,
-                count=part.count,
-                duration_ms=part.durationMs,
-                incarnation=part.incarnation,
-            )
-        case "slotGrant":
-            part = reader.slotGrant
-            return SlotGrant(
-                sender=reader.sender,
-                request_id=part.requestId,
-                upstream=part.upstream,
-                count=part.count,
-                duration_ms=part.durationMs,
-                borrower_incarnation=part.borrowerIncarnation,
-            )
-        case other:
-            raise ValueError(f"message of unknown kind {other}")
-
-
-def _read_heartbeat(sender: str, part: Any) -> Heartbeat:
-    return Heartbeat(
-        sender=sender,
-        incarnation=part.incarnation,
-        sequence=part.sequence,
-        failure_domain=part.failureDomain,
-        caller_endpoint=Endpoint.parse(part.callerEndpoint),
-        peer_endpoint=Endpoint.parse(part.peerEndpoint),
-        readiness=Readiness(str(part.readiness)),
-        view_digest=part.viewDigest,
-        over_share=tuple(part.overShare),
-        configuration_version=part.configurationVersion,
-    )
+def _read_fields(cls: type[Any], part: Any, given: dict[str, Any]) -> Any:
+    values = dict(given)
+    for name, key in _KEYS_BY_CLASS[cls]:
+        if name in given:
+            continue
+        value = getattr(part, key)
+        conversion = _CONVERSION_BY_FIELD.get(name)
+        values[name] = value if conversion is None else conversion.read(value)
+    return cls(**values)
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -39,11 +39,43 @@
   borrowerIncarnation @4 :UInt64;
 }
 
+struct HeadroomRequest {
+  requestId @0 :UInt64;
+  service @1 :Text;
+  count @2 :UInt16;
+  durationMs @3 :UInt32;
+  incarnation @4 :UInt64;
+}
+
+struct HeadroomGrant {
+  requestId @0 :UInt64;
+  service @1 :Text;
+  count @2 :UInt16;
+  durationMs @3 :UInt32;
+  holderIncarnation @4 :UInt64;
+}
+
+struct ServiceLoad {
+  service @0 :Text;
+  capacity @1 :UInt32;
+  inFlight @2 :UInt32;
+  queued @3 :UInt32;
+}
+
+struct LoadDigest {
+  failureDomain @0 :Text;
+  configurationVersion @1 :UInt64;
+  loads @2 :List(ServiceLoad);
+}
+
 struct PeerMessage {
   sender @0 :Text;
   union {
     heartbeat @1 :Heartbeat;
     slotRequest @2 :SlotRequest;
     slotGrant @3 :SlotGrant;
+    headroomRequest @4 :HeadroomRequest;
+    headroomGrant @5 :HeadroomGrant;
+    loadDigest @6 :LoadDigest;
   }
 }
--- /dev/null
+++ b/packages/daemon/tests/headroom/test_headroom.py
@@ -0,0 +1,160 @@
+"""Tests of headroom between failure domains: promises, their use and their end."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.headroom.grant_book import GrantBook
+from plankspindle_daemon.headroom.grant_book import HeldGrant
+from plankspindle_daemon.headroom.headroom_ledger import RESERVE
+from plankspindle_daemon.headroom.headroom_ledger import HeadroomLedger
+from plankspindle_daemon.headroom.messages import HeadroomGrant
+from plankspindle_daemon.headroom.messages import HeadroomRequest
+
+CAPACITY = 12
+TARGET = {"service": "registry", "region": "kosice"}
+PEER = Endpoint("127.0.0.1", 7000)
+
+
+class HeadroomMachine(RuleBasedStateMachine):
+    """Two holders and one granting VM, with lost, late and repeated messages."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.number = 0
+        self.ledger = HeadroomLedger()
+        self.books = [GrantBook(incarnation=1), GrantBook(incarnation=2)]
+        self.own = 0
+        self.on_way: list[tuple[int, HeadroomGrant]] = []
+        self.moved: list[tuple[int, HeldGrant, bool]] = []
+
+    @property
+    def foreign(self) -> int:
+        return sum(1 for _, _, admitted in self.moved if admitted)
+
+    @rule(holder=st.integers(0, 1), count=st.integers(1, 8))
+    def ask(self, holder: int, count: int) -> None:
+        self.number += 1
+        request = HeadroomRequest(
+            sender=f"h{holder}",
+            request_id=self.number,
+            service="registry",
+            count=count,
+            duration_ms=2000,
+            incarnation=holder + 1,
+        )
+        book = self.books[holder]
+        book.note_asked(request, region="kosice", endpoint=PEER, now=self.now)
+        granted = self.ledger.grant(
+            request_id=request.request_id,
+            wanted=count,
+            capacity=CAPACITY,
+            in_flight=self.own + self.foreign,
+            now=self.now,
+            until=self.now + 2.0,
+        )
+        if granted:
+            grant = HeadroomGrant(
+                sender="g",
+                request_id=request.request_id,
+                service="registry",
+                count=granted,
+                duration_ms=2000,
+                holder_incarnation=request.incarnation,
+            )
+            self.on_way.append((holder, grant))
+
+    @precondition(lambda self: self.on_way)
+    @rule(again=st.booleans(), astray=st.booleans())
+    def grant_arrives(self, again: bool, astray: bool) -> None:
+        holder, grant = self.on_way[-1] if again else self.on_way.pop()
+        target = 1 - holder if astray else holder
+        self.books[target].take_grant(grant, self.now)
+
+    @rule(holder=st.integers(0, 1))
+    def move(self, holder: int) -> None:
+        held = self.books[holder].use(**TARGET, now=self.now)
+        if held is not None:
+            admitted = self.ledger.begin(held.request_id, self.now)
+            self.moved.append((holder, held, admitted))
+
+    @precondition(lambda self: self.moved)
+    @rule()
+    def moved_request_ends(self) -> None:
+        holder, held, admitted = self.moved.pop(0)
+        if admitted:
+            self.ledger.end(held.request_id)
+        self.books[holder].give_back(held)
+
+    @rule(change=st.integers(-3, 3))
+    def own_load_changes(self, change: int) -> None:
+        self.own = max(0, min(CAPACITY, self.own + change))
+
+    @rule(seconds=st.floats(0.1, 3.0))
+    def time_passes(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(holder=st.integers(0, 1))
+    def holder_pauses(self, holder: int) -> None:
+        self.now += 5.0
+        self.books[holder].drop_all()
+
+    @invariant()
+    def moved_requests_stay_within_what_was_ever_grantable(self) -> None:
+        assert self.foreign <= CAPACITY * (1 - RESERVE)
+
+
+TestHeadroom = HeadroomMachine.TestCase
+
+
+def test_a_request_without_a_promise_is_not_admitted() -> None:
+    ledger = HeadroomLedger()
+    assert not ledger.begin(5, 0.0)
+    ledger.grant(request_id=5, wanted=1, capacity=8, in_flight=0, now=0.0, until=2.0)
+    assert ledger.begin(5, 1.0)
+    assert not ledger.begin(5, 1.0)
+    ledger.end(5)
+    assert not ledger.begin(5, 2.0)
+
+
+def test_a_full_vm_promises_nothing_and_keeps_a_reserve() -> None:
+    ledger = HeadroomLedger()
+    fields = {"capacity": 8, "now": 0.0, "until": 2.0}
+    assert ledger.grant(request_id=1, wanted=9, in_flight=6, **fields) == 0
+    assert ledger.grant(request_id=2, wanted=9, in_flight=4, **fields) == 2
+    assert ledger.grant(request_id=3, wanted=9, in_flight=4, **fields) == 0
+
+
+def test_grants_are_renewed_while_they_are_used() -> None:
+    book = GrantBook(incarnation=1)
+    assert book.use(**TARGET, now=0.0) is None
+    assert book.wanted(**TARGET, now=0.0) == 1
+    request = HeadroomRequest(
+        sender="h",
+        request_id=1,
+        service="registry",
+        count=1,
+        duration_ms=2000,
+        incarnation=1,
+    )
+    book.note_asked(request, region="kosice", endpoint=PEER, now=0.0)
+    grant = HeadroomGrant(
+        sender="g",
+        request_id=1,
+        service="registry",
+        count=1,
+        duration_ms=2000,
+        holder_incarnation=1,
+    )
+    book.take_grant(grant, 0.1)
+    held = book.use(**TARGET, now=0.2)
+    assert held is not None
+    assert book.wanted(**TARGET, now=0.3) == 0
+    assert book.wanted(**TARGET, now=1.5) == 1
+    assert book.use(**TARGET, now=2.1) is None
--- a/packages/testkit/src/plankspindle_testkit/demo.py
+++ b/packages/testkit/src/plankspindle_testkit/demo.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from pathlib import Path
 from typing import TYPE_CHECKING
+from typing import Any
 
 from plankspindle_core import header_names
 from plankspindle_core.endpoint import Endpoint
@@ -55,6 +56,8 @@
             _show_shift()
             _show_requests("after the shift")
             _show_meter()
+            _show_race()
+            _show_drain()
         finally:
             processes.close()
     print("demo: done")
@@ -169,6 +172,7 @@
             "from_region": "bratislava",
             "to_region": "kosice",
             "cap_percent": 20.0,
+            "ramp_s": 0.0,
         },
     }
     version = confirm_intent(PLACES[0], intent)
@@ -177,6 +181,56 @@
     print(f"20 percent shift to Košice: confirmed, version {version} is in force")
 
 
+def _show_race() -> None:
+    print("two operators plan on the same version; both confirm:")
+    plans = [
+        _plan({"kind": "class", "caller": "dealer-0", "priority_class": name})
+        for name in ("silver", "bronze")
+    ]
+    for plan in reversed(plans):
+        target = f"/v1/plans/{plan['id']}/confirm"
+        answer = call(PLACES[0].operator, "POST", target)
+        content = json.loads(answer.body)
+        said = content.get("error", "accepted")
+        print(f"  {plan['effects'][0]}: {said}")
+
+
+def _plan(intent: dict[str, Any]) -> dict[str, Any]:
+    body = json.dumps(intent).encode()
+    made = call(PLACES[0].operator, "POST", "/v1/plans", body=body)
+    plan: dict[str, Any] = json.loads(made.body)
+    return plan
+
+
+def _show_drain() -> None:
+    wait_until(_every_domain_is_heard, what="digests of every failure domain")
+    drain = {"kind": "failure-domain", "name": "ba-1"}
+    plan = _plan({"kind": "drain", "drain_id": "maintenance", "drain": drain})
+    print("plan to drain failure domain ba-1:")
+    for effect in plan["effects"]:
+        print(f"  {effect}")
+    confirmed = call(PLACES[0].operator, "POST", f"/v1/plans/{plan['id']}/confirm")
+    print(f"  confirmed: {confirmed.status}")
+    wait_until(_only_kosice_is_named, what="look-ups name Košice only")
+    print("look-ups at every entry VM name Košice only")
+
+
+def _every_domain_is_heard() -> bool:
+    domains = state_of(PLACES[0])["failure_domains"]
+    return all(domains[name]["heard_vms"] for name in ("ba-1", "ke-1"))
+
+
+def _only_kosice_is_named() -> bool:
+    named = {
+        vm["vm"]
+        for place in PLACES
+        for vm in json.loads(
+            call(place.caller, target="/v1/lookup?service=registry").body
+        )["vms"]
+    }
+    return named == {"ke-1-a"}
+
+
 def _show_meter() -> None:
     for place in PLACES[:2]:
         shift = state_of(place)["shifts"]["relief"]
--- a/packages/testkit/src/plankspindle_testkit/trial/trial_vm.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial_vm.py
@@ -13,6 +13,8 @@
 from plankspindle_daemon.membership.membership import MembershipOptions
 from plankspindle_daemon.node.node import Node
 from plankspindle_testkit.builders import VmPlace
+from plankspindle_testkit.trial.fake_upstream import FakeUpstream
+from plankspindle_testkit.trial.fake_upstream import Run
 from plankspindle_testkit.trial.trial_request import TrialRequest
 
 HEARTBEAT_S = 0.5
@@ -35,6 +37,7 @@
     node: Node
     paused_until: float | None = None
     requests_by_number: dict[int, TrialRequest] = field(factory=dict)
+    ended_while_paused: list[tuple[FakeUpstream, Run]] = field(factory=list)
 
     @classmethod
     def start(
