--- a/packages/daemon/src/plankspindle_daemon/membership/membership.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/membership.py
@@ -61,7 +61,7 @@
     suspect_after_s : float
         Silence after which a peer is suspected, in seconds; it grows with the period.
     seeds : tuple of Endpoint
-        Peers to greet before any is known.
+        Peers to greet whether they are known or not.
     """
 
     vm: str
@@ -278,13 +278,13 @@
         return [SendHeartbeat(endpoint) for endpoint in self.peer_endpoints()]
 
     def peer_endpoints(self) -> list[Endpoint]:
-        """Where heartbeats go: the members, and the seeds while none was heard."""
+        """Where heartbeats go: the members, and always the seeds.
+
+        Two members that know each other only through a third would otherwise part
+        when the third falls silent while the list cannot be read.
+        """
         known = {each.peer_endpoint for each in self.members_by_name.values()}
-        heard = any(
-            each.last_heard is not None for each in self.members_by_name.values()
-        )
-        seeds = set() if heard else set(self.options.seeds)
-        return sorted(known | seeds)
+        return sorted(known | set(self.options.seeds))
 
     def _forgive_silence(self, now: float) -> None:
         """After a pause the silence of others is this process's own."""
--- a/packages/daemon/src/plankspindle_daemon/settings/daemon_settings.py
+++ b/packages/daemon/src/plankspindle_daemon/settings/daemon_settings.py
@@ -128,7 +128,7 @@
     secrets : SecretSettings
         Keys and tokens.
     peers : list of Endpoint
-        Peer addresses to greet before the list of VMs can be read.
+        Peer addresses to greet whatever the list of VMs says.
     timing : TimingSettings
         Periods and time limits.
     requests : RequestSettings
--- a/packages/daemon/tests/membership/test_membership.py
+++ b/packages/daemon/tests/membership/test_membership.py
@@ -58,12 +58,12 @@
     )
 
 
-def test_seeds_are_greeted_until_a_member_is_heard() -> None:
+def test_seeds_are_greeted_always() -> None:
     membership = build_membership()
     assert membership.handle(m.TimePassed(), 0.0) == [m.SendHeartbeat(SEED)]
     membership.handle(build_heartbeat(), 0.1)
     sent = membership.handle(m.TimePassed(), 0.6)
-    assert sent == [m.SendHeartbeat(Endpoint("127.0.0.2", 2))]
+    assert sent == [m.SendHeartbeat(Endpoint("127.0.0.2", 2)), m.SendHeartbeat(SEED)]
 
 
 def test_a_silent_member_counts_while_it_is_listed() -> None:
