Learn configuration versions from members and read the platform by few

Two members of a failure domain poll the head row, the others take over after 2 s of silence; a new version is told at once to two ring neighbours and two random members, whose heartbeats carry it on, and its content is fetched from the sender in authenticated parts. A process that starts without the platform gets the highest version of its members.

--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/configuration/version_exchange.py
@@ -0,0 +1,218 @@
+"""State machine by which entry VMs learn configuration versions from each other."""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import field
+from attrs import frozen
+from result import Err
+from result import Ok
+from result import Result
+
+from plankspindle_core.configuration.codec import content_digest
+from plankspindle_daemon.configuration.messages import ContentChunk
+from plankspindle_daemon.configuration.messages import ContentRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+CHUNK_BYTES = 1_000
+MAX_CONTENT_BYTES = 64 * 1024 * 1024
+WINDOW = 16
+RETRY_S = 0.25
+GIVE_UP_S = 5.0
+READERS = 2
+TAKE_OVER_S = 2.0
+
+
+@frozen(kw_only=True)
+class LearnedContent:
+    """Whole content that was learned from a member and matches its digest."""
+
+    version: int
+    content: bytes
+
+
+@frozen
+class DamagedContent:
+    """What was learned does not match its digest; another member is to be asked."""
+
+    detail: str
+
+
+ChunkResult = Result[LearnedContent | list[ContentRequest], DamagedContent]
+
+
+@define(kw_only=True)
+class _Fetch:
+    source: str
+    version: int
+    began_at: float
+    asked_at: float
+    digest: str = ""
+    total: int | None = None
+    parts_by_offset: dict[int, bytes] = field(factory=dict)
+
+    def missing(self) -> list[int]:
+        if self.total is None:
+            return [0]
+        offsets = range(0, self.total, CHUNK_BYTES)
+        return [each for each in offsets if each not in self.parts_by_offset]
+
+
+@define(kw_only=True)
+class VersionExchange:
+    """Offer the version in force to members, and fetch higher ones from them.
+
+    Parameters
+    ----------
+    vm : str
+        Name of this VM.
+
+    Notes
+    -----
+    Versions are offered by the heartbeats, which name the version in force. A member
+    that hears of a higher one asks the sender for its content in parts. It believes
+    content only if its digest matches, and the authenticated sender vouches for the
+    digest; the reader that began got it from the table service.
+    """
+
+    vm: str
+    version: int = 0
+    learned: int = 0
+    damaged: int = 0
+    head_checked_at: float | None = None
+    _digest: str = ""
+    _compressed: bytes = b""
+    _fetch: _Fetch | None = None
+
+    def hold(self, version: int, content: bytes) -> None:
+        """Offer a version that is in force."""
+        self.version = version
+        self._digest = content_digest(content)
+        self._compressed = zlib.compress(content, 6)
+        if self._fetch is not None and self._fetch.version <= version:
+            self._fetch = None
+
+    def is_reader(self, members: Sequence[str], now: float, heard_at: float) -> bool:
+        """Tell whether this VM is to poll the platform for a new version.
+
+        Parameters
+        ----------
+        members : sequence of str
+            All members of the failure domain, sorted.
+        now : float
+            Monotonic seconds.
+        heard_at : float
+            When a member last said that it had read the head, monotonic seconds.
+
+        Returns
+        -------
+        bool
+            True for the first members, and for all while no reader was heard.
+        """
+        return self.vm in members[:READERS] or now - heard_at > TAKE_OVER_S
+
+    def hear_version(
+        self, sender: str, version: int, now: float
+    ) -> list[ContentRequest]:
+        """Take the version that a member has in force."""
+        if version <= self.version:
+            return []
+        fetch = self._fetch
+        if fetch is not None and fetch.version >= version:
+            return []
+        self._fetch = _Fetch(source=sender, version=version, began_at=now, asked_at=now)
+        return self._ask(self._fetch, now)
+
+    def _ask(self, fetch: _Fetch, now: float) -> list[ContentRequest]:
+        fetch.asked_at = now
+        return [
+            ContentRequest(sender=self.vm, version=fetch.version, offset=offset)
+            for offset in fetch.missing()[:WINDOW]
+        ]
+
+    def answer(self, request: ContentRequest) -> ContentChunk | None:
+        """Give a part of the version in force, if it is the one asked for."""
+        wrong_place = request.offset % CHUNK_BYTES
+        if request.version != self.version or wrong_place or not self._compressed:
+            return None
+        if request.offset >= len(self._compressed):
+            return None
+        end = request.offset + CHUNK_BYTES
+        return ContentChunk(
+            sender=self.vm,
+            version=self.version,
+            digest=self._digest,
+            offset=request.offset,
+            total=len(self._compressed),
+            data=self._compressed[request.offset : end],
+        )
+
+    def take_chunk(self, chunk: ContentChunk, now: float) -> ChunkResult:
+        """Take a part.
+
+        Returns
+        -------
+        Result
+            The whole content, or what to ask for next, or that it is damaged.
+        """
+        fetch = self._fetch
+        if fetch is None or chunk.version != fetch.version:
+            return Ok([])
+        if not 0 < chunk.total <= MAX_CONTENT_BYTES:
+            return Ok([])
+        if fetch.total is None:
+            fetch.total = chunk.total
+            fetch.digest = chunk.digest
+        if (chunk.total, chunk.digest) != (fetch.total, fetch.digest):
+            return Ok([])
+        known = chunk.offset in fetch.parts_by_offset
+        fetch.parts_by_offset[chunk.offset] = chunk.data
+        if not fetch.missing():
+            self._fetch = None
+            return self._finish(fetch)
+        window_done = len(fetch.parts_by_offset) % WINDOW in (0, 1)
+        return Ok(self._ask(fetch, now) if window_done and not known else [])
+
+    def _finish(self, fetch: _Fetch) -> ChunkResult:
+        ordered = sorted(fetch.parts_by_offset.items())
+        try:
+            content = _decompress(b"".join(part for _, part in ordered))
+        except zlib.error as error:
+            self.damaged += 1
+            return Err(DamagedContent(str(error)))
+        if content_digest(content) != fetch.digest:
+            self.damaged += 1
+            return Err(DamagedContent("the digest does not match"))
+        self.learned += 1
+        return Ok(LearnedContent(version=fetch.version, content=content))
+
+    def tick(self, now: float) -> tuple[str, list[ContentRequest]]:
+        """Ask again for parts that did not come.
+
+        Returns
+        -------
+        tuple of str and list of ContentRequest
+            The member to ask, and the requests; empty if there is nothing to do.
+        """
+        fetch = self._fetch
+        if fetch is None:
+            return "", []
+        if now - fetch.began_at > GIVE_UP_S and now - fetch.asked_at > RETRY_S:
+            self._fetch = None
+            return "", []
+        if now - fetch.asked_at < RETRY_S:
+            return "", []
+        return fetch.source, self._ask(fetch, now)
+
+
+def _decompress(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    content = decompressor.decompress(data, MAX_CONTENT_BYTES)
+    if not decompressor.eof:
+        raise zlib.error("the content is cut off or too long")
+    return content
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -20,6 +20,8 @@
 from plankspindle_core.logs.key_value_destination import log_event
 from plankspindle_core.supervisor import Supervisor
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
+from plankspindle_daemon.configuration.messages import ContentChunk
+from plankspindle_daemon.configuration.messages import ContentRequest
 from plankspindle_daemon.control.plan_store import PlanStore
 from plankspindle_daemon.digests.messages import LoadDigest
 from plankspindle_daemon.dispatch.dispatch_runner import DispatchRunner
@@ -224,21 +226,29 @@
 
     async def _read_configuration(self) -> None:
         while True:
+            await sleep(self._jittered(self.settings.timing.configuration_ms))
+            if not self.node.is_reader(monotonic()):
+                continue
             read = await self._reader.read_newer(self.node.version)
-            if read.is_err():
+            if read.is_ok():
+                self.node.note_head_read(monotonic())
+            else:
                 log_event("configuration_unread", detail=read.unwrap_err().detail)
             newer = read.unwrap_or(None)
             if newer is not None:
                 effects = self.node.adopt(
                     newer.configuration, version=newer.head.version, now=monotonic()
                 )
-                log_event(
-                    "configuration_adopted",
-                    version=newer.head.version,
-                    plan=newer.head.plan,
-                )
+                self._log_adopted(plan=newer.head.plan, source="platform")
                 await self._perform(effects)
-            await sleep(self._jittered(self.settings.timing.configuration_ms))
+
+    def _log_adopted(self, *, plan: str, source: str) -> None:
+        log_event(
+            "configuration_adopted",
+            version=self.node.version,
+            plan=plan,
+            source=source,
+        )
 
     def _jittered(self, period_ms: int) -> float:
         return period_ms / 1000 * self.node.random.uniform(0.8, 1.2)
@@ -253,6 +263,14 @@
             case SlotRequest():
                 effects = self.node.take_slot_request(message, sender, monotonic())
                 await self._perform(effects)
+            case ContentRequest():
+                await self._perform(self.node.take_content_request(message, sender))
+            case ContentChunk():
+                before = self.node.version
+                effects = self.node.take_content_chunk(message, monotonic())
+                if self.node.version != before:
+                    self._log_adopted(plan="", source=message.sender)
+                await self._perform(effects)
             case HeadroomRequest():
                 await self._perform(
                     self.node.take_headroom_request(message, sender, monotonic())
--- a/packages/daemon/src/plankspindle_daemon/membership/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/messages.py
@@ -36,6 +36,8 @@
         Upstreams on which it still runs more than its share.
     configuration_version : int
         Version it has in force.
+    head_read_ago_ms : int
+        Time since any member read the head of the configuration, as far as it knows.
     """
 
     sender: str
@@ -48,6 +50,7 @@
     view_digest: int
     over_share: tuple[str, ...]
     configuration_version: int
+    head_read_ago_ms: int = 0xFFFFFFFF
 
 
 @frozen
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -9,11 +9,16 @@
 from attrs import define
 from attrs import field
 
+from plankspindle_core.configuration.codec import decode_configuration
+from plankspindle_core.configuration.codec import encode_configuration
 from plankspindle_core.configuration.configuration import Configuration
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.invariants import check_invariant
 from plankspindle_daemon.admission.caller_directory import CallerDirectory
 from plankspindle_daemon.admission.class_queue import ClassQueue
+from plankspindle_daemon.configuration.spread_targets import spread_targets
+from plankspindle_daemon.configuration.version_exchange import LearnedContent
+from plankspindle_daemon.configuration.version_exchange import VersionExchange
 from plankspindle_daemon.digests.digest_book import DigestBook
 from plankspindle_daemon.digests.messages import LoadDigest
 from plankspindle_daemon.digests.messages import ServiceLoad
@@ -30,6 +35,7 @@
 from plankspindle_daemon.membership.membership import Membership
 from plankspindle_daemon.membership.messages import EVERY_UPSTREAM
 from plankspindle_daemon.membership.messages import Heartbeat
+from plankspindle_daemon.membership.messages import SendHeartbeat
 from plankspindle_daemon.membership.readiness import Readiness
 from plankspindle_daemon.node.effects import BeginLeaving
 from plankspindle_daemon.node.effects import NodeEffect
@@ -49,8 +55,11 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from plankspindle_core.configuration.upstream import Upstream
+    from plankspindle_daemon.configuration.messages import ContentChunk
+    from plankspindle_daemon.configuration.messages import ContentRequest
     from plankspindle_daemon.dispatch.messages import DispatchEvent
     from plankspindle_daemon.membership.messages import MembershipEffect
     from plankspindle_daemon.membership.messages import MembershipEvent
@@ -66,6 +75,7 @@
 GRANT_PERIOD_S = 0.25
 DIGEST_PERIOD_S = 1.0
 REFRESH_S = 0.25
+NEVER_MS = 0xFFFFFFFF
 
 
 @define(kw_only=True)
@@ -131,7 +141,10 @@
     drains: DrainClock = Factory(DrainClock)
     list_read_at: float | None = None
     settling_since: float = field(init=False)
+    versions: VersionExchange = field(init=False)
+    head_read_at: float | None = None
     refuses_from: float | None = None
+    _head_heard_at: float = 0.0
     drained_vms: set[str] = Factory(set)
     _sequence: int = 0
     _next_refresh: float = 0.0
@@ -141,6 +154,7 @@
     def __attrs_post_init__(self) -> None:
         self.settling_since = self.started_at
         self.grants = GrantBook(incarnation=self.incarnation)
+        self.versions = VersionExchange(vm=self.vm)
 
     def adopt(
         self, configuration: Configuration, *, version: int, now: float
@@ -166,6 +180,7 @@
         before = self.version
         self.configuration = configuration
         self.version = version
+        self.versions.hold(version, encode_configuration(configuration))
         self.adopted_at = now
         check_invariant("configuration-never-reverts", self.version > before)
         self.directory = CallerDirectory(configuration=configuration)
@@ -179,7 +194,65 @@
         self.drains.use(configuration, now)
         self._use_services(configuration, now)
         self._refresh_steering()
-        return self._update_shares(now)
+        return [*self._spread_version(now), *self._update_shares(now)]
+
+    def _spread_version(self, now: float) -> list[NodeEffect]:
+        """Tell some members of the new version at once; heartbeats tell the rest."""
+        targets = spread_targets(
+            me=self.vm, members=self.membership.view(), random=self.random
+        )
+        members = self.membership.members_by_name
+        return [SendHeartbeat(members[name].peer_endpoint) for name in targets]
+
+    def is_reader(self, now: float) -> bool:
+        """Tell whether this VM is to poll the platform for a new version."""
+        return self.versions.is_reader(self.membership.view(), now, self._head_heard_at)
+
+    def note_head_read(self, now: float) -> None:
+        """Record that this VM read the head of the configuration."""
+        self.head_read_at = now
+
+    def head_read_ago_s(self, now: float) -> float | None:
+        """Time since this VM, or a member it heard, read the head."""
+        times = [self.head_read_at or 0.0, self._head_heard_at]
+        latest = max(times)
+        return now - latest if latest > 0.0 else None
+
+    def _hear_version(self, heartbeat: Heartbeat, now: float) -> list[NodeEffect]:
+        if heartbeat.sender not in self.membership.members_by_name:
+            return []
+        read_at = now - heartbeat.head_read_ago_ms / 1000
+        self._head_heard_at = max(self._head_heard_at, read_at)
+        asked = self.versions.hear_version(
+            heartbeat.sender, heartbeat.configuration_version, now
+        )
+        return self._to_member(heartbeat.sender, asked)
+
+    def _to_member(
+        self, name: str, messages: Sequence[ContentRequest]
+    ) -> list[NodeEffect]:
+        member = self.membership.members_by_name.get(name)
+        if member is None:
+            return []
+        to = member.peer_endpoint
+        return [SendToPeer(message=message, to=to) for message in messages]
+
+    def take_content_request(
+        self, request: ContentRequest, reply_to: Endpoint
+    ) -> list[NodeEffect]:
+        """Give a part of the version in force."""
+        chunk = self.versions.answer(request)
+        return [] if chunk is None else [SendToPeer(message=chunk, to=reply_to)]
+
+    def take_content_chunk(self, chunk: ContentChunk, now: float) -> list[NodeEffect]:
+        """Take a part of a higher version, and adopt it once it is whole."""
+        taken = self.versions.take_chunk(chunk, now).unwrap_or([])
+        if not isinstance(taken, LearnedContent):
+            return self._to_member(chunk.sender, taken)
+        decoded = decode_configuration(taken.content)
+        if decoded.is_err():
+            return []
+        return self.adopt(decoded.unwrap(), version=taken.version, now=now)
 
     def _use_services(self, configuration: Configuration, now: float) -> None:
         for name, service in configuration.services_by_name.items():
@@ -257,6 +330,8 @@
         effects: list[NodeEffect] = []
         for effect in self.membership.handle(event, now):
             effects += self._take_effect(effect)
+        if isinstance(event, membership.HeartbeatReceived):
+            effects += self._hear_version(event.heartbeat, now)
         if isinstance(event, membership.LiveListRead):
             self.list_read_at = now
             self._take_listed_upstreams(event.vms, now=now, wall=wall)
@@ -329,6 +404,8 @@
             self._apply_drains(now=now, wall=wall)
             self._refresh_steering()
             self.ids.expire(now)
+        source, asked = self.versions.tick(now)
+        effects += self._to_member(source, asked)
         return [*effects, *self._talk_to_other_domains(now)]
 
     def _apply_drains(self, *, now: float, wall: float) -> None:
@@ -565,8 +642,13 @@
             view_digest=self.membership.view_digest(),
             over_share=self._over_share(now),
             configuration_version=self.version,
+            head_read_ago_ms=self._head_read_ago_ms(now),
         )
 
+    def _head_read_ago_ms(self, now: float) -> int:
+        ago_s = self.head_read_ago_s(now)
+        return NEVER_MS if ago_s is None else min(NEVER_MS, int(ago_s * 1000))
+
     def _over_share(self, now: float) -> tuple[str, ...]:
         names = [
             upstream.name
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -79,7 +79,15 @@
 
 def _dump_configuration(node: Node, now: float) -> dict[str, Any]:
     age = None if node.adopted_at is None else round(now - node.adopted_at, 3)
-    return {"version": node.version, "in_force_for_s": age}
+    checked = node.head_read_ago_s(now)
+    return {
+        "version": node.version,
+        "in_force_for_s": age,
+        "head_read_s_ago": None if checked is None else round(checked, 3),
+        "reads_platform": node.is_reader(now),
+        "learned_from_members": node.versions.learned,
+        "damaged": node.versions.damaged,
+    }
 
 
 def _dump_membership(node: Node, now: float) -> dict[str, Any]:
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -14,6 +14,8 @@
 from result import Result
 
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.configuration.messages import ContentChunk
+from plankspindle_daemon.configuration.messages import ContentRequest
 from plankspindle_daemon.digests.messages import LoadDigest
 from plankspindle_daemon.digests.messages import ServiceLoad
 from plankspindle_daemon.headroom.messages import HeadroomGrant
@@ -25,7 +27,14 @@
 from plankspindle_daemon.wire.frame import BadFrame
 
 PeerMessage = (
-    Heartbeat | SlotRequest | SlotGrant | HeadroomRequest | HeadroomGrant | LoadDigest
+    Heartbeat
+    | SlotRequest
+    | SlotGrant
+    | HeadroomRequest
+    | HeadroomGrant
+    | LoadDigest
+    | ContentRequest
+    | ContentChunk
 )
 
 capnp.remove_import_hook()
@@ -62,6 +71,8 @@
     "headroomRequest": HeadroomRequest,
     "headroomGrant": HeadroomGrant,
     "loadDigest": LoadDigest,
+    "contentRequest": ContentRequest,
+    "contentChunk": ContentChunk,
 }
 _UNION_MEMBER_BY_CLASS = {cls: name for name, cls in _CLASS_BY_UNION_MEMBER.items()}
 
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -21,6 +21,7 @@
   viewDigest @6 :UInt64;
   overShare @7 :List(Text);
   configurationVersion @8 :UInt64;
+  headReadAgoMs @9 :UInt32;
 }
 
 struct SlotRequest {
@@ -68,6 +69,19 @@
   loads @2 :List(ServiceLoad);
 }
 
+struct ContentRequest {
+  version @0 :UInt64;
+  offset @1 :UInt32;
+}
+
+struct ContentChunk {
+  version @0 :UInt64;
+  digest @1 :Text;
+  offset @2 :UInt32;
+  total @3 :UInt32;
+  data @4 :Data;
+}
+
 struct PeerMessage {
   sender @0 :Text;
   union {
@@ -77,5 +91,7 @@
     headroomRequest @4 :HeadroomRequest;
     headroomGrant @5 :HeadroomGrant;
     loadDigest @6 :LoadDigest;
+    contentRequest @7 :ContentRequest;
+    contentChunk @8 :ContentChunk;
   }
 }
--- a/packages/daemon/tests/test_real_processes.py
+++ b/packages/daemon/tests/test_real_processes.py
@@ -193,6 +193,20 @@
     assert total_runs() == 1
 
 
+def test_a_daemon_started_without_the_platform_learns_from_its_peers(
+    processes: Processes,
+) -> None:
+    processes.send_signal(FIRST.name, signal.SIGKILL)
+    processes.wait(FIRST.name)
+    control_platform(faults={"down": True})
+    peers = [str(SECOND.peer)]
+    processes.start_daemon(FIRST, platform=PLATFORM, timing=TIMING, peers=peers)
+    wait_for_shares(FIRST)
+    assert state_of(FIRST)["configuration"]["learned_from_members"] == 1
+    answer = call(FIRST.caller, target=SERVICES + "/plates/1", headers=[GOLD])
+    assert answer.status == 200
+
+
 def test_an_id_of_a_killed_process_is_unknown_and_never_runs(
     processes: Processes,
 ) -> None:
--- a/packages/testkit/src/plankspindle_testkit/bench/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/__main__.py
@@ -4,13 +4,17 @@
 
 import click
 
+from plankspindle_testkit.bench.control_bench import run_control_bench
 from plankspindle_testkit.bench.drain_bench import run_drain_bench
 from plankspindle_testkit.bench.lookup_bench import run_lookup_bench
 from plankspindle_testkit.bench.policy_bench import run_balancing_bench
 from plankspindle_testkit.bench.policy_bench import run_priority_bench
 from plankspindle_testkit.bench.proxy_bench import run_proxy_bench
+from plankspindle_testkit.bench.spread_bench import run_spread_bench
 
 BENCH_BY_NAME = {
+    "control": run_control_bench,
+    "spread": run_spread_bench,
     "priority": run_priority_bench,
     "balancing": run_balancing_bench,
     "drain": run_drain_bench,
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/bench/spread_bench.py
@@ -0,0 +1,124 @@
+"""How a new version spreads: rounds, messages and misses by way, with dead nodes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from plankspindle_daemon.configuration.spread_targets import spread_targets
+from plankspindle_testkit.bench.table import print_table
+
+SIZES = (205, 4_500)
+DEAD_SHARES = (0.0, 0.05)
+SEEDS = range(20)
+MESSAGE_BYTES = 200
+MAX_ROUNDS = 60
+
+Way = Callable[[str, list[str], Random], list[str]]
+
+
+def run_spread_bench() -> None:
+    """Print a row for each way, size and share of dead nodes."""
+    rows = []
+    for size in SIZES:
+        for dead_share in DEAD_SHARES:
+            for name, way in _ways():
+                rows.append(_row(size, dead_share, name, way))
+    print_table(
+        "Spreading of a version from one node over 20 seeds; dead nodes are not known"
+        " to be dead; 200 bytes a message",
+        (
+            "nodes",
+            "dead %",
+            "way",
+            "live nodes missed (mean)",
+            "complete runs",
+            "rounds (mean)",
+            "messages a node",
+            "most bytes sent by a node",
+        ),
+        rows,
+    )
+
+
+def _ways() -> list[tuple[str, Way]]:
+    return [
+        ("ring", _ring_and_random(0)),
+        ("ring and 1 random", _ring_and_random(1)),
+        ("ring and 2 random", _ring_and_random(2)),
+        ("random 4", _random(4)),
+        ("random 8", _random(8)),
+        ("tree of 4", _tree(4)),
+        ("direct", _direct),
+    ]
+
+
+def _ring_and_random(random_targets: int) -> Way:
+    def choose(me: str, members: list[str], random: Random) -> list[str]:
+        return spread_targets(
+            me=me, members=members, random=random, random_targets=random_targets
+        )
+
+    return choose
+
+
+def _random(fanout: int) -> Way:
+    def choose(me: str, members: list[str], random: Random) -> list[str]:
+        return [members[random.randrange(len(members))] for _ in range(fanout)]
+
+    return choose
+
+
+def _tree(fanout: int) -> Way:
+    def choose(me: str, members: list[str], random: Random) -> list[str]:
+        first = int(me) * fanout + 1
+        return members[first : first + fanout]
+
+    return choose
+
+
+def _direct(me: str, members: list[str], random: Random) -> list[str]:
+    return members[1:] if int(me) == 0 else []
+
+
+def _row(size: int, dead_share: float, name: str, way: Way) -> list[str]:
+    missed, rounds, messages, most = [], [], [], 0
+    for seed in SEEDS:
+        result = _spread(size, dead_share, way, Random(seed))
+        missed.append(result[0])
+        rounds.append(result[1])
+        messages.append(result[2])
+        most = max(most, result[3])
+    count = len(missed)
+    return [
+        str(size),
+        f"{dead_share * 100:g}",
+        name,
+        f"{sum(missed) / count:.2f}",
+        f"{missed.count(0)} of {count}",
+        f"{sum(rounds) / count:.1f}",
+        f"{sum(messages) / count / size:.2f}",
+        str(most * MESSAGE_BYTES),
+    ]
+
+
+def _spread(
+    size: int, dead_share: float, way: Way, random: Random
+) -> tuple[int, int, int, int]:
+    """Give live nodes missed, rounds, messages, and most messages of one node."""
+    members = [f"{number:05}" for number in range(size)]
+    dead = set(random.sample(members[1:], int(size * dead_share)))
+    informed = {members[0]}
+    fresh = [members[0]]
+    messages = most = rounds = 0
+    while fresh and rounds < MAX_ROUNDS:
+        reached = set()
+        for node in fresh:
+            targets = way(node, members, random)
+            messages += len(targets)
+            most = max(most, len(targets))
+            reached.update(targets)
+        fresh = sorted(reached - informed - dead)
+        informed.update(fresh)
+        rounds += bool(fresh)
+    return size - len(dead) - len(informed), rounds, messages, most
--- a/packages/testkit/src/plankspindle_testkit/trial/trial.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial.py
@@ -18,6 +18,8 @@
 from plankspindle_core.outcome import Outcome
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
+from plankspindle_daemon.configuration.messages import ContentChunk
+from plankspindle_daemon.configuration.messages import ContentRequest
 from plankspindle_daemon.control.intents import ApplyIntent
 from plankspindle_daemon.control.intents import ShiftIntent
 from plankspindle_daemon.control.plan_store import PlanStore
@@ -356,6 +358,10 @@
             case membership.Heartbeat():
                 event = membership.HeartbeatReceived(message)
                 self._take_membership(vm, event)
+            case ContentRequest():
+                self._perform(vm, vm.node.take_content_request(message, sender))
+            case ContentChunk():
+                self._perform(vm, vm.node.take_content_chunk(message, self.now))
             case SlotRequest():
                 effects = vm.node.take_slot_request(message, sender, self.now)
                 self._perform(vm, effects)
@@ -425,8 +431,13 @@
                 self.listed_by_name.pop(name, None)
 
     def _read_configuration(self, vm: TrialVm) -> None:
+        if not vm.node.is_reader(self.now):
+            return
         reader = ConfigurationReader(platform=cast("PlatformClient", self.platform))
-        read = run_to_end(reader.read_newer(vm.node.version)).unwrap_or(None)
+        answer = run_to_end(reader.read_newer(vm.node.version))
+        if answer.is_ok():
+            vm.node.note_head_read(self.now)
+        read = answer.unwrap_or(None)
         if read is not None:
             effects = vm.node.adopt(
                 read.configuration, version=read.head.version, now=self.now
@@ -441,8 +452,8 @@
                     self._send(vm, heartbeat, to)
                 case OfService(service=service, effect=inner):
                     self._perform_dispatch(vm, service, inner)
-                case SendToPeer():
-                    pass
+                case SendToPeer(message=message, to=to):
+                    self._send(vm, message, to)
                 case BeginLeaving(reason=reason):
                     self._note(f"{vm.place.name} leaves: {reason}")
                     vm.node.leave.begin(self.now)
