--- a/packages/client/src/plankspindle_client/console/application.py
+++ b/packages/client/src/plankspindle_client/console/application.py
@@ -11,6 +11,7 @@
 from plankspindle_client.console.commands.plan import plan
 from plankspindle_client.console.commands.state import state
 from plankspindle_client.console.commands.status import status
+from plankspindle_client.console.commands.watch import watch
 from plankspindle_client.console.context import EndpointType
 
 if TYPE_CHECKING:
@@ -42,5 +43,5 @@
     context.obj = {"endpoint": endpoint, "token": token, "output": output}
 
 
-for command in (config, confirm, plan, state, status):
+for command in (config, confirm, plan, state, status, watch):
     main.add_command(command)
--- a/packages/client/src/plankspindle_client/console/commands/config.py
+++ b/packages/client/src/plankspindle_client/console/commands/config.py
@@ -5,6 +5,7 @@
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
+from typing import Any
 
 import click
 
@@ -44,6 +45,48 @@
     show_json(unwrap_or_exit(api_of(context).get("/v1/configuration")))
 
 
+@config.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.pass_context
+def diff(context: click.Context, file: Path) -> None:
+    """Show what differs between FILE and the configuration in force."""
+    wanted = configuration_to_mapping(_read_or_exit(file))
+    found = unwrap_or_exit(api_of(context).get("/v1/configuration"))
+    lines = diff_lines(found["configuration"], wanted)
+    click.echo("\n".join(lines) or "nothing differs")
+
+
+def diff_lines(present: Any, wanted: Any, path: str = "") -> list[str]:
+    """List the differences of two documents.
+
+    Parameters
+    ----------
+    present, wanted : object
+        Plain values as in JSON.
+    path : str
+        Path of the key that holds them.
+
+    Returns
+    -------
+    list of str
+        ``+`` added, ``-`` removed, ``~`` changed, each with the path of its key.
+    """
+    if present == wanted:
+        return []
+    if not (isinstance(present, dict) and isinstance(wanted, dict)):
+        return [f"~ {path}: {present!r} -> {wanted!r}"]
+    lines = []
+    for key in sorted({*present, *wanted}):
+        inner = f"{path}.{key}" if path else str(key)
+        if key not in wanted:
+            lines.append(f"- {inner}")
+        elif key not in present:
+            lines.append(f"+ {inner}: {wanted[key]!r}")
+        else:
+            lines += diff_lines(present[key], wanted[key], inner)
+    return lines
+
+
 @config.command()
 @click.argument("file", type=click.Path(path_type=Path))
 @click.pass_context
--- /dev/null
+++ b/packages/client/tests/console/test_commands.py
@@ -0,0 +1,169 @@
+"""Tests of the command line against a daemon that is played."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+import yaml
+from click.testing import CliRunner
+from click.testing import Result as CliResult
+from result import Err
+from result import Ok
+from result import Result
+
+from plankspindle_client.console.application import main
+from plankspindle_client.console.commands.config import diff_lines
+from plankspindle_client.operator_api import ApiError
+from plankspindle_client.operator_api import OperatorApi
+from plankspindle_core.configuration.codec import configuration_to_mapping
+from plankspindle_testkit.builders import build_configuration
+
+PLAN = {
+    "id": "p1",
+    "base_version": 3,
+    "state": "open",
+    "operator": "jana",
+    "effects": ["at most 20 percent move"],
+}
+DAEMON = ["--daemon", "127.0.0.1:7001"]
+
+
+class PlayedDaemon:
+    """Answers calls and remembers them."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[str, str, Any]] = []
+        self.answer: Result[Any, ApiError] = Ok(PLAN)
+
+    def take(
+        self, _: OperatorApi, method: str, target: str, body: bytes
+    ) -> Result[Any, ApiError]:
+        self.calls.append((method, target, json.loads(body) if body else None))
+        return self.answer
+
+
+@pytest.fixture
+def daemon(monkeypatch: pytest.MonkeyPatch) -> PlayedDaemon:
+    played = PlayedDaemon()
+    monkeypatch.setattr(
+        OperatorApi, "_call", lambda *arguments: played.take(*arguments)
+    )
+    return played
+
+
+def run(*arguments: str) -> CliResult:
+    return CliRunner().invoke(main, [*DAEMON, *arguments])
+
+
+def test_a_shift_is_planned_and_the_next_step_named(daemon: PlayedDaemon) -> None:
+    ran = run(
+        "plan", "shift", "--service", "registry", "--from", "bratislava",
+        "--to", "kosice", "--percent", "20",
+    )  # fmt: skip
+    assert ran.exit_code == 0
+    assert "plankspindle confirm p1" in ran.output
+    intent = daemon.calls[0][2]
+    assert intent["shift_id"] == "registry-bratislava-kosice"
+    assert intent["shift"]["cap_percent"] == 20.0
+
+
+def test_a_drain_names_exactly_one_place(daemon: PlayedDaemon) -> None:
+    assert run("plan", "drain").exit_code == 2
+    assert run("plan", "drain", "--vm", "a", "--region", "b").exit_code == 2
+    assert run("plan", "drain", "--failure-domain", "ba-1").exit_code == 0
+    drain = daemon.calls[0][2]["drain"]
+    assert drain == {"kind": "failure-domain", "name": "ba-1", "at": None}
+
+
+@pytest.mark.parametrize(
+    ("status", "exit_code"), [(422, 1), (409, 3), (503, 4), (0, 4), (504, 5)]
+)
+def test_each_failure_has_its_exit_status(
+    daemon: PlayedDaemon, status: int, exit_code: int
+) -> None:
+    daemon.answer = Err(ApiError(status=status, message="no", problems=("why",)))
+    ran = run("confirm", "p1")
+    assert ran.exit_code == exit_code
+    assert "why" in ran.output
+
+
+def test_without_a_daemon_the_way_out_is_named() -> None:
+    ran = CliRunner().invoke(main, ["confirm", "p1"])
+    assert ran.exit_code == 2
+    assert "--daemon IP:PORT" in ran.output
+
+
+def test_json_is_printed_on_request(daemon: PlayedDaemon) -> None:
+    ran = run("--output", "json", "plan", "show", "p1")
+    assert json.loads(ran.output) == PLAN
+
+
+def test_a_bad_configuration_file_is_refused_line_by_line(tmp_path: Any) -> None:
+    file = tmp_path / "configuration.yaml"
+    file.write_text("services: {}\nspeed: 1\n")
+    ran = run("config", "validate", str(file))
+    assert ran.exit_code == 2
+    assert "unknown key speed" in ran.output
+
+
+def test_a_configuration_is_applied_and_compared(
+    daemon: PlayedDaemon, tmp_path: Any
+) -> None:
+    file = tmp_path / "configuration.yaml"
+    mapping = configuration_to_mapping(build_configuration())
+    file.write_text(yaml.safe_dump(mapping))
+    assert run("config", "apply", str(file)).exit_code == 0
+    assert daemon.calls[0][2]["kind"] == "apply"
+    daemon.answer = Ok({"configuration": mapping})
+    assert run("config", "diff", str(file)).output == "nothing differs\n"
+
+
+def test_differences_are_named_by_their_keys() -> None:
+    present = {"a": {"x": 1, "y": 2}, "b": 1}
+    wanted = {"a": {"x": 5, "z": 3}, "b": 1}
+    assert diff_lines(present, wanted) == ["~ a.x: 1 -> 5", "- a.y", "+ a.z: 3"]
+
+
+def test_status_and_watch_show_what_a_daemon_sees(daemon: PlayedDaemon) -> None:
+    daemon.answer = Ok(
+        {
+            "vm": "ba-1-a",
+            "failure_domain": "ba-1",
+            "readiness": "ready",
+            "configuration": {"version": 3, "in_force_for_s": 9},
+            "membership": {"view": ["ba-1-a"]},
+            "platform": {"available": False},
+            "services": {
+                "registry": {
+                    "queued": 1,
+                    "assigned": 7,
+                    "upstreams": {"u": {"in_flight": 2, "limit": 4}},
+                }
+            },
+            "failure_domains": {
+                "ke-1": {
+                    "region": "kosice",
+                    "heard_s_ago": None,
+                    "lowest_version": None,
+                    "services": {},
+                }
+            },
+            "shifts": {
+                "s": {
+                    "service": "registry",
+                    "to_region": "kosice",
+                    "moved": 1,
+                    "total": 9,
+                    "cap_percent": 20.0,
+                }
+            },
+        }
+    )
+    shown = run("status").output
+    assert "platform: away" in shown
+    assert "service registry: 2 of 4 slots in use, 1 queued, 7 assigned" in shown
+    assert "failure domain ke-1 of kosice: not heard" in shown
+    assert "1 of 9 moved, cap 20 percent" in shown
+    assert shown in run("watch", "--count", "1").output
--- a/packages/daemon/src/plankspindle_daemon/listeners/caller_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/caller_listener.py
@@ -331,7 +331,7 @@
         meter, now = self.node.meter, monotonic()
         caller_key = identity.caller or source.peer_host
         chosen = meter.choose(service=request.service, caller_key=caller_key, now=now)
-        if not isinstance(chosen, Move):
+        if not isinstance(chosen, Move) or not self.node.may_shift(now):
             return None
         held = self.node.grants.use(
             service=request.service, region=chosen.to_region, now=now
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -76,6 +76,8 @@
 DIGEST_PERIOD_S = 1.0
 REFRESH_S = 0.25
 NEVER_MS = 0xFFFFFFFF
+FRESH_S = 30.0
+"""Time without word of the platform after which shifts are no longer applied."""
 
 
 @define(kw_only=True)
@@ -208,6 +210,15 @@
         """Tell whether this VM is to poll the platform for a new version."""
         return self.versions.is_reader(self.membership.view(), now, self._head_heard_at)
 
+    def may_shift(self, now: float) -> bool:
+        """Tell whether shifts are applied.
+
+        A failure domain that is cut off cannot learn that a shift was ended, so it
+        stops moving requests when its version has not been confirmed for a while.
+        """
+        ago_s = self.head_read_ago_s(now)
+        return ago_s is not None and ago_s <= FRESH_S
+
     def note_head_read(self, now: float) -> None:
         """Record that this VM read the head of the configuration."""
         self.head_read_at = now
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -208,6 +208,8 @@
             "available": platform.available,
             "reads": platform.reads,
             "writes": platform.writes,
+            "refused_by_budget": platform.read_budget.refused
+            + platform.write_budget.refused,
         },
         "claims": {
             "unclosed": len(claims.unclosed_by_key),
--- a/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
@@ -15,6 +15,9 @@
 
 from plankspindle_core.http.fetch import HttpAnswer
 from plankspindle_core.http.fetch import fetch
+from plankspindle_daemon.platform.call_budget import READS_PER_S
+from plankspindle_daemon.platform.call_budget import WRITES_PER_S
+from plankspindle_daemon.platform.call_budget import CallBudget
 from plankspindle_daemon.platform.circuit_breaker import CircuitBreaker
 from plankspindle_daemon.platform.errors import ConditionFailed
 from plankspindle_daemon.platform.errors import PlatformUnavailable
@@ -27,6 +30,7 @@
     from plankspindle_core.endpoint import Endpoint
     from plankspindle_daemon.platform.table import Transaction
 
+_COMMIT_TARGET = "/table/commit"
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 409
@@ -52,6 +56,8 @@
         self._endpoint = endpoint
         self._timeout_s = timeout_s
         self._breaker = CircuitBreaker()
+        self.read_budget = CallBudget(per_s=READS_PER_S)
+        self.write_budget = CallBudget(per_s=WRITES_PER_S)
         self.reads = 0
         self.writes = 0
 
@@ -144,7 +150,7 @@
                 for write in transaction.writes
             ]
         }
-        answer = await self._call("POST", "/table/commit", body)
+        answer = await self._call("POST", _COMMIT_TARGET, body)
         if answer.is_err():
             return Err(answer.unwrap_err())
         decoded = self._decoded(answer.unwrap(), accepted=(_OK, _CONFLICT))
@@ -185,6 +191,8 @@
     async def _call(
         self, method: str, target: str, body: Any = b""
     ) -> Result[HttpAnswer, PlatformUnavailable]:
+        if not self._budget_of(method, target).take(monotonic()):
+            return Err(PlatformUnavailable("the budget of calls is used up"))
         if not self._breaker.allows(monotonic()):
             return Err(PlatformUnavailable("recent calls failed; not tried"))
         content = body if isinstance(body, bytes) else json.dumps(body).encode()
@@ -203,6 +211,10 @@
             return Err(PlatformUnavailable(f"status {answer.unwrap().status}"))
         return Ok(answer.unwrap())
 
+    def _budget_of(self, method: str, target: str) -> CallBudget:
+        is_write = method == "PUT" or target == _COMMIT_TARGET
+        return self.write_budget if is_write else self.read_budget
+
     def _decoded(
         self, answer: HttpAnswer, accepted: tuple[int, ...] = (_OK,)
     ) -> Result[Any, PlatformUnavailable]:
--- a/packages/daemon/tests/node/test_node.py
+++ b/packages/daemon/tests/node/test_node.py
@@ -188,6 +188,23 @@
     assert share_of(b) == 2
 
 
+def test_shifts_stop_when_the_platform_was_not_heard_for_long() -> None:
+    node = build_node("a")
+    assert not node.may_shift(0.0)
+    node.note_head_read(1.0)
+    assert node.may_shift(31.0)
+    assert not node.may_shift(31.1)
+
+
+def test_word_of_the_platform_is_passed_on_by_members() -> None:
+    a, b = build_pair()
+    a.note_head_read(10.0)
+    greet(a, b, 15.0)
+    assert b.head_read_ago_s(16.0) == 6.0
+    assert b.may_shift(39.0)
+    assert not b.may_shift(41.0)
+
+
 def test_a_version_is_never_replaced_by_a_lower_one() -> None:
     node = build_node("a")
     node.adopt(build_configuration(upstreams_by_name={}), version=3, now=1.0)
