Work out members and shares once until they change

Cause, from slopes measured at 10 to 205 members: a tick of 1.36 ms twenty times a second is 2.7 percent of a core, and a heartbeat 0.36 to 0.54 ms; both sorted and hashed all members and shares anew.

View, digest and shares are now kept until members change, drains are skipped when there are none. The list of VMs is read at most as fast as 100 listed VMs a second, since a read costs 0.035 ms a VM.

--- a/packages/core/src/plankspindle_core/configuration/configuration.py
+++ b/packages/core/src/plankspindle_core/configuration/configuration.py
@@ -100,6 +100,8 @@
         vm, upstream : str, optional
             Its name, as one or the other.
         """
+        if not self.drains_by_id:
+            return {}
         names_by_kind = {
             DrainKind.REGION: self.region_of(failure_domain),
             DrainKind.FAILURE_DOMAIN: failure_domain,
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -62,6 +62,8 @@
     from plankspindle_daemon.wire.codec import PeerMessage
 
 TICK_S = 0.05
+LIST_VMS_PER_S = 100.0
+"""Listed VMs that one node reads each second, about 11 kB."""
 LAST_HEARTBEATS = 3
 ID_MEMORY_S = 3_600.0
 EXIT_OK = 0
@@ -222,7 +224,12 @@
                 await self._perform(
                     self.node.take_membership(event, now=monotonic(), wall=time.time())
                 )
-            await sleep(self._jittered(self.settings.timing.live_list_ms))
+            await sleep(self._jittered(self._list_period_ms()))
+
+    def _list_period_ms(self) -> float:
+        """Stretch the period with the length of the list, which each reader pays."""
+        listed = len(self.node.membership.listed_by_name)
+        return self.settings.timing.live_list_ms * max(1.0, listed / LIST_VMS_PER_S)
 
     async def _read_configuration(self) -> None:
         while True:
@@ -250,7 +257,7 @@
             source=source,
         )
 
-    def _jittered(self, period_ms: int) -> float:
+    def _jittered(self, period_ms: float) -> float:
         return period_ms / 1000 * self.node.random.uniform(0.8, 1.2)
 
     async def _receive(self, message: PeerMessage, sender: Endpoint) -> None:
--- a/packages/daemon/src/plankspindle_daemon/membership/membership.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/membership.py
@@ -72,6 +72,22 @@
     seeds: tuple[Endpoint, ...] = ()
 
 
+@frozen
+class _View:
+    """The members that count, worked out once until they change."""
+
+    names: tuple[str, ...]
+    digest: int
+
+    @classmethod
+    def of(cls, identities: list[tuple[str, int]]) -> _View:
+        text = "\n".join(f"{name} {number}" for name, number in identities)
+        digest = hashlib.sha256(text.encode()).digest()
+        return cls(
+            tuple(name for name, _ in identities), int.from_bytes(digest[:8], "big")
+        )
+
+
 @define(kw_only=True)
 class Membership:
     """Members of the failure domain as this VM counts them.
@@ -98,6 +114,7 @@
     _next_heartbeat: float = 0.0
     _was_listed: bool = False
     _was_told_to_leave: bool = False
+    _view: _View | None = None
 
     def handle(self, event: MembershipEvent, now: float) -> list[MembershipEffect]:
         """Take one event.
@@ -114,7 +131,7 @@
         list of MembershipEffect
             What the shell must do.
         """
-        before = self._identities()
+        before = self._present()
         effects: list[MembershipEffect] = []
         match event:
             case HeartbeatReceived(heartbeat=heartbeat):
@@ -125,24 +142,28 @@
                 effects += self._due_heartbeats(now)
             case Paused():
                 self._forgive_silence(now)
-        if self._identities() != before:
+        if self._present() != before:
             effects.append(ViewChanged(self.view()))
         return effects
 
     def view(self) -> tuple[str, ...]:
         """Names of all members that count, this VM included, sorted."""
-        return tuple(sorted([self.options.vm, *self.members_by_name]))
+        return self._present().names
 
     def view_digest(self) -> int:
         """Digest of the members and their incarnations, 64 bits."""
-        text = "\n".join(f"{name} {number}" for name, number in self._identities())
-        return int.from_bytes(hashlib.sha256(text.encode()).digest()[:8], "big")
+        return self._present().digest
+
+    def _present(self) -> _View:
+        if self._view is None:
+            others = self.members_by_name.values()
+            identities = [(each.name, each.incarnation) for each in others]
+            own = (self.options.vm, self.options.incarnation)
+            self._view = _View.of(sorted([own, *identities]))
+        return self._view
 
-    def _identities(self) -> list[tuple[str, int]]:
-        others = [
-            (each.name, each.incarnation) for each in self.members_by_name.values()
-        ]
-        return sorted([(self.options.vm, self.options.incarnation), *others])
+    def _forget_view(self) -> None:
+        self._view = None
 
     def heartbeat_period_s(self) -> float:
         """Period of heartbeats to each peer, stretched to keep the byte budget."""
@@ -212,13 +233,17 @@
                 counted_since=now,
             )
             self.members_by_name[member.name] = member
+            self._forget_view()
         if _is_late(member, heartbeat):
             return
+        if member.incarnation != heartbeat.incarnation:
+            self._forget_view()
         if member.incarnation not in (heartbeat.incarnation, 0):
             self.removed_at_by_name[f"{member.name}#{member.incarnation}"] = now
         _copy_heartbeat(member, heartbeat, now)
         if heartbeat.readiness is Readiness.LEFT:
             del self.members_by_name[member.name]
+            self._forget_view()
 
     def _take_list(
         self, vms: tuple[ListedVm, ...], now: float
@@ -248,6 +273,7 @@
                 counted_since=now,
             )
             self.members_by_name[member.name] = member
+            self._forget_view()
         if member is not None:
             member.listed_leaving = listed.leaving
 
@@ -258,6 +284,7 @@
             if listed or not member.is_silent(now=now, suspect_after_s=silence):
                 continue
             del self.members_by_name[name]
+            self._forget_view()
             self.removed_at_by_name[f"{name}#{member.incarnation}"] = now
 
     def _told_to_leave(self) -> list[MembershipEffect]:
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -148,6 +148,8 @@
     refuses_from: float | None = None
     _head_heard_at: float = 0.0
     drained_vms: set[str] = Factory(set)
+    _targets_digest: int = 0
+    _target_by_upstream: dict[tuple[str, int], int] = Factory(dict)
     _sequence: int = 0
     _next_refresh: float = 0.0
     _next_digest: float = 0.0
@@ -430,7 +432,12 @@
         self.refuses_from = self.drains.vm_refuses_from(
             self.vm, self.failure_domain, now=now, wall=wall
         )
-        self.drained_vms = {
+        self.drained_vms = self._find_drained_vms(wall)
+
+    def _find_drained_vms(self, wall: float) -> set[str]:
+        if self.configuration is None or not self.configuration.drains_by_id:
+            return set()
+        return {
             name
             for name, domain in self._domains_by_vm().items()
             if self.drains.vm_is_drained(name, domain, wall=wall)
@@ -603,9 +610,9 @@
         now: float,
     ) -> bool:
         ledger = upstream.ledger
-        target = share_of(
-            vm=self.vm, members=members, upstream=upstream.name, slots=ledger.slots
-        )
+        target = self._target_share(upstream.name, ledger.slots, members)
+        if target == ledger.share:
+            return False
         ledger.shrink_share(target)
         if target <= ledger.share or not self._has_settled(now):
             return False
@@ -616,6 +623,18 @@
         ledger.grow_share(target)
         return True
 
+    def _target_share(self, name: str, slots: int, members: tuple[str, ...]) -> int:
+        digest = self.membership.view_digest()
+        if digest != self._targets_digest:
+            self._targets_digest = digest
+            self._target_by_upstream.clear()
+        key = (name, slots)
+        target = self._target_by_upstream.get(key)
+        if target is None:
+            target = share_of(vm=self.vm, members=members, upstream=name, slots=slots)
+            self._target_by_upstream[key] = target
+        return target
+
     def _has_settled(self, now: float) -> bool:
         return now - self.settling_since >= self.settle_s
 
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/bench/slopes_bench.py
@@ -0,0 +1,310 @@
+"""Slopes of processor time and memory, from which docs/CAPACITY.md is worked out."""
+
+from __future__ import annotations
+
+import json
+import time
+import tracemalloc
+from collections.abc import Callable
+from random import Random
+from statistics import linear_regression
+from statistics import median
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+from attrs import frozen
+
+from plankspindle_core.configuration.codec import configuration_to_mapping
+from plankspindle_core.configuration.codec import decode_configuration
+from plankspindle_core.configuration.codec import encode_configuration
+from plankspindle_core.configuration.configuration import Configuration
+from plankspindle_core.configuration.configuration import Site
+from plankspindle_daemon.dispatch import messages as dispatch
+from plankspindle_daemon.membership import messages as membership
+from plankspindle_daemon.platform.live_list import parse_live_list
+from plankspindle_daemon.steering.block_table import BlockTable
+from plankspindle_daemon.wire.codec import decode
+from plankspindle_daemon.wire.codec import encode
+from plankspindle_daemon.wire.frame import FrameSealer
+from plankspindle_testkit.bench.lookup_bench import build_blocks
+from plankspindle_testkit.bench.table import print_table
+from plankspindle_testkit.builders import VmPlace
+from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_ticket
+from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.trial.trial_vm import TrialVm
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.node.node import Node
+
+REPEATS = 5
+WALL = 1_000.0
+
+
+@frozen(kw_only=True)
+class Slope:
+    """A cost at some sizes.
+
+    Parameters
+    ----------
+    name, unit : str
+        What is measured, in which unit.
+    sizes : tuple of int
+        Sizes.
+    measure : callable
+        Gives the cost at a size.
+    """
+
+    name: str
+    unit: str
+    sizes: tuple[int, ...]
+    measure: Callable[[int], float]
+
+
+def run_slopes_bench() -> None:
+    """Print a row for each slope: values, linear fit, worst error of the fit."""
+    rows = []
+    for slope in SLOPES:
+        values = [slope.measure(size) for size in slope.sizes]
+        fit = linear_regression(slope.sizes, values)
+        errors = [
+            abs(value - fit.intercept - fit.slope * size)
+            for size, value in zip(slope.sizes, values, strict=True)
+        ]
+        rows.append(
+            [
+                slope.name,
+                " / ".join(str(size) for size in slope.sizes),
+                " / ".join(f"{value:.3g}" for value in values),
+                f"{fit.intercept:.3g} + {fit.slope:.3g} n {slope.unit}",
+                f"{100 * max(errors) / max(values):.0f} %",
+            ]
+        )
+    columns = ("cost", "sizes n", "values", "fit", "worst error")
+    print_table(f"Slopes, median of {REPEATS} repeats each", columns, rows)
+
+
+def _median_ms(function: Callable[[], object]) -> float:
+    times = []
+    for _ in range(REPEATS):
+        began = time.perf_counter()
+        function()
+        times.append((time.perf_counter() - began) * 1000)
+    return median(times)
+
+
+def _place(number: int) -> VmPlace:
+    return VmPlace(
+        name=f"vm-{number:04}",
+        failure_domain="ba-1",
+        host=f"10.0.{number // 250}.{number % 250 + 1}",
+        base_port=7000,
+    )
+
+
+def _build_node(members: int, upstreams: int = 60) -> Node:
+    """Build a node that has heard all members of its failure domain."""
+    places = [_place(number) for number in range(members)]
+    node = TrialVm.start(places[0], seeds=[], random=Random(1), now=0.0).node
+    configuration = build_configuration(
+        upstreams_by_name={
+            f"u{number}": build_upstream(slots=9) for number in range(upstreams)
+        }
+    )
+    node.adopt(configuration, version=1, now=0.0)
+    for place in places[1:]:
+        other = TrialVm.start(place, seeds=[], random=Random(place.name), now=0.0)
+        heartbeat = other.node.heartbeat(now=0.1)
+        node.take_membership(
+            membership.HeartbeatReceived(heartbeat), now=0.1, wall=WALL
+        )
+    return node
+
+
+def _tick_ms(members: int) -> float:
+    node = _build_node(members)
+    node.tick(now=3.0, wall=WALL)
+    steps = iter(range(10_000))
+
+    def tick() -> None:
+        for _ in range(20):
+            node.tick(now=3.0 + 0.05 * next(steps), wall=WALL)
+
+    return _median_ms(tick) / 20
+
+
+def _heartbeat_ms(members: int) -> float:
+    """Receive one heartbeat: open, decode, decide."""
+    node = _build_node(members)
+    sealer = FrameSealer(keys=[b"k" * 16])
+    sender = TrialVm.start(_place(1), seeds=[], random=Random("vm-0001"), now=0.0)
+    first = sender.node.heartbeat(now=0.2)
+    frames = [
+        sealer.seal(encode(evolve(first, sequence=number + 2))) for number in range(200)
+    ]
+    rest = iter(frames * REPEATS)
+
+    def receive() -> None:
+        for _ in range(100):
+            heartbeat = sealer.open(next(rest)).and_then(decode).unwrap()
+            assert isinstance(heartbeat, membership.Heartbeat)
+            event = membership.HeartbeatReceived(heartbeat)
+            node.take_membership(event, now=0.3, wall=WALL)
+
+    return _median_ms(receive) / 100
+
+
+def _dispatch_ms(upstreams: int) -> float:
+    """Assign one request and take its end."""
+    node = _build_node(1, upstreams)
+    node.tick(now=3.0, wall=WALL)
+    numbers = iter(range(10**6))
+
+    def serve() -> None:
+        for _ in range(50):
+            ticket = build_ticket(next(numbers))
+            arrived = node.take_dispatch("registry", dispatch.Arrived(ticket), 3.0)
+            upstream = arrived[0].effect.upstream  # type: ignore[union-attr]
+            ended = dispatch.Ended(
+                ticket=ticket,
+                upstream=upstream,
+                verdict=dispatch.Verdict.ANSWERED,
+                head_s=0.01,
+                total_s=0.01,
+            )
+            node.take_dispatch("registry", ended, 3.0)
+
+    return _median_ms(serve) / 50
+
+
+def _configuration(blocks: int) -> Configuration:
+    site_by_prefix = build_blocks(blocks)
+    sites = {name: Site(failure_domain="ba-1") for name in set(site_by_prefix.values())}
+    return build_configuration(site_by_prefix=site_by_prefix, sites_by_name=sites)
+
+
+def _adopt_ms(blocks: int) -> float:
+    """Decode a version, build its table and put it in force."""
+    content = encode_configuration(_configuration(blocks))
+    versions = iter(range(1, 100))
+    node = _build_node(1)
+
+    def adopt() -> None:
+        decoded = decode_configuration(content).unwrap()
+        node.adopt(decoded, version=node.version + next(versions), now=5.0)
+
+    return _median_ms(adopt)
+
+
+def _content_kib(blocks: int) -> float:
+    return len(json.dumps(configuration_to_mapping(_configuration(blocks)))) / 1024
+
+
+def _table_kib(blocks: int) -> float:
+    return BlockTable(site_by_prefix=build_blocks(blocks)).nbytes / 1024
+
+
+def _configuration_mib(blocks: int) -> float:
+    """Memory of a decoded version with its block table."""
+    content = encode_configuration(_configuration(blocks))
+    tracemalloc.start()
+    decoded = decode_configuration(content).unwrap()
+    table = BlockTable(site_by_prefix=decoded.site_by_prefix)
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert table.blocks == blocks
+    return held / 1024**2
+
+
+def _list_ms(vms: int) -> float:
+    """Read the platform's list of entry VMs and take it."""
+    node = _build_node(1)
+    document = {
+        "vms": [
+            {
+                "name": f"vm-{number:04}",
+                "kind": "entry",
+                "failure_domain": f"d-{number % 22}",
+                "caller": f"10.0.0.{number % 250 + 1}:7000",
+                "peer": f"10.0.0.{number % 250 + 1}:7002",
+            }
+            for number in range(vms)
+        ]
+    }
+    content = json.dumps(document)
+
+    def read() -> None:
+        listed = parse_live_list(json.loads(content)).unwrap()
+        node.take_membership(membership.LiveListRead(tuple(listed)), now=9.0, wall=WALL)
+
+    return _median_ms(read)
+
+
+def _digests_ms(senders: int) -> float:
+    """Add up the load of all failure domains for a plan."""
+    node = _build_node(1)
+    node.tick(now=3.0, wall=WALL)
+    digest = node.load_digest(3.0)
+    for number in range(senders):
+        node.digests.take(evolve(digest, sender=f"vm-{number}"), 3.0)
+    return _median_ms(
+        lambda: node.digests.load_of(service="registry", domains={"ba-1"}, now=3.0)
+    )
+
+
+SLOPES = [
+    Slope(
+        name="tick, by members of the domain (60 upstreams)",
+        unit="ms",
+        sizes=(10, 50, 100, 205),
+        measure=_tick_ms,
+    ),
+    Slope(
+        name="heartbeat received, by members of the domain",
+        unit="ms",
+        sizes=(10, 50, 100, 205),
+        measure=_heartbeat_ms,
+    ),
+    Slope(
+        name="request dispatched, by upstreams of the domain",
+        unit="ms",
+        sizes=(4, 15, 30, 60),
+        measure=_dispatch_ms,
+    ),
+    Slope(
+        name="version adopted, by client blocks",
+        unit="ms",
+        sizes=(1_000, 5_000, 10_000, 20_000),
+        measure=_adopt_ms,
+    ),
+    Slope(
+        name="content of a version, by client blocks",
+        unit="KiB",
+        sizes=(1_000, 5_000, 20_000),
+        measure=_content_kib,
+    ),
+    Slope(
+        name="block table, by client blocks",
+        unit="KiB",
+        sizes=(1_000, 5_000, 20_000),
+        measure=_table_kib,
+    ),
+    Slope(
+        name="memory of a version, by client blocks",
+        unit="MiB",
+        sizes=(1_000, 5_000, 20_000),
+        measure=_configuration_mib,
+    ),
+    Slope(
+        name="list of VMs read and taken, by VMs",
+        unit="ms",
+        sizes=(100, 500, 1_000, 2_000),
+        measure=_list_ms,
+    ),
+    Slope(
+        name="load added up for a plan, by senders",
+        unit="ms",
+        sizes=(100, 1_000, 4_500),
+        measure=_digests_ms,
+    ),
+]
