Split the node and the caller listener, and read unreadable values one way

Four error classes for values that cannot be read became one.

The demo waits for digests before it plans, since a target that was not heard counts as full.

--- a/packages/core/src/plankspindle_core/errors.py
+++ b/packages/core/src/plankspindle_core/errors.py
@@ -19,3 +19,16 @@
 
     def __str__(self) -> str:
         return "; ".join(self.problems)
+
+
+@frozen
+class Unreadable:
+    """A value from outside that does not have the form it must have.
+
+    Parameters
+    ----------
+    detail : str
+        What is wrong with it.
+    """
+
+    detail: str
--- a/packages/daemon/src/plankspindle_daemon/configuration/head_row.py
+++ b/packages/daemon/src/plankspindle_daemon/configuration/head_row.py
@@ -9,20 +9,9 @@
 from result import Ok
 from result import Result
 
-HEAD_KEY = "configuration/head"
-
-
-@frozen
-class BadHead:
-    """A head row that cannot be read.
-
-    Parameters
-    ----------
-    detail : str
-        What is wrong with it.
-    """
+from plankspindle_core.errors import Unreadable
 
-    detail: str
+HEAD_KEY = "configuration/head"
 
 
 @frozen(kw_only=True)
@@ -56,7 +45,7 @@
         }
 
 
-def head_row_from_mapping(mapping: Any) -> Result[HeadRow, BadHead]:
+def head_row_from_mapping(mapping: Any) -> Result[HeadRow, Unreadable]:
     """Read the form kept in the table service."""
     try:
         return Ok(
@@ -68,7 +57,7 @@
             )
         )
     except (KeyError, TypeError, ValueError) as error:
-        return Err(BadHead(repr(error)))
+        return Err(Unreadable(repr(error)))
 
 
 def object_name(digest: str) -> str:
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/configuration/head_watch.py
@@ -0,0 +1,52 @@
+"""When the head of the configuration was last read, by this VM or a member."""
+
+from __future__ import annotations
+
+from attrs import define
+
+NEVER_MS = 0xFFFFFFFF
+FRESH_S = 30.0
+"""Time without word of the platform after which shifts are no longer applied."""
+
+
+@define(kw_only=True)
+class HeadWatch:
+    """Age of the knowledge that the version in force is the newest.
+
+    Parameters
+    ----------
+    read_at : float, optional
+        When this VM read the head, monotonic seconds.
+    heard_at : float
+        When a member read it, as far as heard, monotonic seconds.
+    """
+
+    read_at: float | None = None
+    heard_at: float = 0.0
+
+    def note_read(self, now: float) -> None:
+        """Record that this VM read the head."""
+        self.read_at = now
+
+    def note_heard(self, ago_ms: int, now: float) -> None:
+        """Record what a member says of the age of its knowledge."""
+        self.heard_at = max(self.heard_at, now - ago_ms / 1000)
+
+    def ago_s(self, now: float) -> float | None:
+        """Time since anybody read the head, in seconds; None if never."""
+        latest = max(self.read_at or 0.0, self.heard_at)
+        return now - latest if latest > 0.0 else None
+
+    def ago_ms(self, now: float) -> int:
+        """Time since anybody read the head, as heartbeats carry it."""
+        ago_s = self.ago_s(now)
+        return NEVER_MS if ago_s is None else min(NEVER_MS, int(ago_s * 1000))
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether shifts are applied.
+
+        A failure domain that is cut off cannot learn that a shift was ended, so it
+        stops moving requests when its version has not been confirmed for a while.
+        """
+        ago_s = self.ago_s(now)
+        return ago_s is not None and ago_s <= FRESH_S
--- a/packages/daemon/src/plankspindle_daemon/control/plan.py
+++ b/packages/daemon/src/plankspindle_daemon/control/plan.py
@@ -11,6 +11,8 @@
 from result import Ok
 from result import Result
 
+from plankspindle_core.errors import Unreadable
+
 PLAN_LIFE_S = 900.0
 PLANS_PREFIX = "plans/"
 
@@ -78,14 +80,7 @@
         }
 
 
-@frozen
-class BadPlan:
-    """A plan row that cannot be read."""
-
-    detail: str
-
-
-def plan_from_mapping(mapping: Any) -> Result[Plan, BadPlan]:
+def plan_from_mapping(mapping: Any) -> Result[Plan, Unreadable]:
     """Read the form kept in the table service."""
     try:
         return Ok(
@@ -101,7 +96,7 @@
             )
         )
     except (KeyError, TypeError, ValueError) as error:
-        return Err(BadPlan(repr(error)))
+        return Err(Unreadable(repr(error)))
 
 
 def plan_key(plan_id: str) -> str:
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -36,6 +36,7 @@
 from plankspindle_daemon.leaving.leave import Left
 from plankspindle_daemon.listeners.caller_listener import CallerListener
 from plankspindle_daemon.listeners.operator_listener import OperatorListener
+from plankspindle_daemon.listeners.request_service import RequestService
 from plankspindle_daemon.membership.membership import Membership
 from plankspindle_daemon.membership.membership import MembershipOptions
 from plankspindle_daemon.membership.messages import Heartbeat
@@ -123,9 +124,16 @@
             settings=settings,
             supervisor=self._supervisor,
             node=self.node,
-            dispatch=self._dispatch,
-            pool=self._pool,
-            gate=IdempotencyGate(node=self.node, claims=self._claims, random=random),
+            requests=RequestService(
+                settings=settings,
+                node=self.node,
+                dispatch=self._dispatch,
+                pool=self._pool,
+                gate=IdempotencyGate(
+                    node=self.node, claims=self._claims, random=random
+                ),
+                metrics=requests,
+            ),
             metrics=requests,
         )
         self._operators = OperatorListener(
@@ -238,7 +246,7 @@
                 continue
             read = await self._reader.read_newer(self.node.version)
             if read.is_ok():
-                self.node.note_head_read(monotonic())
+                self.node.head.note_read(monotonic())
             else:
                 log_event("configuration_unread", detail=read.unwrap_err().detail)
             newer = read.unwrap_or(None)
@@ -283,7 +291,7 @@
                     self.node.take_headroom_request(message, sender, monotonic())
                 )
             case HeadroomGrant():
-                self.node.grants.take_grant(message, monotonic())
+                self.node.headroom.grants.take_grant(message, monotonic())
             case LoadDigest():
                 self.node.digests.take(message, monotonic())
             case SlotGrant():
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/digests/own_digest.py
@@ -0,0 +1,65 @@
+"""The load digest of this entry VM, and whom to send it to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from plankspindle_daemon.digests.messages import ServiceLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+    from random import Random
+
+    from plankspindle_core.endpoint import Endpoint
+    from plankspindle_daemon.dispatch.dispatcher import Dispatcher
+    from plankspindle_daemon.platform.live_list import ListedVm
+
+MAX_LOADS = 16
+"""Services in a digest, so that it fits a frame."""
+
+
+def sum_up_loads(
+    dispatchers_by_service: Mapping[str, Dispatcher], now: float
+) -> tuple[ServiceLoad, ...]:
+    """Sum up the load of each service on this VM."""
+    loads = [
+        ServiceLoad(
+            service=service,
+            capacity=dispatcher.capacity(now),
+            in_flight=dispatcher.in_flight(),
+            queued=len(dispatcher.queue),
+        )
+        for service, dispatcher in sorted(dispatchers_by_service.items())
+    ]
+    return tuple(loads[:MAX_LOADS])
+
+
+def one_vm_a_domain(
+    listed: Iterable[ListedVm], *, me: str, random: Random
+) -> list[Endpoint]:
+    """Choose one other entry VM of each failure domain.
+
+    Parameters
+    ----------
+    listed : iterable of ListedVm
+        The platform's list.
+    me : str
+        Name of this VM.
+    random : Random
+        Source of the choices.
+
+    Returns
+    -------
+    list of Endpoint
+        Peer listeners, in the order of their failure domains.
+    """
+    endpoints_by_domain: dict[str, list[Endpoint]] = {}
+    for vm in listed:
+        if vm.peer_endpoint is not None and vm.name != me:
+            endpoints = endpoints_by_domain.setdefault(vm.failure_domain, [])
+            endpoints.append(vm.peer_endpoint)
+    return [
+        random.choice(sorted(endpoints))
+        for _, endpoints in sorted(endpoints_by_domain.items())
+    ]
--- a/packages/daemon/src/plankspindle_daemon/exchange/caller_request.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/caller_request.py
@@ -158,9 +158,20 @@
     return kept
 
 
-def headers_for_peer(headers: HeaderList) -> HeaderList:
-    """Give the headers that go on to another entry VM, without framing and deadline."""
+def headers_for_peer(headers: HeaderList, *, grant: int | None) -> HeaderList:
+    """Give the headers that go on to another entry VM, without framing and deadline.
+
+    Parameters
+    ----------
+    headers : list of (bytes, bytes)
+        Headers of the caller.
+    grant : int, optional
+        Grant of headroom under which the request is moved.
+    """
     dropped = {b"host", b"expect", b"content-length", header_names.DEADLINE}
     dropped |= {header_names.TIMEOUT, header_names.FORWARDED, header_names.GRANT}
     kept = [each for each in without_hop_by_hop(headers) if each[0] not in dropped]
-    return [*kept, (header_names.FORWARDED, b"1")]
+    kept.append((header_names.FORWARDED, b"1"))
+    if grant is not None:
+        kept.append((header_names.GRANT, str(grant).encode()))
+    return kept
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/headroom/headroom_manager.py
@@ -0,0 +1,136 @@
+"""Asking for headroom in other regions, and granting one's own."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import define
+from attrs import field
+from attrs import frozen
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.headroom.grant_book import GrantBook
+from plankspindle_daemon.headroom.headroom_ledger import HeadroomLedger
+from plankspindle_daemon.headroom.messages import HeadroomGrant
+from plankspindle_daemon.headroom.messages import HeadroomRequest
+from plankspindle_daemon.node.effects import SendToPeer
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.dispatch.dispatcher import Dispatcher
+
+MAX_ASKED = 64
+GRANT_DURATION_MS = 2_000
+ASK_PERIOD_S = 0.25
+
+
+@frozen(kw_only=True)
+class HeadroomTarget:
+    """An entry VM of another region that may be asked.
+
+    Parameters
+    ----------
+    service, region : str
+        What is to be moved, and where to.
+    caller_endpoint, peer_endpoint : Endpoint
+        Listeners of the entry VM.
+    """
+
+    service: str
+    region: str
+    caller_endpoint: Endpoint
+    peer_endpoint: Endpoint
+
+
+@define(kw_only=True)
+class HeadroomManager:
+    """Both sides of the grants of one entry VM.
+
+    Parameters
+    ----------
+    vm : str
+        Name of this VM.
+    incarnation : int
+        Number of this process.
+    random : Random
+        Source of request ids.
+    """
+
+    vm: str
+    incarnation: int
+    random: Random
+    grants: GrantBook = field(init=False)
+    ledgers_by_service: dict[str, HeadroomLedger] = Factory(dict)
+    _next_round: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        self.grants = GrantBook(incarnation=self.incarnation)
+
+    def is_round_due(self, now: float) -> bool:
+        """Tell whether it is time to ask, at most once a period."""
+        if now < self._next_round:
+            return False
+        self._next_round = now + ASK_PERIOD_S
+        return True
+
+    def ask(self, target: HeadroomTarget, now: float) -> list[SendToPeer]:
+        """Ask for as much headroom as there is use for, maybe for nothing."""
+        wanted = self.grants.wanted(
+            service=target.service, region=target.region, now=now
+        )
+        if wanted == 0:
+            return []
+        request = HeadroomRequest(
+            sender=self.vm,
+            request_id=self.random.getrandbits(63),
+            service=target.service,
+            count=min(wanted, MAX_ASKED),
+            duration_ms=GRANT_DURATION_MS,
+            incarnation=self.incarnation,
+        )
+        self.grants.note_asked(
+            request, region=target.region, endpoint=target.caller_endpoint, now=now
+        )
+        return [SendToPeer(message=request, to=target.peer_endpoint)]
+
+    def answer(
+        self,
+        request: HeadroomRequest,
+        dispatcher: Dispatcher,
+        reply_to: Endpoint,
+        now: float,
+    ) -> list[SendToPeer]:
+        """Promise headroom from the counts of the own dispatcher, or say nothing."""
+        if dispatcher.queue:
+            return []
+        ledger = self.ledgers_by_service.setdefault(request.service, HeadroomLedger())
+        duration_ms = min(request.duration_ms, GRANT_DURATION_MS)
+        count = ledger.grant(
+            request_id=request.request_id,
+            wanted=request.count,
+            capacity=dispatcher.capacity(now),
+            in_flight=dispatcher.in_flight(),
+            now=now,
+            until=now + duration_ms / 1000,
+        )
+        if count == 0:
+            return []
+        grant = HeadroomGrant(
+            sender=self.vm,
+            request_id=request.request_id,
+            service=request.service,
+            count=count,
+            duration_ms=duration_ms,
+            holder_incarnation=request.incarnation,
+        )
+        return [SendToPeer(message=grant, to=reply_to)]
+
+    def begin_moved(self, service: str, request_id: int, now: float) -> bool:
+        """Start a request that was moved here, if a promise allows it."""
+        ledger = self.ledgers_by_service.get(service)
+        return ledger is not None and ledger.begin(request_id, now)
+
+    def end_moved(self, service: str, request_id: int) -> None:
+        """End a request that was moved here."""
+        self.ledgers_by_service[service].end(request_id)
--- a/packages/daemon/src/plankspindle_daemon/idempotency/claim_row.py
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/claim_row.py
@@ -12,8 +12,8 @@
 from result import Ok
 from result import Result
 
+from plankspindle_core.errors import Unreadable
 from plankspindle_daemon.idempotency.fingerprint import Fingerprint
-from plankspindle_daemon.idempotency.recorded_answer import BadRecord
 from plankspindle_daemon.idempotency.recorded_answer import RecordedAnswer
 from plankspindle_daemon.idempotency.recorded_answer import answer_from_mapping
 
@@ -73,7 +73,7 @@
         }
 
 
-def claim_row_from_mapping(mapping: Any) -> Result[ClaimRow, BadRecord]:
+def claim_row_from_mapping(mapping: Any) -> Result[ClaimRow, Unreadable]:
     """Read the form kept in the table service."""
     try:
         recorded = mapping["answer"]
@@ -95,7 +95,7 @@
             )
         )
     except (KeyError, TypeError, ValueError) as error:
-        return Err(BadRecord(repr(error)))
+        return Err(Unreadable(repr(error)))
 
 
 def claim_key(*, service: str, idempotency_key: str) -> str:
--- a/packages/daemon/src/plankspindle_daemon/idempotency/recorded_answer.py
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/recorded_answer.py
@@ -11,22 +11,10 @@
 from result import Ok
 from result import Result
 
+from plankspindle_core.errors import Unreadable
 from plankspindle_core.http.headers import HeaderList
 
 
-@frozen
-class BadRecord:
-    """A record that cannot be read.
-
-    Parameters
-    ----------
-    detail : str
-        What is wrong with it.
-    """
-
-    detail: str
-
-
 @frozen(kw_only=True)
 class RecordedAnswer:
     """A complete answer of an upstream.
@@ -57,7 +45,7 @@
         }
 
 
-def answer_from_mapping(mapping: Any) -> Result[RecordedAnswer, BadRecord]:
+def answer_from_mapping(mapping: Any) -> Result[RecordedAnswer, Unreadable]:
     """Read the form kept in the table service."""
     try:
         return Ok(
@@ -71,4 +59,4 @@
             )
         )
     except (KeyError, TypeError, ValueError, binascii.Error) as error:
-        return Err(BadRecord(repr(error)))
+        return Err(Unreadable(repr(error)))
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -16,19 +16,19 @@
 from plankspindle_core.invariants import check_invariant
 from plankspindle_daemon.admission.caller_directory import CallerDirectory
 from plankspindle_daemon.admission.class_queue import ClassQueue
+from plankspindle_daemon.configuration.head_watch import HeadWatch
 from plankspindle_daemon.configuration.spread_targets import spread_targets
 from plankspindle_daemon.configuration.version_exchange import LearnedContent
 from plankspindle_daemon.configuration.version_exchange import VersionExchange
 from plankspindle_daemon.digests.digest_book import DigestBook
 from plankspindle_daemon.digests.messages import LoadDigest
-from plankspindle_daemon.digests.messages import ServiceLoad
+from plankspindle_daemon.digests.own_digest import one_vm_a_domain
+from plankspindle_daemon.digests.own_digest import sum_up_loads
 from plankspindle_daemon.dispatch import messages as dispatch
 from plankspindle_daemon.dispatch.dispatcher import Dispatcher
 from plankspindle_daemon.drains.drain_clock import DrainClock
-from plankspindle_daemon.headroom.grant_book import GrantBook
-from plankspindle_daemon.headroom.headroom_ledger import HeadroomLedger
-from plankspindle_daemon.headroom.messages import HeadroomGrant
-from plankspindle_daemon.headroom.messages import HeadroomRequest
+from plankspindle_daemon.headroom.headroom_manager import HeadroomManager
+from plankspindle_daemon.headroom.headroom_manager import HeadroomTarget
 from plankspindle_daemon.idempotency.issued_ids import IssuedIds
 from plankspindle_daemon.leaving.leave import Leave
 from plankspindle_daemon.membership import messages as membership
@@ -49,8 +49,8 @@
 from plankspindle_daemon.upstreams.health import Ramping
 from plankspindle_daemon.upstreams.health import UpstreamHealth
 from plankspindle_daemon.upstreams.health import Warm
+from plankspindle_daemon.upstreams.share_keeper import ShareKeeper
 from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
-from plankspindle_daemon.upstreams.slot_share import share_of
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
 if TYPE_CHECKING:
@@ -61,6 +61,7 @@
     from plankspindle_daemon.configuration.messages import ContentChunk
     from plankspindle_daemon.configuration.messages import ContentRequest
     from plankspindle_daemon.dispatch.messages import DispatchEvent
+    from plankspindle_daemon.headroom.messages import HeadroomRequest
     from plankspindle_daemon.membership.messages import MembershipEffect
     from plankspindle_daemon.membership.messages import MembershipEvent
     from plankspindle_daemon.platform.live_list import ListedVm
@@ -69,15 +70,8 @@
 OVERLOADED_SHARE = 0.5
 """Share of a queue's limit from which on look-ups do not name this VM."""
 MAX_OVER_SHARE_NAMED = 16
-MAX_LOADS_IN_DIGEST = 16
-MAX_HEADROOM_ASKED = 64
-GRANT_DURATION_MS = 2_000
-GRANT_PERIOD_S = 0.25
 DIGEST_PERIOD_S = 1.0
 REFRESH_S = 0.25
-NEVER_MS = 0xFFFFFFFF
-FRESH_S = 30.0
-"""Time without word of the platform after which shifts are no longer applied."""
 
 
 @define(kw_only=True)
@@ -106,8 +100,7 @@
         Monotonic seconds.
     settle_s : float
         Time for which a new process listens for peers before it takes slots, in
-        seconds. A list that was read does not shorten it: it may lack VMs that still
-        run.
+        seconds.
 
     Attributes
     ----------
@@ -137,27 +130,29 @@
     meter: ShiftMeter = Factory(lambda: ShiftMeter.create(region=None))
     dispatchers_by_service: dict[str, Dispatcher] = Factory(dict)
     budgets_by_service: dict[str, RetryBudget] = Factory(dict)
-    grants: GrantBook = field(init=False)
-    headroom_by_service: dict[str, HeadroomLedger] = Factory(dict)
+    headroom: HeadroomManager = field(init=False)
+    shares: ShareKeeper = field(init=False)
+    head: HeadWatch = Factory(HeadWatch)
     digests: DigestBook = Factory(DigestBook)
     drains: DrainClock = Factory(DrainClock)
     list_read_at: float | None = None
-    settling_since: float = field(init=False)
     versions: VersionExchange = field(init=False)
-    head_read_at: float | None = None
     refuses_from: float | None = None
-    _head_heard_at: float = 0.0
     drained_vms: set[str] = Factory(set)
-    _targets_digest: int = 0
-    _target_by_upstream: dict[tuple[str, int], int] = Factory(dict)
     _sequence: int = 0
     _next_refresh: float = 0.0
     _next_digest: float = 0.0
-    _next_grant_round: float = 0.0
 
     def __attrs_post_init__(self) -> None:
-        self.settling_since = self.started_at
-        self.grants = GrantBook(incarnation=self.incarnation)
+        self.headroom = HeadroomManager(
+            vm=self.vm, incarnation=self.incarnation, random=self.random
+        )
+        self.shares = ShareKeeper(
+            vm=self.vm,
+            membership=self.membership,
+            started_at=self.started_at,
+            settle_s=self.settle_s,
+        )
         self.versions = VersionExchange(vm=self.vm)
 
     def adopt(
@@ -210,32 +205,12 @@
 
     def is_reader(self, now: float) -> bool:
         """Tell whether this VM is to poll the platform for a new version."""
-        return self.versions.is_reader(self.membership.view(), now, self._head_heard_at)
-
-    def may_shift(self, now: float) -> bool:
-        """Tell whether shifts are applied.
-
-        A failure domain that is cut off cannot learn that a shift was ended, so it
-        stops moving requests when its version has not been confirmed for a while.
-        """
-        ago_s = self.head_read_ago_s(now)
-        return ago_s is not None and ago_s <= FRESH_S
-
-    def note_head_read(self, now: float) -> None:
-        """Record that this VM read the head of the configuration."""
-        self.head_read_at = now
-
-    def head_read_ago_s(self, now: float) -> float | None:
-        """Time since this VM, or a member it heard, read the head."""
-        times = [self.head_read_at or 0.0, self._head_heard_at]
-        latest = max(times)
-        return now - latest if latest > 0.0 else None
+        return self.versions.is_reader(self.membership.view(), now, self.head.heard_at)
 
     def _hear_version(self, heartbeat: Heartbeat, now: float) -> list[NodeEffect]:
         if heartbeat.sender not in self.membership.members_by_name:
             return []
-        read_at = now - heartbeat.head_read_ago_ms / 1000
-        self._head_heard_at = max(self._head_heard_at, read_at)
+        self.head.note_heard(heartbeat.head_read_ago_ms, now)
         asked = self.versions.hear_version(
             heartbeat.sender, heartbeat.configuration_version, now
         )
@@ -462,72 +437,47 @@
         if now >= self._next_digest:
             self._next_digest = now + DIGEST_PERIOD_S
             effects += self._send_digests(now)
-        if now >= self._next_grant_round:
-            self._next_grant_round = now + GRANT_PERIOD_S
-            effects += self._ask_for_headroom(now)
+        if self.headroom.is_round_due(now):
+            for target in self._headroom_targets():
+                effects += self.headroom.ask(target, now)
         return effects
 
     def _send_digests(self, now: float) -> list[NodeEffect]:
         """Send the own load to one VM of each failure domain."""
-        if self.configuration is None:
-            return []
         digest = self.load_digest(now)
         self.digests.take(digest, now)
-        endpoints_by_domain: dict[str, list[Endpoint]] = {}
-        for listed in self.membership.listed_by_name.values():
-            if listed.peer_endpoint is not None and listed.name != self.vm:
-                endpoints = endpoints_by_domain.setdefault(listed.failure_domain, [])
-                endpoints.append(listed.peer_endpoint)
-        return [
-            SendToPeer(message=digest, to=self.random.choice(sorted(endpoints)))
-            for _, endpoints in sorted(endpoints_by_domain.items())
-        ]
+        listed = self.membership.listed_by_name.values()
+        endpoints = one_vm_a_domain(listed, me=self.vm, random=self.random)
+        return [SendToPeer(message=digest, to=endpoint) for endpoint in endpoints]
 
     def load_digest(self, now: float) -> LoadDigest:
         """Sum up the own load."""
-        loads = [
-            ServiceLoad(
-                service=service,
-                capacity=dispatcher.capacity(now),
-                in_flight=dispatcher.in_flight(),
-                queued=len(dispatcher.queue),
-            )
-            for service, dispatcher in sorted(self.dispatchers_by_service.items())
-        ]
         return LoadDigest(
             sender=self.vm,
             failure_domain=self.failure_domain,
             configuration_version=self.version,
-            loads=tuple(loads[:MAX_LOADS_IN_DIGEST]),
+            loads=sum_up_loads(self.dispatchers_by_service, now),
         )
 
-    def _ask_for_headroom(self, now: float) -> list[NodeEffect]:
-        effects: list[NodeEffect] = []
-        for metered in self.meter.counts_by_id().values():
-            service, region = metered.shift.service, metered.shift.to_region
-            wanted = self.grants.wanted(service=service, region=region, now=now)
-            target = self._vm_in_region(region)
-            if wanted == 0 or target is None:
-                continue
-            request = HeadroomRequest(
-                sender=self.vm,
-                request_id=self.random.getrandbits(63),
-                service=service,
-                count=min(wanted, MAX_HEADROOM_ASKED),
-                duration_ms=GRANT_DURATION_MS,
-                incarnation=self.incarnation,
-            )
-            caller, peer = target
-            self.grants.note_asked(request, region=region, endpoint=caller, now=now)
-            effects.append(SendToPeer(message=request, to=peer))
-        return effects
+    def _headroom_targets(self) -> list[HeadroomTarget]:
+        """Choose an entry VM for each shift out of the own region."""
+        chosen = [
+            self._target_of(metered.shift.service, metered.shift.to_region)
+            for metered in self.meter.counts_by_id().values()
+        ]
+        return [each for each in chosen if each is not None]
 
-    def _vm_in_region(self, region: str) -> tuple[Endpoint, Endpoint] | None:
+    def _target_of(self, service: str, region: str) -> HeadroomTarget | None:
         if self.configuration is None:
             return None
         domains = self.configuration.domains_of(region)
         fitting = [
-            (listed.caller_endpoint, listed.peer_endpoint)
+            HeadroomTarget(
+                service=service,
+                region=region,
+                caller_endpoint=listed.caller_endpoint,
+                peer_endpoint=listed.peer_endpoint,
+            )
             for listed in self.membership.listed_by_name.values()
             if listed.failure_domain in domains
             and not listed.leaving
@@ -535,50 +485,21 @@
             and listed.caller_endpoint is not None
             and listed.peer_endpoint is not None
         ]
-        return self.random.choice(sorted(fitting)) if fitting else None
+        return self.random.choice(fitting) if fitting else None
 
     def take_headroom_request(
         self, request: HeadroomRequest, reply_to: Endpoint, now: float
     ) -> list[NodeEffect]:
-        """Promise headroom from own counts, or say nothing."""
+        """Promise headroom, unless this VM refuses requests."""
         dispatcher = self.dispatchers_by_service.get(request.service)
-        if dispatcher is None or dispatcher.queue or not self.accepts(now):
-            return []
-        ledger = self.headroom_by_service.setdefault(request.service, HeadroomLedger())
-        duration_ms = min(request.duration_ms, GRANT_DURATION_MS)
-        count = ledger.grant(
-            request_id=request.request_id,
-            wanted=request.count,
-            capacity=dispatcher.capacity(now),
-            in_flight=dispatcher.in_flight(),
-            now=now,
-            until=now + duration_ms / 1000,
-        )
-        if count == 0:
+        if dispatcher is None or not self.accepts(now):
             return []
-        grant = HeadroomGrant(
-            sender=self.vm,
-            request_id=request.request_id,
-            service=request.service,
-            count=count,
-            duration_ms=duration_ms,
-            holder_incarnation=request.incarnation,
-        )
-        return [SendToPeer(message=grant, to=reply_to)]
-
-    def begin_moved(self, service: str, request_id: int, now: float) -> bool:
-        """Start a request that was moved here, if a promise allows it."""
-        ledger = self.headroom_by_service.get(service)
-        return ledger is not None and ledger.begin(request_id, now)
-
-    def end_moved(self, service: str, request_id: int) -> None:
-        """End a request that was moved here."""
-        self.headroom_by_service[service].end(request_id)
+        return [*self.headroom.answer(request, dispatcher, reply_to, now)]
 
     def wake_from_pause(self, *, now: float, wall: float) -> list[NodeEffect]:
         """Distrust what was agreed before the process stood still."""
-        self.settling_since = now
-        self.grants.drop_all()
+        self.shares.distrust(now)
+        self.headroom.grants.drop_all()
         effects: list[NodeEffect] = []
         for service in self.dispatchers_by_service:
             effects += self.take_dispatch(service, dispatch.Paused(), now)
@@ -588,7 +509,6 @@
     def _update_shares(self, now: float) -> list[NodeEffect]:
         if self.configuration is None:
             return []
-        members = self.membership.view()
         effects: list[NodeEffect] = []
         for service, dispatcher in self.dispatchers_by_service.items():
             declared = self.configuration.services_by_name.get(service)
@@ -597,47 +517,13 @@
             longest_s = declared.longest_timeout_ms / 1000
             grew = False
             for upstream in dispatcher.upstreams_by_name.values():
-                grew |= self._update_share(upstream, members, longest_s, now)
+                grew |= self.shares.update(
+                    upstream.name, upstream.ledger, longest_work_s=longest_s, now=now
+                )
             if grew:
                 effects += self.take_dispatch(service, dispatch.TimePassed(), now)
         return effects
 
-    def _update_share(
-        self,
-        upstream: UpstreamState,
-        members: tuple[str, ...],
-        longest_s: float,
-        now: float,
-    ) -> bool:
-        ledger = upstream.ledger
-        target = self._target_share(upstream.name, ledger.slots, members)
-        if target == ledger.share:
-            return False
-        ledger.shrink_share(target)
-        if target <= ledger.share or not self._has_settled(now):
-            return False
-        if not self.membership.may_grow(
-            upstream.name, now=now, longest_work_s=longest_s
-        ):
-            return False
-        ledger.grow_share(target)
-        return True
-
-    def _target_share(self, name: str, slots: int, members: tuple[str, ...]) -> int:
-        digest = self.membership.view_digest()
-        if digest != self._targets_digest:
-            self._targets_digest = digest
-            self._target_by_upstream.clear()
-        key = (name, slots)
-        target = self._target_by_upstream.get(key)
-        if target is None:
-            target = share_of(vm=self.vm, members=members, upstream=name, slots=slots)
-            self._target_by_upstream[key] = target
-        return target
-
-    def _has_settled(self, now: float) -> bool:
-        return now - self.settling_since >= self.settle_s
-
     def readiness(self) -> Readiness:
         """What this VM says of itself."""
         if self.leave.is_leaving or self.vm in self.drained_vms:
@@ -672,13 +558,9 @@
             view_digest=self.membership.view_digest(),
             over_share=self._over_share(now),
             configuration_version=self.version,
-            head_read_ago_ms=self._head_read_ago_ms(now),
+            head_read_ago_ms=self.head.ago_ms(now),
         )
 
-    def _head_read_ago_ms(self, now: float) -> int:
-        ago_s = self.head_read_ago_s(now)
-        return NEVER_MS if ago_s is None else min(NEVER_MS, int(ago_s * 1000))
-
     def _over_share(self, now: float) -> tuple[str, ...]:
         names = [
             upstream.name
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -63,9 +63,9 @@
         "drained_vms": sorted(node.drained_vms),
         "headroom": {
             service: {"granted": ledger.granted, "refused": ledger.refused}
-            for service, ledger in node.headroom_by_service.items()
+            for service, ledger in node.headroom.ledgers_by_service.items()
         },
-        "grants_missed": node.grants.missed,
+        "grants_missed": node.headroom.grants.missed,
         "failure_domains": _dump_domains(node, now),
         "request_ids": {
             "issued": node.ids.issued,
@@ -79,7 +79,7 @@
 
 def _dump_configuration(node: Node, now: float) -> dict[str, Any]:
     age = None if node.adopted_at is None else round(now - node.adopted_at, 3)
-    checked = node.head_read_ago_s(now)
+    checked = node.head.ago_s(now)
     return {
         "version": node.version,
         "in_force_for_s": age,
--- a/packages/daemon/src/plankspindle_daemon/upstreams/load_report.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/load_report.py
@@ -9,20 +9,9 @@
 from result import Ok
 from result import Result
 
-MAX_AGE_S = 3.0
-
-
-@frozen
-class BadReport:
-    """A load report that cannot be read.
-
-    Parameters
-    ----------
-    detail : str
-        What is wrong with it.
-    """
+from plankspindle_core.errors import Unreadable
 
-    detail: str
+MAX_AGE_S = 3.0
 
 
 @frozen(kw_only=True)
@@ -52,7 +41,7 @@
         return min(1.0, max(0.0, self.in_flight / max(1, self.slots)))
 
 
-def parse_load_report(body: bytes) -> Result[LoadReport, BadReport]:
+def parse_load_report(body: bytes) -> Result[LoadReport, Unreadable]:
     """Read the JSON body of an upstream's load endpoint.
 
     Parameters
@@ -77,4 +66,4 @@
             )
         )
     except (ValueError, TypeError, AttributeError) as error:
-        return Err(BadReport(str(error)))
+        return Err(Unreadable(str(error)))
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/share_keeper.py
@@ -0,0 +1,99 @@
+"""Shares of upstreams that follow the members of the failure domain."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import define
+from attrs import field
+
+from plankspindle_daemon.membership.membership import Membership
+from plankspindle_daemon.upstreams.slot_share import share_of
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
+
+
+@define(kw_only=True)
+class ShareKeeper:
+    """Shrink shares at once, and grow them when no other member uses their slots.
+
+    Parameters
+    ----------
+    vm : str
+        Name of this VM.
+    membership : Membership
+        The members.
+    started_at : float
+        Monotonic seconds.
+    settle_s : float
+        Time for which a process that is new, or stood still, listens for peers before
+        it takes slots, in seconds. A list that was read does not shorten it: it may
+        lack VMs that still run.
+    """
+
+    vm: str
+    membership: Membership
+    started_at: float
+    settle_s: float
+    _settling_since: float = field(init=False)
+    _digest: int = 0
+    _target_by_upstream: dict[tuple[str, int], int] = Factory(dict)
+
+    def __attrs_post_init__(self) -> None:
+        self._settling_since = self.started_at
+
+    def distrust(self, now: float) -> None:
+        """Listen for peers anew, as after a pause."""
+        self._settling_since = now
+
+    def update(
+        self, upstream: str, ledger: SlotLedger, *, longest_work_s: float, now: float
+    ) -> bool:
+        """Bring the share of one upstream closer to its target.
+
+        Parameters
+        ----------
+        upstream : str
+            Its name.
+        ledger : SlotLedger
+            Its slots.
+        longest_work_s : float
+            Longest timeout of its requests, in seconds.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        bool
+            True if the share grew.
+        """
+        target = self._target(upstream, ledger.slots)
+        if target == ledger.share:
+            return False
+        ledger.shrink_share(target)
+        settled = now - self._settling_since >= self.settle_s
+        if target <= ledger.share or not settled:
+            return False
+        if not self.membership.may_grow(
+            upstream, now=now, longest_work_s=longest_work_s
+        ):
+            return False
+        ledger.grow_share(target)
+        return True
+
+    def _target(self, upstream: str, slots: int) -> int:
+        digest = self.membership.view_digest()
+        if digest != self._digest:
+            self._digest = digest
+            self._target_by_upstream.clear()
+        key = (upstream, slots)
+        target = self._target_by_upstream.get(key)
+        if target is None:
+            members = self.membership.view()
+            target = share_of(
+                vm=self.vm, members=members, upstream=upstream, slots=slots
+            )
+            self._target_by_upstream[key] = target
+        return target
--- a/packages/testkit/src/plankspindle_testkit/demo.py
+++ b/packages/testkit/src/plankspindle_testkit/demo.py
@@ -164,6 +164,7 @@
 
 
 def _show_shift() -> None:
+    wait_until(_every_domain_is_heard, what="digests of every failure domain")
     intent = {
         "kind": "shift",
         "shift_id": "relief",
@@ -203,7 +204,6 @@
 
 
 def _show_drain() -> None:
-    wait_until(_every_domain_is_heard, what="digests of every failure domain")
     drain = {"kind": "failure-domain", "name": "ba-1"}
     plan = _plan({"kind": "drain", "drain_id": "maintenance", "drain": drain})
     print("plan to drain failure domain ba-1:")
--- a/packages/testkit/src/plankspindle_testkit/trial/trial.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial.py
@@ -223,7 +223,13 @@
         upstream.claims_idle = not upstream.claims_idle
 
     def _toggle_leaving(self, upstream: FakeUpstream) -> None:
-        upstream.leaving_since = None if upstream.leaving_since else self.now
+        staying = [
+            each for each in self.upstreams_by_name.values() if not each.leaving_since
+        ]
+        if upstream.leaving_since:
+            upstream.leaving_since = None
+        elif len(staying) > 1:
+            upstream.leaving_since = self.now
 
     def _heal(self) -> None:
         self.network.cuts.clear()
@@ -406,7 +412,11 @@
         for endpoint in vm.node.membership.peer_endpoints():
             self._send(vm, goodbye, endpoint)
         self._note(f"{vm.place.name} left")
-        self._kill(vm.place.name, power_loss=False)
+        if len(self.vms_by_name) > 1:
+            self._kill(vm.place.name, power_loss=False)
+        else:
+            self._list_vm(vm.place)
+            self._start_vm(vm.place)
 
     def _read_platform(self, vm: TrialVm) -> None:
         name = vm.place.name
@@ -436,7 +446,7 @@
         reader = ConfigurationReader(platform=cast("PlatformClient", self.platform))
         answer = run_to_end(reader.read_newer(vm.node.version))
         if answer.is_ok():
-            vm.node.note_head_read(self.now)
+            vm.node.head.note_read(self.now)
         read = answer.unwrap_or(None)
         if read is not None:
             effects = vm.node.adopt(
