--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -63,8 +63,8 @@
     from plankspindle_daemon.wire.codec import PeerMessage
 
 TICK_S = 0.05
-LIST_VMS_PER_S = 100.0
-"""Listed VMs that one node reads each second, about 11 kB."""
+LIST_VMS_PER_S = 50.0
+"""Listed VMs that one node reads each second, about 5.5 kB."""
 LAST_HEARTBEATS = 3
 ID_MEMORY_S = 3_600.0
 EXIT_OK = 0
