Undo the newest version, show the history, test every step of a confirmation

A process that dies at each call of a confirmation, two confirmations in every order, HTTP listener and connection against what breaks the protocol, long uploads.

--- a/packages/client/src/plankspindle_client/console/commands/plan.py
+++ b/packages/client/src/plankspindle_client/console/commands/plan.py
@@ -99,6 +99,15 @@
     show_plan(context, unwrap_or_exit(api_of(context).post("/v1/plans", intent)))
 
 
+@plan.command()
+@click.argument("version", type=click.IntRange(min=2))
+@click.pass_context
+def undo(context: click.Context, version: int) -> None:
+    """Plan to undo VERSION, which must be the newest one."""
+    intent = {"kind": "undo", "version": version}
+    show_plan(context, unwrap_or_exit(api_of(context).post("/v1/plans", intent)))
+
+
 @plan.command("class")
 @click.argument("caller")
 @click.argument("priority_class")
--- /dev/null
+++ b/packages/core/tests/http/test_server.py
@@ -0,0 +1,191 @@
+"""Tests of the HTTP listener and connection, over loopback in one kernel."""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+import pytest
+from curio import socket
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.http.client_connection import ClientConnection
+from plankspindle_core.http.errors import ConnectFailed
+from plankspindle_core.http.errors import ConnectionLost
+from plankspindle_core.http.errors import TimedOut
+from plankspindle_core.http.fetch import fetch
+from plankspindle_core.http.limits import HttpLimits
+from plankspindle_core.http.server import HttpServer
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from plankspindle_core.http.server_exchange import ServerExchange
+
+_PORTS = count(18_100)
+
+
+async def echo(source: ServerExchange) -> None:
+    body = await source.read_body(max_bytes=1_000)
+    if body is None:
+        await source.answer(status=413)
+        return
+    await source.answer(status=200, body=source.target.encode() + b" " + body)
+
+
+def run_with_server(
+    use: Callable[[Endpoint], Awaitable[Any]],
+    *,
+    handler: Callable[[ServerExchange], Awaitable[None]] = echo,
+    **limits: Any,
+) -> Any:
+    endpoint = Endpoint("127.0.6.1", next(_PORTS))
+
+    async def run() -> Any:
+        server = HttpServer(
+            endpoint=endpoint, limits=HttpLimits(**limits), handler=handler
+        )
+        await server.start()
+        try:
+            return await use(endpoint)
+        finally:
+            await server.close()
+
+    return curio.run(run)
+
+
+async def send_raw(endpoint: Endpoint, data: bytes) -> bytes:
+    """Send bytes and read until the server closes."""
+    client = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    await client.connect((endpoint.host, endpoint.port))
+    await client.sendall(data)
+    received = b""
+    while chunk := await client.recv(65_536):
+        received += chunk
+    await client.close()
+    return received
+
+
+def test_requests_on_one_connection_are_answered_in_order() -> None:
+    requests = b"".join(
+        b"GET /%d HTTP/1.1\r\nhost: a\r\n%s\r\n" % (number, close)
+        for number, close in ((1, b""), (2, b""), (3, b"connection: close\r\n"))
+    )
+    answer = run_with_server(lambda endpoint: send_raw(endpoint, requests))
+    bodies = [part.rpartition(b"\r\n\r\n")[2] for part in answer.split(b"HTTP/1.1 200")]
+    assert [body.strip() for body in bodies[1:]] == [b"/1", b"/2", b"/3"]
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (
+            b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n"
+            b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+        (
+            b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n"
+            b"content-length: 2\r\n\r\nab",
+            b"400",
+        ),
+        (b"GET / HTTP/1.1\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 5_000, b"431"),
+        (b"\x00\x01\x02\r\n\r\n", b"400"),
+    ],
+    ids=["two-framings", "two-lengths", "no-host", "long-header", "garbage"],
+)
+def test_what_breaks_the_protocol_is_refused_and_closed(
+    request_bytes: bytes, status: bytes
+) -> None:
+    answer = run_with_server(
+        lambda endpoint: send_raw(endpoint, request_bytes), max_header_bytes=4_096
+    )
+    assert answer.startswith(b"HTTP/1.1 " + status)
+
+
+def test_a_head_that_does_not_arrive_in_time_is_closed() -> None:
+    answer = run_with_server(
+        lambda endpoint: send_raw(endpoint, b"GET / HT"), header_timeout_s=0.1
+    )
+    assert answer == b""
+
+
+def test_a_body_that_is_too_long_is_refused() -> None:
+    async def use(endpoint: Endpoint) -> Any:
+        return await fetch(endpoint, method="POST", body=b"x" * 2_000, timeout_s=5.0)
+
+    assert run_with_server(use).unwrap().status == 413
+
+
+def test_one_connection_too_many_is_closed() -> None:
+    async def use(endpoint: Endpoint) -> Any:
+        kept = ClientConnection(endpoint=endpoint)
+        await kept.start(timeout_s=1.0)
+        await kept.send_request(method="GET", target="/", headers=[(b"host", b"a")])
+        await kept.end_request()
+        await kept.read_head()
+        refused = await fetch(endpoint, timeout_s=1.0)
+        await kept.close()
+        return refused
+
+    refused = run_with_server(use, max_connections=1)
+    assert isinstance(refused.unwrap_err(), ConnectionLost)
+
+
+def test_an_answer_that_is_aborted_is_seen_as_lost() -> None:
+    async def abort(source: ServerExchange) -> None:
+        await source.read_body(max_bytes=0)
+        await source.send_head(status=200, headers=[])
+        await source.send_data(b"only a part")
+        source.abort()
+
+    async def use(endpoint: Endpoint) -> Any:
+        return await fetch(endpoint, timeout_s=5.0)
+
+    lost = run_with_server(use, handler=abort)
+    assert isinstance(lost.unwrap_err(), ConnectionLost)
+
+
+def test_a_server_that_does_not_answer_times_out() -> None:
+    async def hang(source: ServerExchange) -> None:
+        await curio.sleep(60)
+
+    async def use(endpoint: Endpoint) -> Any:
+        return await fetch(endpoint, timeout_s=0.2)
+
+    assert run_with_server(use, handler=hang).unwrap_err() == TimedOut(0.2)
+
+
+def test_nobody_listening_is_a_failed_connection() -> None:
+    async def use() -> Any:
+        return await fetch(Endpoint("127.0.6.1", 9), timeout_s=1.0)
+
+    assert isinstance(curio.run(use).unwrap_err(), ConnectFailed)
+
+
+def test_a_connection_with_stray_bytes_is_not_reused() -> None:
+    async def stray(source: ServerExchange) -> None:
+        await source.read_body(max_bytes=0)
+        await source.answer(status=200, body=b"mine")
+        await source._socket.sendall(b"HTTP/1.1 200 OK\r\n\r\nstray")
+
+    async def use(endpoint: Endpoint) -> tuple[bool, bytes | None]:
+        connection = ClientConnection(endpoint=endpoint)
+        await connection.start(timeout_s=1.0)
+        await connection.send_request(
+            method="GET", target="/", headers=[(b"host", b"a")]
+        )
+        await connection.end_request()
+        await connection.read_head()
+        body = (await connection.read_chunk()).unwrap()
+        await connection.read_chunk()
+        await curio.sleep(0.05)
+        reusable = connection.prepare_reuse()
+        await connection.close()
+        return reusable, body
+
+    assert run_with_server(use, handler=stray) == (False, b"mine")
--- a/packages/daemon/src/plankspindle_daemon/configuration/head_row.py
+++ b/packages/daemon/src/plankspindle_daemon/configuration/head_row.py
@@ -12,6 +12,8 @@
 from plankspindle_core.errors import Unreadable
 
 HEAD_KEY = "configuration/head"
+LOG_PREFIX = "configuration/log/"
+_VERSION_DIGITS = 12
 
 
 @frozen(kw_only=True)
@@ -60,6 +62,11 @@
         return Err(Unreadable(repr(error)))
 
 
+def log_key(version: int) -> str:
+    """Name the row that keeps what was accepted as a version."""
+    return f"{LOG_PREFIX}{version:0{_VERSION_DIGITS}d}"
+
+
 def object_name(digest: str) -> str:
     """Name the object that holds a configuration."""
     return f"configuration-{digest}"
--- a/packages/daemon/src/plankspindle_daemon/control/forecast.py
+++ b/packages/daemon/src/plankspindle_daemon/control/forecast.py
@@ -19,6 +19,7 @@
 from plankspindle_daemon.control.intents import Intent
 from plankspindle_daemon.control.intents import ShiftIntent
 from plankspindle_daemon.control.intents import UndoDrainIntent
+from plankspindle_daemon.control.intents import UndoIntent
 from plankspindle_daemon.control.intents import UndoShiftIntent
 from plankspindle_daemon.digests.digest_book import DigestBook
 
@@ -73,7 +74,7 @@
                 return Ok((f"drain {drain_id} ends; its place gets work again",))
             case ClassIntent(caller=caller, priority_class=priority_class):
                 return Ok(self._of_class(caller, priority_class))
-            case ApplyIntent():
+            case ApplyIntent() | UndoIntent():
                 return Ok(tuple(self._differences()) or ("nothing changes",))
 
     def _of_shift(self, shift_id: str, shift: Shift) -> Effects:
--- a/packages/daemon/src/plankspindle_daemon/control/intents.py
+++ b/packages/daemon/src/plankspindle_daemon/control/intents.py
@@ -89,8 +89,23 @@
     priority_class: str
 
 
+@frozen(kw_only=True)
+class UndoIntent:
+    """Put the version before the newest one in force again.
+
+    Parameters
+    ----------
+    version : int
+        The newest version, which is undone; the plan store replaces the intent by one
+        to apply what was in force before.
+    """
+
+    version: int
+
+
 Intent = (
     ApplyIntent
+    | UndoIntent
     | ShiftIntent
     | UndoShiftIntent
     | DrainIntent
@@ -103,6 +118,7 @@
     "drain": DrainIntent,
     "undo-drain": UndoDrainIntent,
     "class": ClassIntent,
+    "undo": UndoIntent,
 }
 _APPLY = "apply"
 _CONVERTER = make_converter()
@@ -179,6 +195,8 @@
     match intent:
         case ApplyIntent(configuration=configuration):
             return Ok(configuration)
+        case UndoIntent(version=version):
+            return _refused(f"version: {version} is not the newest version")
         case ShiftIntent(shift_id=shift_id, shift=shift):
             shifts = {**base.shifts_by_id, shift_id: shift}
             return Ok(evolve(base, shifts_by_id=shifts))
@@ -194,11 +212,17 @@
                 return _refused(f"drain_id: no drain {drain_id!r}")
             return Ok(evolve(base, drains_by_id=_without(base.drains_by_id, drain_id)))
         case ClassIntent(caller=name, priority_class=priority_class):
-            if name not in base.callers_by_name:
-                return _refused(f"caller: no caller {name!r}")
-            caller = evolve(base.callers_by_name[name], priority_class=priority_class)
-            callers = {**base.callers_by_name, name: caller}
-            return Ok(evolve(base, callers_by_name=callers))
+            return _change_class(base, name, priority_class)
+
+
+def _change_class(
+    base: Configuration, name: str, priority_class: str
+) -> Result[Configuration, InvalidDocument]:
+    if name not in base.callers_by_name:
+        return _refused(f"caller: no caller {name!r}")
+    caller = evolve(base.callers_by_name[name], priority_class=priority_class)
+    callers = {**base.callers_by_name, name: caller}
+    return Ok(evolve(base, callers_by_name=callers))
 
 
 def _without(by_id: dict[str, Kept], removed: str) -> dict[str, Kept]:
--- a/packages/daemon/src/plankspindle_daemon/control/plan_store.py
+++ b/packages/daemon/src/plankspindle_daemon/control/plan_store.py
@@ -17,10 +17,14 @@
 from plankspindle_core.errors import InvalidDocument
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
 from plankspindle_daemon.configuration.head_row import HEAD_KEY
+from plankspindle_daemon.configuration.head_row import LOG_PREFIX
 from plankspindle_daemon.configuration.head_row import HeadRow
 from plankspindle_daemon.configuration.head_row import head_row_from_mapping
+from plankspindle_daemon.configuration.head_row import log_key
 from plankspindle_daemon.configuration.head_row import object_name
 from plankspindle_daemon.control.forecast import Forecast
+from plankspindle_daemon.control.intents import ApplyIntent
+from plankspindle_daemon.control.intents import UndoIntent
 from plankspindle_daemon.control.intents import apply_intent
 from plankspindle_daemon.control.plan import PLAN_LIFE_S
 from plankspindle_daemon.control.plan import PLANS_PREFIX
@@ -42,6 +46,7 @@
 
 CONFIRM_TRIES = 3
 MAX_LISTED = 200
+MAX_HISTORY = 50
 
 
 @frozen
@@ -144,6 +149,11 @@
         if base.is_err():
             return Err(base.unwrap_err())
         head, configuration = base.unwrap()
+        if isinstance(intent, UndoIntent) and head and head.version == intent.version:
+            before = await self._read_version(head.version - 1)
+            if before.is_err():
+                return Err(before.unwrap_err())
+            intent = ApplyIntent(configuration=before.unwrap())
         wanted = apply_intent(intent, configuration)
         if wanted.is_err():
             return Err(wanted.unwrap_err())
@@ -180,6 +190,35 @@
             return Err(NotPossible(content.unwrap_err().detail))
         return Ok((head.unwrap(), content.unwrap()))
 
+    async def _read_version(self, version: int) -> Result[Configuration, PlanError]:
+        row = await self.platform.read_row(log_key(version))
+        if row.is_err():
+            return Err(NotPossible(row.unwrap_err().detail))
+        if row.unwrap().version == ABSENT:
+            return Err(InvalidDocument((f"version: there is no version {version}",)))
+        head = head_row_from_mapping(row.unwrap().value)
+        if head.is_err():
+            return Err(NotPossible(head.unwrap_err().detail))
+        content = await self.reader.read_content(head.unwrap().digest)
+        return content.map_err(lambda error: NotPossible(error.detail))
+
+    async def history(self) -> Result[list[HeadRow], NotPossible]:
+        """Read the newest accepted versions, at most ``MAX_HISTORY``, in order."""
+        row = await self.platform.read_row(HEAD_KEY)
+        if row.is_err():
+            return Err(NotPossible(row.unwrap_err().detail))
+        head = head_row_from_mapping(row.unwrap().value)
+        newest = head.unwrap().version if head.is_ok() else 0
+        page = await self.platform.read_range(
+            prefix=LOG_PREFIX,
+            after=log_key(max(0, newest - MAX_HISTORY)),
+            limit=MAX_HISTORY,
+        )
+        if page.is_err():
+            return Err(NotPossible(page.unwrap_err().detail))
+        decoded = [head_row_from_mapping(each.value) for each in page.unwrap()]
+        return Ok([each.unwrap() for each in decoded if each.is_ok()])
+
     async def _keep(self, plan: Plan, content: bytes) -> Result[Plan, PlanError]:
         stored = await self.platform.put_object(object_name(plan.digest), content)
         if stored.is_err():
@@ -262,7 +301,7 @@
                 value=plan.accepted().to_mapping(),
             ),
             RowWrite(
-                key=f"configuration/log/{plan.version:012d}",
+                key=log_key(plan.version),
                 expected_version=ABSENT,
                 value=head.to_mapping(),
             ),
--- a/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
@@ -106,6 +106,8 @@
                 await source.answer(status=200, headers=kind, body=rendered)
             case "GET", "/v1/configuration":
                 await self._show_configuration(source)
+            case "GET", "/v1/history":
+                await self._show_history(source)
             case method, _ if path.startswith(_PLANS):
                 await self._serve_plans(source, method, path, body or b"")
             case _:
@@ -127,6 +129,14 @@
         shown = {"version": self.node.version, "configuration": content}
         await _answer(source, 200, shown)
 
+    async def _show_history(self, source: ServerExchange) -> None:
+        history = await self.plans.history()
+        if history.is_err():
+            await _answer_error(source, history.unwrap_err())
+            return
+        versions = [head.to_mapping() for head in history.unwrap()]
+        await _answer(source, 200, {"versions": versions})
+
     async def _serve_plans(
         self, source: ServerExchange, method: str, path: str, body: bytes
     ) -> None:
--- a/packages/daemon/tests/control/test_plan_store.py
+++ b/packages/daemon/tests/control/test_plan_store.py
@@ -4,10 +4,13 @@
 
 from random import Random
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import cast
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from result import Ok
 
 from plankspindle_core.configuration.shift import Shift
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
@@ -16,6 +19,7 @@
 from plankspindle_daemon.control.intents import ApplyIntent
 from plankspindle_daemon.control.intents import ClassIntent
 from plankspindle_daemon.control.intents import ShiftIntent
+from plankspindle_daemon.control.intents import UndoIntent
 from plankspindle_daemon.control.plan import PlanState
 from plankspindle_daemon.control.plan_store import ConfirmationUnknown
 from plankspindle_daemon.control.plan_store import NotPossible
@@ -27,8 +31,14 @@
 from plankspindle_testkit.trial.fake_platform import run_to_end
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from result import Result
+
     from plankspindle_daemon.control.plan import Plan
     from plankspindle_daemon.platform.platform_client import PlatformClient
+    from plankspindle_daemon.platform.table import Row
+    from plankspindle_daemon.platform.table import Transaction
 
 
 def build_store(platform: FakePlatform, *, seed: int = 3) -> PlanStore:
@@ -129,3 +139,130 @@
     if accepted:
         row = platform.table.read(HEAD_KEY)
         assert {head_row_from_mapping(row.value).unwrap().plan} == accepted
+
+
+class ListedPlatform(FakePlatform):
+    """A fake platform that reads ranges."""
+
+    async def read_range(
+        self, *, prefix: str, after: str, limit: int
+    ) -> Result[list[Row], Any]:
+        rows = sorted(self.table.rows_by_key)
+        keys = [key for key in rows if key.startswith(prefix) and key > after]
+        return Ok([self._row(key) for key in keys[:limit]])
+
+
+def test_the_newest_version_can_be_undone_and_the_history_keeps_all() -> None:
+    platform = build_platform()
+    store = build_store(platform)
+    change = make(store, class_intent("gold"), "jana")
+    assert run_to_end(store.confirm(change.id, "jana")).is_ok()
+    stale = run_to_end(store.make(UndoIntent(version=1), "jana")).unwrap_err()
+    assert "not the newest" in str(stale)
+    undo = make(store, UndoIntent(version=2), "peter")
+    assert undo.effects == ("callers: 0 added, 0 removed, 1 changed",)
+    assert run_to_end(store.confirm(undo.id, "peter")).is_ok()
+    listed = ListedPlatform(
+        random=Random(1),
+        fault_rate=0.0,
+        table=platform.table,
+        objects_by_name=platform.objects_by_name,
+    )
+    history = run_to_end(build_store(listed).history()).unwrap()
+    assert [head.operator for head in history] == ["operator", "jana", "peter"]
+    assert history[0].digest == history[2].digest
+
+
+class KilledError(Exception):
+    """The process ends here."""
+
+
+class DyingPlatform(FakePlatform):
+    """A fake platform whose caller dies at one of its calls."""
+
+    dies_at: int = 0
+    after_effect: bool = False
+    calls: int = 0
+
+    async def commit(self, transaction: Transaction) -> Result[None, Any]:
+        self.calls += 1
+        if self.calls == self.dies_at and not self.after_effect:
+            raise KilledError
+        answer = await super().commit(transaction)
+        if self.calls == self.dies_at:
+            raise KilledError
+        return answer
+
+    async def read_rows(self, keys: list[str]) -> Result[dict[str, Row], Any]:
+        self.calls += 1
+        if self.calls == self.dies_at:
+            raise KilledError
+        return await super().read_rows(keys)
+
+
+@pytest.mark.parametrize("after_effect", [False, True])
+@pytest.mark.parametrize("dies_at", [1, 2])
+def test_a_confirmation_whose_process_dies_is_settled_by_another(
+    dies_at: int, after_effect: bool
+) -> None:
+    platform = build_platform()
+    plan = make(build_store(platform), class_intent("gold"))
+    dying = DyingPlatform(random=Random(1), fault_rate=0.0, table=platform.table)
+    dying.dies_at = dies_at
+    dying.after_effect = after_effect
+    with pytest.raises(KilledError):
+        run_to_end(build_store(dying, seed=5).confirm(plan.id, "a"))
+    took_effect = dies_at == 2 and after_effect
+    assert version(platform) == (2 if took_effect else 1)
+    other = build_store(platform, seed=6)
+    assert run_to_end(other.confirm(plan.id, "b")).is_ok()
+    assert version(platform) == 2
+
+
+class Turn:
+    """Give way to the other operator."""
+
+    def __await__(self) -> Iterator[None]:
+        yield
+
+
+class TurnTakingPlatform(FakePlatform):
+    """A fake platform at which each call gives way before it takes effect."""
+
+    async def commit(self, transaction: Transaction) -> Result[None, Any]:
+        await Turn()
+        return await super().commit(transaction)
+
+    async def read_rows(self, keys: list[str]) -> Result[dict[str, Row], Any]:
+        await Turn()
+        return await super().read_rows(keys)
+
+
+@given(order=st.lists(st.booleans(), max_size=30))
+def test_of_two_confirmations_at_once_one_wins_in_every_order(
+    order: list[bool],
+) -> None:
+    platform = build_platform()
+    plans = [
+        make(build_store(platform, seed=number), class_intent(name))
+        for number, name in enumerate(("gold", "silver"))
+    ]
+    shared = TurnTakingPlatform(random=Random(1), fault_rate=0.0, table=platform.table)
+    running = {
+        number: build_store(shared).confirm(plan.id, str(number))
+        for number, plan in enumerate(plans)
+    }
+    answers = {}
+    for turn in [*order, *([False, True] * 20)]:
+        number = int(turn)
+        if number in answers:
+            continue
+        try:
+            running[number].send(None)
+        except StopIteration as stopped:
+            answers[number] = stopped.value
+    won = [answer for answer in answers.values() if answer.is_ok()]
+    lost = [answer.unwrap_err() for answer in answers.values() if answer.is_err()]
+    assert len(won) == 1
+    assert isinstance(lost[0], PlanOvertaken)
+    assert version(platform) == 2
--- a/packages/daemon/tests/test_real_processes.py
+++ b/packages/daemon/tests/test_real_processes.py
@@ -286,6 +286,26 @@
     assert find_header(answer.headers, b"content-range") == b"bytes 99000-99999/100000"
 
 
+def test_a_long_upload_is_passed_on_as_it_arrives(processes: Processes) -> None:
+    answer = call(
+        FIRST.caller,
+        "POST",
+        SERVICES + "/transfers",
+        headers=[GOLD],
+        body=b"x" * 5_000_000,
+    )
+    assert json.loads(answer.body)["body_bytes"] == 5_000_000
+    marked = [GOLD, (header_names.IDEMPOTENCY_KEY, b"k")]
+    refused = call(
+        FIRST.caller,
+        "POST",
+        SERVICES + "/transfers",
+        headers=marked,
+        body=b"x" * 5_000_000,
+    )
+    assert (refused.status, outcome_of(refused)) == (413, "not-run")
+
+
 def test_a_request_ends_at_the_deadline_of_its_caller(
     processes: Processes,
 ) -> None:
