--- a/packages/testkit/src/plankspindle_testkit/builders.py
+++ b/packages/testkit/src/plankspindle_testkit/builders.py
@@ -89,7 +89,9 @@
         },
         "site_by_prefix": {"127.0.0.0/8": "bratislava", "10.2.0.0/16": "kosice"},
         "distances": Distances(
-            between_failure_domains_ms=1, between_regions_ms=35, to_callers_ms=8
+            between_failure_domains_ms=1.0,
+            between_regions_ms=35.0,
+            to_callers_ms=8.0,
         ),
     }
     defaults.update(fields)
