Generate a matrix of every fault at every step of every operation

Ten operations under sixteen faults, on the decision machines, with promises checked at each step; a part of it in the tests. A drain that is not applied is seen as a broken cell.

Found on the way: since plans are refused without an upstream in the target, the trials' racing operators never got a plan, so the race was not exercised; the trials have an upstream in the other region now.

--- a/packages/testkit/src/plankspindle_testkit/trial/fake_platform.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/fake_platform.py
@@ -51,11 +51,16 @@
         Source of faults.
     fault_rate : float
         Probability that a call goes wrong in one of the ways.
+    down : bool
+        Whether no call takes effect.
+    only_way : str
+        The only way in which writes go wrong; reads then go well.
     """
 
     random: Random
     fault_rate: float = 0.1
     down: bool = False
+    only_way: str = ""
     table: TableStore = field(factory=TableStore)
     objects_by_name: dict[str, bytes] = field(factory=dict)
     _late: list[Transaction] = field(factory=list)
@@ -63,9 +68,12 @@
     def _fails(self) -> bool:
         return self.down or self.random.random() < self.fault_rate
 
+    def _read_fails(self) -> bool:
+        return self.down or (not self.only_way and self._fails())
+
     async def read_row(self, key: str) -> Result[Row, PlatformUnavailable]:
         """Read one row."""
-        if self._fails():
+        if self._read_fails():
             return Err(PlatformUnavailable("trial"))
         return Ok(self._row(key))
 
@@ -73,7 +81,7 @@
         self, keys: list[str]
     ) -> Result[dict[str, Row], PlatformUnavailable]:
         """Read several rows."""
-        if self._fails():
+        if self._read_fails():
             return Err(PlatformUnavailable("trial"))
         return Ok({key: self._row(key) for key in keys})
 
@@ -87,6 +95,7 @@
         """Commit, maybe without effect, maybe late, maybe with a lost answer."""
         if self._fails():
             way = self.random.choice(["nothing", "late", "answer-lost"])
+            way = self.only_way or way
             if way == "late":
                 self._late.append(transaction)
             if way == "answer-lost" and not self.down:
@@ -117,13 +126,13 @@
         self, name: str, content: bytes
     ) -> Result[None, PlatformUnavailable]:
         """Store an object."""
-        if self._fails():
+        if self._read_fails():
             return Err(PlatformUnavailable("trial"))
         self.objects_by_name[name] = content
         return Ok(None)
 
     async def get_object(self, name: str) -> Result[bytes | None, PlatformUnavailable]:
         """Read an object."""
-        if self._fails():
+        if self._read_fails():
             return Err(PlatformUnavailable("trial"))
         return Ok(self.objects_by_name.get(name))
--- a/packages/testkit/src/plankspindle_testkit/trial/fake_upstream.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/fake_upstream.py
@@ -56,14 +56,17 @@
     slots: int
     conduct: Conduct = Conduct.SERVE
     claims_idle: bool = False
+    reports_stopped: bool = False
     leaving_since: float | None = None
     runs: list[Run] = field(factory=list)
     most_at_once: int = 0
     started_after_leaving_s: float = 0.0
+    last_begun_at: float = 0.0
 
     def begin(self, run: Run, now: float) -> None:
         """Start an execution; the limit is for the entry VMs to keep."""
         self.runs.append(run)
+        self.last_begun_at = now
         self.most_at_once = max(self.most_at_once, len(self.runs))
         if self.leaving_since is not None:
             late = now - self.leaving_since
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/trial/fault_matrix.py
@@ -0,0 +1,337 @@
+"""Every fault at every step of every operation, on the decision machines.
+
+An operation is started in a quiet trial, a fault is injected a number of steps later,
+everything is healed after a while, and the operation must end as it may. Promises are
+checked at every step by the trial and by the program itself.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from attrs import field
+from attrs import frozen
+
+from plankspindle_core.configuration.drain import Drain
+from plankspindle_core.configuration.drain import DrainKind
+from plankspindle_core.configuration.shift import Shift
+from plankspindle_core.invariants import InvariantError
+from plankspindle_daemon.control.intents import ClassIntent
+from plankspindle_daemon.control.intents import DrainIntent
+from plankspindle_daemon.control.intents import ShiftIntent
+from plankspindle_testkit.trial.runs import build_trial
+from plankspindle_testkit.trial.trial import STEP_S
+from plankspindle_testkit.trial.trial import Trial
+from plankspindle_testkit.trial.truth import BrokenPromiseError
+
+QUIET_S = 6.0
+FAULT_S = 4.0
+RECOVERY_S = 14.0
+DRAINED_WITHIN_S = 3.0
+STEPS = (0, 1, 2, 3, 4, 6, 10, 20, 40)
+FIRST_VM = "ba-1-a"
+REQUEST_RATE = 15.0
+
+Fault = Callable[[Trial], None]
+Check = Callable[[Trial], str]
+
+
+@frozen(kw_only=True)
+class Operation:
+    """Something that faults are injected into.
+
+    Parameters
+    ----------
+    name : str
+        What it is.
+    must : str
+        What must come of it whatever happens.
+    may_end : frozenset of str
+        Ends that are allowed.
+    start : callable
+        Starts it and gives the check of its end.
+    may_end_by_fault : dict of str to str
+        One more end that is allowed under a fault.
+    """
+
+    name: str
+    must: str
+    may_end: frozenset[str]
+    start: Callable[[Trial], Check]
+    may_end_by_fault: dict[str, str] = field(factory=dict)
+
+
+@frozen(kw_only=True)
+class Cell:
+    """What came of one operation under one fault, over all steps.
+
+    Parameters
+    ----------
+    operation, fault : str
+        Names.
+    ends : tuple of (str, int)
+        Ends and how often each came.
+    broken : tuple of str
+        Broken promises, with the step at which the fault was injected.
+    """
+
+    operation: str
+    fault: str
+    ends: tuple[tuple[str, int], ...]
+    broken: tuple[str, ...]
+
+
+def _request(kind: str, timeout_s: float, duration_s: float) -> Operation:
+    def start(trial: Trial) -> Check:
+        number = trial.start_one(
+            FIRST_VM, kind=kind, timeout_s=timeout_s, duration_s=duration_s
+        )
+
+        def check(trial: Trial) -> str:
+            return trial.end_of(number)
+
+        return check
+
+    must = {
+        "lookup": "one answer; runs again only because it may",
+        "download": "one answer, whole or reset",
+        "id": "runs at most once; not-run is true",
+        "key": "runs at most once on any VM; not-run is true",
+    }[kind]
+    return Operation(
+        name=kind,
+        must=must,
+        may_end=frozenset({"done", "not-run", "unknown", "aborted", "vm lost"}),
+        start=start,
+    )
+
+
+def _confirm(trial: Trial) -> Check:
+    plan_id = trial.make_plan(ClassIntent(caller="desk", priority_class="gold"))
+
+    def check(trial: Trial) -> str:
+        return trial.confirm_until_told(plan_id) if plan_id else "no plan"
+
+    return check
+
+
+def _adoption(trial: Trial) -> Check:
+    plan_id = trial.make_plan(ClassIntent(caller="desk", priority_class="gold"))
+    told = trial.confirm_until_told(plan_id) if plan_id else "no plan"
+
+    def check(trial: Trial) -> str:
+        return "in force" if told == "accepted" and trial.is_in_force() else "missing"
+
+    return check
+
+
+def _drain(trial: Trial) -> Check:
+    drain = Drain(kind=DrainKind.UPSTREAM, name="u0")
+    plan_id = trial.make_plan(DrainIntent(drain_id="d", drain=drain))
+    told = trial.confirm_until_told(plan_id) if plan_id else "no plan"
+    latest = trial.now + FAULT_S + STEPS[-1] * STEP_S + DRAINED_WITHIN_S
+
+    def check(trial: Trial) -> str:
+        upstream = trial.upstreams_by_name["u0"]
+        if told != "accepted" or not trial.is_in_force():
+            return "missing"
+        if upstream.last_begun_at > latest:
+            return "got new work"
+        return "empty" if not upstream.runs else "still running"
+
+    return check
+
+
+def _shift(trial: Trial) -> Check:
+    shift = Shift(
+        service="registry",
+        from_region="bratislava",
+        to_region="kosice",
+        cap_percent=20.0,
+        ramp_s=0.0,
+    )
+    plan_id = trial.make_plan(ShiftIntent(shift_id="s", shift=shift))
+    told = trial.confirm_until_told(plan_id) if plan_id else "no plan"
+
+    def check(trial: Trial) -> str:
+        in_force = told == "accepted" and trial.is_in_force()
+        return "within cap" if in_force else "missing"
+
+    return check
+
+
+def _start_vm(trial: Trial) -> Check:
+    trial.restart(FIRST_VM)
+
+    def check(trial: Trial) -> str:
+        return "serves" if trial.all_serve() else "does not serve"
+
+    return check
+
+
+def _stop_vm(trial: Trial) -> Check:
+    trial.begin_leaving(FIRST_VM)
+
+    def check(trial: Trial) -> str:
+        return "others serve" if trial.all_serve() else "others do not serve"
+
+    return check
+
+
+OPERATIONS = [
+    _request("lookup", 1.0, 0.15),
+    _request("id", 1.0, 0.15),
+    _request("key", 1.0, 0.15),
+    _request("download", 3.0, 2.5),
+    Operation(
+        name="confirm",
+        must="accepted unless another plan came first, and told truly when asked again",
+        may_end=frozenset({"accepted"}),
+        start=_confirm,
+        may_end_by_fault={"operators race": "overtaken"},
+    ),
+    Operation(
+        name="adoption",
+        must="in force at every VM after the fault, never reverted",
+        may_end=frozenset({"in force"}),
+        start=_adoption,
+    ),
+    Operation(
+        name="drain",
+        must="the upstream gets nothing new and runs empty",
+        may_end=frozenset({"empty"}),
+        start=_drain,
+    ),
+    Operation(
+        name="shift",
+        must="in force, never over its cap",
+        may_end=frozenset({"within cap"}),
+        start=_shift,
+    ),
+    Operation(
+        name="VM start",
+        must="slots hold; it serves in the end",
+        may_end=frozenset({"serves"}),
+        start=_start_vm,
+    ),
+    Operation(
+        name="VM stop",
+        must="nothing is cut off; the others serve",
+        may_end=frozenset({"others serve"}),
+        start=_stop_vm,
+    ),
+]
+
+
+def _way(name: str) -> Fault:
+    return lambda trial: trial.inject(name, vm=FIRST_VM, upstream="u2")
+
+
+FAULTS: dict[str, Fault] = {
+    "none": lambda trial: None,
+    "process killed": _way("kill"),
+    "power loss": _way("power-loss"),
+    "paused": _way("pause"),
+    "platform down": _way("platform"),
+    "store answers lost": _way("store-answers-lost"),
+    "store writes late": _way("store-writes-late"),
+    "reports stop": _way("reports-stop"),
+    "report lies": _way("liar"),
+    "upstreams shed": _way("all-shed"),
+    "upstreams lose answers": _way("all-lose-answers"),
+    "upstreams hang": _way("all-hang"),
+    "upstreams down": _way("all-down"),
+    "upstream leaves": _way("leave"),
+    "VM cut off": _way("isolate"),
+    "operators race": _way("race"),
+    "region fails": _way("region-fails"),
+}
+
+
+def run_once(operation: Operation, faults: list[tuple[int, Fault]], seed: int) -> str:
+    """Run one operation with faults injected some steps after its start.
+
+    Parameters
+    ----------
+    operation : Operation
+        What is done.
+    faults : list of (int, callable)
+        Steps after the start, and faults, in order.
+    seed : int
+        Seed of the trial.
+
+    Returns
+    -------
+    str
+        How it ended.
+
+    Raises
+    ------
+    BrokenPromiseError
+        If a promise of the system is broken.
+    """
+    trial = build_trial(seed=seed, quiet=True)
+    trial.run(QUIET_S)
+    trial.request_rate = REQUEST_RATE
+    check = operation.start(trial)
+    last = 0
+    for step, fault in faults:
+        trial.run((step - last) * STEP_S)
+        last = step
+        fault(trial)
+    trial.run(FAULT_S)
+    trial.heal_all()
+    trial.run(RECOVERY_S)
+    return check(trial)
+
+
+def run_cell(operation: Operation, fault: str, steps: tuple[int, ...] = STEPS) -> Cell:
+    """Run an operation with one fault at each step.
+
+    Parameters
+    ----------
+    operation : Operation
+        What is done.
+    fault : str
+        Name of the fault.
+    steps : tuple of int
+        Steps of 50 ms after the start at which it is injected.
+    """
+    plans = [[(step, FAULTS[fault])] for step in steps]
+    return _collect(operation, (fault,), plans)
+
+
+def run_pair(operation: Operation, first: str, second: str) -> Cell:
+    """Run an operation with one fault after another, close together and apart."""
+    gaps = ((1, 2), (2, 10), (0, 40))
+    plans = [[(one, FAULTS[first]), (two, FAULTS[second])] for one, two in gaps]
+    return _collect(operation, (first, second), plans)
+
+
+def _collect(
+    operation: Operation,
+    faults: tuple[str, ...],
+    plans: list[list[tuple[int, Fault]]],
+) -> Cell:
+    extra = {operation.may_end_by_fault.get(fault, "") for fault in faults}
+    allowed = operation.may_end | extra
+    ends: Counter[str] = Counter()
+    broken = []
+    for seed, plan in enumerate(plans, start=1):
+        steps = "+".join(str(step) for step, _ in plan)
+        try:
+            end = run_once(operation, plan, seed)
+        except (BrokenPromiseError, InvariantError) as error:
+            broken.append(f"step {steps}: {error}")
+            continue
+        if end in allowed:
+            ends[end] += 1
+        else:
+            broken.append(f"step {steps}: ended as {end}")
+    return Cell(
+        operation=operation.name,
+        fault=" + ".join(faults),
+        ends=tuple(sorted(ends.items())),
+        broken=tuple(broken),
+    )
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/trial/matrix.py
@@ -0,0 +1,155 @@
+"""Run the fault matrix: ``python -m plankspindle_testkit.trial.matrix``."""
+
+from __future__ import annotations
+
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from itertools import combinations
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+
+from plankspindle_testkit.trial.fault_matrix import FAULTS
+from plankspindle_testkit.trial.fault_matrix import OPERATIONS
+from plankspindle_testkit.trial.fault_matrix import STEPS
+from plankspindle_testkit.trial.fault_matrix import Cell
+from plankspindle_testkit.trial.fault_matrix import run_cell
+from plankspindle_testkit.trial.fault_matrix import run_pair
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+WORKERS = 6
+CHUNK = 4
+_BY_NAME = {operation.name: operation for operation in OPERATIONS}
+
+
+@click.command()
+@click.option(
+    "--write",
+    type=click.Path(path_type=Path),
+    help="Markdown page to write the table to.",
+)
+@click.option("--pairs/--no-pairs", default=False, help="Run pairs of faults, too.")
+def main(write: Path | None, pairs: bool) -> None:
+    """Run every fault at every step of every operation and print what came of it."""
+    with ProcessPoolExecutor(WORKERS) as pool:
+        singles = list(pool.map(_run_single, _single_names(), chunksize=CHUNK))
+        doubles: list[Cell] = []
+        if pairs:
+            doubles = list(pool.map(_run_double, _double_names(), chunksize=CHUNK))
+    broken = [cell for cell in (*singles, *doubles) if cell.broken]
+    page = render_page(singles, doubles)
+    if write is None:
+        click.echo(page)
+    else:
+        write.write_text(page, encoding="utf-8")
+    for cell in broken:
+        where = f"{cell.operation}, {cell.fault}"
+        click.echo(f"broken: {where}: {cell.broken[0]}", err=True)
+    sys.exit(1 if broken else 0)
+
+
+def _single_names() -> list[tuple[str, str]]:
+    return [(operation, fault) for operation in _BY_NAME for fault in FAULTS]
+
+
+def _double_names() -> list[tuple[str, str, str]]:
+    faults = [fault for fault in FAULTS if fault != "none"]
+    return [
+        (operation, one, two)
+        for operation in _BY_NAME
+        for one, two in combinations(faults, 2)
+    ]
+
+
+def _run_single(names: tuple[str, str]) -> Cell:
+    return run_cell(_BY_NAME[names[0]], names[1])
+
+
+def _run_double(names: tuple[str, str, str]) -> Cell:
+    return run_pair(_BY_NAME[names[0]], names[1], names[2])
+
+
+def render_page(singles: Sequence[Cell], doubles: Sequence[Cell]) -> str:
+    """Render the matrix as a Markdown page.
+
+    Parameters
+    ----------
+    singles, doubles : sequence of Cell
+        Cells of one fault, and of pairs.
+
+    Returns
+    -------
+    str
+        The page.
+    """
+    steps = ", ".join(str(step) for step in STEPS)
+    lines = [
+        "# Fault matrix",
+        "",
+        "Written by `python -m plankspindle_testkit.trial.matrix --pairs --write"
+        " docs/FAULTS.md`.",
+        "Each cell is an operation under a fault that is injected some steps of 50 ms",
+        f"after its start ({steps}), healed 4 s later and followed for 14 s, beside a",
+        "load of 15 requests a second. A cell says how often the operation ended in",
+        "which way. A broken promise or an end that is not allowed is in bold.",
+        "",
+    ]
+    for operation in OPERATIONS:
+        lines += _render_operation(operation.name, singles)
+    if doubles:
+        lines += _render_pairs(doubles)
+    return "\n".join(lines) + "\n"
+
+
+def _render_operation(name: str, singles: Sequence[Cell]) -> list[str]:
+    operation = _BY_NAME[name]
+    lines = [
+        f"## {name}",
+        "",
+        f"Must: {operation.must}. May end as: {', '.join(sorted(operation.may_end))}.",
+        "",
+        "| fault | ended as |",
+        "| --- | --- |",
+    ]
+    for cell in singles:
+        if cell.operation == name:
+            lines.append(f"| {cell.fault} | {_render_ends(cell)} |")
+    return [*lines, ""]
+
+
+def _render_ends(cell: Cell) -> str:
+    ends = [f"{end}: {count}" for end, count in cell.ends]
+    ends += [f"**{each}**" for each in cell.broken]
+    return ", ".join(ends)
+
+
+def _render_pairs(doubles: Sequence[Cell]) -> list[str]:
+    lines = [
+        "## Pairs",
+        "",
+        "Each pair of different faults, the second 1, 8 and 40 steps after the first.",
+        "",
+        "| operation | pairs | runs | broken | ended as |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    for operation in OPERATIONS:
+        cells = [cell for cell in doubles if cell.operation == operation.name]
+        totals: dict[str, int] = {}
+        for cell in cells:
+            for end, count in cell.ends:
+                totals[end] = totals.get(end, 0) + count
+        broken = [f"{cell.fault}: {each}" for cell in cells for each in cell.broken]
+        runs = sum(totals.values()) + len(broken)
+        ends = ", ".join(f"{end}: {count}" for end, count in sorted(totals.items()))
+        lines.append(
+            f"| {operation.name} | {len(cells)} | {runs} | {len(broken)} | {ends} |"
+        )
+        lines += [f"\n**{each}**" for each in broken]
+    return [*lines, ""]
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/testkit/src/plankspindle_testkit/trial/runs.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/runs.py
@@ -39,8 +39,22 @@
     trace: list[str]
 
 
-def build_trial(*, seed: int, cuts: bool = False, fault_rate: float = 0.5) -> Trial:
-    """Build the standard trial: three entry VMs and three upstreams of one domain."""
+def build_trial(
+    *, seed: int, cuts: bool = False, fault_rate: float = 0.5, quiet: bool = False
+) -> Trial:
+    """Build the standard trial: three entry VMs and three upstreams of one domain.
+
+    Parameters
+    ----------
+    seed : int
+        Its seed.
+    cuts : bool
+        Whether VMs of the domain are cut off from each other.
+    fault_rate : float
+        Faults each simulated second.
+    quiet : bool
+        Whether nothing goes wrong by itself, and no requests come.
+    """
     places = [
         VmPlace(
             name=f"ba-1-{letter}",
@@ -56,6 +70,9 @@
         )
         for number, slots in enumerate((2, 3, 9))
     }
+    upstreams["far"] = build_upstream(
+        endpoint=Endpoint("127.0.2.2", 9000), slots=9, failure_domain="ke-1"
+    )
     options = TrialOptions(
         seed=seed,
         configuration=build_configuration(
@@ -64,7 +81,9 @@
         ),
         places=places,
         cuts_within_domains=cuts,
-        fault_rate=fault_rate,
+        fault_rate=0.0 if quiet else fault_rate,
+        request_rate=0.0 if quiet else 40.0,
+        quiet=quiet,
     )
     return Trial(options=options)
 
--- a/packages/testkit/src/plankspindle_testkit/trial/trial.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial.py
@@ -18,10 +18,13 @@
 from plankspindle_core.outcome import Outcome
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
+from plankspindle_daemon.configuration.head_row import HEAD_KEY
+from plankspindle_daemon.configuration.head_row import head_row_from_mapping
 from plankspindle_daemon.configuration.messages import ContentChunk
 from plankspindle_daemon.configuration.messages import ContentRequest
 from plankspindle_daemon.control.intents import ApplyIntent
 from plankspindle_daemon.control.intents import ShiftIntent
+from plankspindle_daemon.control.plan_store import PlanOvertaken
 from plankspindle_daemon.control.plan_store import PlanStore
 from plankspindle_daemon.digests.digest_book import DigestBook
 from plankspindle_daemon.digests.messages import LoadDigest
@@ -102,6 +105,8 @@
     cuts_within_domains : bool
         Whether VMs of one failure domain are cut off from each other; the slots of
         an upstream may then be passed, up to once for each group of VMs.
+    quiet : bool
+        Whether messages and calls at the platform go well by themselves.
     """
 
     seed: int
@@ -110,6 +115,7 @@
     request_rate: float = 40.0
     fault_rate: float = 0.5
     cuts_within_domains: bool = False
+    quiet: bool = False
 
 
 @define(kw_only=True)
@@ -125,6 +131,7 @@
     options: TrialOptions
     now: float = 100.0
     random: Random = field(init=False)
+    request_rate: float = field(init=False)
     network: FakeNetwork = field(init=False)
     platform: FakePlatform = field(init=False)
     truth: Truth = field(factory=Truth)
@@ -137,13 +144,20 @@
     _issued_ids: list[tuple[str, str]] = field(factory=list)
     _next_list: dict[str, float] = field(factory=dict)
     _next_read: dict[str, float] = field(factory=dict)
+    _durations_by_request: dict[int, tuple[float, float]] = field(factory=dict)
     _closings: list[tuple[str, ClaimRow]] = field(factory=list)
     _silent_since: dict[str, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.options.seed)
-        self.network = FakeNetwork(random=self.random)
-        self.platform = FakePlatform(random=self.random)
+        self.request_rate = self.options.request_rate
+        calm = self.options.quiet
+        self.network = FakeNetwork(
+            random=self.random, loss=0.0 if calm else 0.1, repeat=0.0 if calm else 0.05
+        )
+        self.platform = FakePlatform(
+            random=self.random, fault_rate=0.0 if calm else 0.1
+        )
         for name, each in self.options.configuration.upstreams_by_name.items():
             self.upstreams_by_name[name] = FakeUpstream(name=name, slots=each.slots)
         for place in self.options.places:
@@ -176,7 +190,7 @@
             if vm.is_running(self.now):
                 self._run_vm(vm)
         self._end_runs()
-        if self.random.random() < self.options.request_rate * STEP_S:
+        if self.random.random() < self.request_rate * STEP_S:
             self._submit()
         self._close_claims()
         self._check()
@@ -279,6 +293,148 @@
             for run in upstream.runs
         )
 
+    # Directed faults and operations
+
+    def inject(self, way: str, *, vm: str, upstream: str) -> None:
+        """Let one named fault happen now.
+
+        Parameters
+        ----------
+        way : str
+            Name of the fault.
+        vm, upstream : str
+            What it strikes, where it strikes one.
+        """
+        self._note(f"inject {way} vm={vm} upstream={upstream}")
+        ways = self._ways(vm, self.upstreams_by_name[upstream])
+        directed: dict[str, Callable[[], None]] = {
+            "store-answers-lost": partial(self._break_store, "answer-lost"),
+            "store-writes-late": partial(self._break_store, "late"),
+            "reports-stop": self._stop_reports,
+            "all-shed": partial(self._change_all, Conduct.SHED),
+            "all-lose-answers": partial(self._change_all, Conduct.LOSE_ANSWERS),
+            "all-hang": partial(self._change_all, Conduct.HANG),
+            "all-down": partial(self._change_all, Conduct.DOWN),
+            "isolate": partial(self._isolate, vm),
+            "region-fails": self._fail_region,
+        }
+        {**ways, **directed}[way]()
+
+    def _break_store(self, way: str) -> None:
+        self.platform.fault_rate = 1.0
+        self.platform.only_way = way
+
+    def _stop_reports(self) -> None:
+        for upstream in self.upstreams_by_name.values():
+            upstream.reports_stopped = True
+
+    def _change_all(self, conduct: Conduct) -> None:
+        for upstream in self.upstreams_by_name.values():
+            upstream.conduct = conduct
+
+    def _isolate(self, vm: str) -> None:
+        peers = {place.name: place.peer for place in self.options.places}
+        self.network.cuts |= {
+            frozenset((peers[vm], peer)) for name, peer in peers.items() if name != vm
+        }
+
+    def _fail_region(self) -> None:
+        self._change_all(Conduct.DOWN)
+        for name in list(self.vms_by_name)[1:]:
+            self._kill(name, power_loss=True)
+
+    def heal_all(self) -> None:
+        """End all faults and start processes on all VMs that lack one."""
+        self._heal()
+        self.platform.fault_rate = 0.0
+        for upstream in self.upstreams_by_name.values():
+            upstream.conduct = Conduct.SERVE
+            upstream.reports_stopped = False
+            upstream.claims_idle = False
+            upstream.leaving_since = None
+        for _ in self.options.places:
+            self._restart_dead()
+
+    def restart(self, vm: str) -> None:
+        """End the process of a VM and start another one."""
+        self._kill(vm, power_loss=False)
+        self._restart_dead()
+
+    def begin_leaving(self, vm: str) -> None:
+        """Begin the planned stop of a process."""
+        self.listed_by_name.pop(vm, None)
+        self.vms_by_name[vm].node.leave.begin(self.now)
+
+    def start_one(
+        self, vm: str, *, kind: str, timeout_s: float, duration_s: float
+    ) -> int:
+        """Start one request whose end is asked for later.
+
+        Parameters
+        ----------
+        vm : str
+            Where it is sent.
+        kind : str
+            ``lookup``, ``download``, ``id`` or ``key``.
+        timeout_s, duration_s : float
+            Time it is given, and time that it takes, in seconds.
+
+        Returns
+        -------
+        int
+            Its number.
+        """
+        self.requests += 1
+        number = self.requests
+        self._durations_by_request[number] = (timeout_s, duration_s)
+        node = self.vms_by_name[vm]
+        match kind:
+            case "id":
+                self._submit_id(node, number)
+            case "key":
+                self._submit_key(node, number)
+            case _:
+                mark = f"{kind}-{number}"
+                self.truth.expect(mark, idempotent=True, sole=True)
+                self._start_request(node, number, mark, NoRecord())
+        return number
+
+    def end_of(self, number: int) -> str:
+        """Give what the caller of a request was told."""
+        told = self.truth.told_by_request.get(number)
+        if told is None:
+            return "vm lost"
+        return "aborted" if told.outcome is None else told.outcome.value
+
+    def make_plan(self, intent: Any) -> str:
+        """Make a plan and give its id; empty if the platform is away."""
+        made = run_to_end(self._plan_store().make(intent, "operator"))
+        return made.unwrap().id if made.is_ok() else ""
+
+    def confirm_until_told(self, plan_id: str) -> str:
+        """Confirm a plan until the answer is known."""
+        for _ in range(20):
+            answer = run_to_end(self._plan_store().confirm(plan_id, "operator"))
+            if answer.is_ok():
+                return "accepted"
+            if isinstance(answer.unwrap_err(), PlanOvertaken):
+                return "overtaken"
+        return "not known"
+
+    def is_in_force(self) -> bool:
+        """Tell whether every VM has the accepted version."""
+        row = self.platform.table.read(HEAD_KEY)
+        accepted = head_row_from_mapping(row.value).unwrap().version
+        return all(vm.node.version == accepted for vm in self.vms_by_name.values())
+
+    def all_serve(self) -> bool:
+        """Tell whether every VM that stays may use slots."""
+        staying = [vm for vm in self.vms_by_name.values() if vm.node.leave.accepts]
+        return bool(staying) and all(
+            vm.node.dispatchers_by_service[SERVICE].capacity(self.now) > 0
+            for vm in staying
+        )
+
     # Control
 
     def _plan_store(self) -> PlanStore:
@@ -489,7 +645,8 @@
     def _probe(self, vm: TrialVm, service: str, name: str) -> None:
         upstream = self.upstreams_by_name[name]
         answers = upstream.conduct is not Conduct.DOWN
-        report = upstream.report() if answers else None
+        silent = not answers or upstream.reports_stopped
+        report = None if silent else upstream.report()
         probed = dispatch.Probed(
             upstream=name, report=report, wall=self._wall(), reached=answers
         )
@@ -596,6 +753,9 @@
     ) -> None:
         idempotent = mark in self.truth.idempotent_marks
         timeout_s = self.random.choice([0.3, 1.0, 3.0])
+        directed = self._durations_by_request.get(number)
+        if directed is not None:
+            timeout_s = directed[0]
         request = TrialRequest(
             number=number,
             mark=mark,
@@ -694,6 +854,9 @@
             self._event(vm, request, m.HeadArrived(proves_not_run=True))
             return
         duration = self.random.uniform(0.02, 0.2)
+        directed = self._durations_by_request.get(request.number)
+        if directed is not None:
+            duration = directed[1]
         if upstream.conduct is Conduct.HANG:
             duration = 1e9
         deadline = request.ticket.deadline
--- /dev/null
+++ b/packages/testkit/tests/trial/test_fault_matrix.py
@@ -0,0 +1,30 @@
+"""A part of the fault matrix: each fault once in each operation, and a broken cell."""
+
+from __future__ import annotations
+
+import pytest
+
+from plankspindle_daemon.drains.drain_clock import DrainClock
+from plankspindle_testkit.trial.fault_matrix import FAULTS
+from plankspindle_testkit.trial.fault_matrix import OPERATIONS
+from plankspindle_testkit.trial.fault_matrix import STEPS
+from plankspindle_testkit.trial.fault_matrix import Operation
+from plankspindle_testkit.trial.fault_matrix import run_cell
+from plankspindle_testkit.trial.matrix import render_page
+
+
+@pytest.mark.parametrize("operation", OPERATIONS, ids=lambda each: each.name)
+def test_no_fault_breaks_an_operation(operation: Operation) -> None:
+    for number, fault in enumerate(FAULTS):
+        step = STEPS[number % len(STEPS)]
+        cell = run_cell(operation, fault, (step,))
+        assert cell.broken == (), fault
+
+
+def test_a_broken_cell_is_seen_and_shown(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(DrainClock, "upstream_drained_at", lambda *_, **__: None)
+    drain = next(each for each in OPERATIONS if each.name == "drain")
+    cells = [run_cell(drain, fault, (0, 10)) for fault in ("none", "platform down")]
+    assert any(cell.broken for cell in cells)
+    page = render_page(cells, cells)
+    assert "**step" in page
