Read whatever comes from outside as a value or an error value

Found by any JSON documents through all parsers: a platform answer without the expected keys, Infinity in a load report, a time that is text in the list of VMs, and a document that is no mapping raised, which stopped the process. All are error values now; a platform that answers nonsense counts as away.

--- a/packages/core/src/plankspindle_core/settings/structure.py
+++ b/packages/core/src/plankspindle_core/settings/structure.py
@@ -27,6 +27,10 @@
 _CHECKED_FIELD = re.compile(r"'(\w+)' (must be [^:]+): (.*)")
 
 
+class _WrongTypeError(TypeError):
+    """A value of another type than wanted, with a message for its writer."""
+
+
 def make_converter() -> Converter:
     """Build a converter that checks scalar types and refuses unknown keys.
 
@@ -46,19 +50,19 @@
 
 def _exactly(value: Any, wanted: type[Any]) -> Any:
     if type(value) is not wanted:
-        raise TypeError(f"expected {wanted.__name__}, not {value!r}")
+        raise _WrongTypeError(f"expected {wanted.__name__}, not {value!r}")
     return value
 
 
 def _number(value: Any, _: type[float]) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f"expected a number, not {value!r}")
+        raise _WrongTypeError(f"expected a number, not {value!r}")
     return float(value)
 
 
 def _endpoint(value: Any, _: type[Endpoint]) -> Endpoint:
     if not isinstance(value, str):
-        raise TypeError(f"expected IP:PORT, not {value!r}")
+        raise _WrongTypeError(f"expected IP:PORT, not {value!r}")
     return Endpoint.parse(value)
 
 
@@ -89,6 +93,8 @@
     """
     try:
         return Ok(converter.structure(value, wanted))
+    except (TypeError, AttributeError, KeyError):
+        return Err(InvalidDocument(("document: expected a mapping of keys",)))
     except BaseValidationError as error:
         lines = transform_error(error, path=ROOT_PATH, format_exception=_describe)
         return Err(
@@ -101,8 +107,10 @@
 def _describe(error: BaseException, _: type[Any] | None) -> str:
     if isinstance(error, KeyError):
         return f"required key {error.args[0]!r} is missing"
-    if isinstance(error, ValueError | TypeError) and error.args:
+    if isinstance(error, _WrongTypeError | ValueError) and error.args:
         return str(error.args[0])
+    if isinstance(error, TypeError | AttributeError | IndexError):
+        return "the value does not have the form it must have here"
     extra = getattr(error, "extra_fields", None)
     if extra:
         return f"unknown key {', '.join(sorted(extra))}; remove it or fix its spelling"
--- a/packages/daemon/src/plankspindle_daemon/platform/live_list.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/live_list.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum
 from typing import Any
 
@@ -65,7 +66,7 @@
     """
     try:
         return Ok([_parse_vm(each) for each in document["vms"]])
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, ArithmeticError, AttributeError) as error:
         return Err(PlatformUnavailable(f"unusable list of VMs: {error!r}"))
 
 
@@ -75,11 +76,19 @@
         kind=VmKind(each["kind"]),
         failure_domain=str(each["failure_domain"]),
         leaving=bool(each.get("leaving", False)),
-        leaves_at=each.get("leaves_at"),
+        leaves_at=_time(each.get("leaves_at")),
         caller_endpoint=_endpoint(each.get("caller")),
         peer_endpoint=_endpoint(each.get("peer")),
     )
 
 
+def _time(value: Any) -> float | None:
+    if value is None:
+        return None
+    if isinstance(value, bool) or not math.isfinite(value):
+        raise ValueError(f"{value!r} is not a time")
+    return float(value)
+
+
 def _endpoint(text: str | None) -> Endpoint | None:
     return Endpoint.parse(text) if text else None
--- a/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
@@ -6,6 +6,7 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import TypeVar
 from urllib.parse import quote
 from urllib.parse import urlencode
 
@@ -27,9 +28,12 @@
 from plankspindle_daemon.platform.table import Row
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from plankspindle_core.endpoint import Endpoint
     from plankspindle_daemon.platform.table import Transaction
 
+Parsed = TypeVar("Parsed")
 _COMMIT_TARGET = "/table/commit"
 _OK = 200
 _NOT_FOUND = 404
@@ -74,9 +78,7 @@
             return Err(answer.unwrap_err())
         if answer.unwrap().status == _NOT_FOUND:
             return Ok(Row(key=key, version=ABSENT))
-        return self._decoded(answer.unwrap()).map(
-            lambda found: Row(key=key, version=found["version"], value=found["value"])
-        )
+        return self._read(answer.unwrap(), lambda found: _row(key, found))
 
     async def read_rows(
         self, keys: list[str]
@@ -97,11 +99,9 @@
         answer = await self._call("POST", "/table/read", {"keys": keys})
         if answer.is_err():
             return Err(answer.unwrap_err())
-        return self._decoded(answer.unwrap()).map(
-            lambda found: {
-                key: Row(key=key, version=row["version"], value=row["value"])
-                for key, row in found["rows"].items()
-            }
+        return self._read(
+            answer.unwrap(),
+            lambda found: {key: _row(key, found["rows"][key]) for key in keys},
         )
 
     async def read_range(
@@ -121,11 +121,11 @@
         self.reads += 1
         query = urlencode({"prefix": prefix, "after": after, "limit": limit})
         answer = await self._call("GET", f"/table?{query}")
-        return answer.and_then(self._decoded).map(
-            lambda found: [
-                Row(key=row["key"], version=row["version"], value=row["value"])
-                for row in found["rows"]
-            ]
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        return self._read(
+            answer.unwrap(),
+            lambda found: [_row(str(row["key"]), row) for row in found["rows"]],
         )
 
     async def commit(
@@ -153,12 +153,16 @@
         answer = await self._call("POST", _COMMIT_TARGET, body)
         if answer.is_err():
             return Err(answer.unwrap_err())
-        decoded = self._decoded(answer.unwrap(), accepted=(_OK, _CONFLICT))
-        if decoded.is_err():
-            return Err(decoded.unwrap_err())
-        if answer.unwrap().status == _CONFLICT:
-            return Err(ConditionFailed(tuple(decoded.unwrap()["failed"])))
-        return Ok(None)
+        if answer.unwrap().status != _CONFLICT:
+            return self._read(answer.unwrap(), lambda _: None)
+        failed = self._read(
+            answer.unwrap(),
+            lambda found: tuple(str(key) for key in found["failed"]),
+            accepted=_CONFLICT,
+        )
+        if failed.is_err():
+            return Err(failed.unwrap_err())
+        return Err(ConditionFailed(failed.unwrap()))
 
     async def put_object(
         self, name: str, content: bytes
@@ -166,7 +170,9 @@
         """Store an object; names are digests, so storing it twice is harmless."""
         self.writes += 1
         answer = await self._call("PUT", f"/objects/{name}", content)
-        return answer.and_then(self._decoded).map(lambda _: None)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        return self._read(answer.unwrap(), lambda _: None)
 
     async def get_object(self, name: str) -> Result[bytes | None, PlatformUnavailable]:
         """Read an object, or None if there is none of that name."""
@@ -186,7 +192,10 @@
         """Read the platform's list of live and leaving VMs."""
         self.reads += 1
         answer = await self._call("GET", "/vms")
-        return answer.and_then(self._decoded).and_then(parse_live_list)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        document = self._read(answer.unwrap(), lambda found: found)
+        return document.and_then(parse_live_list)
 
     async def _call(
         self, method: str, target: str, body: Any = b""
@@ -215,12 +224,20 @@
         is_write = method == "PUT" or target == _COMMIT_TARGET
         return self.write_budget if is_write else self.read_budget
 
-    def _decoded(
-        self, answer: HttpAnswer, accepted: tuple[int, ...] = (_OK,)
-    ) -> Result[Any, PlatformUnavailable]:
-        if answer.status not in accepted:
+    def _read(
+        self,
+        answer: HttpAnswer,
+        parse: Callable[[Any], Parsed],
+        accepted: int = _OK,
+    ) -> Result[Parsed, PlatformUnavailable]:
+        """Read the JSON body of an answer; what has no sense counts as no answer."""
+        if answer.status != accepted:
             return Err(PlatformUnavailable(f"status {answer.status}"))
         try:
-            return Ok(json.loads(answer.body or b"{}"))
-        except ValueError as error:
-            return Err(PlatformUnavailable(f"not valid JSON: {error}"))
+            return Ok(parse(json.loads(answer.body or b"{}")))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            return Err(PlatformUnavailable(f"unusable answer: {error!r}"))
+
+
+def _row(key: str, found: Any) -> Row:
+    return Row(key=key, version=int(found["version"]), value=found["value"])
--- a/packages/daemon/src/plankspindle_daemon/upstreams/load_report.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/load_report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 
 from attrs import frozen
 from result import Err
@@ -57,6 +58,8 @@
     try:
         document = json.loads(body)
         leaves_at = document.get("leaves_at")
+        if leaves_at is not None and not math.isfinite(leaves_at):
+            return Err(Unreadable(f"leaves_at {leaves_at!r} is not a time"))
         return Ok(
             LoadReport(
                 in_flight=int(document.get("in_flight", 0)),
@@ -65,5 +68,5 @@
                 leaves_at=None if leaves_at is None else float(leaves_at),
             )
         )
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
         return Err(Unreadable(str(error)))
