--- a/packages/testkit/src/plankspindle_testkit/trial/fault_matrix.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/fault_matrix.py
@@ -225,7 +225,7 @@
 
 
 def _way(name: str) -> Fault:
-    return lambda trial: trial.inject(name, vm=FIRST_VM, upstream="u2")
+    return lambda trial: trial.faults.inject(name, vm=FIRST_VM, upstream="u2")
 
 
 FAULTS: dict[str, Fault] = {
@@ -281,7 +281,7 @@
         last = step
         fault(trial)
     trial.run(FAULT_S)
-    trial.heal_all()
+    trial.faults.heal_all()
     trial.run(RECOVERY_S)
     return check(trial)
 
--- a/packages/testkit/src/plankspindle_testkit/trial/trial.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 from typing import Any
@@ -64,14 +63,13 @@
 from plankspindle_testkit.trial.fake_upstream import Conduct
 from plankspindle_testkit.trial.fake_upstream import FakeUpstream
 from plankspindle_testkit.trial.fake_upstream import Run
+from plankspindle_testkit.trial.fault_injector import FaultInjector
 from plankspindle_testkit.trial.trial_request import TrialRequest
 from plankspindle_testkit.trial.trial_vm import TrialVm
 from plankspindle_testkit.trial.truth import BrokenPromiseError
 from plankspindle_testkit.trial.truth import Truth
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from plankspindle_core.endpoint import Endpoint
     from plankspindle_daemon.platform.platform_client import PlatformClient
     from plankspindle_daemon.wire.codec import PeerMessage
@@ -134,6 +132,7 @@
     request_rate: float = field(init=False)
     network: FakeNetwork = field(init=False)
     platform: FakePlatform = field(init=False)
+    faults: FaultInjector = field(init=False)
     truth: Truth = field(factory=Truth)
     vms_by_name: dict[str, TrialVm] = field(factory=dict)
     upstreams_by_name: dict[str, FakeUpstream] = field(factory=dict)
@@ -151,6 +150,7 @@
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.options.seed)
         self.request_rate = self.options.request_rate
+        self.faults = FaultInjector(trial=self)
         calm = self.options.quiet
         self.network = FakeNetwork(
             random=self.random, loss=0.0 if calm else 0.1, repeat=0.0 if calm else 0.05
@@ -165,7 +165,8 @@
             self._start_vm(place)
         self._confirm(ApplyIntent(configuration=self.options.configuration))
 
-    def _note(self, text: str) -> None:
+    def note(self, text: str) -> None:
+        """Add a line to the trace."""
         self.trace.append(f"{self.now:9.3f} {text}")
 
     def run(self, seconds: float) -> None:
@@ -183,7 +184,7 @@
 
     def _step(self) -> None:
         if self.random.random() < self.options.fault_rate * STEP_S:
-            self._fault()
+            self.faults.strike()
         self.platform.land_late_write()
         self._deliver_packets()
         for vm in list(self.vms_by_name.values()):
@@ -195,64 +196,6 @@
         self._close_claims()
         self._check()
 
-    # Faults
-
-    def _fault(self) -> None:
-        vm = self.random.choice(sorted(self.vms_by_name))
-        upstream = self.random.choice(sorted(self.upstreams_by_name))
-        ways = self._ways(vm, self.upstreams_by_name[upstream])
-        way = self.random.choice(sorted(ways))
-        self._note(f"fault {way} vm={vm} upstream={upstream}")
-        ways[way]()
-
-    def _ways(self, vm: str, upstream: FakeUpstream) -> dict[str, Callable[[], None]]:
-        ways: dict[str, Callable[[], None]] = {
-            "kill": partial(self._kill, vm, power_loss=False),
-            "power-loss": partial(self._kill, vm, power_loss=True),
-            "restart": self._restart_dead,
-            "restart-again": self._restart_dead,
-            "pause": partial(self._pause, vm),
-            "platform": self._toggle_platform,
-            "conduct": partial(self._change_conduct, upstream),
-            "conduct-again": partial(self._change_conduct, upstream),
-            "liar": partial(self._toggle_liar, upstream),
-            "leave": partial(self._toggle_leaving, upstream),
-            "race": self._race_operators,
-            "heal": self._heal,
-        }
-        if self.options.cuts_within_domains:
-            ways["cut"] = self._cut_or_heal
-        return ways
-
-    def _pause(self, vm: str) -> None:
-        self.vms_by_name[vm].paused_until = self.now + self.random.uniform(0.5, 8.0)
-
-    def _toggle_platform(self) -> None:
-        self.platform.down = not self.platform.down
-
-    def _change_conduct(self, upstream: FakeUpstream) -> None:
-        upstream.conduct = self.random.choice(list(Conduct))
-
-    def _toggle_liar(self, upstream: FakeUpstream) -> None:
-        upstream.claims_idle = not upstream.claims_idle
-
-    def _toggle_leaving(self, upstream: FakeUpstream) -> None:
-        staying = [
-            each for each in self.upstreams_by_name.values() if not each.leaving_since
-        ]
-        if upstream.leaving_since:
-            upstream.leaving_since = None
-        elif len(staying) > 1:
-            upstream.leaving_since = self.now
-
-    def _heal(self) -> None:
-        self.network.cuts.clear()
-        self.platform.down = False
-
-    def _cut_or_heal(self) -> None:
-        one, other = self.random.sample(self.options.places, 2)
-        self.network.cuts ^= {frozenset((one.peer, other.peer))}
-
     def _list_vm(self, place: VmPlace) -> None:
         self.listed_by_name[place.name] = ListedVm(
             name=place.name,
@@ -267,8 +210,9 @@
             place, seeds=self.options.places, random=self.random, now=self.now
         )
 
-    def _kill(self, name: str, *, power_loss: bool) -> None:
-        if len(self.vms_by_name) < 2:
+    def kill(self, name: str, *, power_loss: bool) -> None:
+        """End the process of a VM; after a power loss its connections stay open."""
+        if name not in self.vms_by_name or len(self.vms_by_name) < 2:
             return
         del self.vms_by_name[name]
         self._silent_since[name] = self.now
@@ -276,7 +220,7 @@
             for upstream in self.upstreams_by_name.values():
                 upstream.cancel_all_of(name)
 
-    def _restart_dead(self) -> None:
+    def restart_dead(self) -> None:
         """Start a process again on a VM whose old process runs nothing any more."""
         for place in self.options.places:
             if place.name in self.vms_by_name or self._still_runs(place.name):
@@ -293,72 +237,10 @@
             for run in upstream.runs
         )
 
-    # Directed faults and operations
-
-    def inject(self, way: str, *, vm: str, upstream: str) -> None:
-        """Let one named fault happen now.
-
-        Parameters
-        ----------
-        way : str
-            Name of the fault.
-        vm, upstream : str
-            What it strikes, where it strikes one.
-        """
-        self._note(f"inject {way} vm={vm} upstream={upstream}")
-        ways = self._ways(vm, self.upstreams_by_name[upstream])
-        directed: dict[str, Callable[[], None]] = {
-            "store-answers-lost": partial(self._break_store, "answer-lost"),
-            "store-writes-late": partial(self._break_store, "late"),
-            "reports-stop": self._stop_reports,
-            "all-shed": partial(self._change_all, Conduct.SHED),
-            "all-lose-answers": partial(self._change_all, Conduct.LOSE_ANSWERS),
-            "all-hang": partial(self._change_all, Conduct.HANG),
-            "all-down": partial(self._change_all, Conduct.DOWN),
-            "isolate": partial(self._isolate, vm),
-            "region-fails": self._fail_region,
-        }
-        {**ways, **directed}[way]()
-
-    def _break_store(self, way: str) -> None:
-        self.platform.fault_rate = 1.0
-        self.platform.only_way = way
-
-    def _stop_reports(self) -> None:
-        for upstream in self.upstreams_by_name.values():
-            upstream.reports_stopped = True
-
-    def _change_all(self, conduct: Conduct) -> None:
-        for upstream in self.upstreams_by_name.values():
-            upstream.conduct = conduct
-
-    def _isolate(self, vm: str) -> None:
-        peers = {place.name: place.peer for place in self.options.places}
-        self.network.cuts |= {
-            frozenset((peers[vm], peer)) for name, peer in peers.items() if name != vm
-        }
-
-    def _fail_region(self) -> None:
-        self._change_all(Conduct.DOWN)
-        for name in list(self.vms_by_name)[1:]:
-            self._kill(name, power_loss=True)
-
-    def heal_all(self) -> None:
-        """End all faults and start processes on all VMs that lack one."""
-        self._heal()
-        self.platform.fault_rate = 0.0
-        for upstream in self.upstreams_by_name.values():
-            upstream.conduct = Conduct.SERVE
-            upstream.reports_stopped = False
-            upstream.claims_idle = False
-            upstream.leaving_since = None
-        for _ in self.options.places:
-            self._restart_dead()
-
     def restart(self, vm: str) -> None:
         """End the process of a VM and start another one."""
-        self._kill(vm, power_loss=False)
-        self._restart_dead()
+        self.kill(vm, power_loss=False)
+        self.restart_dead()
 
     def begin_leaving(self, vm: str) -> None:
         """Begin the planned stop of a process."""
@@ -470,7 +352,8 @@
                 if confirmed.is_ok():
                     return
 
-    def _race_operators(self) -> None:
+    def race_operators(self) -> None:
+        """Let two operators plan on one version and both confirm."""
         store = self._plan_store()
         plans = []
         for shift_id, cap in (("one", 10.0), ("two", 20.0)):
@@ -545,7 +428,7 @@
     def _run_vm(self, vm: TrialVm) -> None:
         if vm.paused_until is not None:
             vm.paused_until = None
-            self._note(f"{vm.place.name} wakes")
+            self.note(f"{vm.place.name} wakes")
             effects = vm.node.wake_from_pause(now=self.now, wall=self._wall())
             self._perform(vm, effects)
         while vm.ended_while_paused:
@@ -567,9 +450,9 @@
         goodbye = vm.node.heartbeat(now=self.now, left=True)
         for endpoint in vm.node.membership.peer_endpoints():
             self._send(vm, goodbye, endpoint)
-        self._note(f"{vm.place.name} left")
+        self.note(f"{vm.place.name} left")
         if len(self.vms_by_name) > 1:
-            self._kill(vm.place.name, power_loss=False)
+            self.kill(vm.place.name, power_loss=False)
         else:
             self._list_vm(vm.place)
             self._start_vm(vm.place)
@@ -621,7 +504,7 @@
                 case SendToPeer(message=message, to=to):
                     self._send(vm, message, to)
                 case BeginLeaving(reason=reason):
-                    self._note(f"{vm.place.name} leaves: {reason}")
+                    self.note(f"{vm.place.name} leaves: {reason}")
                     vm.node.leave.begin(self.now)
 
     def _send(self, vm: TrialVm, message: PeerMessage, to: Endpoint) -> None:
