--- a/packages/testkit/src/plankspindle_testkit/trial/fault_injector.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/fault_injector.py
@@ -55,9 +55,10 @@
         return ways
 
     def _pause(self, vm: str) -> None:
-        self.trial.vms_by_name[vm].paused_until = (
-            self.trial.now + self.trial.random.uniform(0.5, 8.0)
-        )
+        pause_s = self.trial.random.uniform(0.5, 8.0)
+        struck = self.trial.vms_by_name.get(vm)
+        if struck is not None:
+            struck.paused_until = self.trial.now + pause_s
 
     def _toggle_platform(self) -> None:
         self.trial.platform.down = not self.trial.platform.down
