--- a/packages/daemon/src/plankspindle_daemon/control/forecast.py
+++ b/packages/daemon/src/plankspindle_daemon/control/forecast.py
@@ -118,6 +118,7 @@
             shortfalls += [shortfall] if shortfall else []
         if shortfalls:
             return Err(InvalidDocument(tuple(shortfalls)))
+        lines += self._target_lines(drained)
         lines += self._cold_lines(drained)
         return Ok((*lines, self._drain_time_line()))
 
@@ -183,6 +184,17 @@
             f" {moving - max(0.0, free):.1f}{unheard}"
         )
 
+    def _target_lines(self, drained: set[str]) -> list[str]:
+        """Say what each target can take, a line a failure domain and service."""
+        if not drained:
+            return []
+        return [
+            f"{domain}: {self._free_line(service, self._load(service, {domain}), 'it')}"
+            for domain in sorted(set(self.wanted.failure_domains_by_name) - drained)
+            for service in sorted(self.wanted.services_by_name)
+            if self._slots(service, {domain})
+        ]
+
     def _cold_lines(self, drained: set[str]) -> list[str]:
         sites = {
             name
--- a/packages/daemon/tests/control/test_forecast.py
+++ b/packages/daemon/tests/control/test_forecast.py
@@ -90,6 +90,8 @@
     text = "\n".join(effects)
     assert "registry loses 10 slots, about 4 requests at once move" in text
     assert "can take 10 of 20 slots" in text
+    assert "ba-2: it can take 5 of 10 slots of registry" in text
+    assert "ke-1: it can take 5 of 10 slots of registry" in text
     assert "1 of 2 client blocks" in text
     assert "running work ends within about 1 s, in the worst case 120 s" in text
 
--- a/packages/daemon/tests/control/test_plan_store.py
+++ b/packages/daemon/tests/control/test_plan_store.py
@@ -27,6 +27,7 @@
 from plankspindle_daemon.control.plan_store import PlanStore
 from plankspindle_daemon.digests.digest_book import DigestBook
 from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.platform_stand_in.table_store import TableStore
 from plankspindle_testkit.trial.fake_platform import FakePlatform
 from plankspindle_testkit.trial.fake_platform import run_to_end
 
@@ -238,10 +239,8 @@
         return await super().read_rows(keys)
 
 
-@given(order=st.lists(st.booleans(), max_size=30))
-def test_of_two_confirmations_at_once_one_wins_in_every_order(
-    order: list[bool],
-) -> None:
+def race(order: list[bool]) -> tuple[list[Any], FakePlatform]:
+    """Confirm two plans on one base at once, taking turns in an order."""
     platform = build_platform()
     plans = [
         make(build_store(platform, seed=number), class_intent(name))
@@ -261,8 +260,35 @@
             running[number].send(None)
         except StopIteration as stopped:
             answers[number] = stopped.value
-    won = [answer for answer in answers.values() if answer.is_ok()]
-    lost = [answer.unwrap_err() for answer in answers.values() if answer.is_err()]
+    return list(answers.values()), platform
+
+
+@given(order=st.lists(st.booleans(), max_size=30))
+def test_of_two_confirmations_at_once_one_wins_in_every_order(
+    order: list[bool],
+) -> None:
+    answers, platform = race(order)
+    won = [answer for answer in answers if answer.is_ok()]
+    lost = [answer.unwrap_err() for answer in answers if answer.is_err()]
     assert len(won) == 1
     assert isinstance(lost[0], PlanOvertaken)
     assert version(platform) == 2
+
+
+def test_a_confirmation_without_its_condition_would_let_both_win(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    original = TableStore.commit
+
+    def commit_without_condition(
+        self: TableStore, writes: list[dict[str, Any]]
+    ) -> list[str]:
+        loose = [
+            {**write, "expected_version": self.read(write["key"]).version}
+            for write in writes
+        ]
+        return original(self, loose)
+
+    monkeypatch.setattr(TableStore, "commit", commit_without_condition)
+    answers, _ = race([False, True])
+    assert all(answer.is_ok() for answer in answers)
--- a/packages/daemon/tests/node/test_node.py
+++ b/packages/daemon/tests/node/test_node.py
@@ -8,6 +8,7 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.dispatch import messages as d
 from plankspindle_daemon.membership import messages as m
+from plankspindle_daemon.membership.membership import Membership
 from plankspindle_daemon.node.effects import OfService
 from plankspindle_daemon.platform.live_list import ListedVm
 from plankspindle_daemon.platform.live_list import VmKind
@@ -19,6 +20,8 @@
 from plankspindle_testkit.trial.trial_vm import TrialVm
 
 if TYPE_CHECKING:
+    import pytest
+
     from plankspindle_daemon.node.node import Node
     from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
@@ -116,6 +119,19 @@
     assert share_of(b) == 2
 
 
+def test_a_member_that_grew_at_once_would_pass_the_slots(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Membership, "may_grow", lambda *_, **__: True)
+    a, b = build_node("a"), build_node("b")
+    read_list(a, 0.0, "a")
+    for number in range(3):
+        a.take_dispatch("registry", d.Arrived(build_ticket(number)), 0.0)
+    read_list(b, 0.1, "a", "b")
+    agree(a, b, 0.2)
+    assert upstream_of(a).ledger.in_flight + share_of(b) > SLOTS
+
+
 def test_after_a_pause_a_share_is_taken_again_only_with_agreement() -> None:
     a, b = build_pair()
     a.wake_from_pause(now=60.0, wall=WALL)
--- a/packages/testkit/tests/trial/test_trials.py
+++ b/packages/testkit/tests/trial/test_trials.py
@@ -8,6 +8,7 @@
 
 from plankspindle_daemon.exchange.exchange import Exchange
 from plankspindle_daemon.idempotency.claim_attempt import ClaimAttempt
+from plankspindle_daemon.idempotency.issued_ids import IssuedIds
 from plankspindle_daemon.idempotency.verdicts import RunIt
 from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
@@ -41,12 +42,18 @@
     return self._settle(RunIt())
 
 
+def _run_every_repeat(self: IssuedIds, *_: Any) -> RunIt:
+    return RunIt()
+
+
 MUTATIONS = [
     (SlotLedger, "own_allowance", lambda self, now: self.share, "u"),
     (SlotLedger, "shrink_share", lambda self, share: None, "u"),
     (Exchange, "_may_try_again", lambda self: True, "non-idempotent-sent-once"),
     (UpstreamState, "_set_leaving", lambda self, **_: None, "while leaving"),
     (ClaimAttempt, "_take_row", _claim_without_nonce, "ran twice"),
+    (SlotLedger, "give_up_all", lambda self: None, "u"),
+    (IssuedIds, "begin", _run_every_repeat, "is broken"),
 ]
 
 
@@ -59,6 +66,8 @@
         "retry-what-may-have-run",
         "ignore-leaving",
         "drop-the-nonce",
+        "keep-shares-over-a-pause",
+        "run-repeats",
     ],
 )
 def test_a_mutation_is_caught(
