--- a/packages/daemon/tests/node/test_node.py
+++ b/packages/daemon/tests/node/test_node.py
@@ -13,6 +13,7 @@
 from plankspindle_daemon.platform.live_list import ListedVm
 from plankspindle_daemon.platform.live_list import VmKind
 from plankspindle_daemon.upstreams.messages import SlotRequest
+from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
 from plankspindle_testkit.builders import VmPlace
 from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.builders import build_ticket
@@ -142,6 +143,18 @@
     assert share_of(a) == 2
 
 
+def test_a_woken_process_that_kept_its_share_would_pass_the_slots(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(SlotLedger, "give_up_all", lambda self: None)
+    a, b = build_pair()
+    read_list(b, 10.0, "b")
+    read_list(b, 200.0, "b")
+    assert share_of(b) == SLOTS
+    a.wake_from_pause(now=200.0, wall=WALL)
+    assert share_of(a) + share_of(b) > SLOTS
+
+
 def test_after_a_pause_a_process_alone_listens_before_it_takes_slots() -> None:
     node = build_node("a")
     node.tick(now=3.0, wall=WALL)
--- a/packages/testkit/src/plankspindle_testkit/trial/trial.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial.py
@@ -79,6 +79,7 @@
 LIST_PERIOD_S = 1.0
 CONFIGURATION_PERIOD_S = 0.5
 LIST_LAG_S = 3.0
+LEAVE_LISTED_AFTER_S = 1.0
 LEAVE_BOUND_S = 3.0
 SERVICE = "registry"
 FINGERPRINT = Fingerprint(caller="dealer", digest="aa")
@@ -461,13 +462,26 @@
         name = vm.place.name
         if self.now >= self._next_list.get(name, 0.0) and not self.platform.down:
             self._next_list[name] = self.now + LIST_PERIOD_S
-            listed = tuple(self.listed_by_name.values())
+            listed = (*self.listed_by_name.values(), *self._listed_upstreams())
             self._take_membership(vm, membership.LiveListRead(listed))
         if self.now >= self._next_read.get(name, 0.0):
             self._next_read[name] = self.now + CONFIGURATION_PERIOD_S
             self._read_configuration(vm)
         self._update_list()
 
+    def _listed_upstreams(self) -> list[ListedVm]:
+        """Give the upstreams as the list names them, some time behind."""
+        return [
+            ListedVm(
+                name=upstream.name,
+                kind=VmKind.UPSTREAM,
+                failure_domain="ba-1",
+                leaving=upstream.leaving_since is not None
+                and self.now - upstream.leaving_since > LEAVE_LISTED_AFTER_S,
+            )
+            for upstream in self.upstreams_by_name.values()
+        ]
+
     def _update_list(self) -> None:
         """Drop VMs from the list some seconds after they died or stood still."""
         for name, vm in self.vms_by_name.items():
