--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -215,10 +215,10 @@
             state = self.node.leave.advance(running=self._callers.running, now=now)
             if isinstance(state, Left):
                 log_event("left", cut_off=state.cut_off)
-                await self._say_goodbye()
+                await self._send_last_heartbeats()
                 return
 
-    async def _say_goodbye(self) -> None:
+    async def _send_last_heartbeats(self) -> None:
         for _ in range(LAST_HEARTBEATS):
             heartbeat = self.node.heartbeat(now=monotonic(), left=True)
             for endpoint in self.node.membership.peer_endpoints():
@@ -376,6 +376,7 @@
         await daemon.start()
     except OSError as error:
         log_event("address_not_usable", error=str(error))
+        await daemon.close()
         return EXIT_ADDRESS
     try:
         async with TaskGroup(wait=any) as group:
--- a/packages/daemon/src/plankspindle_daemon/idempotency/gate.py
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/gate.py
@@ -56,7 +56,7 @@
 
 
 @frozen(kw_only=True)
-class Told:
+class Answered:
     """The request does not run; the caller is told why.
 
     Parameters
@@ -71,7 +71,7 @@
     answer: AnswerCaller
 
 
-Decision = RunRequest | SendHome | Told
+Decision = RunRequest | SendHome | Answered
 
 
 @define(kw_only=True)
@@ -128,7 +128,7 @@
         )
         if isinstance(verdict, RunIt):
             return RunRequest(ClaimRecord(store=self.claims, key=key, row=row))
-        return Told(verdict=verdict, answer=answer_for(verdict))
+        return Answered(verdict=verdict, answer=answer_for(verdict))
 
     def _decide_id(
         self,
@@ -144,7 +144,7 @@
             home = self.node.home_of(verdict.vm)
             if home is not None and verdict.vm != self.node.vm:
                 return SendHome(home)
-        return Told(verdict=verdict, answer=answer_for(verdict))
+        return Answered(verdict=verdict, answer=answer_for(verdict))
 
 
 def answer_for(verdict: IdVerdict | ClaimVerdict) -> AnswerCaller:
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -36,10 +36,10 @@
 from plankspindle_daemon.exchange.request_runner import wall_ms
 from plankspindle_daemon.idempotency import verdicts
 from plankspindle_daemon.idempotency.fingerprint import fingerprint_of
+from plankspindle_daemon.idempotency.gate import Answered
 from plankspindle_daemon.idempotency.gate import IdempotencyGate
 from plankspindle_daemon.idempotency.gate import RunRequest
 from plankspindle_daemon.idempotency.gate import SendHome
-from plankspindle_daemon.idempotency.gate import Told
 from plankspindle_daemon.idempotency.records import NoRecord
 from plankspindle_daemon.idempotency.records import RequestRecord
 from plankspindle_daemon.node.node import Node
@@ -180,8 +180,8 @@
         held = self._choose_move(source, request, identity)
         try:
             way = await self._find_way(source, request, identity, body, terms, held)
-            if isinstance(way, Told):
-                await self._tell(source, way)
+            if isinstance(way, Answered):
+                await self._answer(source, way)
                 return
             runner = self._make_runner(source, request, identity, body, terms, way)
             began = monotonic()
@@ -215,7 +215,7 @@
         body: RequestBody,
         terms: _RequestTerms,
         held: HeldGrant | None,
-    ) -> _Way | Told:
+    ) -> _Way | Answered:
         """Decide where the request goes, and what must learn how it ends."""
         if held is not None:
             may_stay = request.idempotency_key is None
@@ -239,7 +239,7 @@
             case SendHome(endpoint=endpoint):
                 route = ToPeer(endpoint=endpoint, may_stay=False)
                 return _Way(route=route, may_have_run_elsewhere=True)
-            case Told():
+            case Answered():
                 return decided
 
     def _make_runner(
@@ -304,8 +304,8 @@
             meter.count_move(service=request.service, move=chosen)
         return held
 
-    async def _tell(self, source: ServerExchange, told: Told) -> None:
-        match told.verdict:
+    async def _answer(self, source: ServerExchange, answered: Answered) -> None:
+        match answered.verdict:
             case verdicts.Replay(answer=answer):
                 replayed = (header_names.REPLAYED, b"1")
                 await source.answer(
@@ -314,7 +314,7 @@
                     body=answer.body,
                 )
             case _:
-                await answer_with_outcome(source, told.answer)
+                await answer_with_outcome(source, answered.answer)
 
 
 def _is_marked(request: CallerRequest) -> bool:
--- a/packages/daemon/src/plankspindle_daemon/membership/membership.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/membership.py
@@ -18,13 +18,13 @@
 from plankspindle_daemon.membership.member import Member
 from plankspindle_daemon.membership.messages import EVERY_UPSTREAM
 from plankspindle_daemon.membership.messages import HeartbeatReceived
+from plankspindle_daemon.membership.messages import LeaveRequested
 from plankspindle_daemon.membership.messages import LiveListRead
 from plankspindle_daemon.membership.messages import MembershipEffect
 from plankspindle_daemon.membership.messages import MembershipEvent
 from plankspindle_daemon.membership.messages import Paused
 from plankspindle_daemon.membership.messages import SendHeartbeat
 from plankspindle_daemon.membership.messages import TimePassed
-from plankspindle_daemon.membership.messages import ToldToLeave
 from plankspindle_daemon.membership.messages import ViewChanged
 from plankspindle_daemon.membership.readiness import Readiness
 from plankspindle_daemon.platform.live_list import ListedVm
@@ -296,7 +296,7 @@
             return []
         self._was_told_to_leave = True
         reason = "listed as leaving" if listed else "no longer listed"
-        return [ToldToLeave(reason)]
+        return [LeaveRequested(reason)]
 
     def _due_heartbeats(self, now: float) -> list[MembershipEffect]:
         if now < self._next_heartbeat:
--- a/packages/daemon/src/plankspindle_daemon/membership/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/messages.py
@@ -95,10 +95,10 @@
 
 
 @frozen
-class ToldToLeave:
+class LeaveRequested:
     """The platform lists this VM as leaving, or no longer lists it."""
 
     reason: str
 
 
-MembershipEffect = SendHeartbeat | ViewChanged | ToldToLeave
+MembershipEffect = SendHeartbeat | ViewChanged | LeaveRequested
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -330,7 +330,7 @@
         match effect:
             case membership.SendHeartbeat():
                 return [effect]
-            case membership.ToldToLeave(reason=reason):
+            case membership.LeaveRequested(reason=reason):
                 return [BeginLeaving(reason)]
             case membership.ViewChanged():
                 self._refresh_steering()
--- a/packages/daemon/tests/membership/test_membership.py
+++ b/packages/daemon/tests/membership/test_membership.py
@@ -141,7 +141,7 @@
     assert membership.handle(build_list("b"), 0.0) == [m.ViewChanged(("a", "b"))]
     membership.handle(build_list("a", "b"), 1.0)
     assert membership.handle(build_list("b"), 2.0) == [
-        m.ToldToLeave("no longer listed")
+        m.LeaveRequested("no longer listed")
     ]
     assert membership.handle(build_list("b"), 3.0) == []
 
--- /dev/null
+++ b/packages/daemon/tests/test_daemon.py
@@ -0,0 +1,104 @@
+"""Ends of the daemon: broken invariant, unexpected error, address in use."""
+
+from __future__ import annotations
+
+import io
+import socket
+from itertools import count
+from typing import TYPE_CHECKING
+
+import curio
+import yaml
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.http.fetch import fetch
+from plankspindle_core.invariants import check_invariant
+from plankspindle_core.logs.key_value_destination import start_logging
+from plankspindle_core.logs.key_value_destination import stop_logging
+from plankspindle_daemon.daemon import EXIT_ADDRESS
+from plankspindle_daemon.daemon import EXIT_BROKEN_INVARIANT
+from plankspindle_daemon.daemon import run_daemon
+from plankspindle_daemon.listeners.caller_listener import CallerListener
+from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.settings.reading import parse_settings
+from plankspindle_testkit.builders import VmPlace
+from plankspindle_testkit.builders import build_settings_mapping
+
+if TYPE_CHECKING:
+    import pytest
+
+    from plankspindle_daemon.settings.daemon_settings import DaemonSettings
+
+_PORTS = count(18_600, 3)
+
+
+def build_settings() -> DaemonSettings:
+    place = VmPlace(
+        name="a", failure_domain="ba-1", host="127.0.3.1", base_port=next(_PORTS)
+    )
+    mapping = build_settings_mapping(place, platform=Endpoint("127.0.3.9", 9))
+    return parse_settings(yaml.safe_dump(mapping)).unwrap()
+
+
+def run(settings: DaemonSettings) -> tuple[int, str]:
+    stream = io.StringIO()
+    destination = start_logging(stream=stream)
+    try:
+        status = curio.run(run_daemon, settings)
+    finally:
+        stop_logging(destination)
+    return status, stream.getvalue()
+
+
+def test_a_broken_invariant_stops_the_process_with_one_clear_line(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def tick(self: Node, *, now: float, wall: float) -> list[object]:
+        check_invariant("made-up", False, "for a test")
+        return []
+
+    monkeypatch.setattr(Node, "tick", tick)
+    status, log = run(build_settings())
+    assert status == EXIT_BROKEN_INVARIANT
+    lines = [line for line in log.splitlines() if "invariant_broken" in line]
+    assert len(lines) == 1
+    assert 'error="invariant made-up is broken: for a test"' in lines[0]
+
+
+def test_an_unexpected_error_of_a_request_stops_the_process(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    settings = build_settings()
+
+    async def handle(self: CallerListener, source: object) -> None:
+        raise ZeroDivisionError
+
+    async def run_both() -> int:
+        daemon = await curio.spawn(run_daemon, settings)
+        for _ in range(100):
+            await curio.sleep(0.02)
+            answer = await fetch(settings.listen.caller, timeout_s=1.0)
+            if not daemon.terminated and answer.is_err():
+                continue
+            break
+        status: int = await daemon.join()
+        return status
+
+    monkeypatch.setattr(CallerListener, "handle", handle)
+    stream = io.StringIO()
+    destination = start_logging(stream=stream)
+    try:
+        assert curio.run(run_both) == EXIT_BROKEN_INVARIANT
+    finally:
+        stop_logging(destination)
+    assert 'event=crashed error="ZeroDivisionError()"' in stream.getvalue()
+
+
+def test_an_address_in_use_is_said_and_ends_the_process() -> None:
+    settings = build_settings()
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as taken:
+        taken.bind((settings.listen.operator.host, settings.listen.operator.port))
+        taken.listen()
+        status, log = run(settings)
+    assert status == EXIT_ADDRESS
+    assert "event=address_not_usable" in log
