Forget removed members once their work must have ended

Found by looking for functions that nobody calls: the forgetting of removals was written but not called, so each restart of a member left an entry for ever. Two other unused functions are gone.

--- a/packages/core/src/plankspindle_core/http/server.py
+++ b/packages/core/src/plankspindle_core/http/server.py
@@ -72,11 +72,6 @@
         """Number of open connections."""
         return len(self._tasks)
 
-    @property
-    def busy(self) -> int:
-        """Number of exchanges being answered."""
-        return self._busy
-
     async def start(self) -> None:
         """Listen and begin to accept.
 
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -392,6 +392,7 @@
             self._apply_drains(now=now, wall=wall)
             self._refresh_steering()
             self.ids.expire(now)
+            self._forget_removals(now)
         source, asked = self.versions.tick(now)
         effects += self._to_member(source, asked)
         return [*effects, *self._talk_to_other_domains(now)]
@@ -409,6 +410,14 @@
         )
         self.drained_vms = self._find_drained_vms(wall)
 
+    def _forget_removals(self, now: float) -> None:
+        """Forget removed members whose work must have ended."""
+        if self.configuration is None:
+            return
+        services = self.configuration.services_by_name.values()
+        longest_ms = max((each.longest_timeout_ms for each in services), default=0)
+        self.membership.expire_removals(before=now - longest_ms / 1000)
+
     def _find_drained_vms(self, wall: float) -> set[str]:
         if self.configuration is None or not self.configuration.drains_by_id:
             return set()
--- a/packages/daemon/src/plankspindle_daemon/upstreams/slot_ledger.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/slot_ledger.py
@@ -87,10 +87,6 @@
         borrowed = sum(loan.count for loan in self._borrowed)
         return self.in_flight + lent > self.share + borrowed
 
-    def can_start(self, now: float, deadline: float) -> bool:
-        """Tell whether one more request may start."""
-        return self.in_flight < self.allowance(now, deadline)
-
     def start(self, *, ticket: int, now: float, deadline: float) -> None:
         """Count a request that starts."""
         allowed = self.allowance(now, deadline)
--- a/packages/daemon/tests/node/test_node.py
+++ b/packages/daemon/tests/node/test_node.py
@@ -217,6 +217,17 @@
     assert share_of(b) == 2
 
 
+def test_removed_members_are_forgotten_once_their_work_must_have_ended() -> None:
+    a, b = build_pair()
+    read_list(a, 10.0, "a")
+    assert share_of(a) == 2
+    a.tick(now=129.0, wall=WALL)
+    assert len(a.membership.removed_at_by_name) == 1
+    a.tick(now=131.0, wall=WALL)
+    assert a.membership.removed_at_by_name == {}
+    assert share_of(a) == SLOTS
+
+
 def test_shifts_stop_when_the_platform_was_not_heard_for_long() -> None:
     node = build_node("a")
     assert not node.head.is_fresh(0.0)
