Drop idle connections that the other side has closed

An idle connection was looked at only when it was taken again, so those to upstreams that were replaced stayed open for ever. The daemon looks each 5 s.

--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -63,6 +63,7 @@
     from plankspindle_daemon.wire.codec import PeerMessage
 
 TICK_S = 0.05
+STALE_PERIOD_S = 5.0
 LIST_VMS_PER_S = 50.0
 """Listed VMs that one node reads each second, about 5.5 kB."""
 LAST_HEARTBEATS = 3
@@ -197,6 +198,7 @@
             await group.spawn(self._tick_until_left)
             await group.spawn(self._read_live_list)
             await group.spawn(self._read_configuration)
+            await group.spawn(self._drop_stale_connections)
         _ = group.result
 
     async def _tick_until_left(self) -> None:
@@ -234,6 +236,11 @@
                 )
             await sleep(self._jittered(self._list_period_ms()))
 
+    async def _drop_stale_connections(self) -> None:
+        while True:
+            await sleep(STALE_PERIOD_S)
+            await self._pool.drop_stale()
+
     def _list_period_ms(self) -> float:
         """Stretch the period with the length of the list, which each reader pays."""
         listed = len(self.node.membership.listed_by_name)
--- a/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
@@ -97,6 +97,16 @@
         self._count(connection.endpoint, -1)
         await connection.close()
 
+    async def drop_stale(self) -> None:
+        """Close idle connections that the other side has closed or written to."""
+        for endpoint, idle in list(self._idle_by_endpoint.items()):
+            stale = [each for each in idle if not each.is_quiet()]
+            for connection in stale:
+                idle.remove(connection)
+                await self.discard(connection)
+            if not idle:
+                self._idle_by_endpoint.pop(endpoint, None)
+
     async def close(self) -> None:
         """Close all idle connections."""
         for idle in self._idle_by_endpoint.values():
@@ -104,6 +114,8 @@
                 await self.discard(idle.pop())
 
     def _count(self, endpoint: Endpoint, change: int) -> None:
-        self._open_by_endpoint[endpoint] = (
-            self._open_by_endpoint.get(endpoint, 0) + change
-        )
+        present = self._open_by_endpoint.get(endpoint, 0) + change
+        if present > 0:
+            self._open_by_endpoint[endpoint] = present
+        else:
+            self._open_by_endpoint.pop(endpoint, None)
--- /dev/null
+++ b/packages/daemon/tests/upstreams/test_connection_pool.py
@@ -0,0 +1,101 @@
+"""Tests of kept-alive connections, over loopback in one kernel."""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.http.limits import HttpLimits
+from plankspindle_core.http.server import HttpServer
+from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from plankspindle_core.http.client_connection import ClientConnection
+    from plankspindle_core.http.server_exchange import ServerExchange
+
+_PORTS = count(18_800)
+
+
+async def answer(source: ServerExchange) -> None:
+    await source.read_body(max_bytes=0)
+    await source.answer(status=200, body=b"ok")
+
+
+def run(use: Callable[[ConnectionPool, HttpServer], Awaitable[Any]]) -> Any:
+    async def run_with_server() -> Any:
+        server = HttpServer(
+            endpoint=Endpoint("127.0.3.2", next(_PORTS)),
+            limits=HttpLimits(),
+            handler=answer,
+        )
+        await server.start()
+        pool = ConnectionPool(max_per_endpoint=2, connect_timeout_s=1.0)
+        try:
+            return await use(pool, server)
+        finally:
+            await pool.close()
+            await server.close()
+
+    return curio.run(run_with_server)
+
+
+async def exchange(connection: ClientConnection) -> None:
+    await connection.send_request(method="GET", target="/", headers=[(b"host", b"a")])
+    await connection.end_request()
+    await connection.read_head()
+    while (await connection.read_chunk()).unwrap() is not None:
+        pass
+
+
+def test_a_clean_connection_is_used_again_unless_a_fresh_one_is_wanted() -> None:
+    async def use(pool: ConnectionPool, server: HttpServer) -> tuple[int, int]:
+        for fresh in (False, False, True):
+            acquired = await pool.acquire(server.endpoint, fresh=fresh)
+            await exchange(acquired.unwrap())
+            await pool.release(acquired.unwrap())
+        return pool.opened, pool.reused
+
+    assert run(use) == (2, 1)
+
+
+def test_an_unfinished_connection_is_not_kept() -> None:
+    async def use(pool: ConnectionPool, server: HttpServer) -> int:
+        acquired = await pool.acquire(server.endpoint, fresh=False)
+        await pool.release(acquired.unwrap())
+        return pool.open_connections
+
+    assert run(use) == 0
+
+
+def test_connections_are_bounded_and_an_idle_one_makes_room() -> None:
+    async def use(pool: ConnectionPool, server: HttpServer) -> tuple[bool, bool]:
+        first = (await pool.acquire(server.endpoint, fresh=True)).unwrap()
+        await pool.acquire(server.endpoint, fresh=True)
+        full = (await pool.acquire(server.endpoint, fresh=True)).is_err()
+        await exchange(first)
+        await pool.release(first)
+        room = (await pool.acquire(server.endpoint, fresh=True)).is_ok()
+        return full, room
+
+    assert run(use) == (True, True)
+
+
+def test_connections_that_the_other_side_closed_are_dropped() -> None:
+    async def use(pool: ConnectionPool, server: HttpServer) -> tuple[int, int]:
+        acquired = (await pool.acquire(server.endpoint, fresh=False)).unwrap()
+        await exchange(acquired)
+        await pool.release(acquired)
+        before = pool.open_connections
+        await server.close()
+        await curio.sleep(0.05)
+        await pool.drop_stale()
+        return before, pool.open_connections
+
+    assert run(use) == (1, 0)
