--- a/packages/daemon/tests/test_real_processes.py
+++ b/packages/daemon/tests/test_real_processes.py
@@ -193,6 +193,22 @@
     assert total_runs() == 1
 
 
+def test_a_key_not_claimed_while_the_platform_was_slow_can_run_later(
+    processes: Processes,
+) -> None:
+    control_platform(faults={"delay_ms": 4_000})
+    answer = transfer(FIRST, key="k1")
+    assert (answer.status, outcome_of(answer)) == (503, "not-run")
+    assert total_runs() == 0
+    control_platform(faults={})
+    wait_until(
+        lambda: outcome_of(transfer(FIRST, key="k1")) == "done",
+        what="the claim of the attempt that was given up is released",
+        timeout_s=30.0,
+    )
+    assert total_runs() == 1
+
+
 def test_a_daemon_started_without_the_platform_learns_from_its_peers(
     processes: Processes,
 ) -> None:
