--- a/packages/client/tests/test_operating_page.py
+++ b/packages/client/tests/test_operating_page.py
@@ -18,8 +18,8 @@
 from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.builders import build_upstream
 from plankspindle_testkit.processes import Processes
-from plankspindle_testkit.processes import call
 from plankspindle_testkit.processes import state_of
+from plankspindle_testkit.processes import wait_for_operator_listener
 from plankspindle_testkit.processes import wait_until
 
 if TYPE_CHECKING:
@@ -35,19 +35,12 @@
 def folder(tmp_path: Path) -> Iterator[Path]:
     processes = Processes(folder=tmp_path)
     try:
-        processes.start_module(
-            "platform", "plankspindle_testkit.platform_stand_in", str(PLATFORM)
-        )
+        processes.start_platform(PLATFORM, [PLACE])
         processes.start_module(
             "upstream", "plankspindle_testkit.upstream_stand_in", f"u={UPSTREAM}=4"
         )
-        wait_until(lambda: call(PLATFORM, target="/vms").status == 200, what="platform")
-        vms = json.dumps({"vms": [PLACE.listed()]}).encode()
-        call(PLATFORM, "POST", "/control", body=vms)
         processes.start_daemon(PLACE, platform=PLATFORM)
-        wait_until(
-            lambda: call(PLACE.operator, target="/health").status == 200, what="daemon"
-        )
+        wait_for_operator_listener(PLACE)
         upstreams = {
             "u": build_upstream(endpoint=UPSTREAM, slots=4, failure_domain="ke-1"),
             "v": build_upstream(endpoint=UPSTREAM, slots=4, failure_domain="ke-1"),
--- a/packages/daemon/tests/test_caller_page.py
+++ b/packages/daemon/tests/test_caller_page.py
@@ -20,6 +20,7 @@
 from plankspindle_testkit.processes import call
 from plankspindle_testkit.processes import put_in_force
 from plankspindle_testkit.processes import state_of
+from plankspindle_testkit.processes import wait_for_operator_listener
 from plankspindle_testkit.processes import wait_until
 
 if TYPE_CHECKING:
@@ -68,17 +69,12 @@
 
 
 def start(processes: Processes) -> None:
-    processes.start_module(
-        "platform", "plankspindle_testkit.platform_stand_in", str(PLATFORM)
-    )
+    processes.start_platform(PLATFORM, [])
     processes.start_module(
         "upstream", "plankspindle_testkit.upstream_stand_in", f"u={UPSTREAM}=4"
     )
-    wait_until(lambda: call(PLATFORM, target="/vms").status == 200, what="platform")
     processes.start_daemon(PLACE, platform=PLATFORM)
-    wait_until(
-        lambda: call(PLACE.operator, target="/health").status == 200, what="daemon"
-    )
+    wait_for_operator_listener(PLACE)
     upstreams = {"u": build_upstream(endpoint=UPSTREAM, slots=4)}
     put_in_force(PLACE, build_configuration(upstreams_by_name=upstreams))
     wait_until(lambda: share() == 4, what="shares")
--- a/packages/testkit/src/plankspindle_testkit/bench/control_bench.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/control_bench.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import os
 import tempfile
 import time
@@ -60,12 +59,7 @@
 
 
 def _start(processes: Processes, places: list[VmPlace]) -> None:
-    processes.start_module(
-        "platform", "plankspindle_testkit.platform_stand_in", str(PLATFORM)
-    )
-    wait_until(lambda: call(PLATFORM, target="/vms").status == 200, what="platform")
-    vms = {"vms": [place.listed() for place in places]}
-    call(PLATFORM, "POST", "/control", body=json.dumps(vms).encode())
+    processes.start_platform(PLATFORM, places)
     for place in places:
         processes.start_daemon(place, platform=PLATFORM)
     for place in places:
--- a/packages/testkit/src/plankspindle_testkit/bench/proxy_bench.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/proxy_bench.py
@@ -18,9 +18,9 @@
 from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.builders import build_upstream
 from plankspindle_testkit.processes import Processes
-from plankspindle_testkit.processes import call
 from plankspindle_testkit.processes import put_in_force
 from plankspindle_testkit.processes import state_of
+from plankspindle_testkit.processes import wait_for_operator_listener
 from plankspindle_testkit.processes import wait_until
 
 PLATFORM = Endpoint("127.0.8.1", 17000)
@@ -47,9 +47,7 @@
 
 
 def _start(processes: Processes) -> None:
-    processes.start_module(
-        "platform", "plankspindle_testkit.platform_stand_in", str(PLATFORM)
-    )
+    processes.start_platform(PLATFORM, [PLACE])
     processes.start_module(
         "upstream",
         "plankspindle_testkit.upstream_stand_in",
@@ -57,13 +55,8 @@
         "0",
         f"u={UPSTREAM}=64",
     )
-    wait_until(lambda: call(PLATFORM, target="/vms").status == 200, what="platform")
-    vms = json.dumps({"vms": [PLACE.listed()]}).encode()
-    call(PLATFORM, "POST", "/control", body=vms)
     processes.start_daemon(PLACE, platform=PLATFORM)
-    wait_until(
-        lambda: call(PLACE.operator, target="/health").status == 200, what="daemon"
-    )
+    wait_for_operator_listener(PLACE)
     upstreams = {"u": build_upstream(endpoint=UPSTREAM, slots=64)}
     put_in_force(PLACE, build_configuration(upstreams_by_name=upstreams))
     wait_until(lambda: _share() == 64, what="shares")
--- a/packages/testkit/src/plankspindle_testkit/demo.py
+++ b/packages/testkit/src/plankspindle_testkit/demo.py
@@ -21,6 +21,7 @@
 from plankspindle_testkit.processes import confirm_intent
 from plankspindle_testkit.processes import put_in_force
 from plankspindle_testkit.processes import state_of
+from plankspindle_testkit.processes import wait_for_operator_listener
 from plankspindle_testkit.processes import wait_until
 
 if TYPE_CHECKING:
@@ -64,21 +65,16 @@
 
 
 def _start(processes: Processes) -> None:
-    processes.start_module(
-        "platform", "plankspindle_testkit.platform_stand_in", str(PLATFORM)
-    )
+    processes.start_platform(PLATFORM, PLACES)
     upstreams = [
         f"{name}={each.endpoint}={each.slots}" for name, each in UPSTREAMS.items()
     ]
     processes.start_module(
         "upstreams", "plankspindle_testkit.upstream_stand_in", *upstreams
     )
-    wait_until(lambda: call(PLATFORM, target="/vms").status == 200, what="platform")
-    vms = {"vms": [place.listed() for place in PLACES]}
-    call(PLATFORM, "POST", "/control", body=json.dumps(vms).encode())
     for place in PLACES:
         processes.start_daemon(place, platform=PLATFORM)
-        _wait_for_health(place)
+        wait_for_operator_listener(place)
     version = put_in_force(PLACES[0], _configuration())
     for place in PLACES:
         _wait_for_version(place, version)
@@ -97,12 +93,6 @@
     return f"key-of-dealer-{number:02}"
 
 
-def _wait_for_health(place: VmPlace) -> None:
-    wait_until(
-        lambda: call(place.operator, target="/health").status == 200, what=place.name
-    )
-
-
 def _wait_for_version(place: VmPlace, version: int) -> None:
     def has_it() -> bool:
         found = state_of(place)
--- a/packages/testkit/src/plankspindle_testkit/processes.py
+++ b/packages/testkit/src/plankspindle_testkit/processes.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from plankspindle_core.configuration.configuration import Configuration
     from plankspindle_core.endpoint import Endpoint
@@ -50,6 +51,14 @@
         """Start ``python -m module`` under a name."""
         self._start(name, [sys.executable, "-m", module, *arguments])
 
+    def start_platform(self, endpoint: Endpoint, places: Sequence[VmPlace]) -> None:
+        """Start the platform stand-in and have it list entry VMs."""
+        module = "plankspindle_testkit.platform_stand_in"
+        self.start_module("platform", module, str(endpoint))
+        wait_until(lambda: call(endpoint, target="/vms").status == 200, what="platform")
+        vms = {"vms": [place.listed() for place in places]}
+        call(endpoint, "POST", "/control", body=json.dumps(vms).encode())
+
     def start_daemon(
         self, place: VmPlace, *, platform: Endpoint, **sections: Any
     ) -> None:
@@ -143,6 +152,13 @@
     raise TimeoutError(f"not in {timeout_s} s: {what}")
 
 
+def wait_for_operator_listener(place: VmPlace) -> None:
+    """Wait until a daemon serves operators, which it does last when it starts."""
+    wait_until(
+        lambda: call(place.operator, target="/health").status == 200, what=place.name
+    )
+
+
 def state_of(place: VmPlace) -> dict[str, Any]:
     """Read the state dump of a daemon."""
     dumped: dict[str, Any] = json.loads(call(place.operator, target="/state").body)
