Take stale connections out before waiting, and avoid upstreams in one step

All are taken out before the first await. A retry's excluded upstreams are set at once instead of in a loop written twice, and a field that HeadWatch replaced is gone.

--- a/packages/daemon/src/plankspindle_daemon/admission/ticket.py
+++ b/packages/daemon/src/plankspindle_daemon/admission/ticket.py
@@ -33,6 +33,6 @@
     expected_s: float
     excluded: frozenset[str] = frozenset()
 
-    def excluding(self, upstream: str) -> Ticket:
-        """Give the ticket of a retry, which avoids one more upstream."""
-        return evolve(self, excluded=self.excluded | {upstream})
+    def excluding(self, upstreams: frozenset[str]) -> Ticket:
+        """Give the ticket of a retry, which avoids some upstreams."""
+        return evolve(self, excluded=upstreams)
--- a/packages/daemon/src/plankspindle_daemon/configuration/version_exchange.py
+++ b/packages/daemon/src/plankspindle_daemon/configuration/version_exchange.py
@@ -84,7 +84,6 @@
     version: int = 0
     learned: int = 0
     damaged: int = 0
-    head_checked_at: float | None = None
     _digest: str = ""
     _compressed: bytes = b""
     _fetch: _Fetch | None = None
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -170,8 +170,7 @@
         return None
 
     async def _find(self, excluded: frozenset[str]) -> ExchangeEvent:
-        for name in excluded:
-            self.ticket = self.ticket.excluding(name)
+        self.ticket = self.ticket.excluding(excluded)
         found = await self.dispatch.find(self.service, self.ticket)
         if isinstance(found, Assign):
             self._assigned = found
--- a/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
@@ -100,12 +100,13 @@
     async def drop_stale(self) -> None:
         """Close idle connections that the other side has closed or written to."""
         for endpoint, idle in list(self._idle_by_endpoint.items()):
-            stale = [each for each in idle if not each.is_quiet()]
-            for connection in stale:
-                idle.remove(connection)
-                await self.discard(connection)
+            quiet, stale = _split_by_quiet(idle)
+            # Taken out before the first await: another task may acquire meanwhile.
+            idle[:] = quiet
             if not idle:
                 self._idle_by_endpoint.pop(endpoint, None)
+            for connection in stale:
+                await self.discard(connection)
 
     async def close(self) -> None:
         """Close all idle connections."""
@@ -119,3 +120,13 @@
             self._open_by_endpoint[endpoint] = present
         else:
             self._open_by_endpoint.pop(endpoint, None)
+
+
+def _split_by_quiet(
+    idle: list[ClientConnection],
+) -> tuple[list[ClientConnection], list[ClientConnection]]:
+    quiet: list[ClientConnection] = []
+    stale: list[ClientConnection] = []
+    for connection in idle:
+        (quiet if connection.is_quiet() else stale).append(connection)
+    return quiet, stale
--- a/packages/testkit/src/plankspindle_testkit/trial/trial_request.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial_request.py
@@ -75,8 +75,7 @@
                     self.aborted = True
                     self.over = True
                 case m.FindUpstream(excluded=excluded):
-                    for name in excluded:
-                        self.ticket = self.ticket.excluding(name)
+                    self.ticket = self.ticket.excluding(excluded)
                     self.awaited = effect
                 case _:
                     self.awaited = effect
