Close the claim of every attempt, also when two on one key are given up

Cause: claims to be closed were kept by key. Ruled out: a closing that gave up on errors (it retries). A second hole was found while reading: an absent row was taken as proof that nothing was claimed, though the insert may still land.

Closings are kept by nonce, one a key in each batch, and an absent row gets the closing row, so that a late insert fails its condition. The trials use the same test of a row instead of a copy.

--- a/packages/daemon/src/plankspindle_daemon/idempotency/claim_store.py
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/claim_store.py
@@ -9,6 +9,7 @@
 
 from attrs import define
 from attrs import field
+from attrs import frozen
 from curio import Event
 from curio import TaskTimeout
 from curio import sleep
@@ -30,6 +31,8 @@
 from plankspindle_daemon.idempotency.claim_row import claim_row_from_mapping
 from plankspindle_daemon.platform.errors import ConditionFailed
 from plankspindle_daemon.platform.platform_client import PlatformClient
+from plankspindle_daemon.platform.table import ABSENT
+from plankspindle_daemon.platform.table import Row
 from plankspindle_daemon.platform.table import RowWrite
 from plankspindle_daemon.platform.table import Transaction
 
@@ -49,6 +52,22 @@
     event: ClaimEvent | None = None
 
 
+@frozen(kw_only=True)
+class UnclosedClaim:
+    """A claim whose request has ended, and the row that closes it.
+
+    Parameters
+    ----------
+    key : str
+        Row of the key.
+    row : ClaimRow
+        Its last content: released or finished, with the nonce of the claim.
+    """
+
+    key: str
+    row: ClaimRow
+
+
 @define(kw_only=True)
 class ClaimStore:
     """Claim keys, and close claims once their requests have ended.
@@ -66,7 +85,7 @@
     platform: PlatformClient
     random: Random
     supervisor: Supervisor
-    unclosed_by_key: dict[str, ClaimRow] = field(factory=dict)
+    unclosed_by_nonce: dict[str, UnclosedClaim] = field(factory=dict)
     dropped_closings: int = 0
     _pending: list[_PendingWrite] = field(factory=list)
     _wake: Any = field(factory=Event)
@@ -189,39 +208,55 @@
         row : ClaimRow
             Its last content: released or finished, with the nonce of the claim.
         """
-        if len(self.unclosed_by_key) >= MAX_UNCLOSED:
+        if len(self.unclosed_by_nonce) >= MAX_UNCLOSED:
             self.dropped_closings += 1
             return
-        self.unclosed_by_key[key] = row
+        # Two attempts on one key may both wait: each closes only its own claim.
+        self.unclosed_by_nonce[row.nonce] = UnclosedClaim(key=key, row=row)
 
     async def _close_claims(self) -> None:
         while True:
             await sleep(CLOSE_PERIOD_S * self.random.uniform(0.8, 1.2))
-            keys = list(self.unclosed_by_key)[:MAX_BATCH]
-            if keys:
-                await self._close_batch(keys)
+            await self.close_due()
+
+    async def close_due(self) -> None:
+        """Make one attempt to close claims that have ended."""
+        claims_by_key: dict[str, UnclosedClaim] = {}
+        for claim in self.unclosed_by_nonce.values():
+            if len(claims_by_key) < MAX_BATCH:
+                claims_by_key.setdefault(claim.key, claim)
+        if claims_by_key:
+            await self._close_batch(claims_by_key)
 
-    async def _close_batch(self, keys: list[str]) -> None:
-        read = await self.platform.read_rows(keys)
+    async def _close_batch(self, claims_by_key: dict[str, UnclosedClaim]) -> None:
+        read = await self.platform.read_rows(list(claims_by_key))
         if read.is_err():
             return
         writes = []
-        for key in keys:
+        for key, claim in claims_by_key.items():
             row = read.unwrap()[key]
-            wanted = self.unclosed_by_key[key]
-            found = claim_row_from_mapping(row.value)
-            is_mine = found.is_ok() and found.unwrap().nonce == wanted.nonce
-            if not is_mine or found.unwrap().state is not ClaimState.CLAIMED:
-                self._forget(key, wanted)
+            if not may_still_be_claimed(row, claim.row):
+                self._forget(claim)
                 continue
-            writes.append(
-                RowWrite(
-                    key=key, expected_version=row.version, value=wanted.to_mapping()
-                )
-            )
+            value = claim.row.to_mapping()
+            writes.append(RowWrite(key=key, expected_version=row.version, value=value))
         if writes:
             await self.platform.commit(Transaction(writes=writes))
 
-    def _forget(self, key: str, row: ClaimRow) -> None:
-        if self.unclosed_by_key.get(key) is row:
-            del self.unclosed_by_key[key]
+    def _forget(self, claim: UnclosedClaim) -> None:
+        self.unclosed_by_nonce.pop(claim.row.nonce, None)
+
+
+def may_still_be_claimed(row: Row, wanted: ClaimRow) -> bool:
+    """Tell whether the closing row must still be written.
+
+    Notes
+    -----
+    An absent row does not show that the claim failed: its insert may take effect after
+    this read. Writing the closing row first makes the late insert fail its condition.
+    """
+    if row.version == ABSENT:
+        return True
+    found = claim_row_from_mapping(row.value)
+    is_mine = found.is_ok() and found.unwrap().nonce == wanted.nonce
+    return is_mine and found.unwrap().state is ClaimState.CLAIMED
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -212,7 +212,7 @@
             + platform.write_budget.refused,
         },
         "claims": {
-            "unclosed": len(claims.unclosed_by_key),
+            "unclosed": len(claims.unclosed_by_nonce),
             "dropped_closings": claims.dropped_closings,
         },
     }
--- a/packages/testkit/src/plankspindle_testkit/trial/trial.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial.py
@@ -35,7 +35,7 @@
 from plankspindle_daemon.idempotency.claim_row import ClaimRow
 from plankspindle_daemon.idempotency.claim_row import ClaimState
 from plankspindle_daemon.idempotency.claim_row import claim_key
-from plankspindle_daemon.idempotency.claim_row import claim_row_from_mapping
+from plankspindle_daemon.idempotency.claim_store import may_still_be_claimed
 from plankspindle_daemon.idempotency.fingerprint import Fingerprint
 from plankspindle_daemon.idempotency.records import IdRecord
 from plankspindle_daemon.idempotency.records import NoRecord
@@ -635,9 +635,7 @@
             self._closings.append((key, wanted))
             return
         row = read.unwrap()
-        found = claim_row_from_mapping(row.value)
-        mine = found.is_ok() and found.unwrap().nonce == wanted.nonce
-        if not mine or found.unwrap().state is not ClaimState.CLAIMED:
+        if not may_still_be_claimed(row, wanted):
             return
         write = RowWrite(
             key=key, expected_version=row.version, value=wanted.to_mapping()
