--- a/packages/core/src/plankspindle_core/configuration/codec.py
+++ b/packages/core/src/plankspindle_core/configuration/codec.py
@@ -32,6 +32,7 @@
     "site_by_prefix": "client_blocks",
     "shifts_by_id": "shifts",
     "drains_by_id": "drains",
+    "routes_by_name": "routes",
 }
 
 
--- a/packages/core/src/plankspindle_core/configuration/configuration.py
+++ b/packages/core/src/plankspindle_core/configuration/configuration.py
@@ -11,6 +11,7 @@
 from plankspindle_core.configuration.distances import Distances
 from plankspindle_core.configuration.drain import Drain
 from plankspindle_core.configuration.drain import DrainKind
+from plankspindle_core.configuration.route import Route
 from plankspindle_core.configuration.service import Service
 from plankspindle_core.configuration.shift import Shift
 from plankspindle_core.configuration.upstream import Upstream
@@ -70,6 +71,8 @@
         Confirmed drains.
     distances : Distances
         Declared delays.
+    routes_by_name : dict of str to Route
+        Which service answers for a host and path.
     """
 
     failure_domains_by_name: dict[str, FailureDomain]
@@ -82,6 +85,7 @@
     shifts_by_id: dict[str, Shift] = Factory(dict)
     drains_by_id: dict[str, Drain] = Factory(dict)
     distances: Distances = Factory(Distances)
+    routes_by_name: dict[str, Route] = Factory(dict)
 
     def region_of(self, failure_domain: str) -> str | None:
         """Name the region of a failure domain, or None if it is not declared."""
@@ -105,6 +109,7 @@
         names_by_kind = {
             DrainKind.REGION: self.region_of(failure_domain),
             DrainKind.FAILURE_DOMAIN: failure_domain,
+            DrainKind.UPSTREAMS_OF_DOMAIN: None if upstream is None else failure_domain,
             DrainKind.VM: vm,
             DrainKind.UPSTREAM: upstream,
         }
@@ -155,6 +160,7 @@
             *self._block_problems(),
             *self._shift_problems(),
             *self._drain_problems(),
+            *self._route_problems(),
         ]
 
     def _class_problems(self) -> list[str]:
@@ -234,6 +240,7 @@
         known_by_kind = {
             DrainKind.REGION: regions,
             DrainKind.FAILURE_DOMAIN: set(self.failure_domains_by_name),
+            DrainKind.UPSTREAMS_OF_DOMAIN: set(self.failure_domains_by_name),
             DrainKind.UPSTREAM: set(self.upstreams_by_name),
         }
         return [
@@ -242,3 +249,24 @@
             if drain.kind in known_by_kind
             and drain.name not in known_by_kind[drain.kind]
         ]
+
+    def _route_problems(self) -> list[str]:
+        regions = {each.region for each in self.failure_domains_by_name.values()}
+        found = []
+        name_by_place: dict[tuple[str, str], str] = {}
+        for name, route in self.routes_by_name.items():
+            problems = route.problems()
+            for part in route.parts:
+                if part.service not in self.services_by_name:
+                    problems.append(f"parts: service {part.service!r} is not declared")
+            if route.priority_class not in self.priority_classes:
+                problems.append(
+                    f"priority_class: {route.priority_class!r} is not declared"
+                )
+            if set(route.home_regions) - regions:
+                problems.append("home_regions: each must have a failure domain")
+            other = name_by_place.setdefault((route.host, route.path_prefix), name)
+            if other != name:
+                problems.append(f"host and path_prefix are those of route {other!r}")
+            found += [f"routes.{name}.{problem}" for problem in problems]
+        return found
--- a/packages/core/src/plankspindle_core/configuration/drain.py
+++ b/packages/core/src/plankspindle_core/configuration/drain.py
@@ -13,6 +13,7 @@
     REGION = "region"
     FAILURE_DOMAIN = "failure-domain"
     UPSTREAM = "upstream"
+    UPSTREAMS_OF_DOMAIN = "upstreams-of-failure-domain"
     VM = "vm"
 
 
--- a/packages/core/src/plankspindle_core/configuration/service.py
+++ b/packages/core/src/plankspindle_core/configuration/service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 from attrs import field
 from attrs import frozen
 from attrs import validators
@@ -11,6 +13,16 @@
 
 DEFAULT_QUEUE_LIMIT = 256
 DEFAULT_RETRY_PERCENT = 10
+DEFAULT_RETRY_BURST = 30
+
+
+class SlotSharing(Enum):
+    """How entry VMs share the slots of an upstream."""
+
+    MEMBERS = "members"
+    """By equal shares among the members of its failure domain, and loans."""
+    REPORTED = "reported"
+    """Any entry VM may use it, by own counts and what it reports in its answers."""
 
 
 @frozen(kw_only=True)
@@ -27,6 +39,17 @@
         Longest queue of one entry VM, in requests.
     retry_percent : int
         Retries allowed as a share of fresh requests, in percent.
+    retry_burst : int
+        Retries that all entry VMs together may make beyond that share.
+    slot_sharing : SlotSharing
+        How entry VMs share the slots of its upstreams.
+    cold_requests_per_s : float
+        Requests a second that a cold upstream bears, all entry VMs together; zero if
+        it bears as many as a warm one.
+    cold_ms : int
+        Time for which an upstream is cold after a start, in milliseconds.
+    health_path : str
+        Path of the health check of its upstreams.
     """
 
     operations: list[Operation] = field(factory=list)
@@ -36,6 +59,11 @@
         default=DEFAULT_RETRY_PERCENT,
         validator=[validators.ge(0), validators.le(100)],
     )
+    retry_burst: int = field(default=DEFAULT_RETRY_BURST, validator=validators.ge(0))
+    slot_sharing: SlotSharing = SlotSharing.MEMBERS
+    cold_requests_per_s: float = field(default=0.0, validator=validators.ge(0))
+    cold_ms: int = field(default=0, validator=validators.ge(0))
+    health_path: str = "/load"
 
     def operation_for(self, method: str, path: str) -> Operation:
         """Find the contract of a request.
--- a/packages/core/src/plankspindle_core/http/client_connection.py
+++ b/packages/core/src/plankspindle_core/http/client_connection.py
@@ -38,11 +38,17 @@
     bytes_handed_over : bool
         Whether any byte of the present request was handed to the socket. While it
         is False the server cannot have run the request.
+    exchanges : int
+        Exchanges that were completed on it.
+    released_at : float
+        When it was last put to rest, monotonic seconds.
     """
 
     def __init__(self, *, endpoint: Endpoint) -> None:
         self.endpoint = endpoint
         self.bytes_handed_over = False
+        self.exchanges = 0
+        self.released_at = 0.0
         self._unsent = b""
         self._socket: Any = None
         self._protocol = h11.Connection(
@@ -185,6 +191,7 @@
         if not finished or protocol.trailing_data[0]:
             return False
         protocol.start_next_cycle()
+        self.exchanges += 1
         self.bytes_handed_over = False
         return self.is_quiet()
 
--- a/packages/core/src/plankspindle_core/http/fetch.py
+++ b/packages/core/src/plankspindle_core/http/fetch.py
@@ -73,11 +73,7 @@
         :class:`TimedOut` the server may have acted on the request.
     """
     connection = ClientConnection(endpoint=endpoint)
-    framing = [
-        (b"host", str(endpoint).encode()),
-        (b"content-length", str(len(body)).encode()),
-        (b"connection", b"close"),
-    ]
+    closing = [(b"connection", b"close"), *(headers or [])]
     try:
         return await timeout_after(  # type: ignore[no-any-return]
             timeout_s,
@@ -85,7 +81,7 @@
                 connection,
                 method,
                 target,
-                [*framing, *(headers or [])],
+                closing,
                 body,
                 timeout_s,
             ),
@@ -107,7 +103,44 @@
     started = await connection.start(timeout_s=timeout_s)
     if started.is_err():
         return Err(started.unwrap_err())
-    sent = await connection.send_request(method=method, target=target, headers=headers)
+    return await exchange_on(
+        connection, method=method, target=target, headers=headers, body=body
+    )
+
+
+async def exchange_on(
+    connection: ClientConnection,
+    *,
+    method: str,
+    target: str,
+    headers: HeaderList,
+    body: bytes = b"",
+) -> Result[HttpAnswer, HttpError]:
+    """Make one exchange on a connection that is ready.
+
+    Parameters
+    ----------
+    connection : ClientConnection
+        A new connection, or one that was made ready for reuse.
+    method, target : str
+        Request line.
+    headers : list of (bytes, bytes)
+        Headers besides ``Host`` and the length.
+    body : bytes
+        Whole request body.
+
+    Returns
+    -------
+    Result
+        The complete answer, or how the connection was lost.
+    """
+    framing = [
+        (b"host", str(connection.endpoint).encode()),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    sent = await connection.send_request(
+        method=method, target=target, headers=[*framing, *headers]
+    )
     if sent.is_ok() and body:
         sent = await connection.send_data(body)
     if sent.is_ok():
--- a/packages/core/src/plankspindle_core/http/limits.py
+++ b/packages/core/src/plankspindle_core/http/limits.py
@@ -16,8 +16,9 @@
     max_header_bytes : int
         Longest request head.
     header_timeout_s : float
-        Longest time for a request head to arrive, in seconds. It also bounds how long
-        an idle connection is kept.
+        Longest time for a request head to arrive, in seconds.
+    idle_timeout_s : float
+        Longest time for which an idle connection is kept, in seconds.
     body_timeout_s : float
         Longest silence while a request body arrives or an answer is taken, in seconds.
     """
@@ -25,4 +26,5 @@
     max_connections: int = 2_000
     max_header_bytes: int = 32_768
     header_timeout_s: float = 15.0
+    idle_timeout_s: float = 15.0
     body_timeout_s: float = 30.0
--- a/packages/core/src/plankspindle_core/http/server.py
+++ b/packages/core/src/plankspindle_core/http/server.py
@@ -172,9 +172,7 @@
         self, protocol: h11.Connection, client: Any
     ) -> h11.Request | None:
         try:
-            event = await timeout_after(
-                self._limits.header_timeout_s, self._next_head, protocol, client
-            )
+            event = await self._next_head(protocol, client)
         except TaskTimeout:
             return None
         except h11.RemoteProtocolError as error:
@@ -191,6 +189,20 @@
         return event if isinstance(event, h11.Request) else None
 
     async def _next_head(self, protocol: h11.Connection, client: Any) -> Any:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA and not protocol.trailing_data[0]:
+            first = await timeout_after(
+                self._limits.idle_timeout_s, client.recv, RECEIVE_BYTES
+            )
+            protocol.receive_data(first)
+            event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            event = await timeout_after(
+                self._limits.header_timeout_s, self._rest_of_head, protocol, client
+            )
+        return event
+
+    async def _rest_of_head(self, protocol: h11.Connection, client: Any) -> Any:
         while (event := protocol.next_event()) is h11.NEED_DATA:
             protocol.receive_data(await client.recv(RECEIVE_BYTES))
         return event
--- a/packages/daemon/src/plankspindle_daemon/admission/ticket.py
+++ b/packages/daemon/src/plankspindle_daemon/admission/ticket.py
@@ -22,6 +22,14 @@
         Latest end, monotonic seconds.
     expected_s : float
         Declared usual duration, in seconds.
+    affinity : str, optional
+        Key of the thing that it concerns; requests with one key do well together.
+    bulky : bool
+        Whether its answer is large.
+    regions : frozenset of str
+        The only regions where it may run; any region if empty.
+    hold_until : float
+        Latest time to wait for an upstream, monotonic seconds.
     excluded : frozenset of str
         Upstreams that already failed it.
     """
@@ -31,6 +39,10 @@
     operation: str
     deadline: float
     expected_s: float
+    affinity: str | None = None
+    bulky: bool = False
+    regions: frozenset[str] = frozenset()
+    hold_until: float = float("inf")
     excluded: frozenset[str] = frozenset()
 
     def excluding(self, upstreams: frozenset[str]) -> Ticket:
--- a/packages/daemon/src/plankspindle_daemon/control/forecast.py
+++ b/packages/daemon/src/plankspindle_daemon/control/forecast.py
@@ -126,7 +126,7 @@
         match drain.kind:
             case DrainKind.REGION:
                 return self.wanted.domains_of(drain.name)
-            case DrainKind.FAILURE_DOMAIN:
+            case DrainKind.FAILURE_DOMAIN | DrainKind.UPSTREAMS_OF_DOMAIN:
                 return {drain.name}
             case DrainKind.UPSTREAM | DrainKind.VM:
                 return set()
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from curio import Event
 from curio import TaskGroup
 from curio import sleep
 from curio import socket
@@ -36,6 +37,7 @@
 from plankspindle_daemon.leaving.leave import Left
 from plankspindle_daemon.listeners.caller_listener import CallerListener
 from plankspindle_daemon.listeners.operator_listener import OperatorListener
+from plankspindle_daemon.listeners.request_reader import RequestReader
 from plankspindle_daemon.listeners.request_service import RequestService
 from plankspindle_daemon.membership.membership import Membership
 from plankspindle_daemon.membership.membership import MembershipOptions
@@ -50,7 +52,8 @@
 from plankspindle_daemon.observability.metrics import MetricsReader
 from plankspindle_daemon.observability.metrics import RequestMetrics
 from plankspindle_daemon.observability.state_dump import dump_shells
-from plankspindle_daemon.platform.platform_client import PlatformClient
+from plankspindle_daemon.platform.ports import Ports
+from plankspindle_daemon.platform.ports import own_ports
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
 from plankspindle_daemon.upstreams.messages import SlotGrant
 from plankspindle_daemon.upstreams.messages import SlotRequest
@@ -82,12 +85,17 @@
         Its settings.
     random : Random
         Source of all its random choices.
+    ports : Ports, optional
+        The ways to the platform; the product's own interface if not given.
     """
 
-    def __init__(self, *, settings: DaemonSettings, random: Random) -> None:
+    def __init__(
+        self, *, settings: DaemonSettings, random: Random, ports: Ports | None = None
+    ) -> None:
         self.settings = settings
+        self._ports = ports or own_ports(settings)
         self._supervisor = Supervisor()
-        self.node = _make_node(settings, random)
+        self.node = _make_node(settings, random, self._ports)
         self._keys = FrameSealer(
             keys=[bytes.fromhex(key) for key in settings.secrets.peer_keys]
         )
@@ -98,11 +106,8 @@
             random=random,
             supervisor=self._supervisor,
         )
-        self._platform = PlatformClient(
-            endpoint=settings.platform,
-            timeout_s=settings.timing.platform_timeout_ms / 1000,
-        )
-        self._reader = ConfigurationReader(platform=self._platform)
+        self._platform = self._ports.platform
+        self._reader = self._ports.reader
         self._dispatch = DispatchRunner(
             node=self.node, peers=self._peers, supervisor=self._supervisor
         )
@@ -134,22 +139,26 @@
                     node=self.node, claims=self._claims, random=random
                 ),
                 metrics=requests,
+                reader=RequestReader(node=self.node, dialect=self._ports.dialect),
+                dialect=self._ports.dialect,
             ),
             metrics=requests,
         )
+        self._doors = [make(self.node, self._supervisor) for make in self._ports.doors]
         self._operators = OperatorListener(
             settings=settings,
             supervisor=self._supervisor,
             node=self.node,
             plans=PlanStore(
                 platform=self._platform,
-                reader=self._reader,
+                reader=ConfigurationReader(platform=self._platform),
                 random=random,
                 digests=self.node.digests,
             ),
             metrics=self._metrics,
             dump_shells=self._dump_shells,
         )
+        self._list_is_wanted = False
         self._last_tick = monotonic()
 
     async def start(self) -> None:
@@ -163,6 +172,8 @@
         await self._peers.start(self._receive)
         await self._callers.start()
         await self._operators.start()
+        for door in self._doors:
+            await door.start()
         await self._claims.start()
         await self._sweeper.start()
         self._metrics.start()
@@ -179,6 +190,8 @@
         self._metrics.close()
         await self._callers.close()
         await self._operators.close()
+        for door in self._doors:
+            await door.close()
         await self._sweeper.close()
         await self._claims.close()
         await self._pool.close()
@@ -199,8 +212,23 @@
             await group.spawn(self._read_live_list)
             await group.spawn(self._read_configuration)
             await group.spawn(self._drop_stale_connections)
+            await group.spawn(self._keep_present)
         _ = group.result
 
+    async def _keep_present(self) -> None:
+        """Enter this VM in the platform's list, and take it out once it leaves."""
+        presence = self._ports.presence
+        if presence is None:
+            await _sleep_forever()
+            return
+        while not await presence.announce():
+            await sleep(self._jittered(self.settings.timing.live_list_ms))
+        log_event("announced")
+        while not self.node.leave.is_leaving:
+            await sleep(TICK_S)
+        await presence.withdraw()
+        await _sleep_forever()
+
     async def _tick_until_left(self) -> None:
         while True:
             await sleep(TICK_S)
@@ -210,6 +238,7 @@
             self._last_tick = now
             if gap > self.settings.timing.pause_ms / 1000:
                 log_event("paused", seconds=round(gap, 3))
+                self._list_is_wanted = True
                 await self._perform(
                     self.node.wake_from_pause(now=now, wall=time.time())
                 )
@@ -234,7 +263,14 @@
                 await self._perform(
                     self.node.take_membership(event, now=monotonic(), wall=time.time())
                 )
-            await sleep(self._jittered(self._list_period_ms()))
+            await self._wait_for_list()
+
+    async def _wait_for_list(self) -> None:
+        """Wait until the list is due; at once after a pause."""
+        due = monotonic() + self._jittered(self._list_period_ms())
+        while monotonic() < due and not self._list_is_wanted:
+            await sleep(TICK_S)
+        self._list_is_wanted = False
 
     async def _drop_stale_connections(self) -> None:
         while True:
@@ -249,7 +285,7 @@
     async def _read_configuration(self) -> None:
         while True:
             await sleep(self._jittered(self.settings.timing.configuration_ms))
-            if not self.node.is_reader(monotonic()):
+            if not (self._ports.all_read or self.node.is_reader(monotonic())):
                 continue
             read = await self._reader.read_newer(self.node.version)
             if read.is_ok():
@@ -330,7 +366,7 @@
         )
 
 
-def _make_node(settings: DaemonSettings, random: Random) -> Node:
+def _make_node(settings: DaemonSettings, random: Random, ports: Ports) -> Node:
     incarnation = random.getrandbits(64) or 1
     timing = settings.timing
     return Node(
@@ -348,6 +384,7 @@
                 heartbeat_s=timing.heartbeat_ms / 1000,
                 suspect_after_s=timing.suspect_after_ms / 1000,
                 seeds=tuple(settings.peers),
+                all_domains=ports.all_domains,
             )
         ),
         ids=IssuedIds(
@@ -358,27 +395,31 @@
             memory_s=ID_MEMORY_S,
             max_remembered=settings.requests.max_remembered_ids,
         ),
-        leave=Leave(leave_s=timing.leave_ms / 1000),
+        leave=Leave(leave_s=timing.leave_ms / 1000, linger_s=timing.linger_ms / 1000),
+        needs_list=ports.lists_upstreams,
         probe_s=timing.probe_ms / 1000,
         started_at=monotonic(),
         settle_s=timing.suspect_after_ms / 1000,
     )
 
 
-async def run_daemon(settings: DaemonSettings) -> int:
+async def run_daemon(settings: DaemonSettings, ports: Ports | None = None) -> int:
     """Run a daemon until it has left.
 
     Parameters
     ----------
     settings : DaemonSettings
         Its settings.
+    ports : Ports, optional
+        The ways to the platform; the product's own interface if not given.
 
     Returns
     -------
     int
         Exit status of the process.
     """
-    daemon = Daemon(settings=settings, random=Random(secrets.randbits(128)))
+    random = Random(secrets.randbits(128))
+    daemon = Daemon(settings=settings, random=random, ports=ports)
     try:
         await daemon.start()
     except OSError as error:
@@ -401,6 +442,10 @@
     return EXIT_OK
 
 
+async def _sleep_forever() -> None:
+    await Event().wait()
+
+
 async def _leave_on_signal(daemon: Daemon) -> None:
     """Wait for SIGTERM and SIGINT on a socket that the interpreter writes to."""
     reader, writer = stdlib_socket.socketpair()
--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatch_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatch_runner.py
@@ -92,6 +92,18 @@
             )
             await self.tell(service, ended)
 
+    def usual_s(self, service: str, ticket: Ticket) -> float:
+        """Give the usual duration of a request, in seconds."""
+        dispatcher = self.node.dispatchers_by_service.get(service)
+        return 0.0 if dispatcher is None else dispatcher.usual_s(ticket)
+
+    def answered_at(self, service: str, upstream: str) -> float:
+        """Give when an upstream last answered this VM, monotonic seconds."""
+        dispatcher = self.node.dispatchers_by_service.get(service)
+        known = None if dispatcher is None else dispatcher.upstreams_by_name
+        state = None if known is None else known.get(upstream)
+        return 0.0 if state is None else state.answered_at
+
     async def withdraw(self, service: str, ticket: Ticket) -> None:
         """Stop waiting with a request."""
         await self.tell(service, Withdrawn(ticket.id))
--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -30,8 +30,10 @@
 from plankspindle_daemon.dispatch.messages import TimePassed
 from plankspindle_daemon.dispatch.messages import Verdict
 from plankspindle_daemon.dispatch.messages import Withdrawn
+from plankspindle_daemon.dispatch.placement import Placement
 from plankspindle_daemon.upstreams.messages import SlotGrant
 from plankspindle_daemon.upstreams.messages import SlotRequest
+from plankspindle_daemon.upstreams.reported_slots import ReportedSlots
 from plankspindle_daemon.upstreams.slot_ledger import Loan
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
@@ -70,7 +72,10 @@
     probe_s : float
         Period of reading load reports, in seconds.
     upstreams_by_name : dict of str to UpstreamState
-        Upstreams of the service in this failure domain.
+        Upstreams of the service that this VM may use.
+    placement : Placement, optional
+        Order of preference among upstreams that any entry VM may use; without it
+        their slots are shared by members.
     """
 
     vm: str
@@ -79,6 +84,7 @@
     queue: ClassQueue
     probe_s: float
     upstreams_by_name: dict[str, UpstreamState] = Factory(dict)
+    placement: Placement | None = None
     durations: DurationAverages = Factory(DurationAverages)
     rejected_by_reason: dict[RejectReason, int] = Factory(dict)
     assigned: int = 0
@@ -161,62 +167,91 @@
 
     def _has_candidate(self, ticket: Ticket, now: float) -> bool:
         return any(
-            not each.takes_nothing_new(now) and each.name not in ticket.excluded
+            not each.takes_nothing_new(now) and self._may_run_at(ticket, each)
             for each in self.upstreams_by_name.values()
         )
 
+    def _may_run_at(self, ticket: Ticket, upstream: UpstreamState) -> bool:
+        if upstream.name in ticket.excluded:
+            return False
+        if not ticket.regions or self.placement is None:
+            return True
+        domain = upstream.upstream.failure_domain
+        return self.placement.distances.region_of(domain) in ticket.regions
+
     def _serve(self, now: float) -> list[DispatchEffect]:
         effects: list[DispatchEffect] = []
         scanned = 0
         for ticket in self.queue:
             if scanned >= MAX_SCANNED:
                 break
-            if self._is_late(ticket, now):
+            reason = self._reason_to_give_up(ticket, now)
+            if reason is not None:
                 self.queue.remove(ticket.id)
-                effects.append(self._reject(ticket, RejectReason.TOO_LATE, now))
+                effects.append(self._reject(ticket, reason, now))
                 continue
             scanned += 1
             assigned = self._assign(ticket, now)
             if assigned is not None:
                 self.queue.remove(ticket.id)
                 effects.append(assigned)
-        if self.queue:
+        if self.queue and self.placement is None:
             effects += self._ask(now)
         return effects
 
     def _assign(self, ticket: Ticket, now: float) -> Assign | None:
-        ends_by = now + max(ticket.expected_s, self._usual_s(ticket))
+        usual_s = self.usual_s(ticket)
+        ends_by = now + max(ticket.expected_s, usual_s)
         fitting = [
             each
             for each in self.upstreams_by_name.values()
-            if each.name not in ticket.excluded
+            if self._may_run_at(ticket, each)
             and each.can_take(now=now, deadline=ticket.deadline, ends_by=ends_by)
         ]
         if not fitting:
             return None
-        chosen = min(fitting, key=lambda each: (each.score(now), self.random.random()))
+        chosen = min(
+            fitting,
+            key=lambda each: (
+                self._cost(each, ticket, usual_s, now),
+                self.random.random(),
+            ),
+        )
         check_invariant(
             "leaving-gets-nothing-new",
             not chosen.takes_nothing_new(now),
             chosen.name,
         )
-        chosen.ledger.start(ticket=ticket.id, now=now, deadline=ticket.deadline)
+        chosen.start(ticket=ticket.id, now=now, deadline=ticket.deadline)
         self.assigned += 1
         return Assign(
             ticket=ticket, upstream=chosen.name, endpoint=chosen.upstream.endpoint
         )
 
-    def _usual_s(self, ticket: Ticket) -> float:
+    def _cost(
+        self, upstream: UpstreamState, ticket: Ticket, usual_s: float, now: float
+    ) -> float:
+        if self.placement is None:
+            return upstream.score(now)
+        return self.placement.cost_s(upstream, ticket, usual_s=usual_s, now=now)
+
+    def usual_s(self, ticket: Ticket) -> float:
+        """Give the usual duration of a request, in seconds."""
         return self.durations.expected_total(
             operation=ticket.operation, declared_s=ticket.expected_s
         )
 
     def _is_late(self, ticket: Ticket, now: float) -> bool:
-        return now + LATE_SHARE * self._usual_s(ticket) > ticket.deadline
+        return now + LATE_SHARE * self.usual_s(ticket) > ticket.deadline
+
+    def _reason_to_give_up(self, ticket: Ticket, now: float) -> RejectReason | None:
+        if self._is_late(ticket, now):
+            return RejectReason.TOO_LATE
+        return RejectReason.BUSY if now >= ticket.hold_until else None
 
     def _would_be_late(self, ticket: Ticket, now: float) -> bool:
         wait = self._expected_wait_s(ticket.rank, now)
-        return now + wait + LATE_SHARE * self._usual_s(ticket) > ticket.deadline
+        return now + wait + LATE_SHARE * self.usual_s(ticket) > ticket.deadline
 
     def _expected_wait_s(self, rank: int, now: float) -> float:
         capacity = self.capacity(now)
@@ -226,10 +261,13 @@
         return rounds * self.durations.overall_total
 
     def _give_up_late(self, now: float) -> list[DispatchEffect]:
-        late = [ticket for ticket in self.queue if self._is_late(ticket, now)]
-        for ticket in late:
-            self.queue.remove(ticket.id)
-        return [self._reject(ticket, RejectReason.TOO_LATE, now) for ticket in late]
+        given_up: list[DispatchEffect] = []
+        for ticket in self.queue:
+            reason = self._reason_to_give_up(ticket, now)
+            if reason is not None:
+                self.queue.remove(ticket.id)
+                given_up.append(self._reject(ticket, reason, now))
+        return given_up
 
     def _reject(self, ticket: Ticket, reason: RejectReason, now: float) -> Reject:
         self.rejected_by_reason[reason] = self.rejected_by_reason.get(reason, 0) + 1
@@ -242,17 +280,33 @@
         if upstream is None:
             return
         upstream.ledger.finish(ticket=ended.ticket.id)
+        self._note_learned(upstream, ended, now)
+        if ended.verdict in (Verdict.ANSWERED, Verdict.SHED):
+            upstream.answered_at = now
         match ended.verdict:
             case Verdict.ANSWERED:
                 upstream.health.note_success(now)
                 self._note_durations(upstream, ended, now)
-            case Verdict.FAILED | Verdict.SHED:
+            case Verdict.SHED if isinstance(upstream.ledger, ReportedSlots):
+                upstream.ledger.note_full(now)
+            case Verdict.FAILED if isinstance(upstream.ledger, ReportedSlots):
+                upstream.health.note_break(now)
+            case Verdict.FAILED | Verdict.SHED | Verdict.UNREACHABLE:
                 upstream.health.note_refusal(now)
             case Verdict.TIMED_OUT:
                 upstream.health.note_timeout(now)
             case Verdict.CANCELLED:
                 pass
 
+    def _note_learned(self, upstream: UpstreamState, ended: Ended, now: float) -> None:
+        if ended.reported_load is not None and isinstance(
+            upstream.ledger, ReportedSlots
+        ):
+            upstream.ledger.note_reported(ended.reported_load, now)
+        if ended.connect_s is not None and self.placement is not None:
+            domain = upstream.upstream.failure_domain
+            self.placement.distances.note_connected(domain, ended.connect_s)
+
     def _note_durations(
         self, upstream: UpstreamState, ended: Ended, now: float
     ) -> None:
@@ -282,6 +336,8 @@
 
     def _probes(self, now: float) -> list[DispatchEffect]:
         effects: list[DispatchEffect] = []
+        if self.placement is not None:
+            return effects
         for name, upstream in self.upstreams_by_name.items():
             due = self._next_probe_by_name.get(name, 0.0) <= now
             if due or self._returns_by_probe(name, upstream, now):
--- a/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
@@ -17,6 +17,7 @@
     """How a request at an upstream ended."""
 
     ANSWERED = "answered"
+    UNREACHABLE = "unreachable"
     FAILED = "failed"
     SHED = "shed"
     TIMED_OUT = "timed-out"
@@ -53,6 +54,10 @@
         Time to the head of the answer, in seconds.
     total_s : float, optional
         Time to the end of the answer, in seconds.
+    connect_s : float, optional
+        Time that a new connection needed, in seconds.
+    reported_load : int, optional
+        Requests that ran and waited there, as the answer told.
     """
 
     ticket: Ticket
@@ -60,6 +65,8 @@
     verdict: Verdict
     head_s: float | None = None
     total_s: float | None = None
+    connect_s: float | None = None
+    reported_load: int | None = None
 
 
 @frozen(kw_only=True)
@@ -127,6 +134,7 @@
     QUEUE_FULL = "queue-full"
     EVICTED = "evicted"
     TOO_LATE = "too-late"
+    BUSY = "busy"
     NO_UPSTREAM = "no-upstream"
     LEAVING = "leaving"
 
--- a/packages/daemon/src/plankspindle_daemon/drains/drain_clock.py
+++ b/packages/daemon/src/plankspindle_daemon/drains/drain_clock.py
@@ -17,6 +17,8 @@
 LINGER_S = float(TTL_S)
 """Time for which a drained place still takes work, until kept look-ups run out."""
 
+_OF_UPSTREAMS_ONLY = (DrainKind.UPSTREAM, DrainKind.UPSTREAMS_OF_DOMAIN)
+
 
 @define(kw_only=True)
 class DrainClock:
@@ -96,5 +98,5 @@
     ) -> float:
         if drain.at is not None:
             return now + (drain.at - wall)
-        linger = 0.0 if drain.kind is DrainKind.UPSTREAM else LINGER_S
+        linger = 0.0 if drain.kind in _OF_UPSTREAMS_ONLY else LINGER_S
         return self._since_by_id[drain_id] + linger
--- a/packages/daemon/src/plankspindle_daemon/exchange/caller_request.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/caller_request.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from plankspindle_core.http.headers import HeaderList
+    from plankspindle_daemon.exchange.dialect import Dialect
 
 SERVICES_PREFIX = "/v1/services/"
 MAX_KEY_CHARACTERS = 255
@@ -22,6 +23,7 @@
 _REPLACED = frozenset(
     {b"host", b"authorization", b"expect", b"content-length", b"transfer-encoding"}
 )
+_FRAMING = frozenset({b"expect", b"content-length", b"transfer-encoding"})
 _OWN_PREFIX = b"plankspindle-"
 
 
@@ -65,11 +67,11 @@
 
     service: str
     path: str
-    timeout_ms: int | None
-    deadline_ms: int | None
-    idempotency_key: str | None
-    request_id: str | None
-    forwarded: bool
+    timeout_ms: int | None = None
+    deadline_ms: int | None = None
+    idempotency_key: str | None = None
+    request_id: str | None = None
+    forwarded: bool = False
     grant: int | None = None
 
 
@@ -91,9 +93,9 @@
         The request, or what is wrong with it.
     """
     service, slash, rest = target.removeprefix(SERVICES_PREFIX).partition("/")
-    timeout = _number(headers, header_names.TIMEOUT)
-    deadline = _number(headers, header_names.DEADLINE)
-    grant = _number(headers, header_names.GRANT)
+    timeout = number_in(headers, header_names.TIMEOUT)
+    deadline = number_in(headers, header_names.DEADLINE)
+    grant = number_in(headers, header_names.GRANT)
     for number in (timeout, deadline, grant):
         if number.is_err():
             return Err(number.unwrap_err())
@@ -119,7 +121,8 @@
     )
 
 
-def _number(headers: HeaderList, name: bytes) -> Result[int | None, BadRequest]:
+def number_in(headers: HeaderList, name: bytes) -> Result[int | None, BadRequest]:
+    """Read a header that is a whole number; None if it is not there."""
     text = find_header(headers, name)
     if text is None:
         return Ok(None)
@@ -158,6 +161,20 @@
     return kept
 
 
+def head_as_it_came(headers: HeaderList, *, dialect: Dialect) -> HeaderList:
+    """Give the headers of a caller but those of one connection, framing and deadline.
+
+    Parameters
+    ----------
+    headers : list of (bytes, bytes)
+        Headers of the caller.
+    dialect : Dialect
+        Names of those that are set anew.
+    """
+    set_anew = {*_FRAMING, dialect.deadline, dialect.wanted_upstream}
+    return [each for each in without_hop_by_hop(headers) if each[0] not in set_anew]
+
+
 def headers_for_peer(headers: HeaderList, *, grant: int | None) -> HeaderList:
     """Give the headers that go on to another entry VM, without framing and deadline.
 
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/exchange/dialect.py
@@ -0,0 +1,107 @@
+"""Names and forms of what is said to callers and upstreams by HTTP headers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from plankspindle_core import header_names
+from plankspindle_core.http.headers import find_header
+
+if TYPE_CHECKING:
+    from plankspindle_core.http.headers import HeaderList
+
+_UNAVAILABLE = 503
+_MAX_DIGITS = 9
+
+
+@frozen(kw_only=True)
+class Dialect:
+    """Header names towards callers and upstreams; the defaults are the product's own.
+
+    Parameters
+    ----------
+    timeout : bytes
+        Time that a caller gives, in milliseconds.
+    deadline : bytes
+        End of the work as told to an upstream.
+    deadline_is_time_left : bool
+        Whether that is the time left in milliseconds; otherwise it is milliseconds
+        since the Unix epoch.
+    not_run : bytes
+        Header by which an upstream states that it did not run a request.
+    not_run_statuses : frozenset of int
+        Statuses with which that statement counts; any status if empty.
+    misdirected_status : int, optional
+        Status by which another than the wanted upstream refuses.
+    wanted_upstream : bytes, optional
+        Header that names the wanted upstream.
+    echo : bytes, optional
+        Header of a request that its answer must repeat.
+    load : bytes, optional
+        Header in which answers tell the load: running, waiting, slots.
+    affinity_cookie : str, optional
+        Cookie that carries the affinity key.
+    keeps_head : bool
+        Whether the head goes on to the upstream as it came, ``Host`` included.
+    fractional_retry_after : bool
+        Whether callers read fractions of seconds in ``Retry-After``.
+    """
+
+    timeout: bytes = header_names.TIMEOUT
+    deadline: bytes = header_names.DEADLINE
+    deadline_is_time_left: bool = False
+    not_run: bytes = header_names.SHED
+    not_run_statuses: frozenset[int] = frozenset({_UNAVAILABLE})
+    misdirected_status: int | None = None
+    wanted_upstream: bytes | None = None
+    echo: bytes | None = None
+    load: bytes | None = None
+    affinity_cookie: str | None = None
+    keeps_head: bool = False
+    fractional_retry_after: bool = False
+
+    def proves_not_run(self, status: int, headers: HeaderList) -> bool:
+        """Tell whether an upstream states that it did not run the request."""
+        if status == self.misdirected_status:
+            return True
+        if self.not_run_statuses and status not in self.not_run_statuses:
+            return False
+        value = find_header(headers, self.not_run)
+        return value is not None and value != b"0"
+
+    def reported_load(self, headers: HeaderList) -> int | None:
+        """Read how many requests run and wait, or None if nothing readable is told."""
+        value = None if self.load is None else find_header(headers, self.load)
+        if value is None:
+            return None
+        numbers = value.split(b",")[:2]
+        if len(numbers) < 2 or not all(_is_count(each) for each in numbers):
+            return None
+        return int(numbers[0]) + int(numbers[1])
+
+    def answers(self, request: HeaderList, answer: HeaderList) -> bool:
+        """Tell whether an answer belongs to a request, as far as headers show."""
+        if self.echo is None:
+            return True
+        wanted = find_header(request, self.echo)
+        return wanted is None or find_header(answer, self.echo) == wanted
+
+    def affinity_key(self, headers: HeaderList) -> str | None:
+        """Read the affinity key of a request, or None."""
+        if self.affinity_cookie is None:
+            return None
+        for name, value in headers:
+            if name != b"cookie":
+                continue
+            for pair in value.decode("latin-1").split(";"):
+                key, _, text = pair.strip().partition("=")
+                if key == self.affinity_cookie:
+                    return text
+        return None
+
+
+def _is_count(text: bytes) -> bool:
+    digits = text.strip()
+    return digits.isdigit() and len(digits) <= _MAX_DIGITS
--- a/packages/daemon/src/plankspindle_daemon/exchange/exchange.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/exchange.py
@@ -28,12 +28,15 @@
 from plankspindle_daemon.exchange.messages import RelayAnswer
 from plankspindle_daemon.exchange.messages import Route
 from plankspindle_daemon.exchange.messages import SendRequest
+from plankspindle_daemon.exchange.messages import Stalled
 from plankspindle_daemon.exchange.messages import Terms
 from plankspindle_daemon.exchange.messages import ToPeer
 from plankspindle_daemon.exchange.messages import ToUpstream
 from plankspindle_daemon.exchange.messages import WithdrawTicket
 from plankspindle_daemon.retries.retry_budget import RetryBudget
 
+MAX_UNREACHED = 3
+"""Upstreams that may be unreachable before other ones cost budget."""
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
@@ -135,8 +138,8 @@
                 return self._give_up(reason, retry_after_s=retry_after_s)
             case Connected():
                 return self._send()
-            case ConnectFailed():
-                return self._after_failure("upstream-unreachable", Verdict.FAILED)
+            case ConnectFailed() | Stalled():
+                return self._take_silence(event)
             case HeadArrived(proves_not_run=proves_not_run):
                 return self._take_head(proves_not_run)
             case Broke(bytes_handed_over=handed_over):
@@ -166,6 +169,11 @@
         self.may_have_run = self._doubt_before
         return self._after_failure("upstream-shed", Verdict.SHED)
 
+    def _take_silence(self, event: ConnectFailed | Stalled) -> list[ExchangeEffect]:
+        if isinstance(event, Stalled):
+            return self._after_failure("upstream-silent", Verdict.TIMED_OUT)
+        return self._after_failure("upstream-unreachable", Verdict.UNREACHABLE)
+
     def _take_break(self, handed_over: bool) -> list[ExchangeEffect]:
         if isinstance(self.state, Relaying):
             return [*self._end_upstream(Verdict.FAILED, Over()), AbortCaller()]
@@ -178,12 +186,20 @@
         effects = self._end_upstream(verdict, Waiting())
         if upstream is not None:
             self.excluded |= {upstream}
-        if not self._may_try_again() or not self.budget.take():
+        if not self._may_try_again() or not self._take_budget():
             return [*effects, *self._give_up(reason)]
         self.route = ToUpstream()
         return [*effects, FindUpstream(self.excluded)]
 
+    def _take_budget(self) -> bool:
+        """Use the budget, unless no attempt has reached an upstream yet."""
+        reached = self.attempts > 0
+        bounded = len(self.excluded) <= MAX_UNREACHED
+        return self.budget.take() if reached or not bounded else True
+
     def _may_try_again(self) -> bool:
+        if self.attempts >= self.terms.max_attempts:
+            return False
         stays = not isinstance(self.route, ToPeer) or self.route.may_stay
         safe = self.terms.idempotent or not self.may_have_run
         return stays and safe and (self.terms.resendable or self.attempts == 0)
--- a/packages/daemon/src/plankspindle_daemon/exchange/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/messages.py
@@ -8,6 +8,9 @@
 from plankspindle_core.outcome import Outcome
 from plankspindle_daemon.dispatch.messages import Verdict
 
+MAX_ATTEMPTS = 1_000
+"""Bound where nothing else is declared; the retry budget ends retries long before."""
+
 
 @frozen(kw_only=True)
 class Terms:
@@ -25,12 +28,15 @@
     may_have_run_elsewhere : bool
         Whether a copy of the request may have run under another process, so that this
         one can never say that it was not run.
+    max_attempts : int
+        Most upstreams that it may be sent to.
     """
 
     idempotent: bool
     resendable: bool
     recorded: bool
     may_have_run_elsewhere: bool = False
+    max_attempts: int = MAX_ATTEMPTS
 
 
 @frozen
@@ -109,6 +115,11 @@
     bytes_handed_over: bool
 
 
+@frozen
+class Stalled:
+    """Neither this request nor any other got an answer from the upstream for long."""
+
+
 @frozen
 class AnswerEnded:
     """The whole answer was relayed."""
@@ -131,6 +142,7 @@
     | ConnectFailed
     | HeadArrived
     | Broke
+    | Stalled
     | AnswerEnded
     | CallerGone
     | DeadlinePassed
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -12,6 +12,8 @@
 from attrs import define
 from curio import TaskTimeout
 from curio import timeout_after
+from result import Ok
+from result import Result
 
 from plankspindle_core import header_names
 from plankspindle_core.http.client_connection import ClientConnection
@@ -26,6 +28,7 @@
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import Ended
 from plankspindle_daemon.dispatch.messages import Verdict
+from plankspindle_daemon.exchange.dialect import Dialect
 from plankspindle_daemon.exchange.exchange import Exchange
 from plankspindle_daemon.exchange.messages import AbortCaller
 from plankspindle_daemon.exchange.messages import AnswerCaller
@@ -46,6 +49,7 @@
 from plankspindle_daemon.exchange.messages import Refused
 from plankspindle_daemon.exchange.messages import RelayAnswer
 from plankspindle_daemon.exchange.messages import SendRequest
+from plankspindle_daemon.exchange.messages import Stalled
 from plankspindle_daemon.exchange.messages import WithdrawTicket
 from plankspindle_daemon.exchange.request_body import RequestBody
 from plankspindle_daemon.idempotency.recorded_answer import RecordedAnswer
@@ -56,8 +60,13 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from plankspindle_core.http.errors import ConnectionLost
+
 
 DEFAULT_RETRY_AFTER_S = 0.5
+PATIENCE = 4.0
+"""Usual durations after which a silent upstream is given up for another."""
+MIN_PATIENCE_S = 0.25
 _UNAVAILABLE = 503
 
 
@@ -89,6 +98,15 @@
         Finder of upstreams.
     pool : ConnectionPool
         Connections.
+    dialect : Dialect
+        Names of headers.
+    max_recorded_bytes : int
+        Longest answer that is kept for replay.
+    max_idle_unrepeatable_s : float
+        Longest rest of a connection that may carry a request which must not run twice.
+    hold_answer_bytes : int
+        Answers of up to this length are held until they are whole, so that a broken one
+        can still be replaced.
     """
 
     vm: str
@@ -104,7 +122,13 @@
     record: RequestRecord
     dispatch: DispatchRunner
     pool: ConnectionPool
+    dialect: Dialect
     max_recorded_bytes: int
+    max_idle_unrepeatable_s: float = 0.0
+    hold_answer_bytes: int = 0
+    _connect_s: float | None = None
+    _reported_load: int | None = None
+    _held: list[bytes] | None = None
     _connection: ClientConnection | None = None
     _assigned: Assign | None = None
     _head: h11.Response | None = None
@@ -178,10 +202,14 @@
         return Refused(reason=found.reason.value, retry_after_s=found.retry_after_s)
 
     async def _open(self, wanted: OpenConnection) -> ExchangeEvent:
-        acquired = await self.pool.acquire(wanted.endpoint, fresh=wanted.fresh)
+        max_idle_s = self.max_idle_unrepeatable_s if wanted.fresh else math.inf
+        began = monotonic()
+        acquired = await self.pool.acquire(wanted.endpoint, max_idle_s=max_idle_s)
         if acquired.is_err():
             return ConnectFailed()
         self._connection = acquired.unwrap()
+        is_new = self._connection.exchanges == 0
+        self._connect_s = monotonic() - began if is_new else None
         return Connected()
 
     async def _send(self) -> ExchangeEvent:
@@ -199,15 +227,70 @@
         )
         if sent.is_err() or not await self.body.send(self.source, connection):
             return self._broke(connection)
-        head = await connection.read_head()
+        head = await self._read_head(connection)
+        if head is None:
+            return Stalled()
         if head.is_err():
             return self._broke(connection)
-        self._head = head.unwrap()
+        return await self._take_head(head.unwrap(), connection, to_peer=to_peer)
+
+    async def _read_head(
+        self, connection: ClientConnection
+    ) -> Result[h11.Response, ConnectionLost] | None:
+        """Read the head; None once the upstream seems to answer nobody any more."""
+        patience_s = self._patience_s()
+        while patience_s is not None:
+            try:
+                return await timeout_after(  # type: ignore[no-any-return]
+                    patience_s, connection.read_head
+                )
+            except TaskTimeout:
+                if self._upstream_is_silent():
+                    return None
+        return await connection.read_head()
+
+    def _patience_s(self) -> float | None:
+        """Give the time after which another upstream may be tried; None for never."""
+        terms = self.exchange.terms
+        if not (terms.idempotent and terms.resendable) or self._assigned is None:
+            return None
+        usual_s = self.dispatch.usual_s(self.service, self.ticket)
+        return max(MIN_PATIENCE_S, PATIENCE * usual_s)
+
+    def _upstream_is_silent(self) -> bool:
+        assert self._assigned is not None
+        answered_at = self.dispatch.answered_at(self.service, self._assigned.upstream)
+        return answered_at < self._sent_at
+
+    async def _take_head(
+        self, head: h11.Response, connection: ClientConnection, *, to_peer: bool
+    ) -> ExchangeEvent:
+        self._head = head
         self._head_s = monotonic() - self._sent_at
-        proves = _proves_not_run(self._head, to_peer=to_peer)
+        headers = [(bytes(key), bytes(value)) for key, value in head.headers]
+        if to_peer:
+            proves = _peer_proves_not_run(headers)
+        else:
+            self._reported_load = self.dialect.reported_load(headers)
+            proves = self.dialect.proves_not_run(head.status_code, headers)
+            if not self.dialect.answers(self.source.headers, headers):
+                return Broke(bytes_handed_over=True)
         if proves:
             self.record.note_not_run()
-        return HeadArrived(proves_not_run=proves)
+            return HeadArrived(proves_not_run=True)
+        self._held = None
+        if self._may_hold(headers, to_peer=to_peer):
+            self._held = await _read_whole(connection)
+            if self._held is None:
+                return Broke(bytes_handed_over=True)
+        return HeadArrived()
+
+    def _may_hold(self, headers: HeaderList, *, to_peer: bool) -> bool:
+        """Tell whether the answer is short enough to be held until it is whole."""
+        length = find_header(headers, b"content-length")
+        if to_peer or length is None or self.source.method == "HEAD":
+            return False
+        return int(length) <= self.hold_answer_bytes
 
     def _broke(self, connection: ClientConnection) -> Broke:
         if not connection.bytes_handed_over:
@@ -219,12 +302,29 @@
     ) -> HeaderList:
         headers = self.peer_headers if to_peer else self.upstream_headers
         return [
-            (b"host", str(connection.endpoint).encode()),
+            *self._own_headers(connection, to_peer=to_peer),
             *headers,
             *self.body.framing,
-            (header_names.DEADLINE, str(self.deadline_ms).encode()),
         ]
 
+    def _own_headers(
+        self, connection: ClientConnection, *, to_peer: bool
+    ) -> HeaderList:
+        dialect = self.dialect
+        host = (b"host", str(connection.endpoint).encode())
+        if to_peer:
+            deadline = str(self.deadline_ms).encode()
+            return [host, (header_names.DEADLINE, deadline)]
+        own = [] if dialect.keeps_head else [host]
+        if dialect.deadline_is_time_left:
+            left_ms = max(1, int((self.ticket.deadline - monotonic()) * 1000))
+            own.append((dialect.deadline, str(left_ms).encode()))
+        else:
+            own.append((dialect.deadline, str(self.deadline_ms).encode()))
+        if dialect.wanted_upstream is not None and self._assigned is not None:
+            own.append((dialect.wanted_upstream, self._assigned.upstream.encode()))
+        return own
+
     async def _relay(self) -> ExchangeEvent:
         assert self._head is not None
         assert self._connection is not None
@@ -236,7 +336,7 @@
         kept: list[bytes] | None = [] if self.exchange.terms.recorded else None
         size = 0
         while True:
-            chunk = await self._connection.read_chunk()
+            chunk = await self._next_chunk(self._connection)
             if chunk.is_err():
                 return Broke(bytes_handed_over=True)
             data = chunk.unwrap()
@@ -251,6 +351,13 @@
         await self._to_caller(self.source.finish)
         return AnswerEnded()
 
+    async def _next_chunk(
+        self, connection: ClientConnection
+    ) -> Result[bytes | None, ConnectionLost]:
+        if self._held is None:
+            return await connection.read_chunk()
+        return Ok(self._held.pop(0) if self._held else None)
+
     async def _to_caller(self, send: Callable[[], Awaitable[None]]) -> None:
         if self._caller_gone:
             return
@@ -306,7 +413,10 @@
             verdict=verdict,
             head_s=self._head_s if answered else None,
             total_s=monotonic() - self._sent_at if answered else None,
+            connect_s=self._connect_s,
+            reported_load=self._reported_load,
         )
+        self._connect_s = self._reported_load = None
         await self.dispatch.tell(self.service, ended)
 
     async def _drop_connection(self) -> None:
@@ -320,18 +430,30 @@
         if self.source.head_sent:
             self.source.abort()
             return
-        await answer_with_outcome(self.source, answer)
+        await answer_with_outcome(self.source, answer, self.dialect)
 
 
-def _proves_not_run(head: h11.Response, *, to_peer: bool) -> bool:
-    if to_peer:
-        outcome = find_header(head.headers, header_names.OUTCOME)
-        return outcome == Outcome.NOT_RUN.value.encode()
-    shed = find_header(head.headers, header_names.SHED)
-    return head.status_code == _UNAVAILABLE and shed == b"1"
+def _peer_proves_not_run(headers: HeaderList) -> bool:
+    outcome = find_header(headers, header_names.OUTCOME)
+    return outcome == Outcome.NOT_RUN.value.encode()
+
+
+async def _read_whole(connection: ClientConnection) -> list[bytes] | None:
+    """Read a whole body; None if it is cut off."""
+    chunks: list[bytes] = []
+    while True:
+        chunk = await connection.read_chunk()
+        if chunk.is_err():
+            return None
+        data = chunk.unwrap()
+        if data is None:
+            return chunks
+        chunks.append(data)
 
 
-async def answer_with_outcome(source: ServerExchange, answer: AnswerCaller) -> None:
+async def answer_with_outcome(
+    source: ServerExchange, answer: AnswerCaller, dialect: Dialect
+) -> None:
     """Tell a caller what is known of its request.
 
     Parameters
@@ -340,6 +462,8 @@
         The caller's side.
     answer : AnswerCaller
         What is known.
+    dialect : Dialect
+        Form of the time to come back.
     """
     headers = [
         (header_names.OUTCOME, answer.outcome.value.encode()),
@@ -348,7 +472,8 @@
     ]
     if answer.status == _UNAVAILABLE:
         retry_after_s = answer.retry_after_s or DEFAULT_RETRY_AFTER_S
-        seconds = str(math.ceil(retry_after_s)).encode()
+        whole = not dialect.fractional_retry_after
+        seconds = f"{math.ceil(retry_after_s) if whole else retry_after_s:.3g}".encode()
         headers.append((header_names.RETRY_AFTER, seconds))
         exact = str(math.ceil(retry_after_s * 1000)).encode()
         headers.append((b"plankspindle-retry-after-ms", exact))
--- a/packages/daemon/src/plankspindle_daemon/listeners/caller_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/caller_listener.py
@@ -25,6 +25,7 @@
     from plankspindle_core.http.server_exchange import ServerExchange
     from plankspindle_daemon.steering.steering import LookupAnswer
 
+from plankspindle_daemon.listeners.request_reader import NO_CONFIGURATION
 from plankspindle_daemon.listeners.request_service import RequestService
 from plankspindle_daemon.listeners.request_service import refuse
 
@@ -94,7 +95,9 @@
     async def handle(self, source: ServerExchange) -> None:
         """Answer one request."""
         split = urlsplit(source.target)
-        if source.target.startswith(SERVICES_PREFIX):
+        if source.target.startswith(SERVICES_PREFIX) or self.requests.reader.is_routed(
+            source
+        ):
             await self.requests.serve(source)
         elif split.path == "/v1/lookup" and source.method == "GET":
             await self._look_up(source, split.query)
@@ -102,6 +105,8 @@
             await self._issue_ids(source, split.query)
         elif split.path == "/health":
             await source.answer(status=200, body=self.node.readiness().value.encode())
+        elif self.node.configuration is None:
+            await refuse(source, BadRequest(503, NO_CONFIGURATION))
         else:
             await refuse(source, BadRequest(404, "no such resource"))
 
@@ -112,7 +117,7 @@
         address = fields.get("address", [source.peer_host])[0]
         steering = self.node.steering
         if steering is None:
-            await refuse(source, BadRequest(503, "no configuration is in force yet"))
+            await refuse(source, BadRequest(503, NO_CONFIGURATION))
             return
         if service not in steering.configuration.services_by_name:
             await refuse(source, BadRequest(404, f"no service {service!r}"))
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -9,21 +9,16 @@
 from attrs import define
 from attrs import field
 from attrs import frozen
-from result import Err
-from result import Ok
-from result import Result
 
 from plankspindle_core import header_names
-from plankspindle_core.configuration.operation import Operation
-from plankspindle_core.http.headers import find_header
 from plankspindle_core.outcome import Outcome
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.dispatch.dispatch_runner import DispatchRunner
 from plankspindle_daemon.exchange.caller_request import BadRequest
-from plankspindle_daemon.exchange.caller_request import CallerRequest
+from plankspindle_daemon.exchange.caller_request import head_as_it_came
 from plankspindle_daemon.exchange.caller_request import headers_for_peer
 from plankspindle_daemon.exchange.caller_request import headers_for_upstream
-from plankspindle_daemon.exchange.caller_request import parse_caller_request
+from plankspindle_daemon.exchange.dialect import Dialect
 from plankspindle_daemon.exchange.exchange import Exchange
 from plankspindle_daemon.exchange.messages import AnswerCaller
 from plankspindle_daemon.exchange.messages import Route
@@ -42,6 +37,8 @@
 from plankspindle_daemon.idempotency.gate import SendHome
 from plankspindle_daemon.idempotency.records import NoRecord
 from plankspindle_daemon.idempotency.records import RequestRecord
+from plankspindle_daemon.listeners.request_reader import AskedFor
+from plankspindle_daemon.listeners.request_reader import RequestReader
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.observability.metrics import RequestMetrics
 from plankspindle_daemon.settings.daemon_settings import DaemonSettings
@@ -49,16 +46,17 @@
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
 
 if TYPE_CHECKING:
+    from plankspindle_core.configuration.operation import Operation
     from plankspindle_core.http.headers import HeaderList
     from plankspindle_core.http.server_exchange import ServerExchange
     from plankspindle_daemon.admission.caller_directory import Identity
+    from plankspindle_daemon.exchange.caller_request import CallerRequest
     from plankspindle_daemon.exchange.request_body import RequestBody
     from plankspindle_daemon.headroom.grant_book import HeldGrant
 
 
 @frozen(kw_only=True)
 class _RequestTerms:
-    operation: Operation
     deadline_ms: int
     deadline: float
 
@@ -89,6 +87,10 @@
         What decides on ids and keys.
     metrics : RequestMetrics
         Counters.
+    reader : RequestReader
+        What finds out what requests ask for.
+    dialect : Dialect
+        Names of headers.
 
     Attributes
     ----------
@@ -102,6 +104,8 @@
     pool: ConnectionPool
     gate: IdempotencyGate
     metrics: RequestMetrics
+    reader: RequestReader
+    dialect: Dialect
     running: int = 0
     _ticket_numbers: count[int] = field(factory=count)
 
@@ -114,76 +118,50 @@
             self.running -= 1
 
     async def _serve_counted(self, source: ServerExchange) -> None:
-        parsed = parse_caller_request(source.target, source.headers)
-        identified = parsed.and_then(lambda request: self._identify(source, request))
-        if parsed.is_err() or identified.is_err():
-            error = parsed.err() or identified.unwrap_err()
-            await refuse(source, error)
+        read = self.reader.read(source)
+        if read.is_err():
+            await refuse(source, read.unwrap_err())
             return
         if not self.node.accepts(monotonic()):
-            await answer_with_outcome(source, _not_run("leaving"))
+            await answer_with_outcome(source, _not_run("leaving"), self.dialect)
             return
-        request = parsed.unwrap()
+        asked = read.unwrap()
+        request = asked.request
         if request.grant is None:
-            await self._serve_body(source, request, identified.unwrap())
+            await self._serve_body(source, asked)
             return
         if not self.node.headroom.begin_moved(
             request.service, request.grant, monotonic()
         ):
-            await answer_with_outcome(source, _not_run("no-headroom"))
+            await answer_with_outcome(source, _not_run("no-headroom"), self.dialect)
             return
         try:
-            await self._serve_body(source, request, identified.unwrap())
+            await self._serve_body(source, asked)
         finally:
             self.node.headroom.end_moved(request.service, request.grant)
 
-    async def _serve_body(
-        self, source: ServerExchange, request: CallerRequest, identity: Identity
-    ) -> None:
+    async def _serve_body(self, source: ServerExchange, asked: AskedFor) -> None:
         body = await read_request_body(
             source, max_bytes=self.settings.requests.max_keyed_body_bytes
         )
-        if body is None or (body.whole is None and _is_marked(request)):
+        if body is None or (body.whole is None and _is_marked(asked.request)):
             limit = self.settings.requests.max_keyed_body_bytes
             await refuse(source, BadRequest(413, f"send at most {limit} bytes"))
             return
-        await self._run(source, request, identity, body)
-
-    def _identify(
-        self, source: ServerExchange, request: CallerRequest
-    ) -> Result[Identity, BadRequest]:
-        directory = self.node.directory
-        configuration = self.node.configuration
-        if directory is None or configuration is None:
-            return Err(BadRequest(503, "no configuration is in force yet"))
-        if request.service not in configuration.services_by_name:
-            return Err(BadRequest(404, f"no service {request.service!r}"))
-        authorization = find_header(source.headers, header_names.AUTHORIZATION)
-        identified = directory.identify(
-            service=request.service, authorization=authorization
-        )
-        if identified.is_err():
-            return Err(BadRequest(401, identified.unwrap_err().reason))
-        identity = identified.unwrap()
-        if request.idempotency_key is not None and identity.caller is None:
-            return Err(BadRequest(401, "Idempotency-Key needs an API key"))
-        return Ok(identity)
+        await self._run(source, asked, body)
 
     async def _run(
-        self,
-        source: ServerExchange,
-        request: CallerRequest,
-        identity: Identity,
-        body: RequestBody,
+        self, source: ServerExchange, asked: AskedFor, body: RequestBody
     ) -> None:
-        terms = self._work_out_terms(source, request)
+        request, identity = asked.request, asked.identity
+        terms = _work_out_terms(asked)
         held = self._choose_move(source, request, identity)
         try:
             way = await self._find_way(source, request, identity, body, terms, held)
             if isinstance(way, Answered):
                 await self._answer(source, way)
                 return
-            runner = self._make_runner(source, request, identity, body, terms, way)
+            runner = self._make_runner(source, asked, body, terms, way)
             began = monotonic()
             await runner.run()
         finally:
@@ -193,20 +171,6 @@
             service=request.service, rank=identity.rank, seconds=monotonic() - began
         )
 
-    def _work_out_terms(
-        self, source: ServerExchange, request: CallerRequest
-    ) -> _RequestTerms:
-        configuration = self.node.configuration
-        assert configuration is not None
-        service = configuration.services_by_name[request.service]
-        operation = service.operation_for(source.method, request.path)
-        deadline_ms = _deadline_ms(request, operation)
-        return _RequestTerms(
-            operation=operation,
-            deadline_ms=deadline_ms,
-            deadline=monotonic() + (deadline_ms - wall_ms()) / 1000,
-        )
-
     async def _find_way(
         self,
         source: ServerExchange,
@@ -245,13 +209,12 @@
     def _make_runner(
         self,
         source: ServerExchange,
-        request: CallerRequest,
-        identity: Identity,
+        asked: AskedFor,
         body: RequestBody,
         terms: _RequestTerms,
         way: _Way,
     ) -> RequestRunner:
-        operation = terms.operation
+        operation, request = asked.operation, asked.request
         return RequestRunner(
             vm=self.settings.vm,
             service=request.service,
@@ -262,28 +225,48 @@
                     resendable=body.whole is not None,
                     recorded=_is_marked(request),
                     may_have_run_elsewhere=way.may_have_run_elsewhere,
+                    max_attempts=asked.max_attempts,
                 ),
                 route=way.route,
                 budget=self.node.budgets_by_service[request.service],
             ),
-            ticket=Ticket(
-                id=next(self._ticket_numbers),
-                rank=identity.rank,
-                operation=f"{operation.method} {operation.path_prefix}",
-                deadline=terms.deadline,
-                expected_s=operation.expected_ms / 1000,
-            ),
+            ticket=self._make_ticket(asked, terms),
             deadline_ms=terms.deadline_ms,
             path=request.path,
-            upstream_headers=headers_for_upstream(
-                source.headers, caller=identity.caller, peer_host=source.peer_host
-            ),
+            upstream_headers=self._headers_for_upstream(source, asked.identity),
             peer_headers=headers_for_peer(source.headers, grant=way.grant),
             body=body,
             record=way.record,
             dispatch=self.dispatch,
             pool=self.pool,
+            dialect=self.dialect,
             max_recorded_bytes=self.settings.requests.max_recorded_answer_bytes,
+            max_idle_unrepeatable_s=(
+                self.settings.requests.max_idle_unrepeatable_ms / 1000
+            ),
+            hold_answer_bytes=self.settings.requests.hold_answer_bytes,
+        )
+
+    def _make_ticket(self, asked: AskedFor, terms: _RequestTerms) -> Ticket:
+        return Ticket(
+            id=next(self._ticket_numbers),
+            rank=asked.identity.rank,
+            operation=asked.name,
+            deadline=terms.deadline,
+            expected_s=asked.operation.expected_ms / 1000,
+            affinity=asked.affinity,
+            bulky=asked.bulky,
+            regions=asked.regions,
+            hold_until=asked.hold_until,
+        )
+
+    def _headers_for_upstream(
+        self, source: ServerExchange, identity: Identity
+    ) -> HeaderList:
+        if self.dialect.keeps_head:
+            return head_as_it_came(source.headers, dialect=self.dialect)
+        return headers_for_upstream(
+            source.headers, caller=identity.caller, peer_host=source.peer_host
         )
 
     def _choose_move(
@@ -314,13 +297,21 @@
                     body=answer.body,
                 )
             case _:
-                await answer_with_outcome(source, answered.answer)
+                await answer_with_outcome(source, answered.answer, self.dialect)
 
 
 def _is_marked(request: CallerRequest) -> bool:
     return request.idempotency_key is not None or request.request_id is not None
 
 
+def _work_out_terms(asked: AskedFor) -> _RequestTerms:
+    deadline_ms = _deadline_ms(asked.request, asked.operation)
+    return _RequestTerms(
+        deadline_ms=deadline_ms,
+        deadline=monotonic() + (deadline_ms - wall_ms()) / 1000,
+    )
+
+
 def _deadline_ms(request: CallerRequest, operation: Operation) -> int:
     now_ms = wall_ms()
     deadline = now_ms + operation.timeout_ms
--- a/packages/daemon/src/plankspindle_daemon/membership/member.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/member.py
@@ -21,6 +21,8 @@
         Name of the VM.
     peer_endpoint : Endpoint
         Where heartbeats go.
+    failure_domain : str
+        Where it stands; empty until it is listed or heard.
     counted_since : float
         When it was first listed or heard, monotonic seconds.
     caller_endpoint : Endpoint, optional
@@ -44,6 +46,7 @@
     name: str
     peer_endpoint: Endpoint
     counted_since: float
+    failure_domain: str = ""
     caller_endpoint: Endpoint | None = None
     incarnation: int = UNHEARD
     sequence: int = 0
--- a/packages/daemon/src/plankspindle_daemon/membership/membership.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/membership.py
@@ -62,6 +62,8 @@
         Silence after which a peer is suspected, in seconds; it grows with the period.
     seeds : tuple of Endpoint
         Peers to greet whether they are known or not.
+    all_domains : bool
+        Whether entry VMs of all failure domains are members, not only those of the own.
     """
 
     vm: str
@@ -70,6 +72,7 @@
     heartbeat_s: float
     suspect_after_s: float
     seeds: tuple[Endpoint, ...] = ()
+    all_domains: bool = False
 
 
 @frozen
@@ -221,7 +224,7 @@
 
     def _take_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         own = self.options
-        if heartbeat.sender == own.vm or heartbeat.failure_domain != own.failure_domain:
+        if heartbeat.sender == own.vm or not self._is_near(heartbeat.failure_domain):
             return
         member = self.members_by_name.get(heartbeat.sender)
         if member is None:
@@ -258,7 +261,7 @@
         own = self.options
         is_peer = (
             listed.kind is VmKind.ENTRY
-            and listed.failure_domain == own.failure_domain
+            and self._is_near(listed.failure_domain)
             and listed.name != own.vm
             and listed.peer_endpoint is not None
         )
@@ -270,6 +273,7 @@
                 name=listed.name,
                 peer_endpoint=listed.peer_endpoint,
                 caller_endpoint=listed.caller_endpoint,
+                failure_domain=listed.failure_domain,
                 counted_since=now,
             )
             self.members_by_name[member.name] = member
@@ -277,6 +281,14 @@
         if member is not None:
             member.listed_leaving = listed.leaving
 
+    def _is_near(self, failure_domain: str) -> bool:
+        own = self.options
+        return own.all_domains or failure_domain == own.failure_domain
+
+    def is_silent(self, member: Member, now: float) -> bool:
+        """Tell whether a member was not heard for longer than allowed."""
+        return member.is_silent(now=now, suspect_after_s=self.suspect_after_s())
+
     def _remove_unlisted(self, now: float) -> None:
         silence = self.suspect_after_s()
         for name, member in list(self.members_by_name.items()):
@@ -337,6 +349,7 @@
     member.sequence = heartbeat.sequence
     member.peer_endpoint = heartbeat.peer_endpoint
     member.caller_endpoint = heartbeat.caller_endpoint
+    member.failure_domain = heartbeat.failure_domain
     member.readiness = heartbeat.readiness
     member.view_digest = heartbeat.view_digest
     member.over_share = frozenset(heartbeat.over_share)
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -12,6 +12,7 @@
 from plankspindle_core.configuration.codec import decode_configuration
 from plankspindle_core.configuration.codec import encode_configuration
 from plankspindle_core.configuration.configuration import Configuration
+from plankspindle_core.configuration.service import SlotSharing
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.invariants import check_invariant
 from plankspindle_daemon.admission.caller_directory import CallerDirectory
@@ -26,6 +27,8 @@
 from plankspindle_daemon.digests.own_digest import sum_up_loads
 from plankspindle_daemon.dispatch import messages as dispatch
 from plankspindle_daemon.dispatch.dispatcher import Dispatcher
+from plankspindle_daemon.dispatch.placement import Distances
+from plankspindle_daemon.dispatch.placement import Placement
 from plankspindle_daemon.drains.drain_clock import DrainClock
 from plankspindle_daemon.headroom.headroom_manager import HeadroomManager
 from plankspindle_daemon.headroom.headroom_manager import HeadroomTarget
@@ -41,14 +44,19 @@
 from plankspindle_daemon.node.effects import NodeEffect
 from plankspindle_daemon.node.effects import OfService
 from plankspindle_daemon.node.effects import SendToPeer
+from plankspindle_daemon.platform.listed_upstreams import ListedUpstreams
 from plankspindle_daemon.platform.live_list import VmKind
 from plankspindle_daemon.retries.retry_budget import RetryBudget
+from plankspindle_daemon.routes.route_table import RouteTable
 from plankspindle_daemon.shifts.shift_meter import ShiftMeter
 from plankspindle_daemon.steering.steering import EntryVm
 from plankspindle_daemon.steering.steering import Steering
+from plankspindle_daemon.upstreams.cold_gate import ColdGate
+from plankspindle_daemon.upstreams.cold_gate import cold_part_of
 from plankspindle_daemon.upstreams.health import Ramping
 from plankspindle_daemon.upstreams.health import UpstreamHealth
 from plankspindle_daemon.upstreams.health import Warm
+from plankspindle_daemon.upstreams.reported_slots import ReportedSlots
 from plankspindle_daemon.upstreams.share_keeper import ShareKeeper
 from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
@@ -57,6 +65,7 @@
     from collections.abc import Iterable
     from collections.abc import Sequence
 
+    from plankspindle_core.configuration.service import Service
     from plankspindle_core.configuration.upstream import Upstream
     from plankspindle_daemon.configuration.messages import ContentChunk
     from plankspindle_daemon.configuration.messages import ContentRequest
@@ -72,6 +81,8 @@
 MAX_OVER_SHARE_NAMED = 16
 DIGEST_PERIOD_S = 1.0
 REFRESH_S = 0.25
+MIN_ENTRY_VMS = 3
+"""Entry VMs that are assumed to share fleet-wide bounds before others are heard."""
 
 
 @define(kw_only=True)
@@ -94,6 +105,8 @@
         Ids issued by this process.
     leave : Leave
         Its planned stop.
+    routes : RouteTable
+        Routes of the version in force.
     probe_s : float
         Period of reading load reports, in seconds.
     started_at : float
@@ -101,6 +114,8 @@
     settle_s : float
         Time for which a new process listens for peers before it takes slots, in
         seconds.
+    needs_list : bool
+        Whether upstreams are declared by the platform's list alone.
 
     Attributes
     ----------
@@ -122,11 +137,15 @@
     probe_s: float
     started_at: float
     settle_s: float
+    needs_list: bool = False
     configuration: Configuration | None = None
     version: int = 0
     adopted_at: float | None = None
     directory: CallerDirectory | None = None
     steering: Steering | None = None
+    routes: RouteTable = Factory(lambda: RouteTable(routes_by_name={}))
+    listed: ListedUpstreams = Factory(ListedUpstreams)
+    distances: Distances = field(init=False)
     meter: ShiftMeter = Factory(lambda: ShiftMeter.create(region=None))
     dispatchers_by_service: dict[str, Dispatcher] = Factory(dict)
     budgets_by_service: dict[str, RetryBudget] = Factory(dict)
@@ -154,6 +173,7 @@
             settle_s=self.settle_s,
         )
         self.versions = VersionExchange(vm=self.vm)
+        self.distances = Distances(home_domain=self.failure_domain)
 
     def adopt(
         self, configuration: Configuration, *, version: int, now: float
@@ -190,11 +210,18 @@
         if region != self.meter.region:
             self.meter = ShiftMeter.create(region=region)
         self.meter.use_shifts(configuration.shifts_by_id, now)
+        self._use_routes(configuration)
+        self.distances.use(configuration)
         self.drains.use(configuration, now)
         self._use_services(configuration, now)
-        self._refresh_steering()
+        self._refresh_steering(now)
         return [*self._spread_version(now), *self._update_shares(now)]
 
+    def _use_routes(self, configuration: Configuration) -> None:
+        before = self.routes
+        self.routes = RouteTable(routes_by_name=configuration.routes_by_name)
+        self.routes.keep_divisions(before)
+
     def _spread_version(self, now: float) -> list[NodeEffect]:
         """Tell some members of the new version at once; heartbeats tell the rest."""
         targets = spread_targets(
@@ -246,32 +273,53 @@
         for name, service in configuration.services_by_name.items():
             dispatcher = self.dispatchers_by_service.get(name)
             if dispatcher is None:
-                dispatcher = self._new_dispatcher(service.queue_limit)
+                dispatcher = self._new_dispatcher(service)
                 self.dispatchers_by_service[name] = dispatcher
             dispatcher.queue.limit = service.queue_limit
             budget = self.budgets_by_service.setdefault(
                 name, RetryBudget(percent=service.retry_percent)
             )
             budget.percent = service.retry_percent
-            declared = {
-                key: upstream
-                for key, upstream in configuration.upstreams_by_name.items()
-                if upstream.service == name
-                and upstream.failure_domain == self.failure_domain
-            }
-            self._use_upstreams(dispatcher, declared, now)
-
-    def _new_dispatcher(self, queue_limit: int) -> Dispatcher:
+            budget.burst = max(1.0, service.retry_burst / self._entry_vms())
+            declared = self._declared_upstreams(name, service)
+            self._use_upstreams(dispatcher, service, declared, now)
+
+    def _entry_vms(self) -> int:
+        """Count the entry VMs that share fleet-wide bounds, this one included."""
+        return max(MIN_ENTRY_VMS, len(self.membership.members_by_name) + 1)
+
+    def _declared_upstreams(self, name: str, service: Service) -> dict[str, Upstream]:
+        """Give the upstreams of a service that this VM may use, by name."""
+        assert self.configuration is not None
+        any_domain = service.slot_sharing is SlotSharing.REPORTED
+        declared = dict(self.configuration.upstreams_by_name)
+        for key, listed in self.listed.by_name.items():
+            if listed.upstream is not None:
+                declared[key] = listed.upstream
+        return {
+            key: upstream
+            for key, upstream in declared.items()
+            if upstream.service == name
+            and (any_domain or upstream.failure_domain == self.failure_domain)
+        }
+
+    def _new_dispatcher(self, service: Service) -> Dispatcher:
+        reported = service.slot_sharing is SlotSharing.REPORTED
         return Dispatcher(
+            placement=Placement(distances=self.distances) if reported else None,
             vm=self.vm,
             incarnation=self.incarnation,
             random=Random(self.random.getrandbits(64)),
-            queue=ClassQueue(limit=queue_limit),
+            queue=ClassQueue(limit=service.queue_limit),
             probe_s=self.probe_s,
         )
 
     def _use_upstreams(
-        self, dispatcher: Dispatcher, declared: dict[str, Upstream], now: float
+        self,
+        dispatcher: Dispatcher,
+        service: Service,
+        declared: dict[str, Upstream],
+        now: float,
     ) -> None:
         by_name = dispatcher.upstreams_by_name
         for name in set(by_name) - set(declared):
@@ -285,20 +333,43 @@
                 known.ledger.slots = upstream.slots
                 known.ledger.shrink_share(upstream.slots)
             else:
-                by_name[name] = self._new_upstream(dispatcher, name, upstream, now)
+                by_name[name] = self._new_upstream(
+                    dispatcher, service, name, upstream, now
+                )
+        self._place(dispatcher, declared)
+
+    def _place(self, dispatcher: Dispatcher, declared: dict[str, Upstream]) -> None:
+        """Let affinity keys be divided among the upstreams that stay."""
+        if dispatcher.placement is None:
+            return
+        by_name = dispatcher.upstreams_by_name
+        staying = {
+            name: upstream.failure_domain
+            for name, upstream in declared.items()
+            if not by_name[name].leaving and by_name[name].drained_at is None
+        }
+        dispatcher.placement.use(staying)
 
     def _new_upstream(
-        self, dispatcher: Dispatcher, name: str, upstream: Upstream, now: float
+        self,
+        dispatcher: Dispatcher,
+        service: Service,
+        name: str,
+        upstream: Upstream,
+        now: float,
     ) -> UpstreamState:
-        is_cold = self.version > 1 and now - self.started_at > self.settle_s
+        is_new = self.version > 1 and now - self.started_at > self.settle_s
+        reported = service.slot_sharing is SlotSharing.REPORTED
+        ledger = ReportedSlots if reported else SlotLedger
         return UpstreamState(
             name=name,
             upstream=upstream,
             health=UpstreamHealth(
                 random=dispatcher.random,
-                state=Ramping(now) if is_cold else Warm(),
+                state=Ramping(now) if is_new and not reported else Warm(),
+                needs_probe=not reported,
             ),
-            ledger=SlotLedger(slots=upstream.slots),
+            ledger=ledger(slots=upstream.slots),
         )
 
     def take_membership(
@@ -317,23 +388,27 @@
         """
         effects: list[NodeEffect] = []
         for effect in self.membership.handle(event, now):
-            effects += self._take_effect(effect)
+            effects += self._take_effect(effect, now)
         if isinstance(event, membership.HeartbeatReceived):
             effects += self._hear_version(event.heartbeat, now)
         if isinstance(event, membership.LiveListRead):
             self.list_read_at = now
+            self.listed.take(event.vms, now)
+            if self.configuration is not None:
+                self._use_services(self.configuration, now)
             self._take_listed_upstreams(event.vms, now=now, wall=wall)
-            self._refresh_steering()
+            self._apply_drains(now=now, wall=wall)
+            self._refresh_steering(now)
         return [*effects, *self._update_shares(now)]
 
-    def _take_effect(self, effect: MembershipEffect) -> list[NodeEffect]:
+    def _take_effect(self, effect: MembershipEffect, now: float) -> list[NodeEffect]:
         match effect:
             case membership.SendHeartbeat():
                 return [effect]
             case membership.LeaveRequested(reason=reason):
                 return [BeginLeaving(reason)]
             case membership.ViewChanged():
-                self._refresh_steering()
+                self._refresh_steering(now)
                 return []
 
     def _take_listed_upstreams(
@@ -342,16 +417,41 @@
         listed_by_name = {
             each.name: each for each in vms if each.kind is VmKind.UPSTREAM
         }
-        for dispatcher in self.dispatchers_by_service.values():
+        for service, dispatcher in self.dispatchers_by_service.items():
             for name, upstream in dispatcher.upstreams_by_name.items():
                 listed = listed_by_name.get(name)
-                if listed is not None:
-                    upstream.note_listed(
-                        leaving=listed.leaving,
-                        leaves_at=listed.leaves_at,
-                        now=now,
-                        wall=wall,
-                    )
+                if listed is None:
+                    continue
+                upstream.note_listed(
+                    leaving=listed.leaving,
+                    leaves_at=listed.leaves_at,
+                    now=now,
+                    wall=wall,
+                )
+                if listed.cold_s > 0:
+                    self._note_cold(service, upstream, now + listed.cold_s)
+
+    def _note_cold(self, service: str, upstream: UpstreamState, until: float) -> None:
+        """Bound what an upstream gets while it is cold."""
+        declared = self._service(service)
+        if declared is None or declared.cold_requests_per_s == 0:
+            return
+        per_s = cold_part_of(
+            vm=self.vm,
+            others=self.membership.view(),
+            upstream=upstream.name,
+            per_s=declared.cold_requests_per_s,
+        )
+        if upstream.cold is None:
+            upstream.cold = ColdGate(per_s=per_s, until=until)
+        else:
+            upstream.cold.per_s = per_s
+            upstream.cold.until = max(upstream.cold.until, until)
+
+    def _service(self, name: str) -> Service | None:
+        if self.configuration is None:
+            return None
+        return self.configuration.services_by_name.get(name)
 
     def take_dispatch(
         self, service: str, event: DispatchEvent, now: float
@@ -390,7 +490,7 @@
         if now >= self._next_refresh:
             self._next_refresh = now + REFRESH_S
             self._apply_drains(now=now, wall=wall)
-            self._refresh_steering()
+            self._refresh_steering(now)
             self.ids.expire(now)
             self._forget_removals(now)
         source, asked = self.versions.tick(now)
@@ -400,16 +500,27 @@
     def _apply_drains(self, *, now: float, wall: float) -> None:
         if self.configuration is None:
             return
-        for dispatcher in self.dispatchers_by_service.values():
+        for service, dispatcher in self.dispatchers_by_service.items():
             for name, upstream in dispatcher.upstreams_by_name.items():
+                was_drained = upstream.drained_at is not None
                 upstream.drained_at = self.drains.upstream_drained_at(
-                    name, self.failure_domain, now=now, wall=wall
+                    name, upstream.upstream.failure_domain, now=now, wall=wall
                 )
+                if was_drained and upstream.drained_at is None:
+                    self._note_taken_back(service, upstream, now)
         self.refuses_from = self.drains.vm_refuses_from(
             self.vm, self.failure_domain, now=now, wall=wall
         )
         self.drained_vms = self._find_drained_vms(wall)
 
+    def _note_taken_back(
+        self, service: str, upstream: UpstreamState, now: float
+    ) -> None:
+        """Take an upstream as cold after its drain, since it had nothing to do."""
+        declared = self._service(service)
+        if declared is not None:
+            self._note_cold(service, upstream, now + declared.cold_ms / 1000)
+
     def _forget_removals(self, now: float) -> None:
         """Forget removed members whose work must have ended."""
         if self.configuration is None:
@@ -521,14 +632,18 @@
         effects: list[NodeEffect] = []
         for service, dispatcher in self.dispatchers_by_service.items():
             declared = self.configuration.services_by_name.get(service)
-            if declared is None:
+            if declared is None or declared.slot_sharing is SlotSharing.REPORTED:
                 continue
             longest_s = declared.longest_timeout_ms / 1000
             grew = False
             for upstream in dispatcher.upstreams_by_name.values():
-                grew |= self.shares.update(
-                    upstream.name, upstream.ledger, longest_work_s=longest_s, now=now
-                )
+                if isinstance(upstream.ledger, SlotLedger):
+                    grew |= self.shares.update(
+                        upstream.name,
+                        upstream.ledger,
+                        longest_work_s=longest_s,
+                        now=now,
+                    )
             if grew:
                 effects += self.take_dispatch(service, dispatch.TimePassed(), now)
         return effects
@@ -537,7 +652,7 @@
         """What this VM says of itself."""
         if self.leave.is_leaving or self.vm in self.drained_vms:
             return Readiness.LEAVING
-        if self.configuration is None:
+        if self.configuration is None or self._lacks_list():
             return Readiness.STARTING
         overloaded = any(
             len(each.queue) > OVERLOADED_SHARE * each.queue.limit
@@ -545,6 +660,10 @@
         )
         return Readiness.OVERLOADED if overloaded else Readiness.READY
 
+    def _lacks_list(self) -> bool:
+        """Tell whether upstreams come from a list that was never read."""
+        return self.needs_list and self.list_read_at is None
+
     def heartbeat(self, *, now: float, left: bool = False) -> Heartbeat:
         """Make the next heartbeat.
 
@@ -581,7 +700,7 @@
             return (EVERY_UPSTREAM,)
         return tuple(names)
 
-    def _refresh_steering(self) -> None:
+    def _refresh_steering(self, now: float) -> None:
         if self.steering is None:
             return
         entries = {
@@ -596,10 +715,11 @@
                 member.readiness is Readiness.READY
                 and not member.listed_leaving
                 and member.name not in self.drained_vms
+                and not self.membership.is_silent(member, now)
             )
             entries[member.name] = EntryVm(
                 name=member.name,
-                failure_domain=self.failure_domain,
+                failure_domain=member.failure_domain or self.failure_domain,
                 endpoint=member.caller_endpoint,
                 usable=usable,
             )
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
@@ -0,0 +1,45 @@
+"""Upstreams that the platform's list names, through outages of the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import define
+
+from plankspindle_daemon.platform.live_list import ListedVm
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+GAP_S = 2.5
+"""Time between two reads of the list from which on entries may have lapsed."""
+RETURN_S = 2.5
+"""Time after such a gap for entries of living upstreams to come back."""
+
+
+@define(kw_only=True)
+class ListedUpstreams:
+    """Listed upstreams by name.
+
+    Notes
+    -----
+    Entries lapse while the platform is away, and come back within seconds of its
+    return. After a gap in reading, an entry that is missing is therefore kept for
+    ``RETURN_S``; at other times it is gone at once.
+    """
+
+    by_name: dict[str, ListedVm] = Factory(dict)
+    _read_at: float | None = None
+    _lenient_until: float = 0.0
+
+    def take(self, listed: Iterable[ListedVm], now: float) -> None:
+        """Take a list that was read just now."""
+        if self._read_at is not None and now - self._read_at > GAP_S:
+            self._lenient_until = now + RETURN_S
+        self._read_at = now
+        present = {each.name: each for each in listed if each.upstream is not None}
+        if now < self._lenient_until:
+            present = {**self.by_name, **present}
+        self.by_name = present
--- a/packages/daemon/src/plankspindle_daemon/platform/live_list.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/live_list.py
@@ -11,6 +11,7 @@
 from result import Ok
 from result import Result
 
+from plankspindle_core.configuration.upstream import Upstream
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.platform.errors import PlatformUnavailable
 
@@ -40,6 +41,10 @@
         Planned time of leaving, seconds since the Unix epoch.
     caller_endpoint, peer_endpoint : Endpoint, optional
         Listeners of an entry VM.
+    upstream : Upstream, optional
+        Its declaration, where the platform and not the configuration declares it.
+    cold_s : float
+        How much longer an upstream is cold, in seconds.
     """
 
     name: str
@@ -49,6 +54,8 @@
     leaves_at: float | None = None
     caller_endpoint: Endpoint | None = None
     peer_endpoint: Endpoint | None = None
+    upstream: Upstream | None = None
+    cold_s: float = 0.0
 
 
 def parse_live_list(document: Any) -> Result[list[ListedVm], PlatformUnavailable]:
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/platform/ports.py
@@ -0,0 +1,100 @@
+"""What a daemon needs of the platform that it runs on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from attrs import Factory
+from attrs import frozen
+
+from plankspindle_core.supervisor import Supervisor
+from plankspindle_daemon.configuration.configuration_reader import AcceptedVersion
+from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
+from plankspindle_daemon.configuration.configuration_reader import NotReadable
+from plankspindle_daemon.exchange.dialect import Dialect
+from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.platform.platform_client import PlatformClient
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from plankspindle_daemon.settings.daemon_settings import DaemonSettings
+
+
+class ReaderPort(Protocol):
+    """Reads accepted versions of the configuration."""
+
+    async def read_newer(
+        self, version: int
+    ) -> Result[AcceptedVersion | None, NotReadable]:
+        """Read the newest version if it is higher than a given one.
+
+        Notes
+        -----
+        It may wait for a newer one for a while.
+        """
+
+
+class PresencePort(Protocol):
+    """Enters this VM in the platform's list and takes it out."""
+
+    async def announce(self) -> bool:
+        """Enter this VM; True once the platform has taken it."""
+
+    async def withdraw(self) -> None:
+        """Take this VM out; it is harmless to fail."""
+
+
+class Door(Protocol):
+    """A further listener."""
+
+    async def start(self) -> None:
+        """Listen."""
+
+    async def close(self) -> None:
+        """Stop listening."""
+
+
+@frozen(kw_only=True)
+class Ports:
+    """The ways to the platform, and what differs with it.
+
+    Parameters
+    ----------
+    platform : PlatformClient
+        Table service, object store and list of VMs.
+    reader : ReaderPort
+        Reader of the configuration.
+    presence : PresencePort, optional
+        What enters this VM in the list, where the platform does not do so itself.
+    dialect : Dialect
+        Names of headers towards callers and upstreams.
+    doors : tuple of callable
+        Makers of further listeners.
+    lists_upstreams : bool
+        Whether upstreams are declared by the list of VMs.
+    all_read : bool
+        Whether every entry VM reads the configuration, not only a few.
+    all_domains : bool
+        Whether entry VMs of all failure domains send heartbeats to one another.
+    """
+
+    platform: PlatformClient
+    reader: ReaderPort
+    presence: PresencePort | None = None
+    dialect: Dialect = Factory(Dialect)
+    doors: tuple[Callable[[Node, Supervisor], Door], ...] = ()
+    lists_upstreams: bool = False
+    all_read: bool = False
+    all_domains: bool = False
+
+
+def own_ports(settings: DaemonSettings) -> Ports:
+    """Make the ports to a platform that speaks the product's own interface."""
+    platform = PlatformClient(
+        endpoint=settings.platform,
+        timeout_s=settings.timing.platform_timeout_ms / 1000,
+    )
+    return Ports(platform=platform, reader=ConfigurationReader(platform=platform))
--- a/packages/daemon/src/plankspindle_daemon/retries/retry_budget.py
+++ b/packages/daemon/src/plankspindle_daemon/retries/retry_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from attrs import define
+from attrs import field
 
 from plankspindle_core.invariants import check_invariant
 
@@ -18,17 +19,20 @@
     ----------
     percent : int
         Retries allowed for each hundred fresh requests.
+    burst : float
+        Retries that may be made at once.
     """
 
     percent: int
+    burst: float = BURST
     fresh: int = 0
     retried: int = 0
-    _tokens: float = BURST
+    _tokens: float = field(init=False, default=BURST)
 
     def note_fresh(self) -> None:
         """Count a fresh request."""
         self.fresh += 1
-        self._tokens = min(BURST, self._tokens + self.percent / 100)
+        self._tokens = min(self.burst, self._tokens + self.percent / 100)
 
     def take(self) -> bool:
         """Use the budget for one retry.
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/routes/route_table.py
@@ -0,0 +1,118 @@
+"""Look-up of routes by host and path, and the division of a route's requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import frozen
+
+from plankspindle_core.configuration.route import Route
+from plankspindle_core.configuration.route import ServicePart
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+@frozen(kw_only=True)
+class FoundRoute:
+    """A route and the service whose turn it is."""
+
+    name: str
+    route: Route
+    service: str
+
+
+@define(kw_only=True)
+class _Division:
+    """Smooth weighted round robin over the parts of one route."""
+
+    parts: list[ServicePart]
+    credits: list[float]
+
+    @classmethod
+    def of(cls, parts: list[ServicePart]) -> _Division:
+        return cls(parts=parts, credits=[0.0] * len(parts))
+
+    def next_service(self) -> str:
+        total = 0
+        for index, part in enumerate(self.parts):
+            self.credits[index] += part.weight
+            total += part.weight
+        chosen = max(range(len(self.parts)), key=self.credits.__getitem__)
+        self.credits[chosen] -= total
+        return self.parts[chosen].service
+
+
+class RouteTable:
+    """Routes of one version of the configuration.
+
+    Parameters
+    ----------
+    routes_by_name : mapping of str to Route
+        The routes.
+
+    Notes
+    -----
+    Each prefix ends with a slash, so the longest one that fits is found by shortening
+    the path slash by slash, whatever the number of routes.
+    """
+
+    def __init__(self, *, routes_by_name: Mapping[str, Route]) -> None:
+        self._by_host: dict[str, dict[str, tuple[str, Route]]] = {}
+        self._divisions_by_name: dict[str, _Division] = {}
+        for name, route in routes_by_name.items():
+            by_prefix = self._by_host.setdefault(route.host, {})
+            by_prefix[route.path_prefix] = (name, route)
+            if len(route.parts) > 1:
+                self._divisions_by_name[name] = _Division.of(route.parts)
+
+    def __len__(self) -> int:
+        return sum(len(by_prefix) for by_prefix in self._by_host.values())
+
+    def keep_divisions(self, before: RouteTable) -> None:
+        """Go on with the turns of routes whose parts have not changed."""
+        for name, division in self._divisions_by_name.items():
+            known = before._divisions_by_name.get(name)
+            if known is not None and known.parts == division.parts:
+                division.credits = known.credits
+
+    def knows_host(self, host: str) -> bool:
+        """Tell whether any route is for a host."""
+        return _name_of(host) in self._by_host
+
+    def find(self, *, host: str, path: str) -> FoundRoute | None:
+        """Find the route of a request.
+
+        Parameters
+        ----------
+        host : str
+            Value of the ``Host`` header.
+        path : str
+            Path without query.
+
+        Returns
+        -------
+        FoundRoute or None
+            The route with the longest prefix; None if there is none.
+        """
+        by_prefix = self._by_host.get(_name_of(host))
+        if by_prefix is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            found = by_prefix.get(path[: end + 1])
+            if found is not None:
+                return self._with_service(*found)
+        return None
+
+    def _with_service(self, name: str, route: Route) -> FoundRoute:
+        division = self._divisions_by_name.get(name)
+        if division is None:
+            return FoundRoute(name=name, route=route, service=route.parts[0].service)
+        return FoundRoute(name=name, route=route, service=division.next_service())
+
+
+def _name_of(host: str) -> str:
+    """Strip the port from the value of a ``Host`` header."""
+    return host.partition(":")[0].lower()
--- a/packages/daemon/src/plankspindle_daemon/settings/daemon_settings.py
+++ b/packages/daemon/src/plankspindle_daemon/settings/daemon_settings.py
@@ -9,8 +9,10 @@
 
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.limits import HttpLimits
+from plankspindle_daemon.leaving.leave import LINGER_S
 
 MIN_PEER_KEY_HEX = 32
+LINGER_MS = int(LINGER_S * 1000)
 
 
 @frozen(kw_only=True)
@@ -54,6 +56,9 @@
         Longest wait for a connection to an upstream.
     pause_ms : int
         Gap in the loop's clock after which the process treats itself as paused.
+    linger_ms : int
+        Time after SIGTERM for which new requests are still accepted, until kept
+        look-ups run out.
     leave_ms : int
         Longest time for running requests to finish after SIGTERM.
     """
@@ -66,6 +71,7 @@
     platform_timeout_ms: int = field(default=1_000, validator=validators.gt(0))
     connect_timeout_ms: int = field(default=300, validator=validators.gt(0))
     pause_ms: int = field(default=1_000, validator=validators.gt(0))
+    linger_ms: int = field(default=LINGER_MS, validator=validators.ge(0))
     leave_ms: int = field(default=600_000, validator=validators.ge(0))
 
 
@@ -102,6 +108,11 @@
         Life of an issued id.
     max_connections_per_upstream : int
         Open connections to one upstream.
+    max_idle_unrepeatable_ms : int
+        Longest rest of a connection that may carry a request which must not run twice;
+        such requests get new connections if it is zero.
+    hold_answer_bytes : int
+        Answers of up to this length are held until they are whole.
     """
 
     max_keyed_body_bytes: int = field(default=1_048_576, validator=validators.gt(0))
@@ -109,6 +120,8 @@
     max_remembered_ids: int = field(default=50_000, validator=validators.gt(0))
     request_id_ttl_ms: int = field(default=600_000, validator=validators.gt(0))
     max_connections_per_upstream: int = field(default=200, validator=validators.gt(0))
+    max_idle_unrepeatable_ms: int = field(default=0, validator=validators.ge(0))
+    hold_answer_bytes: int = field(default=16_384, validator=validators.ge(0))
 
 
 @frozen(kw_only=True)
--- a/packages/daemon/src/plankspindle_daemon/steering/steering.py
+++ b/packages/daemon/src/plankspindle_daemon/steering/steering.py
@@ -23,6 +23,8 @@
 TTL_S = 5
 VMS_PER_DOMAIN = 2
 MAX_NAMED = 6
+ENOUGH_IN_DOMAIN = 2
+"""Usable entry VMs of a failure domain from which on no others are named."""
 BUCKETS = 256
 """Groups of callers that get the same VMs in the same order."""
 
@@ -100,6 +102,7 @@
     home_domain: str
     table: BlockTable = field()
     _vms_by_name: dict[str, EntryVm] = Factory(dict)
+    _near_by_domain: dict[str, tuple[EntryVm, ...]] = Factory(dict)
     _rings_by_domain: dict[str, HashRing] = Factory(dict)
     _domains_by_query: dict[tuple[str, str], list[str]] = Factory(dict)
     _named_by_query: dict[tuple[str, str, int], tuple[NamedVm, ...]] = Factory(dict)
@@ -115,6 +118,7 @@
             return
         self._vms_by_name = by_name
         self._named_by_query.clear()
+        self._near_by_domain.clear()
         names_by_domain: dict[str, list[str]] = {}
         for vm in by_name.values():
             if vm.usable:
@@ -152,6 +156,43 @@
         named = self._named_for(service, home, bucket)
         return LookupAnswer(site=site, ttl_s=TTL_S, vms=named)
 
+    def near(self, domain: str) -> tuple[EntryVm, ...]:
+        """Name the usable entry VMs for callers in a failure domain.
+
+        Parameters
+        ----------
+        domain : str
+            Where the callers are; the home domain is taken for an unknown one.
+
+        Returns
+        -------
+        tuple of EntryVm
+            Those of the domain, completed from its region if they are few; those of
+            the nearest region with any if it has none; the last resort if nothing is
+            usable. Never empty while any entry VM is known.
+        """
+        known = domain in self.configuration.failure_domains_by_name
+        home = domain if known else self.home_domain
+        named = self._near_by_domain.get(home)
+        if named is None:
+            named = self._near_by_domain[home] = self._find_near(home)
+        return named
+
+    def _find_near(self, home: str) -> tuple[EntryVm, ...]:
+        usable = [vm for vm in self._vms_by_name.values() if vm.usable]
+        if not usable:
+            return tuple(named.vm for named in self._last_resort(home))
+        own = [vm for vm in usable if vm.failure_domain == home]
+        if len(own) >= ENOUGH_IN_DOMAIN:
+            return tuple(own)
+        distances = {vm.name: self._distance_ms(home, vm) for vm in usable}
+        least = min(distances.values())
+        widest = max(least, self.configuration.distances.between_failure_domains_ms)
+        return tuple(vm for vm in usable if distances[vm.name] <= widest)
+
+    def _distance_ms(self, home: str, vm: EntryVm) -> float:
+        return self.configuration.distance_ms(home, vm.failure_domain)
+
     def _named_for(self, service: str, home: str, bucket: int) -> tuple[NamedVm, ...]:
         query = (service, home, bucket)
         named = self._named_by_query.get(query)
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/cold_gate.py
@@ -0,0 +1,77 @@
+"""Bound on the requests a second that a cold upstream gets from this entry VM."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MAX_SENDERS = 8
+"""Entry VMs that may send to one cold upstream."""
+
+
+@define(kw_only=True)
+class ColdGate:
+    """Token bucket of one request, filled at this VM's part of the bound.
+
+    Parameters
+    ----------
+    per_s : float
+        Requests a second that this VM may send; zero sends none.
+    until : float
+        End of the cold time, monotonic seconds.
+
+    Notes
+    -----
+    In any second a VM sends at most ``1 + per_s`` requests, so that ``MAX_SENDERS``
+    of them stay within the upstream's bound plus ``MAX_SENDERS``.
+    """
+
+    per_s: float
+    until: float
+    _next_at: float = 0.0
+
+    def allows(self, now: float) -> bool:
+        """Tell whether a request may be sent now."""
+        if now >= self.until:
+            return True
+        return self.per_s > 0 and now >= self._next_at
+
+    def take(self, now: float) -> None:
+        """Count a request that is sent."""
+        if now < self.until and self.per_s > 0:
+            self._next_at = now + 1.0 / self.per_s
+
+
+def cold_part_of(
+    *, vm: str, others: Iterable[str], upstream: str, per_s: float
+) -> float:
+    """Give the requests a second that one entry VM may send to a cold upstream.
+
+    Parameters
+    ----------
+    vm : str
+        The VM that asks.
+    others : iterable of str
+        The other entry VMs that it knows.
+    upstream : str
+        Name of the upstream.
+    per_s : float
+        Requests a second that the upstream bears from all of them.
+
+    Returns
+    -------
+    float
+        Zero if enough others come before this VM for this upstream.
+    """
+    own = _place(vm, upstream)
+    before = sum(_place(other, upstream) < own for other in others if other != vm)
+    return per_s / MAX_SENDERS if before < MAX_SENDERS else 0.0
+
+
+def _place(vm: str, upstream: str) -> bytes:
+    return hashlib.blake2b(f"{vm} {upstream}".encode(), digest_size=8).digest()
--- a/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from time import monotonic
+
 from attrs import define
 from attrs import field
 from result import Err
@@ -39,7 +41,7 @@
         return sum(self._open_by_endpoint.values())
 
     async def acquire(
-        self, endpoint: Endpoint, *, fresh: bool
+        self, endpoint: Endpoint, *, max_idle_s: float
     ) -> Result[ClientConnection, ConnectFailed]:
         """Get a connection on which nothing of the present request was sent.
 
@@ -47,8 +49,9 @@
         ----------
         endpoint : Endpoint
             Where to.
-        fresh : bool
-            Whether an idle one must not be taken.
+        max_idle_s : float
+            Longest rest of a connection that is taken again, in seconds; zero takes
+            only new ones.
 
         Returns
         -------
@@ -56,7 +59,7 @@
             The connection, or why there is none.
         """
         idle = self._idle_by_endpoint.get(endpoint, [])
-        while idle and not fresh:
+        while idle and monotonic() - idle[-1].released_at < max_idle_s:
             connection = idle.pop()
             if connection.is_quiet():
                 self.reused += 1
@@ -90,6 +93,7 @@
         if not connection.prepare_reuse():
             await self.discard(connection)
             return
+        connection.released_at = monotonic()
         self._idle_by_endpoint.setdefault(connection.endpoint, []).append(connection)
 
     async def discard(self, connection: ClientConnection) -> None:
--- a/packages/daemon/src/plankspindle_daemon/upstreams/health.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/health.py
@@ -13,6 +13,8 @@
 MAX_BACK_OFF_S = 10.0
 TIMEOUTS_TO_BACK_OFF = 3
 SILENT_S = 1.0
+BREAKS_TO_BACK_OFF = 3
+"""Connections lost in a row, without an answer between, that end trust."""
 _MAX_DOUBLINGS = 10
 
 
@@ -63,11 +65,15 @@
         Source of the jitter that keeps entry VMs from returning together.
     state : HealthState
         Present state.
+    needs_probe : bool
+        Whether only a probe ends a back-off; otherwise a single request tries it.
     """
 
     random: Random
     state: HealthState
+    needs_probe: bool = True
     _failures: int = 0
+    _breaks: int = 0
     _timeouts: int = 0
     _answered_at: float = float("-inf")
 
@@ -89,8 +95,11 @@
         match self.state:
             case Warm():
                 return share
-            case BackedOff():
+            case BackedOff(until=until) if self.needs_probe or now < until:
                 return 0
+            case BackedOff():
+                self.state = Ramping(now)
+                return min(share, 1)
             case Ramping(since=since):
                 if now - since >= RAMP_S:
                     self.state = Warm()
@@ -102,6 +111,7 @@
         """Record that a request was answered."""
         self._failures = 0
         self._timeouts = 0
+        self._breaks = 0
         self._answered_at = now
 
     def note_timeout(self, now: float) -> None:
@@ -118,6 +128,18 @@
             self._timeouts = 0
             self.note_refusal(now)
 
+    def note_break(self, now: float) -> None:
+        """Record that a connection was lost before the answer was complete.
+
+        Notes
+        -----
+        One lost answer among many says little of an upstream that goes on answering.
+        """
+        self._breaks += 1
+        if self._breaks >= BREAKS_TO_BACK_OFF:
+            self._breaks = 0
+            self.note_refusal(now)
+
     def note_refusal(self, now: float) -> None:
         """Record that the upstream failed, or shed a request."""
         if isinstance(self.state, BackedOff):
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/reported_slots.py
@@ -0,0 +1,140 @@
+"""Slots of an upstream that any entry VM may use, counted by own and reported load."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import define
+
+from plankspindle_core.invariants import check_invariant
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.upstreams.slot_ledger import Loan
+
+QUEUE_SHARE = 0.34
+"""Requests that may wait at an upstream, as a share of its slots."""
+REPORT_FADES_S = 1.5
+"""Time in which what an answer told of the load of others loses its weight."""
+FULL_FADES_S = 0.4
+"""Time for which an upstream that shed a request counts as full."""
+
+
+@define(kw_only=True)
+class ReportedSlots:
+    """Count of own running requests, and an estimate of those of others.
+
+    Parameters
+    ----------
+    slots : int
+        Slots of the upstream, for all entry VMs together.
+
+    Attributes
+    ----------
+    deadlines_by_ticket : dict of int to float
+        End of each running request, monotonic seconds.
+    started_by_ticket : dict of int to float
+        Start of each running request, monotonic seconds.
+
+    Notes
+    -----
+    Own counts are exact. The load that answers report lags and may be false, so it
+    fades, and it never lets an entry VM pass the slots by its own requests alone.
+    """
+
+    slots: int
+    deadlines_by_ticket: dict[int, float] = Factory(dict)
+    started_by_ticket: dict[int, float] = Factory(dict)
+    _others: float = 0.0
+    _others_at: float = 0.0
+    _full_until: float = 0.0
+
+    @property
+    def in_flight(self) -> int:
+        """Own running requests."""
+        return len(self.deadlines_by_ticket)
+
+    @property
+    def share(self) -> int:
+        """Slots this VM may use: all, as far as others leave them."""
+        return self.slots
+
+    def others(self, now: float) -> float:
+        """Estimate the requests of other entry VMs that run or wait there."""
+        age_s = max(0.0, now - self._others_at)
+        return self._others * math.exp(-age_s / REPORT_FADES_S)
+
+    def load(self, now: float) -> float:
+        """Estimate all requests that run or wait there."""
+        load = self.in_flight + self.others(now)
+        return max(load, self.slots + 1.0) if now < self._full_until else load
+
+    def note_reported(self, total: int, now: float) -> None:
+        """Take the load that an answer told, the answered request not counted.
+
+        Parameters
+        ----------
+        total : int
+            Requests that run and wait there.
+        now : float
+            Monotonic seconds.
+        """
+        self._others = max(0.0, float(total - self.in_flight))
+        self._others_at = now
+
+    def note_full(self, now: float) -> None:
+        """Record that it shed a request."""
+        self._full_until = now + FULL_FADES_S
+
+    def own_allowance(self, now: float) -> int:
+        """Own requests that may run or wait there at this moment."""
+        if now < self._full_until:
+            return self.in_flight
+        most = self.slots + max(1, math.ceil(self.slots * QUEUE_SHARE))
+        return max(0, math.ceil(most - self.others(now)))
+
+    def allowance(self, now: float, deadline: float) -> int:
+        """Own requests that may run there, whatever their deadline."""
+        del deadline
+        return self.own_allowance(now)
+
+    def is_over_share(self, now: float) -> bool:
+        """Tell that nothing of this upstream is shared by members."""
+        del now
+        return False
+
+    def start(self, *, ticket: int, now: float, deadline: float) -> None:
+        """Count a request that starts."""
+        check_invariant(
+            "slots-within-allowance", self.in_flight < self.own_allowance(now)
+        )
+        self.deadlines_by_ticket[ticket] = deadline
+        self.started_by_ticket[ticket] = now
+
+    def finish(self, *, ticket: int) -> None:
+        """Stop counting a request."""
+        self.deadlines_by_ticket.pop(ticket, None)
+        self.started_by_ticket.pop(ticket, None)
+
+    def oldest_start(self) -> float | None:
+        """Give the start of the request that has run longest, monotonic seconds."""
+        return next(iter(self.started_by_ticket.values()), None)
+
+    def shrink_share(self, share: int) -> None:
+        """Do nothing: there are no shares."""
+
+    def grow_share(self, share: int) -> None:
+        """Do nothing: there are no shares."""
+
+    def lend(self, *, request_id: int, count: int, now: float, until: float) -> int:
+        """Lend nothing: there are no shares."""
+        del request_id, count, now, until
+        return 0
+
+    def borrow(self, loan: Loan, now: float) -> None:
+        """Borrow nothing: there are no shares."""
+
+    def give_up_all(self) -> None:
+        """Forget what others were told to run, as after a pause."""
+        self._others = 0.0
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -7,9 +7,11 @@
 from attrs import define
 
 from plankspindle_core.configuration.upstream import Upstream
+from plankspindle_daemon.upstreams.cold_gate import ColdGate
 from plankspindle_daemon.upstreams.health import UpstreamHealth
 from plankspindle_daemon.upstreams.load_report import MAX_AGE_S
 from plankspindle_daemon.upstreams.load_report import LoadReport
+from plankspindle_daemon.upstreams.reported_slots import ReportedSlots
 from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
 
 LATENCY_WEIGHT = 0.2
@@ -31,7 +33,7 @@
         Its declaration.
     health : UpstreamHealth
         Its health.
-    ledger : SlotLedger
+    ledger : SlotLedger or ReportedSlots
         Its slots.
     relative_latency : float
         Moving average of its latency over that of all upstreams; 1 is average.
@@ -42,6 +44,8 @@
     is_unconfirmed : bool
         Whether this process stood still since it last heard that the upstream stays;
         until the next probe or list it gets no new work.
+    cold : ColdGate, optional
+        Bound on requests while it is cold.
     drained_at : float, optional
         Time from which a confirmed drain keeps new work away, monotonic seconds.
     """
@@ -49,12 +53,14 @@
     name: str
     upstream: Upstream
     health: UpstreamHealth
-    ledger: SlotLedger
+    ledger: SlotLedger | ReportedSlots
     relative_latency: float = 1.0
     leaving: bool = False
     leaves_at: float | None = None
     is_unconfirmed: bool = False
     drained_at: float | None = None
+    cold: ColdGate | None = None
+    answered_at: float = 0.0
     _report: LoadReport | None = None
     _reported_at: float = 0.0
     _latency_at: float = 0.0
@@ -80,11 +86,40 @@
             or self.takes_nothing_new(now)
             or (self.leaves_at is not None and ends_by > self.leaves_at)
             or (self.drained_at is not None and ends_by > self.drained_at)
+            or not self._is_warm_enough(now)
         ):
             return False
         allowed = self.ledger.allowance(now, deadline)
         return self.ledger.in_flight < self.health.limit(allowed, now)
 
+    def _is_warm_enough(self, now: float) -> bool:
+        return self.cold is None or self.cold.allows(now)
+
+    def start(self, *, ticket: int, now: float, deadline: float) -> None:
+        """Count a request that starts."""
+        self.ledger.start(ticket=ticket, now=now, deadline=deadline)
+        if self.cold is not None:
+            self.cold.take(now)
+
+    def load(self, now: float) -> float:
+        """Requests that run or wait there, as far as known."""
+        match self.ledger:
+            case ReportedSlots() as reported:
+                return reported.load(now)
+            case SlotLedger() as own:
+                return float(own.in_flight)
+
+    def silent_s(self, now: float) -> float:
+        """Time for which requests run there without any answer, in seconds."""
+        match self.ledger:
+            case ReportedSlots() as reported:
+                oldest = reported.oldest_start()
+                if oldest is None:
+                    return 0.0
+                return max(0.0, now - max(oldest, self.answered_at))
+            case SlotLedger():
+                return 0.0
+
     def limit(self, now: float) -> int:
         """Requests that may run here at this moment."""
         if self.takes_nothing_new(now) or self.is_unconfirmed:
@@ -101,10 +136,15 @@
         """
         limit = max(1, self.limit(now))
         load = (self.ledger.in_flight + 1) / limit
-        return self._present_latency(now) * load * self._report_penalty(now)
+        return self.present_latency(now) * load * self._report_penalty(now)
+
+    def present_latency(self, now: float) -> float:
+        """Give its latency relative to the average.
 
-    def _present_latency(self, now: float) -> float:
-        """Let an old latency fade, so that an unlucky answer is not held for ever."""
+        Notes
+        -----
+        An old latency fades, so that an unlucky answer is not held for ever.
+        """
         age_s = max(0.0, now - self._latency_at)
         fading = math.exp(-age_s / LATENCY_FADES_S)
         return 1.0 + (self.relative_latency - 1.0) * fading
@@ -119,7 +159,7 @@
     def note_latency(self, relative: float, now: float) -> None:
         """Take the latency of one answer, relative to the operation's average."""
         bounded = min(MAX_LATENCY, max(MIN_LATENCY, relative))
-        present = self._present_latency(now)
+        present = self.present_latency(now)
         self.relative_latency = present + LATENCY_WEIGHT * (bounded - present)
         self._latency_at = now
 
--- a/packages/daemon/tests/upstreams/test_connection_pool.py
+++ b/packages/daemon/tests/upstreams/test_connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from itertools import count
 from typing import TYPE_CHECKING
 from typing import Any
@@ -67,7 +68,7 @@
 
 def test_an_unfinished_connection_is_not_kept() -> None:
     async def use(pool: ConnectionPool, server: HttpServer) -> int:
-        acquired = await pool.acquire(server.endpoint, fresh=False)
+        acquired = await pool.acquire(server.endpoint, max_idle_s=math.inf)
         await pool.release(acquired.unwrap())
         return pool.open_connections
 
@@ -76,12 +77,12 @@
 
 def test_connections_are_bounded_and_an_idle_one_makes_room() -> None:
     async def use(pool: ConnectionPool, server: HttpServer) -> tuple[bool, bool]:
-        first = (await pool.acquire(server.endpoint, fresh=True)).unwrap()
-        await pool.acquire(server.endpoint, fresh=True)
-        full = (await pool.acquire(server.endpoint, fresh=True)).is_err()
+        first = (await pool.acquire(server.endpoint, max_idle_s=0.0)).unwrap()
+        await pool.acquire(server.endpoint, max_idle_s=0.0)
+        full = (await pool.acquire(server.endpoint, max_idle_s=0.0)).is_err()
         await exchange(first)
         await pool.release(first)
-        room = (await pool.acquire(server.endpoint, fresh=True)).is_ok()
+        room = (await pool.acquire(server.endpoint, max_idle_s=0.0)).is_ok()
         return full, room
 
     assert run(use) == (True, True)
@@ -89,7 +90,7 @@
 
 def test_connections_that_the_other_side_closed_are_dropped() -> None:
     async def use(pool: ConnectionPool, server: HttpServer) -> tuple[int, int]:
-        acquired = (await pool.acquire(server.endpoint, fresh=False)).unwrap()
+        acquired = (await pool.acquire(server.endpoint, max_idle_s=math.inf)).unwrap()
         await exchange(acquired)
         await pool.release(acquired)
         before = pool.open_connections
