Keep affinity under load, and survive a connection that hangs

Keys now leave their upstream only for the second in order up to 0.7 load, for others up to 0.4; else they wait, then come back later.

--- a/packages/core/src/plankspindle_core/http/client_connection.py
+++ b/packages/core/src/plankspindle_core/http/client_connection.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import h11
+from curio import TaskTimeout
 from curio import socket
 from curio import timeout_after
 from result import Err
@@ -77,7 +78,7 @@
                 self._socket.connect,
                 (self.endpoint.host, self.endpoint.port),
             )
-        except Exception as error:
+        except (OSError, TaskTimeout) as error:
             await self.close()
             return Err(ConnectFailed(f"{type(error).__name__}: {error}"))
         return Ok(None)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -53,6 +53,9 @@
 MAX_LOAN_S = 5.0
 ASK_PERIOD_S = 0.05
 MIN_PROBE_GAP_S = 0.05
+MIN_DURATION_S = 0.001
+BUSY_RETRY_AFTER_S = 0.3
+"""Least time to come back for a request that found every fitting upstream busy."""
 
 
 @define(kw_only=True)
@@ -92,6 +95,7 @@
     _last_probe_by_name: dict[str, float] = field(factory=dict)
     _asked_at_by_id: dict[int, tuple[str, float, float]] = field(factory=dict)
     _next_ask: float = 0.0
+    _missing: set[int] = field(factory=set)
 
     def handle(self, event: DispatchEvent, now: float) -> list[DispatchEffect]:
         """Take one event.
@@ -210,13 +214,9 @@
         ]
         if not fitting:
             return None
-        chosen = min(
-            fitting,
-            key=lambda each: (
-                self._cost(each, ticket, usual_s, now),
-                self.random.random(),
-            ),
-        )
+        chosen = self._choose(ticket, fitting, usual_s, now)
+        if chosen is None:
+            return None
         check_invariant(
             "leaving-gets-nothing-new",
             not chosen.takes_nothing_new(now),
@@ -228,12 +228,25 @@
             ticket=ticket, upstream=chosen.name, endpoint=chosen.upstream.endpoint
         )
 
-    def _cost(
-        self, upstream: UpstreamState, ticket: Ticket, usual_s: float, now: float
-    ) -> float:
+    def _choose(
+        self, ticket: Ticket, fitting: list[UpstreamState], usual_s: float, now: float
+    ) -> UpstreamState | None:
         if self.placement is None:
-            return upstream.score(now)
-        return self.placement.cost_s(upstream, ticket, usual_s=usual_s, now=now)
+            scored = [(each.score(now), self.random.random()) for each in fitting]
+            return fitting[scored.index(min(scored))]
+        place = self.placement.choose(
+            ticket,
+            fitting,
+            self.upstreams_by_name,
+            usual_s=usual_s,
+            miss_s=self.durations.total_by_operation.get(_miss_of(ticket)),
+            now=now,
+        )
+        if place is None:
+            return None
+        if not place.is_hit:
+            self._missing.add(ticket.id)
+        return place.upstream
 
     def usual_s(self, ticket: Ticket) -> float:
         """Give the usual duration of a request, in seconds."""
@@ -272,12 +285,15 @@
     def _reject(self, ticket: Ticket, reason: RejectReason, now: float) -> Reject:
         self.rejected_by_reason[reason] = self.rejected_by_reason.get(reason, 0) + 1
         wait = self._expected_wait_s(ticket.rank, now) * self.random.uniform(1.0, 1.5)
+        if reason is RejectReason.BUSY:
+            wait = max(wait, BUSY_RETRY_AFTER_S * self.random.uniform(1.0, 2.0))
         bounded = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait))
         return Reject(ticket=ticket, reason=reason, retry_after_s=bounded)
 
     def _take_end(self, ended: Ended, now: float) -> None:
         upstream = self.upstreams_by_name.get(ended.upstream)
         if upstream is None:
+            self._missing.discard(ended.ticket.id)
             return
         upstream.ledger.finish(ticket=ended.ticket.id)
         self._note_learned(upstream, ended, now)
@@ -297,6 +313,7 @@
                 upstream.health.note_timeout(now)
             case Verdict.CANCELLED:
                 pass
+        self._missing.discard(ended.ticket.id)
 
     def _note_learned(self, upstream: UpstreamState, ended: Ended, now: float) -> None:
         if ended.reported_load is not None and isinstance(
@@ -312,13 +329,21 @@
     ) -> None:
         if ended.head_s is None or ended.total_s is None:
             return
+        missed = ended.ticket.id in self._missing
+        rtt_s = self._rtt_s(upstream)
         relative = self.durations.note(
-            operation=ended.ticket.operation,
-            head_s=ended.head_s,
-            total_s=ended.total_s,
+            operation=_miss_of(ended.ticket) if missed else ended.ticket.operation,
+            head_s=max(MIN_DURATION_S, ended.head_s - rtt_s),
+            total_s=max(MIN_DURATION_S, ended.total_s - rtt_s),
         )
         upstream.note_latency(relative, now)
 
+    def _rtt_s(self, upstream: UpstreamState) -> float:
+        """Give the part of a duration that is the way there and back, in seconds."""
+        if self.placement is None:
+            return 0.0
+        return self.placement.distances.rtt_s(upstream.upstream.failure_domain)
+
     def _take_probe(self, probed: Probed, now: float) -> None:
         upstream = self.upstreams_by_name.get(probed.upstream)
         if upstream is None:
@@ -424,3 +449,8 @@
         until = asked_at + grant.duration_ms / 1000
         loan = Loan(request_id=grant.request_id, count=grant.count, until=until)
         upstream.ledger.borrow(loan, now)
+
+
+def _miss_of(ticket: Ticket) -> str:
+    """Name the durations of requests at upstreams that have not seen their key."""
+    return f"{ticket.operation} miss"
--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -3,22 +3,33 @@
 from __future__ import annotations
 
 import hashlib
+import math
+from random import Random
 from typing import TYPE_CHECKING
 
 from attrs import Factory
 from attrs import define
 from attrs import field
+from attrs import frozen
 
 from plankspindle_core.configuration.configuration import Configuration
+from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from plankspindle_daemon.admission.ticket import Ticket
-    from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
-MISS_SHARE = 1.5
-"""Cost of an upstream that has not seen the affinity key, in usual durations."""
+MISS_FACTOR = 2.5
+"""Duration at an upstream that has not seen the affinity key, until it is measured."""
+SECOND_LOAD = 0.7
+OTHER_LOAD = 0.4
+"""Load, as a share of the slots, up to which an upstream takes keys of others.
+
+Requests that miss keep an upstream busy several times as long. A fleet that sends
+them anywhere once it is busy loses most of its capacity, and stays busy by that.
+"""
 SPREAD_SHARE = 0.25
 """Cost of a fully used upstream over an idle one, in usual durations."""
 BULKY_DOMAIN_S = 0.25
@@ -26,9 +37,10 @@
 """Cost of a large answer that leaves its failure domain or region, in seconds."""
 SILENCE_FROM = 2.0
 """Silence of an upstream that counts against it, in usual durations."""
+RANKED = 2
+"""Upstreams of a region that a key knows by rank."""
 MAX_KEYS = 4_096
 """Affinity keys whose order of upstreams is remembered."""
-_UNKNOWN_RANK = 99
 
 
 @define(kw_only=True)
@@ -71,6 +83,22 @@
         return self._configuration.region_of(domain)
 
 
+@frozen(kw_only=True)
+class Place:
+    """An upstream chosen for a request.
+
+    Parameters
+    ----------
+    upstream : UpstreamState
+        The upstream.
+    is_hit : bool
+        Whether it is the one that the affinity key prefers.
+    """
+
+    upstream: UpstreamState
+    is_hit: bool
+
+
 @define(kw_only=True)
 class Placement:
     """Order of preference among the upstreams of one service.
@@ -79,6 +107,8 @@
     ----------
     distances : Distances
         Delays to failure domains.
+    random : Random
+        Source of tie-breaks.
 
     Notes
     -----
@@ -88,45 +118,92 @@
     """
 
     distances: Distances
+    random: Random
     _domain_by_name: dict[str, str] = Factory(dict)
-    _ranks_by_key: dict[str, dict[str, int]] = field(factory=dict)
+    _orders_by_key: dict[str, list[list[str]]] = field(factory=dict)
 
     def use(self, domain_by_name: Mapping[str, str]) -> None:
         """Take the upstreams that stay, with their failure domains."""
         if domain_by_name != self._domain_by_name:
             self._domain_by_name = dict(domain_by_name)
-            self._ranks_by_key.clear()
-
-    def cost_s(
-        self, upstream: UpstreamState, ticket: Ticket, *, usual_s: float, now: float
-    ) -> float:
-        """Estimate when an answer would come from an upstream.
+            self._orders_by_key.clear()
+
+    def choose(
+        self,
+        ticket: Ticket,
+        fitting: Sequence[UpstreamState],
+        by_name: Mapping[str, UpstreamState],
+        *,
+        usual_s: float,
+        miss_s: float | None,
+        now: float,
+    ) -> Place | None:
+        """Choose the upstream whose answer is expected first.
 
         Parameters
         ----------
-        upstream : UpstreamState
-            The upstream.
         ticket : Ticket
             The request.
+        fitting : sequence of UpstreamState
+            Upstreams that may take it now.
+        by_name : mapping of str to UpstreamState
+            All upstreams of the service.
         usual_s : float
-            Usual duration of such a request, in seconds.
+            Usual duration at an upstream that has seen the affinity key, in seconds.
+        miss_s : float, optional
+            Usual duration at another one, if any was measured.
         now : float
             Monotonic seconds.
 
         Returns
         -------
-        float
-            Seconds, with what matters besides time expressed in seconds.
+        Place or None
+            None if it is better to wait for an upstream that has seen the key.
         """
+        ranks = self._present_ranks(ticket, by_name, now)
+        missed_s = max(miss_s or 0.0, MISS_FACTOR * usual_s)
+        best: Place | None = None
+        least = (math.inf, 0.0)
+        for upstream in fitting:
+            rank = 0 if ranks is None else ranks.get(upstream.name)
+            if not _may_take(upstream, rank, now):
+                continue
+            work_s = usual_s if rank == 0 else missed_s
+            cost = (self._cost_s(upstream, ticket, work_s, now), self.random.random())
+            if cost < least:
+                least = cost
+                best = Place(upstream=upstream, is_hit=rank == 0)
+        return best
+
+    def _present_ranks(
+        self, ticket: Ticket, by_name: Mapping[str, UpstreamState], now: float
+    ) -> dict[str, int] | None:
+        """Rank the first two usable upstreams of each region; None without a key."""
+        if ticket.affinity is None:
+            return None
+        ranks: dict[str, int] = {}
+        for order in self._orders(ticket.affinity):
+            rank = 0
+            for name in order:
+                upstream = by_name.get(name)
+                if upstream is None or not upstream.is_usable(now):
+                    continue
+                ranks[name] = rank
+                rank += 1
+                if rank == RANKED:
+                    break
+        return ranks
+
+    def _cost_s(
+        self, upstream: UpstreamState, ticket: Ticket, work_s: float, now: float
+    ) -> float:
         slots = upstream.upstream.slots
         load = upstream.load(now)
         waiting = max(0.0, load + 1 - slots) / slots
         work = upstream.present_latency(now) + waiting + SPREAD_SHARE * load / slots
-        cost = usual_s * work + self._distance_s(upstream, ticket)
-        if ticket.affinity is not None and self._rank(upstream, ticket.affinity):
-            cost += MISS_SHARE * usual_s
+        cost = work_s * work + self._distance_s(upstream, ticket)
         silent_s = upstream.silent_s(now)
-        return cost + silent_s if silent_s > SILENCE_FROM * usual_s else cost
+        return cost + silent_s if silent_s > SILENCE_FROM * work_s else cost
 
     def _distance_s(self, upstream: UpstreamState, ticket: Ticket) -> float:
         domain = upstream.upstream.failure_domain
@@ -137,24 +214,30 @@
         near = self.distances.region_of(domain) == self.distances.region_of(home)
         return distance + (BULKY_DOMAIN_S if near else BULKY_REGION_S)
 
-    def _rank(self, upstream: UpstreamState, key: str) -> int:
-        ranks = self._ranks_by_key.get(key)
-        if ranks is None:
-            if len(self._ranks_by_key) >= MAX_KEYS:
-                self._ranks_by_key.clear()
-            ranks = self._ranks_by_key[key] = self._rank_all(key)
-        return ranks.get(upstream.name, _UNKNOWN_RANK)
+    def _orders(self, key: str) -> list[list[str]]:
+        orders = self._orders_by_key.get(key)
+        if orders is None:
+            if len(self._orders_by_key) >= MAX_KEYS:
+                self._orders_by_key.clear()
+            orders = self._orders_by_key[key] = self._order_all(key)
+        return orders
 
-    def _rank_all(self, key: str) -> dict[str, int]:
+    def _order_all(self, key: str) -> list[list[str]]:
         names_by_region: dict[str | None, list[str]] = {}
         for name, domain in self._domain_by_name.items():
             region = self.distances.region_of(domain)
             names_by_region.setdefault(region, []).append(name)
-        ranks = {}
         for names in names_by_region.values():
             names.sort(key=lambda name: _weight(key, name))
-            ranks.update({name: rank for rank, name in enumerate(names)})
-        return ranks
+        return list(names_by_region.values())
+
+
+def _may_take(upstream: UpstreamState, rank: int | None, now: float) -> bool:
+    """Tell whether an upstream is idle enough for a key that ranks it so."""
+    if rank == 0:
+        return True
+    share = upstream.load(now) / upstream.upstream.slots
+    return share <= (OTHER_LOAD if rank is None else SECOND_LOAD)
 
 
 def _weight(key: str, name: str) -> bytes:
--- a/packages/daemon/src/plankspindle_daemon/exchange/exchange.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/exchange.py
@@ -191,6 +191,10 @@
         self.route = ToUpstream()
         return [*effects, FindUpstream(self.excluded)]
 
+    def could_try_again(self) -> bool:
+        """Tell whether another attempt would be made if this one failed now."""
+        return self._may_try_again() and self.budget.has_room()
+
     def _take_budget(self) -> bool:
         """Use the budget, unless no attempt has reached an upstream yet."""
         reached = self.attempts > 0
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -66,7 +66,7 @@
 DEFAULT_RETRY_AFTER_S = 0.5
 PATIENCE = 4.0
 """Usual durations after which a silent upstream is given up for another."""
-MIN_PATIENCE_S = 0.25
+MIN_PATIENCE_S = 0.6
 _UNAVAILABLE = 503
 
 
@@ -245,7 +245,7 @@
                     patience_s, connection.read_head
                 )
             except TaskTimeout:
-                if self._upstream_is_silent():
+                if self._upstream_is_silent() and self.exchange.could_try_again():
                     return None
         return await connection.read_head()
 
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_reader.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_reader.py
@@ -29,7 +29,9 @@
     from plankspindle_daemon.routes.route_table import FoundRoute
 
 NO_CONFIGURATION = "no configuration is in force yet"
-HOLD_SHARE = 0.2
+EXPECTED_SHARE = 0.5
+"""Part of the wanted time that a request is taken to need before any was answered."""
+HOLD_SHARE = 0.22
 """Part of the wanted time of an answer for which a request may wait for an upstream."""
 
 
@@ -173,7 +175,7 @@
             path_prefix=route.path_prefix,
             idempotent=route.idempotent,
             timeout_ms=route.timeout_ms,
-            expected_ms=0,
+            expected_ms=int(EXPECTED_SHARE * route.target_ms),
         )
         key = self.dialect.affinity_key(source.headers) if route.affinity else None
         return AskedFor(
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -305,11 +305,13 @@
 
     def _new_dispatcher(self, service: Service) -> Dispatcher:
         reported = service.slot_sharing is SlotSharing.REPORTED
+        random = Random(self.random.getrandbits(64))
+        placement = Placement(distances=self.distances, random=random)
         return Dispatcher(
-            placement=Placement(distances=self.distances) if reported else None,
+            placement=placement if reported else None,
             vm=self.vm,
             incarnation=self.incarnation,
-            random=Random(self.random.getrandbits(64)),
+            random=random,
             queue=ClassQueue(limit=service.queue_limit),
             probe_s=self.probe_s,
         )
--- a/packages/daemon/src/plankspindle_daemon/retries/retry_budget.py
+++ b/packages/daemon/src/plankspindle_daemon/retries/retry_budget.py
@@ -34,6 +34,10 @@
         self.fresh += 1
         self._tokens = min(self.burst, self._tokens + self.percent / 100)
 
+    def has_room(self) -> bool:
+        """Tell whether a retry may be made."""
+        return self._tokens >= 1.0
+
     def take(self) -> bool:
         """Use the budget for one retry.
 
@@ -42,7 +46,7 @@
         bool
             False if there is none left; the request must not be retried.
         """
-        if self._tokens < 1.0:
+        if not self.has_room():
             return False
         self._tokens -= 1.0
         self.retried += 1
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -101,6 +101,13 @@
         if self.cold is not None:
             self.cold.take(now)
 
+    def is_usable(self, now: float) -> bool:
+        """Tell whether it takes new work at all, however busy it is."""
+        if self.takes_nothing_new(now) or self.is_unconfirmed:
+            return False
+        is_warm = self.cold is None or now >= self.cold.until
+        return is_warm and self.health.limit(1, now) > 0
+
     def load(self, now: float) -> float:
         """Requests that run or wait there, as far as known."""
         match self.ledger:
--- a/packages/daemon/tests/upstreams/test_connection_pool.py
+++ b/packages/daemon/tests/upstreams/test_connection_pool.py
@@ -57,8 +57,8 @@
 
 def test_a_clean_connection_is_used_again_unless_a_fresh_one_is_wanted() -> None:
     async def use(pool: ConnectionPool, server: HttpServer) -> tuple[int, int]:
-        for fresh in (False, False, True):
-            acquired = await pool.acquire(server.endpoint, fresh=fresh)
+        for max_idle_s in (math.inf, math.inf, 0.0):
+            acquired = await pool.acquire(server.endpoint, max_idle_s=max_idle_s)
             await exchange(acquired.unwrap())
             await pool.release(acquired.unwrap())
         return pool.opened, pool.reused
