--- a/packages/core/tests/http/test_server.py
+++ b/packages/core/tests/http/test_server.py
@@ -189,3 +189,21 @@
         return reusable, body
 
     assert run_with_server(use, handler=stray) == (False, b"mine")
+
+
+def test_a_connection_that_hangs_is_given_up_in_time() -> None:
+    async def use() -> tuple[bool, bool]:
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        endpoint = Endpoint("127.0.6.1", next(_PORTS))
+        listener.bind((endpoint.host, endpoint.port))
+        listener.listen(0)
+        hung = [ClientConnection(endpoint=endpoint) for _ in range(4)]
+        # The queue of the listener is full after two, so that the rest must wait.
+        async with curio.timeout_after(5.0):
+            ends = [await each.start(timeout_s=0.05) for each in hung]
+        for each in hung:
+            await each.close()
+        await listener.close()
+        return ends[0].is_ok(), ends[-1].is_err()
+
+    assert curio.run(use) == (True, True)
--- /dev/null
+++ b/packages/daemon/tests/dispatch/test_placement.py
@@ -0,0 +1,149 @@
+"""Tests of the choice among upstreams that any entry VM may use."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from plankspindle_daemon.dispatch.placement import Distances
+from plankspindle_daemon.dispatch.placement import Place
+from plankspindle_daemon.dispatch.placement import Placement
+from plankspindle_daemon.upstreams.health import BackedOff
+from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_reported_upstream
+from plankspindle_testkit.builders import build_ticket
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.upstreams.upstream_state import UpstreamState
+
+USUAL_S = 0.1
+
+
+def build_placement(upstreams: dict[str, UpstreamState], seed: int = 1) -> Placement:
+    distances = Distances(home_domain="ba-1")
+    distances.use(build_configuration())
+    placement = Placement(distances=distances, random=Random(seed))
+    placement.use({n: u.upstream.failure_domain for n, u in upstreams.items()})
+    return placement
+
+
+def build_upstreams(**domains: str) -> dict[str, UpstreamState]:
+    return {
+        name: build_reported_upstream(name, failure_domain=domain.replace("_", "-"))
+        for name, domain in domains.items()
+    }
+
+
+def choose(
+    placement: Placement,
+    upstreams: dict[str, UpstreamState],
+    key: str | None = None,
+    *,
+    now: float = 0.0,
+    bulky: bool = False,
+) -> Place | None:
+    return placement.choose(
+        build_ticket(1, affinity=key, bulky=bulky),
+        [each for each in upstreams.values() if each.limit(now) > each.load(now)],
+        upstreams,
+        usual_s=USUAL_S,
+        miss_s=None,
+        now=now,
+    )
+
+
+def load(upstream: UpstreamState, count: int) -> None:
+    for number in range(count):
+        upstream.ledger.start(ticket=number, now=0.0, deadline=9.0)
+
+
+def test_entry_vms_agree_on_the_upstream_of_a_key() -> None:
+    upstreams = build_upstreams(a="ba_1", b="ba_1", c="ba_2", d="ba_2")
+    for number in range(20):
+        chosen = {
+            choose(
+                build_placement(upstreams, seed), upstreams, f"k{number}"
+            ).upstream.name
+            for seed in range(5)
+        }
+        assert len(chosen) == 1
+
+
+def test_keys_of_an_upstream_that_leaves_are_the_only_ones_to_move() -> None:
+    upstreams = build_upstreams(a="ba_1", b="ba_1", c="ba_1")
+    placement = build_placement(upstreams)
+    keys = [f"k{number}" for number in range(60)]
+    before = {key: choose(placement, upstreams, key).upstream.name for key in keys}
+    upstreams["b"].leaving = True
+    after = {key: choose(placement, upstreams, key).upstream.name for key in keys}
+    moved = {key for key in keys if before[key] != after[key]}
+    assert moved == {key for key in keys if before[key] == "b"}
+
+
+def test_a_busy_fleet_keeps_keys_at_the_upstream_that_knows_them() -> None:
+    upstreams = build_upstreams(a="ba_1", b="ba_1", c="ba_1")
+    placement = build_placement(upstreams)
+    preferred = choose(placement, upstreams, "k").upstream
+    load(preferred, 6)
+    for other in upstreams.values():
+        if other is not preferred:
+            load(other, 3)
+    assert choose(placement, upstreams, "k") is None
+
+
+def test_an_idle_fleet_serves_a_key_elsewhere_rather_than_let_it_wait() -> None:
+    upstreams = build_upstreams(a="ba_1", b="ba_1", c="ba_1")
+    placement = build_placement(upstreams)
+    preferred = choose(placement, upstreams, "k").upstream
+    load(preferred, 6)
+    chosen = choose(placement, upstreams, "k")
+    assert chosen.upstream is not preferred
+    assert not chosen.is_hit
+
+
+def test_another_region_takes_a_key_at_the_upstream_that_its_own_callers_use() -> None:
+    upstreams = build_upstreams(a="ba_1", x="ke_1", y="ke_1", z="ke_1")
+    placement = build_placement(upstreams)
+    load(upstreams["a"], 6)
+    chosen = choose(placement, upstreams, "k")
+    assert chosen.is_hit
+    far = build_upstreams(x="ke_1", y="ke_1", z="ke_1")
+    own = choose(build_placement(far), far, "k")
+    assert own.upstream.name == chosen.upstream.name
+
+
+def test_an_upstream_that_is_backed_off_hands_its_keys_to_the_next() -> None:
+    upstreams = build_upstreams(a="ba_1", b="ba_1")
+    placement = build_placement(upstreams)
+    preferred = choose(placement, upstreams, "k").upstream
+    preferred.health.state = BackedOff(until=5.0, failures=1)
+    chosen = choose(placement, upstreams, "k")
+    assert chosen.upstream is not preferred
+    assert chosen.is_hit
+    assert choose(placement, upstreams, "k", now=9.0).upstream is preferred
+
+
+def test_large_answers_stay_in_their_failure_domain() -> None:
+    upstreams = build_upstreams(a="ba_1", b="ba_2")
+    load(upstreams["a"], 4)
+    placement = build_placement(upstreams)
+    assert choose(placement, upstreams).upstream.name == "b"
+    assert choose(placement, upstreams, bulky=True).upstream.name == "a"
+
+
+def test_a_measured_delay_goes_before_the_declared_one() -> None:
+    distances = Distances(home_domain="ba-1")
+    distances.use(build_configuration())
+    assert distances.rtt_s("ke-1") == 0.07
+    distances.note_connected("ke-1", 0.02)
+    distances.note_connected("ke-1", 0.05)
+    assert distances.rtt_s("ke-1") == 0.02
+
+
+def test_silence_of_an_upstream_counts_against_it() -> None:
+    upstreams = build_upstreams(a="ba_1", b="ba_1")
+    placement = build_placement(upstreams)
+    upstreams["a"].ledger.start(ticket=1, now=0.0, deadline=9.0)
+    upstreams["b"].ledger.start(ticket=1, now=1.9, deadline=9.0)
+    upstreams["b"].ledger.start(ticket=2, now=1.9, deadline=9.0)
+    assert choose(placement, upstreams, now=2.0).upstream.name == "b"
--- /dev/null
+++ b/packages/daemon/tests/platform/test_listed_upstreams.py
@@ -0,0 +1,40 @@
+"""Tests of listed upstreams through outages of the platform."""
+
+from __future__ import annotations
+
+from plankspindle_daemon.platform.listed_upstreams import GAP_S
+from plankspindle_daemon.platform.listed_upstreams import RETURN_S
+from plankspindle_daemon.platform.listed_upstreams import ListedUpstreams
+from plankspindle_daemon.platform.live_list import ListedVm
+from plankspindle_daemon.platform.live_list import VmKind
+from plankspindle_testkit.builders import build_upstream
+
+
+def listed(name: str, *, leaving: bool = False) -> ListedVm:
+    return ListedVm(
+        name=name,
+        kind=VmKind.UPSTREAM,
+        failure_domain="ba-1",
+        leaving=leaving,
+        upstream=build_upstream(),
+    )
+
+
+def test_an_entry_that_is_missing_is_gone_at_once() -> None:
+    upstreams = ListedUpstreams()
+    upstreams.take([listed("a"), listed("b")], 0.0)
+    upstreams.take([listed("a")], 1.0)
+    assert set(upstreams.by_name) == {"a"}
+
+
+def test_entries_that_lapsed_in_an_outage_have_time_to_come_back() -> None:
+    upstreams = ListedUpstreams()
+    upstreams.take([listed("a"), listed("b")], 0.0)
+    back = GAP_S + 1.0
+    upstreams.take([], back)
+    assert set(upstreams.by_name) == {"a", "b"}
+    upstreams.take([listed("a", leaving=True)], back + 1.0)
+    assert set(upstreams.by_name) == {"a", "b"}
+    assert upstreams.by_name["a"].leaving
+    upstreams.take([listed("a")], back + RETURN_S)
+    assert set(upstreams.by_name) == {"a"}
--- /dev/null
+++ b/packages/daemon/tests/upstreams/test_reported_slots.py
@@ -0,0 +1,93 @@
+"""Tests of slots counted by own and reported load, and of the bound for cold ones."""
+
+from __future__ import annotations
+
+import hypothesis.strategies as st
+from hypothesis import given
+
+from plankspindle_daemon.upstreams.cold_gate import MAX_SENDERS
+from plankspindle_daemon.upstreams.cold_gate import ColdGate
+from plankspindle_daemon.upstreams.cold_gate import cold_part_of
+from plankspindle_daemon.upstreams.reported_slots import FULL_FADES_S
+from plankspindle_daemon.upstreams.reported_slots import ReportedSlots
+
+SLOTS = 4
+
+
+def start(slots: ReportedSlots, count: int, now: float = 0.0) -> None:
+    for number in range(count):
+        slots.start(ticket=number, now=now, deadline=now + 1.0)
+
+
+def test_own_requests_may_fill_the_slots_and_a_short_queue() -> None:
+    slots = ReportedSlots(slots=SLOTS)
+    assert slots.own_allowance(0.0) == SLOTS + 2
+
+
+def test_what_others_run_leaves_less_and_fades() -> None:
+    slots = ReportedSlots(slots=SLOTS)
+    start(slots, 1)
+    slots.note_reported(4, 0.0)
+    assert slots.load(0.0) == 4
+    assert slots.own_allowance(0.0) == 3
+    assert slots.load(60.0) < 1.1
+    assert slots.own_allowance(60.0) == SLOTS + 2
+
+
+def test_a_report_that_tells_less_than_own_requests_gains_nothing() -> None:
+    slots = ReportedSlots(slots=SLOTS)
+    start(slots, 3)
+    slots.note_reported(0, 0.0)
+    assert slots.load(0.0) == 3
+
+
+def test_an_upstream_that_shed_gets_nothing_more_for_a_while() -> None:
+    slots = ReportedSlots(slots=SLOTS)
+    start(slots, 1)
+    slots.note_full(0.0)
+    assert slots.own_allowance(0.1) == 1
+    assert slots.load(0.1) > SLOTS
+    assert slots.own_allowance(FULL_FADES_S) == SLOTS + 2
+
+
+def test_the_oldest_running_request_is_known() -> None:
+    slots = ReportedSlots(slots=SLOTS)
+    assert slots.oldest_start() is None
+    slots.start(ticket=1, now=1.0, deadline=9.0)
+    slots.start(ticket=2, now=2.0, deadline=9.0)
+    slots.finish(ticket=1)
+    assert slots.oldest_start() == 2.0
+
+
+@given(
+    per_s=st.floats(1.0, 50.0),
+    vms=st.integers(1, 40),
+    tries=st.lists(st.floats(0.0, 0.2), min_size=1, max_size=300),
+)
+def test_all_entry_vms_together_keep_the_bound_of_a_cold_upstream(
+    per_s: float, vms: int, tries: list[float]
+) -> None:
+    names = [f"vm-{number}" for number in range(vms)]
+    gates = [
+        ColdGate(
+            per_s=cold_part_of(vm=name, others=names, upstream="u", per_s=per_s),
+            until=1e9,
+        )
+        for name in names
+    ]
+    now, sent = 1.0, []
+    for gap in tries:
+        now += gap
+        for gate in gates:
+            if gate.allows(now):
+                gate.take(now)
+                sent.append(now)
+    for first in sent:
+        in_a_second = sum(first <= each < first + 1.0 for each in sent)
+        assert in_a_second <= MAX_SENDERS + per_s + 1e-6
+
+
+def test_a_warm_upstream_is_not_bound() -> None:
+    gate = ColdGate(per_s=0.0, until=5.0)
+    assert not gate.allows(4.9)
+    assert gate.allows(5.0)
--- a/packages/testkit/src/plankspindle_testkit/builders.py
+++ b/packages/testkit/src/plankspindle_testkit/builders.py
@@ -14,6 +14,8 @@
 from plankspindle_core.configuration.configuration import Site
 from plankspindle_core.configuration.distances import Distances
 from plankspindle_core.configuration.operation import Operation
+from plankspindle_core.configuration.route import Route
+from plankspindle_core.configuration.route import ServicePart
 from plankspindle_core.configuration.service import Service
 from plankspindle_core.configuration.upstream import Upstream
 from plankspindle_core.endpoint import Endpoint
@@ -22,6 +24,7 @@
 from plankspindle_daemon.dispatch.dispatcher import Dispatcher
 from plankspindle_daemon.upstreams.health import UpstreamHealth
 from plankspindle_daemon.upstreams.health import Warm
+from plankspindle_daemon.upstreams.reported_slots import ReportedSlots
 from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
@@ -249,3 +252,37 @@
         probe_s=1.0,
         upstreams_by_name=upstreams,
     )
+
+
+def build_route(**fields: Any) -> Route:
+    """Build a route of the registry, with the given fields changed."""
+    defaults: dict[str, Any] = {
+        "host": "registry.example",
+        "path_prefix": "/",
+        "parts": [ServicePart(service="registry")],
+        "priority_class": "gold",
+        "idempotent": True,
+    }
+    return Route(**{**defaults, **fields})
+
+
+def build_reported_upstream(
+    name: str, *, slots: int = 4, **fields: Any
+) -> UpstreamState:
+    """Build a warm upstream that any entry VM may use.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    slots : int
+        Its slots.
+    **fields : object
+        Fields of its declaration.
+    """
+    return UpstreamState(
+        name=name,
+        upstream=build_upstream(slots=slots, **fields),
+        health=UpstreamHealth(random=Random(7), state=Warm(), needs_probe=False),
+        ledger=ReportedSlots(slots=slots),
+    )
--- /dev/null
+++ b/tests/fleet/test_boot_settings.py
@@ -0,0 +1,48 @@
+"""Tests of the translation of the platform's settings file."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from builders import BOOT
+from builders import build_boot
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_platform.times import milliseconds
+from plankspindle_platform.times import seconds
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+def test_the_settings_become_those_of_a_daemon(monkeypatch: pytest.MonkeyPatch) -> None:
+    boot = build_boot(monkeypatch)
+    daemon = boot.daemon
+    assert (daemon.vm, daemon.failure_domain) == ("edge-a-1", "zone-a")
+    assert daemon.listen.peer == Endpoint("10.1.0.5", 7660)
+    assert daemon.peers == [Endpoint("10.1.0.5", 7660), Endpoint("10.2.0.5", 7660)]
+    assert daemon.platform == Endpoint("10.9.0.1", 8100)
+    assert daemon.problems() == []
+    assert boot.region_by_zone == {"zone-a": "region-1", "zone-b": "region-2"}
+
+
+def test_all_work_ends_within_the_grace(monkeypatch: pytest.MonkeyPatch) -> None:
+    timing = build_boot(monkeypatch).daemon.timing
+    assert timing.linger_ms < timing.leave_ms < 6_000
+
+
+def test_a_missing_field_is_named(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    path = tmp_path / "boot.yaml"
+    path.write_text(BOOT.read_text().replace("node_name", "other_name"))
+    with pytest.raises(ValueError, match="node_name"):
+        build_boot(monkeypatch, path)
+
+
+def test_times_have_units() -> None:
+    assert seconds("2.5s") == 2.5
+    assert milliseconds("1500ms") == 1500
+    with pytest.raises(ValueError, match="not a time"):
+        seconds("15")
--- /dev/null
+++ b/tests/fleet/test_store.py
@@ -0,0 +1,226 @@
+"""Tests of calls to the store, against a stand-in over loopback."""
+
+from __future__ import annotations
+
+import json
+from itertools import count
+from typing import TYPE_CHECKING
+from typing import Any
+from urllib.parse import parse_qs
+
+import curio
+from attrs import evolve
+from builders import build_boot
+from builders import build_row
+from builders import wire_row
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.http.limits import HttpLimits
+from plankspindle_core.http.server import HttpServer
+from plankspindle_daemon.platform.errors import ConditionFailed
+from plankspindle_daemon.platform.live_list import VmKind
+from plankspindle_daemon.platform.table import RowWrite
+from plankspindle_daemon.platform.table import Transaction
+from plankspindle_platform.row_store import HistoryGone
+from plankspindle_platform.row_store import RowStore
+from plankspindle_platform.store_platform import StorePlatform
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    import pytest
+
+    from plankspindle_core.http.server_exchange import ServerExchange
+
+_PORTS = count(18_400)
+SERVER = {
+    "address": "10.6.0.1:8080",
+    "info": {"service": "desk", "config_version": "v1", "zone": "zone-b", "slots": 9},
+    "status": {"state": "ready", "sequence": 4, "cold_remaining": "1500ms"},
+}
+
+
+class StoreStandIn:
+    """Rows in memory with the store's conditions, and answers that are lost."""
+
+    def __init__(self) -> None:
+        self.rows_by_place: dict[tuple[str, str], tuple[int, str]] = {}
+        self.version = 0
+        self.page = 500
+        self.loses_answers = False
+        self.is_silent = False
+
+    async def handle(self, source: ServerExchange) -> None:
+        body = await source.read_body(max_bytes=1_000_000) or b""
+        path, _, query = source.target.partition("?")
+        if self.is_silent:
+            await curio.sleep(1.0)
+        if path == "/rows-tx":
+            status, answer = self._transact(json.loads(body))
+        else:
+            fields = {key: each[0] for key, each in parse_qs(query).items()}
+            status, answer = self._read(path, fields)
+        if self.loses_answers:
+            source.abort()
+            return
+        await source.answer(status=status, body=json.dumps(answer).encode())
+
+    def _transact(self, change: dict[str, Any]) -> tuple[int, Any]:
+        for wanted in change["expected_revision"]:
+            found = self.rows_by_place.get(
+                (wanted["table"], wanted["tls_key"]), (0, "")
+            )
+            if found[0] != wanted["schema_version"]:
+                row = {"tls_key": wanted["tls_key"], "schema_version": found[0]}
+                return 412, {"rows": [row]}
+        self.version += 1
+        for put in change["puts"]:
+            place = (put["table"], put["tls_key"])
+            self.rows_by_place[place] = (self.version, put["value"])
+        for drop in change["remove"]:
+            self.rows_by_place.pop((drop["table"], drop["tls_key"]), None)
+        return 200, {"schema_version": self.version}
+
+    def _read(self, path: str, fields: dict[str, str]) -> tuple[int, Any]:
+        if path == "/rows-feed":
+            return 410, {"error": "gone"}
+        limit = min(int(fields["limit"]), self.page)
+        rows = [
+            {"tls_key": key, "schema_version": version, "value": value}
+            for (table, key), (version, value) in sorted(self.rows_by_place.items())
+            if table == fields["table"] and key >= fields.get("from", "")
+        ]
+        truncated = len(rows) > limit
+        page = {"rows": rows[:limit], "truncated": truncated}
+        return 200, {**page, "schema_version": self.version}
+
+    def put(self, table: str, key: str, document: Any) -> None:
+        self.version += 1
+        value = wire_row(build_row(key, self.version, document))["value"]
+        self.rows_by_place[table, key] = (self.version, value)
+
+
+def run_with_store(use: Callable[[StoreStandIn, Endpoint], Awaitable[Any]]) -> Any:
+    endpoint = Endpoint("127.0.7.1", next(_PORTS))
+    store = StoreStandIn()
+
+    async def run() -> Any:
+        server = HttpServer(
+            endpoint=endpoint, limits=HttpLimits(), handler=store.handle
+        )
+        await server.start()
+        try:
+            return await use(store, endpoint)
+        finally:
+            await server.close()
+
+    return curio.run(run)
+
+
+def run_with_platform(
+    monkeypatch: pytest.MonkeyPatch,
+    use: Callable[[StoreStandIn, StorePlatform], Awaitable[Any]],
+) -> Any:
+    settings = build_boot(monkeypatch).daemon
+
+    async def with_platform(store: StoreStandIn, endpoint: Endpoint) -> Any:
+        return await use(
+            store, StorePlatform(settings=evolve(settings, platform=endpoint))
+        )
+
+    return run_with_store(with_platform)
+
+
+def test_a_table_of_several_pages_is_read_whole() -> None:
+    async def use(store: StoreStandIn, endpoint: Endpoint) -> list[str]:
+        store.page = 2
+        for number in range(5):
+            store.put("t", f"k{number}", {})
+        rows = await RowStore(endpoint=endpoint, timeout_s=1.0).get_rows("t")
+        return [row.key for row in rows.unwrap().rows]
+
+    assert run_with_store(use) == [f"k{number}" for number in range(5)]
+
+
+def test_a_feed_whose_history_is_gone_says_so() -> None:
+    async def use(store: StoreStandIn, endpoint: Endpoint) -> Any:
+        feed = RowStore(endpoint=endpoint, timeout_s=1.0)
+        return (await feed.feed("t", after=1, wait_s=0.0)).unwrap_err()
+
+    assert isinstance(run_with_store(use), HistoryGone)
+
+
+def test_a_silent_store_is_left_after_the_time_out_and_asked_anew() -> None:
+    async def use(store: StoreStandIn, endpoint: Endpoint) -> tuple[bool, bool]:
+        rows = RowStore(endpoint=endpoint, timeout_s=0.1)
+        store.is_silent = True
+        failed = (await rows.get_rows("t")).is_err()
+        store.is_silent = False
+        return failed, (await rows.get_rows("t")).is_ok()
+
+    assert run_with_store(use) == (True, True)
+
+
+def test_calls_of_two_tasks_take_turns_on_one_connection() -> None:
+    async def use(store: StoreStandIn, endpoint: Endpoint) -> list[bool]:
+        rows = RowStore(endpoint=endpoint, timeout_s=1.0)
+        async with curio.TaskGroup() as group:
+            for _ in range(8):
+                await group.spawn(rows.get_rows, "t")
+        return [result.is_ok() for result in group.results]
+
+    assert run_with_store(use) == [True] * 8
+
+
+def test_servers_and_entry_vms_make_one_list(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def use(store: StoreStandIn, platform: StorePlatform) -> Any:
+        store.put("servers", "i-1", SERVER)
+        leaving = {**SERVER["status"], "state": "draining"}
+        store.put("servers", "i-2", {**SERVER, "status": leaving})
+        store.put("servers", "i-3", {"info": "unreadable"})
+        assert await platform.announce()
+        return (await platform.read_live_list()).unwrap()
+
+    listed = {each.name: each for each in run_with_platform(monkeypatch, use)}
+    assert set(listed) == {"i-1", "i-2", "edge-a-1"}
+    assert listed["i-1"].upstream.slots == 9
+    assert listed["i-1"].cold_s == 1.5
+    assert [listed[name].leaving for name in ("i-1", "i-2")] == [False, True]
+    assert listed["edge-a-1"].kind is VmKind.ENTRY
+
+
+def test_a_vm_that_leaves_is_taken_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def use(store: StoreStandIn, platform: StorePlatform) -> int:
+        await platform.announce()
+        await platform.withdraw()
+        return len(store.rows_by_place)
+
+    assert run_with_platform(monkeypatch, use) == 0
+
+
+def test_the_products_own_rows_keep_their_conditions(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def use(store: StoreStandIn, platform: StorePlatform) -> Any:
+        write = RowWrite(key="k", expected_version=0, value={"a": 1})
+        first = await platform.commit(Transaction(writes=[write]))
+        second = await platform.commit(Transaction(writes=[write]))
+        row = (await platform.read_row("k")).unwrap()
+        absent = (await platform.read_row("j")).unwrap()
+        return first.is_ok(), second.unwrap_err(), row.value, absent.version
+
+    taken, refused, value, absent = run_with_platform(monkeypatch, use)
+    assert taken
+    assert refused == ConditionFailed(("k",))
+    assert value == {"a": 1}
+    assert absent == 0
+
+
+def test_a_lost_answer_leaves_the_effect_open(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def use(store: StoreStandIn, platform: StorePlatform) -> tuple[bool, bool]:
+        store.loses_answers = True
+        announced = await platform.announce()
+        return announced, bool(store.rows_by_place)
+
+    assert run_with_platform(monkeypatch, use) == (False, True)
