--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -16,6 +16,7 @@
 from curio import TaskGroup
 from curio import sleep
 from curio import socket
+from curio import spawn
 
 from plankspindle_core.invariants import InvariantError
 from plankspindle_core.logs.key_value_destination import log_event
@@ -67,6 +68,8 @@
 
 TICK_S = 0.05
 STALE_PERIOD_S = 5.0
+PRESENCE_PERIOD_S = 0.5
+RETRY_LIST_MS = 1_000.0
 LIST_VMS_PER_S = 50.0
 """Listed VMs that one node reads each second, about 5.5 kB."""
 LAST_HEARTBEATS = 3
@@ -158,7 +161,7 @@
             metrics=self._metrics,
             dump_shells=self._dump_shells,
         )
-        self._list_is_wanted = False
+        self._list_task: Any = None
         self._last_tick = monotonic()
 
     async def start(self) -> None:
@@ -176,7 +179,6 @@
             await door.start()
         await self._claims.start()
         await self._sweeper.start()
-        self._metrics.start()
         log_event(
             "started",
             vm=self.settings.vm,
@@ -221,11 +223,10 @@
         if presence is None:
             await _sleep_forever()
             return
-        while not await presence.announce():
-            await sleep(self._jittered(self.settings.timing.live_list_ms))
-        log_event("announced")
         while not self.node.leave.is_leaving:
-            await sleep(TICK_S)
+            if not presence.is_present and await presence.announce():
+                log_event("announced")
+            await sleep(self._jittered(PRESENCE_PERIOD_S * 1000))
         await presence.withdraw()
         await _sleep_forever()
 
@@ -238,7 +239,7 @@
             self._last_tick = now
             if gap > self.settings.timing.pause_ms / 1000:
                 log_event("paused", seconds=round(gap, 3))
-                self._list_is_wanted = True
+                await self._read_list_anew()
                 await self._perform(
                     self.node.wake_from_pause(now=now, wall=time.time())
                 )
@@ -249,6 +250,11 @@
                 await self._send_last_heartbeats()
                 return
 
+    async def _read_list_anew(self) -> None:
+        """Give up a read of the list that may have waited through a pause."""
+        if self._list_task is not None and not self._list_task.terminated:
+            await self._list_task.cancel(blocking=False)
+
     async def _send_last_heartbeats(self) -> None:
         for _ in range(LAST_HEARTBEATS):
             heartbeat = self.node.heartbeat(now=monotonic(), left=True)
@@ -257,20 +263,21 @@
 
     async def _read_live_list(self) -> None:
         while True:
-            read = await self._platform.read_live_list()
+            self._list_task = await spawn(self._platform.read_live_list, daemon=True)
+            await self._list_task.wait()
+            if self._list_task.cancelled:
+                self.node.listed.note_failed()
+                continue
+            read = self._list_task.result
             if read.is_ok():
                 event = LiveListRead(tuple(read.unwrap()))
                 await self._perform(
                     self.node.take_membership(event, now=monotonic(), wall=time.time())
                 )
-            await self._wait_for_list()
-
-    async def _wait_for_list(self) -> None:
-        """Wait until the list is due; at once after a pause."""
-        due = monotonic() + self._jittered(self._list_period_ms())
-        while monotonic() < due and not self._list_is_wanted:
-            await sleep(TICK_S)
-        self._list_is_wanted = False
+                await sleep(self._jittered(self._list_period_ms()))
+            else:
+                self.node.listed.note_failed()
+                await sleep(self._jittered(RETRY_LIST_MS))
 
     async def _drop_stale_connections(self) -> None:
         while True:
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -430,8 +430,8 @@
                     now=now,
                     wall=wall,
                 )
-                if listed.cold_s > 0:
-                    self._note_cold(service, upstream, now + listed.cold_s)
+                if listed.cold_until > now:
+                    self._note_cold(service, upstream, listed.cold_until)
 
     def _note_cold(self, service: str, upstream: UpstreamState, until: float) -> None:
         """Bound what an upstream gets while it is cold."""
--- a/packages/daemon/src/plankspindle_daemon/observability/metrics.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/metrics.py
@@ -1,21 +1,13 @@
-"""OpenTelemetry metrics, read on request in the Prometheus text form."""
+"""Counts of the request path, and metrics in the Prometheus text form on request."""
 
 from __future__ import annotations
 
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions
-from opentelemetry.metrics import Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from prometheus_client import REGISTRY
-from prometheus_client import generate_latest
-
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from plankspindle_daemon.node.node import Node
+    from plankspindle_daemon.observability.instruments import Instruments
 
 
 class RequestMetrics:
@@ -51,78 +43,31 @@
         The decisions.
     requests : RequestMetrics
         Counts of the request path.
+
+    Notes
+    -----
+    The libraries of the metrics take about 5 MB, so they are loaded when the metrics
+    are first asked for.
     """
 
     def __init__(self, *, node: Node, requests: RequestMetrics) -> None:
         self._node = node
         self._requests = requests
-        self._provider: MeterProvider | None = None
-
-    def start(self) -> None:
-        """Register the instruments; no thread is started."""
-        self._provider = MeterProvider(metric_readers=[PrometheusMetricReader()])
-        meter = self._provider.get_meter("plankspindle")
-        meter.create_observable_counter(
-            "plankspindle_lookups", callbacks=[self._observe_lookups]
-        )
-        meter.create_observable_counter(
-            "plankspindle_requests", callbacks=[self._observe_requests]
-        )
-        meter.create_observable_counter(
-            "plankspindle_request_seconds", callbacks=[self._observe_seconds]
-        )
-        meter.create_observable_gauge(
-            "plankspindle_queued", callbacks=[self._observe_queued]
-        )
-        meter.create_observable_gauge(
-            "plankspindle_in_flight", callbacks=[self._observe_in_flight]
-        )
-        meter.create_observable_gauge(
-            "plankspindle_configuration_version", callbacks=[self._observe_version]
-        )
+        self._instruments: Instruments | None = None
 
     def close(self) -> None:
         """Unregister the instruments."""
-        if self._provider is not None:
-            self._provider.shutdown()
-            self._provider = None
+        if self._instruments is not None:
+            self._instruments.close()
+            self._instruments = None
 
     def render(self) -> bytes:
         """Read all instruments and give them as Prometheus text."""
-        return generate_latest(REGISTRY)
-
-    def _observe_lookups(self, _: CallbackOptions) -> Iterable[Observation]:
-        return [Observation(self._requests.lookups)]
-
-    def _observe_requests(self, _: CallbackOptions) -> Iterable[Observation]:
-        return _by_service_and_rank(self._requests.requests_by_key)
-
-    def _observe_seconds(self, _: CallbackOptions) -> Iterable[Observation]:
-        return _by_service_and_rank(self._requests.seconds_by_key)
-
-    def _observe_queued(self, _: CallbackOptions) -> Iterable[Observation]:
-        return [
-            Observation(len(each.queue), {"service": service})
-            for service, each in self._node.dispatchers_by_service.items()
-        ]
-
-    def _observe_in_flight(self, _: CallbackOptions) -> Iterable[Observation]:
-        return [
-            Observation(
-                upstream.ledger.in_flight, {"service": service, "upstream": name}
-            )
-            for service, each in self._node.dispatchers_by_service.items()
-            for name, upstream in each.upstreams_by_name.items()
-        ]
-
-    def _observe_version(self, _: CallbackOptions) -> Iterable[Observation]:
-        return [Observation(self._node.version)]
-
-
-def _by_service_and_rank(
-    counts: Counter[tuple[str, int]],
-) -> Iterable[Observation]:
-    return [
-        Observation(value, {"service": service, "rank": rank})
-        for (service, rank), value in counts.items()
-    ]
+        if self._instruments is None:
+            self._instruments = self._load()
+        return self._instruments.render()
+
+    def _load(self) -> Instruments:
+        from plankspindle_daemon.observability.instruments import Instruments
+
+        return Instruments(node=self._node, requests=self._requests)
--- a/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
@@ -13,7 +13,7 @@
     from collections.abc import Iterable
 
 
-GAP_S = 2.5
+GAP_S = 8.0
 """Time between two reads of the list from which on entries may have lapsed."""
 RETURN_S = 2.5
 """Time after such a gap for entries of living upstreams to come back."""
@@ -26,20 +26,30 @@
     Notes
     -----
     Entries lapse while the platform is away, and come back within seconds of its
-    return. After a gap in reading, an entry that is missing is therefore kept for
-    ``RETURN_S``; at other times it is gone at once.
+    return. After a read that failed, or a gap, an entry that is missing is therefore
+    kept for ``RETURN_S``; at other times it is gone at once.
     """
 
     by_name: dict[str, ListedVm] = Factory(dict)
     _read_at: float | None = None
+    _failed: bool = False
     _lenient_until: float = 0.0
 
+    def note_failed(self) -> None:
+        """Record that the list could not be read."""
+        self._failed = True
+
+    def is_lenient(self, now: float) -> bool:
+        """Tell whether missing entries are kept for the time being."""
+        return now < self._lenient_until
+
     def take(self, listed: Iterable[ListedVm], now: float) -> None:
         """Take a list that was read just now."""
-        if self._read_at is not None and now - self._read_at > GAP_S:
+        if self._read_at is not None and (self._failed or now - self._read_at > GAP_S):
             self._lenient_until = now + RETURN_S
+        self._failed = False
         self._read_at = now
         present = {each.name: each for each in listed if each.upstream is not None}
-        if now < self._lenient_until:
+        if self.is_lenient(now):
             present = {**self.by_name, **present}
         self.by_name = present
--- a/packages/daemon/src/plankspindle_daemon/platform/live_list.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/live_list.py
@@ -43,8 +43,8 @@
         Listeners of an entry VM.
     upstream : Upstream, optional
         Its declaration, where the platform and not the configuration declares it.
-    cold_s : float
-        How much longer an upstream is cold, in seconds.
+    cold_until : float
+        End of the time for which an upstream is cold, monotonic seconds.
     """
 
     name: str
@@ -55,7 +55,7 @@
     caller_endpoint: Endpoint | None = None
     peer_endpoint: Endpoint | None = None
     upstream: Upstream | None = None
-    cold_s: float = 0.0
+    cold_until: float = 0.0
 
 
 def parse_live_list(document: Any) -> Result[list[ListedVm], PlatformUnavailable]:
--- a/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
@@ -57,7 +57,7 @@
     """
 
     def __init__(self, *, endpoint: Endpoint, timeout_s: float) -> None:
-        self._endpoint = endpoint
+        self.endpoint = endpoint
         self._timeout_s = timeout_s
         self._breaker = CircuitBreaker()
         self.read_budget = CallBudget(per_s=READS_PER_S)
@@ -206,7 +206,7 @@
             return Err(PlatformUnavailable("recent calls failed; not tried"))
         content = body if isinstance(body, bytes) else json.dumps(body).encode()
         answer = await fetch(
-            self._endpoint,
+            self.endpoint,
             method=method,
             target=target,
             body=content,
--- a/packages/daemon/src/plankspindle_daemon/platform/ports.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/ports.py
@@ -38,7 +38,15 @@
 
 
 class PresencePort(Protocol):
-    """Enters this VM in the platform's list and takes it out."""
+    """Enters this VM in the platform's list and takes it out.
+
+    Attributes
+    ----------
+    is_present : bool
+        Whether the list names this VM, as far as known.
+    """
+
+    is_present: bool
 
     async def announce(self) -> bool:
         """Enter this VM; True once the platform has taken it."""
--- a/packages/daemon/tests/platform/test_listed_upstreams.py
+++ b/packages/daemon/tests/platform/test_listed_upstreams.py
@@ -38,3 +38,14 @@
     assert upstreams.by_name["a"].leaving
     upstreams.take([listed("a")], back + RETURN_S)
     assert set(upstreams.by_name) == {"a"}
+
+
+def test_a_failed_read_is_an_outage_too() -> None:
+    upstreams = ListedUpstreams()
+    upstreams.take([listed("a"), listed("b")], 0.0)
+    upstreams.note_failed()
+    upstreams.take([listed("a")], 1.0)
+    assert upstreams.is_lenient(1.0)
+    assert set(upstreams.by_name) == {"a", "b"}
+    upstreams.take([listed("a")], 1.0 + RETURN_S)
+    assert set(upstreams.by_name) == {"a"}
