Apply the list to upstreams that a later configuration brings

The second cause: a VM that was cut off kept missing entries for 2.5 s as lapsed ones. Now few missing ones are gone at once, many (over a quarter) are kept. Ruled out: drains (none), a stale connection to the store (it is left after 1 s).

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,16 +1,24 @@
 #!/usr/bin/env bash
 # Puts the libraries and the packages of the daemon under target/deps.
+# Building again without a change touches nothing, so that running processes stay whole.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 deps=target/deps
-stamp=target/.libraries
-if ! cmp -s "$stamp" deploy/requirements.txt; then
-    rm -rf "$deps"
+sources=(packages/core/src/plankspindle_core packages/daemon/src/plankspindle_daemon
+    platform/plankspindle_platform)
+
+wanted=$(sha256sum deploy/requirements.txt constraints.txt)
+if [ "$(cat target/.libraries 2>/dev/null || true)" != "$wanted" ]; then
+    rm -rf "$deps" target/.sources
     python3 -m pip install -q -c constraints.txt --target "$deps" -r deploy/requirements.txt
-    cp deploy/requirements.txt "$stamp"
+    echo "$wanted" > target/.libraries
+fi
+
+wanted=$(find "${sources[@]}" -type f ! -name '*.pyc' -print0 | sort -z | xargs -0 sha256sum)
+if [ "$(cat target/.sources 2>/dev/null || true)" != "$wanted" ]; then
+    rm -rf "$deps"/plankspindle_*
+    cp -r "${sources[@]}" "$deps"/
+    find "$deps"/plankspindle_* -name __pycache__ -prune -exec rm -rf {} +
+    python3 -m compileall -q "$deps"
+    echo "$wanted" > target/.sources
 fi
-rm -rf "$deps"/plankspindle_*
-cp -r packages/core/src/plankspindle_core packages/daemon/src/plankspindle_daemon \
-    platform/plankspindle_platform "$deps"/
-find "$deps" -path '*plankspindle_*' -name __pycache__ -prune -exec rm -rf {} +
-python3 -m compileall -q "$deps"
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -161,6 +161,7 @@
     _sequence: int = 0
     _next_refresh: float = 0.0
     _next_digest: float = 0.0
+    _wall_ahead_s: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         self.headroom = HeadroomManager(
@@ -214,6 +215,9 @@
         self.distances.use(configuration)
         self.drains.use(configuration, now)
         self._use_services(configuration, now)
+        self._take_listed_upstreams(
+            self.listed.by_name.values(), now=now, wall=now + self._wall_ahead_s
+        )
         self._refresh_steering(now)
         return [*self._spread_version(now), *self._update_shares(now)]
 
@@ -395,6 +399,7 @@
             effects += self._hear_version(event.heartbeat, now)
         if isinstance(event, membership.LiveListRead):
             self.list_read_at = now
+            self._wall_ahead_s = wall - now
             self.listed.take(event.vms, now)
             if self.configuration is not None:
                 self._use_services(self.configuration, now)
--- a/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
@@ -15,6 +15,8 @@
 
 GAP_S = 8.0
 """Time between two reads of the list from which on entries may have lapsed."""
+LAPSED_SHARE = 0.25
+"""Part of the entries that must be missing for an outage to be the likely cause."""
 RETURN_S = 2.5
 """Time after such a gap for entries of living upstreams to come back."""
 
@@ -26,8 +28,9 @@
     Notes
     -----
     Entries lapse while the platform is away, and come back within seconds of its
-    return. After a read that failed, or a gap, an entry that is missing is therefore
-    kept for ``RETURN_S``; at other times it is gone at once.
+    return. When many are missing after a read that failed, or a gap, they are
+    therefore kept for ``RETURN_S``. Few missing ones are gone at once: the platform was
+    there, and it was this VM that could not reach it.
     """
 
     by_name: dict[str, ListedVm] = Factory(dict)
@@ -50,6 +53,10 @@
         self._failed = False
         self._read_at = now
         present = {each.name: each for each in listed if each.upstream is not None}
-        if self.is_lenient(now):
+        if self.is_lenient(now) and self._lapsed(present):
             present = {**self.by_name, **present}
         self.by_name = present
+
+    def _lapsed(self, present: dict[str, ListedVm]) -> bool:
+        missing = sum(name not in present for name in self.by_name)
+        return missing > LAPSED_SHARE * len(self.by_name)
--- /dev/null
+++ b/packages/daemon/tests/node/test_listed_node.py
@@ -0,0 +1,123 @@
+"""Tests of nodes whose upstreams the platform's list declares."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from plankspindle_core.configuration.drain import Drain
+from plankspindle_core.configuration.drain import DrainKind
+from plankspindle_core.configuration.service import SlotSharing
+from plankspindle_daemon.dispatch import messages as d
+from plankspindle_daemon.membership import messages as m
+from plankspindle_daemon.platform.live_list import ListedVm
+from plankspindle_daemon.platform.live_list import VmKind
+from plankspindle_testkit.builders import VmPlace
+from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_service
+from plankspindle_testkit.builders import build_ticket
+from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.trial.trial_vm import TrialVm
+
+if TYPE_CHECKING:
+    from plankspindle_core.configuration.configuration import Configuration
+    from plankspindle_daemon.node.node import Node
+    from plankspindle_daemon.upstreams.upstream_state import UpstreamState
+
+WALL = 1000.0
+PLACE = VmPlace(name="a", failure_domain="ba-1", host="127.0.0.1", base_port=7000)
+
+
+def build_node() -> Node:
+    return TrialVm.start(PLACE, seeds=[], random=Random(1), now=0.0).node
+
+
+def build_version(**fields: object) -> Configuration:
+    service = build_service(
+        slot_sharing=SlotSharing.REPORTED, cold_requests_per_s=8.0, cold_ms=3_000
+    )
+    return build_configuration(
+        services_by_name={"registry": service}, upstreams_by_name={}, **fields
+    )
+
+
+def listed(name: str, domain: str = "ke-1", **fields: object) -> ListedVm:
+    return ListedVm(
+        name=name,
+        kind=VmKind.UPSTREAM,
+        failure_domain=domain,
+        upstream=build_upstream(failure_domain=domain),
+        **fields,
+    )
+
+
+def read_list(node: Node, now: float, *vms: ListedVm) -> None:
+    node.take_membership(m.LiveListRead(vms), now=now, wall=WALL + now)
+
+
+def upstream_of(node: Node, name: str) -> UpstreamState:
+    return node.dispatchers_by_service["registry"].upstreams_by_name[name]
+
+
+def send(node: Node, number: int, now: float) -> list[str]:
+    arrived = d.Arrived(build_ticket(number, deadline=now + 9.0))
+    effects = [each.effect for each in node.take_dispatch("registry", arrived, now)]
+    return [each.upstream for each in effects if isinstance(each, d.Assign)]
+
+
+def test_an_upstream_of_another_region_is_used() -> None:
+    node = build_node()
+    node.adopt(build_version(), version=1, now=0.0)
+    read_list(node, 1.0, listed("u"))
+    assert send(node, 1, 1.0) == ["u"]
+
+
+def test_a_list_that_was_read_before_the_configuration_counts() -> None:
+    node = build_node()
+    read_list(node, 1.0, listed("u", leaving=True), listed("v", cold_until=9.0))
+    node.adopt(build_version(), version=1, now=1.1)
+    assert upstream_of(node, "u").leaving
+    assert upstream_of(node, "v").cold is not None
+    assert send(node, 1, 1.2) == ["v"]
+    assert send(node, 2, 1.2) == []
+
+
+def test_an_upstream_that_the_list_lost_gets_nothing_new_and_ends_its_work() -> None:
+    node = build_node()
+    node.adopt(build_version(), version=1, now=0.0)
+    read_list(node, 1.0, listed("u"))
+    assert send(node, 1, 1.0) == ["u"]
+    read_list(node, 2.0)
+    assert upstream_of(node, "u").leaving
+    assert send(node, 2, 2.0) == []
+    ended = d.Ended(ticket=build_ticket(1), upstream="u", verdict=d.Verdict.ANSWERED)
+    node.take_dispatch("registry", ended, 3.0)
+    read_list(node, 3.0)
+    assert not node.dispatchers_by_service["registry"].upstreams_by_name
+
+
+def test_a_domain_whose_upstreams_are_drained_goes_on_taking_requests() -> None:
+    node = build_node()
+    drain = Drain(kind=DrainKind.UPSTREAMS_OF_DOMAIN, name="ba-1")
+    node.adopt(
+        build_version(drains_by_id={"d": drain}),
+        version=1,
+        now=0.0,
+    )
+    read_list(node, 1.0, listed("near", "ba-1"), listed("far"))
+    assert node.accepts(1.0)
+    assert [send(node, number, 1.0) for number in range(2)] == [["far"], ["far"]]
+
+
+def test_upstreams_that_are_taken_back_count_as_cold() -> None:
+    node = build_node()
+    drain = Drain(kind=DrainKind.UPSTREAMS_OF_DOMAIN, name="ke-1")
+    drained = build_version(drains_by_id={"d": drain})
+    node.adopt(drained, version=1, now=0.0)
+    read_list(node, 1.0, listed("u"))
+    assert send(node, 1, 1.0) == []
+    node.adopt(build_version(), version=2, now=2.0)
+    node.tick(now=2.1, wall=WALL)
+    assert send(node, 2, 2.2) == ["u"]
+    assert send(node, 3, 2.2) == []
+    assert send(node, 4, 6.0) == ["u", "u"]
--- a/packages/daemon/tests/platform/test_listed_upstreams.py
+++ b/packages/daemon/tests/platform/test_listed_upstreams.py
@@ -49,3 +49,12 @@
     assert set(upstreams.by_name) == {"a", "b"}
     upstreams.take([listed("a")], 1.0 + RETURN_S)
     assert set(upstreams.by_name) == {"a"}
+
+
+def test_a_vm_that_was_cut_off_does_not_keep_the_few_that_left_meanwhile() -> None:
+    upstreams = ListedUpstreams()
+    names = [f"u{number}" for number in range(10)]
+    upstreams.take([listed(name) for name in names], 0.0)
+    upstreams.note_failed()
+    upstreams.take([listed(name) for name in names[2:]], GAP_S + 1.0)
+    assert set(upstreams.by_name) == set(names[2:])
--- a/packages/testkit/src/plankspindle_testkit/builders.py
+++ b/packages/testkit/src/plankspindle_testkit/builders.py
@@ -100,7 +100,9 @@
     defaults.update(fields)
     return Configuration(
         services_by_name=services_by_name or {"registry": build_service()},
-        upstreams_by_name=upstreams_by_name or {"r1": build_upstream()},
+        upstreams_by_name=(
+            {"r1": build_upstream()} if upstreams_by_name is None else upstreams_by_name
+        ),
         **defaults,
     )
 
