Look at the upstreams that know a key first

The choice is the same, but for others that would be faster than their service's usual by more than the whole cost of a miss.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -204,17 +204,7 @@
         return effects
 
     def _assign(self, ticket: Ticket, now: float) -> Assign | None:
-        usual_s = self.usual_s(ticket)
-        ends_by = now + max(ticket.expected_s, usual_s)
-        fitting = [
-            each
-            for each in self.upstreams_by_name.values()
-            if self._may_run_at(ticket, each)
-            and each.can_take(now=now, deadline=ticket.deadline, ends_by=ends_by)
-        ]
-        if not fitting:
-            return None
-        chosen = self._choose(ticket, fitting, usual_s, now)
+        chosen = self._choose(ticket, now)
         if chosen is None:
             return None
         check_invariant(
@@ -228,16 +218,23 @@
             ticket=ticket, upstream=chosen.name, endpoint=chosen.upstream.endpoint
         )
 
-    def _choose(
-        self, ticket: Ticket, fitting: list[UpstreamState], usual_s: float, now: float
-    ) -> UpstreamState | None:
+    def _choose(self, ticket: Ticket, now: float) -> UpstreamState | None:
+        usual_s = self.usual_s(ticket)
+        ends_by = now + max(ticket.expected_s, usual_s)
+
+        def fits(upstream: UpstreamState) -> bool:
+            return self._may_run_at(ticket, upstream) and upstream.can_take(
+                now=now, deadline=ticket.deadline, ends_by=ends_by
+            )
+
         if self.placement is None:
+            fitting = [each for each in self.upstreams_by_name.values() if fits(each)]
             scored = [(each.score(now), self.random.random()) for each in fitting]
-            return fitting[scored.index(min(scored))]
+            return fitting[scored.index(min(scored))] if fitting else None
         place = self.placement.choose(
             ticket,
-            fitting,
             self.upstreams_by_name,
+            fits=fits,
             usual_s=usual_s,
             miss_s=self.durations.total_by_operation.get(_miss_of(ticket)),
             now=now,
--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -16,8 +16,8 @@
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
-    from collections.abc import Sequence
 
     from plankspindle_daemon.admission.ticket import Ticket
 
@@ -99,6 +99,14 @@
     is_hit: bool
 
 
+@define(kw_only=True)
+class _Choice:
+    """The best place so far, and its cost with a tie-break."""
+
+    place: Place | None = None
+    cost: tuple[float, float] = (math.inf, 0.0)
+
+
 @define(kw_only=True)
 class Placement:
     """Order of preference among the upstreams of one service.
@@ -131,9 +139,9 @@
     def choose(
         self,
         ticket: Ticket,
-        fitting: Sequence[UpstreamState],
         by_name: Mapping[str, UpstreamState],
         *,
+        fits: Callable[[UpstreamState], bool],
         usual_s: float,
         miss_s: float | None,
         now: float,
@@ -144,10 +152,10 @@
         ----------
         ticket : Ticket
             The request.
-        fitting : sequence of UpstreamState
-            Upstreams that may take it now.
         by_name : mapping of str to UpstreamState
             All upstreams of the service.
+        fits : callable
+            Tells whether an upstream may take the request now.
         usual_s : float
             Usual duration at an upstream that has seen the affinity key, in seconds.
         miss_s : float, optional
@@ -159,30 +167,56 @@
         -------
         Place or None
             None if it is better to wait for an upstream that has seen the key.
+
+        Notes
+        -----
+        The others are looked at only if the wait at those that know the key costs
+        more than a miss, so that the usual choice does not grow with the service.
         """
-        ranks = self._present_ranks(ticket, by_name, now)
+        if ticket.affinity is None:
+            choice = _Choice()
+            for upstream in by_name.values():
+                if fits(upstream):
+                    self._weigh(choice, upstream, ticket, usual_s, now, is_hit=True)
+            return choice.place
         missed_s = max(miss_s or 0.0, MISS_FACTOR * usual_s)
-        best: Place | None = None
-        least = (math.inf, 0.0)
-        for upstream in fitting:
-            rank = 0 if ranks is None else ranks.get(upstream.name)
-            if not _may_take(upstream, rank, now):
-                continue
-            work_s = usual_s if rank == 0 else missed_s
-            cost = (self._cost_s(upstream, ticket, work_s, now), self.random.random())
-            if cost < least:
-                least = cost
-                best = Place(upstream=upstream, is_hit=rank == 0)
-        return best
+        ranks = self._present_ranks(ticket.affinity, by_name, now)
+        choice = _Choice()
+        for name, rank in ranks.items():
+            upstream = by_name[name]
+            if fits(upstream) and (rank == 0 or _load(upstream, now) <= SECOND_LOAD):
+                work_s = usual_s if rank == 0 else missed_s
+                is_hit = rank == 0
+                self._weigh(choice, upstream, ticket, work_s, now, is_hit=is_hit)
+        if choice.cost[0] <= missed_s:
+            return choice.place
+        for upstream in by_name.values():
+            idle = upstream.name not in ranks and _load(upstream, now) <= OTHER_LOAD
+            if idle and fits(upstream):
+                self._weigh(choice, upstream, ticket, missed_s, now, is_hit=False)
+        return choice.place
+
+    def _weigh(
+        self,
+        choice: _Choice,
+        upstream: UpstreamState,
+        ticket: Ticket,
+        work_s: float,
+        now: float,
+        *,
+        is_hit: bool,
+    ) -> None:
+        cost = (self._cost_s(upstream, ticket, work_s, now), self.random.random())
+        if cost < choice.cost:
+            choice.cost = cost
+            choice.place = Place(upstream=upstream, is_hit=is_hit)
 
     def _present_ranks(
-        self, ticket: Ticket, by_name: Mapping[str, UpstreamState], now: float
-    ) -> dict[str, int] | None:
-        """Rank the first two usable upstreams of each region; None without a key."""
-        if ticket.affinity is None:
-            return None
+        self, key: str, by_name: Mapping[str, UpstreamState], now: float
+    ) -> dict[str, int]:
+        """Rank the first two usable upstreams of each region."""
         ranks: dict[str, int] = {}
-        for order in self._orders(ticket.affinity):
+        for order in self._orders(key):
             rank = 0
             for name in order:
                 upstream = by_name.get(name)
@@ -232,12 +266,9 @@
         return list(names_by_region.values())
 
 
-def _may_take(upstream: UpstreamState, rank: int | None, now: float) -> bool:
-    """Tell whether an upstream is idle enough for a key that ranks it so."""
-    if rank == 0:
-        return True
-    share = upstream.load(now) / upstream.upstream.slots
-    return share <= (OTHER_LOAD if rank is None else SECOND_LOAD)
+def _load(upstream: UpstreamState, now: float) -> float:
+    """Give the load of an upstream as a share of its slots."""
+    return upstream.load(now) / upstream.upstream.slots
 
 
 def _weight(key: str, name: str) -> bytes:
--- a/packages/daemon/tests/dispatch/test_placement.py
+++ b/packages/daemon/tests/dispatch/test_placement.py
@@ -44,8 +44,8 @@
 ) -> Place | None:
     return placement.choose(
         build_ticket(1, affinity=key, bulky=bulky),
-        [each for each in upstreams.values() if each.limit(now) > each.load(now)],
         upstreams,
+        fits=lambda each: each.limit(now) > each.load(now),
         usual_s=USUAL_S,
         miss_s=None,
         now=now,
--- a/packages/testkit/src/plankspindle_testkit/bench/slopes_bench.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/slopes_bench.py
@@ -19,6 +19,7 @@
 from plankspindle_core.configuration.codec import encode_configuration
 from plankspindle_core.configuration.configuration import Configuration
 from plankspindle_core.configuration.configuration import Site
+from plankspindle_core.configuration.service import SlotSharing
 from plankspindle_daemon.dispatch import messages as dispatch
 from plankspindle_daemon.membership import messages as membership
 from plankspindle_daemon.platform.live_list import parse_live_list
@@ -30,11 +31,13 @@
 from plankspindle_testkit.bench.table import print_table
 from plankspindle_testkit.builders import VmPlace
 from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_service
 from plankspindle_testkit.builders import build_ticket
 from plankspindle_testkit.builders import build_upstream
 from plankspindle_testkit.trial.trial_vm import TrialVm
 
 if TYPE_CHECKING:
+    from plankspindle_daemon.admission.ticket import Ticket
     from plankspindle_daemon.node.node import Node
 
 REPEATS = 5
@@ -102,6 +105,48 @@
     )
 
 
+def _build_reported_node(upstreams: int) -> Node:
+    """Build a node whose upstreams any entry VM may use, spread over three domains."""
+    node = TrialVm.start(_place(0), seeds=[], random=Random(1), now=0.0).node
+    domains = ("ba-1", "ba-2", "ke-1")
+    configuration = build_configuration(
+        services_by_name={"registry": build_service(slot_sharing=SlotSharing.REPORTED)},
+        upstreams_by_name={
+            f"u{number}": build_upstream(slots=9, failure_domain=domains[number % 3])
+            for number in range(upstreams)
+        },
+    )
+    node.adopt(configuration, version=1, now=0.0)
+    return node
+
+
+def _placed_ms(upstreams: int) -> float:
+    """Place one request by its affinity key and take its end."""
+    node = _build_reported_node(upstreams)
+    numbers = iter(range(10**6))
+
+    def serve() -> None:
+        for _ in range(50):
+            number = next(numbers)
+            _serve_one(node, build_ticket(number, affinity=f"k{number % 100}"))
+
+    serve()
+    serve()
+    return _median_ms(serve) / 50
+
+
+def _order_kib(upstreams: int) -> float:
+    """Remember the order of the upstreams for one affinity key."""
+    node = _build_reported_node(upstreams)
+    keys = 50
+    tracemalloc.start()
+    for number in range(keys):
+        _serve_one(node, build_ticket(number, affinity=f"k{number}"))
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return held / 1024 / keys
+
+
 def _build_node(members: int, upstreams: int = 60) -> Node:
     """Build a node that has heard all members of its failure domain."""
     places = [_place(number) for number in range(members)]
@@ -154,6 +199,19 @@
     return _median_ms(receive) / 100
 
 
+def _serve_one(node: Node, ticket: Ticket) -> None:
+    arrived = node.take_dispatch("registry", dispatch.Arrived(ticket), 3.0)
+    upstream = arrived[0].effect.upstream  # type: ignore[union-attr]
+    ended = dispatch.Ended(
+        ticket=ticket,
+        upstream=upstream,
+        verdict=dispatch.Verdict.ANSWERED,
+        head_s=0.01,
+        total_s=0.01,
+    )
+    node.take_dispatch("registry", ended, 3.0)
+
+
 def _dispatch_ms(upstreams: int) -> float:
     """Assign one request and take its end."""
     node = _build_node(1, upstreams)
@@ -162,17 +220,7 @@
 
     def serve() -> None:
         for _ in range(50):
-            ticket = build_ticket(next(numbers))
-            arrived = node.take_dispatch("registry", dispatch.Arrived(ticket), 3.0)
-            upstream = arrived[0].effect.upstream  # type: ignore[union-attr]
-            ended = dispatch.Ended(
-                ticket=ticket,
-                upstream=upstream,
-                verdict=dispatch.Verdict.ANSWERED,
-                head_s=0.01,
-                total_s=0.01,
-            )
-            node.take_dispatch("registry", ended, 3.0)
+            _serve_one(node, build_ticket(next(numbers)))
 
     return _median_ms(serve) / 50
 
@@ -271,6 +319,18 @@
         sizes=(4, 15, 30, 60),
         measure=_dispatch_ms,
     ),
+    Slope(
+        name="request placed by its key, by upstreams of the service",
+        unit="ms",
+        sizes=(24, 100, 200, 400),
+        measure=_placed_ms,
+    ),
+    Slope(
+        name="order of the upstreams for a key, by upstreams",
+        unit="KiB",
+        sizes=(24, 100, 200, 400),
+        measure=_order_kib,
+    ),
     Slope(
         name="version adopted, by client blocks",
         unit="ms",
