--- a/packages/client/src/plankspindle_client/console/application.py
+++ b/packages/client/src/plankspindle_client/console/application.py
@@ -10,6 +10,7 @@
 from plankspindle_client.console.commands.confirm import confirm
 from plankspindle_client.console.commands.history import history
 from plankspindle_client.console.commands.plan import plan
+from plankspindle_client.console.commands.routes import routes
 from plankspindle_client.console.commands.state import state
 from plankspindle_client.console.commands.status import status
 from plankspindle_client.console.commands.watch import watch
@@ -44,5 +45,5 @@
     context.obj = {"endpoint": endpoint, "token": token, "output": output}
 
 
-for command in (config, confirm, history, plan, state, status, watch):
+for command in (config, confirm, history, plan, routes, state, status, watch):
     main.add_command(command)
--- a/packages/client/src/plankspindle_client/console/commands/plan.py
+++ b/packages/client/src/plankspindle_client/console/commands/plan.py
@@ -55,6 +55,9 @@
 @plan.command()
 @click.option("--region", help="Region to drain.")
 @click.option("--failure-domain", help="Failure domain to drain.")
+@click.option(
+    "--upstreams-of", help="Failure domain whose upstreams are drained, not its VMs."
+)
 @click.option("--upstream", help="Upstream to drain.")
 @click.option("--vm", help="Entry VM to drain.")
 @click.option("--at", type=float, help="Unix time from which it gets nothing new.")
@@ -64,6 +67,7 @@
     context: click.Context,
     region: str | None,
     failure_domain: str | None,
+    upstreams_of: str | None,
     upstream: str | None,
     vm: str | None,
     at: float | None,
@@ -73,13 +77,14 @@
     names = {
         "region": region,
         "failure-domain": failure_domain,
+        "upstreams-of-failure-domain": upstreams_of,
         "upstream": upstream,
         "vm": vm,
     }
     given = {kind: name for kind, name in names.items() if name is not None}
     if len(given) != 1:
         raise click.UsageError(
-            "name one of --region, --failure-domain, --upstream and --vm"
+            "name one of --region, --failure-domain, --upstreams-of, --upstream, --vm"
         )
     kind, name = given.popitem()
     intent = {
--- a/packages/client/tests/console/test_commands.py
+++ b/packages/client/tests/console/test_commands.py
@@ -18,7 +18,9 @@
 from plankspindle_client.operator_api import ApiError
 from plankspindle_client.operator_api import OperatorApi
 from plankspindle_core.configuration.codec import configuration_to_mapping
+from plankspindle_core.configuration.route import ServicePart
 from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_route
 
 PLAN = {
     "id": "p1",
@@ -75,6 +77,9 @@
     assert run("plan", "drain", "--failure-domain", "ba-1").exit_code == 0
     drain = daemon.calls[0][2]["drain"]
     assert drain == {"kind": "failure-domain", "name": "ba-1", "at": None}
+    assert run("plan", "drain", "--upstreams-of", "ba-1").exit_code == 0
+    drain = daemon.calls[1][2]["drain"]
+    assert drain == {"kind": "upstreams-of-failure-domain", "name": "ba-1", "at": None}
 
 
 @pytest.mark.parametrize(
@@ -167,3 +172,33 @@
     assert "failure domain ke-1 of kosice: not heard" in shown
     assert "1 of 9 moved, cap 20 percent" in shown
     assert shown in run("watch", "--count", "1").output
+
+
+def test_routes_are_listed_and_the_one_of_a_path_is_found(
+    daemon: PlayedDaemon,
+) -> None:
+    parts = [ServicePart(service="registry", weight=3)]
+    configuration = build_configuration(
+        routes_by_name={
+            "short": build_route(path_prefix="/a/"),
+            "long": build_route(path_prefix="/a/b/", idempotent=False, parts=parts),
+        }
+    )
+    mapping = configuration_to_mapping(configuration)
+    daemon.answer = Ok({"configuration": mapping})
+    listed = run("routes").output.splitlines()
+    assert [line.split()[0] for line in listed] == [
+        "registry.example/a/b/",
+        "registry.example/a/",
+    ]
+    assert "registry 100 %" in listed[0]
+    assert "at most once" in listed[0]
+    taken = run("routes", "--host", "Registry.example", "--path", "/a/b/c").output
+    assert taken.splitlines() == listed[:1]
+    assert "no route" in run("routes", "--path", "/b/").output
+    found = json.loads(
+        CliRunner()
+        .invoke(main, [*DAEMON, "--output", "json", "routes", "--path", "/a/x"])
+        .output
+    )
+    assert list(found) == ["short"]
--- a/packages/client/tests/test_operating_page.py
+++ b/packages/client/tests/test_operating_page.py
@@ -16,6 +16,7 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_testkit.builders import VmPlace
 from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_route
 from plankspindle_testkit.builders import build_upstream
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.processes import state_of
@@ -45,7 +46,10 @@
             "u": build_upstream(endpoint=UPSTREAM, slots=4, failure_domain="ke-1"),
             "v": build_upstream(endpoint=UPSTREAM, slots=4, failure_domain="ke-1"),
         }
-        configuration = build_configuration(upstreams_by_name=upstreams)
+        configuration = build_configuration(
+            upstreams_by_name=upstreams,
+            routes_by_name={"plates": build_route(path_prefix="/plates/")},
+        )
         mapping = configuration_to_mapping(configuration)
         (tmp_path / "FILE").write_text(yaml.safe_dump(mapping))
         yield tmp_path
@@ -100,6 +104,7 @@
     wait_for_version(1)
     assert "nothing differs" in step("config diff FILE")
     assert '"version": 1' in step("config show")
+    assert "registry.example/plates/" in step("routes")
     assert PLACE.name in step("status")
     assert PLACE.name in step("watch --count 1")
     assert json.loads(step("state ADDR"))["vm"] == PLACE.name
