--- a/packages/daemon/tests/dispatch/test_dispatcher.py
+++ b/packages/daemon/tests/dispatch/test_dispatcher.py
@@ -9,11 +9,15 @@
 
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.dispatch import messages as d
+from plankspindle_daemon.dispatch.placement import Distances
+from plankspindle_daemon.dispatch.placement import Placement
 from plankspindle_daemon.upstreams.health import BackedOff
 from plankspindle_daemon.upstreams.health import Ramping
 from plankspindle_daemon.upstreams.load_report import LoadReport
 from plankspindle_daemon.upstreams.messages import SlotRequest
+from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.builders import build_dispatcher
+from plankspindle_testkit.builders import build_reported_upstream
 from plankspindle_testkit.builders import build_ticket
 
 if TYPE_CHECKING:
@@ -264,3 +268,79 @@
         return [assigned(arrive(dispatcher, number))[0] for number in range(10)]
 
     assert choices() == choices()
+
+
+def build_reporting_dispatcher(*names: str) -> Dispatcher:
+    dispatcher = build_dispatcher(slots_by_upstream={})
+    distances = Distances(home_domain="ba-1")
+    distances.use(build_configuration())
+    dispatcher.placement = Placement(distances=distances, random=Random(1))
+    dispatcher.placement.use(dict.fromkeys(names, "ba-1"))
+    for name in names:
+        dispatcher.upstreams_by_name[name] = build_reported_upstream(name, slots=1)
+    return dispatcher
+
+
+def test_a_request_that_waited_its_time_is_told_when_to_come_back() -> None:
+    dispatcher = build_reporting_dispatcher("u")
+    for number in range(2):
+        assert assigned(arrive(dispatcher, number))
+    assert not arrive(dispatcher, 9, hold_until=0.2)
+    assert not rejected(dispatcher.handle(d.TimePassed(), 0.1))
+    effects = dispatcher.handle(d.TimePassed(), 0.2)
+    assert rejected(effects) == [(9, d.RejectReason.BUSY)]
+    assert isinstance(effects[0], d.Reject)
+    assert effects[0].retry_after_s >= 0.3
+
+
+def test_a_request_stays_in_its_home_regions() -> None:
+    dispatcher = build_reporting_dispatcher("u")
+    assert assigned(arrive(dispatcher, 1, regions=frozenset({"bratislava"})))
+    refused = arrive(dispatcher, 2, regions=frozenset({"kosice"}))
+    assert rejected(refused) == [(2, d.RejectReason.NO_UPSTREAM)]
+
+
+def test_an_upstream_that_sheds_is_left_for_a_moment_only() -> None:
+    dispatcher = build_reporting_dispatcher("u")
+    arrive(dispatcher, 1)
+    end(dispatcher, 1, "u", 0.1, d.Verdict.SHED)
+    assert not assigned(arrive(dispatcher, 2, now=0.2))
+    assert assigned(dispatcher.handle(d.TimePassed(), 0.6)) == [(2, "u")]
+
+
+def test_lost_answers_in_a_row_end_trust_and_one_request_tries_again() -> None:
+    dispatcher = build_reporting_dispatcher("u")
+    for number in range(3):
+        assert assigned(arrive(dispatcher, number, now=0.0))
+        end(dispatcher, number, "u", 0.0, d.Verdict.FAILED)
+    assert not assigned(arrive(dispatcher, 4, now=0.0))
+    assert assigned(dispatcher.handle(d.TimePassed(), 0.3)) == [(4, "u")]
+    assert not assigned(arrive(dispatcher, 5, now=0.3))
+
+
+def test_one_lost_answer_among_many_changes_nothing() -> None:
+    dispatcher = build_reporting_dispatcher("u")
+    for number in range(12):
+        assert assigned(arrive(dispatcher, number, now=0.0))
+        lost = number % 3 == 0
+        verdict = d.Verdict.FAILED if lost else d.Verdict.ANSWERED
+        end(dispatcher, number, "u", 0.0, verdict)
+
+
+def test_a_connect_measures_the_way_to_a_domain() -> None:
+    dispatcher = build_reporting_dispatcher("u")
+    ticket = build_ticket(1)
+    dispatcher.handle(d.Arrived(ticket), 0.0)
+    ended = d.Ended(
+        ticket=ticket,
+        upstream="u",
+        verdict=d.Verdict.ANSWERED,
+        head_s=0.1,
+        total_s=0.1,
+        connect_s=0.004,
+        reported_load=3,
+    )
+    dispatcher.handle(ended, 0.1)
+    assert dispatcher.placement is not None
+    assert dispatcher.placement.distances.rtt_s("ba-1") == 0.004
+    assert dispatcher.upstreams_by_name["u"].load(0.1) == 3
--- a/packages/daemon/tests/exchange/test_exchange.py
+++ b/packages/daemon/tests/exchange/test_exchange.py
@@ -30,12 +30,24 @@
         self.slots_returned = 0
         self.effects: list[m.ExchangeEffect] = []
 
-    @initialize(idempotent=st.booleans(), resendable=st.booleans(), moved=st.booleans())
-    def begin(self, idempotent: bool, resendable: bool, moved: bool) -> None:
+    @initialize(
+        idempotent=st.booleans(),
+        resendable=st.booleans(),
+        moved=st.booleans(),
+        max_attempts=st.integers(1, 4),
+    )
+    def begin(
+        self, idempotent: bool, resendable: bool, moved: bool, max_attempts: int
+    ) -> None:
         route = m.ToPeer(endpoint=ENDPOINT, may_stay=True) if moved else m.ToUpstream()
         self.idempotent = idempotent
         self.exchange = Exchange(
-            terms=m.Terms(idempotent=idempotent, resendable=resendable, recorded=False),
+            terms=m.Terms(
+                idempotent=idempotent,
+                resendable=resendable,
+                recorded=False,
+                max_attempts=max_attempts,
+            ),
             route=route,
             budget=RetryBudget(percent=100),
         )
@@ -43,6 +55,7 @@
 
     def _take(self, effects: list[m.ExchangeEffect]) -> None:
         self.effects = effects
+        assert self.exchange.attempts <= self.exchange.terms.max_attempts
         for effect in effects:
             if isinstance(effect, m.EndUpstream):
                 self.slots_returned += 1
@@ -85,6 +98,19 @@
         assert self.idempotent or self.runs <= 1
         self._handle(m.Broke(bytes_handed_over=handed_over))
 
+    @precondition(
+        lambda self: (
+            self._awaits(m.SendRequest)
+            and self.idempotent
+            and self.exchange.could_try_again()
+        )
+    )
+    @rule(ran=st.booleans())
+    def upstream_falls_silent(self, ran: bool) -> None:
+        self.runs += int(ran)
+        self._handle(m.Stalled())
+        assert self._awaits(m.FindUpstream)
+
     @precondition(lambda self: self._awaits(m.SendRequest))
     @rule()
     def upstream_sheds(self) -> None:
@@ -174,3 +200,45 @@
     answer = exchange.handle(m.ConnectFailed())[-1]
     assert isinstance(answer, m.AnswerCaller)
     assert answer.outcome is Outcome.UNKNOWN
+
+
+def build_repeatable(budget: RetryBudget, **terms: int) -> Exchange:
+    exchange = Exchange(
+        terms=m.Terms(idempotent=True, resendable=True, recorded=False, **terms),
+        route=m.ToUpstream(),
+        budget=budget,
+    )
+    exchange.begin()
+    return exchange
+
+
+def test_upstreams_that_were_never_reached_use_no_budget() -> None:
+    budget = RetryBudget(percent=0, burst=0.0)
+    budget.note_fresh()
+    exchange = build_repeatable(budget)
+    for number in range(3):
+        exchange.handle(m.Assigned(upstream=f"u{number}", endpoint=ENDPOINT))
+        assert isinstance(exchange.handle(m.ConnectFailed())[-1], m.FindUpstream)
+    assert budget.retried == 0
+    exchange.handle(m.Assigned(upstream="u3", endpoint=ENDPOINT))
+    answer = exchange.handle(m.ConnectFailed())[-1]
+    assert isinstance(answer, m.AnswerCaller)
+    assert answer.outcome is Outcome.NOT_RUN
+
+
+def test_a_request_is_sent_to_no_more_upstreams_than_declared() -> None:
+    exchange = build_repeatable(RetryBudget(percent=100), max_attempts=2)
+    for number in range(2):
+        exchange.handle(m.Assigned(upstream=f"u{number}", endpoint=ENDPOINT))
+        exchange.handle(m.Connected())
+        last = exchange.handle(m.Broke(bytes_handed_over=True))[-1]
+    assert isinstance(last, m.AnswerCaller)
+    assert last.outcome is Outcome.UNKNOWN
+
+
+def test_a_silent_upstream_is_kept_when_no_retry_may_be_made() -> None:
+    budget = RetryBudget(percent=0, burst=0.0)
+    exchange = build_repeatable(budget)
+    exchange.handle(m.Assigned(upstream="u1", endpoint=ENDPOINT))
+    exchange.handle(m.Connected())
+    assert not exchange.could_try_again()
--- a/packages/daemon/tests/membership/test_membership.py
+++ b/packages/daemon/tests/membership/test_membership.py
@@ -15,7 +15,7 @@
 LONGEST_S = 5.0
 
 
-def build_membership() -> Membership:
+def build_membership(*, all_domains: bool = False) -> Membership:
     options = MembershipOptions(
         vm="a",
         failure_domain="ba-1",
@@ -23,6 +23,7 @@
         heartbeat_s=0.5,
         suspect_after_s=2.0,
         seeds=(SEED,),
+        all_domains=all_domains,
     )
     return Membership(options=options)
 
@@ -165,3 +166,15 @@
     membership.handle(build_list("a"), 60.1)
     assert membership.view() == ("a", "b")
     assert not membership.may_grow("u", now=60.1, longest_work_s=LONGEST_S)
+
+
+def test_vms_of_other_domains_are_members_only_where_that_is_wanted() -> None:
+    other = build_heartbeat("c", failure_domain="ke-1")
+    near, all_of_them = build_membership(), build_membership(all_domains=True)
+    near.handle(other, 0.0)
+    all_of_them.handle(other, 0.0)
+    assert near.view() == ("a",)
+    assert all_of_them.view() == ("a", "c")
+    assert all_of_them.members_by_name["c"].failure_domain == "ke-1"
+    assert not all_of_them.is_silent(all_of_them.members_by_name["c"], 1.0)
+    assert all_of_them.is_silent(all_of_them.members_by_name["c"], 2.5)
--- a/packages/daemon/tests/steering/test_steering.py
+++ b/packages/daemon/tests/steering/test_steering.py
@@ -67,3 +67,47 @@
     ]
     assert all(names(after, address)[0][0] == "ba_d" for address in moved)
     assert len(moved) < 128
+
+
+def near(steering: Steering, domain: str) -> list[str]:
+    return sorted(vm.name for vm in steering.near(domain))
+
+
+def build_near(**usable_by_name: bool) -> Steering:
+    """Build look-ups over VMs named after their failure domain, as ``ba1_a``."""
+    steering = Steering(configuration=build_configuration(), home_domain="ba-1")
+    steering.use_vms(
+        EntryVm(
+            name=name,
+            failure_domain=f"{name[:2]}-{name[2]}",
+            endpoint=Endpoint("127.0.0.1", 7000),
+            usable=usable,
+        )
+        for name, usable in usable_by_name.items()
+    )
+    return steering
+
+
+def test_a_domain_with_enough_vms_names_its_own() -> None:
+    steering = build_near(ba1_a=True, ba1_b=True, ba2_a=True, ke1_a=True)
+    assert near(steering, "ba-1") == ["ba1_a", "ba1_b"]
+
+
+def test_a_domain_with_one_vm_is_completed_from_its_region() -> None:
+    steering = build_near(ba1_a=True, ba1_b=False, ba2_a=True, ke1_a=True)
+    assert near(steering, "ba-1") == ["ba1_a", "ba2_a"]
+
+
+def test_a_region_without_vms_is_served_by_the_nearest_one() -> None:
+    steering = build_near(ba1_a=True, ba2_a=True, ke1_a=False)
+    assert near(steering, "ke-1") == ["ba1_a", "ba2_a"]
+
+
+def test_callers_of_an_unknown_domain_get_the_vms_of_this_one() -> None:
+    steering = build_near(ba1_a=True, ba1_b=True, ke1_a=True)
+    assert near(steering, "nowhere") == ["ba1_a", "ba1_b"]
+
+
+def test_somebody_is_named_while_any_vm_is_known() -> None:
+    steering = build_near(ba1_a=False, ke1_a=False)
+    assert near(steering, "ke-1")
