End the bound on leaving requests only when room of the region is lost

Cause: upstreams that came up at the start counted as a change of room, so the bound was off for the first ten seconds, the very time it is for (25 to 31 in 100 left in the first window as before).

--- a/packages/daemon/src/plankspindle_daemon/dispatch/region_limiter.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/region_limiter.py
@@ -7,15 +7,15 @@
 from attrs import Factory
 from attrs import define
 
-STEP = 0.08
+STEP = 0.1
 """Growth of the part that leaves from one window to the next."""
 BUCKET_S = 0.5
 BUCKETS = 4
 """Length of a bucket in seconds, and buckets of a window."""
 ROOM_STEP = 0.05
-"""Change of the own region's room, as a part of it, that ends the bound for a while."""
+"""Loss of the own region's room, as a part of it, that ends the bound for a while."""
 FREE_S = 10.0
-"""Time after such a change without bound, in seconds."""
+"""Time after such a loss without bound, in seconds."""
 
 
 @define(kw_only=True)
@@ -35,7 +35,7 @@
     -----
     Requests that flood from a busy region into the next make that one busy, too, and
     come back when it is. The part that leaves in one window therefore passes that of
-    the window before by a step at most. When upstreams of the region come or go, or are
+    the window before by a step at most. When upstreams of the region go, or are
     drained, there is no bound for a while: the requests have to go where there is room.
     """
 
@@ -53,7 +53,7 @@
         now : float
             Monotonic seconds.
         """
-        if self._room > 0 and abs(slots - self._room) > ROOM_STEP * self._room:
+        if slots < (1 - ROOM_STEP) * self._room:
             self._free_until = now + FREE_S
         self._room = slots
 
--- a/packages/daemon/tests/dispatch/test_region_limiter.py
+++ b/packages/daemon/tests/dispatch/test_region_limiter.py
@@ -51,5 +51,12 @@
     assert not limiter.may_leave(11.1)
 
 
+def test_room_that_is_gained_as_at_a_start_is_no_reason_to_leave() -> None:
+    limiter = RegionLimiter()
+    for second, slots in enumerate((10.0, 60.0, 100.0)):
+        limiter.note_room(slots, float(second))
+    assert not limiter.may_leave(3.0)
+
+
 def test_a_region_without_room_lets_everything_leave() -> None:
     assert RegionLimiter().may_leave(1.0)
