Let the part of requests that leave a region follow demand at a bounded rate

Cause: the bound by windows let through twice its step where its windows and the observer's do not coincide (its property test found 0.22 after 0.0), and swung: under a lasting flood 0.27, 0.24, 0.56 in following windows.

The part that leaves now moves at 5 in 100 a second towards what requests want by themselves, from what they want in the first second, both ways; what is owed is counted.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -244,7 +244,7 @@
         if not place.is_hit:
             self._missing.add(ticket.id)
         leaves = not self.placement.is_near(place.upstream)
-        self.placement.limiter.note_sent(leaves=leaves, now=now)
+        self.placement.limiter.note_sent(leaves=leaves)
         return place.upstream
 
     def usual_s(self, ticket: Ticket) -> float:
--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -177,7 +177,32 @@
         The others are looked at only if the wait at those that know the key costs
         more than a miss, so that the usual choice does not grow with the service.
         """
-        fits = self._bounded(fits, now)
+
+        def choose(fits: Callable[[UpstreamState], bool]) -> Place | None:
+            return self._choose(
+                ticket, by_name, fits=fits, usual_s=usual_s, miss_s=miss_s, now=now
+            )
+
+        free = choose(fits)
+        if free is None:
+            return None
+        wants = not self.is_near(free.upstream)
+        leaves = self.limiter.leaves(now, wants=wants)
+        if leaves == wants or (leaves and ticket.bulky):
+            return free
+        bound = choose(lambda each: self.is_near(each) is not leaves and fits(each))
+        return free if bound is None and leaves else bound
+
+    def _choose(
+        self,
+        ticket: Ticket,
+        by_name: Mapping[str, UpstreamState],
+        *,
+        fits: Callable[[UpstreamState], bool],
+        usual_s: float,
+        miss_s: float | None,
+        now: float,
+    ) -> Place | None:
         if ticket.affinity is None:
             choice = _Choice()
             for upstream in by_name.values():
@@ -201,14 +226,6 @@
                 self._weigh(choice, upstream, ticket, missed_s, now, is_hit=False)
         return choice.place
 
-    def _bounded(
-        self, fits: Callable[[UpstreamState], bool], now: float
-    ) -> Callable[[UpstreamState], bool]:
-        """Keep a request in the region while no more may leave it."""
-        if self.limiter.may_leave(now):
-            return fits
-        return lambda upstream: self.is_near(upstream) and fits(upstream)
-
     def is_near(self, upstream: UpstreamState) -> bool:
         """Tell whether an upstream stands in the region of this VM."""
         home = self.distances.region_of(self.distances.home_domain)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/region_limiter.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/region_limiter.py
@@ -1,45 +1,45 @@
-"""Bound on how fast the part of requests that leave the own region grows."""
+"""Bound on how fast the part of requests that leave the own region changes."""
 
 from __future__ import annotations
 
-from collections import deque
+import math
 
-from attrs import Factory
 from attrs import define
 
-STEP = 0.1
-"""Growth of the part that leaves from one window to the next."""
-BUCKET_S = 0.5
-BUCKETS = 4
-"""Length of a bucket in seconds, and buckets of a window."""
+RATE_PER_S = 0.05
+"""Change of the part that leaves, in a second."""
+DEMAND_FADES_S = 1.0
+"""Time over which it is averaged how many requests want to leave, in seconds."""
+BEGIN_S = 1.0
+"""Time after the first request in which the part is found, in seconds."""
+OWED = 2.0
+"""Requests that the part that left may fall behind before one is made to leave."""
+MOST_OWED = 4.0
 ROOM_STEP = 0.05
 """Loss of the own region's room, as a part of it, that ends the bound for a while."""
 FREE_S = 10.0
 """Time after such a loss without bound, in seconds."""
 
 
-@define(kw_only=True)
-class _Bucket:
-    """Requests of a short time, and those among them that left."""
-
-    number: int
-    total: int = 0
-    left: int = 0
-
-
 @define(kw_only=True)
 class RegionLimiter:
-    """Decide whether a request may leave the region, by what left before.
+    """Decide which requests leave the region, near to what each would do by itself.
 
     Notes
     -----
     Requests that flood from a busy region into the next make that one busy, too, and
-    come back when it is. The part that leaves in one window therefore passes that of
-    the window before by a step at most. When upstreams of the region go, or are
-    drained, there is no bound for a while: the requests have to go where there is room.
+    come back when it is. The part that leaves therefore follows what requests want at a
+    bounded rate, both ways, and is met by counting what is owed. When upstreams of the
+    region go, or are drained, there is no bound for a while: requests go where there is
+    room.
     """
 
-    _buckets: deque[_Bucket] = Factory(deque)
+    part: float = 0.0
+    _demand: float = 0.0
+    _weight: float = 0.0
+    _counted_at: float = 0.0
+    _began_at: float | None = None
+    _owed: float = 0.0
     _room: float = 0.0
     _free_until: float = 0.0
 
@@ -57,36 +57,41 @@
             self._free_until = now + FREE_S
         self._room = slots
 
-    def may_leave(self, now: float) -> bool:
-        """Tell whether one more request may leave the region."""
-        if now < self._free_until or self._room == 0:
-            return True
-        before, present = self._windows(now)
-        allowed = _part(*before) + STEP
-        left, total = present
-        return left + 1 <= allowed * (total + 1)
+    def leaves(self, now: float, *, wants: bool) -> bool:
+        """Tell whether a request leaves the region.
 
-    def note_sent(self, *, leaves: bool, now: float) -> None:
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        wants : bool
+            Whether it would by itself.
+        """
+        elapsed_s = max(0.0, now - self._counted_at)
+        self._note_demand(wants=wants, elapsed_s=elapsed_s)
+        self._counted_at = now
+        if self._is_free(now):
+            self.part = self._demand / self._weight
+            self._owed = 0.0
+            return wants
+        step = RATE_PER_S * min(elapsed_s, DEMAND_FADES_S)
+        wanted_part = self._demand / self._weight
+        self.part += max(-step, min(step, wanted_part - self.part))
+        self._owed = min(MOST_OWED, self._owed + self.part)
+        return self._owed >= (1.0 if wants else OWED)
+
+    def _is_free(self, now: float) -> bool:
+        if self._began_at is None:
+            self._began_at = now
+        begins = now - self._began_at < BEGIN_S
+        return begins or now < self._free_until or self._room == 0
+
+    def _note_demand(self, *, wants: bool, elapsed_s: float) -> None:
+        fading = math.exp(-elapsed_s / DEMAND_FADES_S)
+        self._demand = self._demand * fading + (1 if wants else 0)
+        self._weight = self._weight * fading + 1
+
+    def note_sent(self, *, leaves: bool) -> None:
         """Count a request that was sent."""
-        number = int(now / BUCKET_S)
-        if not self._buckets or self._buckets[-1].number != number:
-            self._buckets.append(_Bucket(number=number))
-        while self._buckets[0].number <= number - 2 * BUCKETS:
-            self._buckets.popleft()
-        self._buckets[-1].total += 1
-        self._buckets[-1].left += int(leaves)
-
-    def _windows(self, now: float) -> tuple[tuple[int, int], tuple[int, int]]:
-        """Give what left and all, of the window before and of the present one."""
-        first = int(now / BUCKET_S) - BUCKETS + 1
-        before, present = [0, 0], [0, 0]
-        for bucket in self._buckets:
-            if bucket.number >= first - BUCKETS:
-                window = present if bucket.number >= first else before
-                window[0] += bucket.left
-                window[1] += bucket.total
-        return (before[0], before[1]), (present[0], present[1])
-
-
-def _part(left: int, total: int) -> float:
-    return left / total if total else 0.0
+        if leaves:
+            self._owed = max(0.0, self._owed - 1)
--- a/packages/daemon/tests/dispatch/test_region_limiter.py
+++ b/packages/daemon/tests/dispatch/test_region_limiter.py
@@ -5,58 +5,78 @@
 import hypothesis.strategies as st
 from hypothesis import given
 
+from plankspindle_daemon.dispatch.region_limiter import FREE_S
+from plankspindle_daemon.dispatch.region_limiter import OWED
+from plankspindle_daemon.dispatch.region_limiter import RATE_PER_S
 from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
 
-MAX_SHIFT = 0.15
 WINDOW_S = 2.0
 
 
-def left_in_windows(
-    limiter: RegionLimiter, *, per_s: float, windows: int
+def build_limiter(*, room: float = 100.0) -> RegionLimiter:
+    limiter = RegionLimiter()
+    limiter.note_room(room, 0.0)
+    return limiter
+
+
+def parts_by_window(
+    limiter: RegionLimiter, *, per_s: int, wanted: list[bool]
 ) -> list[float]:
-    """Send as much as the limiter allows, and give the part that left by window."""
+    """Send requests that want to leave or not by window, and count those that do."""
     parts = []
     now = 100.0
-    for _ in range(windows):
-        count = int(per_s * WINDOW_S)
+    for wants in wanted:
         left = 0
-        for _ in range(count):
+        for _ in range(int(per_s * WINDOW_S)):
             now += 1 / per_s
-            leaves = limiter.may_leave(now)
-            limiter.note_sent(leaves=leaves, now=now)
+            leaves = limiter.leaves(now, wants=wants)
+            limiter.note_sent(leaves=leaves)
             left += leaves
-        parts.append(left / count)
+        parts.append(left / (per_s * WINDOW_S))
     return parts
 
 
-@given(per_s=st.floats(20.0, 400.0))
-def test_no_window_of_a_flood_leaves_much_more_than_the_one_before(
-    per_s: float,
+@given(
+    per_s=st.integers(15, 100),
+    wanted=st.lists(st.booleans(), min_size=2, max_size=8),
+)
+def test_no_window_differs_much_from_the_one_before(
+    per_s: int, wanted: list[bool]
 ) -> None:
-    limiter = RegionLimiter()
-    limiter.note_room(100.0, 99.0)
-    parts = [0.0, *left_in_windows(limiter, per_s=per_s, windows=6)]
+    # The first window finds the part in its first half, so it is left out.
+    parts = parts_by_window(build_limiter(), per_s=per_s, wanted=wanted)[1:]
+    few = (OWED + 1) / (per_s * WINDOW_S)
     for before, after in zip(parts, parts[1:], strict=False):
-        assert after - before <= MAX_SHIFT
-    assert parts[-1] > parts[1]
+        assert abs(after - before) <= RATE_PER_S * WINDOW_S + few
 
 
-def test_there_is_no_bound_for_a_while_when_room_is_lost() -> None:
-    limiter = RegionLimiter()
-    limiter.note_room(100.0, 0.0)
-    assert not limiter.may_leave(1.0)
-    limiter.note_room(80.0, 1.0)
-    assert limiter.may_leave(1.0)
-    assert limiter.may_leave(10.9)
-    assert not limiter.may_leave(11.1)
+def test_a_flood_gets_through_in_time_and_ebbs_in_time() -> None:
+    wanted = [False] * 2 + [True] * 12 + [False] * 12
+    parts = parts_by_window(build_limiter(), per_s=50, wanted=wanted)
+    assert parts[1] == 0.0
+    assert parts[13] > 0.9
+    assert parts[-1] < 0.05
 
 
-def test_room_that_is_gained_as_at_a_start_is_no_reason_to_leave() -> None:
-    limiter = RegionLimiter()
-    for second, slots in enumerate((10.0, 60.0, 100.0)):
-        limiter.note_room(slots, float(second))
-    assert not limiter.may_leave(3.0)
+def test_what_wants_to_leave_at_the_start_may_and_ebbs_slowly() -> None:
+    wanted = [True] + [False] * 3
+    parts = parts_by_window(build_limiter(), per_s=50, wanted=wanted)
+    assert parts[0] == 1.0
+    assert 0.8 < parts[1] < 1.0
+
+
+def test_there_is_no_bound_for_a_while_when_room_is_lost() -> None:
+    limiter = build_limiter()
+    parts_by_window(limiter, per_s=50, wanted=[False])
+    limiter.note_room(80.0, 103.0)
+    assert limiter.leaves(103.0, wants=True)
+    assert limiter.leaves(102.9 + FREE_S, wants=True)
+    limiter.leaves(103.1 + FREE_S, wants=False)
+    limiter.note_room(100.0, 104.0 + FREE_S)
+    assert not limiter.leaves(104.0 + FREE_S, wants=False)
 
 
 def test_a_region_without_room_lets_everything_leave() -> None:
-    assert RegionLimiter().may_leave(1.0)
+    limiter = build_limiter(room=0.0)
+    parts = parts_by_window(limiter, per_s=50, wanted=[False, True])
+    assert parts == [0.0, 1.0]
