--- a/packages/daemon/src/plankspindle_daemon/admission/ticket.py
+++ b/packages/daemon/src/plankspindle_daemon/admission/ticket.py
@@ -46,5 +46,12 @@
     excluded: frozenset[str] = frozenset()
 
     def excluding(self, upstreams: frozenset[str]) -> Ticket:
-        """Give the ticket of a retry, which avoids some upstreams."""
-        return evolve(self, excluded=upstreams)
+        """Give the ticket of a retry, which avoids some upstreams.
+
+        Notes
+        -----
+        A retry may wait to its deadline: refused, it would end as unknown.
+        """
+        if not upstreams:
+            return self
+        return evolve(self, excluded=upstreams, hold_until=float("inf"))
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -245,7 +245,7 @@
                     patience_s, connection.read_head
                 )
             except TaskTimeout:
-                if self._upstream_is_silent() and self.exchange.could_try_again():
+                if self._may_leave_upstream():
                     return None
         return await connection.read_head()
 
@@ -257,6 +257,14 @@
         usual_s = self.dispatch.usual_s(self.service, self.ticket)
         return max(MIN_PATIENCE_S, PATIENCE * usual_s)
 
+    def _may_leave_upstream(self) -> bool:
+        """Tell whether to try another upstream; a planned stop breaks nothing off."""
+        return (
+            not self.dispatch.node.leave.is_leaving
+            and self._upstream_is_silent()
+            and self.exchange.could_try_again()
+        )
+
     def _upstream_is_silent(self) -> bool:
         assert self._assigned is not None
         answered_at = self.dispatch.answered_at(self.service, self._assigned.upstream)
--- a/packages/daemon/tests/dispatch/test_dispatcher.py
+++ b/packages/daemon/tests/dispatch/test_dispatcher.py
@@ -347,3 +347,13 @@
     assert dispatcher.placement is not None
     assert dispatcher.placement.distances.rtt_s("ba-1") == 0.004
     assert dispatcher.upstreams_by_name["u"].load(0.1) == 3
+
+
+def test_a_retry_waits_for_an_upstream_instead_of_ending_as_unknown() -> None:
+    dispatcher = build_reporting_dispatcher("u", "v")
+    for number in range(4):
+        assert assigned(arrive(dispatcher, number))
+    retry = build_ticket(9, hold_until=0.2).excluding(frozenset({"v"}))
+    assert not dispatcher.handle(d.Arrived(retry), 0.3)
+    assert not rejected(dispatcher.handle(d.TimePassed(), 0.4))
+    assert assigned(end(dispatcher, 0, "u", 0.5) + end(dispatcher, 1, "u", 0.5))
