--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Puts the libraries and the packages of the daemon under target/deps.
+# Puts the libraries, at the versions of constraints.txt, and the packages of the daemon under target/deps.
 # Building again without a change touches nothing, so that running processes stay whole.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/packages/core/src/plankspindle_core/configuration/service.py
+++ b/packages/core/src/plankspindle_core/configuration/service.py
@@ -48,8 +48,6 @@
         it bears as many as a warm one.
     cold_ms : int
         Time for which an upstream is cold after a start, in milliseconds.
-    health_path : str
-        Path of the health check of its upstreams.
     """
 
     operations: list[Operation] = field(factory=list)
@@ -63,7 +61,6 @@
     slot_sharing: SlotSharing = SlotSharing.MEMBERS
     cold_requests_per_s: float = field(default=0.0, validator=validators.ge(0))
     cold_ms: int = field(default=0, validator=validators.ge(0))
-    health_path: str = "/load"
 
     def operation_for(self, method: str, path: str) -> Operation:
         """Find the contract of a request.
