--- a/packages/client/src/plankspindle_client/console/application.py
+++ b/packages/client/src/plankspindle_client/console/application.py
@@ -8,6 +8,7 @@
 
 from plankspindle_client.console.commands.config import config
 from plankspindle_client.console.commands.confirm import confirm
+from plankspindle_client.console.commands.explain import explain
 from plankspindle_client.console.commands.history import history
 from plankspindle_client.console.commands.plan import plan
 from plankspindle_client.console.commands.routes import routes
@@ -45,5 +46,5 @@
     context.obj = {"endpoint": endpoint, "token": token, "output": output}
 
 
-for command in (config, confirm, history, plan, routes, state, status, watch):
+for command in (config, confirm, explain, history, plan, routes, state, status, watch):
     main.add_command(command)
--- /dev/null
+++ b/packages/client/src/plankspindle_client/explaining/cause.py
@@ -0,0 +1,92 @@
+"""Why a request ended as it did, in one sentence."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from plankspindle_client.explaining.logged_event import LoggedEvent
+    from plankspindle_client.explaining.request_story import RequestStory
+
+
+def cause_of(story: RequestStory) -> str:
+    """Say why a request ended as it did.
+
+    Parameters
+    ----------
+    story : RequestStory
+        A request of which at least one event is known.
+    """
+    end = story.end()
+    if end is None:
+        return "Its end is not in these logs: read those of all entry VMs."
+    ending = end.fields.get("ending")
+    if ending == "refused":
+        return f"It was refused ({end.fields.get('status')}): {_reason(end)}."
+    if ending == "caller-gone":
+        return f"Its caller went away after {end.number('took_ms')} ms."
+    rejected = story.last("request_rejected")
+    attempted = story.last("attempt_ended")
+    if ending == "not-run" and rejected is not None and story.steps[-2] is rejected:
+        return _of_rejection(rejected, attempted)
+    if ending in ("unknown", "broken-off", "not-run") and attempted is not None:
+        return _of_attempt(story, attempted)
+    if ending == "served":
+        return f"It was served after {end.number('took_ms')} ms; {_longest(story)}."
+    return f"It ended as {ending}: {_reason(end)}; {_longest(story)}."
+
+
+def _reason(end: LoggedEvent) -> str:
+    return end.fields.get("reason", "no reason was logged")
+
+
+def _of_rejection(rejected: LoggedEvent, attempted: LoggedEvent | None) -> str:
+    text = (
+        f"It was rejected as {rejected.fields.get('reason')}, and was not run:"
+        f" {rejected.number('queued')} requests waited,"
+        f" {rejected.number('in_flight')} of {rejected.number('capacity')} places were"
+        f" in use, such a request usually takes {rejected.number('usual_ms')} ms and"
+        f" {rejected.number('left_ms')} ms were left; it was told to come back after"
+        f" {rejected.number('retry_after_ms')} ms."
+    )
+    if attempted is None:
+        return text
+    return f"{text} Before that, an attempt ended: {attempted.fields.get('came')}."
+
+
+def _of_attempt(story: RequestStory, attempted: LoggedEvent) -> str:
+    text = (
+        f"Attempt {attempted.number('attempt')} at {attempted.fields.get('upstream')}"
+        f" ended after {attempted.number('took_ms')} ms:"
+        f" {attempted.fields.get('came')}."
+    )
+    ran = attempted.fields.get("ran")
+    if ran == "maybe":
+        text += " It may have run."
+    elif ran == "no":
+        text += " It has not run."
+    decided = story.last("retry_decided")
+    if decided is not None and decided.fields.get("taken") == "false":
+        text += f" It was not sent again: {decided.fields.get('because')}."
+    return text
+
+
+def _longest(story: RequestStory) -> str:
+    """Name the longest stretch of a request."""
+    stretches = [
+        ((after.at - before.at).total_seconds() * 1000, before, after)
+        for before, after in pairwise(story.steps)
+    ]
+    if not stretches:
+        return "nothing is known of its time"
+    longest_ms, before, after = max(stretches, key=lambda each: each[0])
+    return (
+        f"the longest part, {longest_ms:.0f} ms, lies between {before.event} and"
+        f" {after.event}{_at_upstream(after)}"
+    )
+
+
+def _at_upstream(event: LoggedEvent) -> str:
+    upstream = event.fields.get("upstream")
+    return "" if upstream is None else f" (upstream {upstream})"
--- /dev/null
+++ b/packages/client/tests/console/test_explain.py
@@ -0,0 +1,170 @@
+"""Tests of the story of one request."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from plankspindle_client.console.application import main
+from plankspindle_core.logs.line_rendering import render_line
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from click.testing import Result
+
+
+def line(event: str, at: float, vm: str = "a", **fields: Any) -> str:
+    return render_line(event=event, wall=at, fields={"vm": vm, **fields})
+
+
+def explain(*arguments: str, log: list[str] | None = None) -> Result:
+    text = None if log is None else "\n".join(log) + "\n"
+    return CliRunner().invoke(main, ["explain", *arguments], input=text)
+
+
+REJECTED = [
+    line(
+        "request_rejected",
+        10.2,
+        request="r",
+        step=2,
+        reason="queue-full",
+        retry_after_ms=300,
+        queued=7,
+        capacity=4,
+        in_flight=4,
+        usual_ms=250,
+        left_ms=900,
+    ),
+    line("request_routed", 10.0, request="r", step=1, service="registry"),
+    line("request_failed", 10.2, request="r", step=3, ending="not-run", status=503),
+]
+
+
+def test_steps_are_told_in_order_whatever_the_order_of_lines() -> None:
+    told = explain("r", log=REJECTED).output.splitlines()
+    events = [each.split()[4] for each in told[1:-1]]
+    assert events == ["request_routed", "request_rejected", "request_failed"]
+    assert told[0] == "request r on a"
+    assert "+200 ms" in told[2]
+
+
+def test_a_rejection_is_told_with_what_decided() -> None:
+    told = explain("r", log=REJECTED).output.splitlines()[-1]
+    assert told == (
+        "It was rejected as queue-full, and was not run: 7 requests waited, 4 of 4"
+        " places were in use, such a request usually takes 250 ms and 900 ms were left;"
+        " it was told to come back after 300 ms."
+    )
+
+
+def test_a_lost_answer_is_told_with_why_there_was_no_retry() -> None:
+    log = [
+        line("attempt_sent", 1.0, request="r", step=1),
+        line(
+            "attempt_ended",
+            1.4,
+            request="r",
+            step=2,
+            attempt=1,
+            upstream="u",
+            came="no answer",
+            ran="maybe",
+            took_ms=400,
+        ),
+        line("retry_decided", 1.4, request="r", step=3, taken=False, because="budget"),
+        line("request_failed", 1.4, request="r", step=4, ending="unknown"),
+    ]
+    assert explain("r", log=log).output.splitlines()[-1] == (
+        "Attempt 1 at u ended after 400 ms: no answer. It may have run. It was not sent"
+        " again: budget."
+    )
+
+
+def test_a_late_answer_is_told_with_its_longest_part() -> None:
+    log = [
+        line("request_routed", 1.0, request="r", step=1),
+        line("attempt_sent", 1.1, request="r", step=2),
+        line("attempt_ended", 1.9, request="r", step=3, upstream="u"),
+        line("request_late", 1.9, request="r", step=4, ending="served", took_ms=900),
+    ]
+    assert explain("r", log=log).output.splitlines()[-1] == (
+        "It was served after 900 ms; the longest part, 800 ms, lies between"
+        " attempt_sent and attempt_ended (upstream u)."
+    )
+
+
+def test_what_happened_around_it_is_told_and_nothing_else() -> None:
+    log = [
+        line("upstream_standing", 9.0, service="registry", upstream="u", now="gone"),
+        line(
+            "upstream_standing", 9.0, service="registry", upstream="other", now="gone"
+        ),
+        line("platform_lost", 9.5, seen="status 503"),
+        line("platform_lost", 9.5, vm="elsewhere"),
+        line("platform_lost", -500.0),
+        line("request_routed", 10.0, request="r", step=1),
+        line("attempt_ended", 10.1, request="r", step=2, upstream="u", ran="no"),
+        line("request_failed", 10.1, request="r", step=3, ending="not-run"),
+        line("request_failed", 10.1, request="another", step=3),
+    ]
+    told = explain("r", log=log).output.splitlines()
+    around = told[told.index("at that time:") + 1 : -1]
+    assert len(around) == 2
+    assert "upstream=u" in around[0]
+    assert "platform_lost" in around[1]
+
+
+def test_logs_of_several_vms_make_one_story(tmp_path: Path) -> None:
+    first, second = tmp_path / "a.log", tmp_path / "b.log"
+    first.write_text(
+        line("request_sent_on", 1.0, request="r", step=1)
+        + "\nTraceback (most recent call last):\n"
+        + line("request_failed", 1.5, request="r", step=2, ending="not-run")
+    )
+    second.write_text(line("request_rejected", 1.2, vm="b", request="r", step=1))
+    told = explain("r", str(first), str(second)).output.splitlines()
+    assert told[0] == "request r on a, b"
+    assert [each.split()[3] for each in told[1:4]] == ["a", "b", "a"]
+
+
+def test_a_request_that_no_line_names_is_said_with_what_the_logs_lack() -> None:
+    log = [line("log_lines_dropped", 1.0, lines=12, by_event="request_failed:12")]
+    found = explain("r", log=log)
+    assert found.exit_code == 1
+    assert "none of 1 lines names request 'r'" in found.output
+    assert "12 lines were dropped" in found.output
+
+
+def test_json_tells_the_same() -> None:
+    found = CliRunner().invoke(
+        main, ["--output", "json", "explain", "r"], input="\n".join(REJECTED)
+    )
+    told = json.loads(found.output)
+    assert [each["event"] for each in told["steps"]][-1] == "request_failed"
+    assert told["cause"].startswith("It was rejected as queue-full")
+
+
+@pytest.mark.parametrize(
+    ("ending", "fields", "told"),
+    [
+        ("refused", {"status": 404, "reason": "no route"}, "refused (404): no route."),
+        ("caller-gone", {"took_ms": 80}, "caller went away after 80 ms."),
+        ("not-run", {"reason": "leaving"}, "ended as not-run: leaving"),
+    ],
+)
+def test_every_ending_has_a_sentence(
+    ending: str, fields: dict[str, Any], told: str
+) -> None:
+    log = [line("request_failed", 1.0, request="r", step=1, ending=ending, **fields)]
+    assert told in explain("r", log=log).output.splitlines()[-1]
+
+
+def test_a_request_without_end_says_which_logs_are_missing() -> None:
+    log = [line("request_routed", 1.0, request="r", step=1)]
+    assert "read those of all entry VMs" in explain("r", log=log).output
--- a/packages/client/tests/test_operating_page.py
+++ b/packages/client/tests/test_operations_page.py
@@ -1,9 +1,10 @@
-"""Every command of docs/operating.md, run against a real daemon."""
+"""Every command of docs/OPERATIONS.md, run against a real daemon."""
 
 from __future__ import annotations
 
 import json
 import re
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -12,13 +13,18 @@
 from click.testing import CliRunner
 
 from plankspindle_client.console.application import main
+from plankspindle_core import header_names
 from plankspindle_core.configuration.codec import configuration_to_mapping
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.http.headers import find_header
+from plankspindle_testkit.builders import BRONZE_KEY
 from plankspindle_testkit.builders import VmPlace
 from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.builders import build_route
 from plankspindle_testkit.builders import build_upstream
 from plankspindle_testkit.processes import Processes
+from plankspindle_testkit.processes import call
+from plankspindle_testkit.processes import put_in_force
 from plankspindle_testkit.processes import state_of
 from plankspindle_testkit.processes import wait_for_operator_listener
 from plankspindle_testkit.processes import wait_until
@@ -26,9 +32,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-PAGE = Path(__file__).parents[3] / "docs" / "operating.md"
+    from plankspindle_core.http.fetch import HttpAnswer
+
+PAGE = Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
 PLATFORM = Endpoint("127.0.4.1", 17000)
 UPSTREAM = Endpoint("127.0.4.3", 17200)
+BRONZE = (header_names.AUTHORIZATION, b"Bearer " + BRONZE_KEY.encode())
 PLACE = VmPlace(name="ke-1-a", failure_domain="ke-1", host="127.0.4.2", base_port=17100)
 
 
@@ -125,8 +134,89 @@
     assert "accepted" in step(f"plan show {undone}")
     assert drain in step("plan list")
     assert len(step("history").splitlines()) == 4
+    refused = refused_request()
+    wait_for_line(folder, refused)
+    assert PLACE.name in step(f"explain {refused} {log_of(folder)}")
     assert done == commands_on_page()
 
 
+def log_of(folder: Path) -> Path:
+    return folder / f"{PLACE.name}.log"
+
+
+def ask(method: str, path: str, *headers: tuple[bytes, bytes]) -> HttpAnswer:
+    return call(PLACE.caller, method, path, headers=list(headers), timeout_s=20.0)
+
+
+def log_id_of(answer: HttpAnswer) -> str:
+    found = find_header(answer.headers, header_names.LOG_ID)
+    assert found is not None, answer
+    return found.decode()
+
+
+def refused_request() -> str:
+    """Make a request for no service, and give the id by which logs tell of it."""
+    return log_id_of(ask("GET", "/v1/services/none/x"))
+
+
+def wait_for_line(folder: Path, request: str) -> None:
+    wait_until(lambda: f"request={request}" in log_of(folder).read_text(), what=request)
+
+
+def section(heading: str) -> str:
+    text = PAGE.read_text(encoding="utf-8")
+    return text[text.index(f"### {heading}") :].split("\n#", 1)[0]
+
+
+def follow(folder: Path, heading: str, request: str) -> str:
+    """Run the commands of a section, and give what they print."""
+    commands = re.findall(r"^    plankspindle (.+)$", section(heading), re.MULTILINE)
+    assert commands
+    wait_until(lambda: f"request={request}" in log_of(folder).read_text(), what=request)
+    filled = [
+        each.replace("REQUEST_ID", request).replace("LOGS", str(log_of(folder)))
+        for each in commands
+    ]
+    return "".join(run(folder, command) for command in filled)
+
+
+@pytest.fixture
+def serving(folder: Path) -> Path:
+    upstreams = {"u": build_upstream(endpoint=UPSTREAM, slots=4, failure_domain="ke-1")}
+    put_in_force(PLACE, build_configuration(upstreams_by_name=upstreams))
+    wait_until(
+        lambda: call(PLACE.caller, target="/v1/services/registry/x").status == 200,
+        what="a request is served",
+    )
+    return folder
+
+
+def control_upstream(**wanted: object) -> None:
+    call(UPSTREAM, "POST", "/control", body=json.dumps(wanted).encode())
+
+
+def test_an_answer_lost_at_an_upstream_is_explained(serving: Path) -> None:
+    control_upstream(mode="close-after-run")
+    lost = ask("POST", "/v1/services/registry/x", BRONZE)
+    assert lost.status == 502
+    heading = "Answer lost, and the request must not repeat"
+    printed = follow(serving, heading, log_id_of(lost))
+    assert "Attempt 1 at u ended after" in printed
+    assert "It may have run. It was not sent again" in printed
+    assert "must not run twice" in printed
+
+
+def test_a_request_that_waited_for_a_slow_platform_is_explained(serving: Path) -> None:
+    faults = json.dumps({"faults": {"delay_ms": 5_000}}).encode()
+    call(PLATFORM, "POST", "/control", body=faults)
+    key = (header_names.IDEMPOTENCY_KEY, b"k-1")
+    late = ask("POST", "/v1/services/registry/x", BRONZE, key)
+    assert late.status == 503
+    heading = "Late because the platform is slow or cut off"
+    printed = follow(serving, heading, log_id_of(late))
+    assert "lies between request_routed and claim_decided" in printed
+    assert "platform: away" in printed
+
+
 def digests() -> int:
     return int(state_of(PLACE)["failure_domains"]["ke-1"]["heard_vms"])
--- a/packages/core/src/plankspindle_core/logs/key_value_destination.py
+++ b/packages/core/src/plankspindle_core/logs/key_value_destination.py
@@ -2,28 +2,61 @@
 
 from __future__ import annotations
 
-import json
 import logging
-import re
 import sys
-from datetime import UTC
-from datetime import datetime
+from collections import Counter
+from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import Protocol
 
 import eliot
 
+from plankspindle_core.logs.line_rendering import render_line
+from plankspindle_core.logs.line_writer import LineWriter
+from plankspindle_core.token_bucket import TokenBucket
+
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from typing import TextIO
 
-_PLAIN_VALUE = re.compile(r"[A-Za-z0-9_.:/\[\]@+-]+")
+LINES_PER_S = 100.0
+"""Lines a second of one kind of event; a busy VM's failed requests need about 50."""
+BURST_LINES = 1_000.0
+"""Lines of one kind of event at once."""
+DROPPED_PERIOD_S = 1.0
+"""Period of telling how many lines were dropped."""
+CLOSE_S = 0.5
+"""Longest wait for the reader of the log when the process ends."""
 _LOOP_LOGGER = "curio"
-_LEADING_KEYS = ("timestamp", "message_type")
-_OMITTED_KEYS = frozenset({"task_uuid", "task_level", *_LEADING_KEYS})
+_OMITTED_KEYS = frozenset(
+    {"task_uuid", "task_level", "timestamp", "message_type", "at"}
+)
 
 
-class KeyValueDestination:
-    """Render eliot messages as ``time=... event=... key=value`` lines.
+class LineSink(Protocol):
+    """Takes lines without making anybody wait.
+
+    Attributes
+    ----------
+    dropped : int
+        Lines that it dropped.
+    """
+
+    dropped: int
+
+    def add(self, line: str) -> bool:
+        """Take a line; False if it was dropped."""
+
+    def flush(self) -> None:
+        """Hand on what can be handed on at this moment."""
+
+    def drain(self, *, wait_s: float) -> None:
+        """Hand on everything, waiting a bounded time."""
+
+
+class StreamSink:
+    """Writes lines to a text stream at once, as tests want it.
 
     Parameters
     ----------
@@ -32,54 +65,121 @@
     """
 
     def __init__(self, *, stream: TextIO) -> None:
+        self.dropped = 0
         self._stream = stream
 
-    def __call__(self, message: dict[str, Any]) -> None:
-        """Write one message."""
-        self._stream.write(render_line(message) + "\n")
+    def add(self, line: str) -> bool:
+        """Write a line."""
+        self._stream.write(line + "\n")
+        return True
+
+    def flush(self) -> None:
+        """Flush the stream."""
+        self._stream.flush()
+
+    def drain(self, *, wait_s: float) -> None:
+        """Flush the stream."""
+        del wait_s
         self._stream.flush()
 
 
-def render_line(message: dict[str, Any]) -> str:
-    """Render one eliot message.
+class KeyValueDestination:
+    """Render eliot messages as ``time=... event=... key=value`` lines.
 
     Parameters
     ----------
-    message : dict
-        Message as eliot hands it to destinations.
-
-    Returns
-    -------
-    str
-        A single line; values with other than plain characters are JSON strings.
-    """
-    when = datetime.fromtimestamp(message.get("timestamp", 0.0), tz=UTC)
-    event = message.get("message_type") or message.get("action_type", "message")
-    pairs = [f"time={when.isoformat(timespec='milliseconds')}", f"event={event}"]
-    pairs += [
-        f"{_render_key(key)}={_render_value(value)}"
-        for key, value in message.items()
-        if key not in _OMITTED_KEYS
-    ]
-    return " ".join(pairs)
-
-
-def _render_key(key: str) -> str:
-    return re.sub(r"[^A-Za-z0-9_.]", "_", key)
+    sink : LineSink
+        Where the lines go.
+    vm : str, optional
+        Name that every line carries, so that logs of several VMs can be read together.
+    clock : callable
+        Gives monotonic seconds.
 
+    Attributes
+    ----------
+    dropped_by_event : Counter of str
+        Lines that were dropped, by event.
 
-def _render_value(value: Any) -> str:
-    text = value if isinstance(value, str) else json.dumps(value, default=str)
-    return text if _PLAIN_VALUE.fullmatch(text) else json.dumps(text)
+    Notes
+    -----
+    Each kind of event has a token bucket of its own, so that a flood of one kind does
+    not hide the others.
+    """
 
+    def __init__(
+        self,
+        *,
+        sink: LineSink,
+        vm: str | None = None,
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        self.dropped_by_event: Counter[str] = Counter()
+        self._sink = sink
+        self._clock = clock
+        self._common = {} if vm is None else {"vm": vm}
+        self._buckets_by_event: dict[str, TokenBucket] = {}
+        self._told: Counter[str] = Counter()
+        self._next_told = 0.0
 
-def start_logging(*, stream: TextIO | None = None) -> KeyValueDestination:
-    """Send every event to a stream as key=value lines.
+    def __call__(self, message: dict[str, Any]) -> None:
+        """Take one message."""
+        event = message.get("message_type") or message.get("action_type", "message")
+        if not self._bucket_of(event).take(self._clock()):
+            self.dropped_by_event[event] += 1
+            return
+        self._add(event, message)
+
+    def flush(self, now: float) -> None:
+        """Hand lines on, and tell once a second how many were dropped.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        """
+        if now >= self._next_told and self.dropped_by_event != self._told:
+            self._next_told = now + DROPPED_PERIOD_S
+            self._tell_dropped()
+        self._sink.flush()
+
+    def close(self) -> None:
+        """Hand everything on, waiting a little for a slow reader."""
+        self._sink.drain(wait_s=CLOSE_S)
+
+    def _bucket_of(self, event: str) -> TokenBucket:
+        bucket = self._buckets_by_event.get(event)
+        if bucket is None:
+            bucket = TokenBucket(per_s=LINES_PER_S, burst=BURST_LINES)
+            self._buckets_by_event[event] = bucket
+        return bucket
+
+    def _add(self, event: str, message: dict[str, Any]) -> None:
+        wall = message.get("at") or message.get("timestamp", 0.0)
+        given = {key: each for key, each in message.items() if key not in _OMITTED_KEYS}
+        line = render_line(event=event, wall=wall, fields={**self._common, **given})
+        if not self._sink.add(line):
+            self.dropped_by_event[event] += 1
+
+    def _tell_dropped(self) -> None:
+        newly = self.dropped_by_event - self._told
+        self._told = Counter(self.dropped_by_event)
+        kinds = ",".join(f"{event}:{count}" for event, count in newly.items())
+        eliot.log_message(
+            message_type="log_lines_dropped", lines=newly.total(), by_event=kinds
+        )
+
+
+def start_logging(
+    *, stream: TextIO | None = None, vm: str | None = None
+) -> KeyValueDestination:
+    """Send every event to standard output, or to a stream, as key=value lines.
 
     Parameters
     ----------
     stream : TextIO, optional
-        Standard error if not given.
+        A stream to be written at once, in place of standard output.
+    vm : str, optional
+        Name that every line carries.
 
     Returns
     -------
@@ -89,14 +189,20 @@
     # It warns of each operation that ends a little after its timeout, in lines of its
     # own form that push the cause of a failure out of sight.
     logging.getLogger(_LOOP_LOGGER).setLevel(logging.ERROR)
-    destination = KeyValueDestination(stream=stream or sys.stderr)
+    sink: LineSink
+    if stream is None:
+        sink = LineWriter(descriptor=sys.stdout.fileno())
+    else:
+        sink = StreamSink(stream=stream)
+    destination = KeyValueDestination(sink=sink, vm=vm)
     eliot.add_destinations(destination)
     return destination
 
 
 def stop_logging(destination: KeyValueDestination) -> None:
-    """Stop sending events to a destination."""
+    """Stop sending events to a destination, and hand on what waits there."""
     eliot.remove_destination(destination)
+    destination.close()
 
 
 def log_event(event: str, **fields: Any) -> None:
@@ -107,6 +213,7 @@
     event : str
         Name of the event, in snake case.
     **fields : object
-        Its key=value pairs.
+        Its key=value pairs; ``at`` is when it happened, seconds since the Unix epoch,
+        if that was not now.
     """
     eliot.log_message(message_type=event, **fields)
--- /dev/null
+++ b/packages/core/src/plankspindle_core/logs/line_rendering.py
@@ -0,0 +1,89 @@
+"""Log lines of key=value pairs, written and read."""
+
+from __future__ import annotations
+
+import json
+import re
+from datetime import UTC
+from datetime import datetime
+from typing import TYPE_CHECKING
+from typing import Any
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+_PLAIN_VALUE = re.compile(r"[A-Za-z0-9_.:/\[\]@+-]+")
+_PAIR = re.compile(r'([A-Za-z0-9_.]+)=("(?:[^"\\]|\\.)*"|[^\s"]+)')
+_START = re.compile(r"\btime=\S+ event=")
+
+
+def render_line(*, event: str, wall: float, fields: Mapping[str, Any]) -> str:
+    """Write one event as a line.
+
+    Parameters
+    ----------
+    event : str
+        Name of the event, in snake case.
+    wall : float
+        When it happened, seconds since the Unix epoch.
+    fields : mapping of str to object
+        Its values; those that are None are left out.
+
+    Returns
+    -------
+    str
+        A single line; values with other than plain characters are JSON strings.
+    """
+    when = datetime.fromtimestamp(wall, tz=UTC)
+    pairs = [f"time={when.isoformat(timespec='milliseconds')}", f"event={event}"]
+    pairs += [
+        f"{_render_key(key)}={_render_value(value)}"
+        for key, value in fields.items()
+        if value is not None
+    ]
+    return " ".join(pairs)
+
+
+def parse_line(line: str) -> dict[str, str] | None:
+    """Read one line back.
+
+    Parameters
+    ----------
+    line : str
+        A line of a log; what a collector put before the event is skipped.
+
+    Returns
+    -------
+    dict of str to str, or None
+        Its pairs with ``time`` and ``event`` among them; None if it holds no event.
+    """
+    start = _START.search(line)
+    if start is None:
+        return None
+    pairs = _PAIR.findall(line, start.start())
+    return {key: _read_value(text) for key, text in pairs}
+
+
+def _render_key(key: str) -> str:
+    return key if key.isidentifier() else re.sub(r"[^A-Za-z0-9_.]", "_", key)
+
+
+def _render_value(value: Any) -> str:
+    if isinstance(value, str):
+        return value if _PLAIN_VALUE.fullmatch(value) else json.dumps(value)
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    if isinstance(value, int):
+        return str(value)
+    return json.dumps(json.dumps(value, default=str))
+
+
+def _read_value(text: str) -> str:
+    if not text.startswith('"'):
+        return text
+    try:
+        return str(json.loads(text))
+    except ValueError:
+        return text
--- /dev/null
+++ b/packages/core/tests/logs/test_line_writer.py
@@ -0,0 +1,74 @@
+"""Tests of lines whose reader is never waited for."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import threading
+from typing import TYPE_CHECKING
+
+import pytest
+
+from plankspindle_core.logs.line_writer import LineWriter
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+LINE = "x" * 200
+MANY = 20_000
+
+
+@pytest.fixture
+def pipe() -> Iterator[tuple[int, int]]:
+    reader, writer = os.pipe()
+    yield reader, writer
+    for descriptor in (reader, writer):
+        with contextlib.suppress(OSError):
+            os.close(descriptor)
+
+
+def test_a_reader_that_stands_still_costs_bounded_memory_and_dropped_lines(
+    pipe: tuple[int, int],
+) -> None:
+    _, descriptor = pipe
+    writer = LineWriter(descriptor=descriptor, max_pending_bytes=10_000)
+    done = threading.Event()
+
+    def write() -> None:
+        for _ in range(MANY):
+            writer.add(LINE)
+            writer.flush()
+        done.set()
+
+    # Were one write to wait for the reader, the thread would never end.
+    threading.Thread(target=write, daemon=True).start()
+    assert done.wait(60.0)
+    assert writer.pending_bytes <= 10_000
+    assert writer.dropped > MANY / 2
+
+
+def test_a_reader_that_goes_on_gets_whole_lines_in_order(pipe: tuple[int, int]) -> None:
+    reader, descriptor = pipe
+    writer = LineWriter(descriptor=descriptor)
+    lines = [f"{number} {LINE}" for number in range(1_000)]
+    for line in lines:
+        assert writer.add(line)
+    read = b""
+    while writer.pending_bytes:
+        writer.flush()
+        read += os.read(reader, 65_536)
+    os.close(descriptor)
+    while chunk := os.read(reader, 65_536):
+        read += chunk
+    assert read.decode().splitlines() == lines
+
+
+def test_a_log_without_reader_stops_nothing(pipe: tuple[int, int]) -> None:
+    reader, descriptor = pipe
+    os.close(reader)
+    writer = LineWriter(descriptor=descriptor)
+    writer.add("first")
+    writer.flush()
+    assert not writer.add("second")
+    writer.drain(wait_s=0.0)
+    assert (writer.dropped, writer.pending_bytes) == (1, 0)
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/beliefs/belief.py
@@ -0,0 +1,24 @@
+"""A change of what this VM believes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from attrs import Factory
+from attrs import frozen
+
+
+@frozen(kw_only=True)
+class Belief:
+    """One change, to be logged.
+
+    Parameters
+    ----------
+    event : str
+        Name of the event, in snake case.
+    fields : dict of str to object
+        What changed, and the evidence with its age.
+    """
+
+    event: str
+    fields: dict[str, Any] = Factory(dict)
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/beliefs/belief_watch.py
@@ -0,0 +1,91 @@
+"""Notices every change of what this VM believes, to be logged with its evidence."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import field
+
+from plankspindle_daemon.beliefs.belief import Belief
+from plankspindle_daemon.beliefs.member_watch import MemberWatch
+from plankspindle_daemon.beliefs.upstream_watch import UpstreamWatch
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from plankspindle_daemon.node.node import Node
+    from plankspindle_daemon.platform.bounded_calls import BoundedCalls
+
+PART_STEP = 0.1
+"""Change of the part of requests that leave the region which is worth a line."""
+
+
+@define(kw_only=True)
+class BeliefWatch:
+    """Compare what a node believes with what it believed before.
+
+    Attributes
+    ----------
+    upstreams : UpstreamWatch
+        Watch of the upstreams.
+    members : MemberWatch
+        Watch of the entry VMs.
+    """
+
+    upstreams: UpstreamWatch = field(factory=UpstreamWatch)
+    members: MemberWatch = field(factory=MemberWatch)
+    _readiness: str | None = None
+    _part: float = 0.0
+    _drains: frozenset[str] = frozenset()
+    _platform_lost_at: float | None = None
+
+    def observe(self, node: Node, calls: BoundedCalls, now: float) -> list[Belief]:
+        """Give what has changed since the last time.
+
+        Parameters
+        ----------
+        node : Node
+            The decisions.
+        calls : BoundedCalls
+            Calls to the platform.
+        now : float
+            Monotonic seconds.
+        """
+        return [
+            *self.upstreams.observe(node.dispatchers_by_service, now),
+            *self.members.observe(node.membership, now),
+            *self._platform(calls, now),
+            *self._drained(node),
+            *self._own(node),
+        ]
+
+    def _platform(self, calls: BoundedCalls, now: float) -> Iterator[Belief]:
+        if not calls.available and self._platform_lost_at is None:
+            self._platform_lost_at = now
+            yield Belief(event="platform_lost", fields={"seen": calls.failure})
+        elif calls.available and self._platform_lost_at is not None:
+            away_ms = round(1000 * (now - self._platform_lost_at))
+            self._platform_lost_at = None
+            yield Belief(event="platform_regained", fields={"away_ms": away_ms})
+
+    def _drained(self, node: Node) -> Iterator[Belief]:
+        if node.configuration is None:
+            return
+        drains = frozenset(node.configuration.drains_by_id)
+        for drain in sorted(drains - self._drains):
+            yield Belief(event="drain_began", fields={"drain": drain})
+        for drain in sorted(self._drains - drains):
+            yield Belief(event="drain_ended", fields={"drain": drain})
+        self._drains = drains
+
+    def _own(self, node: Node) -> Iterator[Belief]:
+        readiness = node.readiness().value
+        if readiness != self._readiness:
+            was, self._readiness = self._readiness, readiness
+            yield Belief(event="readiness", fields={"was": was, "now": readiness})
+        part = node.limiter.part
+        if abs(part - self._part) >= PART_STEP:
+            was_part, self._part = self._part, part
+            fields = {"was": round(was_part, 3), "now": round(part, 3)}
+            yield Belief(event="part_leaving_region", fields=fields)
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/beliefs/member_watch.py
@@ -0,0 +1,114 @@
+"""Notices when other entry VMs and whole failure domains come, fall silent or go."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import field
+from attrs import frozen
+
+from plankspindle_daemon.beliefs.belief import Belief
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from plankspindle_daemon.membership.member import Member
+    from plankspindle_daemon.membership.membership import Membership
+
+
+class Hearing(Enum):
+    """What is heard of a member."""
+
+    HEARD = "heard"
+    UNHEARD = "never-heard"
+    SUSPECTED = "suspected"
+
+
+@frozen
+class _Seen:
+    hearing: Hearing
+    incarnation: int
+    failure_domain: str | None
+
+
+@define(kw_only=True)
+class MemberWatch:
+    """Compare the members with those before."""
+
+    _seen_by_name: dict[str, _Seen] = field(factory=dict)
+    _lost_domains: set[str] = field(factory=set)
+
+    def observe(self, membership: Membership, now: float) -> list[Belief]:
+        """Give what has changed since the last time.
+
+        Parameters
+        ----------
+        membership : Membership
+            The members.
+        now : float
+            Monotonic seconds.
+        """
+        seen = {
+            name: _Seen(
+                _hearing(membership, member, now),
+                member.incarnation,
+                member.failure_domain,
+            )
+            for name, member in membership.members_by_name.items()
+        }
+        beliefs = [*self._changes(membership, seen, now), *self._removed(seen)]
+        self._seen_by_name = seen
+        return [*beliefs, *self._domains()]
+
+    def _changes(
+        self, membership: Membership, seen: dict[str, _Seen], now: float
+    ) -> Iterator[Belief]:
+        for name, found in seen.items():
+            was = self._seen_by_name.get(name)
+            if was is not None and was == found:
+                continue
+            member = membership.members_by_name[name]
+            heard = member.last_heard
+            fields = {
+                "member": name,
+                "domain": found.failure_domain,
+                "was": "new" if was is None else was.hearing.value,
+                "now": found.hearing.value,
+                "incarnation": f"{found.incarnation:016x}",
+                "restarted": was is not None and was.incarnation != found.incarnation,
+                "listed": name in membership.listed_by_name,
+                "silent_ms": None if heard is None else round(1000 * (now - heard)),
+            }
+            yield Belief(event="member_standing", fields=fields)
+
+    def _removed(self, seen: dict[str, _Seen]) -> Iterator[Belief]:
+        for name, was in self._seen_by_name.items():
+            if name not in seen:
+                fields = {"member": name, "domain": was.failure_domain}
+                standing = {"was": was.hearing.value, "now": "removed"}
+                yield Belief(event="member_standing", fields={**fields, **standing})
+
+    def _domains(self) -> Iterator[Belief]:
+        """Notice domains none of whose members is heard any more, and their return."""
+        heard_by_domain: dict[str, bool] = {}
+        for found in self._seen_by_name.values():
+            if found.failure_domain is not None:
+                is_heard = found.hearing is Hearing.HEARD
+                known = heard_by_domain.get(found.failure_domain, False)
+                heard_by_domain[found.failure_domain] = known or is_heard
+        for domain, is_heard in heard_by_domain.items():
+            if is_heard and domain in self._lost_domains:
+                self._lost_domains.discard(domain)
+                yield Belief(event="domain_regained", fields={"domain": domain})
+            elif not is_heard and domain not in self._lost_domains:
+                self._lost_domains.add(domain)
+                yield Belief(event="domain_lost", fields={"domain": domain})
+
+
+def _hearing(membership: Membership, member: Member, now: float) -> Hearing:
+    if member.last_heard is None:
+        return Hearing.UNHEARD
+    is_silent = membership.is_silent(member, now)
+    return Hearing.SUSPECTED if is_silent else Hearing.HEARD
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/beliefs/upstream_watch.py
@@ -0,0 +1,93 @@
+"""Notices when what is believed of an upstream changes."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import field
+
+from plankspindle_daemon.beliefs.belief import Belief
+from plankspindle_daemon.upstreams.standing import Standing
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from plankspindle_daemon.dispatch.dispatcher import Dispatcher
+    from plankspindle_daemon.upstreams.upstream_state import UpstreamState
+
+NEW = "new"
+GONE = "gone"
+
+
+@define(kw_only=True)
+class UpstreamWatch:
+    """Compare the standing of each upstream with the one before.
+
+    Attributes
+    ----------
+    ejections_by_service : Counter of str
+        How often upstreams were backed off.
+    """
+
+    ejections_by_service: Counter[str] = field(factory=Counter)
+    _standing_by_place: dict[tuple[str, str], Standing] = field(factory=dict)
+
+    def observe(
+        self, dispatchers_by_service: Mapping[str, Dispatcher], now: float
+    ) -> list[Belief]:
+        """Give what has changed since the last time.
+
+        Parameters
+        ----------
+        dispatchers_by_service : mapping of str to Dispatcher
+            Keepers of the upstreams.
+        now : float
+            Monotonic seconds.
+        """
+        beliefs = []
+        seen: dict[tuple[str, str], Standing] = {}
+        for service, dispatcher in dispatchers_by_service.items():
+            for name, upstream in dispatcher.upstreams_by_name.items():
+                place = (service, name)
+                seen[place] = standing = upstream.standing(now)
+                was = self._standing_by_place.get(place)
+                if standing is was or (was is None and standing is Standing.WELL):
+                    continue
+                if standing is Standing.BACKED_OFF:
+                    self.ejections_by_service[service] += 1
+                beliefs.append(_changed(service, upstream, was, now))
+        beliefs += self._gone(seen)
+        self._standing_by_place = seen
+        return beliefs
+
+    def _gone(self, seen: Mapping[tuple[str, str], Standing]) -> Iterator[Belief]:
+        for (service, name), was in self._standing_by_place.items():
+            if (service, name) not in seen:
+                fields = {"service": service, "upstream": name, "was": was.value}
+                yield Belief(event="upstream_standing", fields={**fields, "now": GONE})
+
+
+def _changed(
+    service: str, upstream: UpstreamState, was: Standing | None, now: float
+) -> Belief:
+    seen, answered_at = upstream.evidence, upstream.answered_at
+    return Belief(
+        event="upstream_standing",
+        fields={
+            "service": service,
+            "upstream": upstream.name,
+            "was": NEW if was is None else was.value,
+            "now": upstream.standing(now).value,
+            "in_flight": upstream.ledger.in_flight,
+            "seen": seen,
+            "seen_ms_ago": None if seen is None else _ms(now - upstream.evidence_at),
+            "answered_ms_ago": _ms(now - answered_at) if answered_at else None,
+        },
+    )
+
+
+def _ms(seconds: float) -> int:
+    return round(1000 * seconds)
--- a/packages/daemon/src/plankspindle_daemon/console/commands/run.py
+++ b/packages/daemon/src/plankspindle_daemon/console/commands/run.py
@@ -8,6 +8,7 @@
 import curio
 
 from plankspindle_core.logs.key_value_destination import start_logging
+from plankspindle_core.logs.key_value_destination import stop_logging
 from plankspindle_daemon.console.reporting import settings_or_exit
 from plankspindle_daemon.daemon import run_daemon
 
@@ -17,5 +18,9 @@
 def run(settings: Path) -> None:
     """Run the daemon with SETTINGS until SIGTERM."""
     found = settings_or_exit(settings)
-    start_logging()
-    raise SystemExit(curio.run(run_daemon, found))
+    log = start_logging(vm=found.vm)
+    try:
+        status = curio.run(run_daemon, found, None, log)
+    finally:
+        stop_logging(log)
+    raise SystemExit(status)
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -1,4 +1,4 @@
-"""The daemon: listeners, loops and machines of one process."""
+"""The daemon: sockets, clocks and tasks around the decisions of a node."""
 
 from __future__ import annotations
 
@@ -12,68 +12,54 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from curio import Event
 from curio import TaskGroup
 from curio import sleep
 from curio import socket
-from curio import spawn
 
 from plankspindle_core.invariants import InvariantError
+from plankspindle_core.logs.key_value_destination import KeyValueDestination
 from plankspindle_core.logs.key_value_destination import log_event
 from plankspindle_core.supervisor import Supervisor
+from plankspindle_daemon.beliefs.belief_watch import BeliefWatch
+from plankspindle_daemon.configuration.configuration_follower import (
+    ConfigurationFollower,
+)
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
-from plankspindle_daemon.configuration.messages import ContentChunk
-from plankspindle_daemon.configuration.messages import ContentRequest
 from plankspindle_daemon.control.plan_store import PlanStore
-from plankspindle_daemon.digests.messages import LoadDigest
 from plankspindle_daemon.dispatch.dispatch_runner import DispatchRunner
-from plankspindle_daemon.dispatch.messages import SlotsGranted
-from plankspindle_daemon.headroom.messages import HeadroomGrant
-from plankspindle_daemon.headroom.messages import HeadroomRequest
 from plankspindle_daemon.idempotency.claim_store import ClaimStore
 from plankspindle_daemon.idempotency.claim_sweeper import ClaimSweeper
 from plankspindle_daemon.idempotency.gate import IdempotencyGate
-from plankspindle_daemon.idempotency.issued_ids import IssuedIds
-from plankspindle_daemon.leaving.leave import Leave
 from plankspindle_daemon.leaving.leave import Left
 from plankspindle_daemon.listeners.caller_listener import CallerListener
+from plankspindle_daemon.listeners.metrics_listener import MetricsListener
 from plankspindle_daemon.listeners.operator_listener import OperatorListener
 from plankspindle_daemon.listeners.request_reader import RequestReader
 from plankspindle_daemon.listeners.request_service import RequestService
-from plankspindle_daemon.membership.membership import Membership
-from plankspindle_daemon.membership.membership import MembershipOptions
-from plankspindle_daemon.membership.messages import Heartbeat
-from plankspindle_daemon.membership.messages import HeartbeatReceived
-from plankspindle_daemon.membership.messages import LiveListRead
-from plankspindle_daemon.membership.messages import SendHeartbeat
+from plankspindle_daemon.membership.list_follower import ListFollower
 from plankspindle_daemon.membership.peer_link import PeerLink
-from plankspindle_daemon.node.effects import BeginLeaving
-from plankspindle_daemon.node.effects import SendToPeer
-from plankspindle_daemon.node.node import Node
-from plankspindle_daemon.observability.metrics import MetricsReader
+from plankspindle_daemon.membership.presence_keeper import PresenceKeeper
+from plankspindle_daemon.node.effect_runner import EffectRunner
+from plankspindle_daemon.node.make_node import make_node
+from plankspindle_daemon.observability.measures import Measures
 from plankspindle_daemon.observability.metrics import RequestMetrics
+from plankspindle_daemon.observability.metrics_reader import MetricsReader
+from plankspindle_daemon.observability.state_dump import dump_measures
 from plankspindle_daemon.observability.state_dump import dump_shells
+from plankspindle_daemon.platform.ports import Door
 from plankspindle_daemon.platform.ports import Ports
 from plankspindle_daemon.platform.ports import own_ports
+from plankspindle_daemon.stories.story_log import StoryLog
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
-from plankspindle_daemon.upstreams.messages import SlotGrant
-from plankspindle_daemon.upstreams.messages import SlotRequest
 from plankspindle_daemon.wire.frame import FrameSealer
 
 if TYPE_CHECKING:
-    from plankspindle_core.endpoint import Endpoint
-    from plankspindle_daemon.node.effects import NodeEffect
     from plankspindle_daemon.settings.daemon_settings import DaemonSettings
-    from plankspindle_daemon.wire.codec import PeerMessage
 
 TICK_S = 0.05
 STALE_PERIOD_S = 5.0
-PRESENCE_PERIOD_S = 0.5
-RETRY_LIST_MS = 1_000.0
-LIST_VMS_PER_S = 50.0
-"""Listed VMs that one node reads each second, about 5.5 kB."""
-LAST_HEARTBEATS = 3
-ID_MEMORY_S = 3_600.0
+WATCH_PERIOD_S = 0.25
+"""Period of comparing beliefs with those before; changes between are not seen."""
 EXIT_OK = 0
 EXIT_BROKEN_INVARIANT = 70
 EXIT_ADDRESS = 69
@@ -90,27 +76,63 @@
         Source of all its random choices.
     ports : Ports, optional
         The ways to the platform; the product's own interface if not given.
+    log : KeyValueDestination, optional
+        Where events go, to be flushed now and then.
     """
 
     def __init__(
-        self, *, settings: DaemonSettings, random: Random, ports: Ports | None = None
+        self,
+        *,
+        settings: DaemonSettings,
+        random: Random,
+        ports: Ports | None = None,
+        log: KeyValueDestination | None = None,
     ) -> None:
         self.settings = settings
+        self._log = log
         self._ports = ports or own_ports(settings)
         self._supervisor = Supervisor()
-        self.node = _make_node(settings, random, self._ports)
-        self._keys = FrameSealer(
-            keys=[bytes.fromhex(key) for key in settings.secrets.peer_keys]
+        self.node = make_node(settings, random, self._ports)
+        self._platform = self._ports.platform
+        self._make_outgoing(random)
+        self._make_followers()
+        self._claims = ClaimStore(
+            platform=self._platform, random=random, supervisor=self._supervisor
         )
+        self._sweeper = ClaimSweeper(
+            platform=self._platform,
+            membership=self.node.membership,
+            random=random,
+            supervisor=self._supervisor,
+        )
+        requests = RequestMetrics()
+        self._beliefs = BeliefWatch()
+        self._measures = Measures(
+            node=self.node,
+            requests=requests,
+            calls=self._platform.calls,
+            ejections_by_service=self._beliefs.upstreams.ejections_by_service,
+            log=log,
+        )
+        self._metrics = MetricsReader(measures=self._measures)
+        self._callers = self._make_callers(requests, random)
+        self._operators = self._make_operators(random)
+        self._doors = self._make_doors()
+        self._last_tick = monotonic()
+        self._next_watch = 0.0
+
+    def _make_outgoing(self, random: Random) -> None:
+        """Make the ways to other entry VMs and to upstreams."""
+        settings = self.settings
         self._peers = PeerLink(
             endpoint=settings.listen.peer,
-            sealer=self._keys,
+            sealer=FrameSealer(
+                keys=[bytes.fromhex(key) for key in settings.secrets.peer_keys]
+            ),
             membership=self.node.membership,
             random=random,
             supervisor=self._supervisor,
         )
-        self._platform = self._ports.platform
-        self._reader = self._ports.reader
         self._dispatch = DispatchRunner(
             node=self.node, peers=self._peers, supervisor=self._supervisor
         )
@@ -118,23 +140,36 @@
             max_per_endpoint=settings.requests.max_connections_per_upstream,
             connect_timeout_s=settings.timing.connect_timeout_ms / 1000,
         )
-        self._claims = ClaimStore(
-            platform=self._platform, random=random, supervisor=self._supervisor
+        self._effects = EffectRunner(
+            node=self.node, peers=self._peers, dispatch=self._dispatch, leave=self.leave
         )
-        self._sweeper = ClaimSweeper(
+
+    def _make_followers(self) -> None:
+        """Make what follows the platform."""
+        timing = self.settings.timing
+        self._configurations = ConfigurationFollower(
+            node=self.node,
+            reader=self._ports.reader,
+            effects=self._effects,
+            period_s=timing.configuration_ms / 1000,
+            all_read=self._ports.all_read,
+        )
+        self._lists = ListFollower(
+            node=self.node,
             platform=self._platform,
-            membership=self.node.membership,
-            random=random,
-            supervisor=self._supervisor,
+            effects=self._effects,
+            period_s=timing.live_list_ms / 1000,
         )
-        requests = RequestMetrics()
-        self._metrics = MetricsReader(node=self.node, requests=requests)
-        self._callers = CallerListener(
-            settings=settings,
+        self._presence = PresenceKeeper(node=self.node, presence=self._ports.presence)
+
+    def _make_callers(self, requests: RequestMetrics, random: Random) -> CallerListener:
+        dialect = self._ports.dialect
+        return CallerListener(
+            settings=self.settings,
             supervisor=self._supervisor,
             node=self.node,
             requests=RequestService(
-                settings=settings,
+                settings=self.settings,
                 node=self.node,
                 dispatch=self._dispatch,
                 pool=self._pool,
@@ -142,14 +177,16 @@
                     node=self.node, claims=self._claims, random=random
                 ),
                 metrics=requests,
-                reader=RequestReader(node=self.node, dialect=self._ports.dialect),
-                dialect=self._ports.dialect,
+                reader=RequestReader(node=self.node, dialect=dialect),
+                dialect=dialect,
+                stories=StoryLog(vm=self.settings.vm),
             ),
             metrics=requests,
         )
-        self._doors = [make(self.node, self._supervisor) for make in self._ports.doors]
-        self._operators = OperatorListener(
-            settings=settings,
+
+    def _make_operators(self, random: Random) -> OperatorListener:
+        return OperatorListener(
+            settings=self.settings,
             supervisor=self._supervisor,
             node=self.node,
             plans=PlanStore(
@@ -161,8 +198,17 @@
             metrics=self._metrics,
             dump_shells=self._dump_shells,
         )
-        self._list_task: Any = None
-        self._last_tick = monotonic()
+
+    def _make_doors(self) -> list[Door]:
+        doors = [make(self.node, self._supervisor) for make in self._ports.doors]
+        if self.settings.listen.metrics is not None:
+            metrics = MetricsListener(
+                endpoint=self.settings.listen.metrics,
+                supervisor=self._supervisor,
+                metrics=self._metrics,
+            )
+            doors.append(metrics)
+        return doors
 
     async def start(self) -> None:
         """Open all listeners.
@@ -172,7 +218,7 @@
         OSError
             If an address cannot be used.
         """
-        await self._peers.start(self._receive)
+        await self._peers.start(self._effects.receive)
         await self._callers.start()
         await self._operators.start()
         for door in self._doors:
@@ -181,7 +227,6 @@
         await self._sweeper.start()
         log_event(
             "started",
-            vm=self.settings.vm,
             failure_domain=self.settings.failure_domain,
             caller=str(self.settings.listen.caller),
             incarnation=f"{self.node.incarnation:016x}",
@@ -198,7 +243,7 @@
         await self._claims.close()
         await self._pool.close()
         await self._peers.close()
-        log_event("stopped", vm=self.settings.vm)
+        log_event("stopped", uptime_s=round(monotonic() - self.node.started_at, 1))
 
     def leave(self, reason: str) -> None:
         """Begin the planned stop."""
@@ -211,206 +256,66 @@
         """Run until the planned stop is complete."""
         async with TaskGroup(wait=any) as group:
             await group.spawn(self._tick_until_left)
-            await group.spawn(self._read_live_list)
-            await group.spawn(self._read_configuration)
+            await group.spawn(self._lists.run)
+            await group.spawn(self._configurations.run)
             await group.spawn(self._drop_stale_connections)
-            await group.spawn(self._keep_present)
+            await group.spawn(self._presence.run)
         _ = group.result
 
-    async def _keep_present(self) -> None:
-        """Enter this VM in the platform's list, and take it out once it leaves."""
-        presence = self._ports.presence
-        if presence is None:
-            await _sleep_forever()
-            return
-        while not self.node.leave.is_leaving:
-            if not presence.is_present and await presence.announce():
-                log_event("announced")
-            await sleep(self._jittered(PRESENCE_PERIOD_S * 1000))
-        await presence.withdraw()
-        await _sleep_forever()
-
     async def _tick_until_left(self) -> None:
         while True:
             await sleep(TICK_S)
             self._supervisor.check()
             now = monotonic()
-            gap = now - self._last_tick
-            self._last_tick = now
-            if gap > self.settings.timing.pause_ms / 1000:
-                log_event("paused", seconds=round(gap, 3))
-                await self._read_list_anew()
-                await self._perform(
-                    self.node.wake_from_pause(now=now, wall=time.time())
-                )
-            await self._perform(self.node.tick(now=now, wall=time.time()))
+            await self._notice_pause(now)
+            await self._effects.perform(self.node.tick(now=now, wall=time.time()))
+            self._watch(now)
             state = self.node.leave.advance(running=self._callers.running, now=now)
             if isinstance(state, Left):
                 log_event("left", cut_off=state.cut_off)
-                await self._send_last_heartbeats()
+                await self._effects.send_last_heartbeats()
                 return
 
-    async def _read_list_anew(self) -> None:
-        """Give up a read of the list that may have waited through a pause."""
-        if self._list_task is not None and not self._list_task.terminated:
-            await self._list_task.cancel(blocking=False)
-
-    async def _send_last_heartbeats(self) -> None:
-        for _ in range(LAST_HEARTBEATS):
-            heartbeat = self.node.heartbeat(now=monotonic(), left=True)
-            for endpoint in self.node.membership.peer_endpoints():
-                await self._peers.send(heartbeat, endpoint)
+    async def _notice_pause(self, now: float) -> None:
+        gap = now - self._last_tick
+        self._last_tick = now
+        if gap > self.settings.timing.pause_ms / 1000:
+            log_event("paused", seconds=round(gap, 3))
+            await self._lists.read_anew()
+            await self._effects.perform(
+                self.node.wake_from_pause(now=now, wall=time.time())
+            )
 
-    async def _read_live_list(self) -> None:
-        while True:
-            self._list_task = await spawn(self._platform.read_live_list, daemon=True)
-            await self._list_task.wait()
-            if self._list_task.cancelled:
-                self.node.listed.note_failed()
-                continue
-            read = self._list_task.result
-            if read.is_ok():
-                event = LiveListRead(tuple(read.unwrap()))
-                await self._perform(
-                    self.node.take_membership(event, now=monotonic(), wall=time.time())
-                )
-                await sleep(self._jittered(self._list_period_ms()))
-            else:
-                self.node.listed.note_failed()
-                await sleep(self._jittered(RETRY_LIST_MS))
+    def _watch(self, now: float) -> None:
+        """Log what is believed newly, and hand on the log."""
+        if now >= self._next_watch:
+            self._next_watch = now + WATCH_PERIOD_S
+            for belief in self._beliefs.observe(self.node, self._platform.calls, now):
+                log_event(belief.event, **belief.fields)
+        if self._log is not None:
+            self._log.flush(now)
 
     async def _drop_stale_connections(self) -> None:
         while True:
             await sleep(STALE_PERIOD_S)
             await self._pool.drop_stale()
 
-    def _list_period_ms(self) -> float:
-        """Stretch the period with the length of the list, which each reader pays."""
-        listed = len(self.node.membership.listed_by_name)
-        return self.settings.timing.live_list_ms * max(1.0, listed / LIST_VMS_PER_S)
-
-    async def _read_configuration(self) -> None:
-        while True:
-            await sleep(self._jittered(self.settings.timing.configuration_ms))
-            if not (self._ports.all_read or self.node.is_reader(monotonic())):
-                continue
-            read = await self._reader.read_newer(self.node.version)
-            if read.is_ok():
-                self.node.head.note_read(monotonic())
-            else:
-                log_event("configuration_unread", detail=read.unwrap_err().detail)
-            newer = read.unwrap_or(None)
-            if newer is not None:
-                effects = self.node.adopt(
-                    newer.configuration, version=newer.head.version, now=monotonic()
-                )
-                self._log_adopted(plan=newer.head.plan, source="platform")
-                await self._perform(effects)
-
-    def _log_adopted(self, *, plan: str, source: str) -> None:
-        log_event(
-            "configuration_adopted",
-            version=self.node.version,
-            plan=plan,
-            source=source,
-        )
-
-    def _jittered(self, period_ms: float) -> float:
-        return period_ms / 1000 * self.node.random.uniform(0.8, 1.2)
-
-    async def _receive(self, message: PeerMessage, sender: Endpoint) -> None:
-        match message:
-            case Heartbeat():
-                event = HeartbeatReceived(message)
-                await self._perform(
-                    self.node.take_membership(event, now=monotonic(), wall=time.time())
-                )
-            case SlotRequest():
-                effects = self.node.take_slot_request(message, sender, monotonic())
-                await self._perform(effects)
-            case ContentRequest():
-                await self._perform(self.node.take_content_request(message, sender))
-            case ContentChunk():
-                before = self.node.version
-                effects = self.node.take_content_chunk(message, monotonic())
-                if self.node.version != before:
-                    self._log_adopted(plan="", source=message.sender)
-                await self._perform(effects)
-            case HeadroomRequest():
-                await self._perform(
-                    self.node.take_headroom_request(message, sender, monotonic())
-                )
-            case HeadroomGrant():
-                self.node.headroom.grants.take_grant(message, monotonic())
-            case LoadDigest():
-                self.node.digests.take(message, monotonic())
-            case SlotGrant():
-                service = self.node.service_of(message.upstream)
-                await self._dispatch.tell(service, SlotsGranted(message))
-
-    async def _perform(self, effects: list[NodeEffect]) -> None:
-        heartbeat = None
-        for effect in effects:
-            match effect:
-                case SendHeartbeat(to=to):
-                    heartbeat = heartbeat or self.node.heartbeat(now=monotonic())
-                    await self._peers.send(heartbeat, to)
-                case SendToPeer(message=message, to=to):
-                    await self._peers.send(message, to)
-                case BeginLeaving(reason=reason):
-                    self.leave(reason)
-                case _:
-                    pass
-        await self._dispatch.perform(effects)
-
     def _dump_shells(self) -> dict[str, Any]:
-        return dump_shells(
+        dumped = dump_shells(
             listener=self._callers,
             pool=self._pool,
             peers=self._peers,
             platform=self._platform,
             claims=self._claims,
         )
+        return {**dumped, **dump_measures(self._measures)}
 
 
-def _make_node(settings: DaemonSettings, random: Random, ports: Ports) -> Node:
-    incarnation = random.getrandbits(64) or 1
-    timing = settings.timing
-    return Node(
-        vm=settings.vm,
-        failure_domain=settings.failure_domain,
-        caller_endpoint=settings.listen.caller,
-        peer_endpoint=settings.listen.peer,
-        incarnation=incarnation,
-        random=random,
-        membership=Membership(
-            options=MembershipOptions(
-                vm=settings.vm,
-                failure_domain=settings.failure_domain,
-                incarnation=incarnation,
-                heartbeat_s=timing.heartbeat_ms / 1000,
-                suspect_after_s=timing.suspect_after_ms / 1000,
-                seeds=tuple(settings.peers),
-                all_domains=ports.all_domains,
-            )
-        ),
-        ids=IssuedIds(
-            vm=settings.vm,
-            incarnation=incarnation,
-            secret=secrets.token_bytes(32),
-            ttl_s=settings.requests.request_id_ttl_ms / 1000,
-            memory_s=ID_MEMORY_S,
-            max_remembered=settings.requests.max_remembered_ids,
-        ),
-        leave=Leave(leave_s=timing.leave_ms / 1000, linger_s=timing.linger_ms / 1000),
-        needs_list=ports.lists_upstreams,
-        probe_s=timing.probe_ms / 1000,
-        started_at=monotonic(),
-        settle_s=timing.suspect_after_ms / 1000,
-    )
-
-
-async def run_daemon(settings: DaemonSettings, ports: Ports | None = None) -> int:
+async def run_daemon(
+    settings: DaemonSettings,
+    ports: Ports | None = None,
+    log: KeyValueDestination | None = None,
+) -> int:
     """Run a daemon until it has left.
 
     Parameters
@@ -419,6 +324,8 @@
         Its settings.
     ports : Ports, optional
         The ways to the platform; the product's own interface if not given.
+    log : KeyValueDestination, optional
+        Where events go, to be flushed now and then.
 
     Returns
     -------
@@ -426,7 +333,7 @@
         Exit status of the process.
     """
     random = Random(secrets.randbits(128))
-    daemon = Daemon(settings=settings, random=random, ports=ports)
+    daemon = Daemon(settings=settings, random=random, ports=ports, log=log)
     try:
         await daemon.start()
     except OSError as error:
@@ -449,10 +356,6 @@
     return EXIT_OK
 
 
-async def _sleep_forever() -> None:
-    await Event().wait()
-
-
 async def _leave_on_signal(daemon: Daemon) -> None:
     """Wait for SIGTERM and SIGINT on a socket that the interpreter writes to."""
     reader, writer = stdlib_socket.socketpair()
--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatch_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatch_runner.py
@@ -35,6 +35,7 @@
     from plankspindle_daemon.admission.ticket import Ticket
     from plankspindle_daemon.dispatch.messages import DispatchEvent
     from plankspindle_daemon.node.effects import NodeEffect
+    from plankspindle_daemon.stories.story import Story
     from plankspindle_daemon.upstreams.load_report import LoadReport
 
 PROBE_TARGET = "/load"
@@ -67,12 +68,24 @@
     supervisor: Supervisor
     _waiters_by_ticket: dict[int, _Waiter] = field(factory=dict)
 
-    async def find(self, service: str, ticket: Ticket) -> Assign | Reject:
-        """Wait until a request gets an upstream or is refused one."""
+    async def find(self, service: str, ticket: Ticket, story: Story) -> Assign | Reject:
+        """Wait until a request gets an upstream or is refused one.
+
+        Parameters
+        ----------
+        service : str
+            The service asked for.
+        ticket : Ticket
+            The request.
+        story : Story
+            What happened to it, where the decision is kept.
+        """
         waiter = _Waiter()
         self._waiters_by_ticket[ticket.id] = waiter
         try:
             await self.tell(service, Arrived(ticket))
+            if waiter.decision is None:
+                self._note_queued(service, ticket, story)
             while waiter.decision is None:
                 await waiter.event.wait()
         except BaseException:
@@ -80,8 +93,15 @@
             raise
         finally:
             del self._waiters_by_ticket[ticket.id]
+        if waiter.decision.step is not None:
+            story.note(waiter.decision.step, monotonic())
         return waiter.decision
 
+    def _note_queued(self, service: str, ticket: Ticket, story: Story) -> None:
+        dispatcher = self.node.dispatchers_by_service.get(service)
+        if dispatcher is not None:
+            story.note(dispatcher.queued_step(ticket), monotonic())
+
     async def _give_back(self, service: str, decision: Assign | Reject | None) -> None:
         """Return a slot whose request was interrupted before it learned of it."""
         if isinstance(decision, Assign):
--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -31,6 +31,9 @@
 from plankspindle_daemon.dispatch.messages import Verdict
 from plankspindle_daemon.dispatch.messages import Withdrawn
 from plankspindle_daemon.dispatch.placement import Placement
+from plankspindle_daemon.stories.steps import Placed
+from plankspindle_daemon.stories.steps import Queued as QueuedStep
+from plankspindle_daemon.stories.steps import Rejected
 from plankspindle_daemon.upstreams.messages import SlotGrant
 from plankspindle_daemon.upstreams.messages import SlotRequest
 from plankspindle_daemon.upstreams.slot_ledger import Loan
@@ -147,6 +150,11 @@
         """Requests that may run at once at this moment."""
         return sum(each.limit(now) for each in self.upstreams_by_name.values())
 
+    def queued_step(self, ticket: Ticket) -> QueuedStep:
+        """Say where a request waits, for the log."""
+        ahead = self.queue.count_ahead(ticket.rank)
+        return QueuedStep(ahead=ahead, limit=self.queue.limit)
+
     def in_flight(self) -> int:
         """Requests that run at upstreams."""
         return sum(each.ledger.in_flight for each in self.upstreams_by_name.values())
@@ -211,10 +219,14 @@
             not chosen.takes_nothing_new(now),
             chosen.name,
         )
+        step = self._explain(ticket, chosen, now)
         chosen.start(ticket=ticket.id, now=now, deadline=ticket.deadline)
         self.assigned += 1
         return Assign(
-            ticket=ticket, upstream=chosen.name, endpoint=chosen.upstream.endpoint
+            ticket=ticket,
+            upstream=chosen.name,
+            endpoint=chosen.upstream.endpoint,
+            step=step,
         )
 
     def _choose(self, ticket: Ticket, now: float) -> UpstreamState | None:
@@ -246,6 +258,21 @@
         self.placement.limiter.note_sent(leaves=leaves)
         return place.upstream
 
+    def _explain(self, ticket: Ticket, chosen: UpstreamState, now: float) -> Placed:
+        """Say what decided for an upstream, before the request is counted there."""
+        if self.placement is not None:
+            is_hit = ticket.id not in self._missing
+            return self.placement.explain(
+                ticket, self.upstreams_by_name, chosen, is_hit=is_hit, now=now
+            )
+        return Placed(
+            upstream=chosen.name,
+            own_load=chosen.ledger.in_flight,
+            others_load=0.0,
+            slots=chosen.ledger.slots,
+            latency=chosen.present_latency(now),
+        )
+
     def usual_s(self, ticket: Ticket) -> float:
         """Give the usual duration of a request, in seconds."""
         return self.durations.expected_total(
@@ -265,7 +292,10 @@
         return now + wait + LATE_SHARE * self.usual_s(ticket) > ticket.deadline
 
     def _expected_wait_s(self, rank: int, now: float) -> float:
-        capacity = self.capacity(now)
+        return self._wait_at(self.capacity(now), rank)
+
+    def _wait_at(self, capacity: int, rank: int) -> float:
+        """Estimate the wait of a request where so many may run at once."""
         if capacity == 0 or self.durations.overall_total is None:
             return 0.0
         rounds = (self.queue.count_ahead(rank) + 1) / capacity
@@ -282,11 +312,21 @@
 
     def _reject(self, ticket: Ticket, reason: RejectReason, now: float) -> Reject:
         self.rejected_by_reason[reason] = self.rejected_by_reason.get(reason, 0) + 1
-        wait = self._expected_wait_s(ticket.rank, now) * self.random.uniform(1.0, 1.5)
+        capacity = self.capacity(now)
+        wait = self._wait_at(capacity, ticket.rank) * self.random.uniform(1.0, 1.5)
         if reason is RejectReason.BUSY:
             wait = max(wait, BUSY_RETRY_AFTER_S * self.random.uniform(1.0, 2.0))
         bounded = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait))
-        return Reject(ticket=ticket, reason=reason, retry_after_s=bounded)
+        step = Rejected(
+            reason=reason.value,
+            retry_after_ms=round(bounded * 1000),
+            queued=len(self.queue),
+            capacity=capacity,
+            in_flight=self.in_flight(),
+            usual_ms=round(self.usual_s(ticket) * 1000),
+            left_ms=round((ticket.deadline - now) * 1000),
+        )
+        return Reject(ticket=ticket, reason=reason, retry_after_s=bounded, step=step)
 
     def _take_end(self, ended: Ended, now: float) -> None:
         upstream = self.upstreams_by_name.get(ended.upstream)
@@ -297,6 +337,8 @@
         self._note_learned(upstream, ended, now)
         if ended.verdict in (Verdict.ANSWERED, Verdict.SHED):
             upstream.answered_at = now
+        if ended.verdict not in (Verdict.ANSWERED, Verdict.CANCELLED):
+            upstream.note_evidence(f"{ended.verdict.value}: {ended.came}", now)
         match ended.verdict:
             case Verdict.ANSWERED:
                 upstream.health.note_success(now)
@@ -346,6 +388,7 @@
             return
         upstream.is_unconfirmed = False
         if probed.report is None:
+            upstream.note_evidence("a probe brought no report", now)
             upstream.health.note_silence(reached=probed.reached, now=now)
             return
         upstream.note_report(probed.report, now=now, wall=probed.wall)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
@@ -4,10 +4,13 @@
 
 from enum import Enum
 
+from attrs import field
 from attrs import frozen
 
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.admission.ticket import Ticket
+from plankspindle_daemon.stories.steps import Placed
+from plankspindle_daemon.stories.steps import Rejected
 from plankspindle_daemon.upstreams.load_report import LoadReport
 from plankspindle_daemon.upstreams.messages import SlotGrant
 from plankspindle_daemon.upstreams.messages import SlotRequest
@@ -58,6 +61,8 @@
         Time that a new connection needed, in seconds.
     reported_load : int, optional
         Requests that ran and waited there, as the answer told.
+    came : str
+        What was seen of the upstream, for the log.
     """
 
     ticket: Ticket
@@ -67,6 +72,7 @@
     total_s: float | None = None
     connect_s: float | None = None
     reported_load: int | None = None
+    came: str = field(default="", eq=False)
 
 
 @frozen(kw_only=True)
@@ -141,11 +147,24 @@
 
 @frozen(kw_only=True)
 class Assign:
-    """A request gets an upstream; its slot is counted from now on."""
+    """A request gets an upstream; its slot is counted from now on.
+
+    Parameters
+    ----------
+    ticket : Ticket
+        The request.
+    upstream : str
+        Its upstream.
+    endpoint : Endpoint
+        Where that listens.
+    step : Placed, optional
+        What decided, for the log.
+    """
 
     ticket: Ticket
     upstream: str
     endpoint: Endpoint
+    step: Placed | None = field(default=None, eq=False)
 
 
 @frozen(kw_only=True)
@@ -160,11 +179,14 @@
         Why.
     retry_after_s : float
         When the caller should come back, in seconds.
+    step : Rejected, optional
+        What decided, for the log.
     """
 
     ticket: Ticket
     reason: RejectReason
     retry_after_s: float
+    step: Rejected | None = field(default=None, eq=False)
 
 
 @frozen(kw_only=True)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -15,6 +15,7 @@
 from plankspindle_daemon.dispatch.measured_distances import MeasuredDistances
 from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
 from plankspindle_daemon.steering.hash_ring import stable_hash
+from plankspindle_daemon.stories.steps import Placed
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
 if TYPE_CHECKING:
@@ -194,6 +195,74 @@
                 self._weigh(choice, query, upstream, is_hit=False)
         return choice.place
 
+    def explain(
+        self,
+        ticket: Ticket,
+        by_name: Mapping[str, UpstreamState],
+        chosen: UpstreamState,
+        *,
+        is_hit: bool,
+        now: float,
+    ) -> Placed:
+        """Say what decided for an upstream, before the request is counted there.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The request.
+        by_name : mapping of str to UpstreamState
+            All upstreams of the service.
+        chosen : UpstreamState
+            Its upstream.
+        is_hit : bool
+            Whether the affinity key prefers it.
+        now : float
+            Monotonic seconds.
+        """
+        leaves = not self.is_near(chosen)
+        preferred = None
+        if ticket.affinity is not None and (leaves or not is_hit):
+            preferred = self._preferred(ticket.affinity, by_name)
+        domain = chosen.upstream.failure_domain
+        return Placed(
+            upstream=chosen.name,
+            own_load=chosen.ledger.in_flight,
+            others_load=chosen.load(now) - chosen.ledger.in_flight,
+            report_age_ms=chosen.report_age_ms(now),
+            slots=chosen.upstream.slots,
+            latency=chosen.present_latency(now),
+            rtt_ms=1000 * self.distances.rtt_s(domain),
+            hit=is_hit,
+            leaves_region=leaves,
+            preferred=None if preferred is None else preferred.name,
+            not_preferred=self._why_not(preferred, ticket, now),
+        )
+
+    def _preferred(
+        self, key: str, by_name: Mapping[str, UpstreamState]
+    ) -> UpstreamState | None:
+        """Give the upstream of the own region that a key prefers, usable or not."""
+        for order in self._orders(key):
+            first = by_name.get(order[0])
+            if first is not None and self.is_near(first):
+                return first
+        return None
+
+    def _why_not(
+        self, preferred: UpstreamState | None, ticket: Ticket, now: float
+    ) -> str | None:
+        """Say why the preferred upstream was not taken."""
+        if preferred is None:
+            return None
+        if preferred.name in ticket.excluded:
+            return "it failed this request before"
+        if not preferred.is_usable(now):
+            return preferred.standing(now).value
+        load = preferred.load(now)
+        if load >= preferred.upstream.slots:
+            return f"full: {load:.1f} of {preferred.upstream.slots} slots"
+        return f"costlier: {load:.1f} of {preferred.upstream.slots} slots"
+
     def is_near(self, upstream: UpstreamState) -> bool:
         """Tell whether an upstream stands in the region of this VM."""
         return self.distances.is_near(upstream.upstream.failure_domain)
--- a/packages/daemon/src/plankspindle_daemon/exchange/exchange.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from attrs import define
+from attrs import field
 from attrs import frozen
 
 from plankspindle_core.invariants import check_invariant
@@ -34,6 +35,7 @@
 from plankspindle_daemon.exchange.messages import ToUpstream
 from plankspindle_daemon.exchange.messages import WithdrawTicket
 from plankspindle_daemon.retries.retry_budget import RetryBudget
+from plankspindle_daemon.stories.steps import RetryDecided
 
 MAX_UNREACHED = 3
 """Upstreams that may be unreachable before other ones cost budget."""
@@ -89,6 +91,11 @@
     budget : RetryBudget
         Bound on retries of its service.
 
+    Attributes
+    ----------
+    retries_decided : list of RetryDecided
+        Every retry that was taken or withheld, for the log.
+
     Notes
     -----
     ``may_have_run`` is set when a byte of the request is handed to a socket and cleared
@@ -104,6 +111,7 @@
     may_have_run: bool = False
     attempts: int = 0
     excluded: frozenset[str] = frozenset()
+    retries_decided: list[RetryDecided] = field(factory=list)
     _doubt_before: bool = False
 
     def begin(self) -> list[ExchangeEffect]:
@@ -186,14 +194,26 @@
         effects = self._end_upstream(verdict, Waiting())
         if upstream is not None:
             self.excluded |= {upstream}
-        if not self._may_try_again() or not self._take_budget():
+        if not self._decide_retry(reason):
             return [*effects, *self._give_up(reason)]
         self.route = ToUpstream()
         return [*effects, FindUpstream(self.excluded)]
 
+    def _decide_retry(self, reason: str) -> bool:
+        withheld = self._why_no_retry()
+        if withheld is None and not self._take_budget():
+            withheld = "retry budget is used up"
+        decided = RetryDecided(
+            taken=withheld is None,
+            because=withheld or reason,
+            budget_left=self.budget.left,
+        )
+        self.retries_decided.append(decided)
+        return decided.taken
+
     def could_try_again(self) -> bool:
         """Tell whether another attempt would be made if this one failed now."""
-        return self._may_try_again() and self.budget.has_room()
+        return self._why_no_retry() is None and self.budget.has_room()
 
     def _take_budget(self) -> bool:
         """Use the budget, unless no attempt has reached an upstream yet."""
@@ -201,12 +221,17 @@
         bounded = len(self.excluded) <= MAX_UNREACHED
         return self.budget.take() if reached or not bounded else True
 
-    def _may_try_again(self) -> bool:
+    def _why_no_retry(self) -> str | None:
+        """Say why there may be no other attempt; None if there may be one."""
         if self.attempts >= self.terms.max_attempts:
-            return False
-        stays = not isinstance(self.route, ToPeer) or self.route.may_stay
-        safe = self.terms.idempotent or not self.may_have_run
-        return stays and safe and (self.terms.resendable or self.attempts == 0)
+            return "all attempts are used"
+        if isinstance(self.route, ToPeer) and not self.route.may_stay:
+            return "only the other entry VM may run it"
+        if self.may_have_run and not self.terms.idempotent:
+            return "it may have run and must not run twice"
+        if self.attempts > 0 and not self.terms.resendable:
+            return "its body is not at hand any more"
+        return None
 
     def _take_caller_gone(self) -> list[ExchangeEffect]:
         if isinstance(self.state, Waiting):
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/exchange/patience.py
@@ -0,0 +1,60 @@
+"""How long one upstream is waited for before another is tried."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from plankspindle_daemon.dispatch.dispatch_runner import DispatchRunner
+from plankspindle_daemon.exchange.exchange import Exchange
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.admission.ticket import Ticket
+
+PATIENCE = 4.0
+"""Usual durations after which a silent upstream is given up for another."""
+MIN_PATIENCE_S = 0.6
+
+
+@define(kw_only=True)
+class Patience:
+    """Decide whether a request leaves an upstream that seems to answer nobody.
+
+    Parameters
+    ----------
+    service : str
+        The service asked for.
+    exchange : Exchange
+        The decisions on the request.
+    dispatch : DispatchRunner
+        Keeper of durations and of what upstreams answered.
+    """
+
+    service: str
+    exchange: Exchange
+    dispatch: DispatchRunner
+
+    def wait_s(self, ticket: Ticket) -> float | None:
+        """Give the time after which another upstream may be tried; None for never."""
+        terms = self.exchange.terms
+        if not (terms.idempotent and terms.resendable):
+            return None
+        usual_s = self.dispatch.usual_s(self.service, ticket)
+        return max(MIN_PATIENCE_S, PATIENCE * usual_s)
+
+    def may_leave(self, upstream: str, sent_at: float) -> bool:
+        """Tell whether to try another upstream; a planned stop breaks nothing off.
+
+        Parameters
+        ----------
+        upstream : str
+            The upstream that is silent to this request.
+        sent_at : float
+            When the request was sent there, monotonic seconds.
+        """
+        return (
+            not self.dispatch.node.leave.is_leaving
+            and self.dispatch.answered_at(self.service, upstream) < sent_at
+            and self.exchange.could_try_again()
+        )
--- a/packages/daemon/src/plankspindle_daemon/listeners/caller_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/caller_listener.py
@@ -14,6 +14,7 @@
 
 from plankspindle_core.http.server import HttpServer
 from plankspindle_core.supervisor import Supervisor
+from plankspindle_daemon.exchange.answers import refuse
 from plankspindle_daemon.exchange.caller_request import BadRequest
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.observability.metrics import RequestMetrics
@@ -26,7 +27,6 @@
 
 from plankspindle_daemon.listeners.request_reader import NO_CONFIGURATION
 from plankspindle_daemon.listeners.request_service import RequestService
-from plankspindle_daemon.listeners.request_service import refuse
 
 MAX_IDS_PER_CALL = 100
 _JSON: HeaderList = [(b"content-type", b"application/json")]
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/listeners/metrics_listener.py
@@ -0,0 +1,66 @@
+"""A listener that gives metrics to whoever collects them."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import field
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.http.limits import HttpLimits
+from plankspindle_core.http.server import HttpServer
+from plankspindle_core.supervisor import Supervisor
+from plankspindle_daemon.observability.metrics_reader import MetricsReader
+
+if TYPE_CHECKING:
+    from plankspindle_core.http.server_exchange import ServerExchange
+
+METRICS_PATH = "/metrics"
+TEXT_FORM = [(b"content-type", b"text/plain; version=0.0.4")]
+MAX_COLLECTORS = 8
+
+
+@define(kw_only=True)
+class MetricsListener:
+    """Serve metrics, and nothing else.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Where to listen.
+    supervisor : Supervisor
+        Keeper of unexpected errors.
+    metrics : MetricsReader
+        Metrics.
+    """
+
+    endpoint: Endpoint
+    supervisor: Supervisor
+    metrics: MetricsReader
+    _server: HttpServer = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._server = HttpServer(
+            endpoint=self.endpoint,
+            limits=HttpLimits(max_connections=MAX_COLLECTORS),
+            handler=partial(self.supervisor.guard, self.handle),
+        )
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._server.close()
+
+    async def handle(self, source: ServerExchange) -> None:
+        """Answer one request."""
+        await source.read_body(max_bytes=0)
+        if source.target.partition("?")[0] != METRICS_PATH:
+            await source.answer(status=404)
+            return
+        rendered = self.metrics.render()
+        await source.answer(status=200, headers=TEXT_FORM, body=rendered)
--- a/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
@@ -30,8 +30,9 @@
 from plankspindle_daemon.control.plan_store import PlanExpired
 from plankspindle_daemon.control.plan_store import PlanOvertaken
 from plankspindle_daemon.control.plan_store import PlanStore
+from plankspindle_daemon.listeners.metrics_listener import TEXT_FORM
 from plankspindle_daemon.node.node import Node
-from plankspindle_daemon.observability.metrics import MetricsReader
+from plankspindle_daemon.observability.metrics_reader import MetricsReader
 from plankspindle_daemon.observability.state_dump import dump_node
 from plankspindle_daemon.settings.daemon_settings import DaemonSettings
 
@@ -101,9 +102,8 @@
                 dumped = {**dump_node(self.node, monotonic()), **self.dump_shells()}
                 await _answer(source, 200, dumped)
             case "GET", "/metrics":
-                kind = [(b"content-type", b"text/plain; version=0.0.4")]
                 rendered = self.metrics.render()
-                await source.answer(status=200, headers=kind, body=rendered)
+                await source.answer(status=200, headers=TEXT_FORM, body=rendered)
             case "GET", "/v1/configuration":
                 await self._show_configuration(source)
             case "GET", "/v1/history":
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_reader.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_reader.py
@@ -59,6 +59,8 @@
         The only regions where it may run; any region if empty.
     hold_until : float
         Latest time to wait for an upstream, monotonic seconds.
+    target_s : float, optional
+        Time within which an answer is wanted, in seconds.
     """
 
     request: CallerRequest
@@ -70,6 +72,7 @@
     bulky: bool = False
     regions: frozenset[str] = frozenset()
     hold_until: float = float("inf")
+    target_s: float | None = None
 
 
 @frozen(kw_only=True)
@@ -186,6 +189,7 @@
             bulky=route.bulky,
             regions=frozenset(route.home_regions),
             hold_until=monotonic() + HOLD_SHARE * route.target_ms / 1000,
+            target_s=route.target_ms / 1000,
         )
 
 
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from itertools import count
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -11,9 +12,13 @@
 from attrs import frozen
 
 from plankspindle_core import header_names
+from plankspindle_core.http.headers import find_header
 from plankspindle_core.outcome import Outcome
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.dispatch.dispatch_runner import DispatchRunner
+from plankspindle_daemon.exchange.answers import answer_with_outcome
+from plankspindle_daemon.exchange.answers import refuse
+from plankspindle_daemon.exchange.attempt import Outgoing
 from plankspindle_daemon.exchange.caller_request import BadRequest
 from plankspindle_daemon.exchange.caller_request import head_as_it_came
 from plankspindle_daemon.exchange.caller_request import headers_for_peer
@@ -27,8 +32,6 @@
 from plankspindle_daemon.exchange.messages import ToUpstream
 from plankspindle_daemon.exchange.request_body import read_request_body
 from plankspindle_daemon.exchange.request_runner import RequestRunner
-from plankspindle_daemon.exchange.request_runner import answer_with_outcome
-from plankspindle_daemon.exchange.request_runner import wall_ms
 from plankspindle_daemon.idempotency import verdicts
 from plankspindle_daemon.idempotency.fingerprint import fingerprint_of
 from plankspindle_daemon.idempotency.gate import Answered
@@ -43,6 +46,11 @@
 from plankspindle_daemon.observability.metrics import RequestMetrics
 from plankspindle_daemon.settings.daemon_settings import DaemonSettings
 from plankspindle_daemon.shifts.shift_meter import Move
+from plankspindle_daemon.stories.steps import ClaimDecided
+from plankspindle_daemon.stories.steps import Routed
+from plankspindle_daemon.stories.story import Ending
+from plankspindle_daemon.stories.story import Story
+from plankspindle_daemon.stories.story_log import StoryLog
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
 
 if TYPE_CHECKING:
@@ -91,6 +99,8 @@
         What finds out what requests ask for.
     dialect : Dialect
         Names of headers.
+    stories : StoryLog
+        What logs requests when they end.
 
     Attributes
     ----------
@@ -106,81 +116,111 @@
     metrics: RequestMetrics
     reader: RequestReader
     dialect: Dialect
+    stories: StoryLog
     running: int = 0
     _ticket_numbers: count[int] = field(factory=count)
 
     async def serve(self, source: ServerExchange) -> None:
         """Serve one request, whatever becomes of it."""
         self.running += 1
+        story = self.stories.begin(
+            self._id_of(source), now=monotonic(), wall=time.time()
+        )
         try:
-            await self._serve_counted(source)
+            await self._serve_counted(source, story)
         finally:
             self.running -= 1
+            now = monotonic()
+            self.metrics.note_request(story, now)
+            self.stories.end(story, now)
+
+    def _id_of(self, source: ServerExchange) -> bytes | None:
+        """Read the id that the caller gave its request, if it gave one."""
+        name = self.dialect.echo or header_names.REQUEST_ID
+        return find_header(source.headers, name)
 
-    async def _serve_counted(self, source: ServerExchange) -> None:
+    async def _serve_counted(self, source: ServerExchange, story: Story) -> None:
         read = self.reader.read(source)
         if read.is_err():
-            await refuse(source, read.unwrap_err())
+            await refuse(source, read.unwrap_err(), story)
             return
+        asked = read.unwrap()
+        terms = _work_out_terms(asked)
+        self._note_routed(story, asked, terms)
         if not self.node.accepts(monotonic()):
-            await answer_with_outcome(source, _not_run("leaving"), self.dialect)
+            await answer_with_outcome(source, _not_run("leaving"), self.dialect, story)
             return
-        asked = read.unwrap()
         request = asked.request
         if request.grant is None:
-            await self._serve_body(source, asked)
+            await self._serve_body(source, asked, terms, story)
             return
         if not self.node.headroom.begin_moved(
             request.service, request.grant, monotonic()
         ):
-            await answer_with_outcome(source, _not_run("no-headroom"), self.dialect)
+            no_room = _not_run("no-headroom")
+            await answer_with_outcome(source, no_room, self.dialect, story)
             return
         try:
-            await self._serve_body(source, asked)
+            await self._serve_body(source, asked, terms, story)
         finally:
             self.node.headroom.end_moved(request.service, request.grant)
 
-    async def _serve_body(self, source: ServerExchange, asked: AskedFor) -> None:
-        body = await read_request_body(
-            source, max_bytes=self.settings.requests.max_keyed_body_bytes
+    def _note_routed(self, story: Story, asked: AskedFor, terms: _RequestTerms) -> None:
+        now = monotonic()
+        adopted_at = self.node.adopted_at
+        story.service = asked.request.service
+        story.rank = asked.identity.rank
+        story.target_s = asked.target_s
+        step = Routed(
+            service=asked.request.service,
+            operation=asked.name,
+            rank=asked.identity.rank,
+            idempotent=asked.operation.idempotent,
+            max_attempts=asked.max_attempts,
+            timeout_ms=asked.operation.timeout_ms,
+            left_ms=round((terms.deadline - now) * 1000),
+            version=self.node.version,
+            version_age_ms=(
+                None if adopted_at is None else round((now - adopted_at) * 1000)
+            ),
         )
-        if body is None or (body.whole is None and _is_marked(asked.request)):
-            limit = self.settings.requests.max_keyed_body_bytes
-            await refuse(source, BadRequest(413, f"send at most {limit} bytes"))
-            return
-        await self._run(source, asked, body)
+        story.note(step, now)
 
-    async def _run(
-        self, source: ServerExchange, asked: AskedFor, body: RequestBody
+    async def _serve_body(
+        self,
+        source: ServerExchange,
+        asked: AskedFor,
+        terms: _RequestTerms,
+        story: Story,
     ) -> None:
-        request, identity = asked.request, asked.identity
-        terms = _work_out_terms(asked)
-        held = self._choose_move(source, request, identity)
+        limit = self.settings.requests.max_keyed_body_bytes
+        body = await read_request_body(source, max_bytes=limit)
+        if body is None or (body.whole is None and _is_marked(asked.request)):
+            too_long = BadRequest(413, f"send at most {limit} bytes")
+            await refuse(source, too_long, story)
+            return
+        held = self._choose_move(source, asked.request, asked.identity)
         try:
-            way = await self._find_way(source, request, identity, body, terms, held)
+            way = await self._find_way(source, asked, body, terms, held, story)
             if isinstance(way, Answered):
-                await self._answer(source, way)
-                return
-            runner = self._make_runner(source, asked, body, terms, way)
-            began = monotonic()
-            await runner.run()
+                await self._answer(source, way, story)
+            else:
+                await self._make_runner(source, asked, body, terms, way, story).run()
         finally:
             if held is not None:
                 self.node.headroom.grants.give_back(held)
-        self.metrics.note_request(
-            service=request.service, rank=identity.rank, seconds=monotonic() - began
-        )
 
     async def _find_way(
         self,
         source: ServerExchange,
-        request: CallerRequest,
-        identity: Identity,
+        asked: AskedFor,
         body: RequestBody,
         terms: _RequestTerms,
         held: HeldGrant | None,
+        story: Story,
     ) -> _Way | Answered:
         """Decide where the request goes, and what must learn how it ends."""
+        request = asked.request
         if held is not None:
             may_stay = request.idempotency_key is None
             route = ToPeer(endpoint=held.endpoint, may_stay=may_stay)
@@ -188,7 +228,7 @@
         if not _is_marked(request):
             return _Way(route=ToUpstream())
         fingerprint = fingerprint_of(
-            caller=identity.caller,
+            caller=asked.identity.caller,
             service=request.service,
             method=source.method,
             path=request.path,
@@ -197,6 +237,12 @@
         decided = await self.gate.decide(
             request, fingerprint, deadline=terms.deadline, now=monotonic()
         )
+        verdict = decided.verdict if isinstance(decided, Answered) else decided
+        claim = ClaimDecided(
+            verdict=type(verdict).__name__,
+            platform_available=self.gate.claims.platform.calls.available,
+        )
+        story.note(claim, monotonic())
         match decided:
             case RunRequest(record=record):
                 return _Way(route=ToUpstream(), record=record)
@@ -213,12 +259,25 @@
         body: RequestBody,
         terms: _RequestTerms,
         way: _Way,
+        story: Story,
     ) -> RequestRunner:
         operation, request = asked.operation, asked.request
+        settings = self.settings.requests
         return RequestRunner(
             vm=self.settings.vm,
             service=request.service,
-            source=source,
+            outgoing=Outgoing(
+                source=source,
+                path=request.path,
+                upstream_headers=self._headers_for_upstream(source, asked.identity),
+                peer_headers=headers_for_peer(source.headers, grant=way.grant),
+                body=body,
+                deadline=terms.deadline,
+                deadline_ms=terms.deadline_ms,
+                dialect=self.dialect,
+                max_idle_unrepeatable_s=settings.max_idle_unrepeatable_ms / 1000,
+                hold_answer_bytes=settings.hold_answer_bytes,
+            ),
             exchange=Exchange(
                 terms=Terms(
                     idempotent=operation.idempotent and not _is_marked(request),
@@ -231,20 +290,11 @@
                 budget=self.node.budgets_by_service[request.service],
             ),
             ticket=self._make_ticket(asked, terms),
-            deadline_ms=terms.deadline_ms,
-            path=request.path,
-            upstream_headers=self._headers_for_upstream(source, asked.identity),
-            peer_headers=headers_for_peer(source.headers, grant=way.grant),
-            body=body,
             record=way.record,
             dispatch=self.dispatch,
             pool=self.pool,
-            dialect=self.dialect,
-            max_recorded_bytes=self.settings.requests.max_recorded_answer_bytes,
-            max_idle_unrepeatable_s=(
-                self.settings.requests.max_idle_unrepeatable_ms / 1000
-            ),
-            hold_answer_bytes=self.settings.requests.hold_answer_bytes,
+            story=story,
+            max_recorded_bytes=settings.max_recorded_answer_bytes,
         )
 
     def _make_ticket(self, asked: AskedFor, terms: _RequestTerms) -> Ticket:
@@ -287,9 +337,12 @@
             meter.count_move(service=request.service, move=chosen)
         return held
 
-    async def _answer(self, source: ServerExchange, answered: Answered) -> None:
+    async def _answer(
+        self, source: ServerExchange, answered: Answered, story: Story
+    ) -> None:
         match answered.verdict:
             case verdicts.Replay(answer=answer):
+                story.end(Ending.SERVED, status=answer.status, reason="replayed")
                 replayed = (header_names.REPLAYED, b"1")
                 await source.answer(
                     status=answer.status,
@@ -297,7 +350,7 @@
                     body=answer.body,
                 )
             case _:
-                await answer_with_outcome(source, answered.answer, self.dialect)
+                await answer_with_outcome(source, answered.answer, self.dialect, story)
 
 
 def _is_marked(request: CallerRequest) -> bool:
@@ -305,15 +358,15 @@
 
 
 def _work_out_terms(asked: AskedFor) -> _RequestTerms:
-    deadline_ms = _deadline_ms(asked.request, asked.operation)
+    wall_ms = int(time.time() * 1000)
+    deadline_ms = _deadline_ms(asked.request, asked.operation, wall_ms)
     return _RequestTerms(
         deadline_ms=deadline_ms,
-        deadline=monotonic() + (deadline_ms - wall_ms()) / 1000,
+        deadline=monotonic() + (deadline_ms - wall_ms) / 1000,
     )
 
 
-def _deadline_ms(request: CallerRequest, operation: Operation) -> int:
-    now_ms = wall_ms()
+def _deadline_ms(request: CallerRequest, operation: Operation, now_ms: int) -> int:
     deadline = now_ms + operation.timeout_ms
     if request.timeout_ms is not None:
         deadline = min(deadline, now_ms + request.timeout_ms)
@@ -324,18 +377,3 @@
 
 def _not_run(reason: str) -> AnswerCaller:
     return AnswerCaller(status=503, outcome=Outcome.NOT_RUN, reason=reason)
-
-
-async def refuse(source: ServerExchange, error: BadRequest) -> None:
-    """Tell a caller what to change; its request was not run."""
-    headers: HeaderList = [
-        (b"content-type", b"text/plain"),
-        (header_names.OUTCOME, Outcome.NOT_RUN.value.encode()),
-    ]
-    if error.status == 401:
-        headers.append((b"www-authenticate", b"Bearer"))
-    if error.status == 503:
-        headers.append((header_names.RETRY_AFTER, b"1"))
-    await source.answer(
-        status=error.status, headers=headers, body=(error.reason + "\n").encode()
-    )
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/membership/list_sweep.py
@@ -0,0 +1,61 @@
+"""Chooses entry VMs that died to be taken out of the platform's list."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.membership.membership import Membership
+
+DEAD_AFTER_S = 30.0
+"""Silence after which a listed entry VM is taken for dead, in seconds.
+
+A live one that was cut off so long enters itself again when it reads the list.
+"""
+PERIOD_S = 10.0
+"""Pause between two removals, in seconds: at most 0.2 calls a second of the fleet."""
+
+
+@define(kw_only=True)
+class ListSweep:
+    """Choose one dead entry VM at a time.
+
+    Notes
+    -----
+    Nobody is elected: the first by name of those that are heard takes the turn. Two
+    that both think so do no harm, since a removal demands the row as it was read.
+    """
+
+    _next_at: float = 0.0
+
+    def choose(self, membership: Membership, now: float) -> str | None:
+        """Give the name of an entry VM to be removed, or None.
+
+        Parameters
+        ----------
+        membership : Membership
+            The members; those in the list are never forgotten by themselves.
+        now : float
+            Monotonic seconds.
+        """
+        if now < self._next_at:
+            return None
+        self._next_at = now + PERIOD_S
+        others = membership.members_by_name
+        heard = [
+            name
+            for name, member in others.items()
+            if member.last_heard is not None and not membership.is_silent(member, now)
+        ]
+        own = membership.options.vm
+        if not heard or own != min([own, *heard]):
+            return None
+        dead = [
+            name
+            for name, member in others.items()
+            if name in membership.listed_by_name
+            and now - (member.last_heard or member.counted_since) > DEAD_AFTER_S
+        ]
+        return min(dead, default=None)
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/membership/presence_keeper.py
@@ -0,0 +1,72 @@
+"""Keeps this VM in the platform's list, and the list free of VMs that died."""
+
+from __future__ import annotations
+
+from time import monotonic
+
+from attrs import define
+from attrs import field
+from curio import Event
+from curio import sleep
+
+from plankspindle_core.logs.key_value_destination import log_event
+from plankspindle_daemon.membership.list_sweep import ListSweep
+from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.platform.ports import PresencePort
+
+PERIOD_S = 0.5
+
+
+@define(kw_only=True)
+class PresenceKeeper:
+    """Enter this VM in the platform's list, and take it out once it leaves.
+
+    Parameters
+    ----------
+    node : Node
+        The decisions.
+    presence : PresencePort, optional
+        The list; None where the platform keeps it itself.
+    """
+
+    node: Node
+    presence: PresencePort | None
+    _sweep: ListSweep = field(factory=ListSweep)
+    _is_missing: bool = False
+
+    async def run(self) -> None:
+        """Keep it for ever."""
+        if self.presence is None:
+            await _sleep_forever()
+            return
+        while not self.node.leave.is_leaving:
+            if not self.presence.is_present:
+                await self._announce(self.presence)
+            await self._remove_dead(self.presence)
+            await sleep(PERIOD_S * self.node.random.uniform(0.8, 1.2))
+        withdrawn = await self.presence.withdraw()
+        if withdrawn.is_ok():
+            log_event("withdrawn")
+        else:
+            log_event("not_withdrawn", detail=withdrawn.unwrap_err().detail)
+        await _sleep_forever()
+
+    async def _announce(self, presence: PresencePort) -> None:
+        announced = await presence.announce()
+        if announced.is_ok():
+            log_event("announced")
+        elif not self._is_missing:
+            log_event("not_announced", detail=announced.unwrap_err().detail)
+        self._is_missing = announced.is_err()
+
+    async def _remove_dead(self, presence: PresencePort) -> None:
+        name = self._sweep.choose(self.node.membership, monotonic())
+        if name is not None:
+            removed = await presence.remove(name)
+            failure = removed.err()
+            detail = None if failure is None else failure.detail
+            log_event("entry_removed", member=name, failure=detail)
+
+
+async def _sleep_forever() -> None:
+    await Event().wait()
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
@@ -0,0 +1,135 @@
+"""Carries out the effects of a node, and gives it what other entry VMs send."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from plankspindle_core.logs.key_value_destination import log_event
+from plankspindle_daemon.configuration.messages import ContentChunk
+from plankspindle_daemon.configuration.messages import ContentRequest
+from plankspindle_daemon.digests.messages import LoadDigest
+from plankspindle_daemon.dispatch.dispatch_runner import DispatchRunner
+from plankspindle_daemon.dispatch.messages import SlotsGranted
+from plankspindle_daemon.headroom.messages import HeadroomGrant
+from plankspindle_daemon.headroom.messages import HeadroomRequest
+from plankspindle_daemon.membership.messages import Heartbeat
+from plankspindle_daemon.membership.messages import HeartbeatReceived
+from plankspindle_daemon.membership.messages import SendHeartbeat
+from plankspindle_daemon.membership.peer_link import PeerLink
+from plankspindle_daemon.node.effects import BeginLeaving
+from plankspindle_daemon.node.effects import SendToPeer
+from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.upstreams.messages import SlotGrant
+from plankspindle_daemon.upstreams.messages import SlotRequest
+
+if TYPE_CHECKING:
+    from plankspindle_core.endpoint import Endpoint
+    from plankspindle_daemon.configuration.configuration_reader import AcceptedVersion
+    from plankspindle_daemon.node.effects import NodeEffect
+    from plankspindle_daemon.wire.codec import PeerMessage
+
+LAST_HEARTBEATS = 3
+
+
+@define(kw_only=True)
+class EffectRunner:
+    """Carry out what a node decides.
+
+    Parameters
+    ----------
+    node : Node
+        The decisions.
+    peers : PeerLink
+        The way to the other entry VMs.
+    dispatch : DispatchRunner
+        What carries out the effects of dispatchers.
+    leave : callable
+        Begins the planned stop, for a reason.
+    """
+
+    node: Node
+    peers: PeerLink
+    dispatch: DispatchRunner
+    leave: Callable[[str], None]
+
+    async def perform(self, effects: list[NodeEffect]) -> None:
+        """Carry out effects in order."""
+        heartbeat = None
+        for effect in effects:
+            match effect:
+                case SendHeartbeat(to=to):
+                    heartbeat = heartbeat or self.node.heartbeat(now=monotonic())
+                    await self.peers.send(heartbeat, to)
+                case SendToPeer(message=message, to=to):
+                    await self.peers.send(message, to)
+                case BeginLeaving(reason=reason):
+                    self.leave(reason)
+                case _:
+                    pass
+        await self.dispatch.perform(effects)
+
+    async def receive(self, message: PeerMessage, sender: Endpoint) -> None:
+        """Give the node what another entry VM sent."""
+        match message:
+            case Heartbeat():
+                event = HeartbeatReceived(message)
+                await self.perform(
+                    self.node.take_membership(event, now=monotonic(), wall=time.time())
+                )
+            case SlotRequest():
+                effects = self.node.take_slot_request(message, sender, monotonic())
+                await self.perform(effects)
+            case ContentRequest():
+                await self.perform(self.node.take_content_request(message, sender))
+            case ContentChunk():
+                await self._take_chunk(message)
+            case HeadroomRequest():
+                await self.perform(
+                    self.node.take_headroom_request(message, sender, monotonic())
+                )
+            case HeadroomGrant():
+                self.node.headroom.grants.take_grant(message, monotonic())
+            case LoadDigest():
+                self.node.digests.take(message, monotonic())
+            case SlotGrant():
+                service = self.node.service_of(message.upstream)
+                await self.dispatch.tell(service, SlotsGranted(message))
+
+    async def _take_chunk(self, chunk: ContentChunk) -> None:
+        before = self.node.version
+        effects = self.node.take_content_chunk(chunk, monotonic())
+        if self.node.version != before:
+            self._log_adopted(before=before, plan=None, source=chunk.sender)
+        await self.perform(effects)
+
+    async def adopt(self, newer: AcceptedVersion) -> None:
+        """Put a version in force that the platform holds."""
+        before = self.node.version
+        effects = self.node.adopt(
+            newer.configuration, version=newer.head.version, now=monotonic()
+        )
+        self._log_adopted(before=before, plan=newer.head.plan, source="platform")
+        await self.perform(effects)
+
+    def _log_adopted(self, *, before: int, plan: str | None, source: str) -> None:
+        configuration = self.node.configuration
+        log_event(
+            "configuration_adopted",
+            version=self.node.version,
+            before=before,
+            plan=plan or None,
+            source=source,
+            routes=None if configuration is None else len(configuration.routes_by_name),
+        )
+
+    async def send_last_heartbeats(self) -> None:
+        """Tell the others that nothing of this process runs any more."""
+        for _ in range(LAST_HEARTBEATS):
+            heartbeat = self.node.heartbeat(now=monotonic(), left=True)
+            for endpoint in self.node.membership.peer_endpoints():
+                await self.peers.send(heartbeat, endpoint)
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/node/make_node.py
@@ -0,0 +1,69 @@
+"""Makes the node of a daemon from its settings."""
+
+from __future__ import annotations
+
+import secrets
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from plankspindle_daemon.idempotency.issued_ids import IssuedIds
+from plankspindle_daemon.leaving.leave import Leave
+from plankspindle_daemon.membership.membership import Membership
+from plankspindle_daemon.membership.membership import MembershipOptions
+from plankspindle_daemon.node.node import Node
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from plankspindle_daemon.platform.ports import Ports
+    from plankspindle_daemon.settings.daemon_settings import DaemonSettings
+
+ID_MEMORY_S = 3_600.0
+
+
+def make_node(settings: DaemonSettings, random: Random, ports: Ports) -> Node:
+    """Make a node with nothing in force.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Settings of the daemon.
+    random : Random
+        Source of all random choices.
+    ports : Ports
+        The ways to the platform.
+    """
+    incarnation = random.getrandbits(64) or 1
+    timing = settings.timing
+    return Node(
+        vm=settings.vm,
+        failure_domain=settings.failure_domain,
+        caller_endpoint=settings.listen.caller,
+        peer_endpoint=settings.listen.peer,
+        incarnation=incarnation,
+        random=random,
+        membership=Membership(
+            options=MembershipOptions(
+                vm=settings.vm,
+                failure_domain=settings.failure_domain,
+                incarnation=incarnation,
+                heartbeat_s=timing.heartbeat_ms / 1000,
+                suspect_after_s=timing.suspect_after_ms / 1000,
+                seeds=tuple(settings.peers),
+                all_domains=ports.all_domains,
+            )
+        ),
+        ids=IssuedIds(
+            vm=settings.vm,
+            incarnation=incarnation,
+            secret=secrets.token_bytes(32),
+            ttl_s=settings.requests.request_id_ttl_ms / 1000,
+            memory_s=ID_MEMORY_S,
+            max_remembered=settings.requests.max_remembered_ids,
+        ),
+        leave=Leave(leave_s=timing.leave_ms / 1000, linger_s=timing.linger_ms / 1000),
+        needs_list=ports.lists_upstreams,
+        probe_s=timing.probe_ms / 1000,
+        started_at=monotonic(),
+        settle_s=timing.suspect_after_ms / 1000,
+    )
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/observability/histogram_collector.py
@@ -0,0 +1,70 @@
+"""Histograms in the form of the metrics library."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client.core import HistogramMetricFamily
+from prometheus_client.registry import Collector
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from prometheus_client import Metric
+
+    from plankspindle_core.histogram import Histogram
+    from plankspindle_daemon.observability.measures import Measures
+
+
+class HistogramCollector(Collector):
+    """Give the histograms of a process when its metrics are read.
+
+    Parameters
+    ----------
+    measures : Measures
+        What is counted.
+    """
+
+    def __init__(self, *, measures: Measures) -> None:
+        self._measures = measures
+
+    def collect(self) -> Iterable[Metric]:
+        """Give all histograms."""
+        requests = self._measures.requests
+        yield _family(
+            "plankspindle_request_duration_seconds",
+            "Duration of requests.",
+            ("service", "rank", "ending"),
+            requests.seconds_by_key.items(),
+        )
+        yield _family(
+            "plankspindle_queue_duration_seconds",
+            "Time for which requests waited for an upstream.",
+            ("service",),
+            [((name,), each) for name, each in requests.queue_by_service.items()],
+        )
+        yield _family(
+            "plankspindle_attempt_duration_seconds",
+            "Duration of attempts at upstreams.",
+            ("service", "verdict"),
+            requests.attempts_by_key.items(),
+        )
+        yield _family(
+            "plankspindle_platform_call_duration_seconds",
+            "Duration of calls to the platform.",
+            ("kind", "outcome"),
+            self._measures.calls.seconds_by_key.items(),
+        )
+
+
+def _family(
+    name: str,
+    text: str,
+    labels: tuple[str, ...],
+    histograms: Iterable[tuple[tuple[object, ...], Histogram]],
+) -> HistogramMetricFamily:
+    family = HistogramMetricFamily(name, text, labels=labels)
+    for key, histogram in histograms:
+        values = [str(each) for each in key]
+        family.add_metric(values, histogram.cumulative(), histogram.total)
+    return family
--- a/packages/daemon/src/plankspindle_daemon/observability/instruments.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/instruments.py
@@ -1,4 +1,4 @@
-"""The OpenTelemetry instruments of a node."""
+"""The instruments of a process: counters, gauges and histograms."""
 
 from __future__ import annotations
 
@@ -11,12 +11,15 @@
 from prometheus_client import REGISTRY
 from prometheus_client import generate_latest
 
+from plankspindle_daemon.observability.histogram_collector import HistogramCollector
+
 if TYPE_CHECKING:
-    from collections import Counter
+    from collections.abc import Callable
     from collections.abc import Iterable
 
-    from plankspindle_daemon.node.node import Node
-    from plankspindle_daemon.observability.metrics import RequestMetrics
+    from plankspindle_daemon.observability.measures import Measures
+
+    Observe = Callable[[], Iterable[Observation]]
 
 
 class Instruments:
@@ -24,76 +27,110 @@
 
     Parameters
     ----------
-    node : Node
-        The decisions.
-    requests : RequestMetrics
-        Counts of the request path.
+    measures : Measures
+        What is counted.
     """
 
-    def __init__(self, *, node: Node, requests: RequestMetrics) -> None:
-        self._node = node
-        self._requests = requests
+    def __init__(self, *, measures: Measures) -> None:
+        self._measures = measures
         self._provider = MeterProvider(metric_readers=[PrometheusMetricReader()])
-        meter = self._provider.get_meter("plankspindle")
-        meter.create_observable_counter(
-            "plankspindle_lookups", callbacks=[self._observe_lookups]
-        )
-        meter.create_observable_counter(
-            "plankspindle_requests", callbacks=[self._observe_requests]
-        )
-        meter.create_observable_counter(
-            "plankspindle_request_seconds", callbacks=[self._observe_seconds]
-        )
-        meter.create_observable_gauge(
-            "plankspindle_queued", callbacks=[self._observe_queued]
-        )
-        meter.create_observable_gauge(
-            "plankspindle_in_flight", callbacks=[self._observe_in_flight]
-        )
-        meter.create_observable_gauge(
-            "plankspindle_configuration_version", callbacks=[self._observe_version]
-        )
+        self._histograms = HistogramCollector(measures=measures)
+        REGISTRY.register(self._histograms)
+        self._count("lookups", self._lookups)
+        self._count("rejections", self._rejections)
+        self._count("retries", self._retries)
+        self._count("ejections", self._ejections)
+        self._count("log_lines_dropped", self._lines_dropped)
+        self._count("platform_calls", self._platform_calls)
+        self._count("platform_calls_refused", self._platform_calls_refused)
+        self._gauge("platform_available", self._platform_available)
+        self._gauge("queued", self._queued)
+        self._gauge("in_flight", self._in_flight)
+        self._gauge("configuration_version", self._version)
 
     def close(self) -> None:
         """Unregister the instruments."""
+        REGISTRY.unregister(self._histograms)
         self._provider.shutdown()
 
     def render(self) -> bytes:
         """Read all instruments and give them as Prometheus text."""
         return generate_latest(REGISTRY)
 
-    def _observe_lookups(self, _: CallbackOptions) -> Iterable[Observation]:
-        return [Observation(self._requests.lookups)]
+    def _count(self, name: str, observe: Observe) -> None:
+        meter = self._provider.get_meter("plankspindle")
+        meter.create_observable_counter(
+            f"plankspindle_{name}", callbacks=[_callback(observe)]
+        )
+
+    def _gauge(self, name: str, observe: Observe) -> None:
+        meter = self._provider.get_meter("plankspindle")
+        meter.create_observable_gauge(
+            f"plankspindle_{name}", callbacks=[_callback(observe)]
+        )
+
+    def _lookups(self) -> Iterable[Observation]:
+        return [Observation(self._measures.requests.lookups)]
+
+    def _rejections(self) -> Iterable[Observation]:
+        return [
+            Observation(count, {"service": service, "reason": reason.value})
+            for service, each in self._measures.node.dispatchers_by_service.items()
+            for reason, count in each.rejected_by_reason.items()
+        ]
+
+    def _retries(self) -> Iterable[Observation]:
+        counts = self._measures.requests.retries_by_key
+        return [
+            Observation(
+                count, {"service": service, "decision": decision, "because": because}
+            )
+            for (service, decision, because), count in counts.items()
+        ]
+
+    def _ejections(self) -> Iterable[Observation]:
+        return [
+            Observation(count, {"service": service})
+            for service, count in self._measures.ejections_by_service.items()
+        ]
+
+    def _lines_dropped(self) -> Iterable[Observation]:
+        return [Observation(self._measures.lines_dropped)]
 
-    def _observe_requests(self, _: CallbackOptions) -> Iterable[Observation]:
-        return _by_service_and_rank(self._requests.requests_by_key)
+    def _platform_calls(self) -> Iterable[Observation]:
+        return [
+            Observation(count, {"kind": kind.value})
+            for kind, count in self._measures.calls.made_by_kind.items()
+        ]
+
+    def _platform_calls_refused(self) -> Iterable[Observation]:
+        calls = self._measures.calls
+        return [
+            Observation(calls.refused_by_breaker, {"by": "breaker"}),
+            Observation(calls.refused_by_budget, {"by": "budget"}),
+        ]
 
-    def _observe_seconds(self, _: CallbackOptions) -> Iterable[Observation]:
-        return _by_service_and_rank(self._requests.seconds_by_key)
+    def _platform_available(self) -> Iterable[Observation]:
+        return [Observation(int(self._measures.calls.available))]
 
-    def _observe_queued(self, _: CallbackOptions) -> Iterable[Observation]:
+    def _queued(self) -> Iterable[Observation]:
         return [
             Observation(len(each.queue), {"service": service})
-            for service, each in self._node.dispatchers_by_service.items()
+            for service, each in self._measures.node.dispatchers_by_service.items()
         ]
 
-    def _observe_in_flight(self, _: CallbackOptions) -> Iterable[Observation]:
+    def _in_flight(self) -> Iterable[Observation]:
         return [
             Observation(
                 upstream.ledger.in_flight, {"service": service, "upstream": name}
             )
-            for service, each in self._node.dispatchers_by_service.items()
+            for service, each in self._measures.node.dispatchers_by_service.items()
             for name, upstream in each.upstreams_by_name.items()
         ]
 
-    def _observe_version(self, _: CallbackOptions) -> Iterable[Observation]:
-        return [Observation(self._node.version)]
+    def _version(self) -> Iterable[Observation]:
+        return [Observation(self._measures.node.version)]
 
 
-def _by_service_and_rank(
-    counts: Counter[tuple[str, int]],
-) -> Iterable[Observation]:
-    return [
-        Observation(value, {"service": service, "rank": rank})
-        for (service, rank), value in counts.items()
-    ]
+def _callback(observe: Observe) -> Callable[[CallbackOptions], Iterable[Observation]]:
+    return lambda _: observe()
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/observability/measures.py
@@ -0,0 +1,42 @@
+"""Everything that metrics and state dump show, in one place."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from attrs import define
+
+from plankspindle_core.logs.key_value_destination import KeyValueDestination
+from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.observability.metrics import RequestMetrics
+from plankspindle_daemon.platform.bounded_calls import BoundedCalls
+
+
+@define(kw_only=True)
+class Measures:
+    """What is counted in one process.
+
+    Parameters
+    ----------
+    node : Node
+        The decisions.
+    requests : RequestMetrics
+        Counts of the request path.
+    calls : BoundedCalls
+        Calls to the platform.
+    ejections_by_service : Counter of str
+        How often upstreams were backed off.
+    log : KeyValueDestination, optional
+        Where events go.
+    """
+
+    node: Node
+    requests: RequestMetrics
+    calls: BoundedCalls
+    ejections_by_service: Counter[str]
+    log: KeyValueDestination | None = None
+
+    @property
+    def lines_dropped(self) -> int:
+        """Lines of the log that were dropped."""
+        return 0 if self.log is None else self.log.dropped_by_event.total()
--- a/packages/daemon/src/plankspindle_daemon/observability/metrics.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/metrics.py
@@ -5,69 +5,100 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from plankspindle_daemon.node.node import Node
-    from plankspindle_daemon.observability.instruments import Instruments
-
+from attrs import define
+from attrs import field
 
-class RequestMetrics:
-    """Counts of the request path.
+from plankspindle_core.histogram import Histogram
+from plankspindle_daemon.stories.steps import AttemptEnded
+from plankspindle_daemon.stories.steps import Placed
+from plankspindle_daemon.stories.steps import Queued
+from plankspindle_daemon.stories.steps import Rejected
+from plankspindle_daemon.stories.steps import RetryDecided
 
-    Notes
-    -----
-    The hot path only adds to plain counters; OpenTelemetry reads them through
-    observable instruments when it is asked.
-    """
+if TYPE_CHECKING:
+    from collections.abc import Hashable
+    from typing import TypeVar
 
-    def __init__(self) -> None:
-        self.lookups = 0
-        self.requests_by_key: Counter[tuple[str, int]] = Counter()
-        self.seconds_by_key: Counter[tuple[str, int]] = Counter()
+    from plankspindle_daemon.stories.story import Story
 
-    def note_lookup(self) -> None:
-        """Count a look-up."""
-        self.lookups += 1
+    Key = TypeVar("Key", bound=Hashable)
 
-    def note_request(self, *, service: str, rank: int, seconds: float) -> None:
-        """Count a request and its duration."""
-        self.requests_by_key[service, rank] += 1
-        self.seconds_by_key[service, rank] += seconds  # type: ignore[assignment]
+REQUEST_BOUNDS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
+QUEUE_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+TAKEN = "taken"
+WITHHELD = "withheld"
+NO_SERVICE = "none"
+"""Service of requests that were refused before one was found."""
 
 
-class MetricsReader:
-    """Expose the counts of a node.
+@define(kw_only=True)
+class RequestMetrics:
+    """Counts of the request path, taken from what happened to each request.
 
-    Parameters
+    Attributes
     ----------
-    node : Node
-        The decisions.
-    requests : RequestMetrics
-        Counts of the request path.
-
-    Notes
-    -----
-    The libraries of the metrics take about 5 MB, so they are loaded when the metrics
-    are first asked for.
+    lookups : int
+        Answered look-ups.
+    seconds_by_key : dict of (service, rank, ending) to Histogram
+        Durations of requests.
+    queue_by_service : dict of str to Histogram
+        Time that requests waited for an upstream.
+    attempts_by_key : dict of (service, verdict) to Histogram
+        Durations of attempts.
+    retries_by_key : Counter of (service, decision, because)
+        Retries that were taken or withheld.
     """
 
-    def __init__(self, *, node: Node, requests: RequestMetrics) -> None:
-        self._node = node
-        self._requests = requests
-        self._instruments: Instruments | None = None
-
-    def close(self) -> None:
-        """Unregister the instruments."""
-        if self._instruments is not None:
-            self._instruments.close()
-            self._instruments = None
-
-    def render(self) -> bytes:
-        """Read all instruments and give them as Prometheus text."""
-        if self._instruments is None:
-            self._instruments = self._load()
-        return self._instruments.render()
+    lookups: int = 0
+    seconds_by_key: dict[tuple[str, int, str], Histogram] = field(factory=dict)
+    queue_by_service: dict[str, Histogram] = field(factory=dict)
+    attempts_by_key: dict[tuple[str, str], Histogram] = field(factory=dict)
+    retries_by_key: Counter[tuple[str, str, str]] = field(factory=Counter)
 
-    def _load(self) -> Instruments:
-        from plankspindle_daemon.observability.instruments import Instruments
+    def note_lookup(self) -> None:
+        """Count a look-up."""
+        self.lookups += 1
 
-        return Instruments(node=self._node, requests=self._requests)
+    def note_request(self, story: Story, now: float) -> None:
+        """Count a request that has ended, with its attempts and waits.
+
+        Parameters
+        ----------
+        story : Story
+            What happened to it.
+        now : float
+            Monotonic seconds.
+        """
+        service = story.service or NO_SERVICE
+        rank = -1 if story.rank is None else story.rank
+        key = (service, rank, story.ending.value)
+        _of(self.seconds_by_key, key, REQUEST_BOUNDS_S).note(now - story.began_at)
+        queued_at = None
+        for at, step in story.steps:
+            match step:
+                case Queued():
+                    queued_at = at
+                case Placed() | Rejected():
+                    waited_s = 0.0 if queued_at is None else at - queued_at
+                    queue = _of(self.queue_by_service, service, QUEUE_BOUNDS_S)
+                    queue.note(waited_s)
+                    queued_at = None
+                case AttemptEnded(verdict=verdict, took_ms=took_ms):
+                    attempts = _of(
+                        self.attempts_by_key, (service, verdict), REQUEST_BOUNDS_S
+                    )
+                    attempts.note(took_ms / 1000)
+                case RetryDecided(taken=taken, because=because):
+                    decision = TAKEN if taken else WITHHELD
+                    self.retries_by_key[service, decision, because] += 1
+                case _:
+                    pass
+
+
+def _of(
+    histograms: dict[Key, Histogram], key: Key, bounds: tuple[float, ...]
+) -> Histogram:
+    histogram = histograms.get(key)
+    if histogram is None:
+        histogram = histograms[key] = Histogram(bounds=bounds)
+    return histogram
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from plankspindle_core.invariants import checks_by_name
+from plankspindle_daemon.platform.bounded_calls import CallKind
 
 if TYPE_CHECKING:
     from plankspindle_daemon.dispatch.dispatcher import Dispatcher
@@ -13,6 +14,7 @@
     from plankspindle_daemon.listeners.caller_listener import CallerListener
     from plankspindle_daemon.membership.peer_link import PeerLink
     from plankspindle_daemon.node.node import Node
+    from plankspindle_daemon.observability.measures import Measures
     from plankspindle_daemon.platform.platform_client import PlatformClient
     from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
     from plankspindle_daemon.upstreams.upstream_state import UpstreamState
@@ -129,6 +131,8 @@
 
 def _dump_upstream(upstream: UpstreamState, now: float) -> dict[str, Any]:
     return {
+        "standing": upstream.standing(now).value,
+        "evidence": upstream.evidence,
         "slots": upstream.ledger.slots,
         "share": upstream.ledger.share,
         "limit": upstream.limit(now),
@@ -205,14 +209,46 @@
             "dropped": dict(peers.dropped_by_reason),
         },
         "platform": {
-            "available": platform.available,
-            "reads": platform.reads,
-            "writes": platform.writes,
-            "refused_by_budget": platform.read_budget.refused
-            + platform.write_budget.refused,
+            "available": platform.calls.available,
+            "failure": platform.calls.failure,
+            "reads": platform.calls.made_by_kind[CallKind.READ],
+            "writes": platform.calls.made_by_kind[CallKind.WRITE],
+            "refused_by_budget": platform.calls.refused_by_budget,
+            "refused_by_breaker": platform.calls.refused_by_breaker,
         },
         "claims": {
             "unclosed": len(claims.unclosed_by_nonce),
             "dropped_closings": claims.dropped_closings,
         },
     }
+
+
+def dump_measures(measures: Measures) -> dict[str, Any]:
+    """Dump the counts that the metrics show, too."""
+    requests = measures.requests
+    return {
+        "measures": {
+            "lookups": requests.lookups,
+            "requests": [
+                {"service": service, "rank": rank, "ending": ending}
+                | {"count": each.observations, "seconds": round(each.total, 6)}
+                for (service, rank, ending), each in requests.seconds_by_key.items()
+            ],
+            "attempts": [
+                {"service": service, "verdict": verdict}
+                | {"count": each.observations, "seconds": round(each.total, 6)}
+                for (service, verdict), each in requests.attempts_by_key.items()
+            ],
+            "retries": [
+                {"service": service, "decision": decision, "because": because}
+                | {"count": count}
+                for (
+                    service,
+                    decision,
+                    because,
+                ), count in requests.retries_by_key.items()
+            ],
+            "ejections": dict(measures.ejections_by_service),
+            "log_lines_dropped": measures.lines_dropped,
+        }
+    }
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/platform/bounded_calls.py
@@ -0,0 +1,173 @@
+"""The one place through which every call to the platform passes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import Any
+
+from attrs import define
+from attrs import field
+from curio import TaskTimeout
+from curio import timeout_after
+from result import Err
+from result import Result
+
+from plankspindle_core.histogram import Histogram
+from plankspindle_core.token_bucket import TokenBucket
+from plankspindle_daemon.platform.circuit_breaker import CircuitBreaker
+from plankspindle_daemon.platform.errors import PlatformUnavailable
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from plankspindle_core.http.fetch import HttpAnswer
+
+READS_PER_S = 20.0
+WRITES_PER_S = 40.0
+BURST_S = 2.0
+"""Time whose calls may be made at once, in seconds."""
+CALL_BOUNDS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+_TOO_MANY = 429
+_SERVER_ERROR = 500
+
+
+class CallKind(Enum):
+    """What a call does, as it counts for the budgets."""
+
+    READ = "read"
+    WRITE = "write"
+
+
+def _bucket(per_s: float) -> TokenBucket:
+    return TokenBucket(per_s=per_s, burst=per_s * BURST_S)
+
+
+@define(kw_only=True)
+class BoundedCalls:
+    """Bound calls to the platform by budget, circuit breaker and time.
+
+    Parameters
+    ----------
+    timeout_s : float
+        Longest wait for an answer that is not delayed on purpose, in seconds.
+    breaker : CircuitBreaker
+        What stops calls while the platform is away.
+    reads, writes : TokenBucket
+        Budgets of this node, so that no node can use up what all have together.
+    clock : callable
+        Gives monotonic seconds.
+
+    Attributes
+    ----------
+    made_by_kind : dict of CallKind to int
+        Calls made.
+    refused_by_breaker : int
+        Calls not made, since the platform is away.
+    failure : str or None
+        What was last seen of a platform that is away.
+    seconds_by_key : dict of (str, str) to Histogram
+        Durations by kind and outcome, without the time that an answer was delayed on
+        purpose.
+    """
+
+    timeout_s: float
+    breaker: CircuitBreaker = field(factory=CircuitBreaker)
+    reads: TokenBucket = field(factory=lambda: _bucket(READS_PER_S))
+    writes: TokenBucket = field(factory=lambda: _bucket(WRITES_PER_S))
+    clock: Callable[[], float] = monotonic
+    made_by_kind: dict[CallKind, int] = field(
+        factory=lambda: dict.fromkeys(CallKind, 0)
+    )
+    refused_by_breaker: int = 0
+    failure: str | None = None
+    seconds_by_key: dict[tuple[str, str], Histogram] = field(factory=dict)
+
+    @property
+    def available(self) -> bool:
+        """Whether the last calls were answered."""
+        return self.breaker.closed
+
+    @property
+    def refused_by_budget(self) -> int:
+        """Calls not made, since the budget of this node was used up."""
+        return self.reads.refused + self.writes.refused
+
+    async def make(
+        self,
+        kind: CallKind,
+        call: Callable[..., Awaitable[Result[HttpAnswer, Any]]],
+        *args: Any,
+        extra_s: float = 0.0,
+    ) -> Result[HttpAnswer, PlatformUnavailable]:
+        """Make one call, unless it must not be made.
+
+        Parameters
+        ----------
+        kind : CallKind
+            What it counts as.
+        call : callable
+            Coroutine function that makes it.
+        *args : object
+            Its arguments.
+        extra_s : float
+            Time for which the platform may delay the answer on purpose, in seconds.
+
+        Returns
+        -------
+        Result
+            The answer, whatever its status below 500 but 429; or why there is none.
+            After an error its effect is not known.
+        """
+        began = self.clock()
+        budget = self.writes if kind is CallKind.WRITE else self.reads
+        if not self.breaker.allows(began):
+            self.refused_by_breaker += 1
+            away = f"recent calls failed ({self.failure}); not tried"
+            return Err(PlatformUnavailable(away))
+        if not budget.take(began):
+            return Err(PlatformUnavailable("the budget of calls is used up"))
+        self.made_by_kind[kind] += 1
+        answer = await self._bounded(call, args, self.timeout_s + extra_s)
+        self._note(kind, answer, began, delayed=extra_s > 0)
+        return answer
+
+    async def _bounded(
+        self,
+        call: Callable[..., Awaitable[Result[HttpAnswer, Any]]],
+        args: tuple[Any, ...],
+        timeout_s: float,
+    ) -> Result[HttpAnswer, PlatformUnavailable]:
+        try:
+            answer = await timeout_after(timeout_s, call, *args)
+        except TaskTimeout:
+            return Err(PlatformUnavailable("no answer in time"))
+        if answer.is_err():
+            return Err(PlatformUnavailable(str(answer.unwrap_err())))
+        status = answer.unwrap().status
+        if status >= _SERVER_ERROR or status == _TOO_MANY:
+            return Err(PlatformUnavailable(f"status {status}"))
+        return answer  # type: ignore[no-any-return]
+
+    def _note(
+        self,
+        kind: CallKind,
+        answer: Result[HttpAnswer, PlatformUnavailable],
+        began: float,
+        *,
+        delayed: bool,
+    ) -> None:
+        now = self.clock()
+        self.breaker.note(failed=answer.is_err(), now=now)
+        if answer.is_err():
+            self.failure = answer.unwrap_err().detail
+        if delayed and answer.is_ok():
+            return
+        outcome = "failed" if answer.is_err() else "answered"
+        histogram = self.seconds_by_key.get((kind.value, outcome))
+        if histogram is None:
+            histogram = Histogram(bounds=CALL_BOUNDS_S)
+            self.seconds_by_key[kind.value, outcome] = histogram
+        histogram.note(now - began)
--- a/packages/daemon/src/plankspindle_daemon/platform/circuit_breaker.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/circuit_breaker.py
@@ -14,10 +14,18 @@
     ----------
     failures_to_open : int
         Failures in a row after which calls are no longer made.
+    max_open_s : float
+        Longest time between trials, in seconds.
     """
 
-    def __init__(self, *, failures_to_open: int = FAILURES_TO_OPEN) -> None:
+    def __init__(
+        self,
+        *,
+        failures_to_open: int = FAILURES_TO_OPEN,
+        max_open_s: float = MAX_OPEN_S,
+    ) -> None:
         self._failures_to_open = failures_to_open
+        self._max_open_s = max_open_s
         self._failures = 0
         self._next_trial = 0.0
 
@@ -52,4 +60,4 @@
 
     def _open_s(self) -> float:
         doublings = self._failures - self._failures_to_open
-        return min(MAX_OPEN_S, OPEN_S * 2.0 ** min(doublings, 10))
+        return min(self._max_open_s, OPEN_S * 2.0 ** min(doublings, 10))
--- a/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
@@ -1,9 +1,8 @@
-"""HTTP client of the platform, with a circuit breaker."""
+"""HTTP client of the platform."""
 
 from __future__ import annotations
 
 import json
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -16,10 +15,8 @@
 
 from plankspindle_core.http.fetch import HttpAnswer
 from plankspindle_core.http.fetch import fetch
-from plankspindle_daemon.platform.call_budget import READS_PER_S
-from plankspindle_daemon.platform.call_budget import WRITES_PER_S
-from plankspindle_daemon.platform.call_budget import CallBudget
-from plankspindle_daemon.platform.circuit_breaker import CircuitBreaker
+from plankspindle_daemon.platform.bounded_calls import BoundedCalls
+from plankspindle_daemon.platform.bounded_calls import CallKind
 from plankspindle_daemon.platform.errors import ConditionFailed
 from plankspindle_daemon.platform.errors import PlatformUnavailable
 from plankspindle_daemon.platform.live_list import ListedVm
@@ -31,6 +28,7 @@
     from collections.abc import Callable
 
     from plankspindle_core.endpoint import Endpoint
+    from plankspindle_core.http.errors import HttpError
     from plankspindle_daemon.platform.table import Transaction
 
 Parsed = TypeVar("Parsed")
@@ -52,27 +50,16 @@
 
     Attributes
     ----------
-    reads, writes : int
-        Calls made, for the budget of a node.
+    calls : BoundedCalls
+        Bounds and counts of all calls.
     """
 
     def __init__(self, *, endpoint: Endpoint, timeout_s: float) -> None:
         self.endpoint = endpoint
-        self._timeout_s = timeout_s
-        self._breaker = CircuitBreaker()
-        self.read_budget = CallBudget(per_s=READS_PER_S)
-        self.write_budget = CallBudget(per_s=WRITES_PER_S)
-        self.reads = 0
-        self.writes = 0
-
-    @property
-    def available(self) -> bool:
-        """Whether the last calls were answered."""
-        return self._breaker.closed
+        self.calls = BoundedCalls(timeout_s=timeout_s)
 
     async def read_row(self, key: str) -> Result[Row, PlatformUnavailable]:
         """Read one row; an absent one has version ``ABSENT``."""
-        self.reads += 1
         answer = await self._call("GET", f"/table/{quote(key, safe='')}")
         if answer.is_err():
             return Err(answer.unwrap_err())
@@ -95,7 +82,6 @@
         Result
             A row for each key.
         """
-        self.reads += 1
         answer = await self._call("POST", "/table/read", {"keys": keys})
         if answer.is_err():
             return Err(answer.unwrap_err())
@@ -118,7 +104,6 @@
         limit : int
             Most rows to read.
         """
-        self.reads += 1
         query = urlencode({"prefix": prefix, "after": after, "limit": limit})
         answer = await self._call("GET", f"/table?{query}")
         if answer.is_err():
@@ -139,7 +124,6 @@
             Nothing if it took effect; :class:`ConditionFailed` if it did not; after
             :class:`PlatformUnavailable` its effect is not known.
         """
-        self.writes += 1
         body = {
             "writes": [
                 {
@@ -168,7 +152,6 @@
         self, name: str, content: bytes
     ) -> Result[None, PlatformUnavailable]:
         """Store an object; names are digests, so storing it twice is harmless."""
-        self.writes += 1
         answer = await self._call("PUT", f"/objects/{name}", content)
         if answer.is_err():
             return Err(answer.unwrap_err())
@@ -176,7 +159,6 @@
 
     async def get_object(self, name: str) -> Result[bytes | None, PlatformUnavailable]:
         """Read an object, or None if there is none of that name."""
-        self.reads += 1
         answer = await self._call("GET", f"/objects/{name}")
         if answer.is_err():
             return Err(answer.unwrap_err())
@@ -190,7 +172,6 @@
 
     async def read_live_list(self) -> Result[list[ListedVm], PlatformUnavailable]:
         """Read the platform's list of live and leaving VMs."""
-        self.reads += 1
         answer = await self._call("GET", "/vms")
         if answer.is_err():
             return Err(answer.unwrap_err())
@@ -200,29 +181,21 @@
     async def _call(
         self, method: str, target: str, body: Any = b""
     ) -> Result[HttpAnswer, PlatformUnavailable]:
-        if not self._budget_of(method, target).take(monotonic()):
-            return Err(PlatformUnavailable("the budget of calls is used up"))
-        if not self._breaker.allows(monotonic()):
-            return Err(PlatformUnavailable("recent calls failed; not tried"))
+        is_write = method == "PUT" or target == _COMMIT_TARGET
+        kind = CallKind.WRITE if is_write else CallKind.READ
         content = body if isinstance(body, bytes) else json.dumps(body).encode()
-        answer = await fetch(
+        return await self.calls.make(kind, self._fetch, method, target, content)
+
+    async def _fetch(
+        self, method: str, target: str, content: bytes
+    ) -> Result[HttpAnswer, HttpError]:
+        return await fetch(
             self.endpoint,
             method=method,
             target=target,
             body=content,
-            timeout_s=self._timeout_s,
+            timeout_s=self.calls.timeout_s,
         )
-        failed = answer.is_err() or answer.unwrap().status >= 500
-        self._breaker.note(failed=failed, now=monotonic())
-        if answer.is_err():
-            return Err(PlatformUnavailable(str(answer.unwrap_err())))
-        if failed:
-            return Err(PlatformUnavailable(f"status {answer.unwrap().status}"))
-        return Ok(answer.unwrap())
-
-    def _budget_of(self, method: str, target: str) -> CallBudget:
-        is_write = method == "PUT" or target == _COMMIT_TARGET
-        return self.write_budget if is_write else self.read_budget
 
     def _read(
         self,
--- a/packages/daemon/src/plankspindle_daemon/platform/ports.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/ports.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from result import Result
 
+    from plankspindle_daemon.platform.errors import PlatformUnavailable
     from plankspindle_daemon.settings.daemon_settings import DaemonSettings
 
 
@@ -48,12 +49,15 @@
 
     is_present: bool
 
-    async def announce(self) -> bool:
-        """Enter this VM; True once the platform has taken it."""
+    async def announce(self) -> Result[None, PlatformUnavailable]:
+        """Enter this VM."""
 
-    async def withdraw(self) -> None:
+    async def withdraw(self) -> Result[None, PlatformUnavailable]:
         """Take this VM out; it is harmless to fail."""
 
+    async def remove(self, name: str) -> Result[None, PlatformUnavailable]:
+        """Take out another VM that died, unless its entry changes meanwhile."""
+
 
 class Door(Protocol):
     """A further listener."""
--- a/packages/daemon/src/plankspindle_daemon/retries/retry_budget.py
+++ b/packages/daemon/src/plankspindle_daemon/retries/retry_budget.py
@@ -34,6 +34,11 @@
         self.fresh += 1
         self._tokens = min(self.burst, self._tokens + self.percent / 100)
 
+    @property
+    def left(self) -> float:
+        """Retries that may be made now."""
+        return self._tokens
+
     def has_room(self) -> bool:
         """Tell whether a retry may be made."""
         return self._tokens >= 1.0
--- a/packages/daemon/src/plankspindle_daemon/settings/daemon_settings.py
+++ b/packages/daemon/src/plankspindle_daemon/settings/daemon_settings.py
@@ -17,7 +17,7 @@
 
 @frozen(kw_only=True)
 class ListenSettings:
-    """Addresses of the three listeners.
+    """Addresses of the listeners.
 
     Parameters
     ----------
@@ -27,11 +27,14 @@
         TCP address for operators, metrics and state dumps.
     peer : Endpoint
         UDP address for the other entry VMs.
+    metrics : Endpoint, optional
+        Further TCP address that gives metrics without a token.
     """
 
     caller: Endpoint
     operator: Endpoint
     peer: Endpoint
+    metrics: Endpoint | None = None
 
 
 @frozen(kw_only=True)
@@ -174,6 +177,12 @@
                 f"listen.operator: {self.listen.operator} is already listen.caller;"
                 " give it another port"
             )
+        if self.listen.metrics in (self.listen.caller, self.listen.operator):
+            found.append(
+                f"listen.metrics: {self.listen.metrics} is already another listener's;"
+                " give it another port, or leave it out: listen.operator has metrics,"
+                " too"
+            )
         if not self.secrets.peer_keys:
             found.append("secrets.peer_keys: name at least one key")
         for index, key in enumerate(self.secrets.peer_keys):
--- a/packages/daemon/src/plankspindle_daemon/upstreams/reported_slots.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/reported_slots.py
@@ -34,6 +34,8 @@
     ----------
     started_by_ticket : dict of int to float
         Start of each running request, monotonic seconds.
+    reported_at : float or None
+        When an answer last told the load, monotonic seconds.
 
     Notes
     -----
@@ -43,8 +45,8 @@
 
     slots: int
     started_by_ticket: dict[int, float] = Factory(dict)
+    reported_at: float | None = None
     _others: float = 0.0
-    _others_at: float = 0.0
     _full_until: float = 0.0
 
     @property
@@ -59,7 +61,9 @@
 
     def others(self, now: float) -> float:
         """Estimate the requests of other entry VMs that run or wait there."""
-        age_s = max(0.0, now - self._others_at)
+        if self.reported_at is None:
+            return 0.0
+        age_s = max(0.0, now - self.reported_at)
         return self._others * math.exp(-age_s / REPORT_FADES_S)
 
     def load(self, now: float) -> float:
@@ -78,7 +82,7 @@
             Monotonic seconds.
         """
         self._others = max(0.0, float(total - self.in_flight))
-        self._others_at = now
+        self.reported_at = now
 
     def note_full(self, now: float) -> None:
         """Record that it shed a request."""
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -8,11 +8,15 @@
 
 from plankspindle_core.configuration.upstream import Upstream
 from plankspindle_daemon.upstreams.cold_gate import ColdGate
+from plankspindle_daemon.upstreams.health import BackedOff
+from plankspindle_daemon.upstreams.health import Ramping
 from plankspindle_daemon.upstreams.health import UpstreamHealth
+from plankspindle_daemon.upstreams.health import Warm
 from plankspindle_daemon.upstreams.load_report import MAX_AGE_S
 from plankspindle_daemon.upstreams.load_report import LoadReport
 from plankspindle_daemon.upstreams.reported_slots import ReportedSlots
 from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
+from plankspindle_daemon.upstreams.standing import Standing
 
 LATENCY_WEIGHT = 0.2
 MIN_LATENCY = 0.1
@@ -48,6 +52,12 @@
         Bound on requests while it is cold.
     drained_at : float, optional
         Time from which a confirmed drain keeps new work away, monotonic seconds.
+    answered_at : float
+        When it last answered, monotonic seconds.
+    evidence : str, optional
+        What was last seen of it other than an answer.
+    evidence_at : float
+        When that was, monotonic seconds.
     """
 
     name: str
@@ -61,6 +71,8 @@
     drained_at: float | None = None
     cold: ColdGate | None = None
     answered_at: float = 0.0
+    evidence: str | None = None
+    evidence_at: float = 0.0
     _report: LoadReport | None = None
     _reported_at: float = 0.0
     _latency_at: float = 0.0
@@ -108,6 +120,36 @@
         is_warm = self.cold is None or now >= self.cold.until
         return is_warm and self.health.limit(1, now) > 0
 
+    def note_evidence(self, seen: str, now: float) -> None:
+        """Keep what was seen of it, for the log."""
+        self.evidence = seen
+        self.evidence_at = now
+
+    def standing(self, now: float) -> Standing:
+        """Say what is believed of it, the gravest first."""
+        if self.leaving:
+            return Standing.LEAVING
+        if self.drained_at is not None and now >= self.drained_at:
+            return Standing.DRAINED
+        if self.is_unconfirmed:
+            return Standing.UNCONFIRMED
+        match self.health.state:
+            case BackedOff():
+                return Standing.BACKED_OFF
+            case Ramping():
+                return Standing.WARMING_UP
+            case Warm():
+                is_cold = self.cold is not None and now < self.cold.until
+                return Standing.COLD if is_cold else Standing.WELL
+
+    def report_age_ms(self, now: float) -> int | None:
+        """Give the age of the load that its answers told; None if there is none."""
+        match self.ledger:
+            case ReportedSlots(reported_at=at) if at is not None:
+                return round(1000 * (now - at))
+            case _:
+                return None
+
     def load(self, now: float) -> float:
         """Requests that run or wait there, as far as known."""
         match self.ledger:
--- /dev/null
+++ b/packages/daemon/tests/beliefs/test_belief_watch.py
@@ -0,0 +1,123 @@
+"""Tests of noticing what is believed newly."""
+
+from __future__ import annotations
+
+import pytest
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.beliefs.belief_watch import BeliefWatch
+from plankspindle_daemon.beliefs.member_watch import MemberWatch
+from plankspindle_daemon.beliefs.upstream_watch import UpstreamWatch
+from plankspindle_daemon.dispatch.messages import Ended
+from plankspindle_daemon.dispatch.messages import Verdict
+from plankspindle_daemon.membership.member import Member
+from plankspindle_daemon.membership.membership import Membership
+from plankspindle_daemon.membership.membership import MembershipOptions
+from plankspindle_daemon.platform.bounded_calls import BoundedCalls
+from plankspindle_testkit.builders import build_dispatcher
+from plankspindle_testkit.builders import build_ticket
+
+NOW = 100.0
+
+
+def build_membership() -> Membership:
+    return Membership(
+        options=MembershipOptions(
+            vm="own",
+            failure_domain="ba-1",
+            incarnation=1,
+            heartbeat_s=0.5,
+            suspect_after_s=2.0,
+            all_domains=True,
+        )
+    )
+
+
+def build_member(name: str, domain: str, heard: float | None) -> Member:
+    return Member(
+        name=name,
+        peer_endpoint=Endpoint("127.0.0.1", 1),
+        counted_since=0.0,
+        last_heard=heard,
+        failure_domain=domain,
+    )
+
+
+def test_an_upstream_is_told_of_when_its_standing_changes_with_what_was_seen() -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"u": 4})
+    watch = UpstreamWatch()
+    by_service = {"registry": dispatcher}
+    assert watch.observe(by_service, NOW) == []
+    for number in range(3):
+        ended = Ended(
+            ticket=build_ticket(number),
+            upstream="u",
+            verdict=Verdict.UNREACHABLE,
+            came="no connection: refused",
+        )
+        dispatcher.handle(ended, NOW)
+    (lost,) = watch.observe(by_service, NOW + 0.5)
+    assert lost.event == "upstream_standing"
+    assert (lost.fields["was"], lost.fields["now"]) == ("well", "backed-off")
+    assert lost.fields["seen"] == "unreachable: no connection: refused"
+    assert lost.fields["seen_ms_ago"] == 500
+    assert watch.ejections_by_service == {"registry": 1}
+    assert watch.observe(by_service, NOW + 0.6) == []
+    del dispatcher.upstreams_by_name["u"]
+    (gone,) = watch.observe(by_service, NOW + 1.0)
+    assert (gone.fields["was"], gone.fields["now"]) == ("backed-off", "gone")
+
+
+def test_members_and_whole_domains_are_told_of_when_they_fall_silent_and_return() -> (
+    None
+):
+    membership, watch = build_membership(), MemberWatch()
+    first = build_member("a", "ke-1", NOW)
+    second = build_member("b", "ke-1", NOW)
+    membership.members_by_name |= {"a": first, "b": second}
+    seen = watch.observe(membership, NOW)
+    assert [each.fields["now"] for each in seen] == ["heard", "heard"]
+    first.last_heard = NOW - 50
+    (suspected,) = watch.observe(membership, NOW)
+    assert suspected.fields["now"] == "suspected"
+    assert suspected.fields["silent_ms"] == 50_000
+    second.last_heard = NOW - 50
+    events = [each.event for each in watch.observe(membership, NOW)]
+    assert events == ["member_standing", "domain_lost"]
+    first.last_heard = NOW
+    events = [each.event for each in watch.observe(membership, NOW)]
+    assert events == ["member_standing", "domain_regained"]
+    del membership.members_by_name["b"]
+    (removed,) = watch.observe(membership, NOW)
+    assert removed.fields["now"] == "removed"
+
+
+def test_a_restart_of_a_member_is_told_of() -> None:
+    membership, watch = build_membership(), MemberWatch()
+    member = build_member("a", "ke-1", NOW)
+    membership.members_by_name["a"] = member
+    watch.observe(membership, NOW)
+    member.incarnation = 7
+    (told,) = watch.observe(membership, NOW)
+    assert told.fields["restarted"]
+
+
+@pytest.mark.parametrize("failures", [2, 3])
+def test_a_platform_that_goes_is_told_of_once(failures: int) -> None:
+    calls, watch = BoundedCalls(timeout_s=1.0), BeliefWatch()
+    for _ in range(failures):
+        calls.breaker.note(failed=True, now=NOW)
+    calls.failure = "status 503"
+    lost = list(watch._platform(calls, NOW))
+    assert [each.event for each in lost] == ["platform_lost"] * (failures - 2)
+    assert not list(watch._platform(calls, NOW))
+    calls.breaker.note(failed=False, now=NOW)
+    regained = list(watch._platform(calls, NOW + 1.5))
+    assert [each.fields for each in regained] == [{"away_ms": 1_500}] * (failures - 2)
+
+
+def test_random_state_is_untouched_by_watching() -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"u": 4})
+    before = dispatcher.random.getstate()
+    UpstreamWatch().observe({"registry": dispatcher}, NOW)
+    assert dispatcher.random.getstate() == before
--- a/packages/daemon/tests/exchange/test_exchange.py
+++ b/packages/daemon/tests/exchange/test_exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import initialize
@@ -242,3 +244,51 @@
     exchange.handle(m.Assigned(upstream="u1", endpoint=ENDPOINT))
     exchange.handle(m.Connected())
     assert not exchange.could_try_again()
+
+
+def fail_first_attempt(
+    *, idempotent: bool = True, max_attempts: int = 3, resendable: bool = True
+) -> Exchange:
+    exchange = Exchange(
+        terms=m.Terms(
+            idempotent=idempotent,
+            resendable=resendable,
+            recorded=False,
+            max_attempts=max_attempts,
+        ),
+        route=m.ToUpstream(),
+        budget=RetryBudget(percent=100),
+    )
+    exchange.begin()
+    exchange.handle(m.Assigned(upstream="u", endpoint=ENDPOINT))
+    exchange.handle(m.Connected())
+    exchange.handle(m.Broke(bytes_handed_over=True))
+    return exchange
+
+
+def test_a_retry_that_is_taken_is_told_with_what_led_to_it() -> None:
+    (decided,) = fail_first_attempt().retries_decided
+    assert (decided.taken, decided.because) == (True, "upstream-lost")
+
+
+def test_a_retry_that_is_withheld_is_told_with_what_withheld_it() -> None:
+    def why(**terms: Any) -> str:
+        (decided,) = fail_first_attempt(**terms).retries_decided
+        assert not decided.taken
+        return decided.because
+
+    assert why(max_attempts=1) == "all attempts are used"
+    assert why(idempotent=False) == "it may have run and must not run twice"
+    assert why(resendable=False) == "its body is not at hand any more"
+
+
+def test_a_budget_that_is_used_up_is_told() -> None:
+    exchange = fail_first_attempt()
+    while exchange.budget.take():
+        pass
+    exchange.handle(m.Assigned(upstream="v", endpoint=ENDPOINT))
+    exchange.handle(m.Connected())
+    exchange.handle(m.Broke(bytes_handed_over=True))
+    decided = exchange.retries_decided[-1]
+    assert (decided.taken, decided.because) == (False, "retry budget is used up")
+    assert decided.budget_left < 1.0
--- a/packages/daemon/tests/idempotency/test_claim_store.py
+++ b/packages/daemon/tests/idempotency/test_claim_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from random import Random
+from typing import TYPE_CHECKING
 from typing import cast
 
 from attrs import evolve
@@ -13,13 +14,15 @@
 from plankspindle_daemon.idempotency.claim_row import claim_row_from_mapping
 from plankspindle_daemon.idempotency.claim_store import ClaimStore
 from plankspindle_daemon.idempotency.fingerprint import Fingerprint
-from plankspindle_daemon.platform.platform_client import PlatformClient
 from plankspindle_daemon.platform.table import ABSENT
 from plankspindle_daemon.platform.table import RowWrite
 from plankspindle_daemon.platform.table import Transaction
 from plankspindle_testkit.trial.fake_platform import FakePlatform
 from plankspindle_testkit.trial.fake_platform import run_to_end
 
+if TYPE_CHECKING:
+    from plankspindle_daemon.platform.platform_client import PlatformClient
+
 KEY = "claims/k1"
 CLAIM = ClaimRow(
     fingerprint=Fingerprint(caller="dealer", digest="aa"),
@@ -31,7 +34,7 @@
 
 def make_store(platform: FakePlatform) -> ClaimStore:
     return ClaimStore(
-        platform=cast(PlatformClient, platform),
+        platform=cast("PlatformClient", platform),
         random=Random(1),
         supervisor=Supervisor(),
     )
--- /dev/null
+++ b/packages/daemon/tests/observability/test_metrics.py
@@ -0,0 +1,146 @@
+"""Tests of metrics, and that the state dump says the same."""
+
+from __future__ import annotations
+
+import re
+from collections import Counter
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from plankspindle_core.histogram import Histogram
+from plankspindle_daemon.observability.measures import Measures
+from plankspindle_daemon.observability.metrics import RequestMetrics
+from plankspindle_daemon.observability.metrics_reader import MetricsReader
+from plankspindle_daemon.observability.state_dump import dump_measures
+from plankspindle_daemon.platform.bounded_calls import BoundedCalls
+from plankspindle_daemon.platform.bounded_calls import CallKind
+from plankspindle_daemon.stories.steps import AttemptEnded
+from plankspindle_daemon.stories.steps import Placed
+from plankspindle_daemon.stories.steps import Queued
+from plankspindle_daemon.stories.steps import Ran
+from plankspindle_daemon.stories.steps import RetryDecided
+from plankspindle_daemon.stories.story import Ending
+from plankspindle_daemon.stories.story import Story
+
+PLACED = Placed(upstream="u", own_load=0, others_load=0.0, slots=4, latency=1.0)
+
+
+class BareNode:
+    """The parts of a node that metrics read, with nothing in force."""
+
+    dispatchers_by_service: dict[str, Any] = {}
+    version = 7
+
+
+def build_story() -> Story:
+    story = Story(request="r", is_callers_id=True, began_at=10.0, began_wall=0.0)
+    story.service, story.rank = "registry", 1
+    story.note(Queued(ahead=0, limit=9), 10.0)
+    story.note(PLACED, 10.3)
+    lost = AttemptEnded(
+        attempt=1,
+        upstream="u",
+        verdict="failed",
+        came="lost",
+        ran=Ran.MAYBE,
+        took_ms=200,
+    )
+    story.note(lost, 10.5)
+    retry = RetryDecided(taken=True, because="upstream-lost", budget_left=3.0)
+    story.note(retry, 10.5)
+    story.note(PLACED, 10.5)
+    story.end(Ending.SERVED, status=200)
+    return story
+
+
+@pytest.fixture
+def measures() -> Measures:
+    node: Any = BareNode()
+    calls = BoundedCalls(timeout_s=1.0)
+    calls.made_by_kind[CallKind.READ] = 3
+    found = Measures(
+        node=node,
+        requests=RequestMetrics(),
+        calls=calls,
+        ejections_by_service=Counter({"registry": 2}),
+    )
+    found.requests.note_lookup()
+    found.requests.note_request(build_story(), 10.9)
+    return found
+
+
+def samples(text: str) -> dict[str, float]:
+    """Read Prometheus text into values by name and labels."""
+    found = {}
+    for line in text.splitlines():
+        if line.startswith("#"):
+            continue
+        name, value = line.rsplit(" ", 1)
+        labels = sorted(re.findall(r'(\w+)="([^"]*)"', name))
+        kept = [f"{key}={each}" for key, each in labels if not key.startswith("otel")]
+        found[" ".join([name.partition("{")[0], *kept])] = float(value)
+    return found
+
+
+def test_a_request_is_counted_with_its_wait_attempts_and_retries(
+    measures: Measures,
+) -> None:
+    reader = MetricsReader(measures=measures)
+    found = samples(reader.render().decode())
+    reader.close()
+    of_request = "ending=served rank=1 service=registry"
+    assert found[f"plankspindle_request_duration_seconds_count {of_request}"] == 1
+    bucket = "plankspindle_request_duration_seconds_bucket ending=served"
+    assert found[f"{bucket} le=0.75 rank=1 service=registry"] == 0
+    assert found[f"{bucket} le=1.0 rank=1 service=registry"] == 1
+    queued = "plankspindle_queue_duration_seconds_sum service=registry"
+    assert found[queued] == pytest.approx(0.3)
+    of_attempt = "service=registry verdict=failed"
+    assert found[f"plankspindle_attempt_duration_seconds_count {of_attempt}"] == 1
+    retried = "because=upstream-lost decision=taken service=registry"
+    assert found[f"plankspindle_retries_total {retried}"] == 1
+    assert found["plankspindle_platform_available"] == 1
+    assert found["plankspindle_configuration_version"] == 7
+
+
+def test_metrics_and_state_dump_agree(measures: Measures) -> None:
+    reader = MetricsReader(measures=measures)
+    found = samples(reader.render().decode())
+    reader.close()
+    dumped = dump_measures(measures)["measures"]
+    assert found["plankspindle_lookups_total"] == dumped["lookups"]
+    for each in dumped["requests"]:
+        labels = (
+            f"ending={each['ending']} rank={each['rank']} service={each['service']}"
+        )
+        name = f"plankspindle_request_duration_seconds_{{}} {labels}"
+        assert found[name.format("count")] == each["count"]
+        assert found[name.format("sum")] == pytest.approx(each["seconds"])
+    for each in dumped["attempts"]:
+        labels = f"service={each['service']} verdict={each['verdict']}"
+        name = f"plankspindle_attempt_duration_seconds_count {labels}"
+        assert found[name] == each["count"]
+    for each in dumped["retries"]:
+        labels = f"because={each['because']} decision={each['decision']}"
+        name = f"plankspindle_retries_total {labels} service={each['service']}"
+        assert found[name] == each["count"]
+    for service, count in dumped["ejections"].items():
+        assert found[f"plankspindle_ejections_total service={service}"] == count
+    dropped = found["plankspindle_log_lines_dropped_total"]
+    assert dropped == dumped["log_lines_dropped"]
+
+
+@settings(derandomize=True)
+@given(st.lists(st.floats(0.0, 20.0), max_size=50))
+def test_buckets_count_what_lies_up_to_their_bound(values: list[float]) -> None:
+    histogram = Histogram(bounds=(0.1, 1.0, 10.0))
+    for value in values:
+        histogram.note(value)
+    for bound, count in histogram.cumulative():
+        assert count == sum(value <= float(bound) for value in values)
+    assert histogram.observations == len(values)
+    assert histogram.total == pytest.approx(sum(values))
--- /dev/null
+++ b/packages/daemon/tests/platform/test_bounded_calls.py
@@ -0,0 +1,105 @@
+"""Tests of the bounds of all calls to the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+import pytest
+from result import Err
+from result import Ok
+
+from plankspindle_core.http.errors import ConnectionLost
+from plankspindle_core.http.fetch import HttpAnswer
+from plankspindle_daemon.platform.bounded_calls import BURST_S
+from plankspindle_daemon.platform.bounded_calls import READS_PER_S
+from plankspindle_daemon.platform.bounded_calls import BoundedCalls
+from plankspindle_daemon.platform.bounded_calls import CallKind
+
+if TYPE_CHECKING:
+    from result import Result
+
+
+def answer(status: int) -> Result[HttpAnswer, ConnectionLost]:
+    return Ok(HttpAnswer(status=status, headers=[], body=b""))
+
+
+class Callee:
+    """Gives a set answer and counts the calls that reach it."""
+
+    def __init__(self, found: Result[HttpAnswer, ConnectionLost]) -> None:
+        self.found = found
+        self.calls = 0
+
+    async def call(self) -> Result[HttpAnswer, ConnectionLost]:
+        self.calls += 1
+        return self.found
+
+
+async def silent() -> Result[HttpAnswer, ConnectionLost]:
+    await curio.sleep(100.0)
+    raise AssertionError
+
+
+@pytest.mark.parametrize(
+    "found",
+    [Err(ConnectionLost("reset")), answer(500), answer(503), answer(429)],
+    ids=["lost", "500", "503", "429"],
+)
+def test_calls_that_fail_in_a_row_open_the_breaker(
+    found: Result[HttpAnswer, ConnectionLost],
+) -> None:
+    calls = BoundedCalls(timeout_s=1.0, clock=lambda: 5.0)
+    callee = Callee(found)
+
+    async def run() -> None:
+        for _ in range(10):
+            made = await calls.make(CallKind.READ, callee.call)
+            assert made.is_err()
+
+    curio.run(run)
+    assert callee.calls == 3
+    assert not calls.available
+    assert calls.refused_by_breaker == 7
+    assert calls.failure is not None
+
+
+@pytest.mark.parametrize("status", [200, 404, 410, 412])
+def test_answers_that_say_something_are_no_failures(status: int) -> None:
+    calls = BoundedCalls(timeout_s=1.0)
+
+    async def run() -> None:
+        for _ in range(10):
+            made = await calls.make(CallKind.WRITE, Callee(answer(status)).call)
+            assert made.unwrap().status == status
+
+    curio.run(run)
+    assert calls.available
+    assert calls.made_by_kind == {CallKind.READ: 0, CallKind.WRITE: 10}
+
+
+def test_a_silent_platform_is_left_after_the_time_out() -> None:
+    calls = BoundedCalls(timeout_s=0.01)
+
+    async def run() -> str:
+        made = await calls.make(CallKind.READ, silent)
+        return made.unwrap_err().detail
+
+    assert curio.run(run) == "no answer in time"
+    assert calls.seconds_by_key["read", "failed"].observations == 1
+
+
+def test_the_budget_of_reads_is_not_that_of_writes() -> None:
+    calls = BoundedCalls(timeout_s=1.0, clock=lambda: 5.0)
+    callee = Callee(answer(200))
+    most = int(READS_PER_S * BURST_S)
+
+    async def run() -> bool:
+        for _ in range(3 * most):
+            await calls.make(CallKind.READ, callee.call)
+        return (await calls.make(CallKind.WRITE, callee.call)).is_ok()
+
+    assert curio.run(run)
+    assert calls.made_by_kind[CallKind.READ] == most
+    assert calls.refused_by_budget == 2 * most
+    assert calls.available
--- a/packages/testkit/src/plankspindle_testkit/processes.py
+++ b/packages/testkit/src/plankspindle_testkit/processes.py
@@ -60,19 +60,40 @@
         call(endpoint, "POST", "/control", body=json.dumps(vms).encode())
 
     def start_daemon(
-        self, place: VmPlace, *, platform: Endpoint, **sections: Any
+        self,
+        place: VmPlace,
+        *,
+        platform: Endpoint,
+        reads_log: bool = True,
+        **sections: Any,
     ) -> None:
-        """Start a daemon, writing its settings first."""
+        """Start a daemon, writing its settings first.
+
+        Parameters
+        ----------
+        place : VmPlace
+            Name and addresses of the entry VM.
+        platform : Endpoint
+            The platform stand-in.
+        reads_log : bool
+            Whether anybody reads what it writes; otherwise the pipe runs full.
+        **sections : object
+            Sections of the settings.
+        """
         mapping = build_settings_mapping(place, platform=platform, **sections)
         path = self.folder / f"{place.name}.yaml"
         path.write_text(yaml.safe_dump(mapping), encoding="utf-8")
         entry = "from plankspindle_daemon.console.application import main; main()"
-        self._start(place.name, [sys.executable, "-c", entry, "run", str(path)])
+        command = [sys.executable, "-c", entry, "run", str(path)]
+        self._start(place.name, command, reads_log=reads_log)
 
-    def _start(self, name: str, command: list[str]) -> None:
+    def _start(self, name: str, command: list[str], *, reads_log: bool = True) -> None:
         with (self.folder / f"{name}.log").open("ab") as log:
             self.by_name[name] = subprocess.Popen(
-                command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=log if reads_log else subprocess.PIPE,
+                stderr=log,
             )
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
--- a/packages/testkit/tests/trial/test_trials.py
+++ b/packages/testkit/tests/trial/test_trials.py
@@ -49,7 +49,7 @@
 MUTATIONS = [
     (SlotLedger, "own_allowance", lambda self, now: self.share, "u"),
     (SlotLedger, "shrink_share", lambda self, share: None, "u"),
-    (Exchange, "_may_try_again", lambda self: True, "non-idempotent-sent-once"),
+    (Exchange, "_why_no_retry", lambda self: None, "non-idempotent-sent-once"),
     (UpstreamState, "_set_leaving", lambda self, **_: None, "while leaving"),
     (ClaimAttempt, "_take_row", _claim_without_nonce, "ran twice"),
     (IssuedIds, "begin", _run_every_repeat, "is broken"),
--- a/tests/fleet/test_operator_reader.py
+++ b/tests/fleet/test_operator_reader.py
@@ -42,7 +42,7 @@
 
 def build_reader(monkeypatch: pytest.MonkeyPatch, *answers: Any) -> OperatorReader:
     boot = build_boot(monkeypatch)
-    return OperatorReader(store=cast(RowStore, FakeStore(*answers)), boot=boot)
+    return OperatorReader(store=cast("RowStore", FakeStore(*answers)), boot=boot)
 
 
 def read(reader: OperatorReader, version: int) -> Any:
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import json
 from itertools import count
 from time import monotonic
@@ -18,6 +19,11 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.limits import HttpLimits
 from plankspindle_core.http.server import HttpServer
+from plankspindle_core.logs.key_value_destination import start_logging
+from plankspindle_core.logs.key_value_destination import stop_logging
+from plankspindle_daemon.platform.bounded_calls import BoundedCalls
+from plankspindle_daemon.platform.bounded_calls import CallKind
+from plankspindle_daemon.platform.circuit_breaker import OPEN_S
 from plankspindle_daemon.platform.errors import ConditionFailed
 from plankspindle_daemon.platform.live_list import VmKind
 from plankspindle_daemon.platform.table import RowWrite
@@ -53,6 +59,7 @@
         self.page = 500
         self.loses_answers = False
         self.is_silent = False
+        self.changes_before_writes: str | None = None
 
     async def handle(self, source: ServerExchange) -> None:
         body = await source.read_body(max_bytes=1_000_000) or b""
@@ -70,6 +77,8 @@
         await source.answer(status=status, body=json.dumps(answer).encode())
 
     def _transact(self, change: dict[str, Any]) -> tuple[int, Any]:
+        if self.changes_before_writes is not None:
+            self.put("plankspindle-vms", self.changes_before_writes, {"nonce": "new"})
         for wanted in change["expected_revision"]:
             found = self.rows_by_place.get(
                 (wanted["table"], wanted["tls_key"]), (0, "")
@@ -92,7 +101,9 @@
         rows = [
             {"tls_key": key, "schema_version": version, "value": value}
             for (table, key), (version, value) in sorted(self.rows_by_place.items())
-            if table == fields["table"] and key >= fields.get("from", "")
+            if table == fields["table"]
+            and key >= fields.get("from", "")
+            and ("target_version" not in fields or key < fields["target_version"])
         ]
         truncated = len(rows) > limit
         page = {"rows": rows[:limit], "truncated": truncated}
@@ -161,7 +172,9 @@
         store.page = 2
         for number in range(5):
             store.put("t", f"k{number}", {})
-        rows = await RowStore(endpoint=endpoint, timeout_s=1.0).get_rows("t")
+        rows = await RowStore(
+            endpoint=endpoint, calls=BoundedCalls(timeout_s=1.0)
+        ).get_rows("t")
         return [row.key for row in rows.unwrap().rows]
 
     assert run_with_store(use) == [f"k{number}" for number in range(5)]
@@ -169,7 +182,7 @@
 
 def test_a_feed_whose_history_is_gone_says_so() -> None:
     async def use(store: StoreStandIn, endpoint: Endpoint) -> Any:
-        feed = RowStore(endpoint=endpoint, timeout_s=1.0)
+        feed = RowStore(endpoint=endpoint, calls=BoundedCalls(timeout_s=1.0))
         store.oldest = 5
         return (await feed.feed("t", after=1, wait_s=0.0)).unwrap_err()
 
@@ -178,7 +191,7 @@
 
 def test_a_silent_store_is_left_after_the_time_out_and_asked_anew() -> None:
     async def use(store: StoreStandIn, endpoint: Endpoint) -> tuple[bool, bool]:
-        rows = RowStore(endpoint=endpoint, timeout_s=0.1)
+        rows = RowStore(endpoint=endpoint, calls=BoundedCalls(timeout_s=0.1))
         store.is_silent = True
         failed = (await rows.get_rows("t")).is_err()
         store.is_silent = False
@@ -189,7 +202,7 @@
 
 def test_calls_of_two_tasks_take_turns_on_one_connection() -> None:
     async def use(store: StoreStandIn, endpoint: Endpoint) -> list[bool]:
-        rows = RowStore(endpoint=endpoint, timeout_s=1.0)
+        rows = RowStore(endpoint=endpoint, calls=BoundedCalls(timeout_s=1.0))
         async with curio.TaskGroup() as group:
             for _ in range(8):
                 await group.spawn(rows.get_rows, "t")
@@ -204,7 +217,7 @@
         leaving = {**SERVER["status"], "state": "draining"}
         store.put("servers", "i-2", {**SERVER, "status": leaving})
         store.put("servers", "i-3", {"info": "unreadable"})
-        assert await platform.announce()
+        assert (await platform.entries.announce()).is_ok()
         return (await platform.read_live_list()).unwrap()
 
     listed = {each.name: each for each in run_with_platform(monkeypatch, use)}
@@ -217,8 +230,8 @@
 
 def test_a_vm_that_leaves_is_taken_out(monkeypatch: pytest.MonkeyPatch) -> None:
     async def use(store: StoreStandIn, platform: StorePlatform) -> int:
-        await platform.announce()
-        await platform.withdraw()
+        await platform.entries.announce()
+        await platform.entries.withdraw()
         return len(store.rows_by_place)
 
     assert run_with_platform(monkeypatch, use) == 0
@@ -245,8 +258,8 @@
 def test_a_lost_answer_leaves_the_effect_open(monkeypatch: pytest.MonkeyPatch) -> None:
     async def use(store: StoreStandIn, platform: StorePlatform) -> tuple[bool, bool]:
         store.loses_answers = True
-        announced = await platform.announce()
-        return announced, bool(store.rows_by_place)
+        announced = await platform.entries.announce()
+        return announced.is_ok(), bool(store.rows_by_place)
 
     assert run_with_platform(monkeypatch, use) == (False, True)
 
@@ -282,11 +295,11 @@
     settings = build_boot(monkeypatch).daemon
 
     async def use(store: StoreStandIn, platform: StorePlatform) -> int:
-        await platform.announce()
+        await platform.entries.announce()
         endpoint = platform.endpoint
         successor = StorePlatform(settings=evolve(settings, platform=endpoint))
-        await successor.announce()
-        await platform.withdraw()
+        await successor.entries.announce()
+        await platform.entries.withdraw()
         return len(store.rows_by_place)
 
     assert run_with_platform(monkeypatch, use) == 1
@@ -296,8 +309,95 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def use(store: StoreStandIn, platform: StorePlatform) -> tuple[Any, bool]:
-        await platform.announce()
+        await platform.entries.announce()
         store.drop("plankspindle-vms", "edge-a-1")
-        return await names_of(platform), platform.is_present
+        return await names_of(platform), platform.entries.is_present
 
     assert run_with_platform(monkeypatch, use) == ({"edge-a-1"}, False)
+
+
+def test_rows_that_stand_together_are_read_with_one_call(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def use(store: StoreStandIn, platform: StorePlatform) -> Any:
+        for number in range(4):
+            store.put("plankspindle", f"k{number}", {"number": number})
+        read = await platform.read_rows(["k3", "k0", "absent", "k1"])
+        return read.unwrap(), platform.calls.made_by_kind[CallKind.READ]
+
+    rows, calls = run_with_platform(monkeypatch, use)
+    assert {key: row.value for key, row in rows.items()} == {
+        "k3": {"number": 3},
+        "k0": {"number": 0},
+        "absent": None,
+        "k1": {"number": 1},
+    }
+    assert rows["absent"].version == 0
+    assert calls == 1
+
+
+def test_rows_far_apart_take_no_more_calls_than_keys(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def use(store: StoreStandIn, platform: StorePlatform) -> Any:
+        for number in range(100):
+            store.put("plankspindle", f"k{number:02}", {"number": number})
+        read = await platform.read_rows(["k00", "k99"])
+        return read.unwrap(), platform.calls.made_by_kind[CallKind.READ]
+
+    rows, calls = run_with_platform(monkeypatch, use)
+    assert [rows[key].value["number"] for key in ("k00", "k99")] == [0, 99]
+    assert calls == 2
+
+
+def test_a_store_that_is_away_is_not_called_on_and_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def use(store: StoreStandIn, platform: StorePlatform) -> Any:
+        store.loses_answers = True
+        platform.calls.clock = lambda: 5.0
+        for _ in range(20):
+            assert (await platform.read_live_list()).is_err()
+        made = platform.calls.made_by_kind[CallKind.READ]
+        away = platform.calls.available
+        store.loses_answers = False
+        platform.calls.clock = lambda: 5.0 + OPEN_S
+        back = (await platform.read_live_list()).is_ok()
+        return made, away, back, platform.calls.available
+
+    made, away, back, available = run_with_platform(monkeypatch, use)
+    assert made == 3
+    assert (away, back, available) == (False, True, True)
+
+
+def test_an_unreadable_row_is_logged_with_its_reason(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    stream = io.StringIO()
+    log = start_logging(stream=stream)
+
+    async def use(store: StoreStandIn, platform: StorePlatform) -> set[str]:
+        store.put("servers", "i-1", {"info": "unreadable"})
+        return await names_of(platform)
+
+    try:
+        assert run_with_platform(monkeypatch, use) == {"edge-a-1"}
+    finally:
+        stop_logging(log)
+    assert "event=row_unreadable table=servers key=i-1 reason=" in stream.getvalue()
+
+
+def test_the_row_of_a_dead_vm_is_removed_but_not_if_it_changes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def use(store: StoreStandIn, platform: StorePlatform) -> Any:
+        store.put("plankspindle-vms", "edge-b-1", {"nonce": "old"})
+        removed = await platform.entries.remove("edge-b-1")
+        gone = ("plankspindle-vms", "edge-b-1") not in store.rows_by_place
+        store.put("plankspindle-vms", "edge-b-1", {"nonce": "old"})
+        store.changes_before_writes = "edge-b-1"
+        kept = await platform.entries.remove("edge-b-1")
+        stays = ("plankspindle-vms", "edge-b-1") in store.rows_by_place
+        return removed.is_ok(), gone, kept.is_err(), stays
+
+    assert run_with_platform(monkeypatch, use) == (True, True, True, True)
