Leave a silent upstream only for one that can take the request

Cause, found by the new log: an idempotent request left its upstream after 0.6 s of silence though no other could take it, was rejected as no-upstream or busy, and ended as a 502 while the first upstream was still at work.

Ruled out: the retry budget and the deadline; both had room. Before: twelve requests to one upstream of four slots that takes 2 s all ended as 502 or 504. After: those that fit the deadline are served, the rest is rejected. The test of the operations page for a rejection under load failed before.

--- a/packages/client/tests/test_operations_page.py
+++ b/packages/client/tests/test_operations_page.py
@@ -195,6 +195,21 @@
     call(UPSTREAM, "POST", "/control", body=json.dumps(wanted).encode())
 
 
+def test_a_request_rejected_under_load_is_explained(serving: Path) -> None:
+    control_upstream(service_ms=2_000)
+    with ThreadPoolExecutor(12) as pool:
+        limit = (header_names.TIMEOUT, b"3000")
+        asked = [
+            pool.submit(ask, "GET", "/v1/services/registry/x", limit) for _ in range(12)
+        ]
+        answers = [each.result() for each in asked]
+    rejected = [each for each in answers if each.status == 503]
+    assert rejected, [each.status for each in answers]
+    printed = follow(serving, "Rejected under load", log_id_of(rejected[0]))
+    assert "It was rejected as too-late, and was not run" in printed
+    assert '"too-late":' in printed
+
+
 def test_an_answer_lost_at_an_upstream_is_explained(serving: Path) -> None:
     control_upstream(mode="close-after-run")
     lost = ask("POST", "/v1/services/registry/x", BRONZE)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatch_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatch_runner.py
@@ -124,6 +124,15 @@
         state = None if known is None else known.get(upstream)
         return 0.0 if state is None else state.answered_at
 
+    def could_place_elsewhere(
+        self, service: str, ticket: Ticket, upstream: str
+    ) -> bool:
+        """Tell whether another upstream could take a request now."""
+        dispatcher = self.node.dispatchers_by_service.get(service)
+        if dispatcher is None:
+            return False
+        return dispatcher.could_place_elsewhere(ticket, upstream, monotonic())
+
     async def withdraw(self, service: str, ticket: Ticket) -> None:
         """Stop waiting with a request."""
         await self.tell(service, Withdrawn(ticket.id))
--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -182,6 +182,16 @@
             for each in self.upstreams_by_name.values()
         )
 
+    def could_place_elsewhere(self, ticket: Ticket, upstream: str, now: float) -> bool:
+        """Tell whether another upstream than a given one could take a request now."""
+        elsewhere = ticket.excluding(ticket.excluded | {upstream})
+        ends_by = now + max(ticket.expected_s, self.usual_s(ticket))
+        return any(
+            self._may_run_at(elsewhere, each)
+            and each.can_take(now=now, deadline=ticket.deadline, ends_by=ends_by)
+            for each in self.upstreams_by_name.values()
+        )
+
     def _may_run_at(self, ticket: Ticket, upstream: UpstreamState) -> bool:
         if upstream.name in ticket.excluded:
             return False
--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
@@ -211,7 +211,7 @@
         return await connection.read_head()
 
     def _may_leave(self, upstream: str) -> bool:
-        return self.patience.may_leave(upstream, self._sent_at)
+        return self.patience.may_leave(self.ticket, upstream, self._sent_at)
 
     async def _take_head(
         self, head: h11.Response, connection: ClientConnection
--- a/packages/daemon/src/plankspindle_daemon/exchange/patience.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/patience.py
@@ -43,11 +43,13 @@
         usual_s = self.dispatch.usual_s(self.service, ticket)
         return max(MIN_PATIENCE_S, PATIENCE * usual_s)
 
-    def may_leave(self, upstream: str, sent_at: float) -> bool:
+    def may_leave(self, ticket: Ticket, upstream: str, sent_at: float) -> bool:
         """Tell whether to try another upstream; a planned stop breaks nothing off.
 
         Parameters
         ----------
+        ticket : Ticket
+            The request as admission sees it.
         upstream : str
             The upstream that is silent to this request.
         sent_at : float
@@ -57,4 +59,5 @@
             not self.dispatch.node.leave.is_leaving
             and self.dispatch.answered_at(self.service, upstream) < sent_at
             and self.exchange.could_try_again()
+            and self.dispatch.could_place_elsewhere(self.service, ticket, upstream)
         )
--- a/packages/daemon/tests/dispatch/test_dispatcher.py
+++ b/packages/daemon/tests/dispatch/test_dispatcher.py
@@ -357,3 +357,12 @@
     assert not dispatcher.handle(d.Arrived(retry), 0.3)
     assert not rejected(dispatcher.handle(d.TimePassed(), 0.4))
     assert assigned(end(dispatcher, 0, "u", 0.5) + end(dispatcher, 1, "u", 0.5))
+
+
+def test_a_request_leaves_its_upstream_only_for_one_that_can_take_it() -> None:
+    alone = build_dispatcher(slots_by_upstream={"u": 4})
+    assert not alone.could_place_elsewhere(build_ticket(1), "u", 0.0)
+    full = build_dispatcher(slots_by_upstream={"u": 4, "v": 1})
+    assert full.could_place_elsewhere(build_ticket(1), "u", 0.0)
+    full.upstreams_by_name["v"].start(ticket=2, now=0.0, deadline=10.0)
+    assert not full.could_place_elsewhere(build_ticket(1), "u", 0.0)
