Give services, drains of VMs, named VMs and talk between domains to their slices

Cause: node/node.py held 773 lines of listing, room, drains, budgets and shares. It composes slices now (485 lines); behaviour is unchanged. Tests of daemon, testkit and fleet pass as before.

--- a/packages/daemon/src/plankspindle_daemon/beliefs/belief_watch.py
+++ b/packages/daemon/src/plankspindle_daemon/beliefs/belief_watch.py
@@ -84,7 +84,7 @@
         if readiness != self._readiness:
             was, self._readiness = self._readiness, readiness
             yield Belief(event="readiness", fields={"was": was, "now": readiness})
-        part = node.limiter.part
+        part = node.services.limiter.part
         if abs(part - self._part) >= PART_STEP:
             was_part, self._part = self._part, part
             fields = {"was": round(was_part, 3), "now": round(part, 3)}
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/digests/domain_talk.py
@@ -0,0 +1,113 @@
+"""What an entry VM says to other failure domains by itself."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import field
+
+from plankspindle_daemon.digests.digest_book import DigestBook
+from plankspindle_daemon.digests.messages import LoadDigest
+from plankspindle_daemon.digests.own_digest import one_vm_a_domain
+from plankspindle_daemon.digests.own_digest import sum_up_loads
+from plankspindle_daemon.headroom.headroom_manager import HeadroomManager
+from plankspindle_daemon.headroom.headroom_targets import choose_targets
+from plankspindle_daemon.membership.membership import Membership
+from plankspindle_daemon.node.effects import SendToPeer
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+    from collections.abc import Set as AbstractSet
+
+    from plankspindle_core.configuration.configuration import Configuration
+    from plankspindle_core.configuration.shift import Shift
+    from plankspindle_daemon.dispatch.dispatcher import Dispatcher
+
+DIGEST_PERIOD_S = 1.0
+
+
+@define(kw_only=True)
+class DomainTalk:
+    """Send load digests, and ask for headroom for shifts.
+
+    Parameters
+    ----------
+    vm, failure_domain : str
+        This VM and where it stands.
+    random : Random
+        Source of choices.
+    membership : Membership
+        Keeper of the platform's list.
+    headroom : HeadroomManager
+        Grants.
+
+    Attributes
+    ----------
+    digests : DigestBook
+        Loads that were heard, the own one among them.
+    """
+
+    vm: str
+    failure_domain: str
+    random: Random
+    membership: Membership
+    headroom: HeadroomManager
+    digests: DigestBook = field(factory=DigestBook)
+    _next_digest: float = 0.0
+
+    def own_digest(
+        self, dispatchers_by_service: Mapping[str, Dispatcher], version: int, now: float
+    ) -> LoadDigest:
+        """Sum up the own load.
+
+        Parameters
+        ----------
+        dispatchers_by_service : mapping of str to Dispatcher
+            The load.
+        version : int
+            Configuration in force.
+        now : float
+            Monotonic seconds.
+        """
+        return LoadDigest(
+            sender=self.vm,
+            failure_domain=self.failure_domain,
+            configuration_version=version,
+            loads=sum_up_loads(dispatchers_by_service, now),
+        )
+
+    def send_digests(
+        self, dispatchers_by_service: Mapping[str, Dispatcher], version: int, now: float
+    ) -> list[SendToPeer]:
+        """Send the own load to one VM of each failure domain, once a period."""
+        if now < self._next_digest:
+            return []
+        self._next_digest = now + DIGEST_PERIOD_S
+        digest = self.own_digest(dispatchers_by_service, version, now)
+        self.digests.take(digest, now)
+        listed = self.membership.listed_by_name.values()
+        endpoints = one_vm_a_domain(listed, me=self.vm, random=self.random)
+        return [SendToPeer(message=digest, to=endpoint) for endpoint in endpoints]
+
+    def ask_headroom(
+        self,
+        shifts: Iterable[Shift],
+        configuration: Configuration | None,
+        *,
+        drained: AbstractSet[str],
+        now: float,
+    ) -> list[SendToPeer]:
+        """Ask other regions for headroom for shifts, once a period."""
+        if not self.headroom.is_round_due(now) or configuration is None:
+            return []
+        targets = choose_targets(
+            shifts,
+            configuration,
+            listed=self.membership.listed_by_name.values(),
+            drained=drained,
+            random=self.random,
+        )
+        return [asked for target in targets for asked in self.headroom.ask(target, now)]
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
@@ -0,0 +1,353 @@
+"""Services in force, with their dispatchers, upstreams and retry budgets."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import define
+from attrs import field
+
+from plankspindle_core.configuration.configuration import Configuration
+from plankspindle_core.configuration.service import SlotSharing
+from plankspindle_daemon.admission.class_queue import ClassQueue
+from plankspindle_daemon.dispatch.dispatcher import Dispatcher
+from plankspindle_daemon.dispatch.measured_distances import MeasuredDistances
+from plankspindle_daemon.dispatch.placement import Placement
+from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
+from plankspindle_daemon.drains.drain_clock import DrainClock
+from plankspindle_daemon.membership.membership import Membership
+from plankspindle_daemon.platform.listed_upstreams import ListedUpstreams
+from plankspindle_daemon.platform.live_list import VmKind
+from plankspindle_daemon.retries.retry_budget import RetryBudget
+from plankspindle_daemon.upstreams.cold_gate import ColdGate
+from plankspindle_daemon.upstreams.cold_gate import cold_part_of
+from plankspindle_daemon.upstreams.health import Ramping
+from plankspindle_daemon.upstreams.health import UpstreamHealth
+from plankspindle_daemon.upstreams.health import Warm
+from plankspindle_daemon.upstreams.reported_slots import ReportedSlots
+from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
+from plankspindle_daemon.upstreams.upstream_state import UpstreamState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from plankspindle_core.configuration.service import Service
+    from plankspindle_core.configuration.upstream import Upstream
+    from plankspindle_daemon.dispatch.messages import DispatchEffect
+    from plankspindle_daemon.dispatch.messages import DispatchEvent
+    from plankspindle_daemon.platform.live_list import ListedVm
+
+OVERLOADED_SHARE = 0.5
+"""Share of a queue's limit from which on look-ups do not name this VM."""
+MIN_ENTRY_VMS = 3
+"""Entry VMs that are assumed to share fleet-wide bounds before others are heard."""
+
+
+@define(kw_only=True)
+class ServiceBook:
+    """Services of one entry VM.
+
+    Parameters
+    ----------
+    vm, failure_domain : str
+        This VM and where it stands.
+    incarnation : int
+        Number of this process.
+    random : Random
+        Seeded source of all random choices.
+    membership : Membership
+        Entry VMs that share bounds.
+    probe_s : float
+        Period of reading load reports, in seconds.
+    new_from : float
+        Monotonic time from which an upstream that turns up is new, not only new here.
+
+    Attributes
+    ----------
+    listed : ListedUpstreams
+        Upstreams of the platform's list.
+    drains : DrainClock
+        Drains of the version in force.
+    dispatchers_by_service, budgets_by_service : dict
+        What each service has.
+    """
+
+    vm: str
+    failure_domain: str
+    incarnation: int
+    random: Random
+    membership: Membership
+    probe_s: float
+    new_from: float
+    listed: ListedUpstreams = Factory(ListedUpstreams)
+    drains: DrainClock = Factory(DrainClock)
+    limiter: RegionLimiter = Factory(RegionLimiter)
+    distances: MeasuredDistances = field(init=False)
+    dispatchers_by_service: dict[str, Dispatcher] = Factory(dict)
+    budgets_by_service: dict[str, RetryBudget] = Factory(dict)
+    _configuration: Configuration | None = None
+    _version: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.distances = MeasuredDistances(home_domain=self.failure_domain)
+
+    def use(
+        self, configuration: Configuration, *, version: int, now: float, wall: float
+    ) -> None:
+        """Take the services and upstreams of another version.
+
+        Parameters
+        ----------
+        configuration : Configuration
+            The version in force.
+        version : int
+            Its number.
+        now : float
+            Monotonic seconds.
+        wall : float
+            Seconds since the Unix epoch.
+        """
+        self._configuration = configuration
+        self._version = version
+        self.distances.use(configuration)
+        self.drains.use(configuration, now)
+        self._use_services(configuration, now)
+        self._note_listed(self.listed.by_name.values(), now=now, wall=wall)
+
+    def take_list(self, vms: Iterable[ListedVm], *, now: float, wall: float) -> None:
+        """Take what the platform's list says of upstreams.
+
+        Parameters
+        ----------
+        vms : iterable of ListedVm
+            The whole list.
+        now : float
+            Monotonic seconds.
+        wall : float
+            Seconds since the Unix epoch.
+        """
+        listed = tuple(vms)
+        self.listed.take(listed, now)
+        if self._configuration is not None:
+            self._use_services(self._configuration, now)
+        self._note_listed(listed, now=now, wall=wall)
+
+    def handle(
+        self, service: str, event: DispatchEvent, now: float
+    ) -> list[DispatchEffect]:
+        """Give an event to the dispatcher of a service; nothing if there is none."""
+        dispatcher = self.dispatchers_by_service.get(service)
+        return [] if dispatcher is None else dispatcher.handle(event, now)
+
+    def service_of(self, upstream: str) -> str:
+        """Name the service of a declared upstream; empty if it is not declared."""
+        if self._configuration is None:
+            return ""
+        declared = self._configuration.upstreams_by_name.get(upstream)
+        return declared.service if declared is not None else ""
+
+    def is_overloaded(self) -> bool:
+        """Tell whether look-ups should name other entry VMs."""
+        return any(
+            len(each.queue) > OVERLOADED_SHARE * each.queue.limit
+            for each in self.dispatchers_by_service.values()
+        )
+
+    def over_share(self, now: float) -> list[str]:
+        """Name the upstreams at which this VM runs more than its share."""
+        return [
+            upstream.name
+            for dispatcher in self.dispatchers_by_service.values()
+            for upstream in dispatcher.upstreams_by_name.values()
+            if upstream.ledger.is_over_share(now)
+        ]
+
+    def apply_drains(self, *, now: float, wall: float) -> None:
+        """Keep new work from drained upstreams, and take back those that no more are.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        wall : float
+            Seconds since the Unix epoch.
+        """
+        for service, dispatcher in self.dispatchers_by_service.items():
+            for name, upstream in dispatcher.upstreams_by_name.items():
+                was_drained = upstream.drained_at is not None
+                upstream.drained_at = self.drains.upstream_drained_at(
+                    name, upstream.upstream.failure_domain, now=now, wall=wall
+                )
+                if was_drained and upstream.drained_at is None:
+                    self._note_taken_back(service, upstream, now)
+
+    def note_room(self, now: float) -> None:
+        """Tell the bound on what leaves the region how much room it has."""
+        slots = sum(
+            upstream.upstream.slots
+            for dispatcher in self.dispatchers_by_service.values()
+            if dispatcher.placement is not None
+            for upstream in dispatcher.upstreams_by_name.values()
+            if dispatcher.placement.is_near(upstream) and upstream.is_usable(now)
+        )
+        self.limiter.note_room(slots, now)
+
+    def _use_services(self, configuration: Configuration, now: float) -> None:
+        for name, service in configuration.services_by_name.items():
+            dispatcher = self.dispatchers_by_service.get(name)
+            if dispatcher is None:
+                dispatcher = self._new_dispatcher(service)
+                self.dispatchers_by_service[name] = dispatcher
+            dispatcher.queue.limit = service.queue_limit
+            self._use_budget(name, service)
+            declared = self._declared_upstreams(configuration, name, service)
+            self._use_upstreams(dispatcher, service, declared, now)
+
+    def _use_budget(self, name: str, service: Service) -> None:
+        budget = self.budgets_by_service.setdefault(
+            name, RetryBudget(percent=service.retry_percent)
+        )
+        budget.percent = service.retry_percent
+        others = len(self.membership.members_by_name)
+        sharers = max(MIN_ENTRY_VMS, others + 1)
+        budget.burst = max(1.0, service.retry_burst / sharers)
+
+    def _declared_upstreams(
+        self, configuration: Configuration, name: str, service: Service
+    ) -> dict[str, Upstream]:
+        """Give the upstreams of a service that this VM may use, by name."""
+        any_domain = service.slot_sharing is SlotSharing.REPORTED
+        declared = dict(configuration.upstreams_by_name)
+        for key, listed in self.listed.by_name.items():
+            if listed.upstream is not None:
+                declared[key] = listed.upstream
+        return {
+            key: upstream
+            for key, upstream in declared.items()
+            if upstream.service == name
+            and (any_domain or upstream.failure_domain == self.failure_domain)
+        }
+
+    def _new_dispatcher(self, service: Service) -> Dispatcher:
+        reported = service.slot_sharing is SlotSharing.REPORTED
+        random = Random(self.random.getrandbits(64))
+        placement = Placement(
+            distances=self.distances, limiter=self.limiter, random=random
+        )
+        return Dispatcher(
+            placement=placement if reported else None,
+            vm=self.vm,
+            incarnation=self.incarnation,
+            random=random,
+            queue=ClassQueue(limit=service.queue_limit),
+            probe_s=self.probe_s,
+        )
+
+    def _use_upstreams(
+        self,
+        dispatcher: Dispatcher,
+        service: Service,
+        declared: dict[str, Upstream],
+        now: float,
+    ) -> None:
+        by_name = dispatcher.upstreams_by_name
+        for name in set(by_name) - set(declared):
+            by_name[name].leaving = True
+            if by_name[name].ledger.in_flight == 0:
+                del by_name[name]
+        for name, upstream in declared.items():
+            known = by_name.get(name)
+            if known is not None and known.upstream.endpoint == upstream.endpoint:
+                known.upstream = upstream
+                known.ledger.slots = upstream.slots
+                known.ledger.shrink_share(upstream.slots)
+            else:
+                by_name[name] = self._new_upstream(
+                    dispatcher, service, name, upstream, now
+                )
+        _place(dispatcher, declared)
+
+    def _new_upstream(
+        self,
+        dispatcher: Dispatcher,
+        service: Service,
+        name: str,
+        upstream: Upstream,
+        now: float,
+    ) -> UpstreamState:
+        is_new = self._version > 1 and now > self.new_from
+        reported = service.slot_sharing is SlotSharing.REPORTED
+        ledger = ReportedSlots if reported else SlotLedger
+        return UpstreamState(
+            name=name,
+            upstream=upstream,
+            health=UpstreamHealth(
+                random=dispatcher.random,
+                state=Ramping(now) if is_new and not reported else Warm(),
+                needs_probe=not reported,
+            ),
+            ledger=ledger(slots=upstream.slots),
+        )
+
+    def _note_listed(self, vms: Iterable[ListedVm], *, now: float, wall: float) -> None:
+        listed_by_name = {
+            each.name: each for each in vms if each.kind is VmKind.UPSTREAM
+        }
+        for service, dispatcher in self.dispatchers_by_service.items():
+            for name, upstream in dispatcher.upstreams_by_name.items():
+                listed = listed_by_name.get(name)
+                if listed is None:
+                    continue
+                upstream.note_listed(
+                    leaving=listed.leaving,
+                    leaves_at=listed.leaves_at,
+                    now=now,
+                    wall=wall,
+                )
+                if listed.cold_until > now:
+                    self._note_cold(service, upstream, listed.cold_until)
+
+    def _note_cold(self, service: str, upstream: UpstreamState, until: float) -> None:
+        """Bound what an upstream gets while it is cold."""
+        declared = self._service(service)
+        if declared is None or declared.cold_requests_per_s == 0:
+            return
+        per_s = cold_part_of(
+            vm=self.vm,
+            others=self.membership.view(),
+            upstream=upstream.name,
+            per_s=declared.cold_requests_per_s,
+        )
+        if upstream.cold is None:
+            upstream.cold = ColdGate(per_s=per_s, until=until)
+        else:
+            upstream.cold.per_s = per_s
+            upstream.cold.until = max(upstream.cold.until, until)
+
+    def _note_taken_back(
+        self, service: str, upstream: UpstreamState, now: float
+    ) -> None:
+        """Take an upstream as cold after its drain, since it had nothing to do."""
+        declared = self._service(service)
+        if declared is not None:
+            self._note_cold(service, upstream, now + declared.cold_ms / 1000)
+
+    def _service(self, name: str) -> Service | None:
+        if self._configuration is None:
+            return None
+        return self._configuration.services_by_name.get(name)
+
+
+def _place(dispatcher: Dispatcher, declared: dict[str, Upstream]) -> None:
+    """Let affinity keys be divided among the upstreams that stay."""
+    if dispatcher.placement is None:
+        return
+    by_name = dispatcher.upstreams_by_name
+    staying = {
+        name: upstream.failure_domain
+        for name, upstream in declared.items()
+        if not by_name[name].leaving and by_name[name].drained_at is None
+    }
+    dispatcher.placement.use(staying)
--- a/packages/daemon/src/plankspindle_daemon/membership/list_follower.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/list_follower.py
@@ -50,7 +50,7 @@
             self._task = await spawn(self.platform.read_live_list, daemon=True)
             await self._task.wait()
             if self._task.cancelled:
-                self.node.listed.note_failed()
+                self.node.services.listed.note_failed()
                 continue
             read = self._task.result
             if read.is_err():
@@ -70,10 +70,12 @@
             await self._task.cancel(blocking=False)
 
     def _note_unread(self, detail: str) -> None:
-        self.node.listed.note_failed()
+        self.node.services.listed.note_failed()
         if not self._is_unread:
             log_event(
-                "list_unread", detail=detail, upstreams=len(self.node.listed.by_name)
+                "list_unread",
+                detail=detail,
+                upstreams=len(self.node.services.listed.by_name),
             )
         self._is_unread = True
 
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -12,27 +12,18 @@
 from plankspindle_core.configuration.codec import decode_configuration
 from plankspindle_core.configuration.codec import encode_configuration
 from plankspindle_core.configuration.configuration import Configuration
-from plankspindle_core.configuration.service import SlotSharing
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.invariants import check_invariant
 from plankspindle_daemon.admission.caller_directory import CallerDirectory
-from plankspindle_daemon.admission.class_queue import ClassQueue
 from plankspindle_daemon.configuration.head_watch import HeadWatch
 from plankspindle_daemon.configuration.spread_targets import spread_targets
 from plankspindle_daemon.configuration.version_exchange import LearnedContent
 from plankspindle_daemon.configuration.version_exchange import VersionExchange
-from plankspindle_daemon.digests.digest_book import DigestBook
-from plankspindle_daemon.digests.messages import LoadDigest
-from plankspindle_daemon.digests.own_digest import one_vm_a_domain
-from plankspindle_daemon.digests.own_digest import sum_up_loads
+from plankspindle_daemon.digests.domain_talk import DomainTalk
 from plankspindle_daemon.dispatch import messages as dispatch
-from plankspindle_daemon.dispatch.dispatcher import Dispatcher
-from plankspindle_daemon.dispatch.measured_distances import MeasuredDistances
-from plankspindle_daemon.dispatch.placement import Placement
-from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
-from plankspindle_daemon.drains.drain_clock import DrainClock
+from plankspindle_daemon.dispatch.service_book import ServiceBook
+from plankspindle_daemon.drains.vm_drains import VmDrains
 from plankspindle_daemon.headroom.headroom_manager import HeadroomManager
-from plankspindle_daemon.headroom.headroom_manager import HeadroomTarget
 from plankspindle_daemon.idempotency.issued_ids import IssuedIds
 from plankspindle_daemon.leaving.leave import Leave
 from plankspindle_daemon.membership import messages as membership
@@ -45,45 +36,31 @@
 from plankspindle_daemon.node.effects import NodeEffect
 from plankspindle_daemon.node.effects import OfService
 from plankspindle_daemon.node.effects import SendToPeer
-from plankspindle_daemon.platform.listed_upstreams import ListedUpstreams
-from plankspindle_daemon.platform.live_list import VmKind
 from plankspindle_daemon.retries.retry_budget import RetryBudget
 from plankspindle_daemon.routes.route_table import RouteTable
 from plankspindle_daemon.shifts.shift_meter import ShiftMeter
+from plankspindle_daemon.steering.entry_vms import known_entry_vms
 from plankspindle_daemon.steering.steering import EntryVm
 from plankspindle_daemon.steering.steering import Steering
-from plankspindle_daemon.upstreams.cold_gate import ColdGate
-from plankspindle_daemon.upstreams.cold_gate import cold_part_of
-from plankspindle_daemon.upstreams.health import Ramping
-from plankspindle_daemon.upstreams.health import UpstreamHealth
-from plankspindle_daemon.upstreams.health import Warm
-from plankspindle_daemon.upstreams.reported_slots import ReportedSlots
 from plankspindle_daemon.upstreams.share_keeper import ShareKeeper
-from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
-from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
     from collections.abc import Sequence
 
-    from plankspindle_core.configuration.service import Service
-    from plankspindle_core.configuration.upstream import Upstream
     from plankspindle_daemon.configuration.messages import ContentChunk
     from plankspindle_daemon.configuration.messages import ContentRequest
+    from plankspindle_daemon.digests.digest_book import DigestBook
+    from plankspindle_daemon.digests.messages import LoadDigest
+    from plankspindle_daemon.dispatch.dispatcher import Dispatcher
     from plankspindle_daemon.dispatch.messages import DispatchEvent
     from plankspindle_daemon.headroom.messages import HeadroomRequest
     from plankspindle_daemon.membership.messages import MembershipEffect
     from plankspindle_daemon.membership.messages import MembershipEvent
-    from plankspindle_daemon.platform.live_list import ListedVm
+    from plankspindle_daemon.retries.retry_budget import RetryBudget
     from plankspindle_daemon.upstreams.messages import SlotRequest
 
-OVERLOADED_SHARE = 0.5
-"""Share of a queue's limit from which on look-ups do not name this VM."""
 MAX_OVER_SHARE_NAMED = 16
-DIGEST_PERIOD_S = 1.0
 REFRESH_S = 0.25
-MIN_ENTRY_VMS = 3
-"""Entry VMs that are assumed to share fleet-wide bounds before others are heard."""
 
 
 @define(kw_only=True)
@@ -145,30 +122,30 @@
     directory: CallerDirectory | None = None
     steering: Steering | None = None
     routes: RouteTable = Factory(lambda: RouteTable(routes_by_name={}))
-    listed: ListedUpstreams = Factory(ListedUpstreams)
-    distances: MeasuredDistances = field(init=False)
-    limiter: RegionLimiter = Factory(RegionLimiter)
+    services: ServiceBook = field(init=False)
+    vm_drains: VmDrains = field(init=False)
     meter: ShiftMeter = Factory(lambda: ShiftMeter.create(region=None))
-    dispatchers_by_service: dict[str, Dispatcher] = Factory(dict)
-    budgets_by_service: dict[str, RetryBudget] = Factory(dict)
     headroom: HeadroomManager = field(init=False)
     shares: ShareKeeper = field(init=False)
     head: HeadWatch = Factory(HeadWatch)
-    digests: DigestBook = Factory(DigestBook)
-    drains: DrainClock = Factory(DrainClock)
+    talk: DomainTalk = field(init=False)
     list_read_at: float | None = None
     versions: VersionExchange = field(init=False)
-    refuses_from: float | None = None
-    drained_vms: set[str] = Factory(set)
     _sequence: int = 0
     _next_refresh: float = 0.0
-    _next_digest: float = 0.0
     _wall_ahead_s: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         self.headroom = HeadroomManager(
             vm=self.vm, incarnation=self.incarnation, random=self.random
         )
+        self.talk = DomainTalk(
+            vm=self.vm,
+            failure_domain=self.failure_domain,
+            random=self.random,
+            membership=self.membership,
+            headroom=self.headroom,
+        )
         self.shares = ShareKeeper(
             vm=self.vm,
             membership=self.membership,
@@ -176,7 +153,36 @@
             settle_s=self.settle_s,
         )
         self.versions = VersionExchange(vm=self.vm)
-        self.distances = MeasuredDistances(home_domain=self.failure_domain)
+        self.services = ServiceBook(
+            vm=self.vm,
+            failure_domain=self.failure_domain,
+            incarnation=self.incarnation,
+            random=self.random,
+            membership=self.membership,
+            probe_s=self.probe_s,
+            new_from=self.started_at + self.settle_s,
+        )
+        self.vm_drains = VmDrains(
+            vm=self.vm,
+            failure_domain=self.failure_domain,
+            clock=self.services.drains,
+            membership=self.membership,
+        )
+
+    @property
+    def dispatchers_by_service(self) -> dict[str, Dispatcher]:
+        """Queues and upstreams of each service."""
+        return self.services.dispatchers_by_service
+
+    @property
+    def budgets_by_service(self) -> dict[str, RetryBudget]:
+        """Retries that each service may still make."""
+        return self.services.budgets_by_service
+
+    @property
+    def digests(self) -> DigestBook:
+        """Loads of other failure domains that were heard."""
+        return self.talk.digests
 
     def adopt(
         self, configuration: Configuration, *, version: int, now: float
@@ -214,12 +220,8 @@
             self.meter = ShiftMeter.create(region=region)
         self.meter.use_shifts(configuration.shifts_by_id, now)
         self._use_routes(configuration)
-        self.distances.use(configuration)
-        self.drains.use(configuration, now)
-        self._use_services(configuration, now)
-        self._take_listed_upstreams(
-            self.listed.by_name.values(), now=now, wall=now + self._wall_ahead_s
-        )
+        wall = now + self._wall_ahead_s
+        self.services.use(configuration, version=version, now=now, wall=wall)
         self._refresh_steering(now)
         return [*self._spread_version(now), *self._update_shares(now)]
 
@@ -275,113 +277,6 @@
             return []
         return self.adopt(decoded.unwrap(), version=taken.version, now=now)
 
-    def _use_services(self, configuration: Configuration, now: float) -> None:
-        for name, service in configuration.services_by_name.items():
-            dispatcher = self.dispatchers_by_service.get(name)
-            if dispatcher is None:
-                dispatcher = self._new_dispatcher(service)
-                self.dispatchers_by_service[name] = dispatcher
-            dispatcher.queue.limit = service.queue_limit
-            budget = self.budgets_by_service.setdefault(
-                name, RetryBudget(percent=service.retry_percent)
-            )
-            budget.percent = service.retry_percent
-            budget.burst = max(1.0, service.retry_burst / self._entry_vms())
-            declared = self._declared_upstreams(name, service)
-            self._use_upstreams(dispatcher, service, declared, now)
-
-    def _entry_vms(self) -> int:
-        """Count the entry VMs that share fleet-wide bounds, this one included."""
-        return max(MIN_ENTRY_VMS, len(self.membership.members_by_name) + 1)
-
-    def _declared_upstreams(self, name: str, service: Service) -> dict[str, Upstream]:
-        """Give the upstreams of a service that this VM may use, by name."""
-        assert self.configuration is not None
-        any_domain = service.slot_sharing is SlotSharing.REPORTED
-        declared = dict(self.configuration.upstreams_by_name)
-        for key, listed in self.listed.by_name.items():
-            if listed.upstream is not None:
-                declared[key] = listed.upstream
-        return {
-            key: upstream
-            for key, upstream in declared.items()
-            if upstream.service == name
-            and (any_domain or upstream.failure_domain == self.failure_domain)
-        }
-
-    def _new_dispatcher(self, service: Service) -> Dispatcher:
-        reported = service.slot_sharing is SlotSharing.REPORTED
-        random = Random(self.random.getrandbits(64))
-        placement = Placement(
-            distances=self.distances, limiter=self.limiter, random=random
-        )
-        return Dispatcher(
-            placement=placement if reported else None,
-            vm=self.vm,
-            incarnation=self.incarnation,
-            random=random,
-            queue=ClassQueue(limit=service.queue_limit),
-            probe_s=self.probe_s,
-        )
-
-    def _use_upstreams(
-        self,
-        dispatcher: Dispatcher,
-        service: Service,
-        declared: dict[str, Upstream],
-        now: float,
-    ) -> None:
-        by_name = dispatcher.upstreams_by_name
-        for name in set(by_name) - set(declared):
-            by_name[name].leaving = True
-            if by_name[name].ledger.in_flight == 0:
-                del by_name[name]
-        for name, upstream in declared.items():
-            known = by_name.get(name)
-            if known is not None and known.upstream.endpoint == upstream.endpoint:
-                known.upstream = upstream
-                known.ledger.slots = upstream.slots
-                known.ledger.shrink_share(upstream.slots)
-            else:
-                by_name[name] = self._new_upstream(
-                    dispatcher, service, name, upstream, now
-                )
-        self._place(dispatcher, declared)
-
-    def _place(self, dispatcher: Dispatcher, declared: dict[str, Upstream]) -> None:
-        """Let affinity keys be divided among the upstreams that stay."""
-        if dispatcher.placement is None:
-            return
-        by_name = dispatcher.upstreams_by_name
-        staying = {
-            name: upstream.failure_domain
-            for name, upstream in declared.items()
-            if not by_name[name].leaving and by_name[name].drained_at is None
-        }
-        dispatcher.placement.use(staying)
-
-    def _new_upstream(
-        self,
-        dispatcher: Dispatcher,
-        service: Service,
-        name: str,
-        upstream: Upstream,
-        now: float,
-    ) -> UpstreamState:
-        is_new = self.version > 1 and now - self.started_at > self.settle_s
-        reported = service.slot_sharing is SlotSharing.REPORTED
-        ledger = ReportedSlots if reported else SlotLedger
-        return UpstreamState(
-            name=name,
-            upstream=upstream,
-            health=UpstreamHealth(
-                random=dispatcher.random,
-                state=Ramping(now) if is_new and not reported else Warm(),
-                needs_probe=not reported,
-            ),
-            ledger=ledger(slots=upstream.slots),
-        )
-
     def take_membership(
         self, event: MembershipEvent, *, now: float, wall: float
     ) -> list[NodeEffect]:
@@ -404,10 +299,7 @@
         if isinstance(event, membership.LiveListRead):
             self.list_read_at = now
             self._wall_ahead_s = wall - now
-            self.listed.take(event.vms, now)
-            if self.configuration is not None:
-                self._use_services(self.configuration, now)
-            self._take_listed_upstreams(event.vms, now=now, wall=wall)
+            self.services.take_list(event.vms, now=now, wall=wall)
             self._apply_drains(now=now, wall=wall)
             self._refresh_steering(now)
         return [*effects, *self._update_shares(now)]
@@ -422,56 +314,12 @@
                 self._refresh_steering(now)
                 return []
 
-    def _take_listed_upstreams(
-        self, vms: Iterable[ListedVm], *, now: float, wall: float
-    ) -> None:
-        listed_by_name = {
-            each.name: each for each in vms if each.kind is VmKind.UPSTREAM
-        }
-        for service, dispatcher in self.dispatchers_by_service.items():
-            for name, upstream in dispatcher.upstreams_by_name.items():
-                listed = listed_by_name.get(name)
-                if listed is None:
-                    continue
-                upstream.note_listed(
-                    leaving=listed.leaving,
-                    leaves_at=listed.leaves_at,
-                    now=now,
-                    wall=wall,
-                )
-                if listed.cold_until > now:
-                    self._note_cold(service, upstream, listed.cold_until)
-
-    def _note_cold(self, service: str, upstream: UpstreamState, until: float) -> None:
-        """Bound what an upstream gets while it is cold."""
-        declared = self._service(service)
-        if declared is None or declared.cold_requests_per_s == 0:
-            return
-        per_s = cold_part_of(
-            vm=self.vm,
-            others=self.membership.view(),
-            upstream=upstream.name,
-            per_s=declared.cold_requests_per_s,
-        )
-        if upstream.cold is None:
-            upstream.cold = ColdGate(per_s=per_s, until=until)
-        else:
-            upstream.cold.per_s = per_s
-            upstream.cold.until = max(upstream.cold.until, until)
-
-    def _service(self, name: str) -> Service | None:
-        if self.configuration is None:
-            return None
-        return self.configuration.services_by_name.get(name)
-
     def take_dispatch(
         self, service: str, event: DispatchEvent, now: float
     ) -> list[NodeEffect]:
         """Give an event to the dispatcher of a service."""
-        dispatcher = self.dispatchers_by_service.get(service)
-        if dispatcher is None:
-            return []
-        return [OfService(service, each) for each in dispatcher.handle(event, now)]
+        effects = self.services.handle(service, event, now)
+        return [OfService(service, each) for each in effects]
 
     def take_slot_request(
         self, request: SlotRequest, reply_to: Endpoint, now: float
@@ -488,10 +336,7 @@
 
     def service_of(self, upstream: str) -> str:
         """Name the service of an upstream; empty if it is not declared."""
-        if self.configuration is None:
-            return ""
-        declared = self.configuration.upstreams_by_name.get(upstream)
-        return declared.service if declared is not None else ""
+        return self.services.service_of(upstream)
 
     def tick(self, *, now: float, wall: float) -> list[NodeEffect]:
         """Let some time pass."""
@@ -501,7 +346,7 @@
         if now >= self._next_refresh:
             self._next_refresh = now + REFRESH_S
             self._apply_drains(now=now, wall=wall)
-            self._note_room(now)
+            self.services.note_room(now)
             self._refresh_steering(now)
             self.ids.expire(now)
             self._forget_removals(now)
@@ -510,39 +355,8 @@
         return [*effects, *self._talk_to_other_domains(now)]
 
     def _apply_drains(self, *, now: float, wall: float) -> None:
-        if self.configuration is None:
-            return
-        for service, dispatcher in self.dispatchers_by_service.items():
-            for name, upstream in dispatcher.upstreams_by_name.items():
-                was_drained = upstream.drained_at is not None
-                upstream.drained_at = self.drains.upstream_drained_at(
-                    name, upstream.upstream.failure_domain, now=now, wall=wall
-                )
-                if was_drained and upstream.drained_at is None:
-                    self._note_taken_back(service, upstream, now)
-        self.refuses_from = self.drains.vm_refuses_from(
-            self.vm, self.failure_domain, now=now, wall=wall
-        )
-        self.drained_vms = self._find_drained_vms(wall)
-
-    def _note_room(self, now: float) -> None:
-        """Tell the bound on what leaves the region how much room it has."""
-        slots = sum(
-            upstream.upstream.slots
-            for dispatcher in self.dispatchers_by_service.values()
-            if dispatcher.placement is not None
-            for upstream in dispatcher.upstreams_by_name.values()
-            if dispatcher.placement.is_near(upstream) and upstream.is_usable(now)
-        )
-        self.limiter.note_room(slots, now)
-
-    def _note_taken_back(
-        self, service: str, upstream: UpstreamState, now: float
-    ) -> None:
-        """Take an upstream as cold after its drain, since it had nothing to do."""
-        declared = self._service(service)
-        if declared is not None:
-            self._note_cold(service, upstream, now + declared.cold_ms / 1000)
+        self.services.apply_drains(now=now, wall=wall)
+        self.vm_drains.apply(now=now, wall=wall)
 
     def _forget_removals(self, now: float) -> None:
         """Forget removed members whose work must have ended."""
@@ -552,83 +366,23 @@
         longest_ms = max((each.longest_timeout_ms for each in services), default=0)
         self.membership.expire_removals(before=now - longest_ms / 1000)
 
-    def _find_drained_vms(self, wall: float) -> set[str]:
-        if self.configuration is None or not self.configuration.drains_by_id:
-            return set()
-        return {
-            name
-            for name, domain in self._domains_by_vm().items()
-            if self.drains.vm_is_drained(name, domain, wall=wall)
-        }
-
-    def _domains_by_vm(self) -> dict[str, str]:
-        listed = {
-            each.name: each.failure_domain
-            for each in self.membership.listed_by_name.values()
-            if each.kind is VmKind.ENTRY
-        }
-        members = dict.fromkeys(self.membership.view(), self.failure_domain)
-        return {**listed, **members}
-
     def accepts(self, now: float) -> bool:
         """Tell whether new requests are accepted here."""
-        drained = self.refuses_from is not None and now >= self.refuses_from
-        return self.leave.accepts and not drained
+        return self.leave.accepts and not self.vm_drains.refuses(now)
 
     def _talk_to_other_domains(self, now: float) -> list[NodeEffect]:
-        effects: list[NodeEffect] = []
-        if now >= self._next_digest:
-            self._next_digest = now + DIGEST_PERIOD_S
-            effects += self._send_digests(now)
-        if self.headroom.is_round_due(now):
-            for target in self._headroom_targets():
-                effects += self.headroom.ask(target, now)
-        return effects
-
-    def _send_digests(self, now: float) -> list[NodeEffect]:
-        """Send the own load to one VM of each failure domain."""
-        digest = self.load_digest(now)
-        self.digests.take(digest, now)
-        listed = self.membership.listed_by_name.values()
-        endpoints = one_vm_a_domain(listed, me=self.vm, random=self.random)
-        return [SendToPeer(message=digest, to=endpoint) for endpoint in endpoints]
+        loads = self.dispatchers_by_service
+        shifts = [metered.shift for metered in self.meter.counts_by_id().values()]
+        return [
+            *self.talk.send_digests(loads, self.version, now),
+            *self.talk.ask_headroom(
+                shifts, self.configuration, drained=self.vm_drains.drained, now=now
+            ),
+        ]
 
     def load_digest(self, now: float) -> LoadDigest:
         """Sum up the own load."""
-        return LoadDigest(
-            sender=self.vm,
-            failure_domain=self.failure_domain,
-            configuration_version=self.version,
-            loads=sum_up_loads(self.dispatchers_by_service, now),
-        )
-
-    def _headroom_targets(self) -> list[HeadroomTarget]:
-        """Choose an entry VM for each shift out of the own region."""
-        chosen = [
-            self._target_of(metered.shift.service, metered.shift.to_region)
-            for metered in self.meter.counts_by_id().values()
-        ]
-        return [each for each in chosen if each is not None]
-
-    def _target_of(self, service: str, region: str) -> HeadroomTarget | None:
-        if self.configuration is None:
-            return None
-        domains = self.configuration.domains_of(region)
-        fitting = [
-            HeadroomTarget(
-                service=service,
-                region=region,
-                caller_endpoint=listed.caller_endpoint,
-                peer_endpoint=listed.peer_endpoint,
-            )
-            for listed in self.membership.listed_by_name.values()
-            if listed.failure_domain in domains
-            and not listed.leaving
-            and listed.name not in self.drained_vms
-            and listed.caller_endpoint is not None
-            and listed.peer_endpoint is not None
-        ]
-        return self.random.choice(fitting) if fitting else None
+        return self.talk.own_digest(self.dispatchers_by_service, self.version, now)
 
     def take_headroom_request(
         self, request: HeadroomRequest, reply_to: Endpoint, now: float
@@ -655,32 +409,22 @@
         effects: list[NodeEffect] = []
         for service, dispatcher in self.dispatchers_by_service.items():
             declared = self.configuration.services_by_name.get(service)
-            if declared is None or declared.slot_sharing is SlotSharing.REPORTED:
+            if declared is None:
                 continue
             longest_s = declared.longest_timeout_ms / 1000
-            grew = False
-            for upstream in dispatcher.upstreams_by_name.values():
-                if isinstance(upstream.ledger, SlotLedger):
-                    grew |= self.shares.update(
-                        upstream.name,
-                        upstream.ledger,
-                        longest_work_s=longest_s,
-                        now=now,
-                    )
-            if grew:
+            if self.shares.update_all(
+                dispatcher.upstreams_by_name.values(), longest_work_s=longest_s, now=now
+            ):
                 effects += self.take_dispatch(service, dispatch.TimePassed(), now)
         return effects
 
     def readiness(self) -> Readiness:
         """What this VM says of itself."""
-        if self.leave.is_leaving or self.vm in self.drained_vms:
+        if self.leave.is_leaving or self.vm in self.vm_drains.drained:
             return Readiness.LEAVING
         if self.configuration is None or self._lacks_list():
             return Readiness.STARTING
-        overloaded = any(
-            len(each.queue) > OVERLOADED_SHARE * each.queue.limit
-            for each in self.dispatchers_by_service.values()
-        )
+        overloaded = self.services.is_overloaded()
         return Readiness.OVERLOADED if overloaded else Readiness.READY
 
     def _lacks_list(self) -> bool:
@@ -713,12 +457,7 @@
         )
 
     def _over_share(self, now: float) -> tuple[str, ...]:
-        names = [
-            upstream.name
-            for dispatcher in self.dispatchers_by_service.values()
-            for upstream in dispatcher.upstreams_by_name.values()
-            if upstream.ledger.is_over_share(now)
-        ]
+        names = self.services.over_share(now)
         if len(names) > MAX_OVER_SHARE_NAMED:
             return (EVERY_UPSTREAM,)
         return tuple(names)
@@ -726,26 +465,9 @@
     def _refresh_steering(self, now: float) -> None:
         if self.steering is None:
             return
-        entries = {
-            vm.name: vm
-            for listed in self.membership.listed_by_name.values()
-            if (vm := self._listed_entry(listed)) is not None
-        }
-        for member in self.membership.members_by_name.values():
-            if member.caller_endpoint is None:
-                continue
-            usable = (
-                member.readiness is Readiness.READY
-                and not member.listed_leaving
-                and member.name not in self.drained_vms
-                and not self.membership.is_silent(member, now)
-            )
-            entries[member.name] = EntryVm(
-                name=member.name,
-                failure_domain=member.failure_domain or self.failure_domain,
-                endpoint=member.caller_endpoint,
-                usable=usable,
-            )
+        entries = known_entry_vms(
+            self.membership, drained=self.vm_drains.drained, now=now
+        )
         entries[self.vm] = EntryVm(
             name=self.vm,
             failure_domain=self.failure_domain,
@@ -761,13 +483,3 @@
             return member.caller_endpoint
         listed = self.membership.listed_by_name.get(vm)
         return listed.caller_endpoint if listed is not None else None
-
-    def _listed_entry(self, listed: ListedVm) -> EntryVm | None:
-        if listed.kind is not VmKind.ENTRY or listed.caller_endpoint is None:
-            return None
-        return EntryVm(
-            name=listed.name,
-            failure_domain=listed.failure_domain,
-            endpoint=listed.caller_endpoint,
-            usable=not listed.leaving and listed.name not in self.drained_vms,
-        )
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -62,7 +62,7 @@
             }
             for shift_id, metered in node.meter.counts_by_id().items()
         },
-        "drained_vms": sorted(node.drained_vms),
+        "drained_vms": sorted(node.vm_drains.drained),
         "headroom": {
             service: {"granted": ledger.granted, "refused": ledger.refused}
             for service, ledger in node.headroom.ledgers_by_service.items()
--- a/packages/daemon/src/plankspindle_daemon/upstreams/share_keeper.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/share_keeper.py
@@ -9,10 +9,13 @@
 from attrs import field
 
 from plankspindle_daemon.membership.membership import Membership
+from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
 from plankspindle_daemon.upstreams.slot_share import share_of
 
 if TYPE_CHECKING:
-    from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
+    from collections.abc import Iterable
+
+    from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
 
 @define(kw_only=True)
@@ -48,6 +51,36 @@
         """Listen for peers anew, as after a pause."""
         self._settling_since = now
 
+    def update_all(
+        self,
+        upstreams: Iterable[UpstreamState],
+        *,
+        longest_work_s: float,
+        now: float,
+    ) -> bool:
+        """Bring the shares of a service's upstreams closer to their targets.
+
+        Parameters
+        ----------
+        upstreams : iterable of UpstreamState
+            Upstreams; those whose slots members do not share are passed over.
+        longest_work_s : float
+            Longest timeout of their requests, in seconds.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        bool
+            True if a share grew.
+        """
+        grew = [
+            self.update(each.name, each.ledger, longest_work_s=longest_work_s, now=now)
+            for each in upstreams
+            if isinstance(each.ledger, SlotLedger)
+        ]
+        return any(grew)
+
     def update(
         self, upstream: str, ledger: SlotLedger, *, longest_work_s: float, now: float
     ) -> bool:
