--- a/packages/core/src/plankspindle_core/logs/line_writer.py
+++ b/packages/core/src/plankspindle_core/logs/line_writer.py
@@ -94,13 +94,14 @@
         return bool(events) and bool(events[0][1] & select.POLLOUT)
 
     def _next_chunk(self) -> bytes:
+        """Take whole lines, so that a collector never sees half of one; or a part."""
         chunk = bytearray()
-        while self._pending and len(chunk) < CHUNK_BYTES:
-            line = self._pending.popleft()
-            room = CHUNK_BYTES - len(chunk)
-            chunk += line[:room]
-            if line[room:]:
-                self._pending.appendleft(line[room:])
+        while self._pending and len(chunk) + len(self._pending[0]) <= CHUNK_BYTES:
+            chunk += self._pending.popleft()
+        if not chunk:
+            long = self._pending.popleft()
+            chunk += long[:CHUNK_BYTES]
+            self._pending.appendleft(long[CHUNK_BYTES:])
         self._pending_bytes -= len(chunk)
         return bytes(chunk)
 
--- a/packages/core/tests/logs/test_line_writer.py
+++ b/packages/core/tests/logs/test_line_writer.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from plankspindle_core.logs.line_writer import CHUNK_BYTES
 from plankspindle_core.logs.line_writer import LineWriter
 
 if TYPE_CHECKING:
@@ -63,6 +64,25 @@
     assert read.decode().splitlines() == lines
 
 
+def test_every_write_holds_whole_lines_but_of_lines_that_are_too_long(
+    pipe: tuple[int, int],
+) -> None:
+    reader, descriptor = pipe
+    writer = LineWriter(descriptor=descriptor)
+    written: list[bytes] = []
+    writer._write = written.append  # type: ignore[method-assign]
+    lines = [LINE] * 50 + ["y" * 10_000] + [LINE] * 50
+    for line in lines:
+        writer.add(line)
+    writer.flush()
+    os.close(reader)
+    assert all(len(each) <= CHUNK_BYTES for each in written)
+    broken = [each for each in written if not each.endswith(b"\n")]
+    assert len(broken) == 2
+    assert b"".join(written).decode().splitlines() == lines
+    assert writer.pending_bytes == 0
+
+
 def test_a_log_without_reader_stops_nothing(pipe: tuple[int, int]) -> None:
     reader, descriptor = pipe
     os.close(reader)
--- a/packages/testkit/src/plankspindle_testkit/bench/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/__main__.py
@@ -7,6 +7,7 @@
 from plankspindle_testkit.bench.control_bench import run_control_bench
 from plankspindle_testkit.bench.drain_bench import run_drain_bench
 from plankspindle_testkit.bench.headroom_bench import run_headroom_bench
+from plankspindle_testkit.bench.log_bench import run_log_bench
 from plankspindle_testkit.bench.lookup_bench import run_lookup_bench
 from plankspindle_testkit.bench.policy_bench import run_balancing_bench
 from plankspindle_testkit.bench.policy_bench import run_priority_bench
@@ -24,6 +25,7 @@
     "balancing": run_balancing_bench,
     "drain": run_drain_bench,
     "headroom": run_headroom_bench,
+    "log": run_log_bench,
     "lookup": run_lookup_bench,
     "proxy": run_proxy_bench,
 }
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/bench/log_bench.py
@@ -0,0 +1,197 @@
+"""Benchmark of the log: what it costs a request, with and without."""
+
+from __future__ import annotations
+
+import os
+import tempfile
+import time
+import tracemalloc
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import eliot
+
+from plankspindle_core.logs.key_value_destination import KeyValueDestination
+from plankspindle_core.logs.line_writer import LineWriter
+from plankspindle_daemon.observability.metrics import RequestMetrics
+from plankspindle_daemon.stories.steps import AttemptEnded
+from plankspindle_daemon.stories.steps import Placed
+from plankspindle_daemon.stories.steps import Ran
+from plankspindle_daemon.stories.steps import Rejected
+from plankspindle_daemon.stories.steps import Routed
+from plankspindle_daemon.stories.steps import Sent
+from plankspindle_daemon.stories.story import Ending
+from plankspindle_daemon.stories.story_log import StoryLog
+from plankspindle_testkit.bench.proxy_bench import PLACE
+from plankspindle_testkit.bench.proxy_bench import SERVICES
+from plankspindle_testkit.bench.proxy_bench import load_endpoint
+from plankspindle_testkit.bench.proxy_bench import start_proxy
+from plankspindle_testkit.bench.table import print_table
+from plankspindle_testkit.processes import Processes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from plankspindle_daemon.stories.story import Story
+
+STORIES = 5_000
+RUNNING = 1_000
+"""Requests at once whose memory is measured."""
+RATES_PER_S = (67, 18)
+"""Requests a second and entry VM at the registry and at the render farm."""
+
+
+def run_log_bench() -> None:
+    """Print processor time and memory of the log beside those of a whole request."""
+    whole_us = _whole_request_us()
+    rows = [
+        _row(name, _story_us(make), whole_us)
+        for name, make in (
+            ("served, most not logged", _serve),
+            ("rejected, all steps logged", _reject),
+            ("answer lost, all steps logged", _lose),
+        )
+    ]
+    print_table(
+        f"Log of a request beside a whole one, which takes {whole_us:.0f} us",
+        ("request", "us", "part of a whole one", "of a core at 67 /s", "at 18 /s"),
+        rows,
+    )
+    print_table(
+        "Memory of the steps of a running request",
+        ("bytes a request",),
+        [[f"{_bytes_a_story():.0f}"]],
+    )
+
+
+def _row(name: str, story_us: float, whole_us: float) -> list[str]:
+    loads = [f"{story_us * rate / 1e4:.2f} %" for rate in RATES_PER_S]
+    return [name, f"{story_us:.1f}", f"{100 * story_us / whole_us:.1f} %", *loads]
+
+
+def _whole_request_us() -> float:
+    """Processor time of a real daemon for a request over a kept connection."""
+    with tempfile.TemporaryDirectory() as folder:
+        processes = Processes(folder=Path(folder))
+        try:
+            start_proxy(processes)
+            pid = processes.by_name[PLACE.name].pid
+            load_endpoint(PLACE.caller, "GET", f"{SERVICES}/plates/1", 1)
+            before = _processor_s(pid)
+            found = load_endpoint(PLACE.caller, "GET", f"{SERVICES}/plates/1", 1)
+            used_s = _processor_s(pid) - before
+        finally:
+            processes.close()
+    return 1e6 * used_s / len(found["seconds"])
+
+
+def _processor_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def _story_us(make: Callable[[StoryLog], Story]) -> float:
+    """Processor time of a story, its lines written to a file, bounds lifted."""
+    metrics = RequestMetrics()
+    with Path(os.devnull).open("wb") as sink:
+        destination = KeyValueDestination(sink=LineWriter(descriptor=sink.fileno()))
+        eliot.add_destinations(destination)
+        log = StoryLog(vm="a")
+        began = time.process_time()
+        for _ in range(STORIES):
+            if make is not _serve:
+                # A bucket that was never used is full, so all steps are logged.
+                log = StoryLog(vm="a")
+                destination._buckets_by_event.clear()
+            story = make(log)
+            metrics.note_request(story, 1.0)
+            log.end(story, 1.0)
+            destination.flush(1.0)
+        used_s = time.process_time() - began
+        eliot.remove_destination(destination)
+    return 1e6 * used_s / STORIES
+
+
+def _begin(log: StoryLog) -> Story:
+    story = log.begin(b"9c41d07be2a35f68", now=0.0, wall=1e9)
+    routed = Routed(
+        service="registry",
+        operation="plates",
+        rank=1,
+        idempotent=True,
+        max_attempts=2,
+        timeout_ms=2_500,
+        left_ms=2_490,
+        version=7,
+        version_age_ms=60_000,
+    )
+    story.note(routed, 0.0)
+    return story
+
+
+def _note_attempt(story: Story, *, came: str, ran: Ran) -> None:
+    placed = Placed(
+        upstream="i-7f3a91c2",
+        own_load=1,
+        others_load=2.5,
+        slots=9,
+        latency=1.1,
+        report_age_ms=40,
+        rtt_ms=1.9,
+        hit=True,
+        leaves_region=False,
+    )
+    story.note(placed, 0.0)
+    to = "10.1.64.3:8080"
+    sent = Sent(attempt=1, to=to, connection="reused", deadline_ms=2_480, rested_ms=90)
+    story.note(sent, 0.0)
+    ended = AttemptEnded(
+        attempt=1,
+        upstream="i-7f3a91c2",
+        verdict="answered",
+        came=came,
+        ran=ran,
+        took_ms=180,
+    )
+    story.note(ended, 0.2)
+
+
+def _serve(log: StoryLog) -> Story:
+    story = _begin(log)
+    _note_attempt(story, came="status 200", ran=Ran.YES)
+    story.end(Ending.SERVED, status=200)
+    return story
+
+
+def _reject(log: StoryLog) -> Story:
+    story = _begin(log)
+    rejected = Rejected(
+        reason="busy",
+        retry_after_ms=400,
+        queued=7,
+        capacity=40,
+        in_flight=40,
+        usual_ms=200,
+        left_ms=2_400,
+    )
+    story.note(rejected, 0.1)
+    story.end(Ending.NOT_RUN, status=503, reason="busy", retry_after_s=0.4)
+    return story
+
+
+def _lose(log: StoryLog) -> Story:
+    story = _begin(log)
+    _note_attempt(story, came="connection lost: reset", ran=Ran.MAYBE)
+    story.end(Ending.UNKNOWN, status=502, reason="upstream-lost")
+    return story
+
+
+def _bytes_a_story() -> float:
+    log = StoryLog(vm="a")
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    stories = [_serve(log) for _ in range(RUNNING)]
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return (after - before) / len(stories)
--- a/packages/testkit/src/plankspindle_testkit/bench/proxy_bench.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/proxy_bench.py
@@ -39,14 +39,15 @@
     with tempfile.TemporaryDirectory() as folder:
         processes = Processes(folder=Path(folder))
         try:
-            _start(processes)
+            start_proxy(processes)
             _compare()
             _download(processes)
         finally:
             processes.close()
 
 
-def _start(processes: Processes) -> None:
+def start_proxy(processes: Processes) -> None:
+    """Start a daemon before an upstream stand-in that answers at once."""
     processes.start_platform(PLATFORM, [PLACE])
     processes.start_module(
         "upstream",
@@ -78,7 +79,7 @@
     ]
     for connections in (1, CONNECTIONS):
         for name, endpoint, method, target in kinds:
-            found = _load(endpoint, method, target, connections)
+            found = load_endpoint(endpoint, method, target, connections)
             rows.append(_row(name, connections, found))
     print_table(
         f"One daemon, upstream stand-in that answers at once, {REQUESTS} requests",
@@ -87,9 +88,10 @@
     )
 
 
-def _load(
+def load_endpoint(
     endpoint: Endpoint, method: str, target: str, connections: int
 ) -> dict[str, Any]:
+    """Send requests from another process, and give their times and statuses."""
     module = "plankspindle_testkit.bench.load_generator"
     options = ["--method", method, "--connections", str(connections)]
     options += ["--requests", str(REQUESTS), str(endpoint), target]
