Notice connections that fell silent by keep-alive probes and unacknowledged bytes

Cause: a connection that goes silent without a reset was noticed only by the next time-out: the feeds of the store after 4 to 5 s, a request at an upstream whose other connections answer not before its deadline. Probes end a connection at rest after 3 s, unacknowledged bytes one in use after 1.5 s. Ruled out: shorter waits at the store, which are priced calls.

--- a/packages/core/src/plankspindle_core/http/client_connection.py
+++ b/packages/core/src/plankspindle_core/http/client_connection.py
@@ -21,6 +21,15 @@
     from plankspindle_core.endpoint import Endpoint
     from plankspindle_core.http.headers import HeaderList
 
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+"""A connection whose other side fell silent without a reset ends after 3 s of rest."""
+UNACKNOWLEDGED_MS = 1_500
+"""Longest time that sent bytes may stay unacknowledged, in milliseconds.
+
+Lost packets are sent again after 0.2, 0.6 and 1.4 s: three losses in a row are borne.
+"""
 RECEIVE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 _CONTINUES = 100
@@ -71,7 +80,7 @@
         """
         family = socket.AF_INET6 if ":" in self.endpoint.host else socket.AF_INET
         self._socket = socket.socket(family, socket.SOCK_STREAM)
-        self._socket.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
+        _set_options(self._socket)
         try:
             await timeout_after(
                 timeout_s,
@@ -238,3 +247,16 @@
         if self._socket is not None:
             await self._socket.close()
             self._socket = None
+
+
+def _set_options(connection: Any) -> None:
+    """Send at once, and notice a silent other side by keep-alive probes."""
+    connection.setsockopt(stdlib_socket.SOL_SOCKET, stdlib_socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (stdlib_socket.TCP_NODELAY, 1),
+        (stdlib_socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (stdlib_socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (stdlib_socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (stdlib_socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    ):
+        connection.setsockopt(stdlib_socket.IPPROTO_TCP, option, value)
