--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -14,12 +14,10 @@
 from plankspindle_daemon.admission.class_queue import Queued
 from plankspindle_daemon.dispatch.duration_averages import DurationAverages
 from plankspindle_daemon.dispatch.messages import Arrived
-from plankspindle_daemon.dispatch.messages import AskSlots
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import DispatchEffect
 from plankspindle_daemon.dispatch.messages import DispatchEvent
 from plankspindle_daemon.dispatch.messages import Ended
-from plankspindle_daemon.dispatch.messages import GrantSlots
 from plankspindle_daemon.dispatch.messages import Paused
 from plankspindle_daemon.dispatch.messages import Probe
 from plankspindle_daemon.dispatch.messages import Probed
@@ -31,12 +29,10 @@
 from plankspindle_daemon.dispatch.messages import Verdict
 from plankspindle_daemon.dispatch.messages import Withdrawn
 from plankspindle_daemon.dispatch.placement import Placement
+from plankspindle_daemon.dispatch.slot_lending import SlotLending
 from plankspindle_daemon.stories.steps import Placed
 from plankspindle_daemon.stories.steps import Queued as QueuedStep
 from plankspindle_daemon.stories.steps import Rejected
-from plankspindle_daemon.upstreams.messages import SlotGrant
-from plankspindle_daemon.upstreams.messages import SlotRequest
-from plankspindle_daemon.upstreams.slot_ledger import Loan
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
 if TYPE_CHECKING:
@@ -52,8 +48,6 @@
 """Waiting requests that are tried on the free upstreams at a time."""
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 30.0
-MAX_LOAN_S = 5.0
-ASK_PERIOD_S = 0.05
 MIN_PROBE_GAP_S = 0.05
 MIN_DURATION_S = 0.001
 BUSY_RETRY_AFTER_S = 0.3
@@ -95,10 +89,17 @@
     assigned: int = 0
     _next_probe_by_name: dict[str, float] = field(factory=dict)
     _last_probe_by_name: dict[str, float] = field(factory=dict)
-    _asked_at_by_id: dict[int, tuple[str, float, float]] = field(factory=dict)
-    _next_ask: float = 0.0
+    lending: SlotLending = field(init=False)
     _missing: set[int] = field(factory=set)
 
+    def __attrs_post_init__(self) -> None:
+        self.lending = SlotLending(
+            vm=self.vm,
+            incarnation=self.incarnation,
+            random=self.random,
+            queue=self.queue,
+        )
+
     def handle(self, event: DispatchEvent, now: float) -> list[DispatchEffect]:
         """Take one event.
 
@@ -127,9 +128,9 @@
                 self._take_probe(event, now)
                 return self._serve(now)
             case SlotsAsked():
-                return self._lend(event, now)
+                return [*self.lending.lend(event, self.upstreams_by_name, now)]
             case SlotsGranted(grant=grant):
-                self._borrow(grant, now)
+                self.lending.borrow(grant, self.upstreams_by_name, now)
                 return self._serve(now)
             case TimePassed():
                 return [*self._give_up_late(now), *self._serve(now), *self._probes(now)]
@@ -217,7 +218,7 @@
                 self.queue.remove(ticket.id)
                 effects.append(assigned)
         if self.queue and self.placement is None:
-            effects += self._ask(now)
+            effects += self.lending.ask(self.upstreams_by_name, now)
         return effects
 
     def _assign(self, ticket: Ticket, now: float) -> Assign | None:
@@ -426,79 +427,6 @@
         last = self._last_probe_by_name.get(name, 0.0)
         return upstream.health.probe_is_due(now) and now - last >= MIN_PROBE_GAP_S
 
-    def _ask(self, now: float) -> list[DispatchEffect]:
-        if now < self._next_ask:
-            return []
-        waiting = next(iter(self.queue))
-        full = [
-            each
-            for each in self.upstreams_by_name.values()
-            if not each.takes_nothing_new(now)
-            and each.name not in waiting.excluded
-            and each.health.limit(each.upstream.slots, now) > each.limit(now)
-        ]
-        if not full:
-            return []
-        chosen = self.random.choice(full)
-        self._next_ask = now + ASK_PERIOD_S
-        duration_s = min(MAX_LOAN_S, waiting.deadline - now)
-        request = SlotRequest(
-            sender=self.vm,
-            request_id=self.random.getrandbits(63),
-            upstream=chosen.name,
-            count=min(len(self.queue), chosen.upstream.slots),
-            duration_ms=int(duration_s * 1000) + 1,
-            incarnation=self.incarnation,
-        )
-        self._forget_old_asks(now)
-        until = now + duration_s
-        self._asked_at_by_id[request.request_id] = (chosen.name, now, until)
-        return [AskSlots(request)]
-
-    def _forget_old_asks(self, now: float) -> None:
-        self._asked_at_by_id = {
-            number: asked
-            for number, asked in self._asked_at_by_id.items()
-            if asked[2] > now
-        }
-
-    def _lend(self, asked: SlotsAsked, now: float) -> list[DispatchEffect]:
-        request = asked.request
-        upstream = self.upstreams_by_name.get(request.upstream)
-        if upstream is None or upstream.takes_nothing_new(now) or self.queue:
-            return []
-        idle = upstream.limit(now) - upstream.ledger.in_flight
-        duration_s = min(MAX_LOAN_S, request.duration_ms / 1000)
-        lent = upstream.ledger.lend(
-            request_id=request.request_id,
-            count=min(request.count, (max(0, idle) + 1) // 2),
-            now=now,
-            until=now + duration_s,
-        )
-        if lent == 0:
-            return []
-        grant = SlotGrant(
-            sender=self.vm,
-            request_id=request.request_id,
-            upstream=request.upstream,
-            count=lent,
-            duration_ms=int(duration_s * 1000),
-            borrower_incarnation=request.incarnation,
-        )
-        return [GrantSlots(grant=grant, to=asked.reply_to)]
-
-    def _borrow(self, grant: SlotGrant, now: float) -> None:
-        asked = self._asked_at_by_id.pop(grant.request_id, None)
-        if asked is None or grant.borrower_incarnation != self.incarnation:
-            return
-        name, asked_at, _ = asked
-        upstream = self.upstreams_by_name.get(name)
-        if upstream is None or grant.upstream != name:
-            return
-        until = asked_at + grant.duration_ms / 1000
-        loan = Loan(request_id=grant.request_id, count=grant.count, until=until)
-        upstream.ledger.borrow(loan, now)
-
 
 def _miss_of(ticket: Ticket) -> str:
     """Name the durations of requests at upstreams that have not seen their key."""
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/slot_lending.py
@@ -0,0 +1,137 @@
+"""Borrowing of idle slots from members, and lending of one's own."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import field
+
+from plankspindle_daemon.admission.class_queue import ClassQueue
+from plankspindle_daemon.dispatch.messages import AskSlots
+from plankspindle_daemon.dispatch.messages import GrantSlots
+from plankspindle_daemon.upstreams.messages import SlotGrant
+from plankspindle_daemon.upstreams.messages import SlotRequest
+from plankspindle_daemon.upstreams.slot_ledger import Loan
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from plankspindle_daemon.dispatch.messages import SlotsAsked
+    from plankspindle_daemon.upstreams.upstream_state import UpstreamState
+
+MAX_LOAN_S = 5.0
+ASK_PERIOD_S = 0.05
+
+
+@define(kw_only=True)
+class SlotLending:
+    """Both sides of the loans of one service.
+
+    Parameters
+    ----------
+    vm : str
+        Name of this VM.
+    incarnation : int
+        Number of this process.
+    random : Random
+        Source of choices and request ids.
+    queue : ClassQueue
+        Requests that wait here; while some do, nothing is lent.
+    """
+
+    vm: str
+    incarnation: int
+    random: Random
+    queue: ClassQueue
+    _asked_at_by_id: dict[int, tuple[str, float, float]] = field(factory=dict)
+    _next_ask: float = 0.0
+
+    def ask(
+        self, upstreams_by_name: Mapping[str, UpstreamState], now: float
+    ) -> list[AskSlots]:
+        """Ask a member for idle slots of an upstream whose own share is used up."""
+        if now < self._next_ask:
+            return []
+        waiting = next(iter(self.queue))
+        full = [
+            each
+            for each in upstreams_by_name.values()
+            if not each.takes_nothing_new(now)
+            and each.name not in waiting.excluded
+            and each.health.limit(each.upstream.slots, now) > each.limit(now)
+        ]
+        if not full:
+            return []
+        chosen = self.random.choice(full)
+        self._next_ask = now + ASK_PERIOD_S
+        duration_s = min(MAX_LOAN_S, waiting.deadline - now)
+        request = SlotRequest(
+            sender=self.vm,
+            request_id=self.random.getrandbits(63),
+            upstream=chosen.name,
+            count=min(len(self.queue), chosen.upstream.slots),
+            duration_ms=int(duration_s * 1000) + 1,
+            incarnation=self.incarnation,
+        )
+        self._forget_old_asks(now)
+        until = now + duration_s
+        self._asked_at_by_id[request.request_id] = (chosen.name, now, until)
+        return [AskSlots(request)]
+
+    def _forget_old_asks(self, now: float) -> None:
+        self._asked_at_by_id = {
+            number: asked
+            for number, asked in self._asked_at_by_id.items()
+            if asked[2] > now
+        }
+
+    def lend(
+        self,
+        asked: SlotsAsked,
+        upstreams_by_name: Mapping[str, UpstreamState],
+        now: float,
+    ) -> list[GrantSlots]:
+        """Lend up to half of the idle slots."""
+        request = asked.request
+        upstream = upstreams_by_name.get(request.upstream)
+        if upstream is None or upstream.takes_nothing_new(now) or self.queue:
+            return []
+        idle = upstream.limit(now) - upstream.ledger.in_flight
+        duration_s = min(MAX_LOAN_S, request.duration_ms / 1000)
+        lent = upstream.ledger.lend(
+            request_id=request.request_id,
+            count=min(request.count, (max(0, idle) + 1) // 2),
+            now=now,
+            until=now + duration_s,
+        )
+        if lent == 0:
+            return []
+        grant = SlotGrant(
+            sender=self.vm,
+            request_id=request.request_id,
+            upstream=request.upstream,
+            count=lent,
+            duration_ms=int(duration_s * 1000),
+            borrower_incarnation=request.incarnation,
+        )
+        return [GrantSlots(grant=grant, to=asked.reply_to)]
+
+    def borrow(
+        self,
+        grant: SlotGrant,
+        upstreams_by_name: Mapping[str, UpstreamState],
+        now: float,
+    ) -> None:
+        """Take slots that were lent, if they were asked for in this life."""
+        asked = self._asked_at_by_id.pop(grant.request_id, None)
+        if asked is None or grant.borrower_incarnation != self.incarnation:
+            return
+        name, asked_at, _ = asked
+        upstream = upstreams_by_name.get(name)
+        if upstream is None or grant.upstream != name:
+            return
+        until = asked_at + grant.duration_ms / 1000
+        loan = Loan(request_id=grant.request_id, count=grant.count, until=until)
+        upstream.ledger.borrow(loan, now)
