--- a/packages/testkit/src/plankspindle_testkit/trial/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/__main__.py
@@ -8,6 +8,7 @@
 import click
 
 from plankspindle_testkit.trial.runs import run_trial
+from plankspindle_testkit.trial.shrinking import shrink
 
 
 @click.command()
@@ -22,7 +23,10 @@
     while time.monotonic() < end:
         verdict = run_trial(seed=seed, simulated_s=simulated, cuts=cuts)
         if verdict.broken is not None:
+            drawn = len(verdict.schedule)
+            verdict = shrink(verdict, seed=seed, cuts=cuts)
             click.echo(f"broken: seed={seed} {verdict.broken}")
+            click.echo(f"with {len(verdict.schedule)} of {drawn} faults:")
             for line in verdict.trace[-40:]:
                 click.echo(f"  {line}")
             sys.exit(1)
--- a/packages/testkit/src/plankspindle_testkit/trial/fault_matrix.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/fault_matrix.py
@@ -84,12 +84,12 @@
 
 def _request(kind: str, timeout_s: float, duration_s: float) -> Operation:
     def start(trial: Trial) -> Check:
-        number = trial.start_one(
+        number = trial.requests.start_one(
             FIRST_VM, kind=kind, timeout_s=timeout_s, duration_s=duration_s
         )
 
         def check(trial: Trial) -> str:
-            return trial.end_of(number)
+            return trial.requests.end_of(number)
 
         return check
 
@@ -108,33 +108,41 @@
 
 
 def _confirm(trial: Trial) -> Check:
-    plan_id = trial.make_plan(ClassIntent(caller="desk", priority_class="gold"))
+    plan_id = trial.operators.make_plan(
+        ClassIntent(caller="desk", priority_class="gold")
+    )
 
     def check(trial: Trial) -> str:
-        return trial.confirm_until_told(plan_id) if plan_id else "no plan"
+        return trial.operators.confirm_until_told(plan_id) if plan_id else "no plan"
 
     return check
 
 
 def _adoption(trial: Trial) -> Check:
-    plan_id = trial.make_plan(ClassIntent(caller="desk", priority_class="gold"))
-    told = trial.confirm_until_told(plan_id) if plan_id else "no plan"
+    plan_id = trial.operators.make_plan(
+        ClassIntent(caller="desk", priority_class="gold")
+    )
+    told = trial.operators.confirm_until_told(plan_id) if plan_id else "no plan"
 
     def check(trial: Trial) -> str:
-        return "in force" if told == "accepted" and trial.is_in_force() else "missing"
+        return (
+            "in force"
+            if told == "accepted" and trial.operators.is_in_force()
+            else "missing"
+        )
 
     return check
 
 
 def _drain(trial: Trial) -> Check:
     drain = Drain(kind=DrainKind.UPSTREAM, name="u0")
-    plan_id = trial.make_plan(DrainIntent(drain_id="d", drain=drain))
-    told = trial.confirm_until_told(plan_id) if plan_id else "no plan"
-    latest = trial.now + FAULT_S + STEPS[-1] * STEP_S + DRAINED_WITHIN_S
+    plan_id = trial.operators.make_plan(DrainIntent(drain_id="d", drain=drain))
+    told = trial.operators.confirm_until_told(plan_id) if plan_id else "no plan"
+    latest = trial.world.now + FAULT_S + STEPS[-1] * STEP_S + DRAINED_WITHIN_S
 
     def check(trial: Trial) -> str:
-        upstream = trial.upstreams_by_name["u0"]
-        if told != "accepted" or not trial.is_in_force():
+        upstream = trial.world.upstreams_by_name["u0"]
+        if told != "accepted" or not trial.operators.is_in_force():
             return "missing"
         if upstream.last_begun_at > latest:
             return "got new work"
@@ -151,18 +159,18 @@
         cap_percent=20.0,
         ramp_s=0.0,
     )
-    plan_id = trial.make_plan(ShiftIntent(shift_id="s", shift=shift))
-    told = trial.confirm_until_told(plan_id) if plan_id else "no plan"
+    plan_id = trial.operators.make_plan(ShiftIntent(shift_id="s", shift=shift))
+    told = trial.operators.confirm_until_told(plan_id) if plan_id else "no plan"
 
     def check(trial: Trial) -> str:
-        in_force = told == "accepted" and trial.is_in_force()
+        in_force = told == "accepted" and trial.operators.is_in_force()
         return "within cap" if in_force else "missing"
 
     return check
 
 
 def _start_vm(trial: Trial) -> Check:
-    trial.restart(FIRST_VM)
+    trial.hosts.restart(FIRST_VM)
 
     def check(trial: Trial) -> str:
         return "serves" if trial.all_serve() else "does not serve"
@@ -171,7 +179,7 @@
 
 
 def _stop_vm(trial: Trial) -> Check:
-    trial.begin_leaving(FIRST_VM)
+    trial.hosts.begin_leaving(FIRST_VM)
 
     def check(trial: Trial) -> str:
         return "others serve" if trial.all_serve() else "others do not serve"
--- a/packages/testkit/src/plankspindle_testkit/trial/runs.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/runs.py
@@ -11,10 +11,12 @@
 from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.builders import build_service
 from plankspindle_testkit.builders import build_upstream
-from plankspindle_testkit.trial.trial import SERVICE
+from plankspindle_testkit.trial.fault_schedule import ScheduledFault
+from plankspindle_testkit.trial.fault_schedule import draw_schedule
 from plankspindle_testkit.trial.trial import Trial
-from plankspindle_testkit.trial.trial import TrialOptions
 from plankspindle_testkit.trial.truth import BrokenPromiseError
+from plankspindle_testkit.trial.world import SERVICE
+from plankspindle_testkit.trial.world import TrialOptions
 
 OPERATION = Operation(method="GET", timeout_ms=3_000, expected_ms=100)
 
@@ -31,16 +33,28 @@
         The promise that was broken.
     trace : list of str
         What happened, newest last.
+    schedule : tuple of ScheduledFault
+        The faults.
+    lasted_s : float
+        Simulated seconds until its end.
     """
 
     requests: int
     done: int
     broken: str | None
     trace: list[str]
+    schedule: tuple[ScheduledFault, ...]
+    lasted_s: float
 
 
 def build_trial(
-    *, seed: int, cuts: bool = False, fault_rate: float = 0.5, quiet: bool = False
+    *,
+    seed: int,
+    cuts: bool = False,
+    fault_rate: float = 0.5,
+    quiet: bool = False,
+    simulated_s: float = 0.0,
+    schedule: tuple[ScheduledFault, ...] | None = None,
 ) -> Trial:
     """Build the standard trial: three entry VMs and three upstreams of one domain.
 
@@ -54,6 +68,10 @@
         Faults each simulated second.
     quiet : bool
         Whether nothing goes wrong by itself, and no requests come.
+    simulated_s : float
+        Length for which faults are drawn, in simulated seconds.
+    schedule : tuple of ScheduledFault, optional
+        Its faults, in place of those that its seed draws.
     """
     places = [
         VmPlace(
@@ -85,11 +103,18 @@
         request_rate=0.0 if quiet else 40.0,
         quiet=quiet,
     )
-    return Trial(options=options)
+    if schedule is None:
+        schedule = draw_schedule(options, simulated_s)
+    return Trial(options=options, schedule=schedule)
 
 
 def run_trial(
-    *, seed: int, simulated_s: float, cuts: bool = False, fault_rate: float = 0.5
+    *,
+    seed: int,
+    simulated_s: float,
+    cuts: bool = False,
+    fault_rate: float = 0.5,
+    schedule: tuple[ScheduledFault, ...] | None = None,
 ) -> TrialVerdict:
     """Run one trial and say how it ended.
 
@@ -103,13 +128,27 @@
         Whether VMs of the domain are cut off from each other.
     fault_rate : float
         Faults each simulated second.
+    schedule : tuple of ScheduledFault, optional
+        Its faults, in place of those that its seed draws.
     """
-    trial = build_trial(seed=seed, cuts=cuts, fault_rate=fault_rate)
+    trial = build_trial(
+        seed=seed,
+        cuts=cuts,
+        fault_rate=fault_rate,
+        simulated_s=simulated_s,
+        schedule=schedule,
+    )
+    began_at = trial.world.now
     broken = None
     try:
         trial.run(simulated_s)
     except (BrokenPromiseError, InvariantError) as error:
-        broken = f"at {trial.now:.2f}: {error}"
+        broken = f"at {trial.world.now:.2f}: {error}"
     return TrialVerdict(
-        requests=trial.requests, done=trial.done, broken=broken, trace=trial.trace
+        requests=trial.requests.requests,
+        done=trial.requests.done,
+        broken=broken,
+        trace=trial.world.trace,
+        schedule=trial.schedule,
+        lasted_s=trial.world.now - began_at,
     )
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial_claims.py
@@ -0,0 +1,112 @@
+"""Claims of keys in a trial."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from attrs import define
+from attrs import field
+
+from plankspindle_daemon.idempotency import claim_attempt as claims
+from plankspindle_daemon.idempotency.claim_row import ClaimRow
+from plankspindle_daemon.idempotency.claim_store import may_still_be_claimed
+from plankspindle_daemon.platform.errors import ConditionFailed
+from plankspindle_daemon.platform.table import RowWrite
+from plankspindle_daemon.platform.table import Transaction
+from plankspindle_testkit.trial.fake_platform import run_to_end
+from plankspindle_testkit.trial.world import World
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.idempotency.verdicts import ClaimVerdict
+
+
+@define(kw_only=True)
+class TrialClaims:
+    """Claim keys, and close claims some time later.
+
+    Parameters
+    ----------
+    world : World
+        The trial's state.
+
+    Attributes
+    ----------
+    closings : list of (str, ClaimRow)
+        Claims to be closed, with the rows that close them.
+    """
+
+    world: World
+    closings: list[tuple[str, ClaimRow]] = field(factory=list)
+
+    def claim(self, key: str, row: ClaimRow) -> ClaimVerdict:
+        """Claim a key."""
+        attempt = claims.ClaimAttempt(key=key, wanted=row)
+        effects = attempt.begin()
+        for _ in range(8):
+            if isinstance(effects[-1], claims.Settled):
+                return effects[-1].verdict
+            effects = attempt.handle(self._claim_step(effects[-1]))
+        settled = attempt.handle(claims.OutOfTime())[-1]
+        assert isinstance(settled, claims.Settled)
+        self.closings.append((key, row.released()))
+        return settled.verdict
+
+    def _claim_step(self, effect: claims.ClaimEffect) -> claims.ClaimEvent:
+        match effect:
+            case claims.WriteRow(write=write):
+                transaction = Transaction(writes=[write])
+                committed = run_to_end(self.world.platform.commit(transaction))
+                if committed.is_ok():
+                    return claims.WriteAnswered(True)
+                if isinstance(committed.unwrap_err(), ConditionFailed):
+                    return claims.WriteAnswered(False)
+                return claims.WriteUnanswered()
+            case claims.ReadRow(key=key):
+                read = run_to_end(self.world.platform.read_row(key))
+                if read.is_err():
+                    return claims.ReadUnanswered()
+                return claims.RowRead(read.unwrap())
+            case claims.Settled():
+                raise AssertionError("settled already")
+
+    def close_one(self) -> None:
+        """Close the oldest claim, now and then."""
+        if not self.closings or self.world.random.random() < 0.5:
+            return
+        key, wanted = self.closings.pop(0)
+        read = run_to_end(self.world.platform.read_row(key))
+        if read.is_err():
+            self.closings.append((key, wanted))
+            return
+        row = read.unwrap()
+        if not may_still_be_claimed(row, wanted):
+            return
+        write = RowWrite(
+            key=key, expected_version=row.version, value=wanted.to_mapping()
+        )
+        run_to_end(self.world.platform.commit(Transaction(writes=[write])))
+        self.closings.append((key, wanted))
+
+
+@define(kw_only=True)
+class TrialClaimRecord:
+    """Record of a claimed key, whose closing happens later in the trial."""
+
+    closings: list[tuple[str, ClaimRow]]
+    key: str
+    row: ClaimRow
+
+    def note_started(self) -> None:
+        """Do nothing."""
+
+    def note_not_run(self) -> None:
+        """Do nothing."""
+
+    def release(self) -> None:
+        """Have the key freed."""
+        self.closings.append((self.key, self.row.released()))
+
+    def finish(self, answer: Any) -> None:
+        """Have the answer kept."""
+        self.closings.append((self.key, self.row.finished(answer)))
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial_operators.py
@@ -0,0 +1,131 @@
+"""Operators of a trial: they make plans, confirm them, and race."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import cast
+
+from attrs import define
+
+from plankspindle_core.configuration.shift import Shift
+from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
+from plankspindle_daemon.configuration.head_row import HEAD_KEY
+from plankspindle_daemon.configuration.head_row import head_row_from_mapping
+from plankspindle_daemon.control.intents import ShiftIntent
+from plankspindle_daemon.control.plan_store import PlanOvertaken
+from plankspindle_daemon.control.plan_store import PlanStore
+from plankspindle_daemon.digests.digest_book import DigestBook
+from plankspindle_daemon.digests.messages import LoadDigest
+from plankspindle_daemon.digests.messages import ServiceLoad
+from plankspindle_testkit.trial.fake_platform import run_to_end
+from plankspindle_testkit.trial.truth import BrokenPromiseError
+from plankspindle_testkit.trial.world import SERVICE
+from plankspindle_testkit.trial.world import World
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.platform.platform_client import PlatformClient
+
+
+@define(kw_only=True)
+class TrialOperators:
+    """Make and confirm plans.
+
+    Parameters
+    ----------
+    world : World
+        The trial's state.
+    """
+
+    world: World
+
+    def make_plan(self, intent: Any) -> str:
+        """Make a plan and give its id; empty if the platform is away."""
+        made = run_to_end(self._plan_store().make(intent, "operator"))
+        return made.unwrap().id if made.is_ok() else ""
+
+    def confirm_until_told(self, plan_id: str) -> str:
+        """Confirm a plan until the answer is known."""
+        for _ in range(20):
+            answer = run_to_end(self._plan_store().confirm(plan_id, "operator"))
+            if answer.is_ok():
+                return "accepted"
+            if isinstance(answer.unwrap_err(), PlanOvertaken):
+                return "overtaken"
+        return "not known"
+
+    def is_in_force(self) -> bool:
+        """Tell whether every VM has the accepted version."""
+        row = self.world.platform.table.read(HEAD_KEY)
+        accepted = head_row_from_mapping(row.value).unwrap().version
+        return all(
+            vm.node.version == accepted for vm in self.world.vms_by_name.values()
+        )
+
+    def _plan_store(self) -> PlanStore:
+        platform = cast("PlatformClient", self.world.platform)
+        reader = ConfigurationReader(platform=platform)
+        return PlanStore(
+            platform=platform,
+            reader=reader,
+            random=self.world.random,
+            digests=self._plenty(),
+        )
+
+    def _plenty(self) -> DigestBook:
+        """Say that every failure domain has room, so that plans are not refused."""
+        book = DigestBook()
+        load = ServiceLoad(service=SERVICE, capacity=1000, in_flight=0, queued=0)
+        for domain in self.world.options.configuration.failure_domains_by_name:
+            digest = LoadDigest(
+                sender=domain,
+                failure_domain=domain,
+                configuration_version=1,
+                loads=(load,),
+            )
+            book.take(digest, time.monotonic())
+        return book
+
+    def put_in_force(self, intent: Any) -> None:
+        """Plan and confirm until it is accepted."""
+        store = self._plan_store()
+        for _ in range(20):
+            made = run_to_end(store.make(intent, "operator"))
+            if made.is_ok():
+                confirmed = run_to_end(store.confirm(made.unwrap().id, "operator"))
+                if confirmed.is_ok():
+                    return
+
+    def race(self) -> None:
+        """Let two operators plan on one version and both confirm."""
+        store = self._plan_store()
+        plans = []
+        for shift_id, cap in (("one", 10.0), ("two", 20.0)):
+            shift = self._shift(cap)
+            if shift is None:
+                return
+            intent = ShiftIntent(shift_id=shift_id, shift=shift)
+            made = run_to_end(store.make(intent, shift_id))
+            if made.is_ok():
+                plans.append(made.unwrap())
+        accepted = [
+            plan
+            for plan in plans
+            if run_to_end(store.confirm(plan.id, plan.operator)).is_ok()
+        ]
+        bases = [plan.base_version for plan in accepted]
+        if len(set(bases)) != len(bases):
+            raise BrokenPromiseError(f"two plans on one base accepted: {bases}")
+
+    def _shift(self, cap: float) -> Shift | None:
+        domains = self.world.options.configuration.failure_domains_by_name
+        regions = sorted({each.region for each in domains.values()})
+        if len(regions) < 2:
+            return None
+        return Shift(
+            service=SERVICE,
+            from_region=regions[0],
+            to_region=regions[1],
+            cap_percent=cap,
+        )
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial_requests.py
@@ -0,0 +1,327 @@
+"""Requests of a trial, from their callers to the upstreams and back."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from attrs import define
+from attrs import field
+
+from plankspindle_core.outcome import Outcome
+from plankspindle_daemon.admission.ticket import Ticket
+from plankspindle_daemon.dispatch import messages as dispatch
+from plankspindle_daemon.exchange import messages as m
+from plankspindle_daemon.exchange.exchange import Exchange
+from plankspindle_daemon.idempotency.claim_row import ClaimRow
+from plankspindle_daemon.idempotency.claim_row import ClaimState
+from plankspindle_daemon.idempotency.claim_row import claim_key
+from plankspindle_daemon.idempotency.fingerprint import Fingerprint
+from plankspindle_daemon.idempotency.records import IdRecord
+from plankspindle_daemon.idempotency.records import NoRecord
+from plankspindle_daemon.idempotency.records import RequestRecord
+from plankspindle_daemon.idempotency.verdicts import AnsweredUnrecorded
+from plankspindle_daemon.idempotency.verdicts import InProgress
+from plankspindle_daemon.idempotency.verdicts import Replay
+from plankspindle_daemon.idempotency.verdicts import RunIt
+from plankspindle_daemon.shifts.shift_meter import Move
+from plankspindle_testkit.trial.fake_upstream import Conduct
+from plankspindle_testkit.trial.fake_upstream import FakeUpstream
+from plankspindle_testkit.trial.fake_upstream import Run
+from plankspindle_testkit.trial.trial_claims import TrialClaimRecord
+from plankspindle_testkit.trial.trial_claims import TrialClaims
+from plankspindle_testkit.trial.trial_request import TrialRequest
+from plankspindle_testkit.trial.trial_vm import TrialVm
+from plankspindle_testkit.trial.truth import BrokenPromiseError
+from plankspindle_testkit.trial.world import SERVICE
+from plankspindle_testkit.trial.world import World
+
+FINGERPRINT = Fingerprint(caller="dealer", digest="aa")
+STRANGER = Fingerprint(caller="stranger", digest="aa")
+STRANGER_SHARE = 0.1
+"""Part of the repeats that another caller makes."""
+
+
+@define(kw_only=True)
+class TrialRequests:
+    """Send requests and follow them.
+
+    Parameters
+    ----------
+    world : World
+        The trial's state.
+    claims : TrialClaims
+        Claims of keys.
+    tell : callable
+        Gives an event to a dispatcher of a VM and carries out what follows.
+    """
+
+    world: World
+    claims: TrialClaims
+    tell: Callable[[TrialVm, str, dispatch.DispatchEvent], None]
+    requests: int = 0
+    told_by_outcome: dict[str, int] = field(factory=dict)
+    _issued_ids: list[tuple[str, str]] = field(factory=list)
+    _durations_by_request: dict[int, tuple[float, float]] = field(factory=dict)
+
+    def start_one(
+        self, vm: str, *, kind: str, timeout_s: float, duration_s: float
+    ) -> int:
+        """Start one request whose end is asked for later.
+
+        Parameters
+        ----------
+        vm : str
+            Where it is sent.
+        kind : str
+            ``lookup``, ``download``, ``id`` or ``key``.
+        timeout_s, duration_s : float
+            Time it is given, and time that it takes, in seconds.
+
+        Returns
+        -------
+        int
+            Its number.
+        """
+        self.requests += 1
+        number = self.requests
+        self._durations_by_request[number] = (timeout_s, duration_s)
+        node = self.world.vms_by_name[vm]
+        match kind:
+            case "id":
+                self._submit_id(node, number)
+            case "key":
+                self._submit_key(node, number)
+            case _:
+                mark = f"{kind}-{number}"
+                self.world.truth.expect(mark, idempotent=True, sole=True)
+                self._start_request(node, number, mark, NoRecord())
+        return number
+
+    def end_of(self, number: int) -> str:
+        """Give what the caller of a request was told."""
+        told = self.world.truth.told_by_request.get(number)
+        if told is None:
+            return "vm lost"
+        return "aborted" if told.outcome is None else told.outcome.value
+
+    def submit(self) -> None:
+        """Send a random request to a random VM."""
+        vm = self.world.vms_by_name[
+            self.world.random.choice(sorted(self.world.vms_by_name))
+        ]
+        if vm.node.configuration is None or not vm.is_running(self.world.now):
+            return
+        if not vm.node.accepts(self.world.now):
+            return
+        way = self.world.random.choice(
+            ["lookup", "lookup", "transfer", "id", "id", "key"]
+        )
+        self.requests += 1
+        number = self.requests
+        match way:
+            case "lookup" | "transfer":
+                mark = f"{way}-{number}"
+                self.world.truth.expect(mark, idempotent=way == "lookup", sole=True)
+                self._start_request(vm, number, mark, NoRecord())
+            case "id":
+                self._submit_id(vm, number)
+            case "key":
+                self._submit_key(vm, number)
+
+    def _submit_id(self, vm: TrialVm, number: int) -> None:
+        """Send a new id, or repeat one at this VM, whoever issued it."""
+        if self._issued_ids and self.world.random.random() < 0.5:
+            text, mark = self.world.random.choice(self._issued_ids[-20:])
+            if self.world.random.random() < STRANGER_SHARE:
+                self._try_as_stranger(vm, text)
+                return
+        else:
+            text, mark = vm.node.ids.issue(self.world.now), f"id-{number}"
+            self._issued_ids.append((text, mark))
+            self.world.truth.expect(mark, idempotent=False, sole=False)
+        if vm.node.ids.begin(text, FINGERPRINT, self.world.now) == RunIt():
+            record = IdRecord(ids=vm.node.ids, text=text)
+            self._start_request(vm, number, mark, record)
+
+    def _try_as_stranger(self, vm: TrialVm, text: str) -> None:
+        """Let another caller send an id that was used; it must learn nothing."""
+        verdict = vm.node.ids.begin(text, STRANGER, self.world.now)
+        if isinstance(verdict, Replay | InProgress | AnsweredUnrecorded):
+            raise BrokenPromiseError(f"what became of {text} was told a stranger")
+        if verdict == RunIt():
+            vm.node.ids.forget(text)
+
+    def _submit_key(self, vm: TrialVm, number: int) -> None:
+        key = f"key-{self.world.random.randrange(max(1, self.requests // 10))}"
+        self.world.truth.expect(key, idempotent=False, sole=False)
+        row_key = claim_key(service=SERVICE, idempotency_key=key)
+        row = ClaimRow(
+            fingerprint=FINGERPRINT,
+            nonce=f"{self.world.random.getrandbits(64)}",
+            state=ClaimState.CLAIMED,
+            expires_at=self.world.wall() + 1e6,
+        )
+        if self.claims.claim(row_key, row) == RunIt():
+            record = TrialClaimRecord(
+                closings=self.claims.closings, key=row_key, row=row
+            )
+            self._start_request(vm, number, key, record)
+
+    def _start_request(
+        self, vm: TrialVm, number: int, mark: str, record: RequestRecord
+    ) -> None:
+        idempotent = mark in self.world.truth.idempotent_marks
+        timeout_s = self.world.random.choice([0.3, 1.0, 3.0])
+        directed = self._durations_by_request.get(number)
+        if directed is not None:
+            timeout_s = directed[0]
+        request = TrialRequest(
+            number=number,
+            mark=mark,
+            vm=vm.place.name,
+            service=SERVICE,
+            exchange=Exchange(
+                terms=m.Terms(
+                    idempotent=idempotent,
+                    resendable=True,
+                    recorded=not isinstance(record, NoRecord),
+                ),
+                route=m.ToUpstream(),
+                budget=vm.node.budgets_by_service[SERVICE],
+            ),
+            ticket=Ticket(
+                id=number,
+                rank=self.world.random.randrange(3),
+                operation="GET /",
+                deadline=self.world.now + timeout_s,
+                expected_s=0.1,
+            ),
+            record=record,
+        )
+        vm.requests_by_number[number] = request
+        self._move(vm, f"dealer-{number % 7}")
+        request.begin()
+        self._carry_on(vm, request)
+
+    def _move(self, vm: TrialVm, caller_key: str) -> None:
+        """Let the meter decide; what it moves is not followed any further."""
+        meter = vm.node.meter
+        chosen = meter.choose(
+            service=SERVICE, caller_key=caller_key, now=self.world.now
+        )
+        if isinstance(chosen, Move):
+            meter.count_move(service=SERVICE, move=chosen)
+
+    def handle(
+        self, vm: TrialVm, request: TrialRequest, event: m.ExchangeEvent
+    ) -> None:
+        """Give an event to a request and carry out what follows."""
+        if request.upstream is not None and isinstance(event, m.DeadlinePassed):
+            self.world.upstreams_by_name[request.upstream].cancel(
+                request.number, request.vm
+            )
+        request.handle(event, self.world.now)
+        self._carry_on(vm, request)
+
+    def _carry_on(self, vm: TrialVm, request: TrialRequest) -> None:
+        """Carry out what a request awaits until it has to wait."""
+        while request.ended:
+            self.tell(vm, request.service, request.ended.pop(0))
+        if request.over:
+            self._finish(vm, request)
+            return
+        match request.awaited:
+            case m.FindUpstream():
+                request.awaited = None
+                arrived = dispatch.Arrived(request.ticket)
+                self.tell(vm, request.service, arrived)
+            case m.OpenConnection():
+                self._open(vm, request)
+            case m.SendRequest():
+                request.awaited = None
+                self._send_request(vm, request)
+            case m.WithdrawTicket():
+                withdrawn = dispatch.Withdrawn(request.ticket.id)
+                self.tell(vm, request.service, withdrawn)
+            case _:
+                pass
+
+    def decide(self, vm: TrialVm, decision: dispatch.Assign | dispatch.Reject) -> None:
+        """Give a request its upstream, or refuse it one."""
+        request = vm.requests_by_number.get(decision.ticket.id)
+        if request is None:
+            return
+        match decision:
+            case dispatch.Assign(upstream=name, endpoint=endpoint):
+                request.upstream = name
+                self.handle(vm, request, m.Assigned(upstream=name, endpoint=endpoint))
+            case dispatch.Reject(reason=reason, retry_after_s=retry_after_s):
+                refused = m.Refused(reason=reason.value, retry_after_s=retry_after_s)
+                self.handle(vm, request, refused)
+
+    def _open(self, vm: TrialVm, request: TrialRequest) -> None:
+        assert request.upstream is not None
+        upstream = self.world.upstreams_by_name[request.upstream]
+        down = upstream.conduct is Conduct.DOWN
+        self.handle(vm, request, m.ConnectFailed() if down else m.Connected())
+
+    def _send_request(self, vm: TrialVm, request: TrialRequest) -> None:
+        assert request.upstream is not None
+        upstream = self.world.upstreams_by_name[request.upstream]
+        request.sent_at = self.world.now
+        request.record.note_started()
+        if self.world.random.random() < 0.02:
+            request.record.note_not_run()
+            self.handle(vm, request, m.Broke(bytes_handed_over=False))
+            return
+        if upstream.conduct is Conduct.SHED:
+            request.record.note_not_run()
+            self.handle(vm, request, m.HeadArrived(proves_not_run=True))
+            return
+        duration = self.world.random.uniform(0.02, 0.2)
+        directed = self._durations_by_request.get(request.number)
+        if directed is not None:
+            duration = directed[1]
+        if upstream.conduct is Conduct.HANG:
+            duration = 1e9
+        deadline = request.ticket.deadline
+        ends_at = min(self.world.now + duration, deadline)
+        run = Run(request=request.number, vm=request.vm, ends_at=ends_at)
+        self.world.truth.note_run(request.mark, self.world.now)
+        upstream.begin(run, self.world.now)
+
+    def end_runs(self) -> None:
+        """End what upstreams have run long enough."""
+        for upstream in self.world.upstreams_by_name.values():
+            for run in upstream.end_due(self.world.now):
+                self.end_run(upstream, run)
+
+    def end_run(self, upstream: FakeUpstream, run: Run) -> None:
+        """End one run, whose answer reaches its VM unless that stands still."""
+        vm = self.world.vms_by_name.get(run.vm)
+        request = vm.requests_by_number.get(run.request) if vm else None
+        if vm is None or request is None or request.upstream != upstream.name:
+            return
+        if not vm.is_running(self.world.now):
+            vm.ended_while_paused.append((upstream, run))
+            return
+        if upstream.conduct is Conduct.LOSE_ANSWERS:
+            self.handle(vm, request, m.Broke(bytes_handed_over=True))
+            return
+        request.answer_whole(self.world.now)
+        self._carry_on(vm, request)
+
+    def _finish(self, vm: TrialVm, request: TrialRequest) -> None:
+        if vm.requests_by_number.pop(request.number, None) is None:
+            return
+        outcome = None if request.aborted else request.told
+        name = outcome.value if outcome is not None else "aborted"
+        self.told_by_outcome[name] = self.told_by_outcome.get(name, 0) + 1
+        self.world.truth.note_told(
+            request.number, request.mark, outcome, self.world.now
+        )
+
+    @property
+    def done(self) -> int:
+        """Requests that were answered whole."""
+        return self.told_by_outcome.get(Outcome.DONE.value, 0)
--- a/packages/testkit/tests/trial/test_trials.py
+++ b/packages/testkit/tests/trial/test_trials.py
@@ -8,11 +8,13 @@
 
 from plankspindle_daemon.exchange.exchange import Exchange
 from plankspindle_daemon.idempotency.claim_attempt import ClaimAttempt
+from plankspindle_daemon.idempotency.fingerprint import Fingerprint
 from plankspindle_daemon.idempotency.issued_ids import IssuedIds
 from plankspindle_daemon.idempotency.verdicts import RunIt
 from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 from plankspindle_testkit.trial.runs import run_trial
+from plankspindle_testkit.trial.shrinking import shrink
 
 SEEDS = range(1, 9)
 MUTATION_SEEDS = range(1, 60)
@@ -42,6 +44,10 @@
     return self._settle(RunIt())
 
 
+def _trust_every_caller(self: Fingerprint, other: object) -> bool:
+    return True
+
+
 def _run_every_repeat(self: IssuedIds, *_: Any) -> RunIt:
     return RunIt()
 
@@ -52,7 +58,8 @@
     (Exchange, "_why_no_retry", lambda self: None, "non-idempotent-sent-once"),
     (UpstreamState, "_set_leaving", lambda self, **_: None, "while leaving"),
     (ClaimAttempt, "_take_row", _claim_without_nonce, "ran twice"),
-    (IssuedIds, "begin", _run_every_repeat, "is broken"),
+    (IssuedIds, "begin", _run_every_repeat, "ran twice"),
+    (Fingerprint, "__eq__", _trust_every_caller, "was told a stranger"),
 ]
 
 
@@ -66,6 +73,7 @@
         "ignore-leaving",
         "drop-the-nonce",
         "run-repeats",
+        "replay-to-another-caller",
     ],
 )
 def test_a_mutation_is_caught(
@@ -79,3 +87,27 @@
     found = (run_trial(seed=seed, simulated_s=60.0).broken for seed in MUTATION_SEEDS)
     broken = next((each for each in found if each is not None), "")
     assert caught_as in broken
+
+
+def test_a_failing_trial_is_told_with_the_faults_that_it_needs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(UpstreamState, "_set_leaving", lambda self, **_: None)
+    verdicts = (run_trial(seed=seed, simulated_s=60.0) for seed in MUTATION_SEEDS)
+    seed, found = next(
+        (seed, each)
+        for seed, each in zip(MUTATION_SEEDS, verdicts, strict=False)
+        if each.broken is not None
+    )
+    shortest = shrink(found, seed=seed)
+    assert shortest.broken is not None
+    assert "while leaving" in shortest.broken
+    ways = [fault.way for fault in shortest.schedule]
+    assert ways == ["leave"]
+    assert [line for line in shortest.trace if "fault" in line]
+    assert len(found.schedule) > len(ways)
+
+
+def test_a_trial_is_the_same_each_time() -> None:
+    first, second = (run_trial(seed=3, simulated_s=20.0) for _ in range(2))
+    assert first == second
