Go on accepting after a connection that was reset before it was taken

Cause, found by reading for the exit with status 70: an OSError of setsockopt on such a connection ended the accept loop for good, while the VM called itself ready. The test fails without the fix.

--- a/packages/core/src/plankspindle_core/http/server.py
+++ b/packages/core/src/plankspindle_core/http/server.py
@@ -115,10 +115,9 @@
             except OSError:
                 await sleep(CLOSE_POLL_S)
                 continue
-            if len(self._tasks) >= self._limits.max_connections:
+            if len(self._tasks) >= self._limits.max_connections or not _ready(client):
                 await client.close()
                 continue
-            client.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
             task = await spawn(self._serve, client, address[0], daemon=True)
             self._tasks.add(task)
 
@@ -227,6 +226,15 @@
         )
 
 
+def _ready(client: Any) -> bool:
+    """Let a connection send at once; False if the caller has reset it already."""
+    try:
+        client.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
+    except OSError:
+        return False
+    return True
+
+
 def _has_two_framings(request: h11.Request) -> bool:
     headers = as_header_list(request.headers)
     length = find_header(headers, b"content-length")
--- a/packages/core/tests/http/test_server.py
+++ b/packages/core/tests/http/test_server.py
@@ -207,3 +207,47 @@
         return ends[0].is_ok(), ends[-1].is_err()
 
     assert curio.run(use) == (True, True)
+
+
+class _ResetClient:
+    """A connection that was reset before it was taken."""
+
+    def setsockopt(self, *_: int) -> None:
+        raise OSError(22, "Invalid argument")
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+class _ListenerWithReset:
+    """Gives a connection that was reset first, and then those of a real listener."""
+
+    def __init__(self, listener: Any) -> None:
+        self._listener = listener
+        self._first = True
+
+    async def accept(self) -> tuple[Any, Any]:
+        if self._first:
+            self._first = False
+            return _ResetClient(), ("127.0.0.1", 1)
+        accepted: tuple[Any, Any] = await self._listener.accept()
+        return accepted
+
+    async def close(self) -> None:
+        await self._listener.close()
+
+
+def test_a_connection_that_was_reset_already_does_not_end_accepting() -> None:
+    endpoint = Endpoint("127.0.6.1", next(_PORTS))
+
+    async def run() -> int:
+        server = HttpServer(endpoint=endpoint, limits=HttpLimits(), handler=echo)
+        await server.start()
+        await server._accept_task.cancel()
+        server._listener = _ListenerWithReset(server._listener)
+        server._accept_task = await curio.spawn(server._accept, daemon=True)
+        answer = await fetch(endpoint, timeout_s=5.0)
+        await server.close()
+        return answer.unwrap().status
+
+    assert curio.run(run) == 200
