Let slices import one another in one direction only

Cause: sixteen slices made one circle of imports: messages stood in the slice that answered them, shells that need the whole node in the slices they serve, the interface to the platform imported the configuration, and so on. Messages between entry VMs are in peer_messages; followers of the platform and the dispatch runner beside the node; the gate of ids and keys beside the listeners; ports at the root.

--- a/packages/daemon/src/plankspindle_daemon/configuration/configuration_reader.py
+++ b/packages/daemon/src/plankspindle_daemon/configuration/configuration_reader.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 from attrs import define
 from attrs import frozen
 from result import Err
@@ -40,6 +42,20 @@
     configuration: Configuration
 
 
+class ReaderPort(Protocol):
+    """Reads accepted versions of the configuration."""
+
+    async def read_newer(
+        self, version: int
+    ) -> Result[AcceptedVersion | None, NotReadable]:
+        """Read the newest version if it is higher than a given one.
+
+        Notes
+        -----
+        It may wait for a newer one for a while.
+        """
+
+
 @define(kw_only=True)
 class ConfigurationReader:
     """Read the head row, and the content when the version is new.
--- a/packages/daemon/src/plankspindle_daemon/configuration/version_exchange.py
+++ b/packages/daemon/src/plankspindle_daemon/configuration/version_exchange.py
@@ -13,8 +13,8 @@
 from result import Result
 
 from plankspindle_core.configuration.codec import content_digest
-from plankspindle_daemon.configuration.messages import ContentChunk
-from plankspindle_daemon.configuration.messages import ContentRequest
+from plankspindle_daemon.peer_messages.content_messages import ContentChunk
+from plankspindle_daemon.peer_messages.content_messages import ContentRequest
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/packages/daemon/src/plankspindle_daemon/control/forecast.py
+++ b/packages/daemon/src/plankspindle_daemon/control/forecast.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from plankspindle_core.configuration.drain import Drain
     from plankspindle_core.configuration.shift import Shift
-    from plankspindle_daemon.digests.messages import ServiceLoad
+    from plankspindle_daemon.peer_messages.load_digest import ServiceLoad
 
 KEPT_FREE = 0.1
 """Share of a target's capacity that a plan must leave free."""
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -21,34 +21,32 @@
 from plankspindle_core.logs.key_value_destination import log_event
 from plankspindle_core.supervisor import Supervisor
 from plankspindle_daemon.beliefs.belief_watch import BeliefWatch
-from plankspindle_daemon.configuration.configuration_follower import (
-    ConfigurationFollower,
-)
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
 from plankspindle_daemon.control.plan_store import PlanStore
-from plankspindle_daemon.dispatch.dispatch_runner import DispatchRunner
 from plankspindle_daemon.idempotency.claim_store import ClaimStore
 from plankspindle_daemon.idempotency.claim_sweeper import ClaimSweeper
-from plankspindle_daemon.idempotency.gate import IdempotencyGate
 from plankspindle_daemon.leaving.leave import Left
 from plankspindle_daemon.listeners.caller_listener import CallerListener
+from plankspindle_daemon.listeners.idempotency_gate import IdempotencyGate
 from plankspindle_daemon.listeners.metrics_listener import MetricsListener
 from plankspindle_daemon.listeners.operator_listener import OperatorListener
 from plankspindle_daemon.listeners.request_reader import RequestReader
 from plankspindle_daemon.listeners.request_service import RequestService
-from plankspindle_daemon.membership.list_follower import ListFollower
+from plankspindle_daemon.listeners.shell_dump import dump_shells
 from plankspindle_daemon.membership.peer_link import PeerLink
-from plankspindle_daemon.membership.presence_keeper import PresenceKeeper
+from plankspindle_daemon.node.configuration_follower import ConfigurationFollower
+from plankspindle_daemon.node.dispatch_runner import DispatchRunner
 from plankspindle_daemon.node.effect_runner import EffectRunner
+from plankspindle_daemon.node.list_follower import ListFollower
 from plankspindle_daemon.node.make_node import make_node
+from plankspindle_daemon.node.presence_keeper import PresenceKeeper
 from plankspindle_daemon.observability.measures import Measures
 from plankspindle_daemon.observability.metrics import RequestMetrics
 from plankspindle_daemon.observability.metrics_reader import MetricsReader
 from plankspindle_daemon.observability.state_dump import dump_measures
-from plankspindle_daemon.observability.state_dump import dump_shells
-from plankspindle_daemon.platform.ports import Door
-from plankspindle_daemon.platform.ports import Ports
-from plankspindle_daemon.platform.ports import own_ports
+from plankspindle_daemon.ports import Door
+from plankspindle_daemon.ports import Ports
+from plankspindle_daemon.ports import own_ports
 from plankspindle_daemon.stories.story_log import StoryLog
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
 from plankspindle_daemon.wire.frame import FrameSealer
@@ -92,7 +90,12 @@
         self._log = log
         self._ports = ports or own_ports(settings)
         self._supervisor = Supervisor()
-        self.node = make_node(settings, random, self._ports)
+        self.node = make_node(
+            settings,
+            random,
+            all_domains=self._ports.all_domains,
+            lists_upstreams=self._ports.lists_upstreams,
+        )
         self._platform = self._ports.platform
         self._make_outgoing(random)
         self._make_followers()
--- a/packages/daemon/src/plankspindle_daemon/digests/digest_book.py
+++ b/packages/daemon/src/plankspindle_daemon/digests/digest_book.py
@@ -6,8 +6,8 @@
 from attrs import field
 from attrs import frozen
 
-from plankspindle_daemon.digests.messages import LoadDigest
-from plankspindle_daemon.digests.messages import ServiceLoad
+from plankspindle_daemon.peer_messages.load_digest import LoadDigest
+from plankspindle_daemon.peer_messages.load_digest import ServiceLoad
 
 MAX_AGE_S = 30.0
 MAX_SENDERS = 10_000
--- a/packages/daemon/src/plankspindle_daemon/digests/domain_talk.py
+++ b/packages/daemon/src/plankspindle_daemon/digests/domain_talk.py
@@ -9,13 +9,13 @@
 from attrs import field
 
 from plankspindle_daemon.digests.digest_book import DigestBook
-from plankspindle_daemon.digests.messages import LoadDigest
 from plankspindle_daemon.digests.own_digest import one_vm_a_domain
 from plankspindle_daemon.digests.own_digest import sum_up_loads
 from plankspindle_daemon.headroom.headroom_manager import HeadroomManager
 from plankspindle_daemon.headroom.headroom_targets import choose_targets
 from plankspindle_daemon.membership.membership import Membership
-from plankspindle_daemon.node.effects import SendToPeer
+from plankspindle_daemon.peer_messages.load_digest import LoadDigest
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/packages/daemon/src/plankspindle_daemon/digests/own_digest.py
+++ b/packages/daemon/src/plankspindle_daemon/digests/own_digest.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from plankspindle_daemon.digests.messages import ServiceLoad
+from plankspindle_daemon.peer_messages.load_digest import ServiceLoad
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
@@ -9,11 +9,11 @@
 
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.admission.ticket import Ticket
+from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
+from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 from plankspindle_daemon.stories.steps import Placed
 from plankspindle_daemon.stories.steps import Rejected
 from plankspindle_daemon.upstreams.load_report import LoadReport
-from plankspindle_daemon.upstreams.messages import SlotGrant
-from plankspindle_daemon.upstreams.messages import SlotRequest
 
 
 class Verdict(Enum):
--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -11,10 +11,10 @@
 from attrs import field
 from attrs import frozen
 
+from plankspindle_core.stable_hash import stable_hash
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.dispatch.measured_distances import MeasuredDistances
 from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
-from plankspindle_daemon.steering.hash_ring import stable_hash
 from plankspindle_daemon.stories.steps import Placed
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
--- a/packages/daemon/src/plankspindle_daemon/dispatch/slot_lending.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/slot_lending.py
@@ -11,8 +11,8 @@
 from plankspindle_daemon.admission.class_queue import ClassQueue
 from plankspindle_daemon.dispatch.messages import AskSlots
 from plankspindle_daemon.dispatch.messages import GrantSlots
-from plankspindle_daemon.upstreams.messages import SlotGrant
-from plankspindle_daemon.upstreams.messages import SlotRequest
+from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
+from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 from plankspindle_daemon.upstreams.slot_ledger import Loan
 
 if TYPE_CHECKING:
--- a/packages/daemon/src/plankspindle_daemon/drains/drain_clock.py
+++ b/packages/daemon/src/plankspindle_daemon/drains/drain_clock.py
@@ -9,12 +9,12 @@
 
 from plankspindle_core.configuration.configuration import Configuration
 from plankspindle_core.configuration.drain import DrainKind
-from plankspindle_daemon.steering.steering import TTL_S
+from plankspindle_core.lookup_ttl import LOOKUP_TTL_S
 
 if TYPE_CHECKING:
     from plankspindle_core.configuration.drain import Drain
 
-LINGER_S = float(TTL_S)
+LINGER_S = float(LOOKUP_TTL_S)
 """Time for which a drained place still takes work, until kept look-ups run out."""
 
 _OF_UPSTREAMS_ONLY = (DrainKind.UPSTREAM, DrainKind.UPSTREAMS_OF_DOMAIN)
--- a/packages/daemon/src/plankspindle_daemon/exchange/patience.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/patience.py
@@ -6,8 +6,8 @@
 
 from attrs import define
 
-from plankspindle_daemon.dispatch.dispatch_runner import DispatchRunner
 from plankspindle_daemon.exchange.exchange import Exchange
+from plankspindle_daemon.node.dispatch_runner import DispatchRunner
 
 if TYPE_CHECKING:
     from plankspindle_daemon.admission.ticket import Ticket
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -18,7 +18,6 @@
 from plankspindle_core.http.server_exchange import CallerGoneError
 from plankspindle_core.outcome import Outcome
 from plankspindle_daemon.admission.ticket import Ticket
-from plankspindle_daemon.dispatch.dispatch_runner import DispatchRunner
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import Verdict
 from plankspindle_daemon.exchange.answers import answer_with_outcome
@@ -45,6 +44,7 @@
 from plankspindle_daemon.exchange.patience import Patience
 from plankspindle_daemon.idempotency.recorded_answer import RecordedAnswer
 from plankspindle_daemon.idempotency.records import RequestRecord
+from plankspindle_daemon.node.dispatch_runner import DispatchRunner
 from plankspindle_daemon.stories.steps import SentOn
 from plankspindle_daemon.stories.story import Ending
 from plankspindle_daemon.stories.story import Story
--- a/packages/daemon/src/plankspindle_daemon/headroom/grant_book.py
+++ b/packages/daemon/src/plankspindle_daemon/headroom/grant_book.py
@@ -10,8 +10,8 @@
 from plankspindle_core.endpoint import Endpoint
 
 if TYPE_CHECKING:
-    from plankspindle_daemon.headroom.messages import HeadroomGrant
-    from plankspindle_daemon.headroom.messages import HeadroomRequest
+    from plankspindle_daemon.peer_messages.headroom_messages import HeadroomGrant
+    from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 
 RENEW_BEFORE_S = 0.6
 
--- a/packages/daemon/src/plankspindle_daemon/headroom/headroom_manager.py
+++ b/packages/daemon/src/plankspindle_daemon/headroom/headroom_manager.py
@@ -13,9 +13,9 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.headroom.grant_book import GrantBook
 from plankspindle_daemon.headroom.headroom_ledger import HeadroomLedger
-from plankspindle_daemon.headroom.messages import HeadroomGrant
-from plankspindle_daemon.headroom.messages import HeadroomRequest
-from plankspindle_daemon.node.effects import SendToPeer
+from plankspindle_daemon.peer_messages.headroom_messages import HeadroomGrant
+from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 
 if TYPE_CHECKING:
     from plankspindle_daemon.dispatch.dispatcher import Dispatcher
--- a/packages/daemon/src/plankspindle_daemon/leaving/leave.py
+++ b/packages/daemon/src/plankspindle_daemon/leaving/leave.py
@@ -5,9 +5,9 @@
 from attrs import define
 from attrs import frozen
 
-from plankspindle_daemon.steering.steering import TTL_S
+from plankspindle_core.lookup_ttl import LOOKUP_TTL_S
 
-LINGER_S = 2.0 * TTL_S
+LINGER_S = 2.0 * LOOKUP_TTL_S
 """Time for which requests are still accepted, until kept look-up answers run out."""
 
 
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -15,7 +15,6 @@
 from plankspindle_core.http.headers import find_header
 from plankspindle_core.outcome import Outcome
 from plankspindle_daemon.admission.ticket import Ticket
-from plankspindle_daemon.dispatch.dispatch_runner import DispatchRunner
 from plankspindle_daemon.exchange.answers import answer_with_outcome
 from plankspindle_daemon.exchange.answers import refuse
 from plankspindle_daemon.exchange.attempt import Outgoing
@@ -34,14 +33,15 @@
 from plankspindle_daemon.exchange.request_runner import RequestRunner
 from plankspindle_daemon.idempotency import verdicts
 from plankspindle_daemon.idempotency.fingerprint import fingerprint_of
-from plankspindle_daemon.idempotency.gate import Answered
-from plankspindle_daemon.idempotency.gate import IdempotencyGate
-from plankspindle_daemon.idempotency.gate import RunRequest
-from plankspindle_daemon.idempotency.gate import SendHome
 from plankspindle_daemon.idempotency.records import NoRecord
 from plankspindle_daemon.idempotency.records import RequestRecord
+from plankspindle_daemon.listeners.idempotency_gate import Answered
+from plankspindle_daemon.listeners.idempotency_gate import IdempotencyGate
+from plankspindle_daemon.listeners.idempotency_gate import RunRequest
+from plankspindle_daemon.listeners.idempotency_gate import SendHome
 from plankspindle_daemon.listeners.request_reader import AskedFor
 from plankspindle_daemon.listeners.request_reader import RequestReader
+from plankspindle_daemon.node.dispatch_runner import DispatchRunner
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.observability.metrics import RequestMetrics
 from plankspindle_daemon.settings.daemon_settings import DaemonSettings
--- a/packages/daemon/src/plankspindle_daemon/membership/member.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/member.py
@@ -5,7 +5,7 @@
 from attrs import define
 
 from plankspindle_core.endpoint import Endpoint
-from plankspindle_daemon.membership.readiness import Readiness
+from plankspindle_daemon.peer_messages.readiness import Readiness
 
 UNHEARD = 0
 """Incarnation of a member that is listed but was never heard."""
--- a/packages/daemon/src/plankspindle_daemon/membership/membership.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/membership.py
@@ -16,7 +16,6 @@
 
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.membership.member import Member
-from plankspindle_daemon.membership.messages import EVERY_UPSTREAM
 from plankspindle_daemon.membership.messages import HeartbeatReceived
 from plankspindle_daemon.membership.messages import LeaveRequested
 from plankspindle_daemon.membership.messages import LiveListRead
@@ -26,12 +25,13 @@
 from plankspindle_daemon.membership.messages import SendHeartbeat
 from plankspindle_daemon.membership.messages import TimePassed
 from plankspindle_daemon.membership.messages import ViewChanged
-from plankspindle_daemon.membership.readiness import Readiness
+from plankspindle_daemon.peer_messages.heartbeat import EVERY_UPSTREAM
+from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_daemon.platform.live_list import ListedVm
 from plankspindle_daemon.platform.live_list import VmKind
 
 if TYPE_CHECKING:
-    from plankspindle_daemon.membership.messages import Heartbeat
+    from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
 
 HEARTBEAT_BYTES = 200
 """Upper estimate of one heartbeat on the wire, IP and UDP headers included."""
--- a/packages/daemon/src/plankspindle_daemon/membership/peer_link.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/peer_link.py
@@ -11,7 +11,7 @@
 from curio import socket
 
 from plankspindle_core.endpoint import Endpoint
-from plankspindle_daemon.wire.codec import PeerMessage
+from plankspindle_daemon.peer_messages.peer_message import PeerMessage
 from plankspindle_daemon.wire.codec import decode
 from plankspindle_daemon.wire.codec import encode
 from plankspindle_daemon.wire.frame import MAX_FRAME_BYTES
--- a/packages/daemon/src/plankspindle_daemon/configuration/configuration_follower.py
+++ b/packages/daemon/src/plankspindle_daemon/node/configuration_follower.py
@@ -8,9 +8,9 @@
 from curio import sleep
 
 from plankspindle_core.logs.key_value_destination import log_event
+from plankspindle_daemon.configuration.configuration_reader import ReaderPort
 from plankspindle_daemon.node.effect_runner import EffectRunner
 from plankspindle_daemon.node.node import Node
-from plankspindle_daemon.platform.ports import ReaderPort
 
 RETRY_S = 0.2
 """Pause after a read that failed; the circuit breaker bounds the calls themselves."""
--- a/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
@@ -10,28 +10,28 @@
 from attrs import define
 
 from plankspindle_core.logs.key_value_destination import log_event
-from plankspindle_daemon.configuration.messages import ContentChunk
-from plankspindle_daemon.configuration.messages import ContentRequest
-from plankspindle_daemon.digests.messages import LoadDigest
-from plankspindle_daemon.dispatch.dispatch_runner import DispatchRunner
 from plankspindle_daemon.dispatch.messages import SlotsGranted
-from plankspindle_daemon.headroom.messages import HeadroomGrant
-from plankspindle_daemon.headroom.messages import HeadroomRequest
-from plankspindle_daemon.membership.messages import Heartbeat
 from plankspindle_daemon.membership.messages import HeartbeatReceived
 from plankspindle_daemon.membership.messages import SendHeartbeat
 from plankspindle_daemon.membership.peer_link import PeerLink
+from plankspindle_daemon.node.dispatch_runner import DispatchRunner
 from plankspindle_daemon.node.effects import BeginLeaving
-from plankspindle_daemon.node.effects import SendToPeer
 from plankspindle_daemon.node.node import Node
-from plankspindle_daemon.upstreams.messages import SlotGrant
-from plankspindle_daemon.upstreams.messages import SlotRequest
+from plankspindle_daemon.peer_messages.content_messages import ContentChunk
+from plankspindle_daemon.peer_messages.content_messages import ContentRequest
+from plankspindle_daemon.peer_messages.headroom_messages import HeadroomGrant
+from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
+from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+from plankspindle_daemon.peer_messages.load_digest import LoadDigest
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
+from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 
 if TYPE_CHECKING:
     from plankspindle_core.endpoint import Endpoint
     from plankspindle_daemon.configuration.configuration_reader import AcceptedVersion
     from plankspindle_daemon.node.effects import NodeEffect
-    from plankspindle_daemon.wire.codec import PeerMessage
+    from plankspindle_daemon.peer_messages.peer_message import PeerMessage
 
 LAST_HEARTBEATS = 3
 
--- a/packages/daemon/src/plankspindle_daemon/node/effects.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effects.py
@@ -4,10 +4,9 @@
 
 from attrs import frozen
 
-from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.dispatch.messages import DispatchEffect
 from plankspindle_daemon.membership.messages import SendHeartbeat
-from plankspindle_daemon.wire.codec import PeerMessage
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 
 
 @frozen
@@ -25,12 +24,4 @@
     reason: str
 
 
-@frozen(kw_only=True)
-class SendToPeer:
-    """A message is to be sent to another entry VM."""
-
-    message: PeerMessage
-    to: Endpoint
-
-
 NodeEffect = OfService | SendHeartbeat | BeginLeaving | SendToPeer
--- a/packages/daemon/src/plankspindle_daemon/node/make_node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/make_node.py
@@ -15,13 +15,18 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from plankspindle_daemon.platform.ports import Ports
     from plankspindle_daemon.settings.daemon_settings import DaemonSettings
 
 ID_MEMORY_S = 3_600.0
 
 
-def make_node(settings: DaemonSettings, random: Random, ports: Ports) -> Node:
+def make_node(
+    settings: DaemonSettings,
+    random: Random,
+    *,
+    all_domains: bool,
+    lists_upstreams: bool,
+) -> Node:
     """Make a node with nothing in force.
 
     Parameters
@@ -30,8 +35,10 @@
         Settings of the daemon.
     random : Random
         Source of all random choices.
-    ports : Ports
-        The ways to the platform.
+    all_domains : bool
+        Whether entry VMs of all failure domains send heartbeats to one another.
+    lists_upstreams : bool
+        Whether upstreams are declared by the list of VMs.
     """
     incarnation = random.getrandbits(64) or 1
     timing = settings.timing
@@ -50,7 +57,7 @@
                 heartbeat_s=timing.heartbeat_ms / 1000,
                 suspect_after_s=timing.suspect_after_ms / 1000,
                 seeds=tuple(settings.peers),
-                all_domains=ports.all_domains,
+                all_domains=all_domains,
             )
         ),
         ids=IssuedIds(
@@ -62,7 +69,7 @@
             max_remembered=settings.requests.max_remembered_ids,
         ),
         leave=Leave(leave_s=timing.leave_ms / 1000, linger_s=timing.linger_ms / 1000),
-        needs_list=ports.lists_upstreams,
+        needs_list=lists_upstreams,
         probe_s=timing.probe_ms / 1000,
         started_at=monotonic(),
         settle_s=timing.suspect_after_ms / 1000,
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -28,14 +28,14 @@
 from plankspindle_daemon.leaving.leave import Leave
 from plankspindle_daemon.membership import messages as membership
 from plankspindle_daemon.membership.membership import Membership
-from plankspindle_daemon.membership.messages import EVERY_UPSTREAM
-from plankspindle_daemon.membership.messages import Heartbeat
 from plankspindle_daemon.membership.messages import SendHeartbeat
-from plankspindle_daemon.membership.readiness import Readiness
 from plankspindle_daemon.node.effects import BeginLeaving
 from plankspindle_daemon.node.effects import NodeEffect
 from plankspindle_daemon.node.effects import OfService
-from plankspindle_daemon.node.effects import SendToPeer
+from plankspindle_daemon.peer_messages.heartbeat import EVERY_UPSTREAM
+from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_daemon.retries.retry_budget import RetryBudget
 from plankspindle_daemon.routes.route_table import RouteTable
 from plankspindle_daemon.shifts.shift_meter import ShiftMeter
@@ -47,17 +47,17 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from plankspindle_daemon.configuration.messages import ContentChunk
-    from plankspindle_daemon.configuration.messages import ContentRequest
     from plankspindle_daemon.digests.digest_book import DigestBook
-    from plankspindle_daemon.digests.messages import LoadDigest
     from plankspindle_daemon.dispatch.dispatcher import Dispatcher
     from plankspindle_daemon.dispatch.messages import DispatchEvent
-    from plankspindle_daemon.headroom.messages import HeadroomRequest
     from plankspindle_daemon.membership.messages import MembershipEffect
     from plankspindle_daemon.membership.messages import MembershipEvent
+    from plankspindle_daemon.peer_messages.content_messages import ContentChunk
+    from plankspindle_daemon.peer_messages.content_messages import ContentRequest
+    from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
+    from plankspindle_daemon.peer_messages.load_digest import LoadDigest
+    from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
     from plankspindle_daemon.retries.retry_budget import RetryBudget
-    from plankspindle_daemon.upstreams.messages import SlotRequest
 
 MAX_OVER_SHARE_NAMED = 16
 REFRESH_S = 0.25
--- a/packages/daemon/src/plankspindle_daemon/membership/presence_keeper.py
+++ b/packages/daemon/src/plankspindle_daemon/node/presence_keeper.py
@@ -12,7 +12,7 @@
 from plankspindle_core.logs.key_value_destination import log_event
 from plankspindle_daemon.membership.list_sweep import ListSweep
 from plankspindle_daemon.node.node import Node
-from plankspindle_daemon.platform.ports import PresencePort
+from plankspindle_daemon.platform.presence_port import PresencePort
 
 PERIOD_S = 0.5
 
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -6,17 +6,11 @@
 from typing import Any
 
 from plankspindle_core.invariants import checks_by_name
-from plankspindle_daemon.platform.bounded_calls import CallKind
 
 if TYPE_CHECKING:
     from plankspindle_daemon.dispatch.dispatcher import Dispatcher
-    from plankspindle_daemon.idempotency.claim_store import ClaimStore
-    from plankspindle_daemon.listeners.caller_listener import CallerListener
-    from plankspindle_daemon.membership.peer_link import PeerLink
     from plankspindle_daemon.node.node import Node
     from plankspindle_daemon.observability.measures import Measures
-    from plankspindle_daemon.platform.platform_client import PlatformClient
-    from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
     from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
 
@@ -182,47 +176,6 @@
     }
 
 
-def dump_shells(
-    *,
-    listener: CallerListener,
-    pool: ConnectionPool,
-    peers: PeerLink,
-    platform: PlatformClient,
-    claims: ClaimStore,
-) -> dict[str, Any]:
-    """Dump the counts of the shells around the machines."""
-    return {
-        "callers": {
-            "connections": listener.connections,
-            "running": listener.running,
-            "refused": listener.refused,
-        },
-        "connections": {
-            "open": pool.open_connections,
-            "opened": pool.opened,
-            "reused": pool.reused,
-            "found_dirty": pool.found_dirty,
-        },
-        "peers": {
-            "bytes_sent": peers.bytes_sent,
-            "bytes_received": peers.bytes_received,
-            "dropped": dict(peers.dropped_by_reason),
-        },
-        "platform": {
-            "available": platform.calls.available,
-            "failure": platform.calls.failure,
-            "reads": platform.calls.made_by_kind[CallKind.READ],
-            "writes": platform.calls.made_by_kind[CallKind.WRITE],
-            "refused_by_budget": platform.calls.refused_by_budget,
-            "refused_by_breaker": platform.calls.refused_by_breaker,
-        },
-        "claims": {
-            "unclosed": len(claims.unclosed_by_nonce),
-            "dropped_closings": claims.dropped_closings,
-        },
-    }
-
-
 def dump_measures(measures: Measures) -> dict[str, Any]:
     """Dump the counts that the metrics show, too."""
     requests = measures.requests
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/peer_message.py
@@ -0,0 +1,34 @@
+"""Any message between entry VMs, and the effect of sending one."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.peer_messages.content_messages import ContentChunk
+from plankspindle_daemon.peer_messages.content_messages import ContentRequest
+from plankspindle_daemon.peer_messages.headroom_messages import HeadroomGrant
+from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
+from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+from plankspindle_daemon.peer_messages.load_digest import LoadDigest
+from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
+from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
+
+PeerMessage = (
+    Heartbeat
+    | SlotRequest
+    | SlotGrant
+    | HeadroomRequest
+    | HeadroomGrant
+    | LoadDigest
+    | ContentRequest
+    | ContentChunk
+)
+
+
+@frozen(kw_only=True)
+class SendToPeer:
+    """A message is to be sent to another entry VM."""
+
+    message: PeerMessage
+    to: Endpoint
--- a/packages/daemon/src/plankspindle_daemon/platform/ports.py
+++ b/packages/daemon/src/plankspindle_daemon/ports.py
@@ -10,55 +10,17 @@
 from attrs import frozen
 
 from plankspindle_core.supervisor import Supervisor
-from plankspindle_daemon.configuration.configuration_reader import AcceptedVersion
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
-from plankspindle_daemon.configuration.configuration_reader import NotReadable
+from plankspindle_daemon.configuration.configuration_reader import ReaderPort
 from plankspindle_daemon.exchange.dialect import Dialect
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.platform.platform_client import PlatformClient
+from plankspindle_daemon.platform.presence_port import PresencePort
 
 if TYPE_CHECKING:
-    from result import Result
-
-    from plankspindle_daemon.platform.errors import PlatformUnavailable
     from plankspindle_daemon.settings.daemon_settings import DaemonSettings
 
 
-class ReaderPort(Protocol):
-    """Reads accepted versions of the configuration."""
-
-    async def read_newer(
-        self, version: int
-    ) -> Result[AcceptedVersion | None, NotReadable]:
-        """Read the newest version if it is higher than a given one.
-
-        Notes
-        -----
-        It may wait for a newer one for a while.
-        """
-
-
-class PresencePort(Protocol):
-    """Enters this VM in the platform's list and takes it out.
-
-    Attributes
-    ----------
-    is_present : bool
-        Whether the list names this VM, as far as known.
-    """
-
-    is_present: bool
-
-    async def announce(self) -> Result[None, PlatformUnavailable]:
-        """Enter this VM."""
-
-    async def withdraw(self) -> Result[None, PlatformUnavailable]:
-        """Take this VM out; it is harmless to fail."""
-
-    async def remove(self, name: str) -> Result[None, PlatformUnavailable]:
-        """Take out another VM that died, unless its entry changes meanwhile."""
-
-
 class Door(Protocol):
     """A further listener."""
 
--- a/packages/daemon/src/plankspindle_daemon/shifts/shift_meter.py
+++ b/packages/daemon/src/plankspindle_daemon/shifts/shift_meter.py
@@ -7,7 +7,7 @@
 
 from plankspindle_core.configuration.shift import Shift
 from plankspindle_core.invariants import check_invariant
-from plankspindle_daemon.steering.hash_ring import stable_hash
+from plankspindle_core.stable_hash import stable_hash
 
 _HASH_RANGE = float(1 << 64)
 
--- a/packages/daemon/src/plankspindle_daemon/steering/entry_vms.py
+++ b/packages/daemon/src/plankspindle_daemon/steering/entry_vms.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from plankspindle_daemon.membership.readiness import Readiness
+from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_daemon.platform.live_list import VmKind
 from plankspindle_daemon.steering.steering import EntryVm
 
--- a/packages/daemon/src/plankspindle_daemon/steering/hash_ring.py
+++ b/packages/daemon/src/plankspindle_daemon/steering/hash_ring.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from hashlib import blake2b
 from typing import TYPE_CHECKING
 
+from plankspindle_core.stable_hash import stable_hash
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -55,8 +56,3 @@
                 if len(found) == count:
                     break
         return found
-
-
-def stable_hash(text: str) -> int:
-    """Hash a text to 64 bits, the same in every process."""
-    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
--- a/packages/daemon/src/plankspindle_daemon/steering/steering.py
+++ b/packages/daemon/src/plankspindle_daemon/steering/steering.py
@@ -13,6 +13,7 @@
 
 from plankspindle_core.configuration.configuration import Configuration
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.lookup_ttl import LOOKUP_TTL_S
 from plankspindle_daemon.steering.block_table import BlockTable
 from plankspindle_daemon.steering.hash_ring import HashRing
 
@@ -20,7 +21,6 @@
     from collections.abc import Iterable
 
 
-TTL_S = 5
 VMS_PER_DOMAIN = 2
 MAX_NAMED = 6
 ENOUGH_IN_DOMAIN = 2
@@ -154,7 +154,7 @@
             home = self.configuration.sites_by_name[site].failure_domain
         bucket = crc32(address.encode()) % BUCKETS
         named = self._named_for(service, home, bucket)
-        return LookupAnswer(site=site, ttl_s=TTL_S, vms=named)
+        return LookupAnswer(site=site, ttl_s=LOOKUP_TTL_S, vms=named)
 
     def near(self, domain: str) -> tuple[EntryVm, ...]:
         """Name the usable entry VMs for callers in a failure domain.
--- a/packages/daemon/src/plankspindle_daemon/upstreams/cold_gate.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/cold_gate.py
@@ -6,7 +6,7 @@
 
 from attrs import define
 
-from plankspindle_daemon.steering.hash_ring import stable_hash
+from plankspindle_core.stable_hash import stable_hash
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 from typing import Any
 
 import capnp
@@ -14,28 +15,20 @@
 from result import Result
 
 from plankspindle_core.endpoint import Endpoint
-from plankspindle_daemon.configuration.messages import ContentChunk
-from plankspindle_daemon.configuration.messages import ContentRequest
-from plankspindle_daemon.digests.messages import LoadDigest
-from plankspindle_daemon.digests.messages import ServiceLoad
-from plankspindle_daemon.headroom.messages import HeadroomGrant
-from plankspindle_daemon.headroom.messages import HeadroomRequest
-from plankspindle_daemon.membership.messages import Heartbeat
-from plankspindle_daemon.membership.readiness import Readiness
-from plankspindle_daemon.upstreams.messages import SlotGrant
-from plankspindle_daemon.upstreams.messages import SlotRequest
+from plankspindle_daemon.peer_messages.content_messages import ContentChunk
+from plankspindle_daemon.peer_messages.content_messages import ContentRequest
+from plankspindle_daemon.peer_messages.headroom_messages import HeadroomGrant
+from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
+from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+from plankspindle_daemon.peer_messages.load_digest import LoadDigest
+from plankspindle_daemon.peer_messages.load_digest import ServiceLoad
+from plankspindle_daemon.peer_messages.readiness import Readiness
+from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
+from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 from plankspindle_daemon.wire.frame import BadFrame
 
-PeerMessage = (
-    Heartbeat
-    | SlotRequest
-    | SlotGrant
-    | HeadroomRequest
-    | HeadroomGrant
-    | LoadDigest
-    | ContentRequest
-    | ContentChunk
-)
+if TYPE_CHECKING:
+    from plankspindle_daemon.peer_messages.peer_message import PeerMessage
 
 capnp.remove_import_hook()
 _SCHEMA: Any = capnp.load(str(Path(__file__).with_name("peer.capnp")))
--- a/packages/daemon/tests/configuration/test_version_exchange.py
+++ b/packages/daemon/tests/configuration/test_version_exchange.py
@@ -8,14 +8,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from plankspindle_daemon.configuration.messages import ContentChunk
-from plankspindle_daemon.configuration.messages import ContentRequest
 from plankspindle_daemon.configuration.spread_targets import spread_targets
 from plankspindle_daemon.configuration.version_exchange import GIVE_UP_S
 from plankspindle_daemon.configuration.version_exchange import RETRY_S
 from plankspindle_daemon.configuration.version_exchange import TAKE_OVER_S
 from plankspindle_daemon.configuration.version_exchange import LearnedContent
 from plankspindle_daemon.configuration.version_exchange import VersionExchange
+from plankspindle_daemon.peer_messages.content_messages import ContentChunk
+from plankspindle_daemon.peer_messages.content_messages import ContentRequest
 
 MEMBERS = ("a", "b", "c", "d")
 
--- a/packages/daemon/tests/control/test_forecast.py
+++ b/packages/daemon/tests/control/test_forecast.py
@@ -17,8 +17,8 @@
 from plankspindle_daemon.control.intents import apply_intent
 from plankspindle_daemon.control.intents import intent_from_mapping
 from plankspindle_daemon.digests.digest_book import DigestBook
-from plankspindle_daemon.digests.messages import LoadDigest
-from plankspindle_daemon.digests.messages import ServiceLoad
+from plankspindle_daemon.peer_messages.load_digest import LoadDigest
+from plankspindle_daemon.peer_messages.load_digest import ServiceLoad
 from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.builders import build_upstream
 
--- a/packages/daemon/tests/dispatch/test_dispatcher.py
+++ b/packages/daemon/tests/dispatch/test_dispatcher.py
@@ -12,10 +12,10 @@
 from plankspindle_daemon.dispatch.measured_distances import MeasuredDistances
 from plankspindle_daemon.dispatch.placement import Placement
 from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
+from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 from plankspindle_daemon.upstreams.health import BackedOff
 from plankspindle_daemon.upstreams.health import Ramping
 from plankspindle_daemon.upstreams.load_report import LoadReport
-from plankspindle_daemon.upstreams.messages import SlotRequest
 from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.builders import build_dispatcher
 from plankspindle_testkit.builders import build_reported_upstream
--- a/packages/daemon/tests/dispatch/test_dispatcher_machine.py
+++ b/packages/daemon/tests/dispatch/test_dispatcher_machine.py
@@ -10,9 +10,9 @@
 
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.dispatch import messages as d
+from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
+from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 from plankspindle_daemon.upstreams.load_report import LoadReport
-from plankspindle_daemon.upstreams.messages import SlotGrant
-from plankspindle_daemon.upstreams.messages import SlotRequest
 from plankspindle_testkit.builders import build_dispatcher
 from plankspindle_testkit.builders import build_ticket
 
--- a/packages/daemon/tests/headroom/test_headroom.py
+++ b/packages/daemon/tests/headroom/test_headroom.py
@@ -13,8 +13,8 @@
 from plankspindle_daemon.headroom.grant_book import HeldGrant
 from plankspindle_daemon.headroom.headroom_ledger import RESERVE
 from plankspindle_daemon.headroom.headroom_ledger import HeadroomLedger
-from plankspindle_daemon.headroom.messages import HeadroomGrant
-from plankspindle_daemon.headroom.messages import HeadroomRequest
+from plankspindle_daemon.peer_messages.headroom_messages import HeadroomGrant
+from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 
 CAPACITY = 12
 TARGET = {"service": "registry", "region": "kosice"}
--- a/packages/daemon/tests/node/test_node.py
+++ b/packages/daemon/tests/node/test_node.py
@@ -10,9 +10,9 @@
 from plankspindle_daemon.membership import messages as m
 from plankspindle_daemon.membership.membership import Membership
 from plankspindle_daemon.node.effects import OfService
+from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 from plankspindle_daemon.platform.live_list import ListedVm
 from plankspindle_daemon.platform.live_list import VmKind
-from plankspindle_daemon.upstreams.messages import SlotRequest
 from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
 from plankspindle_testkit.builders import VmPlace
 from plankspindle_testkit.builders import build_configuration
--- a/packages/daemon/tests/wire/test_wire.py
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from plankspindle_core.endpoint import Endpoint
-from plankspindle_daemon.membership.messages import Heartbeat
-from plankspindle_daemon.membership.readiness import Readiness
-from plankspindle_daemon.upstreams.messages import SlotGrant
-from plankspindle_daemon.upstreams.messages import SlotRequest
-from plankspindle_daemon.wire.codec import PeerMessage
+from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+from plankspindle_daemon.peer_messages.readiness import Readiness
+from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
+from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 from plankspindle_daemon.wire.codec import decode
 from plankspindle_daemon.wire.codec import encode
 from plankspindle_daemon.wire.frame import FrameSealer
 
+if TYPE_CHECKING:
+    from plankspindle_daemon.peer_messages.peer_message import PeerMessage
+
 OLD = b"o" * 16
 NEW = b"n" * 16
 MESSAGES = [
--- a/packages/testkit/src/plankspindle_testkit/bench/headroom_bench.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/headroom_bench.py
@@ -14,8 +14,8 @@
 from plankspindle_daemon.headroom.grant_book import GrantBook
 from plankspindle_daemon.headroom.grant_book import HeldGrant
 from plankspindle_daemon.headroom.headroom_ledger import HeadroomLedger
-from plankspindle_daemon.headroom.messages import HeadroomGrant
-from plankspindle_daemon.headroom.messages import HeadroomRequest
+from plankspindle_daemon.peer_messages.headroom_messages import HeadroomGrant
+from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 from plankspindle_testkit.bench.table import print_table
 
 SLOTS = 72
--- a/packages/testkit/src/plankspindle_testkit/bench/slopes_bench.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/slopes_bench.py
@@ -22,6 +22,7 @@
 from plankspindle_core.configuration.service import SlotSharing
 from plankspindle_daemon.dispatch import messages as dispatch
 from plankspindle_daemon.membership import messages as membership
+from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
 from plankspindle_daemon.platform.live_list import parse_live_list
 from plankspindle_daemon.steering.block_table import BlockTable
 from plankspindle_daemon.wire.codec import decode
@@ -192,7 +193,7 @@
     def receive() -> None:
         for _ in range(100):
             heartbeat = sealer.open(next(rest)).and_then(decode).unwrap()
-            assert isinstance(heartbeat, membership.Heartbeat)
+            assert isinstance(heartbeat, Heartbeat)
             event = membership.HeartbeatReceived(heartbeat)
             node.take_membership(event, now=0.3, wall=WALL)
 
--- a/packages/testkit/src/plankspindle_testkit/trial/fake_network.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/fake_network.py
@@ -9,7 +9,7 @@
 from attrs import frozen
 
 from plankspindle_core.endpoint import Endpoint
-from plankspindle_daemon.wire.codec import PeerMessage
+from plankspindle_daemon.peer_messages.peer_message import PeerMessage
 
 
 @frozen(kw_only=True)
--- a/packages/testkit/src/plankspindle_testkit/trial/trial.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial.py
@@ -9,8 +9,6 @@
 from attrs import field
 
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
-from plankspindle_daemon.configuration.messages import ContentChunk
-from plankspindle_daemon.configuration.messages import ContentRequest
 from plankspindle_daemon.control.intents import ApplyIntent
 from plankspindle_daemon.dispatch import messages as dispatch
 from plankspindle_daemon.exchange import messages as m
@@ -19,9 +17,12 @@
 from plankspindle_daemon.node.effects import BeginLeaving
 from plankspindle_daemon.node.effects import NodeEffect
 from plankspindle_daemon.node.effects import OfService
-from plankspindle_daemon.node.effects import SendToPeer
-from plankspindle_daemon.upstreams.messages import SlotGrant
-from plankspindle_daemon.upstreams.messages import SlotRequest
+from plankspindle_daemon.peer_messages.content_messages import ContentChunk
+from plankspindle_daemon.peer_messages.content_messages import ContentRequest
+from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
+from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 from plankspindle_testkit.trial.fake_platform import run_to_end
 from plankspindle_testkit.trial.fake_upstream import Conduct
 from plankspindle_testkit.trial.fault_injector import FaultInjector
@@ -37,8 +38,8 @@
 
 if TYPE_CHECKING:
     from plankspindle_core.endpoint import Endpoint
+    from plankspindle_daemon.peer_messages.peer_message import PeerMessage
     from plankspindle_daemon.platform.platform_client import PlatformClient
-    from plankspindle_daemon.wire.codec import PeerMessage
     from plankspindle_testkit.trial.trial_vm import TrialVm
 
 STEP_S = 0.05
@@ -143,7 +144,7 @@
 
     def _receive(self, vm: TrialVm, message: PeerMessage, sender: Endpoint) -> None:
         match message:
-            case membership.Heartbeat():
+            case Heartbeat():
                 event = membership.HeartbeatReceived(message)
                 self._take_membership(vm, event)
             case ContentRequest():
--- a/packages/testkit/src/plankspindle_testkit/trial/trial_operators.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial_operators.py
@@ -17,8 +17,8 @@
 from plankspindle_daemon.control.plan_store import PlanOvertaken
 from plankspindle_daemon.control.plan_store import PlanStore
 from plankspindle_daemon.digests.digest_book import DigestBook
-from plankspindle_daemon.digests.messages import LoadDigest
-from plankspindle_daemon.digests.messages import ServiceLoad
+from plankspindle_daemon.peer_messages.load_digest import LoadDigest
+from plankspindle_daemon.peer_messages.load_digest import ServiceLoad
 from plankspindle_testkit.trial.fake_platform import run_to_end
 from plankspindle_testkit.trial.truth import BrokenPromiseError
 from plankspindle_testkit.trial.world import SERVICE
--- a/packages/testkit/src/plankspindle_testkit/trial/world.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/world.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from plankspindle_core.endpoint import Endpoint
-    from plankspindle_daemon.wire.codec import PeerMessage
+    from plankspindle_daemon.peer_messages.peer_message import PeerMessage
 
 SERVICE = "registry"
 WALL_OFFSET_S = 1_000_000.0
