Tell other entry VMs of upstreams that answer nobody

Heartbeats name up to eight upstreams that have been silent to a VM for a second or are backed off; two failure domains must agree, and an own answer of the last second goes before them, so that a domain that is cut off keeps nobody from a sound upstream.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
@@ -41,6 +41,8 @@
 
 OVERLOADED_SHARE = 0.5
 """Share of a queue's limit from which on look-ups do not name this VM."""
+MAX_HINTS = 8
+"""Silent upstreams that a heartbeat names, in about 100 bytes."""
 MIN_ENTRY_VMS = 3
 """Entry VMs that are assumed to share fleet-wide bounds before others are heard."""
 
@@ -164,6 +166,24 @@
             if upstream.ledger.is_over_share(now)
         ]
 
+    def silent_upstreams(self, now: float) -> tuple[str, ...]:
+        """Name upstreams that answer none of this VM's requests, not too many."""
+        silent = [
+            upstream.name
+            for dispatcher in self.dispatchers_by_service.values()
+            for upstream in dispatcher.upstreams_by_name.values()
+            if upstream.is_worth_a_hint(now)
+        ]
+        return tuple(silent[:MAX_HINTS])
+
+    def take_hints(self, names: Iterable[str], domain: str, now: float) -> None:
+        """Take what an entry VM of a failure domain tells of silent upstreams."""
+        for name in names:
+            for dispatcher in self.dispatchers_by_service.values():
+                upstream = dispatcher.upstreams_by_name.get(name)
+                if upstream is not None:
+                    upstream.note_hint(domain, now)
+
     def apply_drains(self, *, now: float, wall: float) -> None:
         """Keep new work from drained upstreams, and take back those that no more are.
 
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -296,6 +296,8 @@
             effects += self._take_effect(effect, now)
         if isinstance(event, membership.HeartbeatReceived):
             effects += self._hear_version(event.heartbeat, now)
+            told = event.heartbeat
+            self.services.take_hints(told.silent_upstreams, told.failure_domain, now)
         if isinstance(event, membership.LiveListRead):
             self.list_read_at = now
             self._wall_ahead_s = wall - now
@@ -454,6 +456,7 @@
             over_share=self._over_share(now),
             configuration_version=self.version,
             head_read_ago_ms=self.head.ago_ms(now),
+            silent_upstreams=self.services.silent_upstreams(now),
         )
 
     def _over_share(self, now: float) -> tuple[str, ...]:
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/heartbeat.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/heartbeat.py
@@ -37,6 +37,8 @@
         Version it has in force.
     head_read_ago_ms : int
         Time since any member read the head of the configuration, as far as it knows.
+    silent_upstreams : tuple of str
+        Upstreams that answer none of its requests at present.
     """
 
     sender: str
@@ -50,3 +52,4 @@
     over_share: tuple[str, ...]
     configuration_version: int
     head_read_ago_ms: int = 0xFFFFFFFF
+    silent_upstreams: tuple[str, ...] = ()
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -4,6 +4,7 @@
 
 import math
 
+from attrs import Factory
 from attrs import define
 
 from plankspindle_core.configuration.upstream import Upstream
@@ -15,6 +16,8 @@
 from plankspindle_daemon.upstreams.load_report import MAX_AGE_S
 from plankspindle_daemon.upstreams.load_report import LoadReport
 from plankspindle_daemon.upstreams.reported_slots import ReportedSlots
+from plankspindle_daemon.upstreams.silence import TOLD_FROM_S
+from plankspindle_daemon.upstreams.silence import Silence
 from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
 from plankspindle_daemon.upstreams.standing import Standing
 
@@ -71,6 +74,7 @@
     drained_at: float | None = None
     cold: ColdGate | None = None
     answered_at: float = 0.0
+    silence: Silence = Factory(Silence)
     evidence: str | None = None
     evidence_at: float = 0.0
     _report: LoadReport | None = None
@@ -179,8 +183,23 @@
             case SlotLedger():
                 self.health.note_refusal(now)
 
+    def note_hint(self, domain: str, now: float) -> None:
+        """Take the word of a VM of a failure domain that it answers nobody there."""
+        self.silence.note_hint(domain, now)
+
+    def is_worth_a_hint(self, now: float) -> bool:
+        """Tell whether other entry VMs should know that it answers nobody here."""
+        is_backed_off = isinstance(self.health.state, BackedOff)
+        unanswered_s = now - self.answered_at if is_backed_off else 0.0
+        return max(unanswered_s, self._own_silence_s(now)) > TOLD_FROM_S
+
     def silent_s(self, now: float) -> float:
-        """Time for which requests run there without any answer, in seconds."""
+        """Time for which it seems to answer nobody, in seconds."""
+        hinted_s = self.silence.hinted_s(self.answered_at, now)
+        return max(self._own_silence_s(now), hinted_s)
+
+    def _own_silence_s(self, now: float) -> float:
+        """Time for which own requests run there without any answer, in seconds."""
         match self.ledger:
             case ReportedSlots() as reported:
                 oldest = reported.oldest_start()
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -52,6 +52,7 @@
         read=lambda read: Readiness(str(read)),
     ),
     "over_share": _Conversion(write=list, read=tuple),
+    "silent_upstreams": _Conversion(write=list, read=tuple),
     "loads": _Conversion(
         write=lambda loads: [_as_mapping(each) for each in loads],
         read=lambda read: tuple(_read_fields(ServiceLoad, each, {}) for each in read),
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -22,6 +22,7 @@
   overShare @7 :List(Text);
   configurationVersion @8 :UInt64;
   headReadAgoMs @9 :UInt32;
+  silentUpstreams @10 :List(Text);
 }
 
 struct SlotRequest {
--- /dev/null
+++ b/packages/daemon/tests/node/test_silence_hints.py
@@ -0,0 +1,81 @@
+"""A VM that finds an upstream silent tells the others, which then avoid it."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+
+from plankspindle_core.configuration.service import SlotSharing
+from plankspindle_daemon.dispatch.messages import Arrived
+from plankspindle_daemon.dispatch.messages import Assign
+from plankspindle_daemon.membership.messages import HeartbeatReceived
+from plankspindle_daemon.node.effects import OfService
+from plankspindle_testkit.builders import VmPlace
+from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_service
+from plankspindle_testkit.builders import build_ticket
+from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.trial.trial_vm import TrialVm
+
+if TYPE_CHECKING:
+    from plankspindle_core.configuration.configuration import Configuration
+    from plankspindle_daemon.node.node import Node
+
+NOW = 100.0
+PLACES = [
+    VmPlace(name=name, failure_domain="ba-1", host="127.0.1.1", base_port=port)
+    for name, port in (("a", 7000), ("b", 7100))
+]
+
+
+def build_node(place: VmPlace) -> Node:
+    node = TrialVm.start(place, seeds=PLACES, random=Random(1), now=NOW).node
+    node.adopt(build_reported(), version=1, now=NOW)
+    return node
+
+
+def build_reported() -> Configuration:
+    service = evolve(build_service(), slot_sharing=SlotSharing.REPORTED)
+    upstreams = {name: build_upstream(slots=4) for name in ("u", "v")}
+    return build_configuration(
+        services_by_name={"registry": service}, upstreams_by_name=upstreams
+    )
+
+
+def place_one(node: Node, number: int, now: float) -> str:
+    ticket = build_ticket(number, deadline=now + 10.0)
+    (effect,) = node.take_dispatch("registry", Arrived(ticket), now)
+    assert isinstance(effect, OfService)
+    assert isinstance(effect.effect, Assign)
+    return effect.effect.upstream
+
+
+def test_the_others_avoid_an_upstream_that_one_vm_finds_silent() -> None:
+    first, second = (build_node(place) for place in PLACES)
+    silent = place_one(first, 1, NOW)
+    told = first.heartbeat(now=NOW + 3.0)
+    assert told.silent_upstreams == (silent,)
+    other = evolve(told, sender="c", failure_domain="ke-1")
+    for each in (told, other):
+        second.take_membership(HeartbeatReceived(each), now=NOW + 3.0, wall=NOW)
+    chosen = {place_one(second, number, NOW + 3.0) for number in range(3)}
+    assert silent not in chosen
+
+
+def test_a_hint_on_an_unknown_upstream_is_passed_over() -> None:
+    first, second = (build_node(place) for place in PLACES)
+    told = evolve(first.heartbeat(now=NOW), silent_upstreams=("unknown",))
+    event = HeartbeatReceived(told)
+    assert second.take_membership(event, now=NOW, wall=NOW) is not None
+
+
+def test_a_heartbeat_names_a_bounded_number_of_silent_upstreams() -> None:
+    node = build_node(PLACES[0])
+    upstreams = {f"u{number}": build_upstream(slots=1) for number in range(100)}
+    configuration = evolve(build_reported(), upstreams_by_name=upstreams)
+    node.adopt(configuration, version=2, now=NOW)
+    for number in range(100):
+        place_one(node, number, NOW)
+    assert len(node.heartbeat(now=NOW + 5.0).silent_upstreams) == 8
--- a/packages/daemon/tests/wire/test_wire.py
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -34,6 +34,7 @@
         view_digest=2**63,
         over_share=("u1", "u2"),
         configuration_version=9,
+        silent_upstreams=("u3",),
     ),
     SlotRequest(
         sender="a",
