Wait for changes as long as the bounds allow, and read entry VMs when it helps

Entry VMs are read every 30 s and once this one is entered: of any two, the later finds the other at once, which took up to 10 s before. Ruled out: longer waits with keep-alive alone; a store that hangs still acknowledges.

--- a/packages/daemon/src/plankspindle_daemon/settings/daemon_settings.py
+++ b/packages/daemon/src/plankspindle_daemon/settings/daemon_settings.py
@@ -55,6 +55,9 @@
         Period of reading an upstream's load report.
     platform_timeout_ms : int
         Longest wait for one answer of the platform.
+    watch_ms : int
+        Longest wait for a change at a platform that tells of changes; a call that a
+        platform lost is noticed after this and ``platform_timeout_ms``.
     connect_timeout_ms : int
         Longest wait for a connection to an upstream.
     pause_ms : int
@@ -72,6 +75,7 @@
     configuration_ms: int = field(default=500, validator=validators.gt(0))
     probe_ms: int = field(default=1_000, validator=validators.gt(0))
     platform_timeout_ms: int = field(default=1_000, validator=validators.gt(0))
+    watch_ms: int = field(default=3_000, validator=validators.gt(0))
     connect_timeout_ms: int = field(default=300, validator=validators.gt(0))
     pause_ms: int = field(default=1_000, validator=validators.gt(0))
     linger_ms: int = field(default=LINGER_MS, validator=validators.ge(0))
--- a/tests/fleet/test_boot_settings.py
+++ b/tests/fleet/test_boot_settings.py
@@ -5,10 +5,12 @@
 from typing import TYPE_CHECKING
 
 import pytest
+import yaml
 from builders import BOOT
 from builders import build_boot
 
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_platform.boot_settings import MIN_WATCH_MS
 from plankspindle_platform.times import milliseconds
 from plankspindle_platform.times import seconds
 
@@ -46,3 +48,23 @@
     assert milliseconds("1500ms") == 1500
     with pytest.raises(ValueError, match="not a time"):
         seconds("15")
+
+
+def test_a_call_that_was_lost_is_made_again_before_the_bounds_apply(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    boot = build_boot(monkeypatch)
+    bounds = yaml.safe_load(BOOT.read_text())["terms"]["bounds"]
+    timing = boot.daemon.timing
+    noticed_ms = timing.watch_ms + timing.platform_timeout_ms
+    for name in ("drain", "config_apply", "evacuate"):
+        held_to_ms = milliseconds(bounds["contact"]) + milliseconds(bounds[name])
+        assert noticed_ms < held_to_ms
+
+
+def test_bounds_that_are_not_in_force_leave_the_shortest_wait(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    path = tmp_path / "boot.yaml"
+    path.write_text(BOOT.read_text().replace("contact:", "of_another_matter:"))
+    assert build_boot(monkeypatch, path).daemon.timing.watch_ms == MIN_WATCH_MS
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -401,3 +401,24 @@
         return removed.is_ok(), gone, kept.is_err(), stays
 
     assert run_with_platform(monkeypatch, use) == (True, True, True, True)
+
+
+def test_entry_vms_are_read_again_once_this_one_is_entered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def use(store: StoreStandIn, platform: StorePlatform) -> list[set[str]]:
+        named = [await names_of(platform)]
+        entry = {
+            "failure_domain": "zone-b",
+            "caller": "10.1.0.9:1",
+            "peer": "10.1.0.9:2",
+        }
+        store.put("plankspindle-vms", "edge-b-1", entry)
+        named.append(await names_of(platform))
+        await platform.entries.announce()
+        named.append(await names_of(platform))
+        return named
+
+    first, second, third = run_with_platform(monkeypatch, use)
+    assert first == second == {"edge-a-1"}
+    assert third == {"edge-a-1", "edge-b-1"}
