--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -266,8 +266,7 @@
         )
         if place is None:
             return None
-        key = ticket.affinity
-        if not place.is_hit or not self.placement.knows(place.upstream.name, key):
+        if not place.is_hit:
             self._missing.add(ticket.id)
         leaves = not self.placement.is_near(place.upstream)
         self.placement.limiter.note_sent(leaves=leaves)
@@ -363,9 +362,6 @@
             case Verdict.ANSWERED:
                 upstream.health.note_success(now)
                 self._note_durations(upstream, ended, now)
-                if self.placement is not None:
-                    key = ended.ticket.affinity
-                    self.placement.note_answered(upstream.name, key)
             case Verdict.SHED:
                 upstream.note_shed(now)
             case Verdict.FAILED:
--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -103,17 +103,13 @@
     limiter: RegionLimiter
     random: Random
     _domain_by_name: dict[str, str] = Factory(dict)
-    _answered_by_key: dict[str, set[str]] = field(factory=dict)
     _orders_by_key: dict[str, list[list[str]]] = field(factory=dict)
 
     def use(self, domain_by_name: Mapping[str, str]) -> None:
         """Take the upstreams that stay, with their failure domains."""
-        if domain_by_name == self._domain_by_name:
-            return
-        self._domain_by_name = dict(domain_by_name)
-        self._orders_by_key.clear()
-        for answered in self._answered_by_key.values():
-            answered.intersection_update(domain_by_name)
+        if domain_by_name != self._domain_by_name:
+            self._domain_by_name = dict(domain_by_name)
+            self._orders_by_key.clear()
 
     def choose(
         self,
@@ -187,11 +183,9 @@
         ranks = self._present_ranks(query.ticket.affinity, by_name, query.now)
         for name, rank in ranks.items():
             upstream = by_name[name]
-            is_first = rank == 0
-            if fits(upstream) and (
-                is_first or _load(upstream, query.now) <= SECOND_LOAD
-            ):
-                self._weigh(choice, query, upstream, is_hit=is_first)
+            is_hit = rank == 0
+            if fits(upstream) and (is_hit or _load(upstream, query.now) <= SECOND_LOAD):
+                self._weigh(choice, query, upstream, is_hit=is_hit)
         if choice.cost[0] <= query.missed_s:
             return choice.place
         for upstream in by_name.values():
@@ -276,43 +270,13 @@
     def _weigh(
         self, choice: _Choice, query: _Query, upstream: UpstreamState, *, is_hit: bool
     ) -> None:
-        work_s = query.missed_s
-        if is_hit and self._may_know(upstream, query.ticket.affinity):
-            work_s = query.usual_s
+        work_s = query.usual_s if is_hit else query.missed_s
         cost_s = self._cost_s(upstream, query.ticket, work_s, query.now)
         cost = (cost_s, self.random.random())
         if cost < choice.cost:
             choice.cost = cost
             choice.place = Place(upstream=upstream, is_hit=is_hit)
 
-    def _may_know(self, upstream: UpstreamState, key: str | None) -> bool:
-        """Tell whether the first upstream of a key is taken to have seen it.
-
-        Notes
-        -----
-        In the own region somebody has most likely sent it there. In another one that
-        is so once it answered this VM. Where it was taken for granted, 45 of 100
-        requests left their region in the first two seconds after a start, since every
-        answer took long and the differences between upstreams meant nothing.
-        """
-        return key is None or self.is_near(upstream) or self.knows(upstream.name, key)
-
-    def knows(self, upstream: str, key: str | None) -> bool:
-        """Tell whether an upstream has answered this VM for an affinity key."""
-        if key is None:
-            return True
-        return upstream in self._answered_by_key.get(key, ())
-
-    def note_answered(self, upstream: str, key: str | None) -> None:
-        """Record that an upstream answered for an affinity key."""
-        if key is None:
-            return
-        if key not in self._answered_by_key:
-            if len(self._answered_by_key) >= MAX_KEYS:
-                self._answered_by_key.clear()
-            self._answered_by_key[key] = set()
-        self._answered_by_key[key].add(upstream)
-
     def _present_ranks(
         self, key: str, by_name: Mapping[str, UpstreamState], now: float
     ) -> dict[str, int]:
--- a/packages/daemon/tests/dispatch/test_dispatcher.py
+++ b/packages/daemon/tests/dispatch/test_dispatcher.py
@@ -366,20 +366,3 @@
     assert full.could_place_elsewhere(build_ticket(1), "u", 0.0)
     full.upstreams_by_name["v"].start(ticket=2, now=0.0, deadline=10.0)
     assert not full.could_place_elsewhere(build_ticket(1), "u", 0.0)
-
-
-def test_the_first_answer_for_a_key_says_nothing_of_the_usual_time() -> None:
-    dispatcher = build_reporting_dispatcher("u")
-    usual = dispatcher.usual_s(build_ticket(0))
-    for number, took_s, told in ((1, 9.0, usual), (2, 0.5, 0.5)):
-        effects = arrive(dispatcher, number, affinity="k")
-        ticket = build_ticket(number, affinity="k")
-        ended = d.Ended(
-            ticket=ticket,
-            upstream=assigned(effects)[0][1],
-            verdict=d.Verdict.ANSWERED,
-            head_s=took_s,
-            total_s=took_s,
-        )
-        dispatcher.handle(ended, took_s)
-        assert dispatcher.usual_s(build_ticket(0)) == told
--- a/packages/daemon/tests/dispatch/test_placement.py
+++ b/packages/daemon/tests/dispatch/test_placement.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from plankspindle_daemon.dispatch.measured_distances import MeasuredDistances
-from plankspindle_daemon.dispatch.placement import MAX_KEYS
 from plankspindle_daemon.dispatch.placement import Place
 from plankspindle_daemon.dispatch.placement import Placement
 from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
@@ -116,38 +115,6 @@
     assert own.upstream.name == chosen.upstream.name
 
 
-def start_slow(upstream: UpstreamState) -> None:
-    """Have an upstream look three times as slow as the others."""
-    for _ in range(20):
-        upstream.note_latency(3.0, 0.0)
-
-
-def test_a_key_leaves_its_region_for_no_upstream_that_has_not_seen_it() -> None:
-    upstreams = build_upstreams(a="ba_1", x="ke_1")
-    placement = build_placement(upstreams)
-    start_slow(upstreams["a"])
-    assert choose(placement, upstreams, "k").upstream.name == "a"
-    placement.note_answered("x", "k")
-    assert choose(placement, upstreams, "k").upstream.name == "x"
-
-
-def test_what_an_upstream_answered_is_forgotten_when_it_goes() -> None:
-    upstreams = build_upstreams(a="ba_1", x="ke_1")
-    placement = build_placement(upstreams)
-    placement.note_answered("x", "k")
-    assert placement.knows("x", "k")
-    placement.use({"a": "ba-1"})
-    placement.use({"a": "ba-1", "x": "ke-1"})
-    assert not placement.knows("x", "k")
-
-
-def test_keys_that_are_remembered_are_bounded() -> None:
-    placement = build_placement(build_upstreams(a="ba_1"))
-    for number in range(3 * MAX_KEYS):
-        placement.note_answered("a", f"k{number}")
-    assert len(placement._answered_by_key) <= MAX_KEYS
-
-
 def test_an_upstream_that_is_backed_off_hands_its_keys_to_the_next() -> None:
     upstreams = build_upstreams(a="ba_1", b="ba_1")
     placement = build_placement(upstreams)
