Send nothing more to an upstream whose address is another one's

A misdirected answer ends an upstream for good: its name stands for one life. Ruled out: waiting for the list, which names it for three heartbeats, or for the length of an outage. The log says once that the configuration cannot be read, not at each change of the reason.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -364,6 +364,8 @@
                 self._note_durations(upstream, ended, now)
             case Verdict.SHED:
                 upstream.note_shed(now)
+            case Verdict.MISDIRECTED:
+                upstream.note_misplaced()
             case Verdict.FAILED:
                 upstream.note_lost(now)
             case Verdict.UNREACHABLE:
--- a/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
@@ -23,6 +23,7 @@
     UNREACHABLE = "unreachable"
     FAILED = "failed"
     SHED = "shed"
+    MISDIRECTED = "misdirected"
     TIMED_OUT = "timed-out"
     CANCELLED = "cancelled"
 
--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
@@ -233,7 +233,11 @@
             self._ran = Ran.NO
             self._came = f"status {head.status_code}, stating that it was not run"
             self.record.note_not_run()
-            return HeadArrived(proves_not_run=True)
+            is_misdirected = (
+                self.assigned is not None
+                and self.outgoing.dialect.is_misdirected(head.status_code)
+            )
+            return HeadArrived(proves_not_run=True, is_misdirected=is_misdirected)
         self._ran = Ran.YES
         self._held = None
         if self._may_hold(headers):
--- a/packages/daemon/src/plankspindle_daemon/exchange/dialect.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/dialect.py
@@ -62,9 +62,13 @@
     keeps_head: bool = False
     fractional_retry_after: bool = False
 
+    def is_misdirected(self, status: int) -> bool:
+        """Tell whether another than the wanted upstream answered."""
+        return status == self.misdirected_status
+
     def proves_not_run(self, status: int, headers: HeaderList) -> bool:
         """Tell whether an upstream states that it did not run the request."""
-        if status == self.misdirected_status:
+        if self.is_misdirected(status):
             return True
         if self.not_run_statuses and status not in self.not_run_statuses:
             return False
--- a/packages/daemon/src/plankspindle_daemon/exchange/exchange.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/exchange.py
@@ -148,8 +148,8 @@
                 return self._send()
             case ConnectFailed() | Stalled():
                 return self._take_silence(event)
-            case HeadArrived(proves_not_run=proves_not_run):
-                return self._take_head(proves_not_run)
+            case HeadArrived():
+                return self._take_head(event)
             case Broke(bytes_handed_over=handed_over):
                 return self._take_break(handed_over)
             case AnswerEnded():
@@ -170,11 +170,13 @@
         self.state = Sent(self._upstream())
         return [SendRequest()]
 
-    def _take_head(self, proves_not_run: bool) -> list[ExchangeEffect]:
-        if not proves_not_run:
+    def _take_head(self, head: HeadArrived) -> list[ExchangeEffect]:
+        if not head.proves_not_run:
             self.state = Relaying(self._upstream())
             return [RelayAnswer()]
         self.may_have_run = self._doubt_before
+        if head.is_misdirected:
+            return self._after_failure("upstream-gone", Verdict.MISDIRECTED)
         return self._after_failure("upstream-shed", Verdict.SHED)
 
     def _take_silence(self, event: ConnectFailed | Stalled) -> list[ExchangeEffect]:
--- a/packages/daemon/src/plankspindle_daemon/exchange/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/messages.py
@@ -97,9 +97,12 @@
     ----------
     proves_not_run : bool
         Whether the other side says explicitly that it did not run the request.
+    is_misdirected : bool
+        Whether it is another one than the wanted upstream.
     """
 
     proves_not_run: bool = False
+    is_misdirected: bool = False
 
 
 @frozen(kw_only=True)
--- a/packages/daemon/src/plankspindle_daemon/node/configuration_follower.py
+++ b/packages/daemon/src/plankspindle_daemon/node/configuration_follower.py
@@ -61,7 +61,7 @@
             await self.effects.adopt(newer)
 
     def _note_unread(self, detail: str) -> None:
-        """Log what is in the way, once until it is another thing."""
-        if self._unread is None or detail[:40] != self._unread[:40]:
+        """Log what is in the way, once until a read succeeds."""
+        if self._unread is None:
             log_event("configuration_unread", detail=detail, version=self.node.version)
         self._unread = detail
--- a/packages/daemon/src/plankspindle_daemon/upstreams/standing.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/standing.py
@@ -15,3 +15,4 @@
     DRAINED = "drained"
     LEAVING = "leaving"
     UNCONFIRMED = "unconfirmed"
+    MISPLACED = "misplaced"
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -55,6 +55,9 @@
         Bound on requests while it is cold.
     drained_at : float, optional
         Time from which a confirmed drain keeps new work away, monotonic seconds.
+    is_misplaced : bool
+        Whether another one answered at its address. It is gone for good then: a name
+        stands for one life of an upstream.
     answered_at : float
         When it last answered, monotonic seconds.
     evidence : str, optional
@@ -73,6 +76,7 @@
     is_unconfirmed: bool = False
     drained_at: float | None = None
     cold: ColdGate | None = None
+    is_misplaced: bool = False
     answered_at: float = 0.0
     silence: Silence = Factory(Silence)
     evidence: str | None = None
@@ -83,9 +87,9 @@
     _listed_leaving: bool = False
 
     def takes_nothing_new(self, now: float) -> bool:
-        """Tell whether it is leaving or drained."""
+        """Tell whether it is leaving, drained or gone."""
         drained = self.drained_at is not None and now >= self.drained_at
-        return self.leaving or drained
+        return self.leaving or drained or self.is_misplaced
 
     def can_take(self, *, now: float, deadline: float, ends_by: float) -> bool:
         """Tell whether a request may start here.
@@ -131,6 +135,8 @@
 
     def standing(self, now: float) -> Standing:
         """Say what is believed of it, the gravest first."""
+        if self.is_misplaced:
+            return Standing.MISPLACED
         if self.leaving:
             return Standing.LEAVING
         if self.drained_at is not None and now >= self.drained_at:
@@ -175,6 +181,10 @@
             case SlotLedger():
                 self.health.note_refusal(now)
 
+    def note_misplaced(self) -> None:
+        """Record that another upstream answered at its address."""
+        self.is_misplaced = True
+
     def note_lost(self, now: float) -> None:
         """Record that a connection to it was lost during a request."""
         match self.ledger:
--- a/packages/daemon/tests/dispatch/test_dispatcher.py
+++ b/packages/daemon/tests/dispatch/test_dispatcher.py
@@ -366,3 +366,17 @@
     assert full.could_place_elsewhere(build_ticket(1), "u", 0.0)
     full.upstreams_by_name["v"].start(ticket=2, now=0.0, deadline=10.0)
     assert not full.could_place_elsewhere(build_ticket(1), "u", 0.0)
+
+
+def test_an_upstream_whose_address_is_another_ones_gets_nothing_more() -> None:
+    dispatcher = build_reporting_dispatcher("u", "v")
+    ((_, first),) = assigned(arrive(dispatcher, 1))
+    end(dispatcher, 1, first, 0.1, d.Verdict.MISDIRECTED)
+    for number in range(2, 10):
+        now = 10.0 * number
+        ((_, chosen),) = assigned(arrive(dispatcher, number, now, deadline=now + 9.0))
+        assert chosen != first
+        end(dispatcher, number, chosen, now + 0.1)
+    gone = dispatcher.upstreams_by_name[first]
+    gone.note_listed(leaving=False, leaves_at=None, now=99.0, wall=99.0)
+    assert gone.standing(99.0).value == "misplaced"
--- a/packages/daemon/tests/exchange/test_dialect.py
+++ b/packages/daemon/tests/exchange/test_dialect.py
@@ -56,3 +56,10 @@
     assert OTHER.affinity_key(headers) == "17"
     assert OTHER.affinity_key([(b"cookie", b"Things=17")]) is None
     assert Dialect().affinity_key(headers) is None
+
+
+def test_a_misdirected_answer_is_told_from_one_that_sheds() -> None:
+    dialect = Dialect(misdirected_status=421)
+    assert dialect.is_misdirected(421)
+    assert not dialect.is_misdirected(503)
+    assert not Dialect().is_misdirected(421)
--- a/packages/daemon/tests/exchange/test_exchange.py
+++ b/packages/daemon/tests/exchange/test_exchange.py
@@ -292,3 +292,18 @@
     decided = exchange.retries_decided[-1]
     assert (decided.taken, decided.because) == (False, "retry budget is used up")
     assert decided.budget_left < 1.0
+
+
+def test_an_upstream_that_another_stands_in_for_is_given_up_as_gone() -> None:
+    exchange = Exchange(
+        terms=m.Terms(idempotent=False, resendable=True, recorded=False),
+        route=m.ToUpstream(),
+        budget=RetryBudget(percent=100),
+    )
+    exchange.begin()
+    exchange.handle(m.Assigned(upstream="u", endpoint=ENDPOINT))
+    exchange.handle(m.Connected())
+    effects = exchange.handle(m.HeadArrived(proves_not_run=True, is_misdirected=True))
+    assert effects[0] == m.EndUpstream(Verdict.MISDIRECTED)
+    assert isinstance(effects[-1], m.FindUpstream)
+    assert not exchange.may_have_run
