Keep at most 32 idle connections to an endpoint

Cause, found by the soak: a request that must not repeat opens a connection, which was kept after it; each endpoint came to hold 200, 600 descriptors on a VM with eight callers. One test fails without the bound. Ruled out: a leak of used connections; the state dump counted none of callers and 596 to upstreams, all at rest.

--- a/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
@@ -14,6 +14,13 @@
 from plankspindle_core.http.client_connection import ClientConnection
 from plankspindle_core.http.errors import ConnectFailed
 
+MAX_RESTING = 32
+"""Idle connections kept to one endpoint; more are not used at once by one entry VM.
+
+Requests that must not repeat open new ones, which are kept after them: without this
+bound each endpoint came to hold ``max_per_endpoint``.
+"""
+
 
 @define(kw_only=True)
 class ConnectionPool:
@@ -94,7 +101,10 @@
             await self.discard(connection)
             return
         connection.released_at = monotonic()
-        self._idle_by_endpoint.setdefault(connection.endpoint, []).append(connection)
+        idle = self._idle_by_endpoint.setdefault(connection.endpoint, [])
+        idle.append(connection)
+        if len(idle) > MAX_RESTING:
+            await self.discard(idle.pop(0))
 
     async def discard(self, connection: ClientConnection) -> None:
         """Close a connection, which cancels what runs on it."""
--- a/packages/daemon/tests/upstreams/test_connection_pool.py
+++ b/packages/daemon/tests/upstreams/test_connection_pool.py
@@ -12,6 +12,7 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.limits import HttpLimits
 from plankspindle_core.http.server import HttpServer
+from plankspindle_daemon.upstreams.connection_pool import MAX_RESTING
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
 
 if TYPE_CHECKING:
@@ -100,3 +101,15 @@
         return before, pool.open_connections
 
     assert run(use) == (1, 0)
+
+
+def test_idle_connections_are_bounded_where_each_request_wants_a_new_one() -> None:
+    async def use(pool: ConnectionPool, server: HttpServer) -> int:
+        pool.max_per_endpoint = 1_000
+        for _ in range(3 * MAX_RESTING):
+            acquired = await pool.acquire(server.endpoint, max_idle_s=0.0)
+            await exchange(acquired.unwrap())
+            await pool.release(acquired.unwrap())
+        return pool.open_connections
+
+    assert run(use) == MAX_RESTING
