Add a soak: real daemons, faults from outside, promises checked meanwhile

Daemons, stand-ins and a proxy on the links of callers, store and upstreams; kills, stops, planned stops, herds, platform outages, upstreams that hang or lie, links that delay, throttle, hold, reset or go silent, drains, storms and races, drawn from a seed. Two alarms were the soak's own: a try on its way counted as told, and a stop of a process that was still importing.

--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/soak/__main__.py
@@ -0,0 +1,176 @@
+"""Run soaks: ``python -m plankspindle_testkit.soak``."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+import curio
+import yaml
+from click.testing import CliRunner
+
+from plankspindle_client.console.application import main as operate
+from plankspindle_testkit.soak.layout import Layout
+from plankspindle_testkit.soak.soak import Soak
+from plankspindle_testkit.soak.soak import SoakPlan
+from plankspindle_testkit.soak.soak import SoakVerdict
+from plankspindle_testkit.soak.soak_fault import SoakFault
+from plankspindle_testkit.soak.soak_fault import draw_faults
+from plankspindle_testkit.soak.soak_fault import read_schedule
+from plankspindle_testkit.soak.soak_fault import write_schedule
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+REGRESSIONS = Path(__file__).with_name("regressions.yaml")
+FAULTS_S = 40.0
+"""Time in which the faults of one seed begin, in seconds."""
+LARGE_VMS = 40
+
+
+@click.command()
+@click.option("--seed", default=1, help="First seed.")
+@click.option("--minutes", default=1.0, help="Time to spend on rising seeds.")
+@click.option("--vms", default=4, help="Entry VMs.")
+@click.option("--large", is_flag=True, help=f"Run {LARGE_VMS} entry VMs.")
+@click.option("--schedule", type=click.File("r"), help="Replay faults of a file.")
+@click.option("--shrink", is_flag=True, help="Leave out faults that aren't needed.")
+@click.option("--regressions", is_flag=True, help="Replay what ever failed.")
+@click.option("--first-port", default=20_000, help="Where its ports begin.")
+def main(
+    seed: int,
+    minutes: float,
+    vms: int,
+    large: bool,
+    schedule: click.File | None,
+    shrink: bool,
+    regressions: bool,
+    first_port: int,
+) -> None:
+    """Soak real daemons with rising seeds until the time is spent or a promise breaks.
+
+    Only processes that it started are ended, also when it is interrupted.
+    """
+    vms = LARGE_VMS if large else vms
+    end = time.monotonic() + 60 * minutes
+    totals = _Totals()
+    for number, faults in _schedules(seed, vms, schedule, regressions=regressions):
+        plan = SoakPlan(
+            seed=number, vms=vms, faults=tuple(faults), first_port=first_port
+        )
+        verdict = curio.run(Soak(plan=plan).run)
+        totals.add(verdict)
+        if verdict.broken is not None:
+            _tell(plan, verdict)
+            if shrink:
+                _shrink(plan, verdict)
+            sys.exit(1)
+        if time.monotonic() > end:
+            break
+    click.echo(totals.text())
+
+
+class _Totals:
+    """Sums over the soaks of a run."""
+
+    def __init__(self) -> None:
+        self.soaks = self.requests = self.checks = 0
+        self.struck_by_kind: Counter[str] = Counter()
+
+    def add(self, verdict: SoakVerdict) -> None:
+        self.soaks += 1
+        self.requests += verdict.requests
+        self.checks += verdict.checks
+        self.struck_by_kind += verdict.struck_by_kind
+
+    def text(self) -> str:
+        kinds = ", ".join(f"{k} {n}" for k, n in sorted(self.struck_by_kind.items()))
+        return (
+            f"held: soaks={self.soaks} requests={self.requests} checks={self.checks}"
+            f" faults={self.struck_by_kind.total()} ({kinds})"
+        )
+
+
+def _schedules(
+    seed: int, vms: int, schedule: click.File | None, *, regressions: bool
+) -> Sequence[tuple[int, list[SoakFault]]] | _RisingSeeds:
+    if schedule is not None:
+        try:
+            return [(seed, read_schedule(schedule.read()))]  # type: ignore[attr-defined]
+        except ValueError as error:
+            raise click.ClickException(str(error)) from error
+    if regressions:
+        return load_regressions()
+    return _RisingSeeds(seed, vms)
+
+
+class _RisingSeeds:
+    """Schedules of a seed and those after it."""
+
+    def __init__(self, seed: int, vms: int) -> None:
+        self._seed = seed
+        self._layout = Layout(vms=vms)
+
+    def __iter__(self) -> _RisingSeeds:
+        return self
+
+    def __next__(self) -> tuple[int, list[SoakFault]]:
+        seed = self._seed
+        self._seed += 1
+        faults = draw_faults(
+            seed,
+            seconds=FAULTS_S,
+            vms=[place.name for place in self._layout.places],
+            upstreams=list(self._layout.upstream_endpoints),
+        )
+        return seed, faults
+
+
+def load_regressions() -> list[tuple[int, list[SoakFault]]]:
+    """Read the schedules that ever failed."""
+    entries = yaml.safe_load(REGRESSIONS.read_text(encoding="utf-8")) or []
+    return [
+        (entry["seed"], [SoakFault(**fault) for fault in entry["faults"]])
+        for entry in entries
+    ]
+
+
+def _tell(plan: SoakPlan, verdict: SoakVerdict) -> None:
+    broken = verdict.broken
+    assert broken is not None
+    path = verdict.folder / "schedule.jsonl"
+    path.write_text(write_schedule(plan.faults), encoding="utf-8")
+    click.echo(f"broken: seed={plan.seed} vms={plan.vms} {broken.promise}")
+    click.echo(f"  {broken.detail}")
+    click.echo(f"  logs: {verdict.folder}, replay with --schedule {path}")
+    if broken.request:
+        logs = [str(each) for each in sorted(verdict.folder.glob("*-*.log"))]
+        told = CliRunner().invoke(operate, ["explain", broken.request, *logs])
+        click.echo(told.output)
+
+
+def _shrink(plan: SoakPlan, verdict: SoakVerdict) -> None:
+    """Leave out one fault after the other while the same promise breaks."""
+    assert verdict.broken is not None
+    needed = list(plan.faults)
+    for fault in plan.faults:
+        fewer = [each for each in needed if each is not fault]
+        tried = SoakPlan(
+            seed=plan.seed,
+            vms=plan.vms,
+            faults=tuple(fewer),
+            first_port=plan.first_port,
+        )
+        found = curio.run(Soak(plan=tried).run).broken
+        if found is not None and found.promise == verdict.broken.promise:
+            needed = fewer
+    click.echo(f"needed, {len(needed)} of {len(plan.faults)} faults:")
+    click.echo(write_schedule(needed))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/soak/callers.py
@@ -0,0 +1,133 @@
+"""Callers of a soak, who note what they are told."""
+
+from __future__ import annotations
+
+import json
+from random import Random
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from attrs import define
+from curio import sleep
+
+from plankspindle_core import header_names
+from plankspindle_core.http.fetch import fetch
+from plankspindle_core.http.headers import find_header
+from plankspindle_core.outcome import Outcome
+from plankspindle_testkit.builders import BRONZE_KEY
+from plankspindle_testkit.soak.layout import SERVICE
+from plankspindle_testkit.soak.layout import TIMEOUT_MS
+from plankspindle_testkit.soak.layout import Layout
+from plankspindle_testkit.soak.promises import Observations
+from plankspindle_testkit.soak.promises import Told
+from plankspindle_testkit.upstream_stand_in.upstream_stand_in import RUN_HEADER
+
+if TYPE_CHECKING:
+    from plankspindle_core.http.fetch import HttpAnswer
+    from plankspindle_core.http.headers import HeaderList
+
+PAUSE_S = 0.05
+MAX_TRIES = 4
+FETCH_TIMEOUT_S = TIMEOUT_MS / 1000 + 3.0
+"""Longest wait of a caller; beyond it no answer will come."""
+_AUTHORIZATION = (header_names.AUTHORIZATION, b"Bearer " + BRONZE_KEY.encode())
+
+
+@define(kw_only=True)
+class SoakCaller:
+    """Send requests one after the other, to any entry VM.
+
+    Parameters
+    ----------
+    name : str
+        Part of the marks of its requests.
+    layout : Layout
+        Where to send them.
+    seen : Observations
+        Where to note what was told.
+    began_at : float
+        Start of the soak, monotonic seconds.
+    random : Random
+        Source of choices.
+    """
+
+    name: str
+    layout: Layout
+    seen: Observations
+    began_at: float
+    random: Random
+    sent: int = 0
+
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        while True:
+            self.sent += 1
+            mark = f"{self.name}-{self.sent}"
+            kind = self.random.choice(("read", "read", "write", "key"))
+            self.seen.open_marks.add(mark)
+            if kind == "key":
+                await self._send_keyed(mark)
+            else:
+                await self._send(mark, is_read=kind == "read")
+            self.seen.open_marks.discard(mark)
+            await sleep(PAUSE_S * self.random.random())
+
+    async def _send_keyed(self, mark: str) -> None:
+        """Repeat a request with its key until its end is known, at any VM."""
+        key = (header_names.IDEMPOTENCY_KEY, mark.encode())
+        for _ in range(MAX_TRIES):
+            outcome = await self._send(mark, is_read=False, extra=[key])
+            if outcome is Outcome.DONE:
+                return
+            await sleep(4 * PAUSE_S)
+
+    async def _send(
+        self, mark: str, *, is_read: bool, extra: HeaderList | None = None
+    ) -> Outcome | None:
+        place = self.random.choice(self.layout.places)
+        asked_at = monotonic() - self.began_at
+        answer = await fetch(
+            self.layout.entry("caller", place.name),
+            method="GET" if is_read else "POST",
+            target=f"/v1/services/{SERVICE}/{mark}",
+            headers=[
+                _AUTHORIZATION,
+                (RUN_HEADER, mark.encode()),
+                (header_names.TIMEOUT, str(TIMEOUT_MS).encode()),
+                *(extra or []),
+            ],
+            timeout_s=FETCH_TIMEOUT_S,
+        )
+        found = answer.ok()
+        told = Told(
+            mark=mark,
+            request="" if found is None else _log_id(found),
+            vm=place.name,
+            may_repeat=is_read,
+            outcome=None if found is None else _outcome(found),
+            is_own=found is not None and _is_own(found, mark),
+            asked_at=asked_at,
+            told_at=monotonic() - self.began_at,
+            deadline=asked_at + TIMEOUT_MS / 1000,
+        )
+        self.seen.told.append(told)
+        return told.outcome
+
+
+def _outcome(answer: HttpAnswer) -> Outcome | None:
+    text = find_header(answer.headers, header_names.OUTCOME)
+    return None if text is None else Outcome(text.decode())
+
+
+def _log_id(answer: HttpAnswer) -> str:
+    return (find_header(answer.headers, header_names.LOG_ID) or b"").decode()
+
+
+def _is_own(answer: HttpAnswer, mark: str) -> bool:
+    """Tell whether an answer names the request, or is a failure of the upstream."""
+    if answer.status >= 500:
+        return True
+    try:
+        return bool(json.loads(answer.body)["path"] == f"/{mark}")
+    except (ValueError, KeyError, TypeError):
+        return False
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/soak/layout.py
@@ -0,0 +1,110 @@
+"""Addresses of a soak: daemons, stand-ins, and a proxy on each link."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import define
+
+from plankspindle_core.configuration.operation import Operation
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_testkit.builders import VmPlace
+from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_service
+from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.soak.link_proxy import LinkProxy
+
+if TYPE_CHECKING:
+    from plankspindle_core.configuration.configuration import Configuration
+
+FIRST_PORT = 20_000
+PORTS_OF_VM = 10
+SLOTS = 8
+UPSTREAMS = 3
+TIMEOUT_MS = 2_000
+SERVICE = "registry"
+
+
+@define(kw_only=True)
+class Layout:
+    """Who listens where.
+
+    Parameters
+    ----------
+    vms : int
+        Entry VMs, in two failure domains of different regions.
+    first_port : int
+        Where its ports begin.
+
+    Notes
+    -----
+    Upstreams are reached through one proxy each, the platform and the callers' listener
+    through one proxy a VM. Messages between VMs go straight: a VM tells the others its
+    own address.
+    """
+
+    vms: int
+    first_port: int = FIRST_PORT
+    places: list[VmPlace] = Factory(list)
+    proxies_by_link: dict[str, LinkProxy] = Factory(dict)
+    upstream_endpoints: dict[str, Endpoint] = Factory(dict)
+
+    def __attrs_post_init__(self) -> None:
+        for number in range(self.vms):
+            domain = ("ba-1", "ke-1")[number % 2]
+            port = self.first_port + 100 + PORTS_OF_VM * number
+            place = VmPlace(
+                name=f"{domain}-{number}",
+                failure_domain=domain,
+                host="127.0.12.1",
+                base_port=port,
+            )
+            self.places.append(place)
+            self._add_proxy("caller", place.name, place.caller)
+            self._add_proxy("store", place.name, self.platform)
+        for number in range(UPSTREAMS):
+            for domain in ("ba-1", "ke-1"):
+                name = f"u{number}-{domain}"
+                port = self.first_port + 50 + len(self.upstream_endpoints)
+                self.upstream_endpoints[name] = Endpoint("127.0.12.2", port)
+                self._add_proxy("upstream", name, self.upstream_endpoints[name])
+
+    @property
+    def platform(self) -> Endpoint:
+        """The platform stand-in."""
+        return Endpoint("127.0.12.3", self.first_port)
+
+    def _add_proxy(self, link: str, name: str, target: Endpoint) -> None:
+        port = self.first_port + 5_000 + len(self.proxies_by_link)
+        listens = Endpoint("127.0.12.4", port)
+        proxy = LinkProxy(listens=listens, target=target)
+        self.proxies_by_link[f"{link}:{name}"] = proxy
+
+    def entry(self, link: str, name: str) -> Endpoint:
+        """Give where a link is entered."""
+        return self.proxies_by_link[f"{link}:{name}"].listens
+
+    def configuration(self, version: int = 0) -> Configuration:
+        """Build a configuration; versions differ in a timeout."""
+        operations = [
+            Operation(method="GET", timeout_ms=TIMEOUT_MS + version, expected_ms=20),
+            Operation(
+                method="POST",
+                timeout_ms=TIMEOUT_MS + version,
+                expected_ms=20,
+                idempotent=False,
+            ),
+        ]
+        upstreams = {
+            name: build_upstream(
+                endpoint=self.entry("upstream", name),
+                slots=SLOTS,
+                failure_domain=name.split("-", 1)[1],
+            )
+            for name in self.upstream_endpoints
+        }
+        return build_configuration(
+            services_by_name={SERVICE: build_service(operations=operations)},
+            upstreams_by_name=upstreams,
+        )
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak.py
@@ -0,0 +1,285 @@
+"""One soak from its start to its verdict."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import tempfile
+from collections import Counter
+from pathlib import Path
+from random import Random
+from time import monotonic
+from typing import Any
+
+from attrs import define
+from attrs import field
+from attrs import frozen
+from curio import sleep
+from curio import spawn
+
+from plankspindle_core.http.fetch import fetch
+from plankspindle_testkit.processes import Processes
+from plankspindle_testkit.soak.callers import SoakCaller
+from plankspindle_testkit.soak.layout import SLOTS
+from plankspindle_testkit.soak.layout import Layout
+from plankspindle_testkit.soak.promises import Broken
+from plankspindle_testkit.soak.promises import Observations
+from plankspindle_testkit.soak.promises import check_all
+from plankspindle_testkit.soak.promises import check_end
+from plankspindle_testkit.soak.promises import check_growth
+from plankspindle_testkit.soak.soak_fault import SoakFault
+from plankspindle_testkit.soak.striker import Striker
+
+CHECK_PERIOD_S = 1.0
+START_S = 30.0
+RECOVERY_S = 15.0
+"""Time after the last fault in which everything must serve again."""
+CALM_S = 5.0
+"""Time after that for which it is watched."""
+CALLERS_A_VM = 2
+
+
+@frozen(kw_only=True)
+class SoakPlan:
+    """What a soak does.
+
+    Parameters
+    ----------
+    seed : int
+        Source of chance of the callers.
+    vms : int
+        Entry VMs.
+    faults : tuple of SoakFault
+        Its faults, in the order of time.
+    first_port : int
+        Where its ports begin.
+    """
+
+    seed: int
+    vms: int
+    faults: tuple[SoakFault, ...]
+    first_port: int = 20_000
+
+
+@frozen(kw_only=True)
+class SoakVerdict:
+    """How a soak ended.
+
+    Parameters
+    ----------
+    broken : Broken or None
+        The first broken promise.
+    requests, checks : int
+        Requests that were sent, and times that all promises were checked.
+    struck_by_kind : Counter of str
+        Faults that happened.
+    folder : Path
+        Where the logs are.
+    """
+
+    broken: Broken | None
+    requests: int
+    checks: int
+    struck_by_kind: Counter[str]
+    folder: Path
+
+
+@define(kw_only=True)
+class Soak:
+    """A running soak.
+
+    Parameters
+    ----------
+    plan : SoakPlan
+        What it does.
+    """
+
+    plan: SoakPlan
+    layout: Layout = field(init=False)
+    processes: Processes = field(init=False)
+    seen: Observations = field(factory=Observations)
+    striker: Striker = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.layout = Layout(vms=self.plan.vms, first_port=self.plan.first_port)
+        folder = Path(tempfile.mkdtemp(prefix="plankspindle-soak-"))
+        self.processes = Processes(folder=folder)
+        self.striker = Striker(
+            layout=self.layout,
+            processes=self.processes,
+            seen=self.seen,
+            began_at=monotonic(),
+        )
+
+    async def run(self) -> SoakVerdict:
+        """Run it; processes that it started are ended whatever happens."""
+        tasks: list[Any] = []
+        try:
+            await self._start()
+            tasks = await self._start_callers()
+            broken = await self._strike_and_check()
+        finally:
+            for task in tasks:
+                await task.cancel()
+            self.processes.close()
+            for proxy in self.layout.proxies_by_link.values():
+                await proxy.close()
+        return SoakVerdict(
+            broken=broken,
+            requests=len(self.seen.told),
+            checks=self.seen.checks,
+            struck_by_kind=self.striker.struck_by_kind,
+            folder=self.processes.folder,
+        )
+
+    async def _start(self) -> None:
+        for proxy in self.layout.proxies_by_link.values():
+            await proxy.start()
+        platform = "plankspindle_testkit.platform_stand_in"
+        self.processes.start_module("platform", platform, str(self.layout.platform))
+        for name, endpoint in self.layout.upstream_endpoints.items():
+            module = "plankspindle_testkit.upstream_stand_in"
+            self.processes.start_module(name, module, f"{name}={endpoint}={SLOTS}")
+        await self._until(self._platform_lists)
+        for place in self.layout.places:
+            await self.striker.start_vm(place.name)
+        await self._until(self.striker.apply)
+        await self._until(self._all_ready)
+        self.striker.began_at = monotonic()
+
+    async def _until(self, holds: Any) -> None:
+        end = monotonic() + START_S
+        while not await holds():
+            if monotonic() > end:
+                raise TimeoutError(f"the soak does not start: {holds.__name__}")
+            await sleep(0.2)
+
+    async def _platform_lists(self) -> bool:
+        vms = [place.listed() for place in self.layout.places]
+        answer = await fetch(
+            self.layout.platform,
+            method="POST",
+            target="/control",
+            body=json.dumps({"vms": vms}).encode(),
+            timeout_s=2.0,
+        )
+        return answer.is_ok()
+
+    async def _all_ready(self) -> bool:
+        states = [await self._state(place.name) for place in self.layout.places]
+        return all(each and each["readiness"] == "ready" for each in states)
+
+    async def _state(self, vm: str) -> dict[str, Any] | None:
+        place = next(each for each in self.layout.places if each.name == vm)
+        answer = await fetch(place.operator, target="/state", timeout_s=3.0)
+        if answer.is_err() or answer.unwrap().status != 200:
+            return None
+        found: dict[str, Any] = json.loads(answer.unwrap().body)
+        return found
+
+    async def _start_callers(self) -> list[Any]:
+        random = Random(self.plan.seed)
+        tasks = []
+        for number in range(CALLERS_A_VM * self.plan.vms):
+            caller = SoakCaller(
+                name=f"c{number}",
+                layout=self.layout,
+                seen=self.seen,
+                began_at=self.striker.began_at,
+                random=Random(random.getrandbits(32)),
+            )
+            tasks.append(await spawn(caller.run, daemon=True))
+        return tasks
+
+    async def _strike_and_check(self) -> Broken | None:
+        waiting = list(self.plan.faults)
+        strikes: list[Any] = []
+        while waiting or not all(each.terminated for each in strikes):
+            while waiting and waiting[0].at <= self.striker.now():
+                fault = waiting.pop(0)
+                strikes.append(await spawn(self.striker.strike, fault, daemon=True))
+            broken = await self._look()
+            if broken is not None:
+                return broken
+            await sleep(CHECK_PERIOD_S)
+        for strike in strikes:
+            await strike.join()
+        return await self._check_recovery()
+
+    async def _look(self) -> Broken | None:
+        """Take in what happened since the last time, and check all promises."""
+        await self._take_runs()
+        for place in self.layout.places:
+            self._note_end(place.name)
+            state = await self._state(place.name)
+            if state is not None:
+                life = (place.name, int(state["incarnation"], 16))
+                version = int(state["configuration"]["version"])
+                self.seen.versions_by_life.setdefault(life, []).append(version)
+        return next(check_all(self.seen), None)
+
+    async def _take_runs(self) -> None:
+        runs: Counter[str] = Counter()
+        for name in self.layout.upstream_endpoints:
+            runs += await self.striker.runs_of(name)
+        self.seen.runs_by_mark = runs
+
+    def _note_end(self, vm: str) -> None:
+        status = self.processes.by_name[vm].poll()
+        if status is None or vm in self.striker.stopped:
+            return
+        last = (self.processes.log_of(vm).splitlines() or [""])[-1]
+        self.seen.ends.append((vm, status, last))
+
+    async def _check_recovery(self) -> Broken | None:
+        await sleep(RECOVERY_S)
+        calm_from = self.striker.now()
+        await sleep(CALM_S)
+        broken = await self._look()
+        if broken is not None:
+            return broken
+        versions, connections = {}, {}
+        for place in self.layout.places:
+            state = await self._state(place.name)
+            versions[place.name] = -1 if state is None else _version_of(state)
+            connections[place.name] = "" if state is None else _connections(state)
+        accepted = max(versions.values())
+        pids = {each.name: self._pid(each.name) for each in self.layout.places}
+        checks = [
+            *check_end(
+                self.seen, calm_from=calm_from, versions=versions, accepted=accepted
+            ),
+            *check_growth(
+                {vm: _resident_kb(pid) for vm, pid in pids.items()},
+                {vm: _descriptors(pid) for vm, pid in pids.items()},
+                connections,
+            ),
+        ]
+        return checks[0] if checks else None
+
+    def _pid(self, vm: str) -> int:
+        return self.processes.by_name[vm].pid
+
+
+def _version_of(state: dict[str, Any]) -> int:
+    return int(state["configuration"]["version"])
+
+
+def _connections(state: dict[str, Any]) -> str:
+    callers, pool = state["callers"]["connections"], state["connections"]["open"]
+    return f"{callers} connections of callers, {pool} to upstreams"
+
+
+def _resident_kb(pid: int) -> int:
+    with contextlib.suppress(OSError):
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1])
+    return 0
+
+
+def _descriptors(pid: int) -> int:
+    with contextlib.suppress(OSError):
+        return len(os.listdir(f"/proc/{pid}/fd"))
+    return 0
--- a/packages/testkit/src/plankspindle_testkit/upstream_stand_in/upstream_stand_in.py
+++ b/packages/testkit/src/plankspindle_testkit/upstream_stand_in/upstream_stand_in.py
@@ -82,6 +82,8 @@
         path = source.target.partition("?")[0]
         if path == "/load":
             await source.answer(status=200, body=json.dumps(self._report()).encode())
+        elif path == "/runs":
+            await source.answer(status=200, body=json.dumps(self.runs_by_mark).encode())
         elif path == "/control":
             await self._control(source, body)
         elif self._refuses(source):
@@ -142,7 +144,7 @@
                 await source.send_data(b"only this")
                 source.abort()
             case Mode.EXTRA_BYTES:
-                await source.answer(status=200, body=b"{}")
+                await self._answer_whole(source, path, body)
                 await source._socket.sendall(b"HTTP/1.1 200 OK\r\n\r\nstray")
             case Mode.SERVE | Mode.SHED:
                 await self._answer_whole(source, path, body)
