--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := core daemon client testkit
 
-.PHONY: setup demo test lint format bench clean
+.PHONY: setup demo test lint format bench soak clean
 
 setup: $(VENV)/.installed
 
@@ -32,5 +32,8 @@
 bench: setup
 	$(BIN)/python -m plankspindle_testkit.bench
 
+soak: setup
+	$(BIN)/python -m plankspindle_testkit.soak --minutes 5
+
 clean:
 	rm -rf $(VENV) build
--- a/packages/testkit/src/plankspindle_testkit/soak/soak.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak.py
@@ -34,7 +34,6 @@
 CHECK_PERIOD_S = 1.0
 START_S = 30.0
 RECOVERY_S = 15.0
-"""Time after the last fault in which everything must serve again."""
 CALM_S = 5.0
 """Time after that for which it is watched."""
 CALLERS_A_VM = 2
@@ -54,12 +53,15 @@
         Its faults, in the order of time.
     first_port : int
         Where its ports begin.
+    recovery_s : float
+        Time after the last fault in which everything must serve again, in seconds.
     """
 
     seed: int
     vms: int
     faults: tuple[SoakFault, ...]
     first_port: int = 20_000
+    recovery_s: float = RECOVERY_S
 
 
 @frozen(kw_only=True)
@@ -233,7 +235,7 @@
         self.seen.ends.append((vm, status, last))
 
     async def _check_recovery(self) -> Broken | None:
-        await sleep(RECOVERY_S)
+        await sleep(self.plan.recovery_s)
         calm_from = self.striker.now()
         await sleep(CALM_S)
         broken = await self._look()
--- /dev/null
+++ b/packages/testkit/tests/soak/test_soak_fault.py
@@ -0,0 +1,66 @@
+"""Tests of the faults of a soak."""
+
+from __future__ import annotations
+
+import pytest
+
+from plankspindle_testkit.soak import soak_fault as f
+from plankspindle_testkit.soak.__main__ import load_regressions
+from plankspindle_testkit.soak.link_proxy import LinkState
+
+VMS = ["a", "b"]
+UPSTREAMS = ["u", "v"]
+
+
+def draw(seed: int, seconds: float = 60.0) -> list[f.SoakFault]:
+    return f.draw_faults(seed, seconds=seconds, vms=VMS, upstreams=UPSTREAMS)
+
+
+def test_a_seed_draws_the_same_faults_each_time() -> None:
+    assert draw(5) == draw(5)
+    assert draw(5) != draw(6)
+
+
+def test_seeds_draw_every_kind_on_every_target_in_the_order_of_time() -> None:
+    faults = [each for seed in range(60) for each in draw(seed)]
+    kinds = {each.kind for each in faults}
+    assert kinds == {
+        *f.OF_VMS,
+        *f.OF_PLATFORM,
+        *f.OF_UPSTREAMS,
+        *f.OF_LINKS,
+        *f.OF_OPERATORS,
+    }
+    links = {each.target for each in faults if ":" in each.target}
+    assert links == {
+        "caller:a",
+        "caller:b",
+        "store:a",
+        "store:b",
+        "upstream:u",
+        "upstream:v",
+    }
+    for seed in range(5):
+        times = [each.at for each in draw(seed)]
+        assert times == sorted(times)
+
+
+def test_states_of_links_have_a_kind_of_fault() -> None:
+    states = {each.value for each in LinkState} - {"passes"}
+    assert states == set(f.OF_LINKS) - {"silence"}
+
+
+def test_a_schedule_is_read_as_it_was_written() -> None:
+    faults = draw(3)
+    assert f.read_schedule(f.write_schedule(faults)) == faults
+
+
+@pytest.mark.parametrize("line", ["{", "[]", '{"kind": "kill"}', '{"other": 1}'])
+def test_a_line_that_is_no_fault_is_named(line: str) -> None:
+    good = f.write_schedule(draw(1)[:1])
+    with pytest.raises(ValueError, match="line 2 is no fault"):
+        f.read_schedule(good + line + "\n")
+
+
+def test_regressions_can_be_read() -> None:
+    assert all(isinstance(seed, int) for seed, _ in load_regressions())
