Soak: a drain no longer excuses the work that it should end

Found on reading the soak as a newcomer: the fault 'drain' counted as a disturbance of all VMs, and a drain was judged only while none was disturbed, so 'drained gets nothing new' could not fail. Faults of upstreams, operators and the platform excused late answers of all VMs for 31 s and more as well, and 'accepted is in force' compared with the newest version of any VM, so nothing was seen where all lacked it. Now a fault tells what it disturbs (tests failed first: a drain that is only pretended was not seen); operators, upstreams and SIGHUP excuse nothing; only planned stops excuse the 25 s they may take; the accepted version is that of the last confirmed plan; drains that were watched are counted.

--- a/packages/testkit/src/plankspindle_testkit/soak/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/__main__.py
@@ -78,19 +78,21 @@
     """Sums over the soaks of a run."""
 
     def __init__(self) -> None:
-        self.soaks = self.requests = self.checks = 0
+        self.soaks = self.requests = self.checks = self.drains_watched = 0
         self.struck_by_kind: Counter[str] = Counter()
 
     def add(self, verdict: SoakVerdict) -> None:
         self.soaks += 1
         self.requests += verdict.requests
         self.checks += verdict.checks
+        self.drains_watched += verdict.drains_watched
         self.struck_by_kind += verdict.struck_by_kind
 
     def text(self) -> str:
         kinds = ", ".join(f"{k} {n}" for k, n in sorted(self.struck_by_kind.items()))
         return (
             f"held: soaks={self.soaks} requests={self.requests} checks={self.checks}"
+            f" drains_watched={self.drains_watched}"
             f" faults={self.struck_by_kind.total()} ({kinds})"
         )
 
--- a/packages/testkit/src/plankspindle_testkit/soak/promises.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/promises.py
@@ -85,8 +85,8 @@
         What callers learned.
     runs_by_mark : Counter of str
         Executions at all upstreams.
-    struck_by_vm : dict of str to list of (float, float)
-        Times in which a VM, its links or the platform were disturbed.
+    spans_by_struck : dict of str to list of (float, float)
+        Times in which a VM, an upstream, their links or the platform were disturbed.
     versions_by_life : dict of (str, int) to list of int
         Versions in force that each life of a process showed, in order.
     ends : list of (str, int, str)
@@ -95,23 +95,26 @@
         Requests that a planned stop cut off.
     drained_runs : list of (str, int)
         Runs that a drained upstream began after the bound.
+    drains_watched : int
+        Drains that no other fault met, so that such runs count.
     open_marks : set of str
         Requests of which a try may be on its way.
     """
 
     told: list[Told] = Factory(list)
     runs_by_mark: Counter[str] = Factory(Counter)
-    struck_by_vm: dict[str, list[tuple[float, float]]] = Factory(dict)
+    spans_by_struck: dict[str, list[tuple[float, float]]] = Factory(dict)
     versions_by_life: dict[tuple[str, int], list[int]] = Factory(dict)
     ends: list[tuple[str, int, str]] = Factory(list)
     cut_off: list[tuple[str, int]] = Factory(list)
     drained_runs: list[tuple[str, int]] = Factory(list)
     open_marks: set[str] = Factory(set)
+    drains_watched: int = 0
     checks: int = 0
 
-    def is_struck(self, vm: str, begin: float, end: float) -> bool:
-        """Tell whether a VM was disturbed at some time."""
-        spans = self.struck_by_vm.get(vm, ())
+    def is_struck(self, name: str, begin: float, end: float) -> bool:
+        """Tell whether a VM, an upstream or the platform was disturbed at some time."""
+        spans = self.spans_by_struck.get(name, ())
         return any(first <= end and begin <= last for first, last in spans)
 
 
--- a/packages/testkit/src/plankspindle_testkit/soak/soak.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak.py
@@ -72,8 +72,9 @@
     ----------
     broken : Broken or None
         The first broken promise.
-    requests, checks : int
-        Requests that were sent, and times that all promises were checked.
+    requests, checks, drains_watched : int
+        Requests that were sent, times that all promises were checked, and drains that
+        no other fault met.
     struck_by_kind : Counter of str
         Faults that happened.
     folder : Path
@@ -83,6 +84,7 @@
     broken: Broken | None
     requests: int
     checks: int
+    drains_watched: int
     struck_by_kind: Counter[str]
     folder: Path
 
@@ -131,6 +133,7 @@
             broken=broken,
             requests=len(self.seen.told),
             checks=self.seen.checks,
+            drains_watched=self.seen.drains_watched,
             struck_by_kind=self.striker.struck_by_kind,
             folder=self.processes.folder,
         )
@@ -246,11 +249,13 @@
             state = await self._state(place.name)
             versions[place.name] = -1 if state is None else _version_of(state)
             connections[place.name] = "" if state is None else _connections(state)
-        accepted = max(versions.values())
         pids = {each.name: self._pid(each.name) for each in self.layout.places}
         checks = [
             *check_end(
-                self.seen, calm_from=calm_from, versions=versions, accepted=accepted
+                self.seen,
+                calm_from=calm_from,
+                versions=versions,
+                accepted=self.striker.accepted,
             ),
             *check_growth(
                 {vm: _resident_kb(pid) for vm, pid in pids.items()},
--- a/packages/testkit/src/plankspindle_testkit/soak/soak_fault.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak_fault.py
@@ -30,6 +30,8 @@
 )
 OF_OPERATORS = ("drain", "storm", "race")
 LINKS = ("caller", "store", "upstream")
+PLATFORM = "platform"
+"""Name by which the platform is disturbed."""
 
 
 @frozen(kw_only=True)
@@ -51,6 +53,26 @@
     kind: str
     target: str = ""
 
+    def disturbs(self, vms: Sequence[str]) -> list[str]:
+        """Name what may be late by it: VMs, upstreams, or the platform.
+
+        Operators and upstreams that fail are no excuse for a late answer.
+
+        Parameters
+        ----------
+        vms : sequence of str
+            All entry VMs.
+        """
+        if self.kind in OF_LINKS:
+            return [self.target.partition(":")[2]]
+        if self.kind in OF_PLATFORM:
+            return [PLATFORM]
+        if self.kind in ("herd", "rolling"):
+            return list(vms)
+        if self.kind in OF_VMS and self.kind != "hup":
+            return [self.target]
+        return []
+
 
 def draw_faults(
     seed: int, *, seconds: float, vms: Sequence[str], upstreams: Sequence[str]
--- a/packages/testkit/src/plankspindle_testkit/soak/striker.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/striker.py
@@ -23,6 +23,7 @@
 from plankspindle_testkit.soak.soak_fault import OF_LINKS
 from plankspindle_testkit.soak.soak_fault import OF_UPSTREAMS
 from plankspindle_testkit.soak.soak_fault import OF_VMS
+from plankspindle_testkit.soak.soak_fault import PLATFORM
 
 if TYPE_CHECKING:
     from plankspindle_testkit.soak.soak_fault import SoakFault
@@ -76,6 +77,7 @@
     lives_by_vm: Counter[str] = field(factory=Counter)
     started_at_by_vm: dict[str, float] = field(factory=dict)
     applied: int = 0
+    accepted: int = 0
 
     def now(self) -> float:
         """Seconds of the soak."""
@@ -84,9 +86,10 @@
     async def strike(self, fault: SoakFault) -> None:
         """Let one fault happen, wait for its length, and end it."""
         self.struck_by_kind[fault.kind] += 1
-        for vm in self._disturbed(fault):
-            span = (fault.at, fault.at + fault.for_s + END_S + AFTER_S)
-            self.seen.struck_by_vm.setdefault(vm, []).append(span)
+        ending_s = END_S if fault.kind in ("term", "rolling") else 0.0
+        span = (fault.at, fault.at + fault.for_s + ending_s + AFTER_S)
+        for name in fault.disturbs([place.name for place in self.layout.places]):
+            self.seen.spans_by_struck.setdefault(name, []).append(span)
         await self._carry_out(fault.kind, fault.target, fault.for_s)
 
     async def _carry_out(self, kind: str, target: str, for_s: float) -> None:
@@ -119,17 +122,6 @@
             case _:
                 await self._strike_vm(kind, target, for_s)
 
-    def _disturbed(self, fault: SoakFault) -> list[str]:
-        """Name the VMs whose answers may come late by a fault."""
-        link, _, name = fault.target.partition(":")
-        if name and link != "upstream":
-            return [name]
-        if fault.kind in ("kill", "term", "stop"):
-            return [fault.target]
-        if fault.kind == "hup":
-            return []
-        return [place.name for place in self.layout.places]
-
     async def start_vm(self, name: str) -> None:
         """Start a process on a VM, unless one runs there."""
         process = self.processes.by_name.get(name)
@@ -228,6 +220,8 @@
             path = f"/v1/plans/{made['id']}/confirm"
             confirmed = await self._post(place.operator, path, {})
             if confirmed is not None and confirmed.get("state") == "accepted":
+                version = int(confirmed["base_version"]) + 1
+                self.accepted = max(self.accepted, version)
                 return True
         return False
 
@@ -277,12 +271,13 @@
         await sleep(for_s)
         after = await self.runs_of(name)
         began = sum((after - before).values())
-        calm = not any(
-            self.seen.is_struck(place.name, begin, self.now())
-            for place in self.layout.places
-        )
-        if began and calm and applied == self.applied:
-            self.seen.drained_runs.append((name, began))
+        concerned = [name, PLATFORM, *(place.name for place in self.layout.places)]
+        end = self.now()
+        calm = not any(self.seen.is_struck(each, begin, end) for each in concerned)
+        if calm and applied == self.applied:
+            self.seen.drains_watched += 1
+            if began:
+                self.seen.drained_runs.append((name, began))
         await self.put_in_force({"kind": "undo-drain", "drain_id": "soak"})
 
     async def runs_of(self, upstream: str) -> Counter[str]:
--- a/packages/testkit/tests/soak/test_promises.py
+++ b/packages/testkit/tests/soak/test_promises.py
@@ -76,9 +76,9 @@
     told = evolve(READ, outcome=None, told_at=14.0)
     seen = Observations(told=[told])
     assert broken(seen) == ["answered"]
-    seen.struck_by_vm["a"] = [(11.0, 12.0)]
+    seen.spans_by_struck["a"] = [(11.0, 12.0)]
     assert broken(seen) == []
-    seen.struck_by_vm["a"] = [(0.0, 5.0)]
+    seen.spans_by_struck["a"] = [(0.0, 5.0)]
     assert broken(seen) == ["answered"]
 
 
--- a/packages/testkit/tests/soak/test_soak.py
+++ b/packages/testkit/tests/soak/test_soak.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+from typing import Any
+
 import curio
 
 from plankspindle_testkit.soak.soak import Soak
 from plankspindle_testkit.soak.soak import SoakPlan
 from plankspindle_testkit.soak.soak import SoakVerdict
 from plankspindle_testkit.soak.soak_fault import SoakFault
+from plankspindle_testkit.soak.striker import Striker
+
+if TYPE_CHECKING:
+    import pytest
 
 FAULTS = (
     SoakFault(at=0.5, for_s=1.0, kind="close-after-run", target="u0-ba-1"),
@@ -48,3 +55,30 @@
     broken = curio.run(run).broken
     assert broken is not None
     assert broken.promise == "runs on"
+
+
+def watch_a_drain(first_port: int) -> SoakVerdict:
+    drain = SoakFault(at=0.2, for_s=1.0, kind="drain")
+    plan = SoakPlan(
+        seed=1, vms=2, faults=(drain,), first_port=first_port, recovery_s=1.0
+    )
+    verdict: SoakVerdict = curio.run(Soak(plan=plan).run)
+    return verdict
+
+
+def test_a_drain_on_a_calm_fleet_is_watched() -> None:
+    verdict = watch_a_drain(32_000)
+    assert verdict.broken is None
+    assert verdict.drains_watched == 1
+
+
+def test_work_at_a_drained_upstream_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    put_in_force = Striker.put_in_force
+
+    async def pretend(striker: Striker, intent: dict[str, Any]) -> bool:
+        return intent["kind"] != "apply" or await put_in_force(striker, intent)
+
+    monkeypatch.setattr(Striker, "put_in_force", pretend)
+    broken = watch_a_drain(33_000).broken
+    assert broken is not None
+    assert broken.promise == "drained gets nothing new"
--- a/packages/testkit/tests/soak/test_soak_fault.py
+++ b/packages/testkit/tests/soak/test_soak_fault.py
@@ -45,6 +45,24 @@
         assert times == sorted(times)
 
 
+def disturbed(kind: str, target: str = "") -> list[str]:
+    fault = f.SoakFault(at=0.0, for_s=1.0, kind=kind, target=target)
+    return fault.disturbs(["a", "b"])
+
+
+def test_a_fault_disturbs_what_it_strikes() -> None:
+    assert disturbed("kill", "a") == ["a"]
+    assert disturbed("delays", "store:b") == ["b"]
+    assert disturbed("delays", "upstream:u") == ["u"]
+    assert disturbed("herd") == disturbed("rolling") == ["a", "b"]
+    assert {name for kind in f.OF_PLATFORM for name in disturbed(kind)} == {f.PLATFORM}
+
+
+@pytest.mark.parametrize("kind", [*f.OF_OPERATORS, *f.OF_UPSTREAMS, "hup"])
+def test_what_may_not_delay_answers_disturbs_no_vm(kind: str) -> None:
+    assert disturbed(kind, "u") == []
+
+
 def test_states_of_links_have_a_kind_of_fault() -> None:
     states = {each.value for each in LinkState} - {"passes"}
     assert states == set(f.OF_LINKS) - {"silence"}
