--- a/Makefile
+++ b/Makefile
@@ -21,13 +21,13 @@
 	$(BIN)/python -m pytest
 
 lint: setup
-	$(BIN)/ruff format --check packages platform tests
-	$(BIN)/ruff check packages platform tests
+	$(BIN)/ruff format --check packages platform tests conftest.py
+	$(BIN)/ruff check packages platform tests conftest.py
 	$(BIN)/mypy packages/core/src packages/daemon/src packages/client/src packages/testkit/src platform/plankspindle_platform
 
 format: setup
-	$(BIN)/ruff format packages platform tests
-	$(BIN)/ruff check --fix packages platform tests
+	$(BIN)/ruff format packages platform tests conftest.py
+	$(BIN)/ruff check --fix packages platform tests conftest.py
 
 bench: setup
 	$(BIN)/python -m plankspindle_testkit.bench
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,46 @@
+"""A test of the list may fail, no other may, and none of the list may pass."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+CONFTEST = Path(__file__).parents[1] / "conftest.py"
+TESTS = "def test_red():\n    assert False\n\ndef test_green():\n    pass\n"
+
+
+def run(folder: Path, listed: str) -> tuple[int, str]:
+    (folder / "conftest.py").write_text(CONFTEST.read_text())
+    (folder / "test_them.py").write_text(TESTS)
+    (folder / "KNOWN-RED.txt").write_text(listed)
+    (folder / "pytest.ini").write_text("[pytest]\n")
+    command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"]
+    ended = subprocess.run(command, cwd=folder, capture_output=True, text=True)
+    return ended.returncode, ended.stdout + ended.stderr
+
+
+def test_a_listed_test_may_fail_and_is_printed(tmp_path: Path) -> None:
+    status, told = run(tmp_path, "test_them.py::test_red | it can't yet | issue 1\n")
+    assert status == 0
+    assert "XFAIL test_them.py::test_red - it can't yet (issue 1)" in told
+
+
+def test_a_test_that_is_not_listed_may_not_fail(tmp_path: Path) -> None:
+    assert run(tmp_path, "")[0] == 1
+
+
+def test_a_listed_test_may_not_pass(tmp_path: Path) -> None:
+    red = "test_them.py::test_red | it can't yet | issue 1\n"
+    status, told = run(tmp_path, red + "test_them.py::test_green | mended | issue 2\n")
+    assert status == 1
+    assert "test_green" in told
+
+
+@pytest.mark.parametrize("line", ["test", "test | cause", "a | b | ", "a | b | c | d"])
+def test_a_line_that_says_too_little_ends_the_run(tmp_path: Path, line: str) -> None:
+    status, told = run(tmp_path, line + "\n")
+    assert status != 0
+    assert "KNOWN-RED.txt:1: not TEST | CAUSE | ISSUE" in told
