SIGHUP does not end a process that still imports

The signal was ignored from run_daemon on only; imports take a second before it. Ruled out: the planned stop before (its log ends with event=stopped, status 0). Both entry points now ignore it before they import anything slow.

--- a/packages/testkit/src/plankspindle_testkit/processes.py
+++ b/packages/testkit/src/plankspindle_testkit/processes.py
@@ -83,7 +83,7 @@
         mapping = build_settings_mapping(place, platform=platform, **sections)
         path = self.folder / f"{place.name}.yaml"
         path.write_text(yaml.safe_dump(mapping), encoding="utf-8")
-        entry = "from plankspindle_daemon.console.application import main; main()"
+        entry = "from plankspindle_daemon.console.entry_point import main; main()"
         command = [sys.executable, "-c", entry, "run", str(path)]
         self._start(place.name, command, reads_log=reads_log)
 
