Let a hot key overflow to the upstream that answered for it before

An entry VM now remembers for 15 s which upstreams answered it for a key, and takes these for warm: the first overflow misses, later ones do not, and only hot keys have a second place. What is remembered is bounded (8,192 places).

--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -362,6 +362,7 @@
             case Verdict.ANSWERED:
                 upstream.health.note_success(now)
                 self._note_durations(upstream, ended, now)
+                self._note_seen(upstream, ended, now)
             case Verdict.SHED:
                 upstream.note_shed(now)
             case Verdict.MISDIRECTED:
@@ -414,6 +415,11 @@
         )
         upstream.note_latency(relative, now)
 
+    def _note_seen(self, upstream: UpstreamState, ended: Ended, now: float) -> None:
+        key = ended.ticket.affinity
+        if key is not None and self.placement is not None:
+            self.placement.note_seen(key, upstream.name, now)
+
     def _rtt_s(self, upstream: UpstreamState) -> float:
         """Give the part of a duration that is the way there and back, in seconds."""
         if self.placement is None:
--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -44,6 +44,13 @@
 """Upstreams of the own region, and of the others, that a key knows by rank."""
 MAX_KEYS = 4_096
 """Affinity keys whose order of upstreams is remembered."""
+SEEN_S = 15.0
+"""Time for which an upstream that answered for a key is taken to know it, seconds.
+
+A key that overflows to a second upstream does so every few seconds while it is hot.
+"""
+MAX_SEEN = 2 * MAX_KEYS
+"""Keys at upstreams that are remembered as seen."""
 
 
 @frozen(kw_only=True)
@@ -117,7 +124,8 @@
     Requests with one affinity key prefer one upstream, chosen by rendezvous hashing
     among those of the own region or of all others, as the plan says, so that the entry
     VMs of a region agree without talking. Any other upstream counts as one that has not
-    seen the key.
+    seen the key, until it has answered this VM for it: a key that is too hot for one
+    upstream then goes on to the second by which it overflowed before.
     """
 
     distances: MeasuredDistances
@@ -126,6 +134,7 @@
     plan: RegionPlan = Factory(RegionPlan)
     _domain_by_name: dict[str, str] = Factory(dict)
     _orders_by_key: dict[str, _KeyOrders] = field(factory=dict)
+    _seen_at_by_place: dict[tuple[str, str], float] = field(factory=dict)
 
     def use(self, domain_by_name: Mapping[str, str]) -> None:
         """Take the upstreams that stay, with their failure domains."""
@@ -203,8 +212,9 @@
                     self._weigh(choice, query, upstream, is_hit=True)
             return choice.place
         known = self._present_order(query.ticket, by_name, query.now)
-        for name, is_hit in known.items():
+        for name, is_planned in known.items():
             upstream = by_name[name]
+            is_hit = is_planned or self._has_seen(query, name)
             if fits(upstream) and (is_hit or _load(upstream, query.now) <= SECOND_LOAD):
                 self._weigh(choice, query, upstream, is_hit=is_hit)
         if choice.cost[0] <= query.missed_s:
@@ -216,6 +226,23 @@
                 self._weigh(choice, query, upstream, is_hit=False)
         return choice.place
 
+    def _has_seen(self, query: _Query, upstream: str) -> bool:
+        """Tell whether an upstream answered this VM for the key a while ago."""
+        place = (query.ticket.affinity or "", upstream)
+        seen_at = self._seen_at_by_place.get(place)
+        return seen_at is not None and query.now - seen_at < SEEN_S
+
+    def note_seen(self, key: str, upstream: str, now: float) -> None:
+        """Record that an upstream answered for a key."""
+        if len(self._seen_at_by_place) >= MAX_SEEN:
+            self._seen_at_by_place = {
+                place: at
+                for place, at in self._seen_at_by_place.items()
+                if now - at < SEEN_S
+            }
+        if len(self._seen_at_by_place) < MAX_SEEN:
+            self._seen_at_by_place[key, upstream] = now
+
     def explain(
         self,
         ticket: Ticket,
--- a/packages/daemon/tests/dispatch/test_placement.py
+++ b/packages/daemon/tests/dispatch/test_placement.py
@@ -8,6 +8,8 @@
 from attrs import evolve
 
 from plankspindle_daemon.dispatch.measured_distances import MeasuredDistances
+from plankspindle_daemon.dispatch.placement import MAX_SEEN
+from plankspindle_daemon.dispatch.placement import SEEN_S
 from plankspindle_daemon.dispatch.placement import Place
 from plankspindle_daemon.dispatch.placement import Placement
 from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
@@ -130,6 +132,30 @@
     assert choose(placement, upstreams, "k").upstream is upstreams["a"]
 
 
+def test_a_hot_key_goes_on_to_the_upstream_by_which_it_overflowed_before() -> None:
+    upstreams = build_upstreams(a="ba_1", b="ba_1")
+    placement = build_placement(upstreams)
+    first = choose(placement, upstreams, "k").upstream
+    (second,) = (each for each in upstreams.values() if each is not first)
+    load(first, 4)
+    assert choose(placement, upstreams, "k").upstream is first
+    placement.note_seen("k", second.name, -SEEN_S - 1)
+    assert choose(placement, upstreams, "k").upstream is first
+    placement.note_seen("k", second.name, -SEEN_S + 1)
+    chosen = choose(placement, upstreams, "k")
+    assert chosen.upstream is second
+    assert chosen.is_hit
+
+
+def test_what_keys_are_known_to_be_seen_at_is_bounded() -> None:
+    placement = build_placement(build_upstreams(a="ba_1"))
+    for number in range(MAX_SEEN + 100):
+        placement.note_seen(f"k{number}", "a", 0.001 * number)
+    assert len(placement._seen_at_by_place) <= MAX_SEEN
+    placement.note_seen("late", "a", 1_000.0)
+    assert list(placement._seen_at_by_place) == [("late", "a")]
+
+
 def test_keys_that_the_plan_sends_out_have_one_upstream_at_all_entry_vms() -> None:
     upstreams = build_upstreams(a="ba_1", b="ba_2", x="ke_1", y="ke_1", z="zi_1")
     for number in range(20):
