Share reads of the platform among the entry VMs of a failure domain

Ruled out: longer waits (a lost call must be noticed within the bounds on changes), the product's readers by heartbeats (each 3.2 s at 80 VMs). Now whoever has read tells the others of its domain how fresh that is and what has changed, and who hears one before it by name does not read. A silent reader is replaced within 1.8 periods, a third of the shortest bound each.

--- a/packages/daemon/src/plankspindle_daemon/beliefs/belief_watch.py
+++ b/packages/daemon/src/plankspindle_daemon/beliefs/belief_watch.py
@@ -40,6 +40,7 @@
     members: MemberWatch = field(factory=MemberWatch)
     plans: PlanWatch = field(factory=PlanWatch)
     _readiness: str | None = None
+    _role: str | None = None
     _part: float = 0.0
     _drains: frozenset[str] = frozenset()
     _platform_lost_at: float | None = None
@@ -63,6 +64,7 @@
             *self._platform(calls, now),
             *self._drained(node),
             *self._own(node),
+            *self._reads(node, now),
         ]
 
     def _platform(self, calls: BoundedCalls, now: float) -> Iterator[Belief]:
@@ -84,6 +86,12 @@
             yield Belief(event="drain_ended", fields={"drain": drain})
         self._drains = drains
 
+    def _reads(self, node: Node, now: float) -> Iterator[Belief]:
+        role = node.reads.role(now).value
+        if role != self._role:
+            was, self._role = self._role, role
+            yield Belief(event="platform_reads", fields={"was": was, "now": role})
+
     def _own(self, node: Node) -> Iterator[Belief]:
         readiness = node.readiness().value
         if readiness != self._readiness:
--- a/packages/daemon/src/plankspindle_daemon/configuration/configuration_reader.py
+++ b/packages/daemon/src/plankspindle_daemon/configuration/configuration_reader.py
@@ -46,13 +46,17 @@
     """Reads accepted versions of the configuration."""
 
     async def read_newer(
-        self, version: int
+        self, version: int, wait_s: float | None = None
     ) -> Result[AcceptedVersion | None, NotReadable]:
         """Read the newest version if it is higher than a given one.
 
-        Notes
-        -----
-        It may wait for a newer one for a while.
+        Parameters
+        ----------
+        version : int
+            The given one.
+        wait_s : float, optional
+            Longest time to wait for a newer one, where the platform tells of changes;
+            the reader's own if not given.
         """
 
 
@@ -69,7 +73,7 @@
     platform: PlatformClient
 
     async def read_newer(
-        self, version: int
+        self, version: int, wait_s: float | None = None
     ) -> Result[AcceptedVersion | None, NotReadable]:
         """Read the newest version if it is higher than a given one.
 
@@ -77,12 +81,15 @@
         ----------
         version : int
             Version in force.
+        wait_s : float, optional
+            Not used: the product's own platform does not tell of changes.
 
         Returns
         -------
         Result
             The newer version, None if there is none, or why it could not be read.
         """
+        del wait_s
         row = await self.platform.read_row(HEAD_KEY)
         if row.is_err():
             return Err(NotReadable(row.unwrap_err().detail))
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -173,6 +173,7 @@
             effects=self._effects,
             period_s=timing.live_list_ms / 1000,
         )
+        self._effects.take_news = self._lists.take_news
         self._presence = PresenceKeeper(node=self.node, presence=self._ports.presence)
 
     def _make_callers(self, requests: RequestMetrics, random: Random) -> CallerListener:
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -328,7 +328,7 @@
         meter, now = self.node.meter, monotonic()
         caller_key = identity.caller or source.peer_host
         chosen = meter.choose(service=request.service, caller_key=caller_key, now=now)
-        if not isinstance(chosen, Move) or not self.node.head.is_fresh(now):
+        if not isinstance(chosen, Move) or not self.node.versions.head.is_fresh(now):
             return None
         held = self.node.headroom.grants.use(
             service=request.service, region=chosen.to_region, now=now
--- a/packages/daemon/src/plankspindle_daemon/node/configuration_follower.py
+++ b/packages/daemon/src/plankspindle_daemon/node/configuration_follower.py
@@ -11,6 +11,7 @@
 from plankspindle_daemon.configuration.configuration_reader import ReaderPort
 from plankspindle_daemon.node.effect_runner import EffectRunner
 from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.sharing.shared_reads import LOOK_S
 
 RETRY_S = 0.2
 """Pause after a read that failed; the circuit breaker bounds the calls themselves."""
@@ -44,21 +45,34 @@
     async def run(self) -> None:
         """Follow for ever."""
         while True:
-            pause_s = self.period_s if self._unread is None else RETRY_S
-            await sleep(pause_s * self.node.random.uniform(0.8, 1.2))
-            if self.all_read or self.node.is_reader(monotonic()):
+            await sleep(self._pause_s() * self.node.random.uniform(0.8, 1.2))
+            if self._is_to_read(monotonic()):
                 await self._read()
 
+    def _pause_s(self) -> float:
+        if self._unread is not None:
+            return RETRY_S
+        reads = not self.all_read or self._is_to_read(monotonic())
+        return self.period_s if reads else LOOK_S
+
+    def _is_to_read(self, now: float) -> bool:
+        if not self.all_read:
+            return self.node.versions.is_reader(now)
+        return self.node.reads.reads_configuration(self.node.version, now)
+
     async def _read(self) -> None:
-        read = await self.reader.read_newer(self.node.version)
+        wait_s = self.node.reads.configuration_wait_s(monotonic())
+        read = await self.reader.read_newer(self.node.version, wait_s)
         if read.is_err():
             self._note_unread(read.unwrap_err().detail)
             return
         self._unread = None
-        self.node.head.note_read(monotonic())
+        self.node.versions.head.note_read(monotonic())
         newer = read.unwrap()
         if newer is not None:
             await self.effects.adopt(newer)
+        told = self.node.reads.note_configuration_read(self.node.version, monotonic())
+        await self.effects.perform([*told])
 
     def _note_unread(self, detail: str) -> None:
         """Log what is in the way, once until a read succeeds."""
--- a/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Awaitable
 from collections.abc import Callable
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -22,6 +23,7 @@
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomGrant
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+from plankspindle_daemon.peer_messages.list_news import ListNews
 from plankspindle_daemon.peer_messages.load_digest import LoadDigest
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
@@ -50,12 +52,15 @@
         What carries out the effects of dispatchers.
     leave : callable
         Begins the planned stop, for a reason.
+    take_news : callable, optional
+        Takes what another entry VM has read of the platform.
     """
 
     node: Node
     peers: PeerLink
     dispatch: DispatchRunner
     leave: Callable[[str], None]
+    take_news: Callable[[ListNews], Awaitable[None]] | None = None
 
     async def perform(self, effects: list[NodeEffect]) -> None:
         """Carry out effects in order."""
@@ -81,24 +86,37 @@
                 await self.perform(
                     self.node.take_membership(event, now=monotonic(), wall=time.time())
                 )
-            case SlotRequest():
-                effects = self.node.take_slot_request(message, sender, monotonic())
-                await self.perform(effects)
             case ContentRequest():
-                await self.perform(self.node.take_content_request(message, sender))
+                await self.perform([*self.node.versions.answer(message, sender)])
             case ContentChunk():
                 await self._take_chunk(message)
+            case ListNews():
+                if self.take_news is not None:
+                    await self.take_news(message)
+            case LoadDigest():
+                self.node.digests.take(message, monotonic())
+            case SlotRequest() | SlotGrant() | HeadroomRequest() | HeadroomGrant():
+                await self._receive_loan(message, sender)
+
+    async def _receive_loan(
+        self,
+        message: SlotRequest | SlotGrant | HeadroomRequest | HeadroomGrant,
+        sender: Endpoint,
+    ) -> None:
+        """Take what is asked or given of slots and headroom."""
+        match message:
+            case SlotRequest():
+                effects = self.node.take_slot_request(message, sender, monotonic())
+                await self.perform(effects)
+            case SlotGrant():
+                service = self.node.service_of(message.upstream)
+                await self.dispatch.tell(service, SlotsGranted(message))
             case HeadroomRequest():
                 await self.perform(
                     self.node.take_headroom_request(message, sender, monotonic())
                 )
             case HeadroomGrant():
                 self.node.headroom.grants.take_grant(message, monotonic())
-            case LoadDigest():
-                self.node.digests.take(message, monotonic())
-            case SlotGrant():
-                service = self.node.service_of(message.upstream)
-                await self.dispatch.tell(service, SlotsGranted(message))
 
     async def _take_chunk(self, chunk: ContentChunk) -> None:
         before = self.node.version
--- a/packages/daemon/src/plankspindle_daemon/node/list_follower.py
+++ b/packages/daemon/src/plankspindle_daemon/node/list_follower.py
@@ -4,6 +4,7 @@
 
 import time
 from time import monotonic
+from typing import TYPE_CHECKING
 from typing import Any
 
 from attrs import define
@@ -15,6 +16,14 @@
 from plankspindle_daemon.node.effect_runner import EffectRunner
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.platform.platform_client import PlatformClient
+from plankspindle_daemon.sharing.shared_reads import LOOK_S
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from plankspindle_daemon.peer_messages.list_news import ListNews
+    from plankspindle_daemon.platform.errors import PlatformUnavailable
+    from plankspindle_daemon.platform.live_list import ListedVm
 
 RETRY_S = 1.0
 LIST_VMS_PER_S = 50.0
@@ -47,22 +56,80 @@
     async def run(self) -> None:
         """Follow for ever."""
         while True:
-            self._task = await spawn(self.platform.read_live_list, daemon=True)
-            await self._task.wait()
-            if self._task.cancelled:
+            if not self.node.reads.reads_list(monotonic()):
+                await sleep(LOOK_S)
+                continue
+            read = await self._read()
+            if read is None:
                 self.node.services.listed.note_failed()
                 continue
-            read = self._task.result
             if read.is_err():
                 self._note_unread(read.unwrap_err().detail)
                 await self._pause(RETRY_S)
                 continue
             self._is_unread = False
-            event = LiveListRead(tuple(read.unwrap()))
-            await self.effects.perform(
-                self.node.take_membership(event, now=monotonic(), wall=time.time())
+            await self._take_read(read.unwrap())
+            shared_s = self.node.reads.list_pause_s(monotonic())
+            await self._pause(self._stretched_s() if shared_s is None else shared_s)
+
+    async def _read(self) -> Result[list[ListedVm], PlatformUnavailable] | None:
+        """Read the list; None if the read was given up."""
+        reads = self.node.reads
+        wait_s = reads.list_wait_s(monotonic())
+        reads.is_reading = True
+        self._task = await spawn(self.platform.read_live_list, wait_s, daemon=True)
+        await self._task.wait()
+        reads.is_reading = False
+        if self._task.cancelled:
+            return None
+        read: Result[list[ListedVm], PlatformUnavailable] = self._task.result
+        return read
+
+    async def _take_read(self, vms: list[ListedVm]) -> None:
+        listed = self.node.services.listed
+        await self._take(vms)
+        now = monotonic()
+        news = self.node.reads.note_list_read(
+            vms,
+            version=self.platform.list_version,
+            configuration_version=self.node.version,
+            after_gap=listed.is_lenient(now),
+            now=now,
+        )
+        await self.effects.perform([*news])
+
+    async def _take(self, vms: list[ListedVm]) -> None:
+        event = LiveListRead(tuple(vms))
+        await self.effects.perform(
+            self.node.take_membership(event, now=monotonic(), wall=time.time())
+        )
+
+    async def take_news(self, news: ListNews) -> None:
+        """Take what another entry VM has read of the platform."""
+        if not self.node.reads.knows(news.sender):
+            return
+        now = monotonic()
+        self.node.versions.head.note_heard(news.configuration_age_ms, now)
+        listed = self.node.services.listed
+        change = self.node.reads.take_news(news, now)
+        if change is not None:
+            if news.after_gap:
+                listed.note_failed()
+            vms = self.platform.take_list_change(
+                version=change.version, changed=change.changed, gone=change.gone
             )
-            await self._pause(self._stretched_s())
+            await self._take(vms)
+        elif self.node.reads.is_told_current(news):
+            if listed.is_to_be_taken_again:
+                await self._take(list(self.node.membership.listed_by_name.values()))
+            listed.note_current(now)
+        await self.effects.perform(
+            [
+                *self.node.versions.hear_version(
+                    news.sender, news.configuration_version, now
+                )
+            ]
+        )
 
     async def read_anew(self) -> None:
         """Give up a read that may have waited through a pause of the process."""
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -15,10 +15,7 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.invariants import check_invariant
 from plankspindle_daemon.admission.caller_directory import CallerDirectory
-from plankspindle_daemon.configuration.head_watch import HeadWatch
-from plankspindle_daemon.configuration.spread_targets import spread_targets
 from plankspindle_daemon.configuration.version_exchange import LearnedContent
-from plankspindle_daemon.configuration.version_exchange import VersionExchange
 from plankspindle_daemon.digests.domain_talk import DomainTalk
 from plankspindle_daemon.dispatch import messages as dispatch
 from plankspindle_daemon.dispatch.service_book import ServiceBook
@@ -28,16 +25,17 @@
 from plankspindle_daemon.leaving.leave import Leave
 from plankspindle_daemon.membership import messages as membership
 from plankspindle_daemon.membership.membership import Membership
-from plankspindle_daemon.membership.messages import SendHeartbeat
 from plankspindle_daemon.node.effects import BeginLeaving
 from plankspindle_daemon.node.effects import NodeEffect
 from plankspindle_daemon.node.effects import OfService
+from plankspindle_daemon.node.version_talk import VersionTalk
 from plankspindle_daemon.peer_messages.heartbeat import EVERY_UPSTREAM
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
-from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_daemon.retries.retry_budget import RetryBudget
 from plankspindle_daemon.routes.route_table import RouteTable
+from plankspindle_daemon.sharing.reader_group import ReaderGroup
+from plankspindle_daemon.sharing.shared_reads import SharedReads
 from plankspindle_daemon.shifts.shift_meter import ShiftMeter
 from plankspindle_daemon.steering.entry_vms import known_entry_vms
 from plankspindle_daemon.steering.steering import EntryVm
@@ -45,15 +43,12 @@
 from plankspindle_daemon.upstreams.share_keeper import ShareKeeper
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from plankspindle_daemon.digests.digest_book import DigestBook
     from plankspindle_daemon.dispatch.dispatcher import Dispatcher
     from plankspindle_daemon.dispatch.messages import DispatchEvent
     from plankspindle_daemon.membership.messages import MembershipEffect
     from plankspindle_daemon.membership.messages import MembershipEvent
     from plankspindle_daemon.peer_messages.content_messages import ContentChunk
-    from plankspindle_daemon.peer_messages.content_messages import ContentRequest
     from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
     from plankspindle_daemon.peer_messages.load_digest import LoadDigest
     from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
@@ -94,6 +89,9 @@
         seconds.
     needs_list : bool
         Whether upstreams are declared by the platform's list alone.
+    shared_read_s : float
+        Period at which entry VMs that read the platform for others do so, in seconds;
+        zero if every VM reads for itself.
 
     Attributes
     ----------
@@ -116,6 +114,7 @@
     started_at: float
     settle_s: float
     needs_list: bool = False
+    shared_read_s: float = 0.0
     configuration: Configuration | None = None
     version: int = 0
     adopted_at: float | None = None
@@ -127,10 +126,10 @@
     meter: ShiftMeter = Factory(lambda: ShiftMeter.create(region=None))
     headroom: HeadroomManager = field(init=False)
     shares: ShareKeeper = field(init=False)
-    head: HeadWatch = Factory(HeadWatch)
     talk: DomainTalk = field(init=False)
     list_read_at: float | None = None
-    versions: VersionExchange = field(init=False)
+    versions: VersionTalk = field(init=False)
+    reads: SharedReads = field(init=False)
     _sequence: int = 0
     _next_refresh: float = 0.0
     _wall_ahead_s: float = 0.0
@@ -152,7 +151,17 @@
             started_at=self.started_at,
             settle_s=self.settle_s,
         )
-        self.versions = VersionExchange(vm=self.vm)
+        self.versions = VersionTalk(
+            vm=self.vm, membership=self.membership, random=self.random
+        )
+        self.reads = SharedReads(
+            group=ReaderGroup(
+                vm=self.vm,
+                failure_domain=self.failure_domain,
+                membership=self.membership,
+            ),
+            period_s=self.shared_read_s,
+        )
         self.services = ServiceBook(
             vm=self.vm,
             failure_domain=self.failure_domain,
@@ -208,7 +217,7 @@
         before = self.version
         self.configuration = configuration
         self.version = version
-        self.versions.hold(version, encode_configuration(configuration))
+        self.versions.exchange.hold(version, encode_configuration(configuration))
         self.adopted_at = now
         check_invariant("configuration-never-reverts", self.version > before)
         self.directory = CallerDirectory(configuration=configuration)
@@ -223,55 +232,18 @@
         wall = now + self._wall_ahead_s
         self.services.use(configuration, version=version, now=now, wall=wall)
         self._refresh_steering(now)
-        return [*self._spread_version(now), *self._update_shares(now)]
+        return [*self.versions.spread(), *self._update_shares(now)]
 
     def _use_routes(self, configuration: Configuration) -> None:
         before = self.routes
         self.routes = RouteTable(routes_by_name=configuration.routes_by_name)
         self.routes.keep_divisions(before)
 
-    def _spread_version(self, now: float) -> list[NodeEffect]:
-        """Tell some members of the new version at once; heartbeats tell the rest."""
-        targets = spread_targets(
-            me=self.vm, members=self.membership.view(), random=self.random
-        )
-        members = self.membership.members_by_name
-        return [SendHeartbeat(members[name].peer_endpoint) for name in targets]
-
-    def is_reader(self, now: float) -> bool:
-        """Tell whether this VM is to poll the platform for a new version."""
-        return self.versions.is_reader(self.membership.view(), now, self.head.heard_at)
-
-    def _hear_version(self, heartbeat: Heartbeat, now: float) -> list[NodeEffect]:
-        if heartbeat.sender not in self.membership.members_by_name:
-            return []
-        self.head.note_heard(heartbeat.head_read_ago_ms, now)
-        asked = self.versions.hear_version(
-            heartbeat.sender, heartbeat.configuration_version, now
-        )
-        return self._to_member(heartbeat.sender, asked)
-
-    def _to_member(
-        self, name: str, messages: Sequence[ContentRequest]
-    ) -> list[NodeEffect]:
-        member = self.membership.members_by_name.get(name)
-        if member is None:
-            return []
-        to = member.peer_endpoint
-        return [SendToPeer(message=message, to=to) for message in messages]
-
-    def take_content_request(
-        self, request: ContentRequest, reply_to: Endpoint
-    ) -> list[NodeEffect]:
-        """Give a part of the version in force."""
-        chunk = self.versions.answer(request)
-        return [] if chunk is None else [SendToPeer(message=chunk, to=reply_to)]
-
     def take_content_chunk(self, chunk: ContentChunk, now: float) -> list[NodeEffect]:
         """Take a part of a higher version, and adopt it once it is whole."""
-        taken = self.versions.take_chunk(chunk, now).unwrap_or([])
+        taken = self.versions.take_chunk(chunk, now)
         if not isinstance(taken, LearnedContent):
-            return self._to_member(chunk.sender, taken)
+            return [*taken]
         decoded = decode_configuration(taken.content)
         if decoded.is_err():
             return []
@@ -295,7 +267,7 @@
         for effect in self.membership.handle(event, now):
             effects += self._take_effect(effect, now)
         if isinstance(event, membership.HeartbeatReceived):
-            effects += self._hear_version(event.heartbeat, now)
+            effects += self.versions.hear_heartbeat(event.heartbeat, now)
             told = event.heartbeat
             self.services.take_hints(told.silent_upstreams, told.failure_domain, now)
         if isinstance(event, membership.LiveListRead):
@@ -352,8 +324,7 @@
             self._refresh_steering(now)
             self.ids.expire(now)
             self._forget_removals(now)
-        source, asked = self.versions.tick(now)
-        effects += self._to_member(source, asked)
+        effects += self.versions.tick(now)
         return [*effects, *self._talk_to_other_domains(now)]
 
     def _apply_drains(self, *, now: float, wall: float) -> None:
@@ -455,7 +426,7 @@
             view_digest=self.membership.view_digest(),
             over_share=self._over_share(now),
             configuration_version=self.version,
-            head_read_ago_ms=self.head.ago_ms(now),
+            head_read_ago_ms=self.versions.head.ago_ms(now),
             silent_upstreams=self.services.silent_upstreams(now),
         )
 
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -75,14 +75,14 @@
 
 def _dump_configuration(node: Node, now: float) -> dict[str, Any]:
     age = None if node.adopted_at is None else round(now - node.adopted_at, 3)
-    checked = node.head.ago_s(now)
+    checked = node.versions.head.ago_s(now)
     return {
         "version": node.version,
         "in_force_for_s": age,
         "head_read_s_ago": None if checked is None else round(checked, 3),
-        "reads_platform": node.is_reader(now),
-        "learned_from_members": node.versions.learned,
-        "damaged": node.versions.damaged,
+        "reads_platform": node.versions.is_reader(now),
+        "learned_from_members": node.versions.exchange.learned,
+        "damaged": node.versions.exchange.damaged,
     }
 
 
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/peer_message.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/peer_message.py
@@ -10,6 +10,7 @@
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomGrant
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+from plankspindle_daemon.peer_messages.list_news import ListNews
 from plankspindle_daemon.peer_messages.load_digest import LoadDigest
 from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
 from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
@@ -23,6 +24,7 @@
     | LoadDigest
     | ContentRequest
     | ContentChunk
+    | ListNews
 )
 
 
--- a/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
@@ -37,11 +37,22 @@
     _read_at: float | None = None
     _failed: bool = False
     _lenient_until: float = 0.0
+    _keeps_missing: bool = False
 
     def note_failed(self) -> None:
         """Record that the list could not be read."""
         self._failed = True
 
+    def note_current(self, now: float) -> None:
+        """Record that the list is known not to have changed."""
+        if self._read_at is not None:
+            self._read_at = now
+
+    @property
+    def is_to_be_taken_again(self) -> bool:
+        """Whether the same list, taken later, would say something else."""
+        return self._failed or self._keeps_missing
+
     def is_lenient(self, now: float) -> bool:
         """Tell whether missing entries are kept for the time being."""
         return now < self._lenient_until
@@ -53,7 +64,8 @@
         self._failed = False
         self._read_at = now
         present = {each.name: each for each in listed if each.upstream is not None}
-        if self.is_lenient(now) and self._lapsed(present):
+        self._keeps_missing = self.is_lenient(now) and self._lapsed(present)
+        if self._keeps_missing:
             present = {**self.by_name, **present}
         self.by_name = present
 
--- a/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
@@ -26,6 +26,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from plankspindle_core.endpoint import Endpoint
     from plankspindle_core.http.errors import HttpError
@@ -170,8 +171,39 @@
             case status:
                 return Err(PlatformUnavailable(f"status {status}"))
 
-    async def read_live_list(self) -> Result[list[ListedVm], PlatformUnavailable]:
-        """Read the platform's list of live and leaving VMs."""
+    @property
+    def list_version(self) -> int | None:
+        """Version of the list that was read last; None if the platform gives none."""
+        return None
+
+    def take_list_change(
+        self, *, version: int, changed: Iterable[ListedVm], gone: Iterable[str]
+    ) -> list[ListedVm]:
+        """Take a change of the list from another VM, and give the whole list.
+
+        Parameters
+        ----------
+        version : int
+            Version that it leads to.
+        changed : iterable of ListedVm
+            Upstreams that are new or have changed.
+        gone : iterable of str
+            Upstreams that are no longer listed.
+        """
+        raise NotImplementedError("this platform's list has no versions")
+
+    async def read_live_list(
+        self, wait_s: float | None = None
+    ) -> Result[list[ListedVm], PlatformUnavailable]:
+        """Read the platform's list of live and leaving VMs.
+
+        Parameters
+        ----------
+        wait_s : float, optional
+            Longest time to wait for a change, where the platform tells of changes; the
+            client's own if not given.
+        """
+        del wait_s
         answer = await self._call("GET", "/vms")
         if answer.is_err():
             return Err(answer.unwrap_err())
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/sharing/__init__.py
@@ -0,0 +1,3 @@
+"""Reads of the platform that entry VMs of a failure domain share."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/sharing/list_history.py
@@ -0,0 +1,143 @@
+"""The last changes of the list, for those that missed one."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import define
+from attrs import evolve
+from attrs import frozen
+
+from plankspindle_daemon.platform.live_list import ListedVm
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+KEPT = 4
+"""Reads whose changes are told again: a lost message costs its receiver no read."""
+COLD_NOISE_S = 0.25
+"""Difference of two readings of the end of a cold time, which is told as a rest."""
+MAX_BASES = 6
+MAX_CHANGED = 7
+MAX_GONE = 24
+"""What fits into a message of 1,400 bytes; who misses more reads for itself."""
+
+
+@frozen(kw_only=True)
+class ListChange:
+    """What leads from some versions of the list to a later one.
+
+    Parameters
+    ----------
+    bases : tuple of (int, int)
+        Spans of versions from which it leads there, first and last of each. A list that
+        was read between them may hold entries that came and went unseen.
+    version : int
+        Where it leads.
+    changed : tuple of ListedVm
+        Upstreams that are new or have changed.
+    gone : tuple of str
+        Upstreams that are no longer listed.
+    """
+
+    bases: tuple[tuple[int, int], ...]
+    version: int
+    changed: tuple[ListedVm, ...] = ()
+    gone: tuple[str, ...] = ()
+
+    def leads_from(self, version: int) -> bool:
+        """Tell whether it may be applied to a list of a version."""
+        return any(first <= version <= last for first, last in self.bases)
+
+    def then(self, later: ListChange) -> ListChange:
+        """Give this change and the one that follows it as one."""
+        latest = {each.name: each for each in (*self.changed, *later.changed)}
+        back = {each.name for each in later.changed}
+        gone = (set(self.gone) - back) | set(later.gone)
+        return ListChange(
+            bases=(*self.bases, *later.bases),
+            version=later.version,
+            changed=tuple(each for name, each in latest.items() if name not in gone),
+            gone=tuple(sorted(gone)),
+        )
+
+    def fits(self) -> bool:
+        """Tell whether a message can carry it."""
+        return (
+            len(self.bases) <= MAX_BASES
+            and len(self.changed) <= MAX_CHANGED
+            and len(self.gone) <= MAX_GONE
+        )
+
+
+@define(kw_only=True)
+class ListHistory:
+    """Changes between the lists that were read or told."""
+
+    _by_name: dict[str, ListedVm] = Factory(dict)
+    _changes: deque[ListChange] = Factory(lambda: deque(maxlen=KEPT))
+    _same_since: int | None = None
+    _version: int = 0
+
+    def note(self, vms: Iterable[ListedVm], *, version: int, now: float) -> None:
+        """Take a whole list, and keep what has changed in it."""
+        by_name = {each.name: each for each in vms if each.upstream is not None}
+        before, self._by_name = self._by_name, by_name
+        changed = tuple(
+            each
+            for name, each in by_name.items()
+            if not _is_same(before.get(name), each, now)
+        )
+        gone = tuple(sorted(before.keys() - by_name.keys()))
+        if self._same_since is None:
+            self._same_since = version
+        elif changed or gone:
+            change = ListChange(
+                bases=((self._same_since, self._version),),
+                version=version,
+                changed=changed,
+                gone=gone,
+            )
+            self._changes.append(change)
+            self._same_since = version
+        self._version = version
+
+    def add(self, change: ListChange) -> None:
+        """Take a change that was told."""
+        for name in change.gone:
+            self._by_name.pop(name, None)
+        self._by_name |= {each.name: each for each in change.changed}
+        self._changes.append(change)
+        self._same_since = self._version = change.version
+
+    def recent(self) -> ListChange:
+        """Give the last changes as one, as many as a message can carry.
+
+        Raises
+        ------
+        ValueError
+            If no list was ever taken.
+        """
+        if self._same_since is None:
+            raise ValueError("no list was taken yet")
+        recent = ListChange(
+            bases=((self._same_since, self._version),), version=self._version
+        )
+        for change in reversed(self._changes):
+            longer = change.then(recent)
+            if not longer.fits():
+                break
+            recent = longer
+        return recent
+
+
+def _is_same(before: ListedVm | None, after: ListedVm, now: float) -> bool:
+    """Compare two readings of an entry."""
+    if before is after:
+        return True
+    if before is None or evolve(after, cold_until=before.cold_until) != before:
+        return False
+    ends = (max(now, before.cold_until), max(now, after.cold_until))
+    return abs(ends[0] - ends[1]) < COLD_NOISE_S
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/sharing/told_upstreams.py
@@ -0,0 +1,43 @@
+"""Upstreams of the list as messages carry them."""
+
+from __future__ import annotations
+
+from plankspindle_core.configuration.upstream import Upstream
+from plankspindle_daemon.peer_messages.list_news import ToldUpstream
+from plankspindle_daemon.platform.live_list import ListedVm
+from plankspindle_daemon.platform.live_list import VmKind
+
+
+def told_of(listed: ListedVm, now: float) -> ToldUpstream:
+    """Write an upstream of the list; its cold time is told as what is left of it.
+
+    A planned time of leaving is not told: lists that have versions have none.
+    """
+    declared = listed.upstream
+    assert declared is not None
+    return ToldUpstream(
+        name=listed.name,
+        service=declared.service,
+        failure_domain=listed.failure_domain,
+        endpoint=declared.endpoint,
+        slots=declared.slots,
+        leaving=listed.leaving,
+        cold_ms=max(0, round(1000 * (listed.cold_until - now))),
+    )
+
+
+def listed_of(told: ToldUpstream, now: float) -> ListedVm:
+    """Read an upstream as the list would give it."""
+    return ListedVm(
+        name=told.name,
+        kind=VmKind.UPSTREAM,
+        failure_domain=told.failure_domain,
+        leaving=told.leaving,
+        upstream=Upstream(
+            service=told.service,
+            failure_domain=told.failure_domain,
+            endpoint=told.endpoint,
+            slots=told.slots,
+        ),
+        cold_until=now + told.cold_ms / 1000,
+    )
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -20,6 +20,8 @@
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomGrant
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+from plankspindle_daemon.peer_messages.list_news import ListNews
+from plankspindle_daemon.peer_messages.list_news import ToldUpstream
 from plankspindle_daemon.peer_messages.load_digest import LoadDigest
 from plankspindle_daemon.peer_messages.load_digest import ServiceLoad
 from plankspindle_daemon.peer_messages.readiness import Readiness
@@ -43,9 +45,17 @@
     read: Callable[[Any], Any]
 
 
+def _list_of(cls: type[Any]) -> _Conversion:
+    return _Conversion(
+        write=lambda parts: [_as_mapping(each) for each in parts],
+        read=lambda read: tuple(_read_fields(cls, each, {}) for each in read),
+    )
+
+
 _ENDPOINT = _Conversion(write=str, read=Endpoint.parse)
 _CONVERSION_BY_FIELD = {
     "caller_endpoint": _ENDPOINT,
+    "endpoint": _ENDPOINT,
     "peer_endpoint": _ENDPOINT,
     "readiness": _Conversion(
         write=lambda readiness: readiness.value,
@@ -53,10 +63,10 @@
     ),
     "over_share": _Conversion(write=list, read=tuple),
     "silent_upstreams": _Conversion(write=list, read=tuple),
-    "loads": _Conversion(
-        write=lambda loads: [_as_mapping(each) for each in loads],
-        read=lambda read: tuple(_read_fields(ServiceLoad, each, {}) for each in read),
-    ),
+    "loads": _list_of(ServiceLoad),
+    "changed": _list_of(ToldUpstream),
+    "gone": _Conversion(write=list, read=tuple),
+    "bases": _Conversion(write=list, read=tuple),
 }
 _CLASS_BY_UNION_MEMBER: dict[str, type[Any]] = {
     "heartbeat": Heartbeat,
@@ -67,6 +77,7 @@
     "loadDigest": LoadDigest,
     "contentRequest": ContentRequest,
     "contentChunk": ContentChunk,
+    "listNews": ListNews,
 }
 _UNION_MEMBER_BY_CLASS = {cls: name for name, cls in _CLASS_BY_UNION_MEMBER.items()}
 
@@ -78,7 +89,7 @@
 
 _KEYS_BY_CLASS: dict[type[Any], list[tuple[str, str]]] = {
     cls: [(field.name, _camel(field.name)) for field in fields(cls)]
-    for cls in (*_CLASS_BY_UNION_MEMBER.values(), ServiceLoad)
+    for cls in (*_CLASS_BY_UNION_MEMBER.values(), ServiceLoad, ToldUpstream)
 }
 
 
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -83,6 +83,27 @@
   data @4 :Data;
 }
 
+struct ToldUpstream {
+  name @0 :Text;
+  service @1 :Text;
+  failureDomain @2 :Text;
+  endpoint @3 :Text;
+  slots @4 :UInt16;
+  leaving @5 :Bool;
+  coldMs @6 :UInt32;
+}
+
+struct ListNews {
+  bases @0 :List(UInt64);
+  version @1 :UInt64;
+  listAgeMs @2 :UInt32;
+  configurationAgeMs @3 :UInt32;
+  configurationVersion @4 :UInt64;
+  afterGap @5 :Bool;
+  changed @6 :List(ToldUpstream);
+  gone @7 :List(Text);
+}
+
 struct PeerMessage {
   sender @0 :Text;
   union {
@@ -94,5 +115,6 @@
     loadDigest @6 :LoadDigest;
     contentRequest @7 :ContentRequest;
     contentChunk @8 :ContentChunk;
+    listNews @9 :ListNews;
   }
 }
--- /dev/null
+++ b/packages/daemon/tests/node/test_list_follower.py
@@ -0,0 +1,177 @@
+"""Tests of following the list by what another entry VM has read."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+from attrs import Factory
+from attrs import define
+
+from plankspindle_core.configuration.service import SlotSharing
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.node.list_follower import ListFollower
+from plankspindle_daemon.peer_messages.content_messages import ContentRequest
+from plankspindle_daemon.peer_messages.list_news import ListNews
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+from plankspindle_daemon.platform.live_list import ListedVm
+from plankspindle_daemon.platform.live_list import VmKind
+from plankspindle_daemon.sharing.reader_group import ReaderGroup
+from plankspindle_daemon.sharing.shared_reads import SETTLE_S
+from plankspindle_daemon.sharing.shared_reads import SharedReads
+from plankspindle_daemon.sharing.told_upstreams import told_of
+from plankspindle_testkit.builders import VmPlace
+from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_service
+from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.trial.trial_vm import TrialVm
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+NAMES = tuple(f"vm-{number}" for number in range(6))
+PLACE = VmPlace(name="vm-5", failure_domain="ba-1", host="127.0.0.1", base_port=7000)
+
+
+def listed(name: str) -> ListedVm:
+    return ListedVm(
+        name=name,
+        kind=VmKind.UPSTREAM,
+        failure_domain="ba-1",
+        upstream=build_upstream(failure_domain="ba-1"),
+    )
+
+
+def entry(name: str) -> ListedVm:
+    return ListedVm(
+        name=name,
+        kind=VmKind.ENTRY,
+        failure_domain="ba-1",
+        peer_endpoint=Endpoint("127.0.0.1", 7_100 + NAMES.index(name)),
+    )
+
+
+@define(kw_only=True)
+class FakePlatform:
+    """A list in memory."""
+
+    by_name: dict[str, ListedVm] = Factory(dict)
+    list_version: int = 1
+
+    def take_list_change(
+        self, *, version: int, changed: Iterable[ListedVm], gone: Iterable[str]
+    ) -> list[ListedVm]:
+        self.by_name |= {each.name: each for each in changed}
+        for name in gone:
+            del self.by_name[name]
+        self.list_version = version
+        return self.whole()
+
+    def whole(self) -> list[ListedVm]:
+        return [*self.by_name.values(), *map(entry, NAMES)]
+
+
+@define(kw_only=True)
+class FakeEffects:
+    """Keeps what is to be carried out."""
+
+    performed: list[Any] = Factory(list)
+
+    async def perform(self, effects: list[Any]) -> None:
+        self.performed += effects
+
+
+def build_follower(*upstreams: str) -> ListFollower:
+    """Build a follower that has read version 1 of the list, with some upstreams."""
+    node = TrialVm.start(PLACE, seeds=[], random=Random(1), now=0.0).node
+    group = ReaderGroup(
+        vm=PLACE.name, failure_domain="ba-1", membership=node.membership
+    )
+    node.reads = SharedReads(group=group, period_s=1.0)
+    node.adopt(
+        build_configuration(
+            services_by_name={
+                "registry": build_service(slot_sharing=SlotSharing.REPORTED)
+            },
+            upstreams_by_name={},
+        ),
+        version=1,
+        now=0.0,
+    )
+    vms = [listed(name) for name in upstreams]
+    follower = ListFollower(
+        node=node,
+        platform=FakePlatform(by_name={each.name: each for each in vms}),
+        effects=FakeEffects(),
+        period_s=1.0,
+    )
+    curio.run(follower._take_read, follower.platform.whole())
+    return follower
+
+
+def build_news(**fields: Any) -> ListNews:
+    defaults: dict[str, Any] = {
+        "sender": "vm-0",
+        "bases": (1, 1),
+        "version": 2,
+        "list_age_ms": 0,
+        "configuration_age_ms": 0,
+        "configuration_version": 1,
+    }
+    return ListNews(**{**defaults, **fields})
+
+
+def upstreams_of(follower: ListFollower) -> set[str]:
+    by_name = follower.node.dispatchers_by_service["registry"].upstreams_by_name
+    return {name for name, upstream in by_name.items() if not upstream.leaving}
+
+
+def test_a_change_that_is_told_is_in_force_at_once() -> None:
+    follower = build_follower("a", "b")
+    new = told_of(listed("c"), 0.0)
+    curio.run(follower.take_news, build_news(changed=(new,), gone=("a",)))
+    assert upstreams_of(follower) == {"b", "c"}
+    assert follower.platform.list_version == 2
+    assert follower.node.reads.list_version == 2
+
+
+def test_what_a_stranger_tells_changes_nothing() -> None:
+    follower = build_follower("a")
+    news = build_news(sender="stranger", gone=("a",), configuration_version=9)
+    follower.effects.performed.clear()
+    curio.run(follower.take_news, news)
+    assert upstreams_of(follower) == {"a"}
+    assert follower.effects.performed == []
+
+
+def test_entries_that_lapsed_in_an_outage_of_the_reader_are_kept_for_a_while() -> None:
+    follower = build_follower("a", "b")
+    curio.run(follower.take_news, build_news(gone=("a",), after_gap=True))
+    assert upstreams_of(follower) == {"a", "b"}
+    assert follower.node.services.listed.is_to_be_taken_again
+    follower.node.services.listed._lenient_until = 0.0
+    curio.run(follower.take_news, build_news(bases=(2, 2)))
+    assert upstreams_of(follower) == {"b"}
+
+
+def test_a_higher_version_is_asked_of_the_reader() -> None:
+    follower = build_follower("a")
+    curio.run(follower.take_news, build_news(configuration_version=2))
+    asked = [
+        each.message
+        for each in follower.effects.performed
+        if isinstance(each, SendToPeer)
+    ]
+    assert [each.version for each in asked if isinstance(each, ContentRequest)] == [2]
+
+
+def test_a_read_is_told_to_the_others_once_reads_are_shared() -> None:
+    follower = build_follower("a")
+    follower.node.reads._settled_at -= SETTLE_S
+    follower.effects.performed.clear()
+    curio.run(follower._take_read, follower.platform.whole())
+    told = [each for each in follower.effects.performed if isinstance(each, SendToPeer)]
+    assert len(told) == len(NAMES) - 1
+    assert all(isinstance(each.message, ListNews) for each in told)
--- a/packages/daemon/tests/node/test_node.py
+++ b/packages/daemon/tests/node/test_node.py
@@ -230,19 +230,19 @@
 
 def test_shifts_stop_when_the_platform_was_not_heard_for_long() -> None:
     node = build_node("a")
-    assert not node.head.is_fresh(0.0)
-    node.head.note_read(1.0)
-    assert node.head.is_fresh(31.0)
-    assert not node.head.is_fresh(31.1)
+    assert not node.versions.head.is_fresh(0.0)
+    node.versions.head.note_read(1.0)
+    assert node.versions.head.is_fresh(31.0)
+    assert not node.versions.head.is_fresh(31.1)
 
 
 def test_word_of_the_platform_is_passed_on_by_members() -> None:
     a, b = build_pair()
-    a.head.note_read(10.0)
+    a.versions.head.note_read(10.0)
     greet(a, b, 15.0)
-    assert b.head.ago_s(16.0) == 6.0
-    assert b.head.is_fresh(39.0)
-    assert not b.head.is_fresh(41.0)
+    assert b.versions.head.ago_s(16.0) == 6.0
+    assert b.versions.head.is_fresh(39.0)
+    assert not b.versions.head.is_fresh(41.0)
 
 
 def test_a_version_is_never_replaced_by_a_lower_one() -> None:
--- a/packages/daemon/tests/platform/test_listed_upstreams.py
+++ b/packages/daemon/tests/platform/test_listed_upstreams.py
@@ -58,3 +58,23 @@
     upstreams.note_failed()
     upstreams.take([listed(name) for name in names[2:]], GAP_S + 1.0)
     assert set(upstreams.by_name) == set(names[2:])
+
+
+def test_a_list_that_keeps_missing_entries_is_to_be_taken_again() -> None:
+    upstreams = ListedUpstreams()
+    upstreams.take([listed("a"), listed("b")], 0.0)
+    assert not upstreams.is_to_be_taken_again
+    upstreams.note_failed()
+    assert upstreams.is_to_be_taken_again
+    upstreams.take([listed("a")], 1.0)
+    assert upstreams.is_to_be_taken_again
+    upstreams.take([listed("a")], 1.0 + RETURN_S)
+    assert not upstreams.is_to_be_taken_again
+
+
+def test_a_list_that_is_known_to_be_current_leaves_no_gap() -> None:
+    upstreams = ListedUpstreams()
+    upstreams.take([listed("a"), listed("b")], 0.0)
+    upstreams.note_current(GAP_S)
+    upstreams.take([], GAP_S + 1.0)
+    assert upstreams.by_name == {}
--- a/packages/daemon/tests/wire/test_wire.py
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -10,6 +10,8 @@
 
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+from plankspindle_daemon.peer_messages.list_news import ListNews
+from plankspindle_daemon.peer_messages.list_news import ToldUpstream
 from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
 from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
@@ -52,6 +54,27 @@
         duration_ms=3,
         borrower_incarnation=4,
     ),
+    ListNews(
+        sender="a",
+        bases=(3, 5, 9, 2**63),
+        version=2**63,
+        list_age_ms=0,
+        configuration_age_ms=2**32 - 1,
+        configuration_version=7,
+        after_gap=True,
+        changed=(
+            ToldUpstream(
+                name="u",
+                service="registry",
+                failure_domain="ba-1",
+                endpoint=Endpoint("127.0.0.1", 9),
+                slots=9,
+                leaving=True,
+                cold_ms=1_500,
+            ),
+        ),
+        gone=("v", "w"),
+    ),
 ]
 
 
--- a/packages/testkit/src/plankspindle_testkit/builders.py
+++ b/packages/testkit/src/plankspindle_testkit/builders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from random import Random
+from typing import TYPE_CHECKING
 from typing import Any
 
 from attrs import frozen
@@ -25,12 +26,19 @@
 from plankspindle_daemon.dispatch.measured_distances import MeasuredDistances
 from plankspindle_daemon.dispatch.placement import Placement
 from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
+from plankspindle_daemon.membership.member import Member
+from plankspindle_daemon.membership.membership import Membership
+from plankspindle_daemon.membership.membership import MembershipOptions
+from plankspindle_daemon.sharing.reader_group import ReaderGroup
 from plankspindle_daemon.upstreams.health import UpstreamHealth
 from plankspindle_daemon.upstreams.health import Warm
 from plankspindle_daemon.upstreams.reported_slots import ReportedSlots
 from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 PEER_KEY = "00112233445566778899aabbccddeeff"
 GOLD_KEY = "gold-key-of-a-dealer"
 BRONZE_KEY = "bronze-key-of-a-desk"
@@ -279,6 +287,36 @@
     return dispatcher
 
 
+def build_reader_group(vm: str, names: Iterable[str]) -> ReaderGroup:
+    """Build the group of an entry VM and others of its failure domain.
+
+    Parameters
+    ----------
+    vm : str
+        The VM.
+    names : iterable of str
+        All of the domain, the VM included.
+    """
+    membership = Membership(
+        options=MembershipOptions(
+            vm=vm,
+            failure_domain="ba-1",
+            incarnation=1,
+            heartbeat_s=0.5,
+            suspect_after_s=2.0,
+        )
+    )
+    for number, name in enumerate(names):
+        if name != vm:
+            membership.members_by_name[name] = Member(
+                name=name,
+                peer_endpoint=Endpoint("127.0.0.1", 1_000 + number),
+                counted_since=0.0,
+                failure_domain="ba-1",
+            )
+    return ReaderGroup(vm=vm, failure_domain="ba-1", membership=membership)
+
+
 def build_route(**fields: Any) -> Route:
     """Build a route of the registry, with the given fields changed."""
     defaults: dict[str, Any] = {
--- a/packages/testkit/src/plankspindle_testkit/trial/trial.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial.py
@@ -148,7 +148,7 @@
                 event = membership.HeartbeatReceived(message)
                 self._take_membership(vm, event)
             case ContentRequest():
-                self._perform(vm, vm.node.take_content_request(message, sender))
+                self._perform(vm, [*vm.node.versions.answer(message, sender)])
             case ContentChunk():
                 self._perform(vm, vm.node.take_content_chunk(message, self.world.now))
             case SlotRequest():
@@ -219,14 +219,14 @@
         self.hosts.update_list()
 
     def _read_configuration(self, vm: TrialVm) -> None:
-        if not vm.node.is_reader(self.world.now):
+        if not vm.node.versions.is_reader(self.world.now):
             return
         reader = ConfigurationReader(
             platform=cast("PlatformClient", self.world.platform)
         )
         answer = run_to_end(reader.read_newer(vm.node.version))
         if answer.is_ok():
-            vm.node.head.note_read(self.world.now)
+            vm.node.versions.head.note_read(self.world.now)
         read = answer.unwrap_or(None)
         if read is not None:
             effects = vm.node.adopt(
--- a/tests/fleet/test_boot_settings.py
+++ b/tests/fleet/test_boot_settings.py
@@ -10,6 +10,10 @@
 from builders import build_boot
 
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.sharing.shared_reads import FRESH_MARGIN_S
+from plankspindle_daemon.sharing.shared_reads import FRESH_PERIODS
+from plankspindle_daemon.sharing.shared_reads import LOOK_S
+from plankspindle_daemon.sharing.shared_reads import MOST_DELAY_PERIODS
 from plankspindle_platform.boot_settings import MIN_WATCH_MS
 from plankspindle_platform.times import milliseconds
 from plankspindle_platform.times import seconds
@@ -62,6 +66,29 @@
         assert noticed_ms < held_to_ms
 
 
+def test_a_reader_that_falls_silent_is_replaced_before_the_bounds_apply(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    boot = build_boot(monkeypatch)
+    bounds = yaml.safe_load(BOOT.read_text())["terms"]["bounds"]
+    period_ms = boot.daemon.timing.shared_read_ms
+    replaced_ms = (FRESH_PERIODS + MOST_DELAY_PERIODS) * period_ms
+    replaced_ms += 1000 * (FRESH_MARGIN_S + 1.2 * LOOK_S)
+    for name in ("drain", "config_apply", "evacuate"):
+        assert 0 < replaced_ms < 0.8 * milliseconds(bounds[name])
+
+
+def test_without_bounds_on_changes_every_vm_reads_for_itself(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    path = tmp_path / "boot.yaml"
+    text = BOOT.read_text()
+    for name in ("drain:", "config_apply:", "evacuate:"):
+        text = text.replace(f" {name}", f" of_another_{name}", 1)
+    path.write_text(text)
+    assert build_boot(monkeypatch, path).daemon.timing.shared_read_ms == 0
+
+
 def test_bounds_that_are_not_in_force_leave_the_shortest_wait(
     monkeypatch: pytest.MonkeyPatch, tmp_path: Path
 ) -> None:
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -57,6 +57,7 @@
         self.version = 0
         self.oldest = 0
         self.page = 500
+        self.waits_ms: list[int] = []
         self.loses_answers = False
         self.is_silent = False
         self.changes_before_writes: str | None = None
@@ -111,6 +112,7 @@
 
     def _feed(self, fields: dict[str, str]) -> tuple[int, Any]:
         after = int(fields["after"])
+        self.waits_ms.append(int(fields["wait_ms"]))
         if after < self.oldest:
             return 410, {"error": "gone"}
         rows = [
@@ -284,6 +286,49 @@
     assert whole == {"i-2", "i-3", "i-4", "edge-a-1"}
 
 
+def test_a_change_that_another_vm_read_is_taken_and_fed_on_from(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    settings = build_boot(monkeypatch).daemon
+
+    async def use(store: StoreStandIn, platform: StorePlatform) -> Any:
+        store.put("servers", "i-1", SERVER)
+        store.put("servers", "i-2", SERVER)
+        await names_of(platform)
+        held = platform.list_version
+        reader = StorePlatform(settings=evolve(settings, platform=platform.endpoint))
+        store.drop("servers", "i-1")
+        store.put("servers", "i-3", SERVER)
+        read = (await reader.read_live_list()).unwrap()
+        told = platform.take_list_change(
+            version=reader.list_version,
+            changed=[each for each in read if each.name == "i-3"],
+            gone=["i-1"],
+        )
+        store.put("servers", "i-4", SERVER)
+        fed = await names_of(platform)
+        return held, reader.list_version, {each.name for each in told}, fed
+
+    held, version, told, fed = run_with_platform(monkeypatch, use)
+    assert held < version
+    assert told == {"i-2", "i-3", "edge-a-1"}
+    assert fed == {"i-2", "i-3", "i-4", "edge-a-1"}
+
+
+def test_a_reader_waits_for_changes_as_long_as_it_is_told(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def use(store: StoreStandIn, platform: StorePlatform) -> list[int]:
+        store.put("servers", "i-1", SERVER)
+        await names_of(platform)
+        await platform.read_live_list(0.05)
+        await names_of(platform)
+        return store.waits_ms
+
+    usual_ms = build_boot(monkeypatch).daemon.timing.watch_ms
+    assert run_with_platform(monkeypatch, use) == [50, usual_ms]
+
+
 async def names_of(platform: StorePlatform) -> set[str]:
     listed = (await platform.read_live_list()).unwrap()
     return {each.name for each in listed}
