Remember the first twelve upstreams of a key, and change them as upstreams come and go

Cause: an upstream that came or went threw away the remembered orders of all keys, and each was sorted anew by hashing key and name together: 70 ms for 400 keys and 232 upstreams, at each change of the list, on VMs of 0.43 cores; and the orders of 4,096 keys at 400 upstreams kept 15 MiB. Names and keys are hashed once and mixed by a multiplication; an upstream that goes is taken out, one that comes is put in its place.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -11,8 +11,10 @@
 from attrs import field
 from attrs import frozen
 
-from plankspindle_core.stable_hash import stable_hash
 from plankspindle_daemon.admission.ticket import Ticket
+from plankspindle_daemon.dispatch.key_orders import MAX_KEYS
+from plankspindle_daemon.dispatch.key_orders import KeyOrder
+from plankspindle_daemon.dispatch.key_orders import KeyOrders
 from plankspindle_daemon.dispatch.measured_distances import MeasuredDistances
 from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
 from plankspindle_daemon.dispatch.region_plan import RegionPlan
@@ -42,8 +44,6 @@
 """Silence of an upstream that counts against it, in usual durations."""
 RANKED = 2
 """Upstreams of the own region, and of the others, that a key knows by rank."""
-MAX_KEYS = 4_096
-"""Affinity keys whose order of upstreams is remembered."""
 SEEN_S = 15.0
 """Time for which an upstream that answered for a key is taken to know it, seconds.
 
@@ -87,23 +87,6 @@
     cost: tuple[float, float] = (math.inf, 0.0)
 
 
-@frozen(kw_only=True)
-class _KeyOrders:
-    """A key's place among all keys, and its orders of the upstreams.
-
-    Parameters
-    ----------
-    fraction : float
-        Its place among all keys, from 0 to 1, the same at every VM.
-    near, far : list of str
-        Upstreams of the own region and of all others, the preferred one first.
-    """
-
-    fraction: float
-    near: list[str]
-    far: list[str]
-
-
 @define(kw_only=True)
 class Placement:
     """Order of preference among the upstreams of one service.
@@ -132,15 +115,11 @@
     limiter: RegionLimiter
     random: Random
     plan: RegionPlan = Factory(RegionPlan)
-    _domain_by_name: dict[str, str] = Factory(dict)
-    _orders_by_key: dict[str, _KeyOrders] = field(factory=dict)
+    orders: KeyOrders = field(init=False)
     _seen_at_by_place: dict[tuple[str, str], float] = field(factory=dict)
 
-    def use(self, domain_by_name: Mapping[str, str]) -> None:
-        """Take the upstreams that stay, with their failure domains."""
-        if domain_by_name != self._domain_by_name:
-            self._domain_by_name = dict(domain_by_name)
-            self._orders_by_key.clear()
+    def __attrs_post_init__(self) -> None:
+        self.orders = KeyOrders(distances=self.distances)
 
     def choose(
         self,
@@ -350,7 +329,7 @@
         so does what may run in named regions only, if the own one is among them.
         """
         assert ticket.affinity is not None
-        orders = self._orders(ticket.affinity)
+        orders = self.orders.of(ticket.affinity)
         if ticket.regions:
             return self._permitted(orders, ticket.regions)
         if self.plan.leaves(orders.fraction) and not ticket.bulky:
@@ -358,14 +337,14 @@
         return orders.near, orders.far
 
     def _permitted(
-        self, orders: _KeyOrders, regions: frozenset[str]
+        self, orders: KeyOrder, regions: frozenset[str]
     ) -> tuple[list[str], list[str]]:
         """Leave out the upstreams of other regions than the named ones."""
         near, far = (
             [
                 name
                 for name in names
-                if self.distances.region_of(self._domain_by_name[name]) in regions
+                if self.distances.region_of(self.orders.domain_by_name[name]) in regions
             ]
             for names in (orders.near, orders.far)
         )
@@ -390,30 +369,6 @@
         near = self.distances.is_near(domain)
         return distance + (BULKY_DOMAIN_S if near else BULKY_REGION_S)
 
-    def _orders(self, key: str) -> _KeyOrders:
-        orders = self._orders_by_key.get(key)
-        if orders is None:
-            if len(self._orders_by_key) >= MAX_KEYS:
-                self._orders_by_key.clear()
-            orders = self._orders_by_key[key] = self._order_all(key)
-        return orders
-
-    def _order_all(self, key: str) -> _KeyOrders:
-        ordered = sorted(
-            self._domain_by_name, key=lambda name: stable_hash(f"{key} {name}")
-        )
-        near = [
-            name
-            for name in ordered
-            if self.distances.is_near(self._domain_by_name[name])
-        ]
-        near_names = set(near)
-        return _KeyOrders(
-            fraction=stable_hash(key) / 2**64,
-            near=near,
-            far=[name for name in ordered if name not in near_names],
-        )
-
 
 def _load(upstream: UpstreamState, now: float) -> float:
     """Give the load of an upstream as a share of its slots."""
--- a/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
@@ -120,14 +120,24 @@
         wall : float
             Seconds since the Unix epoch.
         """
+        before = self._configuration
         self._configuration = configuration
         self._version = version
         self.distances.use(configuration)
-        self.room.forget()
+        if before is not None and (
+            before.failure_domains_by_name != configuration.failure_domains_by_name
+        ):
+            self._forget_regions()
         self.drains.use(configuration, now)
         self._use_services(configuration, now)
         self._note_listed(self.listed.by_name.values(), now=now, wall=wall)
 
+    def _forget_regions(self) -> None:
+        self.room.forget()
+        for dispatcher in self.dispatchers_by_service.values():
+            if dispatcher.placement is not None:
+                dispatcher.placement.orders.forget_regions()
+
     def take_list(self, vms: Iterable[ListedVm], *, now: float, wall: float) -> None:
         """Take what the platform's list says of upstreams.
 
@@ -373,4 +383,4 @@
         for name, upstream in declared.items()
         if not by_name[name].leaving and by_name[name].drained_at is None
     }
-    dispatcher.placement.use(staying)
+    dispatcher.placement.orders.use(staying)
--- a/packages/daemon/tests/dispatch/test_placement.py
+++ b/packages/daemon/tests/dispatch/test_placement.py
@@ -30,7 +30,7 @@
     placement = Placement(
         distances=distances, limiter=RegionLimiter(), random=Random(seed)
     )
-    placement.use({n: u.upstream.failure_domain for n, u in upstreams.items()})
+    placement.orders.use({n: u.upstream.failure_domain for n, u in upstreams.items()})
     return placement
 
 
--- a/packages/testkit/src/plankspindle_testkit/bench/slopes_bench.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/slopes_bench.py
@@ -23,7 +23,11 @@
 from plankspindle_daemon.dispatch import messages as dispatch
 from plankspindle_daemon.membership import messages as membership
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+from plankspindle_daemon.peer_messages.list_news import ListNews
+from plankspindle_daemon.platform.live_list import ListedVm
+from plankspindle_daemon.platform.live_list import VmKind
 from plankspindle_daemon.platform.live_list import parse_live_list
+from plankspindle_daemon.sharing.shared_reads import SharedReads
 from plankspindle_daemon.steering.block_table import BlockTable
 from plankspindle_daemon.wire.codec import decode
 from plankspindle_daemon.wire.codec import encode
@@ -32,6 +36,7 @@
 from plankspindle_testkit.bench.table import print_table
 from plankspindle_testkit.builders import VmPlace
 from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_reader_group
 from plankspindle_testkit.builders import build_service
 from plankspindle_testkit.builders import build_ticket
 from plankspindle_testkit.builders import build_upstream
@@ -40,6 +45,7 @@
 if TYPE_CHECKING:
     from plankspindle_daemon.admission.ticket import Ticket
     from plankspindle_daemon.node.node import Node
+    from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 
 REPEATS = 5
 WALL = 1_000.0
@@ -148,6 +154,81 @@
     return held / 1024 / keys
 
 
+def _reorder_ms(upstreams: int) -> float:
+    """Take an upstream in and another out, with 400 keys remembered."""
+    node = _build_reported_node(upstreams)
+    placement = node.dispatchers_by_service["registry"].placement
+    assert placement is not None
+    orders = placement.orders
+    for number in range(400):
+        orders.of(f"k{number}")
+    domain_by_name = dict(orders.domain_by_name)
+    numbers = iter(range(10**6))
+
+    def change() -> None:
+        number = next(numbers)
+        del domain_by_name[f"u{number}"]
+        domain_by_name[f"new{number}"] = "ba-1"
+        orders.use(domain_by_name)
+
+    return _median_ms(change)
+
+
+def _shared_reads(vm: str, members: int) -> SharedReads:
+    """Build one of a domain's entry VMs, long after it has read 232 upstreams."""
+    names = [f"vm-{number:04}" for number in range(members)]
+    reads = SharedReads(group=build_reader_group(vm, names), period_s=1.0)
+    _read_list(reads, version=1)
+    return reads
+
+
+def _read_list(reads: SharedReads, *, version: int) -> list[SendToPeer]:
+    upstreams = [
+        ListedVm(
+            name=f"u{number}",
+            kind=VmKind.UPSTREAM,
+            failure_domain="ba-1",
+            upstream=build_upstream(slots=number + 1 + version // 232),
+        )
+        for number in range(232)
+    ]
+    return reads.note_list_read(
+        upstreams[version % 232 :] + upstreams[: version % 232],
+        version=version,
+        configuration_version=1,
+        after_gap=False,
+        now=100.0 * version,
+    )
+
+
+def _told_ms(members: int) -> float:
+    """Read a list of 232 upstreams and tell all members of the domain."""
+    reads = _shared_reads("vm-0000", members)
+    sealer = FrameSealer(keys=[b"k" * 16])
+    versions = iter(range(2, 10**6))
+
+    def tell() -> None:
+        for sent in _read_list(reads, version=next(versions)):
+            sealer.seal(encode(sent.message))
+
+    return _median_ms(tell)
+
+
+def _heard_ms(members: int) -> float:
+    """Take what a reader tells."""
+    reader = _shared_reads("vm-0000", members)
+    reads = _shared_reads("vm-0001", members)
+    sealer = FrameSealer(keys=[b"k" * 16])
+    frame = sealer.seal(encode(_read_list(reader, version=2)[0].message))
+
+    def hear() -> None:
+        news = sealer.open(frame).and_then(decode).unwrap()
+        assert isinstance(news, ListNews)
+        reads.take_news(news, 100.0)
+
+    return _median_ms(hear)
+
+
 def _build_node(members: int, upstreams: int = 60) -> Node:
     """Build a node that has heard all members of its failure domain."""
     places = [_place(number) for number in range(members)]
@@ -332,6 +413,24 @@
         sizes=(24, 100, 200, 400),
         measure=_order_kib,
     ),
+    Slope(
+        name="upstream that comes and one that goes, 400 keys remembered, by upstreams",
+        unit="ms",
+        sizes=(24, 100, 200, 400),
+        measure=_reorder_ms,
+    ),
+    Slope(
+        name="list of 232 read and told, by members of the domain",
+        unit="ms",
+        sizes=(8, 16, 32),
+        measure=_told_ms,
+    ),
+    Slope(
+        name="reader's word heard, by members of the domain",
+        unit="ms",
+        sizes=(8, 16, 32),
+        measure=_heard_ms,
+    ),
     Slope(
         name="version adopted, by client blocks",
         unit="ms",
--- a/packages/testkit/src/plankspindle_testkit/builders.py
+++ b/packages/testkit/src/plankspindle_testkit/builders.py
@@ -281,7 +281,7 @@
     dispatcher.placement = Placement(
         distances=distances, limiter=RegionLimiter(), random=Random(1)
     )
-    dispatcher.placement.use(dict.fromkeys(names, "ba-1"))
+    dispatcher.placement.orders.use(dict.fromkeys(names, "ba-1"))
     for name in names:
         dispatcher.upstreams_by_name[name] = build_reported_upstream(name, slots=1)
     return dispatcher
