Take the judging of ends out of the dispatcher, and the process out of the daemon

What an end says of its upstream goes to end_judge.py, signals and exit status to daemon_process.py. No behaviour changes; the tests hold unchanged but for an import.

--- a/packages/daemon/src/plankspindle_daemon/console/commands/run.py
+++ b/packages/daemon/src/plankspindle_daemon/console/commands/run.py
@@ -10,7 +10,7 @@
 from plankspindle_core.logs.key_value_destination import start_logging
 from plankspindle_core.logs.key_value_destination import stop_logging
 from plankspindle_daemon.console.reporting import settings_or_exit
-from plankspindle_daemon.daemon import run_daemon
+from plankspindle_daemon.daemon_process import run_daemon
 from plankspindle_daemon.settings.reading import read_settings
 from plankspindle_daemon.settings.settings_file import SettingsFile
 
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -2,12 +2,7 @@
 
 from __future__ import annotations
 
-import secrets
-import signal
-import socket as stdlib_socket
 import time
-import traceback
-from random import Random
 from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
@@ -15,9 +10,7 @@
 from attrs import evolve
 from curio import TaskGroup
 from curio import sleep
-from curio import socket
 
-from plankspindle_core.invariants import InvariantError
 from plankspindle_core.logs.key_value_destination import KeyValueDestination
 from plankspindle_core.logs.key_value_destination import log_event
 from plankspindle_core.supervisor import Supervisor
@@ -55,6 +48,8 @@
 from plankspindle_daemon.wire.frame import FrameSealer
 
 if TYPE_CHECKING:
+    from random import Random
+
     from plankspindle_daemon.settings.daemon_settings import DaemonSettings
     from plankspindle_daemon.settings.settings_file import SettingsFile
 
@@ -64,10 +59,6 @@
 """Period of looking whether the settings file has changed."""
 WATCH_PERIOD_S = 0.25
 """Period of comparing beliefs with those before; changes between are not seen."""
-MAX_SIGNALS = 64
-EXIT_OK = 0
-EXIT_BROKEN_INVARIANT = 70
-EXIT_ADDRESS = 69
 
 
 class Daemon:
@@ -361,74 +352,5 @@
         return {**dumped, **dump_measures(self._measures)}
 
 
-async def run_daemon(
-    settings: DaemonSettings,
-    ports: Ports | None = None,
-    log: KeyValueDestination | None = None,
-    file: SettingsFile | None = None,
-) -> int:
-    """Run a daemon until it has left.
-
-    Parameters
-    ----------
-    settings : DaemonSettings
-        Its settings.
-    ports : Ports, optional
-        The ways to the platform; the product's own interface if not given.
-    log : KeyValueDestination, optional
-        Where events go, to be flushed now and then.
-    file : SettingsFile, optional
-        Where the settings come from, to be read again on SIGHUP and when it changes.
-
-    Returns
-    -------
-    int
-        Exit status of the process.
-    """
-    # Until the signals are followed: the settings were read just now, anyway.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    random = Random(secrets.randbits(128))
-    daemon = Daemon(settings=settings, random=random, ports=ports, log=log, file=file)
-    try:
-        await daemon.start()
-    except OSError as error:
-        log_event("address_not_usable", error=str(error))
-        await daemon.close()
-        return EXIT_ADDRESS
-    try:
-        async with TaskGroup(wait=any) as group:
-            await group.spawn(_follow_signals, daemon)
-            await group.spawn(daemon.run)
-        _ = group.result
-    except InvariantError as error:
-        log_event("invariant_broken", error=str(error))
-        return EXIT_BROKEN_INVARIANT
-    except Exception as error:
-        log_event("crashed", error=repr(error), trace=traceback.format_exc())
-        return EXIT_BROKEN_INVARIANT
-    finally:
-        await daemon.close()
-    return EXIT_OK
-
-
 def _keys_of(settings: DaemonSettings) -> list[bytes]:
     return [bytes.fromhex(key) for key in settings.secrets.peer_keys]
-
-
-async def _follow_signals(daemon: Daemon) -> None:
-    """Wait for signals on a socket that the interpreter writes their numbers to."""
-    reader, writer = stdlib_socket.socketpair()
-    reader.setblocking(False)
-    writer.setblocking(False)
-    signal.set_wakeup_fd(writer.fileno())
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, lambda *_: None)
-    async with socket.fromfd(
-        reader.fileno(), stdlib_socket.AF_UNIX, stdlib_socket.SOCK_STREAM
-    ) as wakeups:
-        while True:
-            for number in await wakeups.recv(MAX_SIGNALS):
-                if number == signal.SIGHUP:
-                    daemon.reload()
-                else:
-                    daemon.leave("signal")
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/daemon_process.py
@@ -0,0 +1,95 @@
+"""One daemon as a process: its signals and its exit status."""
+
+from __future__ import annotations
+
+import secrets
+import signal
+import socket as stdlib_socket
+import traceback
+from random import Random
+from typing import TYPE_CHECKING
+
+from curio import TaskGroup
+from curio import socket
+
+from plankspindle_core.invariants import InvariantError
+from plankspindle_core.logs.key_value_destination import KeyValueDestination
+from plankspindle_core.logs.key_value_destination import log_event
+from plankspindle_daemon.daemon import Daemon
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.ports import Ports
+    from plankspindle_daemon.settings.daemon_settings import DaemonSettings
+    from plankspindle_daemon.settings.settings_file import SettingsFile
+
+MAX_SIGNALS = 64
+EXIT_OK = 0
+EXIT_BROKEN_INVARIANT = 70
+EXIT_ADDRESS = 69
+
+
+async def run_daemon(
+    settings: DaemonSettings,
+    ports: Ports | None = None,
+    log: KeyValueDestination | None = None,
+    file: SettingsFile | None = None,
+) -> int:
+    """Run a daemon until it has left.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Its settings.
+    ports : Ports, optional
+        The ways to the platform; the product's own interface if not given.
+    log : KeyValueDestination, optional
+        Where events go, to be flushed now and then.
+    file : SettingsFile, optional
+        Where the settings come from, to be read again on SIGHUP and when it changes.
+
+    Returns
+    -------
+    int
+        Exit status of the process.
+    """
+    random = Random(secrets.randbits(128))
+    daemon = Daemon(settings=settings, random=random, ports=ports, log=log, file=file)
+    try:
+        await daemon.start()
+    except OSError as error:
+        log_event("address_not_usable", error=str(error))
+        await daemon.close()
+        return EXIT_ADDRESS
+    try:
+        async with TaskGroup(wait=any) as group:
+            await group.spawn(_follow_signals, daemon)
+            await group.spawn(daemon.run)
+        _ = group.result
+    except InvariantError as error:
+        log_event("invariant_broken", error=str(error))
+        return EXIT_BROKEN_INVARIANT
+    except Exception as error:
+        log_event("crashed", error=repr(error), trace=traceback.format_exc())
+        return EXIT_BROKEN_INVARIANT
+    finally:
+        await daemon.close()
+    return EXIT_OK
+
+
+async def _follow_signals(daemon: Daemon) -> None:
+    """Wait for signals on a socket that the interpreter writes their numbers to."""
+    reader, writer = stdlib_socket.socketpair()
+    reader.setblocking(False)
+    writer.setblocking(False)
+    signal.set_wakeup_fd(writer.fileno())
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: None)
+    async with socket.fromfd(
+        reader.fileno(), stdlib_socket.AF_UNIX, stdlib_socket.SOCK_STREAM
+    ) as wakeups:
+        while True:
+            for number in await wakeups.recv(MAX_SIGNALS):
+                if number == signal.SIGHUP:
+                    daemon.reload()
+                else:
+                    daemon.leave("signal")
--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -13,6 +13,8 @@
 from plankspindle_daemon.admission.class_queue import ClassQueue
 from plankspindle_daemon.admission.class_queue import Queued
 from plankspindle_daemon.dispatch.duration_averages import DurationAverages
+from plankspindle_daemon.dispatch.end_judge import EndJudge
+from plankspindle_daemon.dispatch.end_judge import miss_of
 from plankspindle_daemon.dispatch.messages import Arrived
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import DispatchEffect
@@ -26,14 +28,12 @@
 from plankspindle_daemon.dispatch.messages import SlotsAsked
 from plankspindle_daemon.dispatch.messages import SlotsGranted
 from plankspindle_daemon.dispatch.messages import TimePassed
-from plankspindle_daemon.dispatch.messages import Verdict
 from plankspindle_daemon.dispatch.messages import Withdrawn
 from plankspindle_daemon.dispatch.placement import Placement
 from plankspindle_daemon.dispatch.slot_lending import SlotLending
 from plankspindle_daemon.stories.steps import Placed
 from plankspindle_daemon.stories.steps import Queued as QueuedStep
 from plankspindle_daemon.stories.steps import Rejected
-from plankspindle_daemon.upstreams.health import SILENT_S
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 from plankspindle_daemon.upstreams.usual_use import UsualUse
 
@@ -51,9 +51,6 @@
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 30.0
 MIN_PROBE_GAP_S = 0.05
-MIN_DURATION_S = 0.001
-IN_VAIN = 2.0
-"""Usual durations after which a caller that leaves says something of the upstream."""
 BUSY_RETRY_AFTER_S = 0.3
 """Least time to come back for a request that found every fitting upstream busy."""
 
@@ -265,7 +262,7 @@
             self.upstreams_by_name,
             fits=fits,
             usual_s=usual_s,
-            miss_s=self.durations.total_by_operation.get(_miss_of(ticket)),
+            miss_s=self.durations.total_by_operation.get(miss_of(ticket)),
             now=now,
         )
         if place is None:
@@ -348,88 +345,13 @@
 
     def _take_end(self, ended: Ended, now: float) -> None:
         upstream = self.upstreams_by_name.get(ended.upstream)
-        if upstream is None:
-            self._missing.discard(ended.ticket.id)
-            return
-        upstream.ledger.finish(ticket=ended.ticket.id)
-        self._note_learned(upstream, ended, now)
-        if ended.verdict in (Verdict.ANSWERED, Verdict.SHED):
-            upstream.answered_at = now
-        if ended.verdict not in (Verdict.ANSWERED, Verdict.CANCELLED):
-            upstream.note_evidence(f"{ended.verdict.value}: {ended.came}", now)
-        self._judge(upstream, ended, now)
+        if upstream is not None:
+            upstream.ledger.finish(ticket=ended.ticket.id)
+            missed = ended.ticket.id in self._missing
+            judge = EndJudge(durations=self.durations, placement=self.placement)
+            judge.take(ended, upstream, missed=missed, now=now)
         self._missing.discard(ended.ticket.id)
 
-    def _judge(self, upstream: UpstreamState, ended: Ended, now: float) -> None:
-        """Tell the health of an upstream how a request ended there."""
-        match ended.verdict:
-            case Verdict.ANSWERED:
-                upstream.health.note_success(now)
-                self._note_durations(upstream, ended, now)
-                self._note_seen(upstream, ended, now)
-            case Verdict.SHED:
-                upstream.note_shed(now)
-            case Verdict.MISDIRECTED:
-                upstream.note_misplaced()
-            case Verdict.FAILED:
-                upstream.note_lost(now)
-            case Verdict.UNREACHABLE:
-                upstream.health.note_refusal(now)
-            case Verdict.TIMED_OUT:
-                upstream.health.note_timeout(now)
-            case Verdict.CANCELLED if self._waited_in_vain(upstream, ended, now):
-                upstream.note_evidence(f"a caller left it: {ended.came}", now)
-                upstream.health.note_timeout(now)
-            case Verdict.CANCELLED:
-                pass
-
-    def _waited_in_vain(
-        self, upstream: UpstreamState, ended: Ended, now: float
-    ) -> bool:
-        """Tell whether a caller left an upstream that answers nobody."""
-        waited_s = ended.waited_s
-        if waited_s is None or upstream.answered_at > now - waited_s:
-            return False
-        return waited_s > max(SILENT_S, IN_VAIN * self.usual_s(ended.ticket))
-
-    def _note_learned(self, upstream: UpstreamState, ended: Ended, now: float) -> None:
-        if ended.reported_load is not None:
-            upstream.note_reported(ended.reported_load, now)
-            if self.placement is not None:
-                self.placement.plan.note_use(
-                    ended.reported_load / upstream.upstream.slots,
-                    is_near=self.placement.is_near(upstream),
-                    now=now,
-                )
-        if ended.connect_s is not None and self.placement is not None:
-            domain = upstream.upstream.failure_domain
-            self.placement.distances.note_connected(domain, ended.connect_s)
-
-    def _note_durations(
-        self, upstream: UpstreamState, ended: Ended, now: float
-    ) -> None:
-        if ended.head_s is None or ended.total_s is None:
-            return
-        missed = ended.ticket.id in self._missing
-        rtt_s = self._rtt_s(upstream)
-        relative = self.durations.note(
-            operation=_miss_of(ended.ticket) if missed else ended.ticket.operation,
-            head_s=max(MIN_DURATION_S, ended.head_s - rtt_s),
-            total_s=max(MIN_DURATION_S, ended.total_s - rtt_s),
-        )
-        upstream.note_latency(relative, now)
-
-    def _note_seen(self, upstream: UpstreamState, ended: Ended, now: float) -> None:
-        key = ended.ticket.affinity
-        if key is not None and self.placement is not None:
-            self.placement.note_seen(key, upstream.name, now)
-
-    def _rtt_s(self, upstream: UpstreamState) -> float:
-        """Give the part of a duration that is the way there and back, in seconds."""
-        if self.placement is None:
-            return 0.0
-        return self.placement.distances.rtt_s(upstream.upstream.failure_domain)
-
     def _take_probe(self, probed: Probed, now: float) -> None:
         upstream = self.upstreams_by_name.get(probed.upstream)
         if upstream is None:
@@ -463,8 +385,3 @@
     def _returns_by_probe(self, name: str, upstream: UpstreamState, now: float) -> bool:
         last = self._last_probe_by_name.get(name, 0.0)
         return upstream.health.probe_is_due(now) and now - last >= MIN_PROBE_GAP_S
-
-
-def _miss_of(ticket: Ticket) -> str:
-    """Name the durations of requests at upstreams that have not seen their key."""
-    return f"{ticket.operation} miss"
--- a/packages/daemon/tests/test_daemon.py
+++ b/packages/daemon/tests/test_daemon.py
@@ -15,9 +15,9 @@
 from plankspindle_core.invariants import check_invariant
 from plankspindle_core.logs.key_value_destination import start_logging
 from plankspindle_core.logs.key_value_destination import stop_logging
-from plankspindle_daemon.daemon import EXIT_ADDRESS
-from plankspindle_daemon.daemon import EXIT_BROKEN_INVARIANT
-from plankspindle_daemon.daemon import run_daemon
+from plankspindle_daemon.daemon_process import EXIT_ADDRESS
+from plankspindle_daemon.daemon_process import EXIT_BROKEN_INVARIANT
+from plankspindle_daemon.daemon_process import run_daemon
 from plankspindle_daemon.listeners.caller_listener import CallerListener
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.settings.reading import parse_settings
