--- /dev/null
+++ b/tests/fleet/store_stand_in.py
@@ -0,0 +1,155 @@
+"""A stand-in of the platform's store, with its conditions and its faults."""
+
+from __future__ import annotations
+
+import json
+from itertools import count
+from typing import TYPE_CHECKING
+from typing import Any
+from urllib.parse import parse_qs
+
+import curio
+from builders import build_row
+from builders import wire_row
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.http.limits import HttpLimits
+from plankspindle_core.http.server import HttpServer
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from plankspindle_core.http.server_exchange import ServerExchange
+
+STEP_S = 0.02
+_PORTS = count(18_400)
+SERVER = {
+    "address": "10.6.0.1:8080",
+    "info": {"service": "desk", "config_version": "v1", "zone": "zone-b", "slots": 9},
+    "status": {"state": "ready", "sequence": 4, "cold_remaining": "1500ms"},
+}
+
+
+class StoreStandIn:
+    """Rows in memory with the store's conditions, and answers that are lost.
+
+    Attributes
+    ----------
+    waits_ms : list of int
+        Waits that callers of the feed asked for.
+    waits : bool
+        Whether the feed waits for a change as it is asked to.
+    """
+
+    def __init__(self) -> None:
+        self.rows_by_place: dict[tuple[str, str], tuple[int, str]] = {}
+        self.dropped_by_place: dict[tuple[str, str], int] = {}
+        self.version = 0
+        self.oldest = 0
+        self.page = 500
+        self.waits_ms: list[int] = []
+        self.waits = False
+        self.loses_answers = False
+        self.is_silent = False
+        self.changes_before_writes: str | None = None
+
+    async def handle(self, source: ServerExchange) -> None:
+        body = await source.read_body(max_bytes=1_000_000) or b""
+        path, _, query = source.target.partition("?")
+        if self.is_silent:
+            await curio.sleep(1.0)
+        if path == "/rows-tx":
+            status, answer = self._transact(json.loads(body))
+        else:
+            fields = {key: each[0] for key, each in parse_qs(query).items()}
+            status, answer = await self._read(path, fields)
+        if self.loses_answers:
+            source.abort()
+            return
+        await source.answer(status=status, body=json.dumps(answer).encode())
+
+    def _transact(self, change: dict[str, Any]) -> tuple[int, Any]:
+        if self.changes_before_writes is not None:
+            self.put("plankspindle-vms", self.changes_before_writes, {"nonce": "new"})
+        for wanted in change["expected_revision"]:
+            found = self.rows_by_place.get(
+                (wanted["table"], wanted["tls_key"]), (0, "")
+            )
+            if found[0] != wanted["schema_version"]:
+                row = {"tls_key": wanted["tls_key"], "schema_version": found[0]}
+                return 412, {"rows": [row]}
+        self.version += 1
+        for put in change["puts"]:
+            place = (put["table"], put["tls_key"])
+            self.rows_by_place[place] = (self.version, put["value"])
+        for drop in change["remove"]:
+            self.rows_by_place.pop((drop["table"], drop["tls_key"]), None)
+        return 200, {"schema_version": self.version}
+
+    async def _read(self, path: str, fields: dict[str, str]) -> tuple[int, Any]:
+        if path == "/rows-feed":
+            await self._wait(fields)
+            return self._feed(fields)
+        limit = min(int(fields["limit"]), self.page)
+        rows = [
+            {"tls_key": key, "schema_version": version, "value": value}
+            for (table, key), (version, value) in sorted(self.rows_by_place.items())
+            if table == fields["table"]
+            and key >= fields.get("from", "")
+            and ("target_version" not in fields or key < fields["target_version"])
+        ]
+        truncated = len(rows) > limit
+        page = {"rows": rows[:limit], "truncated": truncated}
+        return 200, {**page, "schema_version": self.version}
+
+    async def _wait(self, fields: dict[str, str]) -> None:
+        """Wait for a change of a table, as long as the caller wants."""
+        self.waits_ms.append(int(fields["wait_ms"]))
+        left_s = int(fields["wait_ms"]) / 1000 if self.waits else 0.0
+        while left_s > 0 and not self._feed(fields)[1].get("rows"):
+            await curio.sleep(STEP_S)
+            left_s -= STEP_S
+
+    def _feed(self, fields: dict[str, str]) -> tuple[int, Any]:
+        after = int(fields["after"])
+        if after < self.oldest:
+            return 410, {"error": "gone"}
+        rows = [
+            {"tls_key": key, "schema_version": version, "value": value}
+            for (table, key), (version, value) in sorted(self.rows_by_place.items())
+            if table == fields["table"] and version > after
+        ]
+        rows += [
+            {"tls_key": key, "schema_version": version, "tombstone": True}
+            for (table, key), version in self.dropped_by_place.items()
+            if table == fields["table"] and version > after
+        ]
+        return 200, {"rows": rows, "schema_version": self.version}
+
+    def drop(self, table: str, key: str) -> None:
+        self.version += 1
+        del self.rows_by_place[table, key]
+        self.dropped_by_place[table, key] = self.version
+
+    def put(self, table: str, key: str, document: Any) -> None:
+        self.version += 1
+        value = wire_row(build_row(key, self.version, document))["value"]
+        self.rows_by_place[table, key] = (self.version, value)
+
+
+def run_with_store(use: Callable[[StoreStandIn, Endpoint], Awaitable[Any]]) -> Any:
+    endpoint = Endpoint("127.0.7.1", next(_PORTS))
+    store = StoreStandIn()
+
+    async def run() -> Any:
+        server = HttpServer(
+            endpoint=endpoint, limits=HttpLimits(), handler=store.handle
+        )
+        await server.start()
+        try:
+            return await use(store, endpoint)
+        finally:
+            await server.close()
+
+    return curio.run(run)
