--- a/packages/client/src/plankspindle_client/console/commands/confirm.py
+++ b/packages/client/src/plankspindle_client/console/commands/confirm.py
@@ -5,7 +5,7 @@
 import click
 
 from plankspindle_client.console.context import api_of
-from plankspindle_client.console.context import show_json
+from plankspindle_client.console.context import show_result
 from plankspindle_client.console.context import unwrap_or_exit
 
 
@@ -15,8 +15,5 @@
 def confirm(context: click.Context, plan_id: str) -> None:
     """Confirm the plan PLAN_ID; doing it again is harmless and tells the outcome."""
     plan = unwrap_or_exit(api_of(context).post(f"/v1/plans/{plan_id}/confirm", {}))
-    if context.obj["output"] == "json":
-        show_json(plan)
-        return
     version = plan["base_version"] + 1
-    click.echo(f"plan {plan['id']} is accepted as version {version}")
+    show_result(context, plan, [f"plan {plan['id']} is accepted as version {version}"])
--- a/packages/client/src/plankspindle_client/console/commands/explain.py
+++ b/packages/client/src/plankspindle_client/console/commands/explain.py
@@ -9,7 +9,7 @@
 
 import click
 
-from plankspindle_client.console.context import show_json
+from plankspindle_client.console.context import show_result
 from plankspindle_client.explaining.cause import cause_of
 from plankspindle_client.explaining.request_story import RequestStory
 
@@ -38,11 +38,7 @@
     if not story.steps:
         click.echo(_not_found(story), err=True)
         raise SystemExit(EXIT_NOT_FOUND)
-    if context.obj["output"] == "json":
-        show_json(_as_mapping(story))
-        return
-    for line in render_story(story):
-        click.echo(line)
+    show_result(context, _as_mapping(story), render_story(story))
 
 
 def render_story(story: RequestStory) -> list[str]:
--- a/packages/client/src/plankspindle_client/console/commands/history.py
+++ b/packages/client/src/plankspindle_client/console/commands/history.py
@@ -5,7 +5,7 @@
 import click
 
 from plankspindle_client.console.context import api_of
-from plankspindle_client.console.context import show_json
+from plankspindle_client.console.context import show_result
 from plankspindle_client.console.context import unwrap_or_exit
 
 
@@ -14,10 +14,8 @@
 def history(context: click.Context) -> None:
     """Show the newest accepted versions, who confirmed them, and their plans."""
     found = unwrap_or_exit(api_of(context).get("/v1/history"))["versions"]
-    if context.obj["output"] == "json":
-        show_json(found)
-        return
-    for each in found:
-        click.echo(
-            f"version {each['version']}: plan {each['plan']} by {each['operator']}"
-        )
+    lines = (
+        f"version {each['version']}: plan {each['plan']} by {each['operator']}"
+        for each in found
+    )
+    show_result(context, found, lines)
--- a/packages/client/src/plankspindle_client/console/commands/plan.py
+++ b/packages/client/src/plankspindle_client/console/commands/plan.py
@@ -5,8 +5,8 @@
 import click
 
 from plankspindle_client.console.context import api_of
-from plankspindle_client.console.context import show_json
 from plankspindle_client.console.context import show_plan
+from plankspindle_client.console.context import show_result
 from plankspindle_client.console.context import unwrap_or_exit
 
 
@@ -128,14 +128,12 @@
 def list_plans(context: click.Context) -> None:
     """List the plans that are kept."""
     found = unwrap_or_exit(api_of(context).get("/v1/plans"))["plans"]
-    if context.obj["output"] == "json":
-        show_json(found)
-        return
-    for each in found:
-        click.echo(
-            f"{each['id']} {each['state']} on version {each['base_version']}"
-            f" by {each['operator']}: {each['effects'][0]}"
-        )
+    lines = (
+        f"{each['id']} {each['state']} on version {each['base_version']}"
+        f" by {each['operator']}: {each['effects'][0]}"
+        for each in found
+    )
+    show_result(context, found, lines)
 
 
 @plan.command("undo-shift")
--- a/packages/client/src/plankspindle_client/console/commands/routes.py
+++ b/packages/client/src/plankspindle_client/console/commands/routes.py
@@ -8,7 +8,7 @@
 import click
 
 from plankspindle_client.console.context import api_of
-from plankspindle_client.console.context import show_json
+from plankspindle_client.console.context import show_result
 from plankspindle_client.console.context import unwrap_or_exit
 
 if TYPE_CHECKING:
@@ -26,13 +26,8 @@
     found = unwrap_or_exit(api_of(context).get("/v1/configuration"))
     declared = found["configuration"].get("routes", {})
     chosen = choose_routes(declared, host=host, path=path)
-    if context.obj["output"] == "json":
-        show_json(chosen)
-        return
-    for name, route in chosen.items():
-        click.echo(render_route(name, route))
-    if not chosen:
-        click.echo(NO_ROUTE)
+    lines = [render_route(name, route) for name, route in chosen.items()]
+    show_result(context, chosen, lines or [NO_ROUTE])
 
 
 def choose_routes(
--- a/packages/client/src/plankspindle_client/console/commands/status.py
+++ b/packages/client/src/plankspindle_client/console/commands/status.py
@@ -7,7 +7,7 @@
 import click
 
 from plankspindle_client.console.context import api_of
-from plankspindle_client.console.context import show_json
+from plankspindle_client.console.context import show_result
 from plankspindle_client.console.context import unwrap_or_exit
 
 
@@ -16,11 +16,7 @@
 def status(context: click.Context) -> None:
     """Show version, members, services and shifts as one daemon sees them."""
     found = unwrap_or_exit(api_of(context).get("/state"))
-    if context.obj["output"] == "json":
-        show_json(found)
-        return
-    for line in status_lines(found):
-        click.echo(line)
+    show_result(context, found, status_lines(found))
 
 
 def status_lines(found: dict[str, Any]) -> list[str]:
--- a/packages/client/src/plankspindle_client/console/context.py
+++ b/packages/client/src/plankspindle_client/console/context.py
@@ -14,6 +14,9 @@
 from plankspindle_core.endpoint import Endpoint
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
     from result import Result
 
     from plankspindle_client.operator_api import ApiError
@@ -79,13 +82,32 @@
     click.echo(json.dumps(content, indent=2, sort_keys=True))
 
 
-def show_plan(context: click.Context, plan: Any) -> None:
-    """Print a plan in the form that ``--output`` asks for."""
+def show_result(context: click.Context, content: Any, lines: Iterable[str]) -> None:
+    """Print content as JSON if ``--output`` asks for it, else as lines.
+
+    Parameters
+    ----------
+    context : click.Context
+        Holds what ``--output`` asks for.
+    content : object
+        What is shown, plain values as in JSON.
+    lines : iterable of str
+        The same for people; read only if it is printed.
+    """
     if context.obj["output"] == "json":
-        show_json(plan)
+        show_json(content)
         return
-    click.echo(f"plan {plan['id']} on version {plan['base_version']}: {plan['state']}")
-    for effect in plan["effects"]:
-        click.echo(f"  {effect}")
+    for line in lines:
+        click.echo(line)
+
+
+def show_plan(context: click.Context, plan: Any) -> None:
+    """Print a plan in the form that ``--output`` asks for."""
+    show_result(context, plan, _plan_lines(plan))
+
+
+def _plan_lines(plan: Any) -> Iterator[str]:
+    yield f"plan {plan['id']} on version {plan['base_version']}: {plan['state']}"
+    yield from (f"  {effect}" for effect in plan["effects"])
     if plan["state"] == "open":
-        click.echo(f"nothing has changed yet; run: plankspindle confirm {plan['id']}")
+        yield f"nothing has changed yet; run: plankspindle confirm {plan['id']}"
--- a/packages/daemon/tests/beliefs/test_belief_watch.py
+++ b/packages/daemon/tests/beliefs/test_belief_watch.py
@@ -4,47 +4,22 @@
 
 import pytest
 
-from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.beliefs.belief_watch import BeliefWatch
 from plankspindle_daemon.beliefs.member_watch import MemberWatch
 from plankspindle_daemon.beliefs.plan_watch import PlanWatch
 from plankspindle_daemon.beliefs.upstream_watch import UpstreamWatch
 from plankspindle_daemon.dispatch.messages import Ended
 from plankspindle_daemon.dispatch.messages import Verdict
-from plankspindle_daemon.membership.member import Member
-from plankspindle_daemon.membership.membership import Membership
-from plankspindle_daemon.membership.membership import MembershipOptions
 from plankspindle_daemon.platform.bounded_calls import BoundedCalls
 from plankspindle_testkit.builders import build_dispatcher
+from plankspindle_testkit.builders import build_member
+from plankspindle_testkit.builders import build_membership
 from plankspindle_testkit.builders import build_reporting_dispatcher
 from plankspindle_testkit.builders import build_ticket
 
 NOW = 100.0
 
 
-def build_membership() -> Membership:
-    return Membership(
-        options=MembershipOptions(
-            vm="own",
-            failure_domain="ba-1",
-            incarnation=1,
-            heartbeat_s=0.5,
-            suspect_after_s=2.0,
-            all_domains=True,
-        )
-    )
-
-
-def build_member(name: str, domain: str, heard: float | None) -> Member:
-    return Member(
-        name=name,
-        peer_endpoint=Endpoint("127.0.0.1", 1),
-        counted_since=0.0,
-        last_heard=heard,
-        failure_domain=domain,
-    )
-
-
 def test_an_upstream_is_told_of_when_its_standing_changes_with_what_was_seen() -> None:
     dispatcher = build_dispatcher(slots_by_upstream={"u": 4})
     watch = UpstreamWatch()
@@ -73,9 +48,9 @@
 def test_members_and_whole_domains_are_told_of_when_they_fall_silent_and_return() -> (
     None
 ):
-    membership, watch = build_membership(), MemberWatch()
-    first = build_member("a", "ke-1", NOW)
-    second = build_member("b", "ke-1", NOW)
+    membership, watch = build_membership("own", all_domains=True), MemberWatch()
+    first = build_member("a", failure_domain="ke-1", last_heard=NOW)
+    second = build_member("b", failure_domain="ke-1", last_heard=NOW)
     membership.members_by_name |= {"a": first, "b": second}
     seen = watch.observe(membership, NOW)
     assert [each.fields["now"] for each in seen] == ["heard", "heard"]
@@ -95,8 +70,8 @@
 
 
 def test_a_restart_of_a_member_is_told_of() -> None:
-    membership, watch = build_membership(), MemberWatch()
-    member = build_member("a", "ke-1", NOW)
+    membership, watch = build_membership("own", all_domains=True), MemberWatch()
+    member = build_member("a", failure_domain="ke-1", last_heard=NOW)
     membership.members_by_name["a"] = member
     watch.observe(membership, NOW)
     member.incarnation = 7
--- a/packages/testkit/src/plankspindle_testkit/builders.py
+++ b/packages/testkit/src/plankspindle_testkit/builders.py
@@ -287,33 +287,63 @@
     return dispatcher
 
 
-def build_reader_group(vm: str, names: Iterable[str]) -> ReaderGroup:
-    """Build the group of an entry VM and others of its failure domain.
+def build_membership(vm: str, *, all_domains: bool = False) -> Membership:
+    """Build the membership of an entry VM that knows nobody yet.
 
     Parameters
     ----------
     vm : str
         The VM.
-    names : iterable of str
-        All of the domain, the VM included.
+    all_domains : bool
+        Whether entry VMs of all failure domains are members.
     """
-    membership = Membership(
+    return Membership(
         options=MembershipOptions(
             vm=vm,
             failure_domain="ba-1",
             incarnation=1,
             heartbeat_s=0.5,
             suspect_after_s=2.0,
+            all_domains=all_domains,
         )
     )
-    for number, name in enumerate(names):
+
+
+def build_member(
+    name: str, *, failure_domain: str = "ba-1", last_heard: float | None = None
+) -> Member:
+    """Build a member of a failure domain.
+
+    Parameters
+    ----------
+    name, failure_domain : str
+        Its name, and where it stands.
+    last_heard : float, optional
+        Monotonic time of its newest heartbeat, in seconds.
+    """
+    return Member(
+        name=name,
+        peer_endpoint=Endpoint("127.0.0.1", 1),
+        counted_since=0.0,
+        failure_domain=failure_domain,
+        last_heard=last_heard,
+    )
+
+
+def build_reader_group(vm: str, names: Iterable[str]) -> ReaderGroup:
+    """Build the group of an entry VM and others of its failure domain.
+
+    Parameters
+    ----------
+    vm : str
+        The VM.
+    names : iterable of str
+        All of the domain, the VM included.
+    """
+    membership = build_membership(vm)
+    for name in names:
         if name != vm:
-            membership.members_by_name[name] = Member(
-                name=name,
-                peer_endpoint=Endpoint("127.0.0.1", 1_000 + number),
-                counted_since=0.0,
-                failure_domain="ba-1",
-            )
+            membership.members_by_name[name] = build_member(name)
     return ReaderGroup(vm=vm, failure_domain="ba-1", membership=membership)
 
 
