--- a/packages/testkit/src/plankspindle_testkit/soak/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/__main__.py
@@ -5,6 +5,7 @@
 import sys
 import time
 from collections import Counter
+from itertools import count
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -24,7 +25,8 @@
 from plankspindle_testkit.soak.soak_fault import write_schedule
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable
+    from collections.abc import Iterator
 
 REGRESSIONS = Path(__file__).with_name("regressions.yaml")
 FAULTS_S = 40.0
@@ -99,7 +101,7 @@
 
 def _schedules(
     seed: int, vms: int, schedule: click.File | None, *, regressions: bool
-) -> Sequence[tuple[int, list[SoakFault]]] | _RisingSeeds:
+) -> Iterable[tuple[int, list[SoakFault]]]:
     if schedule is not None:
         try:
             return [(seed, read_schedule(schedule.read()))]  # type: ignore[attr-defined]
@@ -107,29 +109,22 @@
             raise click.ClickException(str(error)) from error
     if regressions:
         return load_regressions()
-    return _RisingSeeds(seed, vms)
-
-
-class _RisingSeeds:
-    """Schedules of a seed and those after it."""
-
-    def __init__(self, seed: int, vms: int) -> None:
-        self._seed = seed
-        self._layout = Layout(vms=vms)
-
-    def __iter__(self) -> _RisingSeeds:
-        return self
-
-    def __next__(self) -> tuple[int, list[SoakFault]]:
-        seed = self._seed
-        self._seed += 1
-        faults = draw_faults(
-            seed,
-            seconds=FAULTS_S,
-            vms=[place.name for place in self._layout.places],
-            upstreams=list(self._layout.upstream_endpoints),
+    return _rising_seeds(seed, vms)
+
+
+def _rising_seeds(seed: int, vms: int) -> Iterator[tuple[int, list[SoakFault]]]:
+    """Draw schedules of a seed and those after it."""
+    layout = Layout(vms=vms)
+    for number in count(seed):
+        yield (
+            number,
+            draw_faults(
+                number,
+                seconds=FAULTS_S,
+                vms=[place.name for place in layout.places],
+                upstreams=list(layout.upstream_endpoints),
+            ),
         )
-        return seed, faults
 
 
 def load_regressions() -> list[tuple[int, list[SoakFault]]]:
--- a/packages/testkit/src/plankspindle_testkit/soak/soak.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from random import Random
 from time import monotonic
+from typing import TYPE_CHECKING
 from typing import Any
 
 from attrs import define
@@ -31,6 +32,9 @@
 from plankspindle_testkit.soak.soak_fault import SoakFault
 from plankspindle_testkit.soak.striker import Striker
 
+if TYPE_CHECKING:
+    from plankspindle_testkit.builders import VmPlace
+
 CHECK_PERIOD_S = 1.0
 START_S = 30.0
 RECOVERY_S = 15.0
@@ -172,17 +176,9 @@
         return answer.is_ok()
 
     async def _all_ready(self) -> bool:
-        states = [await self._state(place.name) for place in self.layout.places]
+        states = [await _state_of(place) for place in self.layout.places]
         return all(each and each["readiness"] == "ready" for each in states)
 
-    async def _state(self, vm: str) -> dict[str, Any] | None:
-        place = next(each for each in self.layout.places if each.name == vm)
-        answer = await fetch(place.operator, target="/state", timeout_s=3.0)
-        if answer.is_err() or answer.unwrap().status != 200:
-            return None
-        found: dict[str, Any] = json.loads(answer.unwrap().body)
-        return found
-
     async def _start_callers(self) -> list[Any]:
         random = Random(self.plan.seed)
         tasks = []
@@ -217,7 +213,7 @@
         await self._take_runs()
         for place in self.layout.places:
             self._note_end(place.name)
-            state = await self._state(place.name)
+            state = await _state_of(place)
             if state is not None:
                 life = (place.name, int(state["incarnation"], 16))
                 version = int(state["configuration"]["version"])
@@ -246,7 +242,7 @@
             return broken
         versions, connections = {}, {}
         for place in self.layout.places:
-            state = await self._state(place.name)
+            state = await _state_of(place)
             versions[place.name] = -1 if state is None else _version_of(state)
             connections[place.name] = "" if state is None else _connections(state)
         pids = {each.name: self._pid(each.name) for each in self.layout.places}
@@ -269,6 +265,15 @@
         return self.processes.by_name[vm].pid
 
 
+async def _state_of(place: VmPlace) -> dict[str, Any] | None:
+    """Read the state of an entry VM; None if it gives none."""
+    answer = await fetch(place.operator, target="/state", timeout_s=3.0)
+    if answer.is_err() or answer.unwrap().status != 200:
+        return None
+    found: dict[str, Any] = json.loads(answer.unwrap().body)
+    return found
+
+
 def _version_of(state: dict[str, Any]) -> int:
     return int(state["configuration"]["version"])
 
