Fail a test of the soak when its soak cannot start, instead of waiting for ever

Seen once: the soak's tests hung for ten minutes beside a soak that I had started on the port range that this test uses. Reproduced by two soaks on one range: the second ends with EADDRINUSE at once, and the test went on waiting for its first request. It ends with the soak's error now; what it demands of a soak that runs is unchanged.

--- a/packages/testkit/tests/soak/test_soak.py
+++ b/packages/testkit/tests/soak/test_soak.py
@@ -46,9 +46,10 @@
 
     async def run() -> SoakVerdict:
         task = await curio.spawn(running.run)
-        while not running.seen.told:
+        while not (running.seen.told or task.terminated):
             await curio.sleep(0.1)
-        running.processes.by_name["ke-1-1"].kill()
+        if not task.terminated:
+            running.processes.by_name["ke-1-1"].kill()
         verdict: SoakVerdict = await task.join()
         return verdict
 
