--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/bench/median_time.py
@@ -0,0 +1,22 @@
+"""The median duration of a piece of work."""
+
+from __future__ import annotations
+
+import time
+from statistics import median
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+REPEATS = 5
+
+
+def median_ms(function: Callable[[], object]) -> float:
+    """Run a function a few times, and give the median duration in milliseconds."""
+    times = []
+    for _ in range(REPEATS):
+        began = time.perf_counter()
+        function()
+        times.append((time.perf_counter() - began) * 1000)
+    return median(times)
--- a/packages/testkit/src/plankspindle_testkit/bench/slopes_bench.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/slopes_bench.py
@@ -3,16 +3,12 @@
 from __future__ import annotations
 
 import json
-import time
 import tracemalloc
-from collections.abc import Callable
 from random import Random
 from statistics import linear_regression
-from statistics import median
 from typing import TYPE_CHECKING
 
 from attrs import evolve
-from attrs import frozen
 
 from plankspindle_core.configuration.codec import configuration_to_mapping
 from plankspindle_core.configuration.codec import decode_configuration
@@ -23,20 +19,20 @@
 from plankspindle_daemon.dispatch import messages as dispatch
 from plankspindle_daemon.membership import messages as membership
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
-from plankspindle_daemon.peer_messages.list_news import ListNews
-from plankspindle_daemon.platform.live_list import ListedVm
-from plankspindle_daemon.platform.live_list import VmKind
 from plankspindle_daemon.platform.live_list import parse_live_list
-from plankspindle_daemon.sharing.shared_reads import SharedReads
 from plankspindle_daemon.steering.block_table import BlockTable
 from plankspindle_daemon.wire.codec import decode
 from plankspindle_daemon.wire.codec import encode
 from plankspindle_daemon.wire.frame import FrameSealer
 from plankspindle_testkit.bench.lookup_bench import build_blocks
+from plankspindle_testkit.bench.median_time import REPEATS
+from plankspindle_testkit.bench.median_time import median_ms
+from plankspindle_testkit.bench.sharing_slopes import heard_ms
+from plankspindle_testkit.bench.sharing_slopes import told_ms
+from plankspindle_testkit.bench.slope import Slope
 from plankspindle_testkit.bench.table import print_table
 from plankspindle_testkit.builders import VmPlace
 from plankspindle_testkit.builders import build_configuration
-from plankspindle_testkit.builders import build_reader_group
 from plankspindle_testkit.builders import build_service
 from plankspindle_testkit.builders import build_ticket
 from plankspindle_testkit.builders import build_upstream
@@ -45,32 +41,10 @@
 if TYPE_CHECKING:
     from plankspindle_daemon.admission.ticket import Ticket
     from plankspindle_daemon.node.node import Node
-    from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 
-REPEATS = 5
 WALL = 1_000.0
 
 
-@frozen(kw_only=True)
-class Slope:
-    """A cost at some sizes.
-
-    Parameters
-    ----------
-    name, unit : str
-        What is measured, in which unit.
-    sizes : tuple of int
-        Sizes.
-    measure : callable
-        Gives the cost at a size.
-    """
-
-    name: str
-    unit: str
-    sizes: tuple[int, ...]
-    measure: Callable[[int], float]
-
-
 def run_slopes_bench() -> None:
     """Print a row for each slope: values, linear fit, worst error of the fit."""
     rows = []
@@ -94,15 +68,6 @@
     print_table(f"Slopes, median of {REPEATS} repeats each", columns, rows)
 
 
-def _median_ms(function: Callable[[], object]) -> float:
-    times = []
-    for _ in range(REPEATS):
-        began = time.perf_counter()
-        function()
-        times.append((time.perf_counter() - began) * 1000)
-    return median(times)
-
-
 def _place(number: int) -> VmPlace:
     return VmPlace(
         name=f"vm-{number:04}",
@@ -139,7 +104,7 @@
 
     serve()
     serve()
-    return _median_ms(serve) / 50
+    return median_ms(serve) / 50
 
 
 def _order_kib(upstreams: int) -> float:
@@ -171,62 +136,7 @@
         domain_by_name[f"new{number}"] = "ba-1"
         orders.use(domain_by_name)
 
-    return _median_ms(change)
-
-
-def _shared_reads(vm: str, members: int) -> SharedReads:
-    """Build one of a domain's entry VMs, long after it has read 232 upstreams."""
-    names = [f"vm-{number:04}" for number in range(members)]
-    reads = SharedReads(group=build_reader_group(vm, names), period_s=1.0)
-    _read_list(reads, version=1)
-    return reads
-
-
-def _read_list(reads: SharedReads, *, version: int) -> list[SendToPeer]:
-    upstreams = [
-        ListedVm(
-            name=f"u{number}",
-            kind=VmKind.UPSTREAM,
-            failure_domain="ba-1",
-            upstream=build_upstream(slots=number + 1 + version // 232),
-        )
-        for number in range(232)
-    ]
-    return reads.note_list_read(
-        upstreams[version % 232 :] + upstreams[: version % 232],
-        version=version,
-        configuration_version=1,
-        after_gap=False,
-        now=100.0 * version,
-    )
-
-
-def _told_ms(members: int) -> float:
-    """Read a list of 232 upstreams and tell all members of the domain."""
-    reads = _shared_reads("vm-0000", members)
-    sealer = FrameSealer(keys=[b"k" * 16])
-    versions = iter(range(2, 10**6))
-
-    def tell() -> None:
-        for sent in _read_list(reads, version=next(versions)):
-            sealer.seal(encode(sent.message))
-
-    return _median_ms(tell)
-
-
-def _heard_ms(members: int) -> float:
-    """Take what a reader tells."""
-    reader = _shared_reads("vm-0000", members)
-    reads = _shared_reads("vm-0001", members)
-    sealer = FrameSealer(keys=[b"k" * 16])
-    frame = sealer.seal(encode(_read_list(reader, version=2)[0].message))
-
-    def hear() -> None:
-        news = sealer.open(frame).and_then(decode).unwrap()
-        assert isinstance(news, ListNews)
-        reads.take_news(news, 100.0)
-
-    return _median_ms(hear)
+    return median_ms(change)
 
 
 def _build_node(members: int, upstreams: int = 60) -> Node:
@@ -257,7 +167,7 @@
         for _ in range(20):
             node.tick(now=3.0 + 0.05 * next(steps), wall=WALL)
 
-    return _median_ms(tick) / 20
+    return median_ms(tick) / 20
 
 
 def _heartbeat_ms(members: int) -> float:
@@ -278,7 +188,7 @@
             event = membership.HeartbeatReceived(heartbeat)
             node.take_membership(event, now=0.3, wall=WALL)
 
-    return _median_ms(receive) / 100
+    return median_ms(receive) / 100
 
 
 def _serve_one(node: Node, ticket: Ticket) -> None:
@@ -304,7 +214,7 @@
         for _ in range(50):
             _serve_one(node, build_ticket(next(numbers)))
 
-    return _median_ms(serve) / 50
+    return median_ms(serve) / 50
 
 
 def _configuration(blocks: int) -> Configuration:
@@ -323,7 +233,7 @@
         decoded = decode_configuration(content).unwrap()
         node.adopt(decoded, version=node.version + next(versions), now=5.0)
 
-    return _median_ms(adopt)
+    return median_ms(adopt)
 
 
 def _content_kib(blocks: int) -> float:
@@ -367,7 +277,7 @@
         listed = parse_live_list(json.loads(content)).unwrap()
         node.take_membership(membership.LiveListRead(tuple(listed)), now=9.0, wall=WALL)
 
-    return _median_ms(read)
+    return median_ms(read)
 
 
 def _digests_ms(senders: int) -> float:
@@ -377,7 +287,7 @@
     digest = node.load_digest(3.0)
     for number in range(senders):
         node.digests.take(evolve(digest, sender=f"vm-{number}"), 3.0)
-    return _median_ms(
+    return median_ms(
         lambda: node.digests.load_of(service="registry", domains={"ba-1"}, now=3.0)
     )
 
@@ -423,13 +333,13 @@
         name="list of 232 read and told, by members of the domain",
         unit="ms",
         sizes=(8, 16, 32),
-        measure=_told_ms,
+        measure=told_ms,
     ),
     Slope(
         name="reader's word heard, by members of the domain",
         unit="ms",
         sizes=(8, 16, 32),
-        measure=_heard_ms,
+        measure=heard_ms,
     ),
     Slope(
         name="version adopted, by client blocks",
