Log how long reads of the platform failed, and the longest of them

A row of failed reads was logged once, at its beginning: a wait that was lost for seconds and calls that the circuit breaker kept back looked alike. The first event now says what the read took, and a further one, when a read succeeds, how long nothing was read, how often, and the longest call. No logic is changed; one watch serves both followers.

--- a/packages/daemon/src/plankspindle_daemon/node/configuration_follower.py
+++ b/packages/daemon/src/plankspindle_daemon/node/configuration_follower.py
@@ -5,12 +5,13 @@
 from time import monotonic
 
 from attrs import define
+from attrs import field
 from curio import sleep
 
-from plankspindle_core.logs.key_value_destination import log_event
 from plankspindle_daemon.configuration.configuration_reader import ReaderPort
 from plankspindle_daemon.node.effect_runner import EffectRunner
 from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.platform.read_watch import ReadWatch
 from plankspindle_daemon.sharing.shared_reads import LOOK_S
 
 RETRY_S = 0.2
@@ -40,7 +41,7 @@
     effects: EffectRunner
     period_s: float
     all_read: bool
-    _unread: str | None = None
+    _watch: ReadWatch = field(factory=lambda: ReadWatch(subject="configuration"))
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -50,7 +51,7 @@
                 await self._read()
 
     def _pause_s(self) -> float:
-        if self._unread is not None:
+        if self._watch.is_failing:
             return RETRY_S
         reads = not self.all_read or self._is_to_read(monotonic())
         return self.period_s if reads else LOOK_S
@@ -61,21 +62,17 @@
         return self.node.reads.reads_configuration(self.node.version, now)
 
     async def _read(self) -> None:
-        wait_s = self.node.reads.configuration_wait_s(monotonic())
+        began = monotonic()
+        wait_s = self.node.reads.configuration_wait_s(began)
         read = await self.reader.read_newer(self.node.version, wait_s)
         if read.is_err():
-            self._note_unread(read.unwrap_err().detail)
+            detail, held = read.unwrap_err().detail, self.node.version
+            self._watch.note_failed(detail, began=began, now=monotonic(), version=held)
             return
-        self._unread = None
+        self._watch.note_read(monotonic())
         self.node.versions.head.note_read(monotonic())
         newer = read.unwrap()
         if newer is not None:
             await self.effects.adopt(newer)
         told = self.node.reads.note_configuration_read(self.node.version, monotonic())
         await self.effects.perform([*told])
-
-    def _note_unread(self, detail: str) -> None:
-        """Log what is in the way, once until a read succeeds."""
-        if self._unread is None:
-            log_event("configuration_unread", detail=detail, version=self.node.version)
-        self._unread = detail
--- a/packages/daemon/src/plankspindle_daemon/node/list_follower.py
+++ b/packages/daemon/src/plankspindle_daemon/node/list_follower.py
@@ -8,14 +8,15 @@
 from typing import Any
 
 from attrs import define
+from attrs import field
 from curio import sleep
 from curio import spawn
 
-from plankspindle_core.logs.key_value_destination import log_event
 from plankspindle_daemon.membership.messages import LiveListRead
 from plankspindle_daemon.node.effect_runner import EffectRunner
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.platform.platform_client import PlatformClient
+from plankspindle_daemon.platform.read_watch import ReadWatch
 from plankspindle_daemon.sharing.shared_reads import LOOK_S
 
 if TYPE_CHECKING:
@@ -51,7 +52,7 @@
     effects: EffectRunner
     period_s: float
     _task: Any = None
-    _is_unread: bool = False
+    _watch: ReadWatch = field(factory=lambda: ReadWatch(subject="list"))
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -59,15 +60,16 @@
             if not self.node.reads.reads_list(monotonic()):
                 await sleep(LOOK_S)
                 continue
+            began = monotonic()
             read = await self._read()
             if read is None:
                 self.node.services.listed.note_failed()
                 continue
             if read.is_err():
-                self._note_unread(read.unwrap_err().detail)
+                self._note_unread(read.unwrap_err().detail, began)
                 await self._pause(RETRY_S)
                 continue
-            self._is_unread = False
+            self._watch.note_read(monotonic())
             await self._take_read(read.unwrap())
             shared_s = self.node.reads.list_pause_s(monotonic())
             await self._pause(self._stretched_s() if shared_s is None else shared_s)
@@ -136,15 +138,12 @@
         if self._task is not None and not self._task.terminated:
             await self._task.cancel(blocking=False)
 
-    def _note_unread(self, detail: str) -> None:
-        self.node.services.listed.note_failed()
-        if not self._is_unread:
-            log_event(
-                "list_unread",
-                detail=detail,
-                upstreams=len(self.node.services.listed.by_name),
-            )
-        self._is_unread = True
+    def _note_unread(self, detail: str, began: float) -> None:
+        listed = self.node.services.listed
+        listed.note_failed()
+        self._watch.note_failed(
+            detail, began=began, now=monotonic(), upstreams=len(listed.by_name)
+        )
 
     def _stretched_s(self) -> float:
         """Stretch the period with the length of the list, which each reader pays."""
--- /dev/null
+++ b/packages/daemon/tests/platform/test_read_watch.py
@@ -0,0 +1,28 @@
+"""Tests of what is logged of reads that fail."""
+
+from __future__ import annotations
+
+import io
+
+from plankspindle_core.logs.key_value_destination import start_logging
+from plankspindle_core.logs.key_value_destination import stop_logging
+from plankspindle_daemon.platform.read_watch import ReadWatch
+
+
+def test_a_row_of_failures_is_logged_at_its_beginning_and_its_end() -> None:
+    stream = io.StringIO()
+    destination = start_logging(stream=stream)
+    try:
+        watch = ReadWatch(subject="list")
+        watch.note_read(1.0)
+        watch.note_failed("no answer in time", began=2.0, now=8.0, upstreams=3)
+        watch.note_failed("not tried", began=8.2, now=8.2, upstreams=3)
+        assert watch.is_failing
+        watch.note_read(9.0)
+        watch.note_read(10.0)
+        assert not watch.is_failing
+    finally:
+        stop_logging(destination)
+    unread, again = stream.getvalue().splitlines()
+    assert 'list_unread detail="no answer in time" took_ms=6000 upstreams=3' in unread
+    assert "list_read_again unread_ms=7000 failed=2 longest_ms=6000" in again
