End a request at its deadline when two of its limits pass in a busy loop

Cause: a curio task that is ready when an inner limit passes learns of it at its next wait. If the loop stays busy until the outer limit has passed, the inner one is left in time, its end is raised inside the outer one, whose deadline is later than the end says, and curio raises UncaughtTimeoutError. The supervisor took that for an error that must end the process, with all its requests.

Ruled out: the outer limit passing first, or both in one turn of the loop (curio finds the right one); a cancelled request (its limits are taken off).

All limits of the program are of one class now, which takes such an end for its own if it is late, and a test sees to it that there is no other. With that taken out, the three tests of a busy loop fail, and the request's as before; with it they hold.

--- a/packages/core/src/plankspindle_core/http/client_connection.py
+++ b/packages/core/src/plankspindle_core/http/client_connection.py
@@ -9,13 +9,13 @@
 import h11
 from curio import TaskTimeout
 from curio import socket
-from curio import timeout_after
 from result import Err
 from result import Ok
 from result import Result
 
 from plankspindle_core.http.errors import ConnectFailed
 from plankspindle_core.http.errors import ConnectionLost
+from plankspindle_core.time_limit import within
 
 if TYPE_CHECKING:
     from plankspindle_core.endpoint import Endpoint
@@ -82,7 +82,7 @@
         self._socket = socket.socket(family, socket.SOCK_STREAM)
         _set_options(self._socket)
         try:
-            await timeout_after(
+            await within(
                 timeout_s,
                 self._socket.connect,
                 (self.endpoint.host, self.endpoint.port),
--- a/packages/core/src/plankspindle_core/http/fetch.py
+++ b/packages/core/src/plankspindle_core/http/fetch.py
@@ -6,7 +6,6 @@
 
 from attrs import frozen
 from curio import TaskTimeout
-from curio import timeout_after
 from result import Err
 from result import Ok
 from result import Result
@@ -16,6 +15,7 @@
 from plankspindle_core.http.errors import TimedOut
 from plankspindle_core.http.headers import HeaderList
 from plankspindle_core.http.headers import as_header_list
+from plankspindle_core.time_limit import within
 
 if TYPE_CHECKING:
     from plankspindle_core.endpoint import Endpoint
@@ -75,16 +75,15 @@
     connection = ClientConnection(endpoint=endpoint)
     closing = [(b"connection", b"close"), *(headers or [])]
     try:
-        return await timeout_after(  # type: ignore[no-any-return]
+        return await within(  # type: ignore[no-any-return]
+            timeout_s,
+            _exchange,
+            connection,
+            method,
+            target,
+            closing,
+            body,
             timeout_s,
-            _exchange(
-                connection,
-                method,
-                target,
-                closing,
-                body,
-                timeout_s,
-            ),
         )
     except TaskTimeout:
         return Err(TimedOut(timeout_s))
--- a/packages/core/src/plankspindle_core/http/server.py
+++ b/packages/core/src/plankspindle_core/http/server.py
@@ -5,6 +5,7 @@
 import socket as stdlib_socket
 from collections.abc import Awaitable
 from collections.abc import Callable
+from contextlib import suppress
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -12,17 +13,17 @@
 from curio import TaskCancelled
 from curio import TaskTimeout
 from curio import current_task
-from curio import ignore_after
 from curio import sleep
 from curio import socket
 from curio import spawn
-from curio import timeout_after
 
 from plankspindle_core.http.headers import as_header_list
 from plankspindle_core.http.headers import find_header
 from plankspindle_core.http.server_exchange import RECEIVE_BYTES
 from plankspindle_core.http.server_exchange import CallerGoneError
 from plankspindle_core.http.server_exchange import ServerExchange
+from plankspindle_core.time_limit import TimeLimit
+from plankspindle_core.time_limit import within
 
 if TYPE_CHECKING:
     from plankspindle_core.endpoint import Endpoint
@@ -98,9 +99,10 @@
             Longest time to wait for running exchanges, in seconds.
         """
         self.leaving = True
-        async with ignore_after(drain_s):
-            while self._busy:
-                await sleep(CLOSE_POLL_S)
+        with suppress(TaskTimeout):
+            async with TimeLimit(drain_s):
+                while self._busy:
+                    await sleep(CLOSE_POLL_S)
         if self._accept_task is not None:
             await self._accept_task.cancel()
             await self._listener.close()
@@ -162,9 +164,10 @@
         self, protocol: h11.Connection, exchange: ServerExchange
     ) -> bool:
         if protocol.our_state is h11.MUST_CLOSE and not exchange.body_is_read:
-            async with ignore_after(UNREAD_BODY_GRACE_S):
-                while await exchange.read_chunk() is not None:
-                    pass
+            with suppress(TaskTimeout):
+                async with TimeLimit(UNREAD_BODY_GRACE_S):
+                    while await exchange.read_chunk() is not None:
+                        pass
         done = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
         return done and not exchange.closes
 
@@ -191,13 +194,13 @@
     async def _next_head(self, protocol: h11.Connection, client: Any) -> Any:
         event = protocol.next_event()
         if event is h11.NEED_DATA and not protocol.trailing_data[0]:
-            first = await timeout_after(
+            first = await within(
                 self._limits.idle_timeout_s, client.recv, RECEIVE_BYTES
             )
             protocol.receive_data(first)
             event = protocol.next_event()
         if event is h11.NEED_DATA:
-            event = await timeout_after(
+            event = await within(
                 self._limits.header_timeout_s, self._rest_of_head, protocol, client
             )
         return event
--- a/packages/core/src/plankspindle_core/http/server_exchange.py
+++ b/packages/core/src/plankspindle_core/http/server_exchange.py
@@ -12,10 +12,10 @@
 from curio import TaskTimeout
 from curio import current_task
 from curio import spawn
-from curio import timeout_after
 
 from plankspindle_core.http.headers import HeaderList
 from plankspindle_core.http.limits import HttpLimits
+from plankspindle_core.time_limit import within
 
 RECEIVE_BYTES = 65_536
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -99,7 +99,7 @@
             if self._protocol.they_are_waiting_for_100_continue:
                 await self._send(h11.InformationalResponse(status_code=100, headers=[]))
             while (event := self._protocol.next_event()) is h11.NEED_DATA:
-                received = await timeout_after(
+                received = await within(
                     self.limits.body_timeout_s, self._socket.recv, RECEIVE_BYTES
                 )
                 self._protocol.receive_data(received)
@@ -150,9 +150,7 @@
         if not encoded:
             return
         try:
-            await timeout_after(
-                self.limits.body_timeout_s, self._socket.sendall, encoded
-            )
+            await within(self.limits.body_timeout_s, self._socket.sendall, encoded)
         except (OSError, TaskTimeout) as error:
             raise CallerGoneError(str(error)) from error
 
--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
@@ -10,7 +10,6 @@
 from attrs import define
 from attrs import frozen
 from curio import TaskTimeout
-from curio import timeout_after
 from result import Ok
 from result import Result
 
@@ -21,6 +20,7 @@
 from plankspindle_core.http.headers import find_header
 from plankspindle_core.http.server_exchange import ServerExchange
 from plankspindle_core.outcome import Outcome
+from plankspindle_core.time_limit import within
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import Ended
@@ -202,7 +202,7 @@
         patience_s = None if assigned is None else self.patience.wait_s(self.ticket)
         while patience_s is not None and assigned is not None:
             try:
-                return await timeout_after(  # type: ignore[no-any-return]
+                return await within(  # type: ignore[no-any-return]
                     patience_s, connection.read_head
                 )
             except TaskTimeout:
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -8,7 +8,6 @@
 
 from attrs import define
 from curio import TaskTimeout
-from curio import timeout_after
 
 from plankspindle_core import header_names
 from plankspindle_core.http.headers import HeaderList
@@ -17,6 +16,7 @@
 from plankspindle_core.http.headers import without_hop_by_hop
 from plankspindle_core.http.server_exchange import CallerGoneError
 from plankspindle_core.outcome import Outcome
+from plankspindle_core.time_limit import TimeLimit
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import Verdict
@@ -119,7 +119,7 @@
 
     async def _run_with_deadline(self) -> None:
         try:
-            async with timeout_after(max(0.0, self.ticket.deadline - monotonic())):
+            async with TimeLimit(max(0.0, self.ticket.deadline - monotonic())):
                 event = await self._perform_all(self.exchange.begin())
                 while event is not None:
                     event = await self._perform_all(self.exchange.handle(event))
--- a/packages/daemon/src/plankspindle_daemon/idempotency/claim_store.py
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/claim_store.py
@@ -13,9 +13,9 @@
 from curio import Event
 from curio import TaskTimeout
 from curio import sleep
-from curio import timeout_after
 
 from plankspindle_core.supervisor import Supervisor
+from plankspindle_core.time_limit import TimeLimit
 from plankspindle_daemon.idempotency.claim_attempt import ClaimAttempt
 from plankspindle_daemon.idempotency.claim_attempt import ClaimEvent
 from plankspindle_daemon.idempotency.claim_attempt import OutOfTime
@@ -126,7 +126,7 @@
         attempt = ClaimAttempt(key=key, wanted=wanted)
         effects = attempt.begin()
         try:
-            async with timeout_after(max(0.0, deadline - monotonic())):
+            async with TimeLimit(max(0.0, deadline - monotonic())):
                 while not isinstance(effects[-1], Settled):
                     effects = attempt.handle(await self._perform(effects[-1]))
         except TaskTimeout:
--- a/packages/daemon/src/plankspindle_daemon/platform/bounded_calls.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/bounded_calls.py
@@ -11,11 +11,11 @@
 from attrs import define
 from attrs import field
 from curio import TaskTimeout
-from curio import timeout_after
 from result import Err
 from result import Result
 
 from plankspindle_core.histogram import Histogram
+from plankspindle_core.time_limit import within
 from plankspindle_core.token_bucket import TokenBucket
 from plankspindle_daemon.platform.circuit_breaker import CircuitBreaker
 from plankspindle_daemon.platform.errors import PlatformUnavailable
@@ -141,7 +141,7 @@
         timeout_s: float,
     ) -> Result[HttpAnswer, PlatformUnavailable]:
         try:
-            answer = await timeout_after(timeout_s, call, *args)
+            answer = await within(timeout_s, call, *args)
         except TaskTimeout:
             return Err(PlatformUnavailable("no answer in time"))
         if answer.is_err():
