Test, failing: an unexpected error of one request ends only that request

Today any error that a request's code does not expect stops the process, and with it all requests that run there: the class of which the busy loop was one case. Only a broken invariant is to do so; a test holds that, too.

--- a/packages/daemon/tests/test_daemon.py
+++ b/packages/daemon/tests/test_daemon.py
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     import pytest
 
+    from plankspindle_core.http.server_exchange import ServerExchange
     from plankspindle_daemon.settings.daemon_settings import DaemonSettings
 
 _PORTS = count(18_600, 3)
@@ -94,6 +95,78 @@
     assert 'event=crashed error="ZeroDivisionError()"' in stream.getvalue()
 
 
+async def ask_beside_a_running_one(
+    settings: DaemonSettings, broken: str
+) -> tuple[int, list[int | None], bool]:
+    """Send a request that breaks while another one runs.
+
+    Returns
+    -------
+    tuple
+        Status of the broken request, that of the other, and whether the daemon still
+        runs then.
+    """
+    daemon = await curio.spawn(run_daemon, settings)
+    while (await fetch(settings.listen.caller, timeout_s=1.0)).is_err():
+        await curio.sleep(0.02)
+    running = await curio.spawn(status_of, settings, "/slow")
+    await curio.sleep(0.1)
+    statuses = [await status_of(settings, broken), await running.join()]
+    await curio.sleep(0.2)
+    runs_on = not daemon.terminated
+    await daemon.cancel()
+    status: int = 0 if runs_on else daemon.result
+    return status, statuses, runs_on
+
+
+async def status_of(settings: DaemonSettings, target: str) -> int | None:
+    answer = await fetch(settings.listen.caller, target=target, timeout_s=2.0)
+    return answer.unwrap().status if answer.is_ok() else None
+
+
+async def handle_or_break(self: CallerListener, source: ServerExchange) -> None:
+    await source.read_body(max_bytes=0)
+    if source.target == "/unexpected":
+        raise ZeroDivisionError
+    if source.target == "/invariant":
+        check_invariant("made-up", False, "for a test")
+    if source.target == "/slow":
+        await curio.sleep(0.5)
+    await source.answer(status=200, body=b"own")
+
+
+def play(
+    monkeypatch: pytest.MonkeyPatch, broken: str
+) -> tuple[int, list[int | None], bool, str]:
+    monkeypatch.setattr(CallerListener, "handle", handle_or_break)
+    stream = io.StringIO()
+    destination = start_logging(stream=stream)
+    try:
+        played = curio.run(ask_beside_a_running_one, build_settings(), broken)
+    finally:
+        stop_logging(destination)
+    return (*played, stream.getvalue())
+
+
+def test_an_unexpected_error_of_a_request_ends_only_that_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    _, statuses, runs_on, log = play(monkeypatch, "/unexpected")
+    assert statuses == [500, 200]
+    assert runs_on
+    assert 'error="ZeroDivisionError()"' in log
+    assert "handle_or_break" in log
+
+
+def test_a_broken_invariant_of_a_request_stops_the_process(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    status, _, runs_on, log = play(monkeypatch, "/invariant")
+    assert not runs_on
+    assert status == EXIT_BROKEN_INVARIANT
+    assert "event=invariant_broken" in log
+
+
 def test_an_address_in_use_is_said_and_ends_the_process() -> None:
     settings = build_settings()
     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as taken:
