An unexpected error of one request, message or probe ends only that

Cause: one supervisor kept the errors of lasting tasks and of single requests alike, and any of them stopped the process.

Now: what serves one request, peer message or probe is contained. The error is logged with its trace (error_contained) and counted in the state; the caller gets 500 with the outcome unknown, or a reset if the answer had begun; the slot is given back. A broken invariant stops the process as before, and so does an error of a lasting task, since the process would go on without what it does.

--- a/packages/core/src/plankspindle_core/http/server_exchange.py
+++ b/packages/core/src/plankspindle_core/http/server_exchange.py
@@ -126,9 +126,9 @@
         """
         if self.closes or not self._body_read:
             headers = [*headers, (b"connection", b"close")]
-        self.head_sent = True
         response = h11.Response(status_code=status, headers=headers)
         self._unsent += self._encode(response)
+        self.head_sent = True
 
     async def send_data(self, data: bytes) -> None:
         """Send a part of the answer's body and wait until the socket took it."""
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -348,6 +348,7 @@
             peers=self._peers,
             platform=self._platform,
             claims=self._claims,
+            supervisor=self._supervisor,
         )
         return {**dumped, **dump_measures(self._measures)}
 
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -111,6 +111,11 @@
             await self._run_with_deadline()
         except CallerGoneError:
             await self._perform_all(self.exchange.handle(CallerGone()))
+        except Exception:
+            # The slot, or the place in the queue, would stay taken for good.
+            await self._end_attempt(Verdict.CANCELLED)
+            await self.dispatch.withdraw(self.service, self.ticket)
+            raise
         finally:
             if self._attempt is not None:
                 await self._attempt.close()
--- a/packages/daemon/src/plankspindle_daemon/listeners/caller_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/caller_listener.py
@@ -61,7 +61,7 @@
         self._server = HttpServer(
             endpoint=self.settings.listen.caller,
             limits=self.settings.http,
-            handler=partial(self.supervisor.guard, self.handle),
+            handler=partial(self.supervisor.serve, self.handle),
         )
 
     async def start(self) -> None:
--- a/packages/daemon/src/plankspindle_daemon/listeners/metrics_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/metrics_listener.py
@@ -45,7 +45,7 @@
         self._server = HttpServer(
             endpoint=self.endpoint,
             limits=HttpLimits(max_connections=MAX_COLLECTORS),
-            handler=partial(self.supervisor.guard, self.handle),
+            handler=partial(self.supervisor.serve, self.handle),
         )
 
     async def start(self) -> None:
--- a/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
@@ -77,7 +77,7 @@
         self._server = HttpServer(
             endpoint=self.settings.listen.operator,
             limits=HttpLimits(max_connections=64),
-            handler=partial(self.supervisor.guard, self.handle),
+            handler=partial(self.supervisor.serve, self.handle),
         )
 
     async def start(self) -> None:
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -13,6 +13,7 @@
 
 from plankspindle_core import header_names
 from plankspindle_core.http.headers import find_header
+from plankspindle_core.http.server_exchange import CallerGoneError
 from plankspindle_core.outcome import Outcome
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.exchange.answers import answer_with_outcome
@@ -128,6 +129,11 @@
         )
         try:
             await self._serve_counted(source, story)
+        except CallerGoneError:
+            raise
+        except Exception:
+            story.end(Ending.UNKNOWN, reason="internal-error")
+            raise
         finally:
             self.running -= 1
             now = monotonic()
--- a/packages/daemon/src/plankspindle_daemon/listeners/shell_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/shell_dump.py
@@ -8,6 +8,7 @@
 from plankspindle_daemon.platform.bounded_calls import CallKind
 
 if TYPE_CHECKING:
+    from plankspindle_core.supervisor import Supervisor
     from plankspindle_daemon.idempotency.claim_store import ClaimStore
     from plankspindle_daemon.listeners.caller_listener import CallerListener
     from plankspindle_daemon.membership.peer_link import PeerLink
@@ -22,9 +23,11 @@
     peers: PeerLink,
     platform: PlatformClient,
     claims: ClaimStore,
+    supervisor: Supervisor,
 ) -> dict[str, Any]:
     """Dump the counts of the shells around the machines."""
     return {
+        "errors_contained": supervisor.contained,
         "callers": {
             "connections": listener.connections,
             "running": listener.running,
--- a/packages/daemon/src/plankspindle_daemon/membership/peer_link.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/peer_link.py
@@ -101,7 +101,9 @@
             if message.is_err():
                 self.dropped_by_reason[message.unwrap_err().reason] += 1
                 continue
-            await receiver(message.unwrap(), Endpoint(address[0], address[1]))
+            # A message that is not understood must not stop the VMs that it reaches.
+            sender = Endpoint(address[0], address[1])
+            await self._supervisor.contain(receiver, message.unwrap(), sender)
 
     async def send(self, message: PeerMessage, to: Endpoint) -> None:
         """Send one message; it may be lost."""
--- a/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
@@ -164,6 +164,9 @@
                 await self.peers.send(grant, to)
 
     async def _probe(self, service: str, probe: Probe) -> None:
+        await self.supervisor.contain(self._ask_load, service, probe)
+
+    async def _ask_load(self, service: str, probe: Probe) -> None:
         answer = await fetch(
             probe.endpoint, target=PROBE_TARGET, timeout_s=PROBE_TIMEOUT_S
         )
--- a/packages/daemon/tests/exchange/test_busy_loop.py
+++ b/packages/daemon/tests/exchange/test_busy_loop.py
@@ -24,12 +24,15 @@
 from typing import cast
 
 import curio
+import pytest
 from attrs import define
 from attrs import field
 
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.headers import HeaderList
 from plankspindle_daemon.dispatch.messages import Assign
+from plankspindle_daemon.dispatch.messages import Verdict
+from plankspindle_daemon.exchange.attempt import Attempt
 from plankspindle_daemon.exchange.attempt import Outgoing
 from plankspindle_daemon.exchange.dialect import Dialect
 from plankspindle_daemon.exchange.exchange import Exchange
@@ -143,6 +146,32 @@
     return source
 
 
+class UnexpectedError(Exception):
+    """What no code expects."""
+
+
+async def break_an_attempt(monkeypatch: pytest.MonkeyPatch) -> FakeDispatch:
+    async def send(self: Attempt) -> None:
+        raise UnexpectedError
+
+    monkeypatch.setattr(Attempt, "send", send)
+    endpoint = Endpoint("127.0.7.11", next(_PORTS))
+    dispatch = FakeDispatch(endpoint)
+    with socket.create_server((endpoint.host, endpoint.port)):
+        runner = build_runner(dispatch, FakeSource())
+        with pytest.raises(UnexpectedError):
+            await runner.run()
+        assert runner.pool.open_connections == 0
+    return dispatch
+
+
+def test_an_unexpected_error_of_a_request_gives_its_slot_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    (ended,) = curio.run(break_an_attempt, monkeypatch).told
+    assert (ended.upstream, ended.verdict) == ("u", Verdict.CANCELLED)
+
+
 def test_a_request_whose_limits_pass_while_the_loop_is_busy_ends_at_its_deadline() -> (
     None
 ):
