Take what callers, the store and the settings write as values, whatever it is

Each of these ended a real process, found by reading and trying what else than a busy loop can: a target such as //[ (urlsplit raises), a count in other digits or in 5,000 of them, Connection: host (the head that goes on has no host, which h11 refuses outside of any try), JSON nested 100,000 deep (RecursionError is no ValueError), an answer of the store that is JSON but no rows, a settings file whose time is null. Containing a request's errors covers the first four; they are answered with what is wrong now, and the last two are error values.

--- a/packages/core/src/plankspindle_core/configuration/codec.py
+++ b/packages/core/src/plankspindle_core/configuration/codec.py
@@ -16,6 +16,7 @@
 
 from plankspindle_core.configuration.configuration import Configuration
 from plankspindle_core.errors import InvalidDocument
+from plankspindle_core.read_json import read_json
 from plankspindle_core.settings.structure import make_converter
 from plankspindle_core.settings.structure import structure
 from plankspindle_core.settings.yaml_document import load_yaml
@@ -104,7 +105,7 @@
 def decode_configuration(content: bytes) -> Result[Configuration, InvalidDocument]:
     """Read a configuration from JSON content of the object store."""
     try:
-        mapping = json.loads(content)
+        mapping = read_json(content)
     except ValueError as error:
         return Err(InvalidDocument((f"not valid JSON: {error}",)))
     return Ok(mapping).and_then(configuration_from_mapping)
--- a/packages/core/src/plankspindle_core/http/client_connection.py
+++ b/packages/core/src/plankspindle_core/http/client_connection.py
@@ -109,8 +109,8 @@
         Result
             Nothing, or how the connection was lost.
         """
-        request = h11.Request(method=method, target=target, headers=headers)
         try:
+            request = h11.Request(method=method, target=target, headers=headers)
             self._unsent = self._protocol.send(request) or b""
         except h11.LocalProtocolError as error:
             return Err(ConnectionLost(str(error)))
--- a/packages/core/src/plankspindle_core/http/headers.py
+++ b/packages/core/src/plankspindle_core/http/headers.py
@@ -23,6 +23,8 @@
     }
 )
 """Headers that hold for one connection only, RFC 9110 section 7.6.1."""
+END_TO_END = frozenset({b"host", b"content-length"})
+"""Headers that ``Connection`` cannot name: a request without them is another one."""
 
 
 def as_header_list(headers: Iterable[tuple[bytes, bytes]]) -> HeaderList:
@@ -55,5 +57,5 @@
         if key == b"connection"
         for token in value.split(b",")
     }
-    dropped = HOP_BY_HOP | named
+    dropped = HOP_BY_HOP | (named - END_TO_END)
     return [(key, value) for key, value in listed if key not in dropped]
--- a/packages/core/src/plankspindle_core/http/server_exchange.py
+++ b/packages/core/src/plankspindle_core/http/server_exchange.py
@@ -126,7 +126,10 @@
         """
         if self.closes or not self._body_read:
             headers = [*headers, (b"connection", b"close")]
-        response = h11.Response(status_code=status, headers=headers)
+        try:
+            response = h11.Response(status_code=status, headers=headers)
+        except h11.LocalProtocolError as error:
+            raise CallerGoneError(str(error)) from error
         self._unsent += self._encode(response)
         self.head_sent = True
 
--- a/packages/daemon/src/plankspindle_daemon/listeners/caller_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/caller_listener.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import json
+import re
 from functools import partial
 from time import monotonic
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
-from urllib.parse import urlsplit
 
 from attrs import define
 from attrs import field
@@ -29,6 +29,8 @@
 from plankspindle_daemon.listeners.request_service import RequestService
 
 MAX_IDS_PER_CALL = 100
+_COUNT = re.compile(r"[0-9]{1,3}")
+"""Digits enough for the most ids; ``int`` reads other digits, too, or none so long."""
 _JSON: HeaderList = [(b"content-type", b"application/json")]
 
 
@@ -99,12 +101,12 @@
             await self._serve_own(source)
 
     async def _serve_own(self, source: ServerExchange) -> None:
-        split = urlsplit(source.target)
-        if split.path == "/v1/lookup" and source.method == "GET":
-            await self._look_up(source, split.query)
-        elif split.path == "/v1/request-ids" and source.method == "POST":
-            await self._issue_ids(source, split.query)
-        elif split.path == "/health":
+        path, _, query = source.target.partition("?")
+        if path == "/v1/lookup" and source.method == "GET":
+            await self._look_up(source, query)
+        elif path == "/v1/request-ids" and source.method == "POST":
+            await self._issue_ids(source, query)
+        elif path == "/health":
             await source.answer(status=200, body=self.node.readiness().value.encode())
         elif self.node.configuration is None:
             await refuse(source, BadRequest(503, NO_CONFIGURATION))
@@ -136,7 +138,7 @@
     async def _issue_ids(self, source: ServerExchange, query: str) -> None:
         await source.read_body(max_bytes=0)
         text = parse_qs(query).get("count", ["1"])[0]
-        if not text.isdigit() or not 0 < int(text) <= MAX_IDS_PER_CALL:
+        if not _COUNT.fullmatch(text) or not 0 < int(text) <= MAX_IDS_PER_CALL:
             reason = f"count is a number from 1 to {MAX_IDS_PER_CALL}"
             await refuse(source, BadRequest(400, reason))
             return
--- a/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
@@ -20,6 +20,7 @@
 from plankspindle_core.http.limits import HttpLimits
 from plankspindle_core.http.server import HttpServer
 from plankspindle_core.logs.key_value_destination import log_event
+from plankspindle_core.read_json import read_json
 from plankspindle_core.supervisor import Supervisor
 from plankspindle_daemon.control.intents import intent_from_mapping
 from plankspindle_daemon.control.plan_store import ConfirmationUnknown
@@ -168,7 +169,7 @@
         self, source: ServerExchange, operator: str, body: bytes
     ) -> None:
         try:
-            mapping = json.loads(body)
+            mapping = read_json(body)
         except ValueError as error:
             await _answer(source, 400, {"error": f"not valid JSON: {error}"})
             return
--- a/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
@@ -15,6 +15,7 @@
 
 from plankspindle_core.http.fetch import HttpAnswer
 from plankspindle_core.http.fetch import fetch
+from plankspindle_core.read_json import read_json
 from plankspindle_daemon.platform.bounded_calls import BoundedCalls
 from plankspindle_daemon.platform.bounded_calls import CallKind
 from plankspindle_daemon.platform.errors import ConditionFailed
@@ -239,7 +240,7 @@
         if answer.status != accepted:
             return Err(PlatformUnavailable(f"status {answer.status}"))
         try:
-            return Ok(parse(json.loads(answer.body or b"{}")))
+            return Ok(parse(read_json(answer.body or b"{}")))
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             return Err(PlatformUnavailable(f"unusable answer: {error!r}"))
 
--- a/packages/daemon/src/plankspindle_daemon/upstreams/load_report.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/load_report.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import math
 
 from attrs import frozen
@@ -11,6 +10,7 @@
 from result import Result
 
 from plankspindle_core.errors import Unreadable
+from plankspindle_core.read_json import read_json
 
 MAX_AGE_S = 3.0
 
@@ -56,7 +56,7 @@
         The report, or what is wrong with it.
     """
     try:
-        document = json.loads(body)
+        document = read_json(body)
         leaves_at = document.get("leaves_at")
         if leaves_at is not None and not math.isfinite(leaves_at):
             return Err(Unreadable(f"leaves_at {leaves_at!r} is not a time"))
--- /dev/null
+++ b/packages/daemon/tests/test_heads_from_outside.py
@@ -0,0 +1,88 @@
+"""What callers may write into the head of a request ends nothing but that request."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import cast
+
+import curio
+import pytest
+from attrs import define
+from attrs import field
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.http.client_connection import ClientConnection
+from plankspindle_core.http.headers import HeaderList
+from plankspindle_core.http.headers import find_header
+from plankspindle_core.http.headers import without_hop_by_hop
+from plankspindle_daemon.listeners.caller_listener import CallerListener
+
+
+@define
+class FakeSource:
+    """A request without a body, and the status it is answered with."""
+
+    target: str
+    method: str = "GET"
+    headers: HeaderList = field(factory=list)
+    statuses: list[int] = field(factory=list)
+
+    async def read_body(self, *, max_bytes: int) -> bytes:
+        return b""
+
+    async def answer(self, *, status: int, **rest: object) -> None:
+        self.statuses.append(status)
+
+
+@define
+class FakeNode:
+    """A node without a configuration."""
+
+    configuration: None = None
+    steering: None = None
+    ids: Any = None
+
+
+def status_of(method: str, target: str) -> int:
+    listener = CallerListener.__new__(CallerListener)
+    listener.node = cast("Any", FakeNode())
+    source = FakeSource(target, method)
+    curio.run(listener._serve_own, source)
+    (status,) = source.statuses
+    return status
+
+
+@pytest.mark.parametrize("target", ["//[", "http://[x/", "//]/?a=[", "//\x85", "?", ""])
+def test_a_target_that_is_no_address_is_answered(target: str) -> None:
+    assert status_of("GET", target) == 503
+
+
+@pytest.mark.parametrize("count", ["%C2%B2", "9" * 5_000, "-1", "1.5", "0", "101"])
+def test_a_count_that_is_none_is_refused(count: str) -> None:
+    assert status_of("POST", f"/v1/request-ids?count={count}") == 400
+
+
+def test_a_caller_cannot_have_the_host_or_the_framing_dropped() -> None:
+    headers = [
+        (b"host", b"desk.example"),
+        (b"content-length", b"3"),
+        (b"connection", b"host, content-length, x-own"),
+        (b"x-own", b"1"),
+    ]
+    kept = without_hop_by_hop(headers)
+    assert find_header(kept, b"host") == b"desk.example"
+    assert find_header(kept, b"content-length") == b"3"
+    assert find_header(kept, b"x-own") is None
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [[], [(b"host", b"a"), (b"x", b"\x00")], [(b"host", b"a"), (b"host", b"b")]],
+)
+def test_a_head_that_may_not_be_sent_is_an_error_value(headers: HeaderList) -> None:
+    async def send() -> bool:
+        connection = ClientConnection(endpoint=Endpoint("127.0.0.1", 9))
+        sent = await connection.send_request(method="GET", target="/", headers=headers)
+        return sent.is_err() and not connection.bytes_handed_over
+
+    assert curio.run(send)
--- a/tests/fleet/test_boot_settings.py
+++ b/tests/fleet/test_boot_settings.py
@@ -16,6 +16,7 @@
 from plankspindle_daemon.sharing.shared_reads import LOOK_S
 from plankspindle_daemon.sharing.shared_reads import MOST_DELAY_PERIODS
 from plankspindle_platform.boot_settings import UNBOUNDED_WATCH_MS
+from plankspindle_platform.boot_settings import read_daemon_settings
 from plankspindle_platform.store_platform import MAX_OPEN_S
 from plankspindle_platform.times import milliseconds
 from plankspindle_platform.times import seconds
@@ -54,6 +55,16 @@
         build_boot(monkeypatch, path)
 
 
+@pytest.mark.parametrize("wrong", ["null", "6", "[]", "{}", ".inf", '"6"'])
+def test_a_field_of_another_kind_is_an_error_value(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, wrong: str
+) -> None:
+    path = tmp_path / "boot.yaml"
+    path.write_text(BOOT.read_text().replace('grace: "6s"', f"grace: {wrong}"))
+    monkeypatch.setenv("PLANKSPINDLE_PEER_KEY", "00" * 16)
+    assert read_daemon_settings(path).is_err()
+
+
 def test_times_have_units() -> None:
     assert seconds("2.5s") == 2.5
     assert milliseconds("1500ms") == 1500
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import curio
+import pytest
 from attrs import evolve
 from builders import build_boot
 from store_stand_in import SERVER
@@ -31,8 +32,6 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    import pytest
-
     from plankspindle_core.endpoint import Endpoint
 
 
@@ -50,6 +49,25 @@
     return run_with_store(with_platform)
 
 
+@pytest.mark.parametrize(
+    "answer", [[], {}, None, {"rows": [{}], "schema_version": 1}, {"rows": 3}]
+)
+def test_an_answer_without_sense_counts_as_none(
+    monkeypatch: pytest.MonkeyPatch, answer: Any
+) -> None:
+    async def give(self: StoreStandIn, path: str, fields: dict[str, str]) -> Any:
+        return 200, answer
+
+    async def use(store: StoreStandIn, endpoint: Endpoint) -> list[bool]:
+        calls = BoundedCalls(timeout_s=1.0)
+        rows = RowStore(endpoint=endpoint, calls=calls)
+        fed = await rows.feed("op", after=1, wait_s=0.0)
+        return [(await rows.get_rows("op")).is_err(), fed.is_err()]
+
+    monkeypatch.setattr(StoreStandIn, "_read", give)
+    assert run_with_store(use) == [True, True]
+
+
 def test_a_table_of_several_pages_is_read_whole() -> None:
     async def use(store: StoreStandIn, endpoint: Endpoint) -> list[str]:
         store.page = 2
