Give descriptors that are used up and messages without room an error value

Both ended a process outside of any request: a socket that could not be made raised in every reader of the platform, and an upstream with more than 65,535 slots, or a name that is no text, raised in what tells other entry VMs of it, at all VMs that tell. The one is a failed connection now, the other is counted, logged once, and not sent. Tests of both, which raise on the code before.

--- a/packages/core/src/plankspindle_core/http/client_connection.py
+++ b/packages/core/src/plankspindle_core/http/client_connection.py
@@ -79,9 +79,9 @@
             Nothing, or why no connection was made.
         """
         family = socket.AF_INET6 if ":" in self.endpoint.host else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
-        _set_options(self._socket)
         try:
+            self._socket = socket.socket(family, socket.SOCK_STREAM)
+            _set_options(self._socket)
             await within(
                 timeout_s,
                 self._socket.connect,
--- a/packages/daemon/src/plankspindle_daemon/membership/peer_link.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/peer_link.py
@@ -11,7 +11,9 @@
 from curio import socket
 
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.logs.key_value_destination import log_event
 from plankspindle_daemon.peer_messages.peer_message import PeerMessage
+from plankspindle_daemon.wire.codec import NOT_ENCODABLE
 from plankspindle_daemon.wire.codec import decode
 from plankspindle_daemon.wire.codec import encode
 from plankspindle_daemon.wire.frame import MAX_FRAME_BYTES
@@ -107,7 +109,11 @@
 
     async def send(self, message: PeerMessage, to: Endpoint) -> None:
         """Send one message; it may be lost."""
-        frame = self._sealer.seal(encode(message))
+        try:
+            frame = self._sealer.seal(encode(message))
+        except NOT_ENCODABLE as error:
+            self._note_not_encodable(message, error)
+            return
         if len(frame) > MAX_FRAME_BYTES:
             self.dropped_by_reason["too-long-to-send"] += 1
             return
@@ -117,6 +123,13 @@
         except OSError:
             self.dropped_by_reason["not-sent"] += 1
 
+    def _note_not_encodable(self, message: PeerMessage, error: Exception) -> None:
+        """Count a message that cannot be sent, and log the first."""
+        if not self.dropped_by_reason["not-encodable"]:
+            kind = type(message).__name__
+            log_event("message_not_encodable", message=kind, error=repr(error))
+        self.dropped_by_reason["not-encodable"] += 1
+
     async def send_to_random_member(self, message: PeerMessage) -> None:
         """Send a message to one member that was heard, if there is any."""
         heard = [
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -35,6 +35,8 @@
 capnp.remove_import_hook()
 _SCHEMA: Any = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 _SENDER = "sender"
+NOT_ENCODABLE = (capnp.KjException, ValueError, OverflowError)
+"""Errors of :func:`encode` for a field that the schema has no room for."""
 
 
 @frozen(kw_only=True)
@@ -105,6 +107,11 @@
     -------
     bytes
         Payload of a frame.
+
+    Raises
+    ------
+    KjException, ValueError, OverflowError
+        If a field has no room in the schema, or is no text.
     """
     member = _UNION_MEMBER_BY_CLASS[type(message)]
     content = {_SENDER: message.sender, member: _as_mapping(message)}
--- /dev/null
+++ b/packages/daemon/tests/membership/test_peer_link.py
@@ -0,0 +1,88 @@
+"""Messages that cannot be sent, and messages whose receiver fails."""
+
+from __future__ import annotations
+
+from itertools import count
+from random import Random
+from typing import TYPE_CHECKING
+from typing import Any
+
+import curio
+import pytest
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.supervisor import Supervisor
+from plankspindle_daemon.membership.peer_link import PeerLink
+from plankspindle_daemon.peer_messages.list_news import ListNews
+from plankspindle_daemon.peer_messages.list_news import ToldUpstream
+from plankspindle_daemon.wire.frame import FrameSealer
+from plankspindle_testkit.builders import build_membership
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.peer_messages.peer_message import PeerMessage
+
+_PORTS = count(18_990)
+
+
+def build_link(supervisor: Supervisor) -> PeerLink:
+    return PeerLink(
+        endpoint=Endpoint("127.0.7.12", next(_PORTS)),
+        sealer=FrameSealer(keys=[b"k" * 16]),
+        membership=build_membership("a"),
+        random=Random(1),
+        supervisor=supervisor,
+    )
+
+
+def build_news(name: str = "u", slots: int = 1) -> ListNews:
+    told = ToldUpstream(
+        name=name,
+        service="s",
+        failure_domain="ba-1",
+        endpoint=Endpoint("127.0.0.1", 1),
+        slots=slots,
+        leaving=False,
+        cold_ms=0,
+    )
+    return ListNews(
+        sender="a",
+        bases=(),
+        version=1,
+        list_age_ms=0,
+        configuration_age_ms=0,
+        configuration_version=0,
+        after_gap=False,
+        changed=(told,),
+        gone=(),
+    )
+
+
+@pytest.mark.parametrize("news", [build_news(slots=70_000), build_news(name="\ud800")])
+def test_a_message_without_room_is_counted_and_not_sent(news: ListNews) -> None:
+    link = build_link(Supervisor())
+    curio.run(link.send, news, link.endpoint)
+    assert link.dropped_by_reason["not-encodable"] == 1
+    assert link.bytes_sent == 0
+
+
+def test_a_receiver_that_fails_gets_the_next_message() -> None:
+    supervisor = Supervisor()
+    received: list[Any] = []
+
+    async def receive(message: PeerMessage, sender: Endpoint) -> None:
+        received.append(message)
+        if len(received) == 1:
+            raise ZeroDivisionError
+
+    async def run() -> None:
+        link = build_link(supervisor)
+        await link.start(receive)
+        for _ in range(2):
+            await link.send(build_news(), link.endpoint)
+            await curio.sleep(0.05)
+        await link.close()
+
+    curio.run(run)
+    assert len(received) == 2
+    assert supervisor.contained == 1
+    assert supervisor.error is None
--- a/packages/daemon/tests/test_heads_from_outside.py
+++ b/packages/daemon/tests/test_heads_from_outside.py
@@ -86,3 +86,17 @@
         return sent.is_err() and not connection.bytes_handed_over
 
     assert curio.run(send)
+
+
+def test_a_process_without_descriptors_left_is_told_so(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def refuse(*_: object) -> None:
+        raise OSError(24, "Too many open files")
+
+    async def start() -> bool:
+        connection = ClientConnection(endpoint=Endpoint("127.0.0.1", 9))
+        return (await connection.start(timeout_s=1.0)).is_err()
+
+    monkeypatch.setattr(curio.socket, "socket", refuse)
+    assert curio.run(start)
