A configuration that lowers a limit no longer stops the processes

Cause: two invariants compared what had come about under one configuration with the limit of the next: retries made at 50 percent with a budget of 5, a queue of 10 with a limit of 3. The first retry, or the first urgent request, after such a change stopped the process, at all entry VMs that were loaded.

Fresh requests count with the percent in force when they came; a queue that is over its new limit takes in nothing more than goes out. Both tests raised InvariantError before.

--- a/packages/daemon/src/plankspindle_daemon/admission/class_queue.py
+++ b/packages/daemon/src/plankspindle_daemon/admission/class_queue.py
@@ -55,6 +55,8 @@
 
     def offer(self, ticket: Ticket) -> Queued | QueueFull:
         """Add a ticket, evicting the newest of the lowest class if need be."""
+        # A limit that was lowered lets what waits wait on; no more may come to it.
+        most = max(self.limit, self._size)
         evicted = None
         if self._size >= self.limit:
             evicted = self._newest_of_lowest_class()
@@ -63,7 +65,7 @@
             self.remove(evicted.id)
         self._by_id_by_rank.setdefault(ticket.rank, {})[ticket.id] = ticket
         self._size += 1
-        check_invariant("queue-bounded", self._size <= self.limit)
+        check_invariant("queue-bounded", self._size <= most)
         return Queued(evicted)
 
     def remove(self, ticket_id: int) -> Ticket | None:
--- a/packages/daemon/src/plankspindle_daemon/retries/retry_budget.py
+++ b/packages/daemon/src/plankspindle_daemon/retries/retry_budget.py
@@ -9,6 +9,8 @@
 
 BURST = 10.0
 """Retries that may be made before any fresh request was counted."""
+ROUNDING = 0.001
+"""What sums of fractions may be off, in retries."""
 
 
 @define(kw_only=True)
@@ -28,10 +30,12 @@
     fresh: int = 0
     retried: int = 0
     _tokens: float = field(init=False, default=BURST)
+    _allowed: float = field(init=False, default=BURST)
 
     def note_fresh(self) -> None:
         """Count a fresh request."""
         self.fresh += 1
+        self._allowed += self.percent / 100
         self._tokens = min(self.burst, self._tokens + self.percent / 100)
 
     @property
@@ -55,6 +59,7 @@
             return False
         self._tokens -= 1.0
         self.retried += 1
-        allowed = BURST + self.fresh * self.percent / 100
-        check_invariant("retries-within-budget", self.retried <= allowed)
+        # Each fresh request counts with the percent that was in force when it came.
+        within = self.retried <= self._allowed + ROUNDING
+        check_invariant("retries-within-budget", within)
         return True
--- a/packages/daemon/tests/admission/test_class_queue.py
+++ b/packages/daemon/tests/admission/test_class_queue.py
@@ -57,4 +57,17 @@
         assert len(self.queue) == len(self.model)
 
 
+def test_a_configuration_with_a_shorter_queue_stops_nothing() -> None:
+    queue = ClassQueue(limit=10)
+    for number in range(10):
+        queue.offer(build_ticket(number, rank=2))
+    queue.limit = 3
+    assert isinstance(queue.offer(build_ticket(10, rank=2)), QueueFull)
+    urgent = queue.offer(build_ticket(11, rank=0))
+    assert isinstance(urgent, Queued)
+    assert urgent.evicted is not None
+    assert len(queue) == 10
+    assert next(iter(queue)).id == 11
+
+
 TestClassQueue = QueueMachine.TestCase
--- a/packages/daemon/tests/retries/test_retry_budget.py
+++ b/packages/daemon/tests/retries/test_retry_budget.py
@@ -16,6 +16,17 @@
     assert taken >= 1_000
 
 
+def test_a_configuration_that_allows_fewer_retries_stops_nothing() -> None:
+    budget = RetryBudget(percent=50, burst=1_000.0)
+    for _ in range(1_000):
+        budget.note_fresh()
+    assert sum(budget.take() for _ in range(300)) == 300
+    budget.percent = 5
+    budget.burst = BURST
+    budget.note_fresh()
+    assert sum(budget.take() for _ in range(100)) == BURST
+
+
 def test_without_fresh_requests_only_the_burst_is_left() -> None:
     budget = RetryBudget(percent=100)
     assert sum(budget.take() for _ in range(100)) == BURST
