--- a/tests/fleet/store_stand_in.py
+++ b/tests/fleet/store_stand_in.py
@@ -56,12 +56,16 @@
         self.loses_answers = False
         self.is_silent = False
         self.is_away = False
+        self._silent: set[Any] = set()
+        self._connections: set[Any] = set()
         self.changes_before_writes: str | None = None
 
     async def handle(self, source: ServerExchange) -> None:
         body = await source.read_body(max_bytes=1_000_000) or b""
         path, _, query = source.target.partition("?")
-        lost = self.is_away
+        connection = source._socket
+        self._connections.add(connection)
+        lost = self.is_away or connection in self._silent
         if self.is_silent:
             await curio.sleep(1.0)
         if path == "/rows-tx":
@@ -69,13 +73,17 @@
         else:
             fields = {key: each[0] for key, each in parse_qs(query).items()}
             status, answer = await self._read(path, fields)
-        if self.is_away or lost:
+        if self.is_away or lost or connection in self._silent:
             await curio.Event().wait()
         if self.loses_answers:
             source.abort()
             return
         await source.answer(status=status, body=json.dumps(answer).encode())
 
+    def silence_connections(self) -> None:
+        """Answer nothing more on the connections that there are; new ones work."""
+        self._silent |= self._connections
+
     def _transact(self, change: dict[str, Any]) -> tuple[int, Any]:
         if self.changes_before_writes is not None:
             self.put("plankspindle-vms", self.changes_before_writes, {"nonce": "new"})
--- a/tests/fleet/test_after_outage.py
+++ b/tests/fleet/test_after_outage.py
@@ -94,6 +94,50 @@
     assert took_s < CONTACT_S
 
 
+@pytest.mark.parametrize(
+    ("change", "holds"),
+    [
+        (move_route, lambda vm: vm.routes() == 2),
+        (add_upstream, lambda vm: vm.upstreams() == {"i-1", "i-2"}),
+    ],
+)
+def test_a_change_made_when_all_connections_fall_silent_is_known_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+    change: Callable[[StoreStandIn], None],
+    holds: Callable[[FleetVm], bool],
+) -> None:
+    def change_silently(store: StoreStandIn) -> None:
+        store.silence_connections()
+        change(store)
+
+    took_s = seconds_until_known(monkeypatch, change_silently, holds, away_s=0.0)
+    assert took_s < CONTACT_S
+
+
+def test_nothing_is_waited_for_while_the_platform_is_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A wait that is given up inside an outage is not followed by another one."""
+
+    async def use(store: StoreStandIn, endpoint: Endpoint) -> list[int]:
+        store.waits = True
+        store.put("op", "config", build_operator_document())
+        vm = build_vm(0, endpoint, build_boot(monkeypatch))
+        await vm.start()
+        try:
+            await until(lambda: vm.routes() == 1 and len(store.waits_ms) >= 2)
+            store.is_away = True
+            asked = len(store.waits_ms)
+            await curio.sleep(CONTACT_S)
+            return store.waits_ms[asked:]
+        finally:
+            await vm.close()
+
+    waited = run_with_store(use)
+    assert waited
+    assert set(waited) == {0}
+
+
 def test_an_upstream_listed_after_an_outage_is_known_in_time(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -11,6 +11,7 @@
 import pytest
 from attrs import evolve
 from builders import build_boot
+from result import Err
 from store_stand_in import SERVER
 from store_stand_in import StoreStandIn
 from store_stand_in import run_with_store
@@ -21,9 +22,11 @@
 from plankspindle_daemon.platform.bounded_calls import CallKind
 from plankspindle_daemon.platform.circuit_breaker import OPEN_S
 from plankspindle_daemon.platform.errors import ConditionFailed
+from plankspindle_daemon.platform.errors import PlatformUnavailable
 from plankspindle_daemon.platform.live_list import VmKind
 from plankspindle_daemon.platform.table import RowWrite
 from plankspindle_daemon.platform.table import Transaction
+from plankspindle_platform.entry_rows import EntryRows
 from plankspindle_platform.row_store import HistoryGone
 from plankspindle_platform.row_store import RowStore
 from plankspindle_platform.store_platform import StorePlatform
@@ -68,6 +71,23 @@
     assert run_with_store(use) == [True, True]
 
 
+def test_a_list_without_its_entry_vms_is_read_again_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def refuse(self: EntryRows) -> Any:
+        return Err(PlatformUnavailable("lost"))
+
+    async def use(store: StoreStandIn, platform: StorePlatform) -> list[bool]:
+        store.put("servers", "i-1", SERVER)
+        first = await platform.read_live_list(0.0)
+        store.waits_ms.clear()
+        second = await platform.read_live_list(5.0)
+        return [first.is_err(), second.is_err(), store.waits_ms == []]
+
+    monkeypatch.setattr(EntryRows, "read_if_due", refuse)
+    assert run_with_platform(monkeypatch, use) == [True, True, True]
+
+
 def test_a_table_of_several_pages_is_read_whole() -> None:
     async def use(store: StoreStandIn, endpoint: Endpoint) -> list[str]:
         store.page = 2
