Give a slot back whatever ends its request, and stop when nothing works any more

Found in review: a contained error between the assignment and the end of an attempt kept its slot and its connection counted for good, and so did a caller who went just while an attempt ended. The runner knows both until the dispatcher was told.

Tests: an error in open, send and end of an attempt (end: told twice or not at all before), errors in a row and with successes between.

--- a/packages/core/src/plankspindle_core/supervisor.py
+++ b/packages/core/src/plankspindle_core/supervisor.py
@@ -20,6 +20,12 @@
 
     from plankspindle_core.http.server_exchange import ServerExchange
 
+MOST_IN_A_ROW = 20
+"""Contained errors of one kind without a success between, after which nothing serves.
+
+A state that breaks all that comes is mended by a new process; a caller who breaks its
+own requests is not so alone under load that twenty come in a row.
+"""
 _INTERNAL_ERROR = 500
 _UNKNOWN = (header_names.OUTCOME, Outcome.UNKNOWN.value.encode())
 
@@ -44,6 +50,7 @@
     def __init__(self) -> None:
         self.error: Exception | None = None
         self.contained = 0
+        self._in_a_row_by_what: dict[str, int] = {}
 
     async def spawn(self, function: Callable[..., Awaitable[None]], *args: Any) -> Any:
         """Start a lasting task.
@@ -93,6 +100,7 @@
         CallerGoneError
             If the caller is gone.
         """
+        what = getattr(function, "__qualname__", repr(function))
         try:
             await function(*args)
         except CallerGoneError:
@@ -100,16 +108,26 @@
         except InvariantError as error:
             self.error = self.error or error
         except Exception as error:
-            self.contained += 1
-            log_event(
-                "error_contained",
-                what=getattr(function, "__qualname__", repr(function)),
-                error=repr(error),
-                trace=traceback.format_exc(),
-            )
+            self._note_contained(what, error)
             return False
+        else:
+            self._in_a_row_by_what.pop(what, None)
         return True
 
+    def _note_contained(self, what: str, error: Exception) -> None:
+        self.contained += 1
+        in_a_row = self._in_a_row_by_what.get(what, 0) + 1
+        self._in_a_row_by_what[what] = in_a_row
+        log_event(
+            "error_contained",
+            what=what,
+            in_a_row=in_a_row,
+            error=repr(error),
+            trace=traceback.format_exc(),
+        )
+        if in_a_row >= MOST_IN_A_ROW:
+            self.error = self.error or error
+
     async def serve(
         self,
         handle: Callable[[ServerExchange], Awaitable[None]],
--- /dev/null
+++ b/packages/core/tests/test_supervisor.py
@@ -0,0 +1,48 @@
+"""Errors that end one thing, and errors that end the process."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+
+from plankspindle_core.supervisor import MOST_IN_A_ROW
+from plankspindle_core.supervisor import Supervisor
+
+
+async def fail() -> None:
+    raise ZeroDivisionError
+
+
+async def work() -> None:
+    return None
+
+
+async def fail_or_work(fails: bool) -> None:
+    if fails:
+        raise ZeroDivisionError
+
+
+def test_errors_with_successes_between_end_nothing_else() -> None:
+    supervisor = Supervisor()
+
+    async def run() -> None:
+        for number in range(10 * MOST_IN_A_ROW):
+            await supervisor.contain(fail_or_work, number % MOST_IN_A_ROW > 0)
+
+    curio.run(run)
+    assert supervisor.contained == 10 * (MOST_IN_A_ROW - 1)
+    supervisor.check()
+
+
+def test_a_state_in_which_nothing_works_any_more_stops_the_process() -> None:
+    supervisor = Supervisor()
+
+    async def run() -> None:
+        for _ in range(MOST_IN_A_ROW):
+            await supervisor.contain(work)
+            supervisor.check()
+            await supervisor.contain(fail)
+
+    curio.run(run)
+    with pytest.raises(ZeroDivisionError):
+        supervisor.check()
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -19,6 +19,7 @@
 from plankspindle_core.time_limit import TimeLimit
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.dispatch.messages import Assign
+from plankspindle_daemon.dispatch.messages import Ended
 from plankspindle_daemon.dispatch.messages import Verdict
 from plankspindle_daemon.exchange.answers import answer_with_outcome
 from plankspindle_daemon.exchange.attempt import Attempt
@@ -111,17 +112,24 @@
             await self._run_with_deadline()
         except CallerGoneError:
             await self._perform_all(self.exchange.handle(CallerGone()))
-        except Exception:
-            # The slot, or the place in the queue, would stay taken for good.
-            await self._end_attempt(Verdict.CANCELLED)
-            await self.dispatch.withdraw(self.service, self.ticket)
-            raise
         finally:
-            if self._attempt is not None:
-                await self._attempt.close()
+            await self._free()
             if watcher is not None:
                 await watcher.cancel()
 
+    async def _free(self) -> None:
+        """Give back what an unexpected error, or a caller's going, left taken."""
+        if self._attempt is not None:
+            await self._attempt.close()
+        assigned, self._assigned = self._assigned, None
+        if assigned is not None:
+            ended = Ended(
+                ticket=assigned.ticket,
+                upstream=assigned.upstream,
+                verdict=Verdict.CANCELLED,
+            )
+            await self.dispatch.tell(self.service, ended)
+
     async def _run_with_deadline(self) -> None:
         try:
             async with TimeLimit(max(0.0, self.ticket.deadline - monotonic())):
@@ -197,11 +205,11 @@
         return await self._attempt.open(wanted)
 
     async def _end_attempt(self, verdict: Verdict) -> None:
-        self._assigned = None
-        attempt, self._attempt = self._attempt, None
-        if attempt is None:
+        if self._attempt is None:
             return
-        ended = await attempt.end(verdict)
+        # Both stay known until the slot is given back, for an end in between.
+        ended = await self._attempt.end(verdict)
+        self._attempt = self._assigned = None
         if ended is not None:
             await self.dispatch.tell(self.service, ended)
 
--- a/packages/daemon/tests/exchange/test_busy_loop.py
+++ b/packages/daemon/tests/exchange/test_busy_loop.py
@@ -76,6 +76,7 @@
     """Gives one upstream to every request."""
 
     endpoint: Endpoint
+    usually_s: float = 0.0
     told: list[Any] = field(factory=list)
 
     async def find(self, service: str, ticket: Any, story: Story) -> Assign:
@@ -88,7 +89,7 @@
         return None
 
     def usual_s(self, service: str, ticket: Any) -> float:
-        return 0.0
+        return self.usually_s
 
 
 def build_runner(dispatch: FakeDispatch, source: FakeSource) -> RequestRunner:
@@ -150,14 +151,14 @@
     """What no code expects."""
 
 
-async def break_an_attempt(monkeypatch: pytest.MonkeyPatch) -> FakeDispatch:
-    async def send(self: Attempt) -> None:
+async def break_off(monkeypatch: pytest.MonkeyPatch, step: str) -> FakeDispatch:
+    async def raise_it(self: Attempt, *_: object) -> None:
         raise UnexpectedError
 
-    monkeypatch.setattr(Attempt, "send", send)
     endpoint = Endpoint("127.0.7.11", next(_PORTS))
-    dispatch = FakeDispatch(endpoint)
+    dispatch = FakeDispatch(endpoint, usually_s=DEADLINE_S)
     with socket.create_server((endpoint.host, endpoint.port)):
+        monkeypatch.setattr(Attempt, step, raise_it)
         runner = build_runner(dispatch, FakeSource())
         with pytest.raises(UnexpectedError):
             await runner.run()
@@ -165,10 +166,11 @@
     return dispatch
 
 
+@pytest.mark.parametrize("step", ["open", "send", "end"])
 def test_an_unexpected_error_of_a_request_gives_its_slot_back(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, step: str
 ) -> None:
-    (ended,) = curio.run(break_an_attempt, monkeypatch).told
+    (ended,) = curio.run(break_off, monkeypatch, step).told
     assert (ended.upstream, ended.verdict) == ("u", Verdict.CANCELLED)
 
 
