Learn a version from another member when the source of it falls silent

A fetch whose source had died was asked again for 5 s, and the same version was not taken from others meanwhile. For a VM that the platform turns away members are the only way. After 0.5 s without a part whoever offers the version next is asked. The test of it was refused its request before.

--- a/packages/daemon/src/plankspindle_daemon/configuration/version_exchange.py
+++ b/packages/daemon/src/plankspindle_daemon/configuration/version_exchange.py
@@ -24,6 +24,11 @@
 WINDOW = 16
 RETRY_S = 0.25
 GIVE_UP_S = 5.0
+SILENT_S = 2 * RETRY_S
+"""Silence of a source after which another one that has the version is asked instead.
+
+A VM that the platform turns away learns versions from members alone.
+"""
 READERS = 2
 TAKE_OVER_S = 2.0
 
@@ -52,10 +57,15 @@
     version: int
     began_at: float
     asked_at: float
+    heard_at: float
     digest: str = ""
     total: int | None = None
     parts_by_offset: dict[int, bytes] = field(factory=dict)
 
+    def is_fed(self, now: float) -> bool:
+        """Tell whether its source still answers, or may yet."""
+        return now - self.heard_at < SILENT_S
+
     def missing(self) -> list[int]:
         if self.total is None:
             return [0]
@@ -122,9 +132,15 @@
         if version <= self.version:
             return []
         fetch = self._fetch
-        if fetch is not None and fetch.version >= version:
+        if fetch is not None and fetch.version >= version and fetch.is_fed(now):
             return []
-        self._fetch = _Fetch(source=sender, version=version, began_at=now, asked_at=now)
+        self._fetch = _Fetch(
+            source=sender,
+            version=version,
+            began_at=now,
+            asked_at=now,
+            heard_at=now,
+        )
         return self._ask(self._fetch, now)
 
     def _ask(self, fetch: _Fetch, now: float) -> list[ContentRequest]:
@@ -169,6 +185,7 @@
             fetch.digest = chunk.digest
         if (chunk.total, chunk.digest) != (fetch.total, fetch.digest):
             return Ok([])
+        fetch.heard_at = now
         known = chunk.offset in fetch.parts_by_offset
         fetch.parts_by_offset[chunk.offset] = chunk.data
         if not fetch.missing():
--- a/packages/daemon/tests/configuration/test_version_exchange.py
+++ b/packages/daemon/tests/configuration/test_version_exchange.py
@@ -11,6 +11,7 @@
 from plankspindle_daemon.configuration.spread_targets import spread_targets
 from plankspindle_daemon.configuration.version_exchange import GIVE_UP_S
 from plankspindle_daemon.configuration.version_exchange import RETRY_S
+from plankspindle_daemon.configuration.version_exchange import SILENT_S
 from plankspindle_daemon.configuration.version_exchange import TAKE_OVER_S
 from plankspindle_daemon.configuration.version_exchange import LearnedContent
 from plankspindle_daemon.configuration.version_exchange import VersionExchange
@@ -124,3 +125,14 @@
         assert {"b", "d"} <= set(targets)
         assert "a" not in targets
     assert spread_targets(me="a", members=("a",), random=Random(1)) == []
+
+
+def test_a_source_that_falls_silent_is_left_for_another() -> None:
+    learner = VersionExchange(vm="learner")
+    assert learner.hear_version("dead", 5, 0.0)
+    assert learner.hear_version("source", 5, SILENT_S - 0.1) == []
+    (request,) = learner.hear_version("source", 5, SILENT_S)
+    chunk = build_source(b"content").answer(request)
+    assert chunk is not None
+    taken = learner.take_chunk(chunk, SILENT_S + 0.1).unwrap()
+    assert taken == LearnedContent(version=5, content=b"content")
