Read odd numbers and missing fields of the platform and of upstreams as errors

Found by fuzzing documents: an operator's document without its version, times and numbers without end, and a load report of 400 digits ended the process from tasks that no request's containment covers. Each is an error value now; counts of a load report are taken for a million at most.

--- a/packages/daemon/src/plankspindle_daemon/upstreams/load_report.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/load_report.py
@@ -13,6 +13,8 @@
 from plankspindle_core.read_json import read_json
 
 MAX_AGE_S = 3.0
+MOST = 1_000_000
+"""Most that a count is taken for; an upstream that says more says nothing."""
 
 
 @frozen(kw_only=True)
@@ -62,11 +64,15 @@
             return Err(Unreadable(f"leaves_at {leaves_at!r} is not a time"))
         return Ok(
             LoadReport(
-                in_flight=int(document.get("in_flight", 0)),
-                slots=int(document.get("slots", 1)),
+                in_flight=_count(document.get("in_flight", 0)),
+                slots=_count(document.get("slots", 1)),
                 leaving=bool(document.get("leaving", False)),
                 leaves_at=None if leaves_at is None else float(leaves_at),
             )
         )
     except (ValueError, TypeError, AttributeError, OverflowError) as error:
         return Err(Unreadable(str(error)))
+
+
+def _count(value: object) -> int:
+    return min(MOST, max(0, int(value)))  # type: ignore[call-overload,no-any-return]
--- a/packages/daemon/tests/platform/test_values_from_outside.py
+++ b/packages/daemon/tests/platform/test_values_from_outside.py
@@ -85,6 +85,12 @@
     assert parse_load_report(report).is_err()
 
 
+@pytest.mark.parametrize("name", ["in_flight", "slots"])
+def test_a_load_report_with_a_number_of_400_digits_breaks_nothing(name: str) -> None:
+    report = parse_load_report(json.dumps({name: 10**400}).encode())
+    assert report.is_err() or 0.0 <= report.unwrap().utilisation <= 1.0
+
+
 def test_a_list_with_a_time_that_is_none_is_refused() -> None:
     vm = {"name": "a", "kind": "entry", "failure_domain": "d", "leaves_at": "soon"}
     assert parse_live_list({"vms": [vm]}).is_err()
--- a/tests/fleet/store_stand_in.py
+++ b/tests/fleet/store_stand_in.py
@@ -4,6 +4,7 @@
 
 import json
 from itertools import count
+from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 from urllib.parse import parse_qs
@@ -121,12 +122,12 @@
     async def _wait(self, fields: dict[str, str]) -> None:
         """Wait for a change of a table, as long as the caller wants."""
         self.waits_ms.append(int(fields["wait_ms"]))
-        left_s = int(fields["wait_ms"]) / 1000 if self.waits else 0.0
-        while left_s > 0 and not self._feed(fields)[1].get("rows"):
+        wait_s = int(fields["wait_ms"]) / 1000 if self.waits else 0.0
+        end = monotonic() + wait_s
+        while monotonic() < end and not self._feed(fields)[1].get("rows"):
             if self.is_away:
                 await curio.Event().wait()
             await curio.sleep(STEP_S)
-            left_s -= STEP_S
 
     def _feed(self, fields: dict[str, str]) -> tuple[int, Any]:
         after = int(fields["after"])
--- /dev/null
+++ b/tests/fleet/test_values_from_store.py
@@ -0,0 +1,94 @@
+"""Whatever the store holds is a value or an error value, and ends no process."""
+
+from __future__ import annotations
+
+from time import monotonic
+from typing import Any
+
+import hypothesis.strategies as st
+import pytest
+from builders import build_operator_document
+from builders import build_path
+from builders import build_row
+from builders import build_rows
+from hypothesis import given
+from result import Ok
+from store_stand_in import SERVER
+from test_operator_reader import build_reader
+from test_operator_reader import read
+
+from plankspindle_daemon.sharing.told_upstreams import told_of
+from plankspindle_platform.listed_rows import read_server
+
+ODD = st.sampled_from(
+    [None, 0, -1, 65_536, 10**30, 1e400, "", "infs", "nans", "1e400ms", "-1ms", [], {}]
+)
+PARTS = [{"service": "desk", "weight": 3}, {"service": "vault", "weight": 1}]
+DOCUMENT = build_operator_document(
+    hosts=[{"host": "h", "paths": [build_path(traffic_split=PARTS)]}]
+)
+
+
+def spoiled(document: Any) -> st.SearchStrategy[Any]:
+    """Give copies of a document with one part of it left out or replaced."""
+    replaced = [
+        st.tuples(st.just(path), ODD | st.just(...)) for path in places(document)
+    ]
+    return st.one_of(replaced).map(lambda change: with_change(document, *change))
+
+
+def places(document: Any) -> list[tuple[Any, ...]]:
+    inner: list[tuple[Any, ...]] = []
+    if isinstance(document, dict | list):
+        keys = document if isinstance(document, dict) else range(len(document))
+        for key in keys:
+            inner += [(key,), *((key, *rest) for rest in places(document[key]))]
+    return inner
+
+
+def with_change(document: Any, path: tuple[Any, ...], value: Any) -> Any:
+    copy = dict(document) if isinstance(document, dict) else list(document)
+    key, *rest = path
+    if rest:
+        copy[key] = with_change(copy[key], tuple(rest), value)
+    elif value is ...:
+        del copy[key]
+    else:
+        copy[key] = value
+    return copy
+
+
+@given(document=spoiled(DOCUMENT))
+def test_any_document_is_a_version_or_an_error(document: Any) -> None:
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        rows = build_rows(build_row("config", 5, document), version=5)
+        found = read(build_reader(monkeypatch, Ok(rows)), 0)
+    assert found.is_ok() or found.is_err()
+
+
+@given(document=spoiled(SERVER))
+def test_any_row_of_a_server_is_told_or_unreadable(document: Any) -> None:
+    found = read_server(build_row("i-1", 5, document))
+    assert found.is_err() or told_of(found.unwrap(), monotonic()).cold_ms >= 0
+
+
+def test_a_document_without_its_version_is_an_error(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    document = build_operator_document()
+    del document["config_version"]
+    rows = build_rows(build_row("config", 5, document), version=5)
+    assert read(build_reader(monkeypatch, Ok(rows)), 0).is_err()
+
+
+@pytest.mark.parametrize("time", ["infs", "nans", "1e400ms"])
+def test_a_time_without_end_is_unreadable(
+    monkeypatch: pytest.MonkeyPatch, time: str
+) -> None:
+    cold = {**SERVER, "status": {**SERVER["status"], "cold_remaining": time}}
+    assert read_server(build_row("i-1", 5, cold)).is_err()
+    document = build_operator_document(
+        hosts=[{"host": "h", "paths": [build_path(timeout=time)]}]
+    )
+    rows = build_rows(build_row("config", 5, document), version=5)
+    assert read(build_reader(monkeypatch, Ok(rows)), 0).is_err()
