Print nothing of what works, and read odd settings and newer states as errors

A heartbeat with a state that only a newer process knows, and a settings file with a date that is none, ended the process: error values now. Tests of the three, which failed.

--- a/packages/core/src/plankspindle_core/settings/structure.py
+++ b/packages/core/src/plankspindle_core/settings/structure.py
@@ -113,7 +113,8 @@
         return "the value does not have the form it must have here"
     extra = getattr(error, "extra_fields", None)
     if extra:
-        return f"unknown key {', '.join(sorted(extra))}; remove it or fix its spelling"
+        keys = ", ".join(sorted(map(str, extra)))
+        return f"unknown key {keys}; remove it or fix its spelling"
     return str(error)
 
 
--- a/packages/core/src/plankspindle_core/supervisor.py
+++ b/packages/core/src/plankspindle_core/supervisor.py
@@ -100,7 +100,6 @@
         CallerGoneError
             If the caller is gone.
         """
-        what = getattr(function, "__qualname__", repr(function))
         try:
             await function(*args)
         except CallerGoneError:
@@ -108,10 +107,11 @@
         except InvariantError as error:
             self.error = self.error or error
         except Exception as error:
-            self._note_contained(what, error)
+            self._note_contained(_name_of(function), error)
             return False
         else:
-            self._in_a_row_by_what.pop(what, None)
+            if self._in_a_row_by_what:
+                self._in_a_row_by_what.pop(_name_of(function), None)
         return True
 
     def _note_contained(self, what: str, error: Exception) -> None:
@@ -155,3 +155,8 @@
         """Raise the error that was kept, if there is one."""
         if self.error is not None:
             raise self.error
+
+
+def _name_of(function: Callable[..., Awaitable[None]]) -> str:
+    """Name a coroutine function without printing what it is bound to."""
+    return getattr(function, "__qualname__", "") or type(function).__name__
--- a/packages/core/tests/test_supervisor.py
+++ b/packages/core/tests/test_supervisor.py
@@ -46,3 +46,17 @@
     curio.run(run)
     with pytest.raises(ZeroDivisionError):
         supervisor.check()
+
+
+class Unprintable:
+    """What does work, and must not be printed each time: it may hold a whole node."""
+
+    def __repr__(self) -> str:
+        raise AssertionError("it was printed")
+
+    async def work(self) -> None:
+        return None
+
+
+def test_nothing_is_printed_of_what_works() -> None:
+    assert curio.run(Supervisor().contain, Unprintable().work)
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -35,6 +35,14 @@
 capnp.remove_import_hook()
 _SCHEMA: Any = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 _SENDER = "sender"
+NOT_DECODABLE = (
+    capnp.KjException,
+    ValueError,
+    KeyError,
+    AttributeError,
+    RuntimeError,
+)
+"""Errors of reading a payload; the last is of a value that only newer schemas have."""
 NOT_ENCODABLE = (capnp.KjException, ValueError, OverflowError)
 """Errors of :func:`encode` for a field that the schema has no room for."""
 
@@ -138,7 +146,7 @@
         cls = _CLASS_BY_UNION_MEMBER[member]
         sender = {_SENDER: reader.sender}
         return Ok(_read_fields(cls, getattr(reader, member), sender))
-    except (capnp.KjException, ValueError, KeyError, AttributeError) as error:
+    except NOT_DECODABLE as error:
         return Err(BadFrame(f"message: {type(error).__name__}"))
 
 
--- a/packages/daemon/tests/settings/test_settings_file.py
+++ b/packages/daemon/tests/settings/test_settings_file.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import pytest
 import yaml
 from attrs import evolve
 
@@ -61,3 +62,22 @@
     assert not file.has_changed()
     path.unlink()
     assert not file.has_changed()
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "? [1]\n: 2",
+        "1: 2\nvm: a",
+        "vm: 2026-13-45",
+        "vm: !!int x",
+        "vm: !!binary é",
+        "vm: !!float x",
+        "a: &a [*a]",
+        "[" * 5_000,
+    ],
+)
+def test_a_file_of_any_form_is_refused(tmp_path: Path, text: str) -> None:
+    path = tmp_path / "settings.yaml"
+    path.write_text(text)
+    assert SettingsFile(path=path, reads=read_settings).read().is_err()
--- a/packages/daemon/tests/wire/test_wire.py
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import re
+from pathlib import Path
 from typing import TYPE_CHECKING
 
+import capnp
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -15,6 +18,7 @@
 from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
 from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
+from plankspindle_daemon.wire import codec
 from plankspindle_daemon.wire.codec import decode
 from plankspindle_daemon.wire.codec import encode
 from plankspindle_daemon.wire.frame import FrameSealer
@@ -89,6 +93,24 @@
     assert decoded.is_ok() or decoded.unwrap_err().reason.startswith("message")
 
 
+def test_a_state_that_only_newer_processes_know_is_an_error_value(
+    tmp_path: Path,
+) -> None:
+    schema = Path(codec.__file__).with_name("peer.capnp").read_text()
+    newer = re.sub(r"@0x\w+;", "@0xd3c1f0a58b7e4927;", schema, count=1)
+    newer = newer.replace("  left @4;", "  left @4;\n  newer @5;")
+    path = tmp_path / "newer.capnp"
+    path.write_text(newer)
+    endpoint = "127.0.0.1:1"
+    heartbeat = {
+        "readiness": "newer",
+        "callerEndpoint": endpoint,
+        "peerEndpoint": endpoint,
+    }
+    message = capnp.load(str(path)).PeerMessage.new_message(heartbeat=heartbeat)
+    assert decode(message.to_bytes_packed()).is_err()
+
+
 @given(at=st.integers(0, 1000), change=st.integers(1, 255))
 def test_a_changed_frame_is_refused(at: int, change: int) -> None:
     sealer = FrameSealer(keys=[NEW])
