Soak the daemon as it runs on the fleet's platform

Cause: the soak of the product runs on a stand-in that makes no caller wait for changes, and looks at versions at the very end, so it could not see changes in force late after an outage of the platform's store. Ruled out: the product's own soak with another stand-in; what it speaks to isn't what the fleet runs.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := core daemon client testkit
 
-.PHONY: setup demo test lint format bench soak clean
+.PHONY: setup demo test lint format bench soak soak-fleet clean
 
 setup: $(VENV)/.installed
 
@@ -35,5 +35,10 @@
 soak: setup
 	$(BIN)/python -m plankspindle_testkit.soak --minutes 5
 
+SOAK_FLEET ?= --minutes 5
+
+soak-fleet: setup
+	PYTHONPATH=platform:tests/fleet $(BIN)/python -m soak $(SOAK_FLEET)
+
 clean:
 	rm -rf $(VENV) build
--- /dev/null
+++ b/tests/fleet/soak/__main__.py
@@ -0,0 +1,82 @@
+"""Run soaks on the fleet's platform: ``python -m soak``, as ``make soak-fleet``."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections import Counter
+from itertools import count
+from typing import TYPE_CHECKING
+
+import click
+import curio
+
+from plankspindle_testkit.soak.soak_fault import read_schedule
+from soak.fleet_soak import FleetSoak
+from soak.fleet_soak import Plan
+from soak.striker import MODULE
+
+if TYPE_CHECKING:
+    from typing import TextIO
+
+MOST_TOLD = 5
+
+
+@click.command()
+@click.option("--seed", default=1, help="First seed.")
+@click.option("--minutes", default=1.0, help="Time to spend on rising seeds.")
+@click.option("--seconds", default=45.0, help="Time of a seed in which faults begin.")
+@click.option("--vms", default=4, help="Entry VMs.")
+@click.option("--first-port", default=21_000, help="Where its ports begin.")
+@click.option("--schedule", type=click.File("r"), help="Replay faults of a file.")
+@click.option("--module", default=MODULE, help="What runs on the entry VMs.")
+@click.option("--keep-going", is_flag=True, help="Go on after a seed that failed.")
+def main(
+    seed: int,
+    minutes: float,
+    seconds: float,
+    vms: int,
+    first_port: int,
+    schedule: TextIO | None,
+    module: str,
+    keep_going: bool,
+) -> None:
+    """Soak daemons on the fleet's platform with rising seeds until time is spent."""
+    end = time.monotonic() + 60 * minutes
+    counts: Counter[str] = Counter()
+    struck: Counter[str] = Counter()
+    failed = []
+    faults = None if schedule is None else tuple(read_schedule(schedule.read()))
+    for number in count(seed):
+        plan = Plan(
+            seed=number,
+            vms=vms,
+            first_port=first_port,
+            seconds=seconds,
+            faults=faults,
+            module=module,
+        )
+        verdict = curio.run(FleetSoak(plan=plan).run)
+        counts += verdict.counts
+        struck += verdict.struck_by_kind
+        state = "broken" if verdict.broken else "held"
+        click.echo(f"{state}: seed={number} vms={vms} logs: {verdict.folder}")
+        kinds = Counter(each.check for each in verdict.broken)
+        if verdict.broken:
+            failed.append(number)
+            click.echo(f"  {_text(kinds)}")
+            for each in verdict.broken[:MOST_TOLD]:
+                click.echo(f"  {each.check} at {each.at:.3f}: {each.detail}")
+        if time.monotonic() > end or (failed and not keep_going):
+            break
+    click.echo(f"seeds {seed} to {number}, failed: {failed or 'none'}")
+    click.echo(f"{_text(counts)}\nfaults: {_text(struck)}")
+    sys.exit(bool(failed))
+
+
+def _text(counted: Counter[str]) -> str:
+    return ", ".join(f"{name} {times}" for name, times in sorted(counted.items()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/fleet/soak/checks.py
@@ -0,0 +1,216 @@
+"""What must hold, checked from what callers and upstreams saw."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import define
+from attrs import frozen
+
+from soak.history import NOT_FOUND
+from soak.history import ONCE
+from soak.history import Disturbances
+from soak.history import History
+from soak.layout import Bounds
+
+if TYPE_CHECKING:
+    from soak.upstreams import Run
+
+ROLLBACK_S = 0.25
+"""Time in which an older version may still be seen after a newer one, in seconds."""
+UNREAD_S = 0.2
+"""Time in which a request may cross the close of its connection, in seconds."""
+LEAST_SERVED = 0.9
+NOT_THERE = 404
+OK = 200
+
+
+@frozen(kw_only=True)
+class Told:
+    """One request and what its caller saw.
+
+    Parameters
+    ----------
+    request, vm, prefix : str
+        Its id, where it was sent, and its route.
+    life : int
+        Which process of the VM took it; None if that was not one alone.
+    sent_at, ended_at : float
+        Monotonic seconds.
+    status : int or None
+        Status of a whole answer.
+    is_lost : bool
+        Whether its connection was made, but ended or stayed silent without an answer.
+    """
+
+    request: str
+    vm: str
+    prefix: str
+    life: int | None
+    sent_at: float
+    ended_at: float
+    status: int | None
+    is_lost: bool = False
+
+
+@frozen(kw_only=True)
+class Broken:
+    """Something that must hold and did not.
+
+    Parameters
+    ----------
+    check : str
+        Which check found it.
+    detail : str
+        What was seen.
+    at : float
+        When, monotonic seconds.
+    """
+
+    check: str
+    detail: str
+    at: float
+
+
+@define(kw_only=True)
+class Checks:
+    """All checks.
+
+    Parameters
+    ----------
+    bounds : Bounds
+        Times allowed.
+    history : History
+        What was put in force.
+    disturbed : Disturbances
+        What was disturbed.
+
+    Attributes
+    ----------
+    broken : list of Broken
+        What was found.
+    counts : Counter of str
+        Requests and how many of them each check could judge.
+    """
+
+    bounds: Bounds
+    history: History
+    disturbed: Disturbances
+    broken: list[Broken] = Factory(list)
+    counts: Counter[str] = Factory(Counter)
+    told: list[Told] = Factory(list)
+    _floors_by_life: dict[tuple[str, int], list[tuple[float, int]]] = Factory(dict)
+
+    def fail(self, check: str, detail: str, at: float) -> None:
+        """Note that something does not hold."""
+        self.broken.append(Broken(check=check, detail=detail, at=at))
+
+    def take(self, told: Told, runs: list[Run]) -> None:
+        """Judge a request that has ended.
+
+        Parameters
+        ----------
+        told : Told
+            What its caller saw.
+        runs : list of Run
+            Where it ran.
+        """
+        self.told.append(told)
+        self.counts["requests"] += 1
+        for run in runs:
+            self._check_handled(told, run.at.service, run.arrived_at)
+            self._check_upstream(told, run)
+        if told.status == NOT_THERE:
+            self._check_handled(told, NOT_FOUND, told.ended_at)
+        if told.prefix in ONCE and len(runs) > 1:
+            self.fail("once", f"{told} ran {len(runs)} times", told.ended_at)
+        self._check_lost(told, runs)
+
+    def _check_handled(self, told: Told, ran_at: str, seen_at: float) -> None:
+        possible = [
+            number
+            for number, version in enumerate(self.history.versions)
+            if version.sent_at <= seen_at and version.allows(told.prefix, ran_at)
+        ]
+        handled = f"{told}: handled at {seen_at:.3f} by {ran_at or 'no route'}"
+        if not possible:
+            self.fail("allowed", handled, seen_at)
+            return
+        if self.disturbed.is_calm(told.vm, told.sent_at, seen_at):
+            self.counts["judged for lateness"] += 1
+            due = self._due(told.sent_at)
+            if possible[-1] < due:
+                late = f"{handled}, version {possible[-1]} at most; {due} was due"
+                self.fail("in force", late, seen_at)
+        if told.life is not None:
+            self._check_floor(told, told.life, possible, seen_at, handled)
+
+    def _due(self, now: float) -> int:
+        latest = now - self.bounds.config_apply
+        versions = enumerate(self.history.versions)
+        return max((n for n, each in versions if each.acked_at < latest), default=0)
+
+    def _check_floor(
+        self, told: Told, life: int, possible: list[int], seen_at: float, handled: str
+    ) -> None:
+        floors = self._floors_by_life.setdefault((told.vm, life), [])
+        before = told.sent_at - ROLLBACK_S
+        floor = max((number for at, number in floors if at < before), default=0)
+        self.counts["judged for going back"] += floor > 0
+        least = min((each for each in possible if each >= floor), default=None)
+        if least is None:
+            self.fail("goes back", f"{handled}, {floor} was in force before", seen_at)
+        elif not floors or least > floors[-1][1]:
+            floors.append((seen_at, least))
+
+    def _check_upstream(self, told: Told, run: Run) -> None:
+        if not self.disturbed.is_calm(told.vm, run.arrived_at, run.arrived_at):
+            return
+        late_s = run.arrived_at - run.at.left_at
+        self.counts["judged for upstreams that left"] += late_s > 0
+        if late_s > self.bounds.drain:
+            detail = f"{told} reached {run.at.name} {late_s:.3f} s after it left"
+            self.fail("left", detail, run.arrived_at)
+        for evacuation in self.history.evacuations:
+            is_on = run.at.zone == evacuation.zone
+            is_on = is_on and run.arrived_at < evacuation.undone_at
+            late_s = run.arrived_at - evacuation.acked_at
+            self.counts["judged for evacuations"] += is_on and late_s > 0
+            if is_on and late_s > self.bounds.evacuate:
+                detail = f"{told} reached {run.at.name} {late_s:.3f} s after evacuation"
+                self.fail("evacuated", detail, run.arrived_at)
+
+    def _check_lost(self, told: Told, runs: list[Run]) -> None:
+        took_s = told.ended_at - told.sent_at
+        if not told.is_lost or not (runs or took_s > UNREAD_S):
+            return
+        calm = self.disturbed.is_calm(
+            told.vm, told.sent_at, told.ended_at, planned_too=False
+        )
+        self.counts["without an answer"] += 1
+        if calm:
+            detail = f"{told} got no answer in {took_s:.3f} s; ran {len(runs)} times"
+            self.fail("answered", detail, told.ended_at)
+
+    def check_served(self, vms: list[str], since: float) -> None:
+        """Check that each VM serves what the newest version allows, once all is over.
+
+        Parameters
+        ----------
+        vms : list of str
+            All entry VMs.
+        since : float
+            From when on requests count, monotonic seconds.
+        """
+        routes = self.history.versions[-1].service_by_prefix
+        for vm in vms:
+            asked = [
+                each
+                for each in self.told
+                if each.vm == vm and each.sent_at > since and each.prefix in routes
+            ]
+            served = sum(each.status == OK for each in asked)
+            if not asked or served < LEAST_SERVED * len(asked):
+                self.fail("served", f"{vm} served {served} of {len(asked)}", since)
--- /dev/null
+++ b/tests/fleet/soak/faults.py
@@ -0,0 +1,77 @@
+"""Faults of a soak on the fleet's platform, drawn from a seed."""
+
+from __future__ import annotations
+
+from random import Random
+
+from plankspindle_testkit.soak.soak_fault import SoakFault
+
+OF_STORE = ("away", "held", "refused", "slow", "loses")
+OF_LINKS = ("silence", "reset-links", "forget")
+OF_VMS = ("kill", "stop", "term", "hup", "rolling", "herd-kill", "herd-stop", "hup-all")
+OF_OPERATORS = ("change", "storm", "evacuate", "leave", "vanish")
+STORE_S = (0.2, 12.0)
+STOP_S = (0.2, 5.0)
+AROUND_S = (-0.4, -0.05, 0.0, 0.05, 0.3, 0.7, 1.1, 1.4)
+"""When changes are made by the beginning and the end of each fault, in seconds."""
+GAPS_S = (5.0, 10.0, 16.0)
+"""Mean times between faults of the store, of which a seed has one."""
+VM_GAP_S = 9.0
+CHANGE_GAP_S = 1.5
+
+
+def draw(seed: int, *, seconds: float, vms: list[str]) -> list[SoakFault]:
+    """Draw faults, in the order of time.
+
+    Parameters
+    ----------
+    seed : int
+        Source of chance.
+    seconds : float
+        Time in which they begin.
+    vms : list of str
+        All entry VMs.
+    """
+    random = Random(f"fleet soak {seed}")
+    faults: list[SoakFault] = []
+    gap_s = random.choice(GAPS_S)
+    for at in _times(random, gap_s, seconds):
+        faults += _draw_of_store(random, at, vms)
+    for at in _times(random, VM_GAP_S, seconds):
+        kind = random.choice(OF_VMS)
+        is_one = kind in ("kill", "stop", "term", "hup")
+        target = random.choice(vms) if is_one else ""
+        faults.append(_fault(at, random.uniform(*STOP_S), kind, target))
+    for at in _times(random, CHANGE_GAP_S, seconds):
+        faults.append(_draw_of_operator(random, at))
+    return sorted(faults, key=lambda each: each.at)
+
+
+def _times(random: Random, gap_s: float, seconds: float) -> list[float]:
+    times = [random.expovariate(1 / gap_s)]
+    while times[-1] < seconds:
+        times.append(times[-1] + random.expovariate(1 / gap_s))
+    return times[:-1]
+
+
+def _draw_of_store(random: Random, at: float, vms: list[str]) -> list[SoakFault]:
+    kind = random.choice((*OF_STORE, *OF_STORE, "away", "away", *OF_LINKS))
+    for_s = random.uniform(*STORE_S) if kind in OF_STORE else 0.0
+    target = ""
+    if kind != "forget" and random.random() < 1 / 3:
+        target = ",".join(random.sample(vms, random.randint(1, len(vms))))
+    around = [
+        _draw_of_operator(random, max(0.0, end + offset))
+        for end in (at, at + for_s)
+        for offset in random.sample(AROUND_S, 2)
+    ]
+    return [_fault(at, for_s, kind, target), *around]
+
+
+def _draw_of_operator(random: Random, at: float) -> SoakFault:
+    kinds = ("change",) * 6 + OF_OPERATORS
+    return _fault(at, random.uniform(*STORE_S), random.choice(kinds), "")
+
+
+def _fault(at: float, for_s: float, kind: str, target: str) -> SoakFault:
+    return SoakFault(at=round(at, 3), for_s=round(for_s, 3), kind=kind, target=target)
--- /dev/null
+++ b/tests/fleet/soak/fleet_soak.py
@@ -0,0 +1,238 @@
+"""One soak on the fleet's platform, from its start to its verdict."""
+
+from __future__ import annotations
+
+import tempfile
+from collections import Counter
+from pathlib import Path
+from random import Random
+from time import monotonic
+from time import time
+from typing import Any
+
+from attrs import define
+from attrs import field
+from attrs import frozen
+from curio import sleep
+from curio import spawn
+
+from plankspindle_testkit.processes import Processes
+from plankspindle_testkit.soak.link_proxy import LinkProxy
+from plankspindle_testkit.soak.soak_fault import SoakFault
+from plankspindle_testkit.soak.soak_fault import write_schedule
+from soak.callers import Caller
+from soak.checks import Broken
+from soak.checks import Checks
+from soak.faults import draw
+from soak.history import Disturbances
+from soak.history import History
+from soak.layout import Bounds
+from soak.layout import Layout
+from soak.store import SoakStore
+from soak.striker import MODULE
+from soak.striker import Striker
+from soak.upstreams import Upstreams
+
+LOOK_S = 0.05
+STALL_S = 0.2
+"""Delay of the soak's own loop from which it is a disturbance of all, in seconds."""
+START_S = 60.0
+CALM_S = 5.0
+"""Time at the end in which everything must be served."""
+RECOVERY_S = 10.0
+"""Time after the last fault until then, in seconds."""
+CALLERS_A_VM = 2
+MOST_REQUESTS_S = 250.0
+"""Requests a second that the soak's own process bears beside the store."""
+MEAN_GAP_S = 0.1
+
+
+@frozen(kw_only=True)
+class Plan:
+    """What a soak does.
+
+    Parameters
+    ----------
+    seed, vms, first_port : int
+        Source of chance, number of entry VMs, and where ports begin.
+    seconds : float
+        Time in which faults begin.
+    faults : tuple of SoakFault, optional
+        Faults instead of those that the seed gives.
+    module : str
+        What runs on the entry VMs.
+    """
+
+    seed: int
+    vms: int
+    first_port: int
+    seconds: float
+    faults: tuple[SoakFault, ...] | None = None
+    module: str = MODULE
+
+
+@frozen(kw_only=True)
+class Verdict:
+    """How a soak ended.
+
+    Parameters
+    ----------
+    broken : list of Broken
+        What did not hold, with times since the beginning.
+    counts, struck_by_kind : Counter of str
+        What was judged, and what happened.
+    folder : Path
+        Where logs and the schedule are.
+    """
+
+    broken: list[Broken]
+    counts: Counter[str]
+    struck_by_kind: Counter[str]
+    folder: Path
+
+
+@define(kw_only=True)
+class FleetSoak:
+    """A soak.
+
+    Parameters
+    ----------
+    plan : Plan
+        What it does.
+    """
+
+    plan: Plan
+    layout: Layout = field(init=False)
+    checks: Checks = field(init=False)
+    striker: Striker = field(init=False)
+    _tasks: list[Any] = field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        plan = self.plan
+        random = Random(f"fleet soak of {plan.seed}")
+        bounds = Bounds.of_seed(plan.seed)
+        self.layout = Layout(vms=plan.vms, first_port=plan.first_port)
+        self.checks = Checks(
+            bounds=bounds,
+            history=History(random=random),
+            disturbed=Disturbances(contact_s=bounds.contact),
+        )
+        store = SoakStore(random)
+        self.striker = Striker(
+            layout=self.layout,
+            processes=Processes(folder=Path(tempfile.mkdtemp(prefix="fleet-soak-"))),
+            store=store,
+            upstreams=Upstreams(
+                layout=self.layout, store=store, random=random, drain_s=bounds.drain
+            ),
+            checks=self.checks,
+            proxies_by_vm={
+                vm: LinkProxy(
+                    listens=self.layout.at(vm, 30), target=self.layout.at(vm, 31)
+                )
+                for vm in self.layout.names()
+            },
+            random=random,
+            module=plan.module,
+        )
+
+    async def run(self) -> Verdict:
+        """Run it; processes that it started are ended whatever happens."""
+        striker = self.striker
+        try:
+            await self._start()
+            began_at = monotonic()
+            wall = time() - began_at
+            await self._strike()
+            await sleep(RECOVERY_S + CALM_S)
+            striker.look()
+            self.checks.check_served(self.layout.names(), monotonic() - CALM_S)
+        finally:
+            for task in self._tasks:
+                await task.cancel()
+            striker.processes.close()
+            for proxy in striker.proxies_by_vm.values():
+                await proxy.close()
+            await striker.upstreams.close()
+            await striker.store.close()
+        self._write_history(wall)
+        return Verdict(
+            broken=self.checks.broken,
+            counts=self.checks.counts,
+            struck_by_kind=striker.struck_by_kind,
+            folder=striker.processes.folder,
+        )
+
+    async def _start(self) -> None:
+        striker = self.striker
+        for vm, proxy in striker.proxies_by_vm.items():
+            await striker.store.listen(vm, proxy.target)
+            await proxy.start()
+        await striker.upstreams.start()
+        await striker.change()
+        self._tasks.append(await spawn(striker.upstreams.beat, daemon=True))
+        for vm in self.layout.names():
+            striker.start(vm)
+        await self._start_callers()
+        end = monotonic() + START_S
+        while not all(self._serves(vm) for vm in self.layout.names()):
+            if monotonic() > end:
+                raise TimeoutError(f"not all serve: {striker.processes.folder}")
+            await sleep(LOOK_S)
+        self.checks.disturbed.begin(self.layout.names(), 0.0).end = monotonic()
+        self._tasks.append(await spawn(self._watch, daemon=True))
+
+    def _serves(self, vm: str) -> bool:
+        return any(each.vm == vm and each.status == 200 for each in self.checks.told)
+
+    async def _start_callers(self) -> None:
+        callers = CALLERS_A_VM * self.plan.vms
+        pauses = max(1.0, callers / MEAN_GAP_S / MOST_REQUESTS_S)
+        for number in range(callers):
+            vm = self.layout.names()[number % self.plan.vms]
+            caller = Caller(
+                vm=vm,
+                endpoint=self.layout.front(vm),
+                life=lambda vm=vm: self.striker.lives_by_vm[vm],  # type: ignore[misc]
+                checks=self.checks,
+                upstreams=self.striker.upstreams,
+                random=Random(f"caller {number} of {self.plan.seed}"),
+                pauses=pauses,
+            )
+            self._tasks.append(await spawn(caller.run, daemon=True))
+
+    async def _watch(self) -> None:
+        """Look at the processes, and at the delays of this loop itself."""
+        while True:
+            before = monotonic()
+            await sleep(LOOK_S)
+            if monotonic() - before > LOOK_S + STALL_S:
+                span = self.checks.disturbed.begin(self.layout.names(), before)
+                span.end = monotonic()
+                self.checks.counts["own stalls"] += 1
+            self.striker.look()
+
+    async def _strike(self) -> None:
+        plan, began_at = self.plan, monotonic()
+        drawn = draw(plan.seed, seconds=plan.seconds, vms=self.layout.names())
+        strikes = []
+        for fault in drawn if plan.faults is None else plan.faults:
+            await sleep(max(0.0, began_at + fault.at - monotonic()))
+            strikes.append(await spawn(self.striker.strike, fault, daemon=True))
+        for strike in strikes:
+            await strike.join()
+
+    def _write_history(self, wall: float) -> None:
+        """Leave what is needed to trace a finding beside the logs."""
+        folder, checks = self.striker.processes.folder, self.checks
+        drawn = draw(self.plan.seed, seconds=self.plan.seconds, vms=self.layout.names())
+        (folder / "schedule.jsonl").write_text(
+            write_schedule(drawn if self.plan.faults is None else self.plan.faults)
+        )
+        lines = [f"wall = monotonic + {wall}"]
+        lines += [f"{n} {each}" for n, each in enumerate(checks.history.versions)]
+        lines += [str(each) for each in checks.history.evacuations]
+        lines += [f"{vm} {s}" for vm, all_ in checks.disturbed.all() for s in all_]
+        lines += [str(each) for each in checks.broken]
+        lines += [str(each) for each in checks.told]
+        (folder / "history.txt").write_text("\n".join(lines) + "\n")
--- /dev/null
+++ b/tests/fleet/soak/layout.py
@@ -0,0 +1,124 @@
+"""Addresses and settings files of a soak on the fleet's platform."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from attrs import frozen
+
+from plankspindle_core.endpoint import Endpoint
+
+ZONES = {"zone-a": "region-1", "zone-b": "region-1", "zone-c": "region-2"}
+SERVICES = ("desk", "vault", "press")
+FIRST_VM = 10
+FIRST_UPSTREAM = 200
+SEEDS = 3
+SLOTS = 16
+_OCTETS = 100
+_BOUNDS_MS = (
+    {"contact": 4000, "drain": 2500, "config_apply": 2500, "evacuate": 5000},
+    {"contact": 3000, "drain": 2000, "config_apply": 2000, "evacuate": 5000},
+)
+"""Bounds of both of the fleet's sites, which seeds take in turn."""
+GRACE_S = 6.0
+
+
+@frozen(kw_only=True)
+class Bounds:
+    """Times within which something must hold, in seconds.
+
+    Parameters
+    ----------
+    contact : float
+        Time after a disturbance from which the others count.
+    drain, config_apply, evacuate : float
+        Time after the acknowledgement of an upstream that leaves, a configuration and
+        an evacuation.
+    """
+
+    contact: float
+    drain: float
+    config_apply: float
+    evacuate: float
+
+    @classmethod
+    def of_seed(cls, seed: int) -> Bounds:
+        """Give the bounds of a seed."""
+        chosen = _BOUNDS_MS[seed % len(_BOUNDS_MS)]
+        return cls(**{name: ms / 1000 for name, ms in chosen.items()})
+
+    def written(self) -> dict[str, str]:
+        """Give them as the settings file tells them."""
+        names = ("contact", "drain", "config_apply", "evacuate")
+        return {name: f"{getattr(self, name)}s" for name in names}
+
+
+@frozen(kw_only=True)
+class Layout:
+    """Who listens where; entry VMs and upstreams have addresses of their own.
+
+    Parameters
+    ----------
+    vms : int
+        Entry VMs.
+    first_port : int
+        Where its ports begin; the network is chosen by it, too.
+    """
+
+    vms: int
+    first_port: int
+
+    def names(self) -> list[str]:
+        """Name the entry VMs."""
+        return [f"edge-{number}" for number in range(self.vms)]
+
+    def at(self, vm: str, offset: int) -> Endpoint:
+        """Give one of the ports of a VM: front, ready, control, directory, store."""
+        number = int(vm.rpartition("-")[2])
+        return Endpoint(self._host(FIRST_VM + number), self.first_port + offset)
+
+    def front(self, vm: str) -> Endpoint:
+        """Give where a VM takes requests."""
+        return self.at(vm, 0)
+
+    def upstream(self, number: int) -> Endpoint:
+        """Give the address of an upstream."""
+        return Endpoint(self._host(FIRST_UPSTREAM + number), self.first_port)
+
+    def _host(self, last: int) -> str:
+        return f"127.0.{_OCTETS + self.first_port // 100 % _OCTETS}.{last}"
+
+    def boot(self, vm: str, bounds: Bounds) -> dict[str, Any]:
+        """Build the settings file of a VM."""
+        zone = list(ZONES)[int(vm.rpartition("-")[2]) % len(ZONES)]
+        doors = ("front", "ready", "control", "directory")
+        seeds = self.names()[:SEEDS]
+        return {
+            "self": {
+                "node_name": vm,
+                "role": "entry",
+                "serves": ["edge", "control_plane", "directory"],
+                "ip": self.front(vm).host,
+                "zone": zone,
+                "region": ZONES[zone],
+                "limits": {"max_fds": 2000},
+            },
+            "network": {
+                "listen": {each: str(self.at(vm, n)) for n, each in enumerate(doors)},
+                "port_range": [self.first_port + 5, self.first_port + 20],
+                "seeds": [str(self.at(each, 2)) for each in seeds],
+                "zones": ZONES,
+            },
+            "provider": {
+                "provider": {"address": str(self.at(vm, 30)), "form": "table"}
+            },
+            "terms": {
+                "bounds": {
+                    **bounds.written(),
+                    "grace": f"{GRACE_S}s",
+                    "retry_budget_ratio": 0.2,
+                    "budget_slack": 58,
+                    "ttl_max": "5s",
+                }
+            },
+        }
--- /dev/null
+++ b/tests/fleet/soak/store.py
@@ -0,0 +1,189 @@
+"""The store of a soak: one listener a VM, and faults of all or some of them."""
+
+from __future__ import annotations
+
+import json
+from functools import partial
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import Any
+from urllib.parse import parse_qs
+
+from attrs import frozen
+from curio import sleep
+from store_stand_in import StoreStandIn
+
+from plankspindle_core.http.limits import HttpLimits
+from plankspindle_core.http.server import HttpServer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from plankspindle_core.endpoint import Endpoint
+    from plankspindle_core.http.server_exchange import ServerExchange
+
+LOOK_S = 0.02
+SLOW_S = (0.2, 1.5)
+LOST_S = 30.0
+"""Time after which the connection of a lost call ends, in seconds: beyond any wait."""
+ANSWER_S = 0.004
+"""Time of a call, as of the fleet's store, in seconds."""
+
+
+@frozen(kw_only=True, eq=False)
+class Trouble:
+    """A fault of the store.
+
+    Parameters
+    ----------
+    kind : str
+        ``away``, ``held``, ``refused``, ``slow`` or ``loses``.
+    vms : frozenset of str
+        Whom it concerns; all and the operator if empty.
+    """
+
+    kind: str
+    vms: frozenset[str] = frozenset()
+
+
+class SoakStore(StoreStandIn):
+    """The store, which knows the VM that calls by the listener it calls at.
+
+    Parameters
+    ----------
+    random : Random
+        Source of choices.
+    """
+
+    def __init__(self, random: Random) -> None:
+        super().__init__()
+        self.troubles: list[Trouble] = []
+        self._random = random
+        self._servers: list[HttpServer] = []
+
+    async def listen(self, vm: str, endpoint: Endpoint) -> None:
+        """Serve a VM."""
+        server = HttpServer(
+            endpoint=endpoint,
+            limits=HttpLimits(idle_timeout_s=LOST_S),
+            handler=partial(self.serve, vm),
+        )
+        await server.start()
+        self._servers.append(server)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        for server in self._servers:
+            await server.close()
+
+    def has(self, kind: str, vm: str) -> bool:
+        """Tell whether a kind of trouble concerns a VM now."""
+        return any(
+            each.kind == kind and (not each.vms or vm in each.vms)
+            for each in self.troubles
+        )
+
+    def forget(self) -> None:
+        """Drop the history so far."""
+        self.oldest = self.version
+
+    async def serve(self, vm: str, source: ServerExchange) -> None:
+        """Answer a call of a VM, as far as its troubles let it."""
+        body = await source.read_body(max_bytes=1_000_000) or b""
+        if self.has("away", vm):
+            await self._lose(source)
+            return
+        if self.has("refused", vm):
+            await self._refuse(source)
+            return
+        await self._slow_down(vm)
+        loses = self.has("loses", vm) and self._random.random() < 1 / 2
+        if loses and self._random.random() < 1 / 2:
+            source.abort()
+            return
+        answered = await self._answer_for(vm, source.target, body)
+        if answered is None or loses:
+            await (self._lose(source) if answered is None else self._cut(source))
+            return
+        while self.has("held", vm):
+            await sleep(LOOK_S)
+        status, answer = answered
+        await source.answer(status=status, body=json.dumps(answer).encode())
+
+    async def _answer_for(
+        self, vm: str, target: str, body: bytes
+    ) -> tuple[int, Any] | None:
+        await sleep(ANSWER_S)
+        path, _, query = target.partition("?")
+        if path == "/rows-tx":
+            return self._transact(json.loads(body))
+        fields = {key: each[0] for key, each in parse_qs(query).items()}
+        if path == "/rows-feed" and not await self._wait_for(vm, fields):
+            return None
+        return await self._read(path, {**fields, "wait_ms": "0"})
+
+    async def _wait_for(self, vm: str, fields: dict[str, str]) -> bool:
+        """Wait for a change; False if the call is lost meanwhile."""
+        end, looked_at = monotonic() + int(fields["wait_ms"]) / 1000, -1
+        while monotonic() < end:
+            if self.has("away", vm):
+                return False
+            if looked_at != self.version or int(fields["after"]) < self.oldest:
+                looked_at = self.version
+                status, found = self._feed(fields)
+                if status != 200 or found["rows"]:
+                    return True
+            await sleep(LOOK_S)
+        return True
+
+    async def _slow_down(self, vm: str) -> None:
+        if self.has("slow", vm):
+            await sleep(self._random.uniform(*SLOW_S))
+
+    async def _refuse(self, source: ServerExchange) -> None:
+        status = self._random.choice((503, 429, 0))
+        if status:
+            await source.answer(status=status, body=b"{}")
+        else:
+            source.abort()
+
+    async def _cut(self, source: ServerExchange) -> None:
+        if self._random.random() < 1 / 2:
+            source.abort()
+        else:
+            await self._lose(source)
+
+    async def _lose(self, source: ServerExchange) -> None:
+        await sleep(LOST_S)
+        source.abort()
+
+    async def write(self, table: str, key: str, make: Callable[[], Any]) -> float:
+        """Write a row for the operator or an upstream, as often as needed.
+
+        Parameters
+        ----------
+        table, key : str
+            The row.
+        make : callable
+            Gives its content at the moment of the write; None drops it.
+
+        Returns
+        -------
+        float
+            When it was acknowledged, monotonic seconds.
+        """
+        while True:
+            await sleep(ANSWER_S)
+            if any(self.has(kind, "") for kind in ("away", "held", "refused")):
+                await sleep(LOOK_S)
+                continue
+            document = make()
+            if document is not None:
+                self.put(table, key, document)
+            elif (table, key) in self.rows_by_place:
+                self.drop(table, key)
+            await self._slow_down("")
+            if self.has("loses", "") and self._random.random() < 1 / 2:
+                continue
+            return monotonic()
--- /dev/null
+++ b/tests/fleet/soak/upstreams.py
@@ -0,0 +1,206 @@
+"""Upstreams of a soak, which note each request that they begin."""
+
+from __future__ import annotations
+
+from math import inf
+from random import Random
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import Any
+
+from attrs import Factory
+from attrs import define
+from attrs import frozen
+from curio import sleep
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.http.headers import find_header
+from plankspindle_core.http.limits import HttpLimits
+from plankspindle_core.http.server import HttpServer
+from plankspindle_platform.dialect import DIALECT
+from soak.layout import SERVICES
+from soak.layout import SLOTS
+from soak.layout import ZONES
+from soak.layout import Layout
+from soak.store import SoakStore
+
+if TYPE_CHECKING:
+    from plankspindle_core.http.server_exchange import ServerExchange
+
+HEARTBEAT_S = 1.5
+LINGER_S = 2.0
+"""Time for which an upstream that left serves on after the bound, in seconds."""
+ID = b"x-plankspindle-request-id"
+INSTANCE = b"x-plankspindle-instance-id"
+SHORT_S = (0.002, 0.03)
+LONG_S = (0.3, 0.9)
+LONG_PART = 0.1
+TABLE = "servers"
+
+
+@define(kw_only=True)
+class Upstream:
+    """One life of an upstream.
+
+    Parameters
+    ----------
+    name : str
+        Its id.
+    service, zone : str
+        What it serves and where.
+    endpoint : Endpoint
+        Its address.
+    left_at : float
+        When the store acknowledged that it leaves or is gone, monotonic seconds.
+    """
+
+    name: str
+    service: str
+    zone: str
+    endpoint: Endpoint
+    left_at: float = inf
+    is_draining: bool = False
+    is_listed: bool = True
+    sequence: int = 0
+
+    def row(self) -> dict[str, Any] | None:
+        """Give its entry in the store, or None if it is gone."""
+        if not self.is_listed:
+            return None
+        self.sequence += 1
+        return {
+            "address": str(self.endpoint),
+            "info": {
+                "service": self.service,
+                "config_version": "v1",
+                "zone": self.zone,
+                "slots": SLOTS,
+            },
+            "status": {
+                "state": "draining" if self.is_draining else "ready",
+                "sequence": self.sequence,
+                "cold_remaining": "0ms",
+            },
+        }
+
+
+@frozen(kw_only=True)
+class Run:
+    """A request that an upstream began.
+
+    Parameters
+    ----------
+    at : Upstream
+        Where.
+    arrived_at : float
+        When, monotonic seconds.
+    """
+
+    at: Upstream
+    arrived_at: float
+
+
+@define(kw_only=True)
+class Upstreams:
+    """All upstreams: one of each service in each zone.
+
+    Parameters
+    ----------
+    layout : Layout
+        Their addresses.
+    store : SoakStore
+        Where they keep themselves.
+    random : Random
+        Source of choices.
+    drain_s : float
+        Time for which one that leaves must serve on, in seconds.
+    """
+
+    layout: Layout
+    store: SoakStore
+    random: Random
+    drain_s: float
+    lives: list[Upstream] = Factory(list)
+    runs_by_id: dict[str, list[Run]] = Factory(dict)
+    _servers: list[HttpServer] = Factory(list)
+
+    async def start(self) -> None:
+        """Listen and enter all of them."""
+        places = [(service, zone) for service in SERVICES for zone in ZONES]
+        for number, (service, zone) in enumerate(places):
+            self.lives.append(self._make(number, service, zone, life=0))
+            self._servers.append(await self._listen(number))
+            await self._enter(self.lives[number])
+
+    def _make(self, number: int, service: str, zone: str, *, life: int) -> Upstream:
+        endpoint = self.layout.upstream(number)
+        name = f"i-{number}-{life}"
+        return Upstream(name=name, service=service, zone=zone, endpoint=endpoint)
+
+    async def _enter(self, upstream: Upstream) -> float:
+        return await self.store.write(TABLE, upstream.name, upstream.row)
+
+    async def _listen(self, number: int) -> HttpServer:
+        async def handle(source: ServerExchange) -> None:
+            await self._handle(self.lives[number], source)
+
+        server = HttpServer(
+            endpoint=self.layout.upstream(number),
+            limits=HttpLimits(idle_timeout_s=60.0),
+            handler=handle,
+        )
+        await server.start()
+        return server
+
+    async def close(self) -> None:
+        """Stop listening."""
+        for server in self._servers:
+            await server.close()
+
+    async def beat(self) -> None:
+        """Write the entries again and again."""
+        while True:
+            for number in range(len(self.lives)):
+                await sleep(HEARTBEAT_S / len(self.lives))
+                if self.lives[number].is_listed:
+                    await self._enter(self.lives[number])
+
+    async def leave(self, number: int, *, says_so: bool) -> None:
+        """Let an upstream leave, and another life of it come at its address."""
+        upstream = self.lives[number]
+        if upstream.is_draining or not upstream.is_listed:
+            return
+        if says_so:
+            upstream.is_draining = True
+            upstream.left_at = await self._enter(upstream)
+            await sleep(self.drain_s + LINGER_S)
+        upstream.is_listed = False
+        gone_at = await self._enter(upstream)
+        upstream.left_at = min(upstream.left_at, gone_at)
+        await sleep(self.drain_s + LINGER_S)
+        await self._servers[number].close(drain_s=1.0)
+        life = int(upstream.name.rpartition("-")[2]) + 1
+        self.lives[number] = self._make(
+            number, upstream.service, upstream.zone, life=life
+        )
+        self._servers[number] = await self._listen(number)
+        await self._enter(self.lives[number])
+
+    async def _handle(self, upstream: Upstream, source: ServerExchange) -> None:
+        arrived_at = monotonic()
+        await source.read_body(max_bytes=100_000)
+        request = find_header(source.headers, ID) or b""
+        own = [(ID, request), (INSTANCE, upstream.name.encode())]
+        wanted = find_header(source.headers, DIALECT.wanted_upstream or b"")
+        if wanted is not None and wanted.decode() != upstream.name:
+            await source.answer(status=421, headers=own)
+            return
+        if not request:
+            await source.answer(status=200, headers=own)
+            return
+        run = Run(at=upstream, arrived_at=arrived_at)
+        self.runs_by_id.setdefault(request.decode(), []).append(run)
+        is_long = self.random.random() < LONG_PART
+        await sleep(self.random.uniform(*(LONG_S if is_long else SHORT_S)))
+        signed = (b"x-plankspindle-response-signature", upstream.name.encode())
+        await source.answer(status=200, headers=[*own, signed], body=b"done")
