--- a/packages/core/src/plankspindle_core/http/client_connection.py
+++ b/packages/core/src/plankspindle_core/http/client_connection.py
@@ -9,13 +9,13 @@
 import h11
 from curio import TaskTimeout
 from curio import socket
-from curio import timeout_after
 from result import Err
 from result import Ok
 from result import Result
 
 from plankspindle_core.http.errors import ConnectFailed
 from plankspindle_core.http.errors import ConnectionLost
+from plankspindle_core.time_limit import within
 
 if TYPE_CHECKING:
     from plankspindle_core.endpoint import Endpoint
@@ -79,10 +79,10 @@
             Nothing, or why no connection was made.
         """
         family = socket.AF_INET6 if ":" in self.endpoint.host else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
-        _set_options(self._socket)
         try:
-            await timeout_after(
+            self._socket = socket.socket(family, socket.SOCK_STREAM)
+            _set_options(self._socket)
+            await within(
                 timeout_s,
                 self._socket.connect,
                 (self.endpoint.host, self.endpoint.port),
@@ -109,8 +109,8 @@
         Result
             Nothing, or how the connection was lost.
         """
-        request = h11.Request(method=method, target=target, headers=headers)
         try:
+            request = h11.Request(method=method, target=target, headers=headers)
             self._unsent = self._protocol.send(request) or b""
         except h11.LocalProtocolError as error:
             return Err(ConnectionLost(str(error)))
