--- a/tests/fleet/soak/mutant.py
+++ b/tests/fleet/soak/mutant.py
@@ -51,7 +51,7 @@
     def take_kept(self: Any, rows: Any) -> None:
         before = dict(self._servers_by_id)
         take(self, rows)
-        self._servers_by_id = before | self._servers_by_id
+        self._servers_by_id |= before
 
     store_platform.StorePlatform._take_servers = take_kept  # type: ignore[method-assign]
 
--- a/tests/fleet/test_fleet_soak.py
+++ b/tests/fleet/test_fleet_soak.py
@@ -86,8 +86,8 @@
 
 
 def go_back(checks: Checks) -> None:
-    take(checks, VAULT, sent_at=11.0, ended_at=11.1)
-    take(checks, DESK, sent_at=11.4, ended_at=11.5)
+    take(checks, VAULT, life=2, sent_at=11.0, ended_at=11.1)
+    take(checks, DESK, life=2, sent_at=11.4, ended_at=11.5)
 
 
 def leave(checks: Checks) -> None:
