Soak on the fleet's platform: send SIGHUP once a process can take it

Ruled out: the product's own ignoring, which its first line does; a test covers imports. After: it is put off until the kernel tells that the signal is ignored or caught; an end after that is found as before.

--- a/tests/fleet/soak/striker.py
+++ b/tests/fleet/soak/striker.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 from collections import Counter
+from pathlib import Path
 from random import Random
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -38,6 +39,7 @@
 STORM_VERSIONS = 6
 DOWN_S = 0.3
 """Time from the end of a process to the start of the next, in seconds."""
+BOOT_LOOK_S = 0.02
 IMPORTING_S = 5.0
 """Time in which a process may still import, and ends by SIGTERM at once."""
 LATE_END_S = 1.0
@@ -159,6 +161,8 @@
             return
         process = self.processes.by_name[vm]
         if kind.startswith("hup"):
+            while process.poll() is None and not _takes_sighup(process.pid):
+                await sleep(BOOT_LOOK_S)
             process.send_signal(signal.SIGHUP)
             return
         is_planned = kind == "term"
@@ -212,3 +216,16 @@
                 last = (self.processes.log_of(vm).splitlines() or [""])[-1]
                 self.checks.fail("runs on", f"{vm}: {status}, {last}", monotonic())
                 self.start(vm)
+
+
+def _takes_sighup(pid: int) -> bool:
+    """Tell whether a process runs code of the product yet, not only its interpreter.
+
+    Until then SIGHUP ends it whatever the product does.
+    """
+    masks = [
+        int(line.split()[1], 16)
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines()
+        if line.startswith(("SigIgn:", "SigCgt:"))
+    ]
+    return any(mask & (1 << (signal.SIGHUP - 1)) for mask in masks)
