--- a/packages/testkit/src/plankspindle_testkit/soak/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/__main__.py
@@ -16,6 +16,8 @@
 
 from plankspindle_client.console.application import main as operate
 from plankspindle_testkit.soak.layout import Layout
+from plankspindle_testkit.soak.load import LoadKind
+from plankspindle_testkit.soak.load import draw_load
 from plankspindle_testkit.soak.soak import Soak
 from plankspindle_testkit.soak.soak import SoakPlan
 from plankspindle_testkit.soak.soak import SoakVerdict
@@ -42,6 +44,11 @@
 @click.option("--schedule", type=click.File("r"), help="Replay faults of a file.")
 @click.option("--shrink", is_flag=True, help="Leave out faults that aren't needed.")
 @click.option("--regressions", is_flag=True, help="Replay what ever failed.")
+@click.option(
+    "--load",
+    type=click.Choice([each.value for each in LoadKind]),
+    help="What callers do; drawn from the seed if not given.",
+)
 @click.option("--first-port", default=20_000, help="Where its ports begin.")
 def main(
     seed: int,
@@ -51,6 +58,7 @@
     schedule: click.File | None,
     shrink: bool,
     regressions: bool,
+    load: str | None,
     first_port: int,
 ) -> None:
     """Soak real daemons with rising seeds until the time is spent or a promise breaks.
@@ -62,18 +70,23 @@
     totals = _Totals()
     for number, faults in _schedules(seed, vms, schedule, regressions=regressions):
         plan = SoakPlan(
-            seed=number, vms=vms, faults=tuple(faults), first_port=first_port
+            seed=number,
+            vms=vms,
+            faults=tuple(faults),
+            first_port=first_port,
+            load=draw_load(number) if load is None else LoadKind(load),
         )
         verdict = curio.run(Soak(plan=plan).run)
         totals.add(verdict)
         if verdict.broken is not None:
+            click.echo(totals.text())
             _tell(plan, verdict)
             if shrink:
                 _shrink(plan, verdict)
             sys.exit(1)
         if time.monotonic() > end:
             break
-    click.echo(totals.text())
+    click.echo(f"held: {totals.text()}")
 
 
 class _Totals:
@@ -82,6 +95,7 @@
     def __init__(self) -> None:
         self.soaks = self.requests = self.checks = self.drains_watched = 0
         self.struck_by_kind: Counter[str] = Counter()
+        self.ends: Counter[str] = Counter()
 
     def add(self, verdict: SoakVerdict) -> None:
         self.soaks += 1
@@ -89,16 +103,22 @@
         self.checks += verdict.checks
         self.drains_watched += verdict.drains_watched
         self.struck_by_kind += verdict.struck_by_kind
+        self.ends += verdict.ends
 
     def text(self) -> str:
-        kinds = ", ".join(f"{k} {n}" for k, n in sorted(self.struck_by_kind.items()))
+        """Tell them; after a broken promise, too."""
         return (
-            f"held: soaks={self.soaks} requests={self.requests} checks={self.checks}"
+            f"soaks={self.soaks} requests={self.requests} checks={self.checks}"
             f" drains_watched={self.drains_watched}"
-            f" faults={self.struck_by_kind.total()} ({kinds})"
+            f" faults={self.struck_by_kind.total()} ({_list(self.struck_by_kind)})"
+            f" ends: {_list(self.ends)}"
         )
 
 
+def _list(counts: Counter[str]) -> str:
+    return ", ".join(f"{key} {count}" for key, count in sorted(counts.items()))
+
+
 def _schedules(
     seed: int, vms: int, schedule: click.File | None, *, regressions: bool
 ) -> Iterable[tuple[int, list[SoakFault]]]:
@@ -141,7 +161,8 @@
     assert broken is not None
     path = verdict.folder / "schedule.jsonl"
     path.write_text(write_schedule(plan.faults), encoding="utf-8")
-    click.echo(f"broken: seed={plan.seed} vms={plan.vms} {broken.promise}")
+    where = f"seed={plan.seed} vms={plan.vms} load={plan.load.value}"
+    click.echo(f"broken: {where}: {broken.promise}")
     click.echo(f"  {broken.detail}")
     click.echo(f"  logs: {verdict.folder}, replay with --schedule {path}")
     if broken.request:
@@ -161,6 +182,7 @@
             vms=plan.vms,
             faults=tuple(fewer),
             first_port=plan.first_port,
+            load=plan.load,
         )
         found = curio.run(Soak(plan=tried).run).broken
         if found is not None and found.promise == verdict.broken.promise:
--- a/packages/testkit/src/plankspindle_testkit/soak/callers.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/callers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from random import Random
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -12,7 +11,6 @@
 
 from plankspindle_core import header_names
 from plankspindle_core.http.fetch import fetch
-from plankspindle_core.http.headers import find_header
 from plankspindle_core.outcome import Outcome
 from plankspindle_testkit.builders import BRONZE_KEY
 from plankspindle_testkit.soak.layout import SERVICE
@@ -20,10 +18,12 @@
 from plankspindle_testkit.soak.layout import Layout
 from plankspindle_testkit.soak.promises import Observations
 from plankspindle_testkit.soak.promises import Told
+from plankspindle_testkit.soak.telling import is_own
+from plankspindle_testkit.soak.telling import log_id_of
+from plankspindle_testkit.soak.telling import outcome_of
 from plankspindle_testkit.upstream_stand_in.upstream_stand_in import RUN_HEADER
 
 if TYPE_CHECKING:
-    from plankspindle_core.http.fetch import HttpAnswer
     from plankspindle_core.http.headers import HeaderList
 
 PAUSE_S = 0.05
@@ -101,33 +101,14 @@
         found = answer.ok()
         told = Told(
             mark=mark,
-            request="" if found is None else _log_id(found),
+            request="" if found is None else log_id_of(found),
             vm=place.name,
             may_repeat=is_read,
-            outcome=None if found is None else _outcome(found),
-            is_own=found is not None and _is_own(found, mark),
+            outcome=None if found is None else outcome_of(found),
+            is_own=found is not None and is_own(found, mark),
             asked_at=asked_at,
             told_at=monotonic() - self.began_at,
             deadline=asked_at + TIMEOUT_MS / 1000,
         )
         self.seen.told.append(told)
         return told.outcome
-
-
-def _outcome(answer: HttpAnswer) -> Outcome | None:
-    text = find_header(answer.headers, header_names.OUTCOME)
-    return None if text is None else Outcome(text.decode())
-
-
-def _log_id(answer: HttpAnswer) -> str:
-    return (find_header(answer.headers, header_names.LOG_ID) or b"").decode()
-
-
-def _is_own(answer: HttpAnswer, mark: str) -> bool:
-    """Tell whether an answer names the request, or is a failure of the upstream."""
-    if answer.status >= 500:
-        return True
-    try:
-        return bool(json.loads(answer.body)["path"] == f"/{mark}")
-    except (ValueError, KeyError, TypeError):
-        return False
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/soak/kept_connections.py
@@ -0,0 +1,222 @@
+"""Callers that keep their connection and use it until it closes."""
+
+from __future__ import annotations
+
+from random import Random
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import frozen
+from curio import TaskTimeout
+from curio import sleep
+from curio import timeout_after
+from result import Err
+from result import Ok
+from result import Result
+
+from plankspindle_core import header_names
+from plankspindle_core.http.client_connection import ClientConnection
+from plankspindle_core.http.errors import ConnectionLost
+from plankspindle_core.http.errors import HttpError
+from plankspindle_core.http.errors import TimedOut
+from plankspindle_core.http.fetch import HttpAnswer
+from plankspindle_core.http.headers import as_header_list
+from plankspindle_core.outcome import Outcome
+from plankspindle_testkit.builders import BRONZE_KEY
+from plankspindle_testkit.soak.layout import SERVICE
+from plankspindle_testkit.soak.layout import TIMEOUT_MS
+from plankspindle_testkit.soak.layout import Layout
+from plankspindle_testkit.soak.load import LEAST_TIMEOUT_MS
+from plankspindle_testkit.soak.load import Load
+from plankspindle_testkit.soak.promises import Observations
+from plankspindle_testkit.soak.promises import Told
+from plankspindle_testkit.soak.telling import is_own
+from plankspindle_testkit.soak.telling import log_id_of
+from plankspindle_testkit.soak.telling import outcome_of
+from plankspindle_testkit.upstream_stand_in.upstream_stand_in import RUN_HEADER
+from plankspindle_testkit.upstream_stand_in.upstream_stand_in import WORK_HEADER
+
+if TYPE_CHECKING:
+    from plankspindle_core.http.headers import HeaderList
+
+CONNECT_S = 1.0
+REST_S = 0.2
+"""Longest rest between two requests on a connection, in seconds."""
+REFUSED_REST_S = 0.5
+"""Rest after a request that was told not-run, so that those that run set the load."""
+NO_ANSWER_S = 3.0
+"""Time after the deadline beyond which no answer will come, in seconds."""
+MOST_BODY_BYTES = 1_000_000
+SHORT_WORK_MS = 5.0
+SLOW_FROM = 0.6
+SLOW_TO = 1.1
+"""Work of slow requests, as parts of the time that they are given."""
+_AUTHORIZATION = (header_names.AUTHORIZATION, b"Bearer " + BRONZE_KEY.encode())
+
+
+@frozen
+class Unsent(ConnectionLost):
+    """The connection was lost before all of the request was sent."""
+
+
+@frozen(kw_only=True)
+class KeptRequest:
+    """One request on a kept connection.
+
+    Parameters
+    ----------
+    mark : str
+        Names the request at upstreams.
+    is_read : bool
+        Whether it may run more than once.
+    timeout_ms : int
+        Time that it is given, in milliseconds.
+    work_ms : float
+        Time that an upstream takes for it, in milliseconds.
+    """
+
+    mark: str
+    is_read: bool
+    timeout_ms: int
+    work_ms: float
+
+
+@define(kw_only=True)
+class KeptCaller:
+    """Send requests one after the other on one connection to one entry VM.
+
+    Parameters
+    ----------
+    name : str
+        Part of the marks of its requests.
+    vm : str
+        The entry VM.
+    layout : Layout
+        Where that is reached.
+    load : Load
+        How long requests take.
+    seen : Observations
+        Where to note what was told.
+    began_at : float
+        Start of the soak, monotonic seconds.
+    random : Random
+        Source of choices.
+
+    Notes
+    -----
+    It goes on after the VM began to leave, until an answer or the connection's end
+    tells it to stop, and then connects anew.
+    """
+
+    name: str
+    vm: str
+    layout: Layout
+    load: Load
+    seen: Observations
+    began_at: float
+    random: Random
+    sent: int = 0
+
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        while True:
+            connection = ClientConnection(endpoint=self.layout.entry("caller", self.vm))
+            if (await connection.start(timeout_s=CONNECT_S)).is_ok():
+                await self._use(connection)
+            await connection.close()
+            await sleep(REST_S * (0.5 + self.random.random()))
+
+    async def _use(self, connection: ClientConnection) -> None:
+        while await self._send(connection, self._draw()):
+            was_refused = self.seen.told[-1].outcome is Outcome.NOT_RUN
+            rest_s = REFUSED_REST_S if was_refused else REST_S
+            await sleep(rest_s * self.random.random() ** 2)
+
+    def _draw(self) -> KeptRequest:
+        self.sent += 1
+        is_slow = self.random.random() < self.load.slow_part
+        timeout_ms, work_ms = TIMEOUT_MS, SHORT_WORK_MS
+        if is_slow and not self.seen.is_calming:
+            timeout_ms = self.random.randrange(LEAST_TIMEOUT_MS, TIMEOUT_MS)
+            work_ms = timeout_ms * self.random.uniform(SLOW_FROM, SLOW_TO)
+        return KeptRequest(
+            mark=f"{self.name}-{self.sent}",
+            is_read=self.random.random() < 2 / 3,
+            timeout_ms=timeout_ms,
+            work_ms=work_ms,
+        )
+
+    async def _send(self, connection: ClientConnection, request: KeptRequest) -> bool:
+        """Make one exchange; False if the connection can't be used again."""
+        self.seen.open_marks.add(request.mark)
+        asked_at = monotonic() - self.began_at
+        wait_s = request.timeout_ms / 1000 + NO_ANSWER_S
+        answer: Result[HttpAnswer, HttpError]
+        try:
+            answer = await timeout_after(wait_s, _exchange(connection, request))
+        except TaskTimeout:
+            answer = Err(TimedOut(wait_s))
+        self._note(request, asked_at, answer)
+        self.seen.open_marks.discard(request.mark)
+        return answer.is_ok() and connection.prepare_reuse()
+
+    def _note(
+        self,
+        request: KeptRequest,
+        asked_at: float,
+        answer: Result[HttpAnswer, HttpError],
+    ) -> None:
+        found = answer.ok()
+        error = answer.err()
+        told = Told(
+            mark=request.mark,
+            request="" if found is None else log_id_of(found),
+            vm=self.vm,
+            may_repeat=request.is_read,
+            outcome=None if found is None else outcome_of(found),
+            is_own=found is not None and is_own(found, request.mark),
+            asked_at=asked_at,
+            told_at=monotonic() - self.began_at,
+            deadline=asked_at + request.timeout_ms / 1000,
+            is_cut=isinstance(error, ConnectionLost) and not isinstance(error, Unsent),
+        )
+        self.seen.told.append(told)
+
+
+async def _exchange(
+    connection: ClientConnection, request: KeptRequest
+) -> Result[HttpAnswer, HttpError]:
+    sent = await connection.send_request(
+        method="GET" if request.is_read else "POST",
+        target=f"/v1/services/{SERVICE}/{request.mark}",
+        headers=_headers_of(connection, request),
+    )
+    if sent.is_ok():
+        sent = await connection.end_request()
+    if sent.is_err():
+        return Err(Unsent(str(sent.unwrap_err())))
+    head = await connection.read_head()
+    if head.is_err():
+        return Err(head.unwrap_err())
+    body = await connection.read_body(max_bytes=MOST_BODY_BYTES)
+    if body.is_err():
+        return Err(body.unwrap_err())
+    return Ok(
+        HttpAnswer(
+            status=head.unwrap().status_code,
+            headers=as_header_list(head.unwrap().headers),
+            body=body.unwrap(),
+        )
+    )
+
+
+def _headers_of(connection: ClientConnection, request: KeptRequest) -> HeaderList:
+    return [
+        (b"host", str(connection.endpoint).encode()),
+        (b"content-length", b"0"),
+        _AUTHORIZATION,
+        (RUN_HEADER, request.mark.encode()),
+        (WORK_HEADER, f"{request.work_ms:.0f}".encode()),
+        (header_names.TIMEOUT, str(request.timeout_ms).encode()),
+    ]
--- a/packages/testkit/src/plankspindle_testkit/soak/layout.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/layout.py
@@ -7,6 +7,8 @@
 from attrs import Factory
 from attrs import define
 
+from plankspindle_core.configuration.drain import Drain
+from plankspindle_core.configuration.drain import DrainKind
 from plankspindle_core.configuration.operation import Operation
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_testkit.builders import VmPlace
@@ -16,6 +18,8 @@
 from plankspindle_testkit.soak.link_proxy import LinkProxy
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from plankspindle_core.configuration.configuration import Configuration
 
 FIRST_PORT = 20_000
@@ -36,6 +40,8 @@
         Entry VMs, in two failure domains of different regions.
     first_port : int
         Where its ports begin.
+    slots : int
+        Requests that each upstream runs at once.
 
     Notes
     -----
@@ -46,6 +52,7 @@
 
     vms: int
     first_port: int = FIRST_PORT
+    slots: int = SLOTS
     places: list[VmPlace] = Factory(list)
     proxies_by_link: dict[str, LinkProxy] = Factory(dict)
     upstream_endpoints: dict[str, Endpoint] = Factory(dict)
@@ -85,8 +92,18 @@
         """Give where a link is entered."""
         return self.proxies_by_link[f"{link}:{name}"].listens
 
-    def configuration(self, version: int = 0) -> Configuration:
-        """Build a configuration; versions differ in a timeout."""
+    def configuration(
+        self, version: int = 0, *, drained: Iterable[str] = ()
+    ) -> Configuration:
+        """Build a configuration; versions differ in a timeout.
+
+        Parameters
+        ----------
+        version : int
+            Number that it differs by.
+        drained : iterable of str
+            Upstreams that stay drained.
+        """
         operations = [
             Operation(method="GET", timeout_ms=TIMEOUT_MS + version, expected_ms=20),
             Operation(
@@ -99,7 +116,7 @@
         upstreams = {
             name: build_upstream(
                 endpoint=self.entry("upstream", name),
-                slots=SLOTS,
+                slots=self.slots,
                 failure_domain=name.split("-", 1)[1],
             )
             for name in self.upstream_endpoints
@@ -107,4 +124,13 @@
         return build_configuration(
             services_by_name={SERVICE: build_service(operations=operations)},
             upstreams_by_name=upstreams,
+            drains_by_id={
+                drain_id_of(name): Drain(kind=DrainKind.UPSTREAM, name=name)
+                for name in drained
+            },
         )
+
+
+def drain_id_of(upstream: str) -> str:
+    """Name the drain of an upstream."""
+    return f"soak-{upstream}"
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/soak/operators.py
@@ -0,0 +1,182 @@
+"""Operators of a soak, who change the configuration."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from time import monotonic
+from typing import TYPE_CHECKING
+from typing import Any
+
+from attrs import define
+from attrs import field
+from curio import Lock
+from curio import sleep
+
+from plankspindle_core.configuration.codec import configuration_to_mapping
+from plankspindle_core.http.fetch import fetch
+from plankspindle_testkit.soak.drain_watch import knows_drain
+from plankspindle_testkit.soak.layout import Layout
+from plankspindle_testkit.soak.layout import drain_id_of
+from plankspindle_testkit.soak.promises import DrainedRuns
+from plankspindle_testkit.soak.promises import Observations
+
+if TYPE_CHECKING:
+    from plankspindle_core.endpoint import Endpoint
+
+DRAIN_BOUND_S = 5.0
+"""Time after its acknowledgement from which a drain must hold at every VM."""
+LOOK_S = 0.5
+"""Time between two looks at what a drained upstream runs."""
+UNDO_TRIES = 3
+STORM_VERSIONS = 4
+CALL_S = 4.0
+
+
+@define(kw_only=True)
+class Operators:
+    """Plan and confirm changes, and watch that drains hold.
+
+    Parameters
+    ----------
+    layout : Layout
+        What there is.
+    seen : Observations
+        Where to note what drained upstreams run.
+    began_at : float
+        Start of the soak, monotonic seconds.
+
+    Attributes
+    ----------
+    applied : int
+        Versions that were made here.
+    accepted : int
+        Newest accepted version.
+    drained : set of str
+        Upstreams with a drain in force.
+    """
+
+    layout: Layout
+    seen: Observations
+    began_at: float
+    applied: int = 0
+    accepted: int = 0
+    drained: set[str] = field(factory=set)
+    _changing: Any = field(factory=Lock)
+
+    def now(self) -> float:
+        """Seconds of the soak."""
+        return monotonic() - self.began_at
+
+    async def apply(self) -> bool:
+        """Put another version of the configuration in force, drains kept."""
+        async with self._changing:
+            self.applied += 1
+            return await self.put_in_force({"kind": "apply", **self._configuration()})
+
+    def _configuration(self) -> dict[str, Any]:
+        made = self.layout.configuration(self.applied, drained=sorted(self.drained))
+        return {"configuration": configuration_to_mapping(made)}
+
+    async def put_in_force(self, intent: dict[str, Any]) -> bool:
+        """Plan and confirm an intent at any VM; False if none takes it."""
+        for place in self.layout.places:
+            made = await self._post(place.operator, "/v1/plans", intent)
+            if made is None or "id" not in made:
+                continue
+            path = f"/v1/plans/{made['id']}/confirm"
+            confirmed = await self._post(place.operator, path, {})
+            if confirmed is not None and confirmed.get("state") == "accepted":
+                version = int(confirmed["base_version"]) + 1
+                self.accepted = max(self.accepted, version)
+                return True
+        return False
+
+    async def _post(
+        self, endpoint: Endpoint, path: str, content: dict[str, Any]
+    ) -> dict[str, Any] | None:
+        answer = await fetch(
+            endpoint,
+            method="POST",
+            target=path,
+            body=json.dumps(content).encode(),
+            timeout_s=CALL_S,
+        )
+        try:
+            found: dict[str, Any] = json.loads(answer.unwrap().body)
+        except Exception:  # noqa: BLE001 - any failure means that it was not taken
+            return None
+        return found
+
+    async def storm(self) -> None:
+        """Put several versions in force, one right after the other."""
+        for _ in range(STORM_VERSIONS):
+            await self.apply()
+
+    async def race(self) -> None:
+        """Make plans on one base at two VMs."""
+        first, last = self.layout.places[0], self.layout.places[-1]
+        intent = {"kind": "apply", **self._configuration()}
+        for place in (first, last, first, last):
+            await self._post(place.operator, "/v1/plans", intent)
+
+    async def drain(self, name: str, for_s: float) -> None:
+        """Drain an upstream, watch what it runs, and take it back.
+
+        Parameters
+        ----------
+        name : str
+            The upstream; one that is drained already is left alone.
+        for_s : float
+            Time for which it is watched once the drain must hold, in seconds.
+        """
+        if name in self.drained:
+            return
+        drain = {"kind": "upstream", "name": name}
+        intent = {"kind": "drain", "drain_id": drain_id_of(name), "drain": drain}
+        async with self._changing:
+            if not await self.put_in_force(intent):
+                return
+            self.drained.add(name)
+        await sleep(DRAIN_BOUND_S)
+        await self._watch_drained(name, for_s)
+        await self._undo_drain(name)
+
+    async def _watch_drained(self, name: str, for_s: float) -> None:
+        before, begin = await self.runs_of(name), self.now()
+        until = begin + for_s
+        was_watched = False
+        while begin < until:
+            await sleep(LOOK_S)
+            after, end = await self.runs_of(name), self.now()
+            looked = DrainedRuns(
+                upstream=name, begin=begin, end=end, marks=tuple(after - before)
+            )
+            self.seen.drained_runs.append(looked)
+            was_watched |= any(
+                knows_drain(self.seen, vm, looked) for vm in self._usual_vms_of(name)
+            )
+            before, begin = after, end
+        self.seen.drains_watched += was_watched
+
+    def _usual_vms_of(self, upstream: str) -> list[str]:
+        """Name the VMs that use an upstream whenever it isn't drained."""
+        return [
+            place.name
+            for place in self.layout.places
+            if upstream.endswith(f"-{place.failure_domain}")
+        ]
+
+    async def _undo_drain(self, name: str) -> None:
+        async with self._changing:
+            self.drained.discard(name)
+            for _ in range(UNDO_TRIES):
+                undo = {"kind": "undo-drain", "drain_id": drain_id_of(name)}
+                if await self.put_in_force(undo):
+                    return
+
+    async def runs_of(self, upstream: str) -> Counter[str]:
+        """Read what an upstream ran so far."""
+        endpoint = self.layout.upstream_endpoints[upstream]
+        answer = await fetch(endpoint, target="/runs", timeout_s=5.0)
+        return Counter(json.loads(answer.unwrap().body))
--- a/packages/testkit/src/plankspindle_testkit/soak/promises.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/promises.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -43,6 +44,9 @@
         Whether the answer belongs to the request and is whole.
     asked_at, told_at, deadline : float
         Seconds of the soak.
+    is_cut : bool
+        Whether its connection closed without a whole answer after all of the request
+        was sent on it.
     """
 
     mark: str
@@ -54,6 +58,7 @@
     asked_at: float
     told_at: float
     deadline: float
+    is_cut: bool = False
 
 
 @frozen(kw_only=True)
@@ -75,6 +80,44 @@
     request: str = ""
 
 
+@define
+class Span:
+    """A time in which something was disturbed.
+
+    Parameters
+    ----------
+    begin, end : float
+        Seconds of the soak; without an end it lasts still.
+    """
+
+    begin: float
+    end: float = math.inf
+
+    def meets(self, begin: float, end: float) -> bool:
+        """Tell whether it meets another time."""
+        return self.begin <= end and begin <= self.end
+
+
+@frozen(kw_only=True)
+class DrainedRuns:
+    """What a drained upstream began from one look at it to the next.
+
+    Parameters
+    ----------
+    upstream : str
+        The upstream.
+    begin, end : float
+        Times of the looks, seconds of the soak.
+    marks : tuple of str
+        Marks of the requests that it began to run.
+    """
+
+    upstream: str
+    begin: float
+    end: float
+    marks: tuple[str, ...]
+
+
 @define(kw_only=True)
 class Observations:
     """What was seen so far.
@@ -85,37 +128,44 @@
         What callers learned.
     runs_by_mark : Counter of str
         Executions at all upstreams.
-    spans_by_struck : dict of str to list of (float, float)
+    spans_by_struck : dict of str to list of Span
         Times in which a VM, an upstream, their links or the platform were disturbed.
+    cuts_by_vm : dict of str to list of Span
+        Times in which a fault may have closed connections of callers of a VM.
     versions_by_life : dict of (str, int) to list of int
         Versions in force that each life of a process showed, in order.
     ends : list of (str, int, str)
         Processes that ended by themselves: VM, status, last line of the log.
     cut_off : list of (str, int)
         Requests that a planned stop cut off.
-    drained_runs : list of (str, int)
+    drained_runs : list of DrainedRuns
         Runs that a drained upstream began after the bound.
     drains_watched : int
-        Drains that no other fault met, so that such runs count.
+        Drains during which some VM of the upstream's failure domain, which would use
+        it, was undisturbed after the bound.
     open_marks : set of str
         Requests of which a try may be on its way.
+    is_calming : bool
+        Whether the faults are over, so that requests that take long stay away, too.
     """
 
     told: list[Told] = Factory(list)
     runs_by_mark: Counter[str] = Factory(Counter)
-    spans_by_struck: dict[str, list[tuple[float, float]]] = Factory(dict)
+    spans_by_struck: dict[str, list[Span]] = Factory(dict)
+    cuts_by_vm: dict[str, list[Span]] = Factory(dict)
     versions_by_life: dict[tuple[str, int], list[int]] = Factory(dict)
     ends: list[tuple[str, int, str]] = Factory(list)
     cut_off: list[tuple[str, int]] = Factory(list)
-    drained_runs: list[tuple[str, int]] = Factory(list)
+    drained_runs: list[DrainedRuns] = Factory(list)
     open_marks: set[str] = Factory(set)
     drains_watched: int = 0
+    is_calming: bool = False
     checks: int = 0
 
     def is_struck(self, name: str, begin: float, end: float) -> bool:
         """Tell whether a VM, an upstream or the platform was disturbed at some time."""
         spans = self.spans_by_struck.get(name, ())
-        return any(first <= end and begin <= last for first, last in spans)
+        return any(each.meets(begin, end) for each in spans)
 
 
 def check_all(seen: Observations) -> Iterator[Broken]:
@@ -130,9 +180,6 @@
         yield Broken(promise="runs on", detail=f"{vm} ended with {status}: {line}")
     for vm, count in seen.cut_off:
         yield Broken(promise="a stop cuts nothing", detail=f"{vm} cut off {count}")
-    for upstream, count in seen.drained_runs:
-        detail = f"{upstream} began {count} runs after it was drained"
-        yield Broken(promise="drained gets nothing new", detail=detail)
 
 
 def _at_most_once(seen: Observations) -> Iterator[Broken]:
--- a/packages/testkit/src/plankspindle_testkit/soak/soak.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
 import json
-import os
 import tempfile
 from collections import Counter
 from pathlib import Path
@@ -22,8 +20,16 @@
 from plankspindle_core.http.fetch import fetch
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.soak.callers import SoakCaller
-from plankspindle_testkit.soak.layout import SLOTS
+from plankspindle_testkit.soak.drain_watch import check_drains
+from plankspindle_testkit.soak.kept_connections import KeptCaller
 from plankspindle_testkit.soak.layout import Layout
+from plankspindle_testkit.soak.load import LOAD_BY_KIND
+from plankspindle_testkit.soak.load import Load
+from plankspindle_testkit.soak.load import LoadKind
+from plankspindle_testkit.soak.losses import check_losses
+from plankspindle_testkit.soak.operators import Operators
+from plankspindle_testkit.soak.process_facts import descriptors
+from plankspindle_testkit.soak.process_facts import resident_kb
 from plankspindle_testkit.soak.promises import Broken
 from plankspindle_testkit.soak.promises import Observations
 from plankspindle_testkit.soak.promises import check_all
@@ -34,6 +40,7 @@
 
 if TYPE_CHECKING:
     from plankspindle_testkit.builders import VmPlace
+    from plankspindle_testkit.soak.promises import Told
 
 CHECK_PERIOD_S = 1.0
 START_S = 30.0
@@ -59,6 +66,8 @@
         Where its ports begin.
     recovery_s : float
         Time after the last fault in which everything must serve again, in seconds.
+    load : LoadKind
+        How many requests are in flight, and how long they take.
     """
 
     seed: int
@@ -66,6 +75,7 @@
     faults: tuple[SoakFault, ...]
     first_port: int = 20_000
     recovery_s: float = RECOVERY_S
+    load: LoadKind = LoadKind.LIGHT
 
 
 @frozen(kw_only=True)
@@ -78,9 +88,11 @@
         The first broken promise.
     requests, checks, drains_watched : int
         Requests that were sent, times that all promises were checked, and drains that
-        no other fault met.
+        were held against some VM.
     struck_by_kind : Counter of str
         Faults that happened.
+    ends : Counter of str
+        How requests ended: an outcome, ``cut`` or ``no answer``.
     folder : Path
         Where the logs are.
     """
@@ -90,6 +102,7 @@
     checks: int
     drains_watched: int
     struck_by_kind: Counter[str]
+    ends: Counter[str]
     folder: Path
 
 
@@ -107,19 +120,32 @@
     layout: Layout = field(init=False)
     processes: Processes = field(init=False)
     seen: Observations = field(factory=Observations)
+    operators: Operators = field(init=False)
     striker: Striker = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.layout = Layout(vms=self.plan.vms, first_port=self.plan.first_port)
+        self.layout = Layout(
+            vms=self.plan.vms, first_port=self.plan.first_port, slots=self.load.slots
+        )
         folder = Path(tempfile.mkdtemp(prefix="plankspindle-soak-"))
         self.processes = Processes(folder=folder)
+        began_at = monotonic()
+        self.operators = Operators(
+            layout=self.layout, seen=self.seen, began_at=began_at
+        )
         self.striker = Striker(
             layout=self.layout,
             processes=self.processes,
             seen=self.seen,
-            began_at=monotonic(),
+            operators=self.operators,
+            began_at=began_at,
         )
 
+    @property
+    def load(self) -> Load:
+        """What the callers do."""
+        return LOAD_BY_KIND[self.plan.load]
+
     async def run(self) -> SoakVerdict:
         """Run it; processes that it started are ended whatever happens."""
         tasks: list[Any] = []
@@ -127,6 +153,7 @@
             await self._start()
             tasks = await self._start_callers()
             broken = await self._strike_and_check()
+            _check_that_all_run(tasks)
         finally:
             for task in tasks:
                 await task.cancel()
@@ -139,6 +166,7 @@
             checks=self.seen.checks,
             drains_watched=self.seen.drains_watched,
             struck_by_kind=self.striker.struck_by_kind,
+            ends=Counter(_end_of(each) for each in self.seen.told),
             folder=self.processes.folder,
         )
 
@@ -149,13 +177,15 @@
         self.processes.start_module("platform", platform, str(self.layout.platform))
         for name, endpoint in self.layout.upstream_endpoints.items():
             module = "plankspindle_testkit.upstream_stand_in"
-            self.processes.start_module(name, module, f"{name}={endpoint}={SLOTS}")
+            self.processes.start_module(
+                name, module, f"{name}={endpoint}={self.load.slots}"
+            )
         await self._until(self._platform_lists)
         for place in self.layout.places:
             await self.striker.start_vm(place.name)
-        await self._until(self.striker.apply)
+        await self._until(self.operators.apply)
         await self._until(self._all_ready)
-        self.striker.began_at = monotonic()
+        self.striker.began_at = self.operators.began_at = monotonic()
 
     async def _until(self, holds: Any) -> None:
         end = monotonic() + START_S
@@ -181,17 +211,29 @@
 
     async def _start_callers(self) -> list[Any]:
         random = Random(self.plan.seed)
-        tasks = []
-        for number in range(CALLERS_A_VM * self.plan.vms):
-            caller = SoakCaller(
+        callers: list[SoakCaller | KeptCaller] = [
+            SoakCaller(
                 name=f"c{number}",
                 layout=self.layout,
                 seen=self.seen,
                 began_at=self.striker.began_at,
                 random=Random(random.getrandbits(32)),
             )
-            tasks.append(await spawn(caller.run, daemon=True))
-        return tasks
+            for number in range(CALLERS_A_VM * self.plan.vms)
+        ]
+        for place in self.layout.places:
+            for number in range(self.load.kept_a_vm):
+                caller = KeptCaller(
+                    name=f"k{number}-{place.name}",
+                    vm=place.name,
+                    layout=self.layout,
+                    load=self.load,
+                    seen=self.seen,
+                    began_at=self.striker.began_at,
+                    random=Random(random.getrandbits(32)),
+                )
+                callers.append(caller)
+        return [await spawn(each.run, daemon=True) for each in callers]
 
     async def _strike_and_check(self) -> Broken | None:
         waiting = list(self.plan.faults)
@@ -206,6 +248,7 @@
             await sleep(CHECK_PERIOD_S)
         for strike in strikes:
             await strike.join()
+        self.seen.is_calming = True
         return await self._check_recovery()
 
     async def _look(self) -> Broken | None:
@@ -218,20 +261,19 @@
                 life = (place.name, int(state["incarnation"], 16))
                 version = int(state["configuration"]["version"])
                 self.seen.versions_by_life.setdefault(life, []).append(version)
-        return next(check_all(self.seen), None)
+        checks = (check_all, check_losses, check_drains)
+        return next((each for check in checks for each in check(self.seen)), None)
 
     async def _take_runs(self) -> None:
         runs: Counter[str] = Counter()
         for name in self.layout.upstream_endpoints:
-            runs += await self.striker.runs_of(name)
+            runs += await self.operators.runs_of(name)
         self.seen.runs_by_mark = runs
 
     def _note_end(self, vm: str) -> None:
         status = self.processes.by_name[vm].poll()
-        if status is None or vm in self.striker.stopped:
-            return
-        last = (self.processes.log_of(vm).splitlines() or [""])[-1]
-        self.seen.ends.append((vm, status, last))
+        if status is not None and vm not in self.striker.stopped:
+            self.striker.note_end(vm, status)
 
     async def _check_recovery(self) -> Broken | None:
         await sleep(self.plan.recovery_s)
@@ -251,11 +293,11 @@
                 self.seen,
                 calm_from=calm_from,
                 versions=versions,
-                accepted=self.striker.accepted,
+                accepted=self.operators.accepted,
             ),
             *check_growth(
-                {vm: _resident_kb(pid) for vm, pid in pids.items()},
-                {vm: _descriptors(pid) for vm, pid in pids.items()},
+                {vm: resident_kb(pid) for vm, pid in pids.items()},
+                {vm: descriptors(pid) for vm, pid in pids.items()},
                 connections,
             ),
         ]
@@ -265,6 +307,25 @@
         return self.processes.by_name[vm].pid
 
 
+def _end_of(told: Told) -> str:
+    if told.outcome is not None:
+        return told.outcome.value
+    return "cut" if told.is_cut else "no answer"
+
+
+def _check_that_all_run(callers: list[Any]) -> None:
+    """Check that no caller ended, so that all the load was there.
+
+    Raises
+    ------
+    RuntimeError
+        If one did.
+    """
+    ended = [each for each in callers if each.terminated]
+    if ended:
+        raise RuntimeError(f"{len(ended)} callers ended: {ended[0].exception!r}")
+
+
 async def _state_of(place: VmPlace) -> dict[str, Any] | None:
     """Read the state of an entry VM; None if it gives none."""
     answer = await fetch(place.operator, target="/state", timeout_s=3.0)
@@ -281,17 +342,3 @@
 def _connections(state: dict[str, Any]) -> str:
     callers, pool = state["callers"]["connections"], state["connections"]["open"]
     return f"{callers} connections of callers, {pool} to upstreams"
-
-
-def _resident_kb(pid: int) -> int:
-    with contextlib.suppress(OSError):
-        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1])
-    return 0
-
-
-def _descriptors(pid: int) -> int:
-    with contextlib.suppress(OSError):
-        return len(os.listdir(f"/proc/{pid}/fd"))
-    return 0
--- a/packages/testkit/src/plankspindle_testkit/soak/soak_fault.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak_fault.py
@@ -3,21 +3,22 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Sequence
 from random import Random
 from typing import TYPE_CHECKING
 
 from attrs import asdict
+from attrs import evolve
 from attrs import frozen
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
-    from collections.abc import Sequence
 
 GAP_S = 2.0
-"""Mean time between the beginnings of two faults, in seconds."""
+"""Mean time between the beginnings of two draws, in seconds."""
 LEAST_S = 0.5
 MOST_S = 6.0
-OF_VMS = ("kill", "stop", "term", "hup", "herd", "rolling")
+OF_VMS = ("kill", "stop", "term", "hup", "herd", "rolling", "stutter")
 OF_PLATFORM = ("platform-down", "platform-slow", "platform-loses-answers")
 OF_UPSTREAMS = ("shed", "fail", "hang", "truncate", "close-after-run", "extra-bytes")
 OF_LINKS = (
@@ -29,9 +30,31 @@
     "silence",
 )
 OF_OPERATORS = ("drain", "storm", "race")
-LINKS = ("caller", "store", "upstream")
+CALLER = "caller"
+LINKS = (CALLER, "store", "upstream")
 PLATFORM = "platform"
 """Name by which the platform is disturbed."""
+SERIES_PART = 0.2
+"""Part of the draws that are the same fault several times in a row."""
+SET_PART = 0.15
+"""Part of the draws that are a set of faults that meet."""
+SERIES_GAP_S = 1.2
+"""Longest time between two faults of a series, in seconds."""
+LEAST_SERIES = 3
+MOST_SERIES = 5
+WATCHED_S = 8.0
+"""Time for which a drain of a set is watched, in seconds."""
+SETS: tuple[tuple[tuple[float, str], ...], ...] = (
+    ((0.0, "rolling"), (1.0, "storm"), (2.0, "platform-down")),
+    ((0.0, "herd"), (0.3, "hup"), (0.6, "hup"), (1.5, "hup")),
+    ((0.0, "drain"), (1.0, "kill"), (6.0, "storm"), (7.0, "term")),
+    ((0.0, "drain"), (4.0, "resets"), (5.5, "hang"), (7.0, "stutter")),
+    ((0.0, "drain"), (2.0, "rolling"), (3.0, "shed")),
+    ((0.0, "herd"), (0.5, "platform-slow"), (3.0, "stutter")),
+    ((0.0, "hang"), (0.5, "stutter"), (1.0, "stutter"), (1.5, "storm")),
+    ((0.0, "rolling"), (0.5, "stutter"), (3.0, "hup"), (5.0, "silence")),
+)
+"""Kinds of faults that meet, each with its time after the first, in seconds."""
 
 
 @frozen(kw_only=True)
@@ -45,7 +68,8 @@
     kind : str
         What happens.
     target : str
-        VM, upstream or link (``LINK:NAME``); empty where it strikes all.
+        VM, upstream or link (``LINK:NAME``); empty where it strikes all, and for a
+        drain of the first upstream.
     """
 
     at: float
@@ -53,69 +77,103 @@
     kind: str
     target: str = ""
 
-    def disturbs(self, vms: Sequence[str]) -> list[str]:
-        """Name what may be late by it: VMs, upstreams, or the platform.
-
-        Operators and upstreams that fail are no excuse for a late answer.
+    def disturbs(self) -> list[str]:
+        """Name what may be late by it: a VM, an upstream, or the platform.
 
-        Parameters
-        ----------
-        vms : sequence of str
-            All entry VMs.
+        Operators and upstreams that fail are no excuse for a late answer. What a fault
+        of processes disturbs is noted while it is carried out.
         """
         if self.kind in OF_LINKS:
             return [self.target.partition(":")[2]]
         if self.kind in OF_PLATFORM:
             return [PLATFORM]
-        if self.kind in ("herd", "rolling"):
-            return list(vms)
-        if self.kind in OF_VMS and self.kind != "hup":
-            return [self.target]
         return []
 
 
+@frozen(kw_only=True)
+class _Targets:
+    vms: Sequence[str]
+    upstreams: Sequence[str]
+
+
 def draw_faults(
     seed: int, *, seconds: float, vms: Sequence[str], upstreams: Sequence[str]
 ) -> list[SoakFault]:
-    """Draw faults, some of which overlap.
+    """Draw single faults, series of one kind, and sets of faults that meet.
 
     Parameters
     ----------
     seed : int
         Source of chance.
     seconds : float
-        Time in which they begin.
+        Time in which they are drawn; the last of a series or set may begin later.
     vms, upstreams : sequence of str
         What they strike.
     """
     random = Random(f"soak {seed}")
-    kinds = [*OF_VMS, *OF_PLATFORM, *OF_UPSTREAMS, *OF_LINKS, *OF_OPERATORS]
-    faults = []
+    targets = _Targets(vms=vms, upstreams=upstreams)
+    faults: list[SoakFault] = []
     at = random.expovariate(1 / GAP_S)
     while at < seconds:
-        kind = random.choice(kinds)
-        fault = SoakFault(
-            at=round(at, 3),
-            for_s=round(random.uniform(LEAST_S, MOST_S), 3),
-            kind=kind,
-            target=_draw_target(random, kind, vms, upstreams),
-        )
-        faults.append(fault)
+        chance = random.random()
+        if chance < SERIES_PART:
+            faults += _draw_series(random, at, targets)
+        elif chance < SERIES_PART + SET_PART:
+            faults += _draw_set(random, at, targets)
+        else:
+            faults.append(_draw_fault(random, at, _draw_kind(random), targets))
         at += random.expovariate(1 / GAP_S)
+    return sorted(faults, key=lambda each: each.at)
+
+
+def _draw_kind(random: Random) -> str:
+    return random.choice(
+        [*OF_VMS, *OF_PLATFORM, *OF_UPSTREAMS, *OF_LINKS, *OF_OPERATORS]
+    )
+
+
+def _draw_fault(
+    random: Random, at: float, kind: str, targets: _Targets, most_s: float = MOST_S
+) -> SoakFault:
+    return SoakFault(
+        at=round(at, 3),
+        for_s=round(random.uniform(LEAST_S, most_s), 3),
+        kind=kind,
+        target=_draw_target(random, kind, targets),
+    )
+
+
+def _draw_series(random: Random, at: float, targets: _Targets) -> list[SoakFault]:
+    """Draw one kind several times in a row, at one target or at several."""
+    kind = _draw_kind(random)
+    first = _draw_fault(random, at, kind, targets, SERIES_GAP_S)
+    same_target = random.random() < 0.5
+    faults = [first]
+    for _ in range(random.randint(LEAST_SERIES, MOST_SERIES) - 1):
+        at += random.uniform(0.1, SERIES_GAP_S)
+        drawn = _draw_fault(random, at, kind, targets, SERIES_GAP_S)
+        faults.append(evolve(drawn, target=first.target) if same_target else drawn)
+    return faults
+
+
+def _draw_set(random: Random, at: float, targets: _Targets) -> list[SoakFault]:
+    faults = []
+    for after_s, kind in random.choice(SETS):
+        drawn = _draw_fault(random, at + after_s, kind, targets)
+        faults.append(evolve(drawn, for_s=WATCHED_S) if kind == "drain" else drawn)
     return faults
 
 
-def _draw_target(
-    random: Random, kind: str, vms: Sequence[str], upstreams: Sequence[str]
-) -> str:
-    if kind in ("herd", "rolling") or kind in OF_PLATFORM or kind in OF_OPERATORS:
+def _draw_target(random: Random, kind: str, targets: _Targets) -> str:
+    if kind in ("herd", "rolling", "storm", "race") or kind in OF_PLATFORM:
         return ""
     if kind in OF_VMS:
-        return random.choice(vms)
-    if kind in OF_UPSTREAMS:
-        return random.choice(upstreams)
+        return random.choice(targets.vms)
+    if kind in OF_UPSTREAMS or kind == "drain":
+        return random.choice(targets.upstreams)
     link = random.choice(LINKS)
-    return f"{link}:{random.choice(upstreams if link == 'upstream' else vms)}"
+    ends = targets.upstreams if link == "upstream" else targets.vms
+    return f"{link}:{random.choice(ends)}"
 
 
 def write_schedule(faults: Iterable[SoakFault]) -> str:
--- a/packages/testkit/src/plankspindle_testkit/soak/striker.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/striker.py
@@ -4,7 +4,10 @@
 
 import json
 import signal
+import subprocess
 from collections import Counter
+from contextlib import ExitStack
+from contextlib import contextmanager
 from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
@@ -14,28 +17,37 @@
 from curio import run_in_thread
 from curio import sleep
 
-from plankspindle_core.configuration.codec import configuration_to_mapping
 from plankspindle_core.http.fetch import fetch
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.soak.layout import Layout
 from plankspindle_testkit.soak.link_proxy import LinkState
+from plankspindle_testkit.soak.operators import Operators
+from plankspindle_testkit.soak.process_facts import handles
 from plankspindle_testkit.soak.promises import Observations
+from plankspindle_testkit.soak.promises import Span
+from plankspindle_testkit.soak.soak_fault import CALLER
 from plankspindle_testkit.soak.soak_fault import OF_LINKS
+from plankspindle_testkit.soak.soak_fault import OF_OPERATORS
 from plankspindle_testkit.soak.soak_fault import OF_UPSTREAMS
 from plankspindle_testkit.soak.soak_fault import OF_VMS
-from plankspindle_testkit.soak.soak_fault import PLATFORM
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
     from plankspindle_testkit.soak.soak_fault import SoakFault
 
 END_S = 25.0
 """Longest planned stop: settings give it 10 s to linger and 10 s for what runs."""
 AFTER_S = 6.0
 """Time after a fault in which its VM is still taken as disturbed, in seconds."""
-IMPORTING_S = 5.0
-"""Time after its start in which a process may not follow signals yet, in seconds."""
-DRAIN_BOUND_S = 5.0
-STORM_VERSIONS = 4
+PASSING_S = 1.0
+"""Time after the end of a killed process in which callers learn of it, in seconds."""
+START_S = 20.0
+"""Longest time until a started process handles signals, in seconds."""
+STUTTER_GAP_S = 0.4
+STUTTER_S = 0.15
+"""Length of one pause of a stutter, as a loop that is busy at full load has them."""
 SETTINGS: dict[str, Any] = {
     "timing": {
         "live_list_ms": 300,
@@ -64,20 +76,24 @@
         The processes.
     seen : Observations
         Where to note what was disturbed when.
+    operators : Operators
+        Who change the configuration.
     began_at : float
         Start of the soak, monotonic seconds.
+
+    Attributes
+    ----------
+    stopped : set of str
+        VMs whose process is being ended or started here.
     """
 
     layout: Layout
     processes: Processes
     seen: Observations
+    operators: Operators
     began_at: float
     struck_by_kind: Counter[str] = field(factory=Counter)
     stopped: set[str] = field(factory=set)
-    lives_by_vm: Counter[str] = field(factory=Counter)
-    started_at_by_vm: dict[str, float] = field(factory=dict)
-    applied: int = 0
-    accepted: int = 0
 
     def now(self) -> float:
         """Seconds of the soak."""
@@ -86,16 +102,35 @@
     async def strike(self, fault: SoakFault) -> None:
         """Let one fault happen, wait for its length, and end it."""
         self.struck_by_kind[fault.kind] += 1
-        ending_s = END_S if fault.kind in ("term", "rolling") else 0.0
-        span = (fault.at, fault.at + fault.for_s + ending_s + AFTER_S)
-        for name in fault.disturbs([place.name for place in self.layout.places]):
+        if fault.kind in OF_VMS:
+            await self._strike_vms(fault.kind, fault.target, fault.for_s)
+            return
+        with self._disturbing(fault.disturbs()):
+            await self._carry_out(fault.kind, fault.target, fault.for_s)
+
+    @contextmanager
+    def _disturbing(self, names: Iterable[str]) -> Iterator[None]:
+        """Note that something is disturbed, and for ``AFTER_S`` after that."""
+        span = Span(self.now())
+        for name in names:
             self.seen.spans_by_struck.setdefault(name, []).append(span)
-        await self._carry_out(fault.kind, fault.target, fault.for_s)
+        try:
+            yield
+        finally:
+            span.end = self.now() + AFTER_S
+
+    @contextmanager
+    def _cutting(self, vm: str, after_s: float) -> Iterator[None]:
+        """Note that connections of a VM's callers may close without an answer."""
+        span = Span(self.now())
+        self.seen.cuts_by_vm.setdefault(vm, []).append(span)
+        try:
+            yield
+        finally:
+            span.end = self.now() + after_s
 
     async def _carry_out(self, kind: str, target: str, for_s: float) -> None:
-        if kind in OF_VMS:
-            await self._strike_vms(kind, target, for_s)
-        elif kind in OF_UPSTREAMS:
+        if kind in OF_UPSTREAMS:
             await self._strike_upstream(kind, target, for_s)
         elif kind in OF_LINKS:
             await self._strike_link(kind, target, for_s)
@@ -103,15 +138,21 @@
             await self._control_platform(_PLATFORM_FAULTS[kind])
             await sleep(for_s)
             await self._control_platform({})
-        elif kind == "drain":
-            await self._drain(for_s)
-        elif kind == "storm":
-            await self._storm()
-        elif kind == "race":
-            await self._race()
+        elif kind in OF_OPERATORS:
+            await self._operate(kind, target, for_s)
         else:
             raise ValueError(f"no fault {kind!r}")
 
+    async def _operate(self, kind: str, target: str, for_s: float) -> None:
+        match kind:
+            case "drain":
+                first = next(iter(self.layout.upstream_endpoints))
+                await self.operators.drain(target or first, for_s)
+            case "storm":
+                await self.operators.storm()
+            case _:
+                await self.operators.race()
+
     async def _strike_vms(self, kind: str, target: str, for_s: float) -> None:
         match kind:
             case "herd":
@@ -128,9 +169,7 @@
         if process is not None and process.poll() is None:
             return
         place = next(each for each in self.layout.places if each.name == name)
-        self.lives_by_vm[name] += 1
         self.stopped.discard(name)
-        self.started_at_by_vm[name] = self.now()
         platform = self.layout.entry("store", name)
         self.processes.start_daemon(place, platform=platform, **SETTINGS)
 
@@ -140,32 +179,76 @@
         process = self.processes.by_name[name]
         match kind:
             case "hup":
-                process.send_signal(signal.SIGHUP)
-                return
+                await self._hang_up(process)
             case "stop":
-                process.send_signal(signal.SIGSTOP)
-                await sleep(for_s)
-                process.send_signal(signal.SIGCONT)
+                with self._disturbing([name]), self._cutting(name, AFTER_S):
+                    await self._pause(process, for_s)
+            case "stutter":
+                await self._stutter(process, for_s)
+            case "kill":
+                self.stopped.add(name)
+                with self._disturbing([name]):
+                    await self._kill(name)
+                    await sleep(for_s / 4)
+                    await self.start_vm(name)
+            case _:
+                self.stopped.add(name)
+                await self._end_planned(name)
+                with self._disturbing([name]):
+                    await sleep(for_s / 4)
+                    await self.start_vm(name)
+
+    async def _hang_up(self, process: subprocess.Popen[bytes]) -> None:
+        """Ask for the settings to be read again, once the interpreter is up."""
+        end = self.now() + START_S
+        while not handles(process.pid, signal.SIGHUP) and self.now() < end:
+            if process.poll() is not None:
                 return
-        self.stopped.add(name)
-        if kind == "kill":
-            process.kill()
-            await run_in_thread(process.wait)
-        else:
-            await self._end_planned(name)
-        await sleep(for_s / 4)
-        await self.start_vm(name)
+            await sleep(0.05)
+        process.send_signal(signal.SIGHUP)
+
+    async def _pause(self, process: subprocess.Popen[bytes], for_s: float) -> None:
+        process.send_signal(signal.SIGSTOP)
+        await sleep(for_s)
+        process.send_signal(signal.SIGCONT)
+
+    async def _stutter(self, process: subprocess.Popen[bytes], for_s: float) -> None:
+        """Pause a process for short times again and again; no excuse for anything."""
+        end = self.now() + for_s
+        while self.now() < end and process.poll() is None:
+            await self._pause(process, STUTTER_S)
+            await sleep(STUTTER_GAP_S)
+
+    async def _kill(self, *names: str) -> None:
+        """Kill processes at one moment and wait for their ends."""
+        with ExitStack() as cuts:
+            for name in names:
+                cuts.enter_context(self._cutting(name, PASSING_S))
+                self.processes.by_name[name].kill()
+            for name in names:
+                status = await run_in_thread(self.processes.by_name[name].wait)
+                if status != -signal.SIGKILL:
+                    self.note_end(name, status)
+
+    def note_end(self, name: str, status: int) -> None:
+        """Note a process that ended by itself."""
+        last = (self.processes.log_of(name).splitlines() or [""])[-1]
+        self.seen.ends.append((name, status, last))
 
     async def _end_planned(self, name: str) -> None:
         process = self.processes.by_name[name]
+        follows = handles(process.pid, signal.SIGTERM)
         process.send_signal(signal.SIGTERM)
-        ran_s = self.now() - self.started_at_by_vm.get(name, 0.0)
-        status = await run_in_thread(process.wait, END_S)
-        log = self.processes.log_of(name)
-        if status == -signal.SIGTERM and ran_s < IMPORTING_S:
+        try:
+            status = await run_in_thread(process.wait, END_S)
+        except subprocess.TimeoutExpired:
+            self.seen.ends.append((name, 0, f"runs on {END_S} s after its stop"))
+            return
+        if status == -signal.SIGTERM and not follows:
             return
         if status != 0:
-            self.seen.ends.append((name, status, log.splitlines()[-1]))
+            self.note_end(name, status)
+        log = self.processes.log_of(name)
         left = [line for line in log.splitlines() if "event=left" in line]
         cut_off = int(left[-1].rpartition("cut_off=")[2]) if left else 0
         if cut_off:
@@ -175,11 +258,10 @@
         struck = [each.name for each in self.layout.places]
         struck = [name for name in struck if name not in self.stopped]
         self.stopped |= set(struck)
-        for name in struck:
-            self.processes.by_name[name].kill()
-        for name in struck:
-            await run_in_thread(self.processes.by_name[name].wait)
-            await self.start_vm(name)
+        with self._disturbing(struck):
+            await self._kill(*struck)
+            for name in struck:
+                await self.start_vm(name)
 
     async def _strike_upstream(self, kind: str, name: str, for_s: float) -> None:
         endpoint = self.layout.upstream_endpoints[name]
@@ -192,6 +274,14 @@
                 await sleep(for_s)
 
     async def _strike_link(self, kind: str, target: str, for_s: float) -> None:
+        link, _, name = target.partition(":")
+        if link == CALLER:
+            with self._cutting(name, AFTER_S):
+                await self._change_link(kind, target, for_s)
+        else:
+            await self._change_link(kind, target, for_s)
+
+    async def _change_link(self, kind: str, target: str, for_s: float) -> None:
         proxy = self.layout.proxies_by_link[target]
         if kind == "silence":
             proxy.silence_open()
@@ -210,78 +300,3 @@
             body=body,
             timeout_s=5.0,
         )
-
-    async def put_in_force(self, intent: dict[str, Any]) -> bool:
-        """Plan and confirm an intent at any VM; False if none takes it."""
-        for place in self.layout.places:
-            made = await self._post(place.operator, "/v1/plans", intent)
-            if made is None or "id" not in made:
-                continue
-            path = f"/v1/plans/{made['id']}/confirm"
-            confirmed = await self._post(place.operator, path, {})
-            if confirmed is not None and confirmed.get("state") == "accepted":
-                version = int(confirmed["base_version"]) + 1
-                self.accepted = max(self.accepted, version)
-                return True
-        return False
-
-    async def _post(
-        self, endpoint: Any, path: str, content: dict[str, Any]
-    ) -> dict[str, Any] | None:
-        answer = await fetch(
-            endpoint,
-            method="POST",
-            target=path,
-            body=json.dumps(content).encode(),
-            timeout_s=4.0,
-        )
-        try:
-            found: dict[str, Any] = json.loads(answer.unwrap().body)
-        except Exception:  # noqa: BLE001 - any failure means that it was not taken
-            return None
-        return found
-
-    async def apply(self) -> bool:
-        """Put another version of the configuration in force."""
-        self.applied += 1
-        mapping = configuration_to_mapping(self.layout.configuration(self.applied))
-        return await self.put_in_force({"kind": "apply", "configuration": mapping})
-
-    async def _storm(self) -> None:
-        for _ in range(STORM_VERSIONS):
-            await self.apply()
-
-    async def _race(self) -> None:
-        first, last = self.layout.places[0], self.layout.places[-1]
-        mapping = configuration_to_mapping(self.layout.configuration(self.applied))
-        intent = {"kind": "apply", "configuration": mapping}
-        for place in (first, last, first, last):
-            await self._post(place.operator, "/v1/plans", intent)
-
-    async def _drain(self, for_s: float) -> None:
-        name = next(iter(self.layout.upstream_endpoints))
-        drain = {"kind": "upstream", "name": name}
-        if not await self.put_in_force(
-            {"kind": "drain", "drain_id": "soak", "drain": drain}
-        ):
-            return
-        applied, begin = self.applied, self.now()
-        await sleep(DRAIN_BOUND_S)
-        before = await self.runs_of(name)
-        await sleep(for_s)
-        after = await self.runs_of(name)
-        began = sum((after - before).values())
-        concerned = [name, PLATFORM, *(place.name for place in self.layout.places)]
-        end = self.now()
-        calm = not any(self.seen.is_struck(each, begin, end) for each in concerned)
-        if calm and applied == self.applied:
-            self.seen.drains_watched += 1
-            if began:
-                self.seen.drained_runs.append((name, began))
-        await self.put_in_force({"kind": "undo-drain", "drain_id": "soak"})
-
-    async def runs_of(self, upstream: str) -> Counter[str]:
-        """Read what an upstream ran so far."""
-        endpoint = self.layout.upstream_endpoints[upstream]
-        answer = await fetch(endpoint, target="/runs", timeout_s=5.0)
-        return Counter(json.loads(answer.unwrap().body))
--- a/packages/testkit/src/plankspindle_testkit/upstream_stand_in/upstream_stand_in.py
+++ b/packages/testkit/src/plankspindle_testkit/upstream_stand_in/upstream_stand_in.py
@@ -29,6 +29,8 @@
 SHORT_LENGTH = b"1000"
 CHUNK = b"x" * 65_536
 RUN_HEADER = b"x-run"
+WORK_HEADER = b"x-work-ms"
+"""Time that this request takes instead of the usual one, in milliseconds."""
 
 
 @define(kw_only=True)
@@ -119,7 +121,9 @@
         self.most_in_flight = max(self.most_in_flight, self.in_flight)
         watcher = await source.watch_caller()
         try:
-            await sleep(self.behaviour.service_ms / 1000)
+            own = find_header(source.headers, WORK_HEADER)
+            work_ms = self.behaviour.service_ms if own is None else float(own)
+            await sleep(work_ms / 1000)
             await self._answer(source, path, body)
         except CallerGoneError:
             self.cancelled += 1
--- a/packages/testkit/tests/soak/test_promises.py
+++ b/packages/testkit/tests/soak/test_promises.py
@@ -11,6 +11,7 @@
 from plankspindle_testkit.soak.promises import MOST_DESCRIPTORS
 from plankspindle_testkit.soak.promises import MOST_RESIDENT_KB
 from plankspindle_testkit.soak.promises import Observations
+from plankspindle_testkit.soak.promises import Span
 from plankspindle_testkit.soak.promises import Told
 from plankspindle_testkit.soak.promises import check_all
 from plankspindle_testkit.soak.promises import check_end
@@ -76,9 +77,11 @@
     told = evolve(READ, outcome=None, told_at=14.0)
     seen = Observations(told=[told])
     assert broken(seen) == ["answered"]
-    seen.spans_by_struck["a"] = [(11.0, 12.0)]
+    seen.spans_by_struck["a"] = [Span(11.0, 12.0)]
     assert broken(seen) == []
-    seen.spans_by_struck["a"] = [(0.0, 5.0)]
+    seen.spans_by_struck["a"] = [Span(11.0)]
+    assert broken(seen) == []
+    seen.spans_by_struck["a"] = [Span(0.0, 5.0)]
     assert broken(seen) == ["answered"]
 
 
@@ -88,15 +91,9 @@
     assert broken(seen) == ["versions never revert"]
 
 
-def test_ends_cuts_and_work_after_a_drain_are_seen() -> None:
-    seen = Observations(
-        ends=[("a", 70, "crashed")], cut_off=[("a", 2)], drained_runs=[("u", 3)]
-    )
-    assert broken(seen) == [
-        "runs on",
-        "a stop cuts nothing",
-        "drained gets nothing new",
-    ]
+def test_ends_and_cuts_are_seen() -> None:
+    seen = Observations(ends=[("a", 70, "crashed")], cut_off=[("a", 2)])
+    assert broken(seen) == ["runs on", "a stop cuts nothing"]
 
 
 def test_a_fleet_that_does_not_recover_is_seen() -> None:
--- a/packages/testkit/tests/soak/test_soak.py
+++ b/packages/testkit/tests/soak/test_soak.py
@@ -2,20 +2,20 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
 from typing import Any
 
 import curio
+import pytest
 
+from plankspindle_testkit.soak.kept_connections import KeptCaller
+from plankspindle_testkit.soak.load import LoadKind
+from plankspindle_testkit.soak.operators import Operators
 from plankspindle_testkit.soak.soak import Soak
 from plankspindle_testkit.soak.soak import SoakPlan
 from plankspindle_testkit.soak.soak import SoakVerdict
 from plankspindle_testkit.soak.soak_fault import SoakFault
-from plankspindle_testkit.soak.striker import Striker
-
-if TYPE_CHECKING:
-    import pytest
 
+ENOUGH = 50
 FAULTS = (
     SoakFault(at=0.5, for_s=1.0, kind="close-after-run", target="u0-ba-1"),
     SoakFault(at=1.0, for_s=1.0, kind="kill", target="ba-1-0"),
@@ -58,28 +58,60 @@
     assert broken.promise == "runs on"
 
 
+def test_connections_that_close_without_an_answer_are_seen() -> None:
+    faults = (SoakFault(at=4.0, for_s=0.5, kind="hup", target="ke-1-1"),)
+    plan = SoakPlan(seed=1, vms=2, faults=faults, first_port=34_000, load=LoadKind.FULL)
+    running = Soak(plan=plan)
+
+    async def run() -> SoakVerdict:
+        task = await curio.spawn(running.run)
+        while not (len(running.seen.told) > ENOUGH or task.terminated):
+            await curio.sleep(0.1)
+        running.layout.proxies_by_link["caller:ke-1-1"].reset_open()
+        verdict: SoakVerdict = await task.join()
+        return verdict
+
+    broken = curio.run(run).broken
+    assert broken is not None
+    assert broken.promise == "nothing is lost"
+
+
+def test_a_caller_that_ends_fails_the_soak(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def end(caller: KeptCaller) -> None:
+        raise ZeroDivisionError(caller.name)
+
+    monkeypatch.setattr(KeptCaller, "run", end)
+    plan = SoakPlan(seed=1, vms=1, faults=(), first_port=35_000, recovery_s=0.0)
+    with pytest.raises(RuntimeError, match="callers ended"):
+        curio.run(Soak(plan=plan).run)
+
+
 def watch_a_drain(first_port: int) -> SoakVerdict:
-    drain = SoakFault(at=0.2, for_s=1.0, kind="drain")
-    plan = SoakPlan(
-        seed=1, vms=2, faults=(drain,), first_port=first_port, recovery_s=1.0
+    """Drain an upstream while one of two VMs is killed and a link fails elsewhere."""
+    faults = (
+        SoakFault(at=0.2, for_s=2.0, kind="drain", target="u0-ke-1"),
+        SoakFault(at=3.0, for_s=1.0, kind="kill", target="ba-1-0"),
+        SoakFault(at=3.5, for_s=1.0, kind="resets", target="upstream:u1-ke-1"),
+        SoakFault(at=4.0, for_s=1.0, kind="hup", target="ke-1-1"),
     )
+    plan = SoakPlan(seed=1, vms=2, faults=faults, first_port=first_port, recovery_s=4.0)
     verdict: SoakVerdict = curio.run(Soak(plan=plan).run)
     return verdict
 
 
-def test_a_drain_on_a_calm_fleet_is_watched() -> None:
+def test_a_drain_is_watched_beside_faults_elsewhere() -> None:
     verdict = watch_a_drain(32_000)
     assert verdict.broken is None
     assert verdict.drains_watched == 1
 
 
 def test_work_at_a_drained_upstream_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
-    put_in_force = Striker.put_in_force
+    put_in_force = Operators.put_in_force
 
-    async def pretend(striker: Striker, intent: dict[str, Any]) -> bool:
-        return intent["kind"] != "apply" or await put_in_force(striker, intent)
+    async def pretend(operators: Operators, intent: dict[str, Any]) -> bool:
+        return intent["kind"] != "apply" or await put_in_force(operators, intent)
 
-    monkeypatch.setattr(Striker, "put_in_force", pretend)
+    monkeypatch.setattr(Operators, "put_in_force", pretend)
     broken = watch_a_drain(33_000).broken
     assert broken is not None
     assert broken.promise == "drained gets nothing new"
--- a/packages/testkit/tests/soak/test_soak_fault.py
+++ b/packages/testkit/tests/soak/test_soak_fault.py
@@ -46,23 +46,46 @@
 
 
 def disturbed(kind: str, target: str = "") -> list[str]:
-    fault = f.SoakFault(at=0.0, for_s=1.0, kind=kind, target=target)
-    return fault.disturbs(["a", "b"])
+    return f.SoakFault(at=0.0, for_s=1.0, kind=kind, target=target).disturbs()
 
 
 def test_a_fault_disturbs_what_it_strikes() -> None:
-    assert disturbed("kill", "a") == ["a"]
     assert disturbed("delays", "store:b") == ["b"]
     assert disturbed("delays", "upstream:u") == ["u"]
-    assert disturbed("herd") == disturbed("rolling") == ["a", "b"]
     assert {name for kind in f.OF_PLATFORM for name in disturbed(kind)} == {f.PLATFORM}
 
 
-@pytest.mark.parametrize("kind", [*f.OF_OPERATORS, *f.OF_UPSTREAMS, "hup"])
+@pytest.mark.parametrize("kind", [*f.OF_OPERATORS, *f.OF_UPSTREAMS, *f.OF_VMS])
 def test_what_may_not_delay_answers_disturbs_no_vm(kind: str) -> None:
     assert disturbed(kind, "u") == []
 
 
+def test_seeds_draw_series_of_one_kind_at_one_target_and_at_several() -> None:
+    of_one = of_several = 0
+    for seed in range(60):
+        faults = draw(seed)
+        for three in zip(faults, faults[1:], faults[2:], strict=False):
+            if len({each.kind for each in three}) == 1:
+                targets = len({each.target for each in three})
+                of_one += targets == 1
+                of_several += targets > 1
+    assert of_one > 20
+    assert of_several > 20
+
+
+def test_seeds_draw_every_set_of_faults_that_meet() -> None:
+    wanted = {tuple(kind for _, kind in each) for each in f.SETS}
+    drawn = set()
+    for seed in range(60):
+        starts = [(each.at, each.kind) for each in draw(seed)]
+        for at, kind in starts:
+            for each in f.SETS:
+                times = [(round(at + after, 3), name) for after, name in each]
+                if kind == each[0][1] and set(times) <= set(starts):
+                    drawn.add(tuple(name for _, name in each))
+    assert drawn == wanted
+
+
 def test_states_of_links_have_a_kind_of_fault() -> None:
     states = {each.value for each in LinkState} - {"passes"}
     assert states == set(f.OF_LINKS) - {"silence"}
