--- a/packages/testkit/src/plankspindle_testkit/soak/soak.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak.py
@@ -294,6 +294,7 @@
                 calm_from=calm_from,
                 versions=versions,
                 accepted=self.operators.accepted,
+                doubtful=self.operators.doubtful,
             ),
             *check_growth(
                 {vm: resident_kb(pid) for vm, pid in pids.items()},
--- a/packages/testkit/tests/soak/test_promises.py
+++ b/packages/testkit/tests/soak/test_promises.py
@@ -113,6 +113,23 @@
     assert found.promise == "accepted is in force"
 
 
+@pytest.mark.parametrize(
+    ("versions", "holds"),
+    [
+        ({"a": 2, "b": 2}, True),
+        ({"a": 3, "b": 3}, True),
+        ({"a": 3, "b": 2}, False),
+        ({"a": 4, "b": 4}, False),
+    ],
+)
+def test_a_version_in_doubt_is_in_force_everywhere_or_nowhere(
+    versions: dict[str, int], holds: bool
+) -> None:
+    seen = Observations(told=[READ])
+    found = check_end(seen, calm_from=0.0, versions=versions, accepted=2, doubtful=3)
+    assert (not list(found)) is holds
+
+
 def test_growth_is_seen() -> None:
     found = check_growth(
         {"a": MOST_RESIDENT_KB + 1, "b": 1}, {"a": MOST_DESCRIPTORS + 1}, {"a": "x"}
