Soak: unexpected errors are read in the logs, stutters come in rows, an impatient load

Cause: an unexpected error of one request ends only that request now, so that 'runs on' sees it no more; a log line tells of it, and each such line breaks a promise. Stutters are rows of pauses of 90 ms with 5 ms between, as a process has them that spent its share of a processor. The impatient load has slow requests whose timeouts lie right behind a VM's patience with an upstream: two limits that pass in one busy moment, the likely cause of the process that ended.

--- a/packages/testkit/src/plankspindle_testkit/soak/kept_connections.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/kept_connections.py
@@ -10,7 +10,6 @@
 from attrs import frozen
 from curio import TaskTimeout
 from curio import sleep
-from curio import timeout_after
 from result import Err
 from result import Ok
 from result import Result
@@ -23,6 +22,7 @@
 from plankspindle_core.http.fetch import HttpAnswer
 from plankspindle_core.http.headers import as_header_list
 from plankspindle_core.outcome import Outcome
+from plankspindle_core.time_limit import within
 from plankspindle_testkit.builders import BRONZE_KEY
 from plankspindle_testkit.soak.layout import SERVICE
 from plankspindle_testkit.soak.layout import TIMEOUT_MS
@@ -142,7 +142,9 @@
         is_slow = self.random.random() < self.load.slow_part
         timeout_ms, work_ms = TIMEOUT_MS, SHORT_WORK_MS
         if is_slow and not self.seen.is_calming:
-            timeout_ms = self.random.randrange(LEAST_TIMEOUT_MS, TIMEOUT_MS)
+            timeout_ms = self.random.randrange(
+                LEAST_TIMEOUT_MS, self.load.most_timeout_ms
+            )
             work_ms = timeout_ms * self.random.uniform(SLOW_FROM, SLOW_TO)
         return KeptRequest(
             mark=f"{self.name}-{self.sent}",
@@ -158,7 +160,7 @@
         wait_s = request.timeout_ms / 1000 + NO_ANSWER_S
         answer: Result[HttpAnswer, HttpError]
         try:
-            answer = await timeout_after(wait_s, _exchange(connection, request))
+            answer = await within(wait_s, _exchange, connection, request)
         except TaskTimeout:
             answer = Err(TimedOut(wait_s))
         self._note(request, asked_at, answer)
--- a/packages/testkit/src/plankspindle_testkit/soak/load.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/load.py
@@ -7,10 +7,12 @@
 
 from attrs import frozen
 
-FULL_PART = 0.4
-"""Part of the seeds that load the VMs fully."""
+from plankspindle_testkit.soak.layout import TIMEOUT_MS
+
 LEAST_TIMEOUT_MS = 600
-"""Shortest time that a slow request is given; VMs are patient for as long at least."""
+"""Shortest time that a slow request is given; VMs are patient with an upstream for as
+long at least, in milliseconds.
+"""
 
 
 class LoadKind(Enum):
@@ -18,6 +20,7 @@
 
     LIGHT = "light"
     FULL = "full"
+    IMPATIENT = "impatient"
 
 
 @frozen(kw_only=True)
@@ -32,20 +35,33 @@
         Requests that each upstream runs at once.
     slow_part : float
         Part of their requests that end near their timeouts.
+    most_timeout_ms : int
+        Longest time that slow requests are given, in milliseconds.
+    weight : float
+        How often it is drawn.
     """
 
     kept_a_vm: int
     slots: int
     slow_part: float
+    most_timeout_ms: int = TIMEOUT_MS
+    weight: float
 
 
 LOAD_BY_KIND = {
-    LoadKind.LIGHT: Load(kept_a_vm=4, slots=8, slow_part=0.05),
-    LoadKind.FULL: Load(kept_a_vm=32, slots=32, slow_part=0.9),
+    LoadKind.LIGHT: Load(kept_a_vm=4, slots=8, slow_part=0.05, weight=0.5),
+    LoadKind.FULL: Load(kept_a_vm=32, slots=32, slow_part=0.9, weight=0.25),
+    LoadKind.IMPATIENT: Load(
+        kept_a_vm=16, slots=32, slow_part=0.2, most_timeout_ms=800, weight=0.25
+    ),
 }
+"""Impatient: most requests are short, so that a VM's patience with an upstream ends
+right before the timeouts of the slow ones.
+"""
 
 
 def draw_load(seed: int) -> LoadKind:
     """Draw a load from a seed."""
-    is_full = Random(f"load {seed}").random() < FULL_PART
-    return LoadKind.FULL if is_full else LoadKind.LIGHT
+    weights = [each.weight for each in LOAD_BY_KIND.values()]
+    (kind,) = Random(f"load {seed}").choices(list(LOAD_BY_KIND), weights)
+    return kind
--- a/packages/testkit/src/plankspindle_testkit/soak/promises.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/promises.py
@@ -136,6 +136,8 @@
         Versions in force that each life of a process showed, in order.
     ends : list of (str, int, str)
         Processes that ended by themselves: VM, status, last line of the log.
+    unexpected : list of (str, str)
+        Errors that no code expected: VM, line of the log.
     cut_off : list of (str, int)
         Requests that a planned stop cut off.
     drained_runs : list of DrainedRuns
@@ -155,6 +157,7 @@
     cuts_by_vm: dict[str, list[Span]] = Factory(dict)
     versions_by_life: dict[tuple[str, int], list[int]] = Factory(dict)
     ends: list[tuple[str, int, str]] = Factory(list)
+    unexpected: list[tuple[str, str]] = Factory(list)
     cut_off: list[tuple[str, int]] = Factory(list)
     drained_runs: list[DrainedRuns] = Factory(list)
     open_marks: set[str] = Factory(set)
@@ -178,6 +181,8 @@
     yield from _never_reverts(seen)
     for vm, status, line in seen.ends:
         yield Broken(promise="runs on", detail=f"{vm} ended with {status}: {line}")
+    for vm, line in seen.unexpected:
+        yield Broken(promise="no unexpected error", detail=f"{vm}: {line}")
     for vm, count in seen.cut_off:
         yield Broken(promise="a stop cuts nothing", detail=f"{vm} cut off {count}")
 
--- a/packages/testkit/src/plankspindle_testkit/soak/soak.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak.py
@@ -26,6 +26,7 @@
 from plankspindle_testkit.soak.load import LOAD_BY_KIND
 from plankspindle_testkit.soak.load import Load
 from plankspindle_testkit.soak.load import LoadKind
+from plankspindle_testkit.soak.log_watch import LogWatch
 from plankspindle_testkit.soak.losses import check_losses
 from plankspindle_testkit.soak.operators import Operators
 from plankspindle_testkit.soak.process_facts import descriptors
@@ -122,6 +123,7 @@
     seen: Observations = field(factory=Observations)
     operators: Operators = field(init=False)
     striker: Striker = field(init=False)
+    logs: LogWatch = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.layout = Layout(
@@ -129,6 +131,7 @@
         )
         folder = Path(tempfile.mkdtemp(prefix="plankspindle-soak-"))
         self.processes = Processes(folder=folder)
+        self.logs = LogWatch(folder=folder)
         began_at = monotonic()
         self.operators = Operators(
             layout=self.layout, seen=self.seen, began_at=began_at
@@ -256,6 +259,8 @@
         await self._take_runs()
         for place in self.layout.places:
             self._note_end(place.name)
+            lines = self.logs.unexpected_of(place.name)
+            self.seen.unexpected += [(place.name, line) for line in lines]
             state = await _state_of(place)
             if state is not None:
                 life = (place.name, int(state["incarnation"], 16))
--- a/packages/testkit/src/plankspindle_testkit/soak/striker.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/striker.py
@@ -46,8 +46,12 @@
 START_S = 20.0
 """Longest time until a started process handles signals, in seconds."""
 STUTTER_GAP_S = 0.4
-STUTTER_S = 0.15
-"""Length of one pause of a stutter, as a loop that is busy at full load has them."""
+STUTTER_PAUSES = 4
+STUTTER_PAUSE_S = 0.09
+STUTTER_RUN_S = 0.005
+"""A stutter is a row of pauses between which a process runs for a moment only, as one
+does that has spent its share of a processor; then it runs freely for the gap.
+"""
 SETTINGS: dict[str, Any] = {
     "timing": {
         "live_list_ms": 300,
@@ -216,7 +220,9 @@
         """Pause a process for short times again and again; no excuse for anything."""
         end = self.now() + for_s
         while self.now() < end and process.poll() is None:
-            await self._pause(process, STUTTER_S)
+            for _ in range(STUTTER_PAUSES):
+                await self._pause(process, STUTTER_PAUSE_S)
+                await sleep(STUTTER_RUN_S)
             await sleep(STUTTER_GAP_S)
 
     async def _kill(self, *names: str) -> None:
