--- a/packages/testkit/src/plankspindle_testkit/soak/load.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/load.py
@@ -21,6 +21,7 @@
     LIGHT = "light"
     FULL = "full"
     IMPATIENT = "impatient"
+    WIDE = "wide"
 
 
 @frozen(kw_only=True)
@@ -37,6 +38,12 @@
         Part of their requests that end near their timeouts.
     most_timeout_ms : int
         Longest time that slow requests are given, in milliseconds.
+    rest_s : float
+        Longest rest between two requests on a connection, in seconds.
+    most_callers : int
+        Most callers besides, each with a connection a request.
+    pace : float
+        Factor on the periods at which VMs read the platform and probe upstreams.
     weight : float
         How often it is drawn.
     """
@@ -45,7 +52,10 @@
     slots: int
     slow_part: float
     most_timeout_ms: int = TIMEOUT_MS
-    weight: float
+    rest_s: float = 0.2
+    most_callers: int = 8
+    pace: float = 1.0
+    weight: float = 0.0
 
 
 LOAD_BY_KIND = {
@@ -54,9 +64,11 @@
     LoadKind.IMPATIENT: Load(
         kept_a_vm=16, slots=32, slow_part=0.2, most_timeout_ms=800, weight=0.25
     ),
+    LoadKind.WIDE: Load(kept_a_vm=3, slots=64, slow_part=0.1, rest_s=2.0, pace=4.0),
 }
 """Impatient: most requests are short, so that a VM's patience with an upstream ends
-right before the timeouts of the slow ones.
+right before the timeouts of the slow ones. Wide: for so many VMs that the soak's one
+process, which passes some 500 requests a second, would be what is loaded.
 """
 
 
