Soak: tell how long VMs had no processor, and end all processes on SIGTERM

Measured: VMs noted pauses of 1.2 to 2.7 s that nothing had made; schedstat of the daemons gave 2 to 5.8 s without a processor in lives of 3 to 10 s, 1 to 2.4 s with one. So the machine was too busy; the soak's own loop was late by 0.0 to 0.5 s only and did not show it. The line of a soak tells the longest such wait of a VM between two checks now, in place of the lateness of its own loop. It excuses nothing. A soak that got SIGTERM left its processes behind; it ends them now.

--- a/packages/testkit/src/plankspindle_testkit/soak/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 import time
 from collections import Counter
@@ -70,6 +71,7 @@
 
     Only processes that it started are ended, also when it is interrupted.
     """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     if large:
         vms, load = LARGE_VMS, LoadKind.WIDE.value
     end = time.monotonic() + 60 * minutes
@@ -84,7 +86,7 @@
             first_port=first_port,
             load=draw_load(number) if load is None else LoadKind(load),
         )
-        verdict = curio.run(Soak(plan=plan).run)
+        verdict = _run(plan)
         totals.add(verdict)
         click.echo(_line_of(plan, verdict))
         if verdict.broken is not None:
@@ -99,6 +101,16 @@
     sys.exit(1 if totals.broken else 0)
 
 
+def _run(plan: SoakPlan) -> SoakVerdict:
+    """Run a soak; its processes end with it, also if it is ended by a signal."""
+    soak = Soak(plan=plan)
+    try:
+        verdict: SoakVerdict = curio.run(soak.run)
+    finally:
+        soak.processes.close()
+    return verdict
+
+
 class _Totals:
     """Sums over the soaks of a run."""
 
@@ -133,7 +145,7 @@
         f"{held}: seed={plan.seed} load={plan.load.value} requests={verdict.requests}"
         f" faults={verdict.struck_by_kind.total()}"
         f" drains_watched={verdict.drains_watched}"
-        f" most_late_s={verdict.most_late_s:.2f}"
+        f" most_starved_s={verdict.most_starved_s:.2f}"
     )
 
 
@@ -207,7 +219,7 @@
             first_port=plan.first_port,
             load=plan.load,
         )
-        found = curio.run(Soak(plan=tried).run).broken
+        found = _run(tried).broken
         if found is not None and found.promise == verdict.broken.promise:
             needed = fewer
     click.echo(f"needed, {len(needed)} of {len(plan.faults)} faults:")
--- a/packages/testkit/src/plankspindle_testkit/soak/process_facts.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/process_facts.py
@@ -26,6 +26,14 @@
     return 0
 
 
+def waited_s(pid: int) -> float:
+    """Read how long it could have run but had no processor, in seconds."""
+    with contextlib.suppress(OSError, IndexError):
+        text = Path(f"/proc/{pid}/schedstat").read_text(encoding="utf-8")
+        return int(text.split()[1]) / 1e9
+    return 0.0
+
+
 def handles(pid: int, number: signal.Signals) -> bool:
     """Tell whether a signal is ignored or caught, so that it doesn't end a process."""
     status = _status_of(pid)
--- a/packages/testkit/src/plankspindle_testkit/soak/soak.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak.py
@@ -31,6 +31,7 @@
 from plankspindle_testkit.soak.operators import Operators
 from plankspindle_testkit.soak.process_facts import descriptors
 from plankspindle_testkit.soak.process_facts import resident_kb
+from plankspindle_testkit.soak.process_facts import waited_s
 from plankspindle_testkit.soak.promises import Broken
 from plankspindle_testkit.soak.promises import Observations
 from plankspindle_testkit.soak.promises import check_all
@@ -94,9 +95,10 @@
         Faults that happened.
     ends : Counter of str
         How requests ended: an outcome, ``cut`` or ``no answer``.
-    most_late_s : float
-        Longest time that the soak's own loop was late by, which tells of a machine that
-        is too busy; no excuse for anything.
+    most_starved_s : float
+        Longest time for which a VM could have run but had no processor between two
+        checks, in seconds. It tells of a machine that is too busy; no excuse for
+        anything.
     folder : Path
         Where the logs are.
     """
@@ -107,7 +109,7 @@
     drains_watched: int
     struck_by_kind: Counter[str]
     ends: Counter[str]
-    most_late_s: float
+    most_starved_s: float
     folder: Path
 
 
@@ -128,7 +130,7 @@
     operators: Operators = field(init=False)
     striker: Striker = field(init=False)
     logs: LogWatch = field(init=False)
-    most_late_s: float = 0.0
+    most_starved_s: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         self.layout = Layout(
@@ -176,7 +178,7 @@
             drains_watched=self.seen.drains_watched,
             struck_by_kind=self.striker.struck_by_kind,
             ends=Counter(_end_of(each) for each in self.seen.told),
-            most_late_s=self.most_late_s,
+            most_starved_s=self.most_starved_s,
             folder=self.processes.folder,
         )
 
@@ -264,10 +266,12 @@
         return await self._check_recovery()
 
     async def _rest(self) -> None:
-        """Wait until the next check, and note how late the loop itself is."""
-        wakes_at = monotonic() + CHECK_PERIOD_S
+        """Wait until the next check, and note how long VMs had no processor."""
+        pids = [self._pid(place.name) for place in self.layout.places]
+        before = [waited_s(pid) for pid in pids]
         await sleep(CHECK_PERIOD_S)
-        self.most_late_s = max(self.most_late_s, monotonic() - wakes_at)
+        waits = [waited_s(pid) - was for pid, was in zip(pids, before, strict=True)]
+        self.most_starved_s = max(self.most_starved_s, *waits)
 
     async def _look(self) -> Broken | None:
         """Take in what happened since the last time, and check all promises."""
