--- a/packages/testkit/src/plankspindle_testkit/trial/matrix.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/matrix.py
@@ -22,6 +22,8 @@
 
 WORKERS = 6
 CHUNK = 4
+HAND_WRITTEN = "# The soak\n"
+"""Heading of what follows the matrix on its page."""
 _BY_NAME = {operation.name: operation for operation in OPERATIONS}
 
 
@@ -44,13 +46,26 @@
     if write is None:
         click.echo(page)
     else:
-        write.write_text(page, encoding="utf-8")
+        before = write.read_text(encoding="utf-8") if write.exists() else ""
+        write.write_text(page + hand_written(before), encoding="utf-8")
     for cell in broken:
         where = f"{cell.operation}, {cell.fault}"
         click.echo(f"broken: {where}: {cell.broken[0]}", err=True)
     sys.exit(1 if broken else 0)
 
 
+def hand_written(page: str) -> str:
+    """Give the part of a page that isn't written by this command.
+
+    Parameters
+    ----------
+    page : str
+        The page as it was; the part begins at ``HAND_WRITTEN``.
+    """
+    _, heading, rest = page.partition(HAND_WRITTEN)
+    return f"\n{heading}{rest}" if heading else ""
+
+
 def _single_names() -> list[tuple[str, str]]:
     return [(operation, fault) for operation in _BY_NAME for fault in FAULTS]
 
--- a/packages/testkit/tests/trial/test_fault_matrix.py
+++ b/packages/testkit/tests/trial/test_fault_matrix.py
@@ -10,6 +10,7 @@
 from plankspindle_testkit.trial.fault_matrix import STEPS
 from plankspindle_testkit.trial.fault_matrix import Operation
 from plankspindle_testkit.trial.fault_matrix import run_cell
+from plankspindle_testkit.trial.matrix import hand_written
 from plankspindle_testkit.trial.matrix import render_page
 
 
@@ -28,3 +29,9 @@
     assert any(cell.broken for cell in cells)
     page = render_page(cells, cells)
     assert "**step" in page
+
+
+def test_what_is_hand_written_outlasts_the_matrix() -> None:
+    rest = "\n# The soak\n\nFigures\n"
+    assert hand_written("# Fault matrix\n\nold\n" + rest) == rest
+    assert hand_written("# Fault matrix\n\nold\n") == ""
