--- a/packages/testkit/src/plankspindle_testkit/soak/soak.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import tempfile
 from collections import Counter
 from pathlib import Path
@@ -96,9 +97,9 @@
     ends : Counter of str
         How requests ended: an outcome, ``cut`` or ``no answer``.
     most_starved_s : float
-        Longest time for which a VM could have run but had no processor between two
-        checks, in seconds. It tells of a machine that is too busy; no excuse for
-        anything.
+        Longest time for which a VM, a stand-in or the soak itself could have run but
+        had no processor between two checks, in seconds. It tells of a machine that is
+        too busy; no excuse for anything.
     folder : Path
         Where the logs are.
     """
@@ -266,8 +267,9 @@
         return await self._check_recovery()
 
     async def _rest(self) -> None:
-        """Wait until the next check, and note how long VMs had no processor."""
-        pids = [self._pid(place.name) for place in self.layout.places]
+        """Wait until the next check, and note how long there was no processor."""
+        pids = [each.pid for each in self.processes.by_name.values()]
+        pids.append(os.getpid())
         before = [waited_s(pid) for pid in pids]
         await sleep(CHECK_PERIOD_S)
         waits = [waited_s(pid) - was for pid, was in zip(pids, before, strict=True)]
