--- /dev/null
+++ b/packages/testkit/tests/soak/test_kept_connections.py
@@ -0,0 +1,117 @@
+"""Tests of a caller that keeps its connection, against a listener of its own."""
+
+from __future__ import annotations
+
+import json
+from itertools import count
+from random import Random
+from time import monotonic
+from typing import TYPE_CHECKING
+
+import curio
+
+from plankspindle_core import header_names
+from plankspindle_core.http.limits import HttpLimits
+from plankspindle_core.http.server import HttpServer
+from plankspindle_core.outcome import Outcome
+from plankspindle_testkit.soak.kept_connections import KeptCaller
+from plankspindle_testkit.soak.layout import Layout
+from plankspindle_testkit.soak.load import Load
+from plankspindle_testkit.soak.promises import Observations
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from plankspindle_core.http.server_exchange import ServerExchange
+
+    Handler = Callable[["ServerExchange"], Awaitable[None]]
+
+VM = "ba-1-0"
+LOAD = Load(kept_a_vm=1, slots=1, slow_part=0.0, rest_s=0.0)
+_FIRST_PORTS = count(36_000, 200)
+_DONE = (header_names.OUTCOME, Outcome.DONE.value.encode())
+
+
+async def answer(source: ServerExchange) -> None:
+    await source.read_body(max_bytes=0)
+    body = json.dumps({"path": "/" + source.target.rpartition("/")[2]}).encode()
+    await source.answer(status=200, headers=[_DONE], body=body)
+
+
+class Listener:
+    """Serves one caller and counts its connections."""
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+        self.connections: set[int] = set()
+        self.server: HttpServer | None = None
+
+    async def handle(self, source: ServerExchange) -> None:
+        self.connections.add(id(source._protocol))
+        await self.handler(source)
+
+    def call(self, requests: int, *, leaving: bool = False) -> Observations:
+        """Let the caller send that many requests."""
+        return curio.run(self._call, requests, leaving)  # type: ignore[no-any-return]
+
+    async def _call(self, requests: int, leaving: bool) -> Observations:
+        layout = Layout(vms=1, first_port=next(_FIRST_PORTS))
+        seen = Observations()
+        caller = KeptCaller(
+            name="k",
+            vm=VM,
+            layout=layout,
+            load=LOAD,
+            seen=seen,
+            began_at=monotonic(),
+            random=Random(1),
+        )
+        server = HttpServer(
+            endpoint=layout.entry("caller", VM),
+            limits=HttpLimits(),
+            handler=self.handle,
+        )
+        server.leaving = leaving
+        await server.start()
+        task = await curio.spawn(caller.run, daemon=True)
+        while len(seen.told) < requests:
+            await curio.sleep(0.01)
+        await task.cancel()
+        await server.close()
+        return seen
+
+
+def test_a_connection_is_used_again() -> None:
+    listener = Listener(answer)
+    seen = listener.call(5)
+    assert len(listener.connections) == 1
+    assert {each.outcome for each in seen.told} == {Outcome.DONE}
+    assert all(each.is_own and not each.is_cut for each in seen.told)
+    assert len({each.mark for each in seen.told}) == len(seen.told)
+
+
+def test_a_connection_is_left_when_an_answer_says_so() -> None:
+    listener = Listener(answer)
+    seen = listener.call(3, leaving=True)
+    assert len(listener.connections) >= 3
+    assert not any(each.is_cut for each in seen.told)
+
+
+def test_a_close_without_an_answer_is_noted() -> None:
+    async def abort(source: ServerExchange) -> None:
+        source.abort()
+
+    (told, *_) = Listener(abort).call(1).told
+    assert told.is_cut
+    assert told.outcome is None
+
+
+def test_a_close_within_an_answer_is_noted() -> None:
+    async def break_off(source: ServerExchange) -> None:
+        await source.send_head(status=200, headers=[(b"content-length", b"100")])
+        await source.send_data(b"only this")
+        source.abort()
+
+    (told, *_) = Listener(break_off).call(1).told
+    assert told.is_cut
