--- a/packages/testkit/src/plankspindle_testkit/soak/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/__main__.py
@@ -196,10 +196,10 @@
     assert broken is not None
     path = verdict.folder / "schedule.jsonl"
     path.write_text(write_schedule(plan.faults), encoding="utf-8")
-    where = f"seed={plan.seed} vms={plan.vms} load={plan.load.value}"
-    click.echo(f"broken: {where}: {broken.promise}")
-    click.echo(f"  {broken.detail}")
-    click.echo(f"  logs: {verdict.folder}, replay with --schedule {path}")
+    where = f"--seed {plan.seed} --vms {plan.vms} --load {plan.load.value}"
+    click.echo(f"broken: {broken.promise}: {broken.detail}")
+    click.echo(f"  logs: {verdict.folder}")
+    click.echo(f"  replay: {where} --minutes 0 --schedule {path}")
     if broken.request:
         logs = [str(each) for each in sorted(verdict.folder.glob("*-*.log"))]
         told = CliRunner().invoke(operate, ["explain", broken.request, *logs])
