--- a/packages/testkit/src/plankspindle_testkit/soak/soak.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak.py
@@ -194,6 +194,7 @@
                 name, module, f"{name}={endpoint}={self.load.slots}"
             )
         await self._until(self._platform_lists)
+        await self._until(self._upstreams_answer)
         for place in self.layout.places:
             await self.striker.start_vm(place.name)
         await self._until(self.operators.apply)
@@ -218,6 +219,12 @@
         )
         return answer.is_ok()
 
+    async def _upstreams_answer(self) -> bool:
+        for endpoint in self.layout.upstream_endpoints.values():
+            if (await fetch(endpoint, target="/load", timeout_s=2.0)).is_err():
+                return False
+        return True
+
     async def _all_ready(self) -> bool:
         states = [await _state_of(place) for place in self.layout.places]
         return all(each and each["readiness"] == "ready" for each in states)
