--- a/packages/testkit/src/plankspindle_testkit/soak/soak.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak.py
@@ -132,6 +132,7 @@
     striker: Striker = field(init=False)
     logs: LogWatch = field(init=False)
     most_starved_s: float = 0.0
+    _waited_by_pid: dict[int, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.layout = Layout(
@@ -275,12 +276,13 @@
 
     async def _rest(self) -> None:
         """Wait until the next check, and note how long there was no processor."""
-        pids = [each.pid for each in self.processes.by_name.values()]
-        pids.append(os.getpid())
-        before = [waited_s(pid) for pid in pids]
         await sleep(CHECK_PERIOD_S)
-        waits = [waited_s(pid) - was for pid, was in zip(pids, before, strict=True)]
-        self.most_starved_s = max(self.most_starved_s, *waits)
+        pids = [each.pid for each in self.processes.by_name.values()]
+        waited = {pid: waited_s(pid) for pid in (*pids, os.getpid())}
+        for pid, seconds in waited.items():
+            before = self._waited_by_pid.get(pid, seconds)
+            self.most_starved_s = max(self.most_starved_s, seconds - before)
+        self._waited_by_pid = waited
 
     async def _look(self) -> Broken | None:
         """Take in what happened since the last time, and check all promises."""
