--- a/packages/testkit/src/plankspindle_testkit/soak/promises.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/promises.py
@@ -217,7 +217,11 @@
         if late_s > LATE_S and not seen.is_struck(
             told.vm, told.asked_at - LATE_S, told.told_at
         ):
-            detail = f"{told.mark} at {told.vm} had no answer {late_s:.1f} s too late"
+            detail = (
+                f"{told.mark} at {told.vm} had no answer {late_s:.1f} s too late:"
+                f" asked at {told.asked_at:.2f}, told at {told.told_at:.2f},"
+                f" outcome {told.outcome}, cut {told.is_cut}"
+            )
             yield Broken(promise="answered", detail=detail, request=told.request)
 
 
