--- a/packages/testkit/src/plankspindle_testkit/soak/soak.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import json
 import os
 import tempfile
@@ -22,8 +21,18 @@
 from plankspindle_core.http.fetch import fetch
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.soak.callers import SoakCaller
-from plankspindle_testkit.soak.layout import SLOTS
+from plankspindle_testkit.soak.drain_watch import check_drains
+from plankspindle_testkit.soak.kept_connections import KeptCaller
 from plankspindle_testkit.soak.layout import Layout
+from plankspindle_testkit.soak.load import LOAD_BY_KIND
+from plankspindle_testkit.soak.load import Load
+from plankspindle_testkit.soak.load import LoadKind
+from plankspindle_testkit.soak.log_watch import LogWatch
+from plankspindle_testkit.soak.losses import check_losses
+from plankspindle_testkit.soak.operators import Operators
+from plankspindle_testkit.soak.process_facts import descriptors
+from plankspindle_testkit.soak.process_facts import resident_kb
+from plankspindle_testkit.soak.process_facts import waited_s
 from plankspindle_testkit.soak.promises import Broken
 from plankspindle_testkit.soak.promises import Observations
 from plankspindle_testkit.soak.promises import check_all
@@ -34,6 +43,7 @@
 
 if TYPE_CHECKING:
     from plankspindle_testkit.builders import VmPlace
+    from plankspindle_testkit.soak.promises import Told
 
 CHECK_PERIOD_S = 1.0
 START_S = 30.0
@@ -59,6 +69,8 @@
         Where its ports begin.
     recovery_s : float
         Time after the last fault in which everything must serve again, in seconds.
+    load : LoadKind
+        How many requests are in flight, and how long they take.
     """
 
     seed: int
@@ -66,6 +78,7 @@
     faults: tuple[SoakFault, ...]
     first_port: int = 20_000
     recovery_s: float = RECOVERY_S
+    load: LoadKind = LoadKind.LIGHT
 
 
 @frozen(kw_only=True)
@@ -78,9 +91,15 @@
         The first broken promise.
     requests, checks, drains_watched : int
         Requests that were sent, times that all promises were checked, and drains that
-        no other fault met.
+        were held against some VM.
     struck_by_kind : Counter of str
         Faults that happened.
+    ends : Counter of str
+        How requests ended: an outcome, ``cut`` or ``no answer``.
+    most_starved_s : float
+        Longest time for which a VM, a stand-in or the soak itself could have run but
+        had no processor between two checks, in seconds. It tells of a machine that is
+        too busy; no excuse for anything.
     folder : Path
         Where the logs are.
     """
@@ -90,6 +109,8 @@
     checks: int
     drains_watched: int
     struck_by_kind: Counter[str]
+    ends: Counter[str]
+    most_starved_s: float
     folder: Path
 
 
@@ -107,19 +128,37 @@
     layout: Layout = field(init=False)
     processes: Processes = field(init=False)
     seen: Observations = field(factory=Observations)
+    operators: Operators = field(init=False)
     striker: Striker = field(init=False)
+    logs: LogWatch = field(init=False)
+    most_starved_s: float = 0.0
+    _waited_by_pid: dict[int, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self.layout = Layout(vms=self.plan.vms, first_port=self.plan.first_port)
+        self.layout = Layout(
+            vms=self.plan.vms, first_port=self.plan.first_port, slots=self.load.slots
+        )
         folder = Path(tempfile.mkdtemp(prefix="plankspindle-soak-"))
         self.processes = Processes(folder=folder)
+        self.logs = LogWatch(folder=folder)
+        began_at = monotonic()
+        self.operators = Operators(
+            layout=self.layout, seen=self.seen, began_at=began_at
+        )
         self.striker = Striker(
             layout=self.layout,
             processes=self.processes,
             seen=self.seen,
-            began_at=monotonic(),
+            operators=self.operators,
+            began_at=began_at,
+            pace=self.load.pace,
         )
 
+    @property
+    def load(self) -> Load:
+        """What the callers do."""
+        return LOAD_BY_KIND[self.plan.load]
+
     async def run(self) -> SoakVerdict:
         """Run it; processes that it started are ended whatever happens."""
         tasks: list[Any] = []
@@ -127,6 +166,7 @@
             await self._start()
             tasks = await self._start_callers()
             broken = await self._strike_and_check()
+            _check_that_all_run(tasks)
         finally:
             for task in tasks:
                 await task.cancel()
@@ -139,6 +179,8 @@
             checks=self.seen.checks,
             drains_watched=self.seen.drains_watched,
             struck_by_kind=self.striker.struck_by_kind,
+            ends=Counter(_end_of(each) for each in self.seen.told),
+            most_starved_s=self.most_starved_s,
             folder=self.processes.folder,
         )
 
@@ -149,13 +191,16 @@
         self.processes.start_module("platform", platform, str(self.layout.platform))
         for name, endpoint in self.layout.upstream_endpoints.items():
             module = "plankspindle_testkit.upstream_stand_in"
-            self.processes.start_module(name, module, f"{name}={endpoint}={SLOTS}")
+            self.processes.start_module(
+                name, module, f"{name}={endpoint}={self.load.slots}"
+            )
         await self._until(self._platform_lists)
+        await self._until(self._upstreams_answer)
         for place in self.layout.places:
             await self.striker.start_vm(place.name)
-        await self._until(self.striker.apply)
+        await self._until(self.operators.apply)
         await self._until(self._all_ready)
-        self.striker.began_at = monotonic()
+        self.striker.began_at = self.operators.began_at = monotonic()
 
     async def _until(self, holds: Any) -> None:
         end = monotonic() + START_S
@@ -175,23 +220,43 @@
         )
         return answer.is_ok()
 
+    async def _upstreams_answer(self) -> bool:
+        for endpoint in self.layout.upstream_endpoints.values():
+            if (await fetch(endpoint, target="/load", timeout_s=2.0)).is_err():
+                return False
+        return True
+
     async def _all_ready(self) -> bool:
         states = [await _state_of(place) for place in self.layout.places]
         return all(each and each["readiness"] == "ready" for each in states)
 
     async def _start_callers(self) -> list[Any]:
         random = Random(self.plan.seed)
-        tasks = []
-        for number in range(CALLERS_A_VM * self.plan.vms):
-            caller = SoakCaller(
+        callers: list[SoakCaller | KeptCaller] = [
+            SoakCaller(
                 name=f"c{number}",
                 layout=self.layout,
                 seen=self.seen,
                 began_at=self.striker.began_at,
                 random=Random(random.getrandbits(32)),
             )
-            tasks.append(await spawn(caller.run, daemon=True))
-        return tasks
+            for number in range(
+                min(self.load.most_callers, CALLERS_A_VM * self.plan.vms)
+            )
+        ]
+        for place in self.layout.places:
+            for number in range(self.load.kept_a_vm):
+                caller = KeptCaller(
+                    name=f"k{number}-{place.name}",
+                    vm=place.name,
+                    layout=self.layout,
+                    load=self.load,
+                    seen=self.seen,
+                    began_at=self.striker.began_at,
+                    random=Random(random.getrandbits(32)),
+                )
+                callers.append(caller)
+        return [await spawn(each.run, daemon=True) for each in callers]
 
     async def _strike_and_check(self) -> Broken | None:
         waiting = list(self.plan.faults)
@@ -203,35 +268,47 @@
             broken = await self._look()
             if broken is not None:
                 return broken
-            await sleep(CHECK_PERIOD_S)
+            await self._rest()
         for strike in strikes:
             await strike.join()
+        self.seen.is_calming = True
         return await self._check_recovery()
 
+    async def _rest(self) -> None:
+        """Wait until the next check, and note how long there was no processor."""
+        await sleep(CHECK_PERIOD_S)
+        pids = [each.pid for each in self.processes.by_name.values()]
+        waited = {pid: waited_s(pid) for pid in (*pids, os.getpid())}
+        for pid, seconds in waited.items():
+            before = self._waited_by_pid.get(pid, seconds)
+            self.most_starved_s = max(self.most_starved_s, seconds - before)
+        self._waited_by_pid = waited
+
     async def _look(self) -> Broken | None:
         """Take in what happened since the last time, and check all promises."""
         await self._take_runs()
         for place in self.layout.places:
             self._note_end(place.name)
+            lines = self.logs.unexpected_of(place.name)
+            self.seen.unexpected += [(place.name, line) for line in lines]
             state = await _state_of(place)
             if state is not None:
                 life = (place.name, int(state["incarnation"], 16))
                 version = int(state["configuration"]["version"])
                 self.seen.versions_by_life.setdefault(life, []).append(version)
-        return next(check_all(self.seen), None)
+        checks = (check_all, check_losses, check_drains)
+        return next((each for check in checks for each in check(self.seen)), None)
 
     async def _take_runs(self) -> None:
         runs: Counter[str] = Counter()
         for name in self.layout.upstream_endpoints:
-            runs += await self.striker.runs_of(name)
+            runs += await self.operators.runs_of(name)
         self.seen.runs_by_mark = runs
 
     def _note_end(self, vm: str) -> None:
         status = self.processes.by_name[vm].poll()
-        if status is None or vm in self.striker.stopped:
-            return
-        last = (self.processes.log_of(vm).splitlines() or [""])[-1]
-        self.seen.ends.append((vm, status, last))
+        if status is not None and vm not in self.striker.stopped:
+            self.striker.note_end(vm, status)
 
     async def _check_recovery(self) -> Broken | None:
         await sleep(self.plan.recovery_s)
@@ -251,11 +328,12 @@
                 self.seen,
                 calm_from=calm_from,
                 versions=versions,
-                accepted=self.striker.accepted,
+                accepted=self.operators.accepted,
+                doubtful=self.operators.doubtful,
             ),
             *check_growth(
-                {vm: _resident_kb(pid) for vm, pid in pids.items()},
-                {vm: _descriptors(pid) for vm, pid in pids.items()},
+                {vm: resident_kb(pid) for vm, pid in pids.items()},
+                {vm: descriptors(pid) for vm, pid in pids.items()},
                 connections,
             ),
         ]
@@ -265,6 +343,25 @@
         return self.processes.by_name[vm].pid
 
 
+def _end_of(told: Told) -> str:
+    if told.outcome is not None:
+        return told.outcome.value
+    return "cut" if told.is_cut else "no answer"
+
+
+def _check_that_all_run(callers: list[Any]) -> None:
+    """Check that no caller ended, so that all the load was there.
+
+    Raises
+    ------
+    RuntimeError
+        If one did.
+    """
+    ended = [each for each in callers if each.terminated]
+    if ended:
+        raise RuntimeError(f"{len(ended)} callers ended: {ended[0].exception!r}")
+
+
 async def _state_of(place: VmPlace) -> dict[str, Any] | None:
     """Read the state of an entry VM; None if it gives none."""
     answer = await fetch(place.operator, target="/state", timeout_s=3.0)
@@ -281,17 +378,3 @@
 def _connections(state: dict[str, Any]) -> str:
     callers, pool = state["callers"]["connections"], state["connections"]["open"]
     return f"{callers} connections of callers, {pool} to upstreams"
-
-
-def _resident_kb(pid: int) -> int:
-    with contextlib.suppress(OSError):
-        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1])
-    return 0
-
-
-def _descriptors(pid: int) -> int:
-    with contextlib.suppress(OSError):
-        return len(os.listdir(f"/proc/{pid}/fd"))
-    return 0
