Tests, failing: two more ways to keep gone upstreams too long after a silence

Seen by reading on from the known red one: when connections to the platform fall silent just as more than a quarter of the upstreams go, followers of a shared read begin the time for which they keep what is missing anew with each word of the reader; and the pause that a long list stretches stands before a wait that was sized without it.

--- a/packages/daemon/tests/node/test_list_follower.py
+++ b/packages/daemon/tests/node/test_list_follower.py
@@ -11,6 +11,7 @@
 from attrs import Factory
 from attrs import define
 from attrs import evolve
+from result import Ok
 
 from plankspindle_core.configuration.service import SlotSharing
 from plankspindle_core.endpoint import Endpoint
@@ -35,6 +36,8 @@
 
 NAMES = tuple(f"vm-{number}" for number in range(6))
 PLACE = VmPlace(name="vm-5", failure_domain="ba-1", host="127.0.0.1", base_port=7000)
+WATCH_S = 0.5
+PERIOD_S = 0.05
 
 
 def listed(name: str) -> ListedVm:
@@ -201,3 +204,46 @@
     assert follower.node.services.listed._read_at == read_at
     curio.run(follower.take_news, evolve(news, list_age_ms=100))
     assert follower.node.services.listed._read_at != read_at
+
+
+@define(kw_only=True)
+class WatchedPlatform(FakePlatform):
+    """A list whose changes may be waited for; notes when and how long it is asked to.
+
+    Attributes
+    ----------
+    asked : list of (float, float)
+        Pause before each read but the first, and the wait that it allowed, in seconds.
+    """
+
+    watch_s: float = WATCH_S
+    asked: list[tuple[float, float]] = Factory(list)
+    _ended_at: float | None = None
+
+    async def read_live_list(self, wait_s: float | None = None) -> Any:
+        if self._ended_at is not None:
+            allowed_s = self.watch_s if wait_s is None else wait_s
+            self.asked.append((monotonic() - self._ended_at, allowed_s))
+        await curio.sleep(0.0)
+        self._ended_at = monotonic()
+        return Ok(self.whole())
+
+
+def test_a_long_list_makes_nobody_notice_a_lost_wait_later() -> None:
+    """The longer pause between two reads is taken off the wait that follows it."""
+    follower = build_follower(*(f"u{number}" for number in range(300)))
+    platform = WatchedPlatform(by_name=follower.platform.by_name)
+    follower.platform = platform
+    follower.period_s = PERIOD_S
+
+    async def follow() -> None:
+        task = await curio.spawn(follower.run, daemon=True)
+        while len(platform.asked) < 3:
+            await curio.sleep(0.01)
+        await task.cancel()
+
+    curio.run(follow)
+    late_s = 0.1
+    for paused_s, allowed_s in platform.asked:
+        assert paused_s + allowed_s < WATCH_S + 1.2 * PERIOD_S + late_s
+    assert max(paused_s for paused_s, _ in platform.asked) > 3 * PERIOD_S
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -13,6 +13,8 @@
 from plankspindle_platform.row_store import StoredRow
 
 BOOT = Path(__file__).with_name("boot.yaml")
+CONTACT_S = 4.0
+"""Time after a disturbance from which the bounds hold, in ``boot.yaml``."""
 
 
 def build_boot(monkeypatch: Any, path: Path = BOOT) -> BootSettings:
--- a/tests/fleet/test_after_outage.py
+++ b/tests/fleet/test_after_outage.py
@@ -20,6 +20,7 @@
 
 import curio
 import pytest
+from builders import CONTACT_S
 from builders import build_boot
 from builders import build_operator_document
 from builders import build_path
@@ -36,8 +37,6 @@
 
     from plankspindle_core.endpoint import Endpoint
 
-CONTACT_S = 4.0
-"""Time after a disturbance from which the bounds hold, in ``boot.yaml``."""
 AWAY_S = 0.5
 MORE_PATHS = [build_path(), build_path(name="r2", path_prefix="/vins/")]
 
--- a/tests/fleet/test_shared_reads.py
+++ b/tests/fleet/test_shared_reads.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from builders import CONTACT_S
 from builders import build_boot
 from builders import build_operator_document
 from fleet_vm import FleetVm
@@ -124,3 +125,23 @@
         return True
 
     assert run_fleet(monkeypatch, use)
+
+
+def test_followers_keep_missing_upstreams_no_longer_than_their_reader(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The reader knows how long; each word of it must not begin the time anew."""
+    names = {f"i-{number}" for number in range(1, 5)}
+
+    async def use(store: StoreStandIn, vms: list[FleetVm]) -> float:
+        for name in names:
+            store.put("servers", name, SERVER)
+        await until(lambda: all(vm.upstreams() == names for vm in vms))
+        store.silence_connections()
+        fell_silent_at = monotonic()
+        for name in ("i-1", "i-2"):
+            store.drop("servers", name)
+        await until(lambda: all(vm.upstreams() == {"i-3", "i-4"} for vm in vms))
+        return monotonic() - fell_silent_at
+
+    assert run_fleet(monkeypatch, use) < CONTACT_S
