Leave upstreams that are gone in time after connections to the platform fell silent

Cause: what is missing after a failed read was kept for 2.5 s from the read that succeeded, which a lost wait puts off by up to its own length and a limit, and until the next wait ended. Followers of shared reads began that time anew with each word of the reader. The pause that a long list stretches stood before a wait sized without it.

Ruled out: telling silence from an outage (a short outage looks the same to one VM); shorter waits (twice the calls); a word of other connections (one may fall silent alone).

Now the time is counted from when the disturbance was last certainly under way: a call over a new connection that failed, or else the last read. A reader tells its followers how long it keeps; its wait ends when that does; a stretched pause is taken off the wait.

Entries that lapse in outages of 3.8, 4.5 and 6 s are kept until they are back, as before.

--- a/packages/daemon/src/plankspindle_daemon/node/list_follower.py
+++ b/packages/daemon/src/plankspindle_daemon/node/list_follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -15,6 +16,7 @@
 from plankspindle_daemon.membership.messages import LiveListRead
 from plankspindle_daemon.node.effect_runner import EffectRunner
 from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.platform.listed_upstreams import RETURN_S
 from plankspindle_daemon.platform.platform_client import PlatformClient
 from plankspindle_daemon.platform.read_watch import RETRY_S
 from plankspindle_daemon.platform.read_watch import ReadWatch
@@ -29,6 +31,9 @@
 
 LIST_VMS_PER_S = 50.0
 """Entries of the list that one node reads each second, about 5.5 kB."""
+LEAST_PAUSE = 0.8
+MOST_PAUSE = 1.2
+"""Parts of a pause between which chance picks, so that VMs don't read in step."""
 
 
 @define(kw_only=True)
@@ -52,6 +57,7 @@
     effects: EffectRunner
     period_s: float
     _task: Any = None
+    _paused_s: float = 0.0
     _watch: ReadWatch = field(factory=lambda: ReadWatch(subject="list"))
 
     async def run(self) -> None:
@@ -59,11 +65,13 @@
         while True:
             if not self.node.reads.reads_list(monotonic()):
                 await sleep(LOOK_S)
+                await self._drop_kept()
                 continue
             began = monotonic()
             read = await self._read()
             if read is None:
-                self.node.services.listed.note_failed()
+                # The process stood still until now, whenever the platform was away.
+                self.node.services.listed.note_failed(away_at=monotonic())
                 continue
             if read.is_err():
                 self._note_unread(read.unwrap_err().detail, began)
@@ -71,13 +79,12 @@
                 continue
             self._watch.note_read(monotonic())
             await self._take_read(read.unwrap())
-            shared_s = self.node.reads.list_pause_s(monotonic())
-            await self._pause(self._stretched_s() if shared_s is None else shared_s)
+            await self._pause_after_read(monotonic())
 
     async def _read(self) -> Result[list[ListedVm], PlatformUnavailable] | None:
         """Read the list; None if the read was given up."""
         reads = self.node.reads
-        wait_s = reads.list_wait_s(monotonic())
+        wait_s = self._wait_s(monotonic())
         reads.is_reading = True
         self._task = await spawn(self.platform.read_live_list, wait_s, daemon=True)
         await self._task.wait()
@@ -87,6 +94,46 @@
         read: Result[list[ListedVm], PlatformUnavailable] = self._task.result
         return read
 
+    def _wait_s(self, now: float) -> float | None:
+        """Give the longest wait for a change; None if the platform tells of none.
+
+        Notes
+        -----
+        A connection may fall silent just after a read: the pause since then counts
+        toward the time in which that must be noticed, so that a stretched one leaves
+        less to wait. What is kept for a time is read again at the end of it.
+        """
+        watch_s = self.platform.watch_s
+        if watch_s is None:
+            return None
+        shared_s = self.node.reads.list_wait_s(now)
+        stretched_s = max(0.0, self._paused_s - MOST_PAUSE * self.period_s)
+        wait_s = watch_s - stretched_s if shared_s is None else min(shared_s, watch_s)
+        return max(0.0, min(wait_s, self._left_to_keep_s(now)))
+
+    async def _pause_after_read(self, now: float) -> None:
+        shared_s = self.node.reads.list_pause_s(now)
+        pause_s = self._stretched_s() if shared_s is None else shared_s
+        longest_s = math.inf
+        if self.platform.watch_s is not None:
+            longest_s = MOST_PAUSE * self.period_s + self.platform.watch_s
+        await self._pause(pause_s, min(longest_s, self._left_to_keep_s(now)))
+
+    def _left_to_keep_s(self, now: float) -> float:
+        """Give the time until missing entries are to be left; infinity if none are."""
+        kept_until = self.node.services.listed.kept_until
+        return math.inf if kept_until is None else max(0.0, kept_until - now)
+
+    async def _drop_kept(self) -> None:
+        """Leave what is missing once it is kept no longer, while others read."""
+        listed = self.node.services.listed
+        if listed.kept_until is not None and not listed.is_lenient(monotonic()):
+            await self._take_again()
+
+    async def _take_again(self) -> None:
+        """Take the list that this VM holds, as it would be taken now."""
+        await self._take(list(self.node.membership.listed_by_name.values()))
+
     async def _take_read(self, vms: list[ListedVm]) -> None:
         listed = self.node.services.listed
         await self._take(vms)
@@ -95,7 +142,7 @@
             vms,
             version=self.platform.list_version,
             configuration_version=self.node.version,
-            after_gap=listed.is_lenient(now),
+            kept_until=listed.lenient_until,
             now=now,
         )
         await self.effects.perform([*news])
@@ -116,15 +163,15 @@
         change = self.node.reads.take_news(news, now)
         if change is not None:
             if news.after_gap:
-                listed.note_failed()
+                listed.keep_until(now + (news.keep_ms / 1000 or RETURN_S))
             vms = self.platform.take_list_change(
                 version=change.version, changed=change.changed, gone=change.gone
             )
             await self._take(vms)
         elif self.node.reads.is_told_current(news):
             if listed.is_to_be_taken_again:
-                await self._take(list(self.node.membership.listed_by_name.values()))
-            listed.note_current(now)
+                await self._take_again()
+            listed.note_current(now - news.list_age_ms / 1000)
         await self.effects.perform(
             [
                 *self.node.versions.hear_version(
@@ -140,7 +187,7 @@
 
     def _note_unread(self, detail: str, began: float) -> None:
         listed = self.node.services.listed
-        listed.note_failed()
+        listed.note_failed(away_at=self.platform.calls.away_at)
         self._watch.note_failed(
             detail, began=began, now=monotonic(), upstreams=len(listed.by_name)
         )
@@ -150,5 +197,7 @@
         listed = len(self.node.membership.listed_by_name)
         return self.period_s * max(1.0, listed / LIST_VMS_PER_S)
 
-    async def _pause(self, seconds: float) -> None:
-        await sleep(seconds * self.node.random.uniform(0.8, 1.2))
+    async def _pause(self, seconds: float, longest_s: float = math.inf) -> None:
+        varied_s = seconds * self.node.random.uniform(LEAST_PAUSE, MOST_PAUSE)
+        self._paused_s = min(varied_s, longest_s)
+        await sleep(self._paused_s)
--- a/packages/daemon/src/plankspindle_daemon/node/make_node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/make_node.py
@@ -71,6 +71,7 @@
         leave=Leave(leave_s=timing.leave_ms / 1000, linger_s=timing.linger_ms / 1000),
         needs_list=lists_upstreams,
         shared_read_s=timing.shared_read_ms / 1000,
+        recovery_s=timing.recovery_ms / 1000,
         probe_s=timing.probe_ms / 1000,
         started_at=monotonic(),
         settle_s=timing.suspect_after_ms / 1000,
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -32,6 +32,8 @@
 from plankspindle_daemon.peer_messages.heartbeat import EVERY_UPSTREAM
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
 from plankspindle_daemon.peer_messages.readiness import Readiness
+from plankspindle_daemon.platform.listed_upstreams import RECOVERY_S
+from plankspindle_daemon.platform.listed_upstreams import ListedUpstreams
 from plankspindle_daemon.retries.retry_budget import RetryBudget
 from plankspindle_daemon.routes.route_table import RouteTable
 from plankspindle_daemon.sharing.reader_group import ReaderGroup
@@ -92,6 +94,8 @@
     shared_read_s : float
         Period at which entry VMs that read the platform for others do so, in seconds;
         zero if every VM reads for itself.
+    recovery_s : float
+        Time after a disturbance by which what is gone must be left, in seconds.
 
     Attributes
     ----------
@@ -115,6 +119,7 @@
     settle_s: float
     needs_list: bool = False
     shared_read_s: float = 0.0
+    recovery_s: float = RECOVERY_S
     configuration: Configuration | None = None
     version: int = 0
     adopted_at: float | None = None
@@ -170,6 +175,7 @@
             membership=self.membership,
             probe_s=self.probe_s,
             new_from=self.started_at + self.settle_s,
+            listed=ListedUpstreams(recovery_s=self.recovery_s),
         )
         self.vm_drains = VmDrains(
             vm=self.vm,
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/list_news.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/list_news.py
@@ -53,6 +53,9 @@
         Version that the reader has in force.
     after_gap : bool
         Whether entries may be missing since the platform was away.
+    keep_ms : int
+        Time for which missing entries are kept then, from the sending of the message;
+        zero if the reader does not tell it.
     changed : tuple of ToldUpstream
         Upstreams that are new or have changed.
     gone : tuple of str
@@ -66,5 +69,6 @@
     configuration_age_ms: int
     configuration_version: int
     after_gap: bool = False
+    keep_ms: int = 0
     changed: tuple[ToldUpstream, ...] = ()
     gone: tuple[str, ...] = ()
--- a/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from attrs import Factory
@@ -18,40 +19,86 @@
 LAPSED_SHARE = 0.25
 """Part of the entries that must be missing for an outage to be the likely cause."""
 RETURN_S = 2.5
-"""Time after such a gap for entries of living upstreams to come back."""
+"""Time after such a gap for entries of living upstreams to come back.
+
+The platform names 2 s; the rest is for a read.
+"""
+RECOVERY_S = 6.0
+"""Usual time after a disturbance by which what is gone must be left, in seconds."""
+DROP_S = 0.3
+"""What of that time is left to act, in seconds: a look each 0.2 s, and a read."""
 
 
 @define(kw_only=True)
 class ListedUpstreams:
     """Listed upstreams by name.
 
+    Parameters
+    ----------
+    recovery_s : float
+        Time after a disturbance by which what is gone must be left, in seconds.
+
     Notes
     -----
     Entries lapse while the platform is away, and come back within seconds of its
     return. When many are missing after a read that failed, or a gap, they are
     therefore kept for ``RETURN_S``. Few missing ones are gone at once: the platform was
     there, and it was this VM that could not reach it.
+
+    Only connections may have fallen silent while the platform was there, and then the
+    missing ones are gone. Nothing tells the two apart, so that what is missing is kept
+    no longer than ``recovery_s`` allows after the last time at which the disturbance
+    was certainly under way: a call over a new connection that failed, or else the last
+    read, after which the connection may have fallen silent at once.
     """
 
+    recovery_s: float = RECOVERY_S
     by_name: dict[str, ListedVm] = Factory(dict)
     _read_at: float | None = None
-    _failed: bool = False
+    _disturbed_at: float | None = None
     _lenient_until: float = 0.0
     _keeps_missing: bool = False
 
-    def note_failed(self) -> None:
-        """Record that the list could not be read."""
-        self._failed = True
+    @property
+    def read_at(self) -> float | None:
+        """When the list was last known to be the present one, monotonic seconds."""
+        return self._read_at
+
+    @property
+    def lenient_until(self) -> float:
+        """Until when missing entries would be kept, monotonic seconds."""
+        return self._lenient_until
 
-    def note_current(self, now: float) -> None:
-        """Record that the list is known not to have changed."""
+    @property
+    def kept_until(self) -> float | None:
+        """Until when missing entries are kept; None if there are none."""
+        return self._lenient_until if self._keeps_missing else None
+
+    def note_failed(self, *, away_at: float | None = None) -> None:
+        """Record that the list could not be read.
+
+        Parameters
+        ----------
+        away_at : float, optional
+            When the platform was last found away, monotonic seconds.
+        """
+        known = (self._read_at, self._disturbed_at, away_at)
+        latest = max((each for each in known if each is not None), default=-math.inf)
+        self._disturbed_at = latest
+
+    def keep_until(self, until: float) -> None:
+        """Keep missing entries as long as the VM that has read the list does."""
+        self._lenient_until = until
+
+    def note_current(self, at: float) -> None:
+        """Record that the list is known to have been the present one at a time."""
         if self._read_at is not None:
-            self._read_at = now
+            self._read_at = max(self._read_at, at)
 
     @property
     def is_to_be_taken_again(self) -> bool:
         """Whether the same list, taken later, would say something else."""
-        return self._failed or self._keeps_missing
+        return self._disturbed_at is not None or self._keeps_missing
 
     def is_lenient(self, now: float) -> bool:
         """Tell whether missing entries are kept for the time being."""
@@ -59,9 +106,11 @@
 
     def take(self, listed: Iterable[ListedVm], now: float) -> None:
         """Take a list that was read just now."""
-        if self._read_at is not None and (self._failed or now - self._read_at > GAP_S):
-            self._lenient_until = now + RETURN_S
-        self._failed = False
+        disturbed_at = self._disturbed_until(now)
+        if disturbed_at is not None:
+            latest = disturbed_at + self.recovery_s - DROP_S
+            self._lenient_until = min(now + RETURN_S, latest)
+        self._disturbed_at = None
         self._read_at = now
         present = {each.name: each for each in listed if each.upstream is not None}
         self._keeps_missing = self.is_lenient(now) and self._lapsed(present)
@@ -69,6 +118,14 @@
             present = {**self.by_name, **present}
         self.by_name = present
 
+    def _disturbed_until(self, now: float) -> float | None:
+        """Tell when a disturbance before this read was last under way."""
+        if self._disturbed_at is not None:
+            return self._disturbed_at
+        # Without a failure it was this process that stood still, until just now.
+        stood_still = self._read_at is not None and now - self._read_at > GAP_S
+        return now if stood_still else None
+
     def _lapsed(self, present: dict[str, ListedVm]) -> bool:
         missing = sum(name not in present for name in self.by_name)
         return missing > LAPSED_SHARE * len(self.by_name)
--- a/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
@@ -172,6 +172,11 @@
             case status:
                 return Err(PlatformUnavailable(f"status {status}"))
 
+    @property
+    def watch_s(self) -> float | None:
+        """Usual longest wait for a change of the list; None if it tells of none."""
+        return None
+
     @property
     def list_version(self) -> int | None:
         """Version of the list that was read last; None if the platform gives none."""
--- a/packages/daemon/src/plankspindle_daemon/settings/daemon_settings.py
+++ b/packages/daemon/src/plankspindle_daemon/settings/daemon_settings.py
@@ -58,6 +58,9 @@
     watch_ms : int
         Longest wait for a change at a platform that tells of changes; a call that a
         platform lost is noticed after this and ``platform_timeout_ms``.
+    recovery_ms : int
+        Time after a disturbance of the platform or of its connections by which this VM
+        must have left upstreams that are gone.
     shared_read_ms : int
         Period at which entry VMs that read the platform for others of their failure
         domain do so; zero if every VM reads for itself. A change is then read within
@@ -80,6 +83,7 @@
     probe_ms: int = field(default=1_000, validator=validators.gt(0))
     platform_timeout_ms: int = field(default=1_000, validator=validators.gt(0))
     watch_ms: int = field(default=3_000, validator=validators.gt(0))
+    recovery_ms: int = field(default=6_000, validator=validators.gt(0))
     shared_read_ms: int = field(default=0, validator=validators.ge(0))
     connect_timeout_ms: int = field(default=300, validator=validators.gt(0))
     pause_ms: int = field(default=1_000, validator=validators.gt(0))
--- a/packages/daemon/src/plankspindle_daemon/sharing/shared_reads.py
+++ b/packages/daemon/src/plankspindle_daemon/sharing/shared_reads.py
@@ -120,6 +120,7 @@
     _configuration: _Knowledge = Factory(_Knowledge)
     _history: ListHistory = Factory(ListHistory)
     _settled_at: float = field(default=math.inf)
+    _kept_until: float = -math.inf
 
     def reads_list(self, now: float) -> bool:
         """Tell whether this VM is to read the list."""
@@ -186,7 +187,7 @@
         *,
         version: int | None,
         configuration_version: int,
-        after_gap: bool,
+        kept_until: float,
         now: float,
     ) -> list[SendToPeer]:
         """Take a list that this VM has read, and tell the others.
@@ -199,8 +200,9 @@
             Its version; without one it cannot be shared.
         configuration_version : int
             Version of the configuration in force.
-        after_gap : bool
-            Whether entries may be missing since the platform was away.
+        kept_until : float
+            Until when entries that are missing since the platform was away are kept,
+            monotonic seconds.
         now : float
             Monotonic seconds.
         """
@@ -209,17 +211,16 @@
         self._history.note(vms, version=version, now=now)
         self.list_version = version
         self._list.own_at = now
+        self._kept_until = kept_until
         self._settled_at = min(self._settled_at, now + SETTLE_S)
-        return self._tell(configuration_version, after_gap=after_gap, now=now)
+        return self._tell(configuration_version, now)
 
     def note_configuration_read(self, version: int, now: float) -> list[SendToPeer]:
         """Take that this VM has read the configuration, and tell the others."""
         self._configuration.own_at = now
-        return self._tell(version, after_gap=False, now=now)
+        return self._tell(version, now)
 
-    def _tell(
-        self, configuration_version: int, *, after_gap: bool, now: float
-    ) -> list[SendToPeer]:
+    def _tell(self, configuration_version: int, now: float) -> list[SendToPeer]:
         follows = now - self._list.heard_at <= self._fresh_s()
         if self.list_version is None or follows or not self.is_shared(now):
             return []
@@ -231,7 +232,8 @@
             list_age_ms=self._list.age_ms(now),
             configuration_age_ms=self._configuration.age_ms(now),
             configuration_version=configuration_version,
-            after_gap=after_gap,
+            after_gap=now < self._kept_until,
+            keep_ms=math.ceil(1000 * max(0.0, self._kept_until - now)),
             changed=tuple(told_of(each, now) for each in change.changed),
             gone=change.gone,
         )
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -102,6 +102,7 @@
   afterGap @5 :Bool;
   changed @6 :List(ToldUpstream);
   gone @7 :List(Text);
+  keepMs @8 :UInt32;
 }
 
 struct PeerMessage {
--- a/packages/daemon/tests/node/test_list_follower.py
+++ b/packages/daemon/tests/node/test_list_follower.py
@@ -198,6 +198,7 @@
 
 def test_an_old_word_of_a_reader_does_not_make_the_list_current() -> None:
     follower = build_follower("a")
+    follower.node.services.listed._read_at -= 1.0
     read_at = follower.node.services.listed._read_at
     news = build_news(bases=(1, 1), version=1, list_age_ms=60_000)
     curio.run(follower.take_news, news)
--- a/packages/daemon/tests/platform/test_listed_upstreams.py
+++ b/packages/daemon/tests/platform/test_listed_upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from plankspindle_daemon.platform.listed_upstreams import DROP_S
 from plankspindle_daemon.platform.listed_upstreams import GAP_S
 from plankspindle_daemon.platform.listed_upstreams import RETURN_S
 from plankspindle_daemon.platform.listed_upstreams import ListedUpstreams
@@ -78,3 +79,37 @@
     upstreams.note_current(GAP_S)
     upstreams.take([], GAP_S + 1.0)
     assert upstreams.by_name == {}
+
+
+def test_missing_entries_are_gone_before_the_bounds_hold_again() -> None:
+    """A lost wait tells of the time at which it was begun, not of its end."""
+    upstreams = ListedUpstreams(recovery_s=4.0)
+    upstreams.take([listed("a"), listed("b")], 0.0)
+    upstreams.note_failed()
+    upstreams.take([listed("a")], 3.0)
+    assert set(upstreams.by_name) == {"a", "b"}
+    assert upstreams.kept_until == 4.0 - DROP_S
+    upstreams.take([listed("a")], 4.0 - DROP_S)
+    assert set(upstreams.by_name) == {"a"}
+    assert upstreams.kept_until is None
+
+
+def test_a_call_that_found_the_platform_away_lets_entries_come_back() -> None:
+    upstreams = ListedUpstreams(recovery_s=4.0)
+    upstreams.take([listed("a"), listed("b")], 0.0)
+    upstreams.note_failed()
+    upstreams.note_failed(away_at=9.0)
+    upstreams.note_failed(away_at=2.0)
+    upstreams.take([listed("a")], 9.2)
+    assert upstreams.kept_until == 9.2 + RETURN_S
+
+
+def test_a_time_that_is_told_is_not_begun_anew_by_each_word_of_it() -> None:
+    upstreams = ListedUpstreams()
+    upstreams.take([listed("a"), listed("b")], 0.0)
+    for now in (1.0, 1.5, 1.9):
+        upstreams.keep_until(2.0)
+        upstreams.take([listed("a")], now)
+        assert set(upstreams.by_name) == {"a", "b"}
+    upstreams.take([listed("a")], 2.0)
+    assert set(upstreams.by_name) == {"a"}
--- a/packages/daemon/tests/sharing/test_shared_reads.py
+++ b/packages/daemon/tests/sharing/test_shared_reads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -55,7 +56,7 @@
         vms,
         version=version,
         configuration_version=configuration,
-        after_gap=False,
+        kept_until=-math.inf,
         now=now,
     )
     told = reads.note_configuration_read(configuration, now)
@@ -83,7 +84,7 @@
     reads = SharedReads(group=build_reader_group(NAMES[1], NAMES), period_s=0.0)
     assert (
         reads.note_list_read(
-            [], version=1, configuration_version=1, after_gap=False, now=0.0
+            [], version=1, configuration_version=1, kept_until=-math.inf, now=0.0
         )
         == []
     )
@@ -94,7 +95,7 @@
     reads = build_reads(NAMES[1])
     assert (
         reads.note_list_read(
-            [], version=None, configuration_version=1, after_gap=False, now=0.0
+            [], version=None, configuration_version=1, kept_until=-math.inf, now=0.0
         )
         == []
     )
@@ -289,3 +290,22 @@
     assert second.role(0.1) is ReadRole.FOLLOWER
     assert second.role(5.0) is ReadRole.READER
     assert build_reads(NAMES[0]).role(5.0) is ReadRole.ALONE
+
+
+def test_a_reader_tells_for_how_long_it_keeps_what_is_missing() -> None:
+    """Also with the news of another read: a first message may be lost."""
+    reads = build_reads("vm-0")
+    reads.note_list_read(
+        [], version=1, configuration_version=1, kept_until=-math.inf, now=0.0
+    )
+    now = SETTLE_S + 1.0
+    told = reads.note_list_read(
+        [], version=2, configuration_version=1, kept_until=now + 2.0, now=now
+    )
+    assert all(each.message.after_gap for each in told)
+    assert {each.message.keep_ms for each in told} == {2_000}
+    later = reads.note_configuration_read(2, now + 1.5)
+    assert {each.message.keep_ms for each in later} == {500}
+    last = reads.note_configuration_read(2, now + 2.0)
+    assert last
+    assert not any(each.message.after_gap for each in last)
--- a/packages/daemon/tests/wire/test_wire.py
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -66,6 +66,7 @@
         configuration_age_ms=2**32 - 1,
         configuration_version=7,
         after_gap=True,
+        keep_ms=2_500,
         changed=(
             ToldUpstream(
                 name="u",
--- a/packages/testkit/src/plankspindle_testkit/bench/sharing_slopes.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/sharing_slopes.py
@@ -73,6 +73,6 @@
         UPSTREAMS,
         version=version,
         configuration_version=1,
-        after_gap=False,
+        kept_until=0.0,
         now=LONG_S * version,
     )
--- a/tests/fleet/test_after_outage.py
+++ b/tests/fleet/test_after_outage.py
@@ -38,6 +38,8 @@
     from plankspindle_core.endpoint import Endpoint
 
 AWAY_S = 0.5
+RETURN_S = 1.9
+"""Time after which entries that lapsed in an outage are back, a little under 2 s."""
 MORE_PATHS = [build_path(), build_path(name="r2", path_prefix="/vins/")]
 
 
@@ -175,3 +177,44 @@
         monkeypatch, add_upstream, lambda vm: vm.upstreams() == {"i-1", "i-2"}
     )
     assert took_s < CONTACT_S
+
+
+@pytest.mark.parametrize("away_s", [3.8, 4.5, 6.0])
+def test_upstreams_whose_entries_lapsed_in_an_outage_stay_until_they_are_back(
+    monkeypatch: pytest.MonkeyPatch, away_s: float
+) -> None:
+    """They are back 2 s after the platform at the latest, and are used meanwhile."""
+    names = {f"i-{number}" for number in range(4)}
+    least = names
+
+    async def look(vm: FleetVm, for_s: float) -> None:
+        nonlocal least
+        ends_at = monotonic() + for_s
+        while monotonic() < ends_at:
+            least = least & vm.upstreams()
+            await curio.sleep(0.02)
+
+    async def use(store: StoreStandIn, endpoint: Endpoint) -> None:
+        store.waits = True
+        store.put("op", "config", build_operator_document())
+        for name in names:
+            store.put("servers", name, SERVER)
+        vm = build_vm(0, endpoint, build_boot(monkeypatch))
+        await vm.start()
+        try:
+            await until(lambda: vm.upstreams() == names and len(store.waits_ms) >= 2)
+            store.is_away = True
+            await look(vm, away_s / 2)
+            for name in names:
+                store.drop("servers", name)
+            await look(vm, away_s / 2)
+            store.is_away = False
+            await look(vm, RETURN_S)
+            for name in names:
+                store.put("servers", name, SERVER)
+            await look(vm, CONTACT_S)
+        finally:
+            await vm.close()
+
+    run_with_store(use)
+    assert least == names
--- a/tests/fleet/test_boot_settings.py
+++ b/tests/fleet/test_boot_settings.py
@@ -7,6 +7,7 @@
 import pytest
 import yaml
 from builders import BOOT
+from builders import CONTACT_S
 from builders import build_boot
 
 from plankspindle_core.endpoint import Endpoint
@@ -115,3 +116,10 @@
     path = tmp_path / "boot.yaml"
     path.write_text(BOOT.read_text().replace("contact:", "of_another_matter:"))
     assert build_boot(monkeypatch, path).daemon.timing.watch_ms == UNBOUNDED_WATCH_MS
+
+
+def test_what_is_gone_is_left_when_the_bounds_hold_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    timing = build_boot(monkeypatch).daemon.timing
+    assert timing.recovery_ms == 1_000 * CONTACT_S
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -386,3 +386,23 @@
     first, second, third = run_with_platform(monkeypatch, use)
     assert first == second == {"edge-a-1"}
     assert third == {"edge-a-1", "edge-b-1"}
+
+
+@pytest.mark.parametrize("rests", [True, False])
+def test_only_a_new_connection_tells_that_the_store_is_away(
+    monkeypatch: pytest.MonkeyPatch, rests: bool
+) -> None:
+    """A connection that rested may have fallen silent while the store was there."""
+
+    async def use(store: StoreStandIn, platform: StorePlatform) -> bool:
+        store.put("servers", "i-1", SERVER)
+        if rests:
+            await names_of(platform)
+        store.is_away = True
+        assert (await platform.read_live_list(0.05)).is_err()
+        found_away = platform.calls.away_at is not None
+        assert (await platform.read_live_list(0.05)).is_err()
+        assert platform.calls.away_at is not None
+        return found_away
+
+    assert run_with_platform(monkeypatch, use) is not rests
