Split what a VM says of itself, and shared slots, from the node

Now node/self_report.py gives readiness, the own entry in look-ups and heartbeats; node/shared_slots.py keeps shares, lends slots and forgets removed members whose work must have ended. Node keeps readiness, heartbeat, accepts and take_slot_request. Two methods that had one caller each went to where their data are: home_of is Membership.caller_endpoint_of, load_digest is DomainTalk.own_digest. The time of the last read of the list stands in the self report, where readiness needs it.

Ruled out: moving the planned stop (leaving/leave.py has it already); moving how the parts are put together (tests and trials make a Node by itself, so it must do that); a second copy of the configuration in force (its number is given to the self report; it is zero exactly while there is no version). Behaviour is meant to be the same; no test was changed.

--- a/packages/daemon/src/plankspindle_daemon/listeners/idempotency_gate.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/idempotency_gate.py
@@ -141,7 +141,7 @@
         if isinstance(verdict, RunIt):
             return RunRequest(IdRecord(ids=self.node.ids, text=text))
         if isinstance(verdict, Foreign) and not request.forwarded:
-            home = self.node.home_of(verdict.vm)
+            home = self.node.membership.caller_endpoint_of(verdict.vm)
             if home is not None and verdict.vm != self.node.vm:
                 return SendHome(home)
         return Answered(verdict=verdict, answer=answer_for(verdict))
--- a/packages/daemon/src/plankspindle_daemon/membership/membership.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/membership.py
@@ -325,6 +325,14 @@
         known = {each.peer_endpoint for each in self.members_by_name.values()}
         return sorted(known | set(self.options.seeds))
 
+    def caller_endpoint_of(self, vm: str) -> Endpoint | None:
+        """Give the caller listener of an entry VM; members' own word goes first."""
+        member = self.members_by_name.get(vm)
+        if member is not None and member.caller_endpoint is not None:
+            return member.caller_endpoint
+        listed = self.listed_by_name.get(vm)
+        return listed.caller_endpoint if listed is not None else None
+
     def _forgive_silence(self, now: float) -> None:
         """After a pause the silence of others is this process's own."""
         for member in self.members_by_name.values():
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -28,21 +28,17 @@
 from plankspindle_daemon.node.effects import BeginLeaving
 from plankspindle_daemon.node.effects import NodeEffect
 from plankspindle_daemon.node.effects import OfService
+from plankspindle_daemon.node.self_report import SelfReport
+from plankspindle_daemon.node.shared_slots import SharedSlots
 from plankspindle_daemon.node.version_talk import VersionTalk
-from plankspindle_daemon.peer_messages.heartbeat import EVERY_UPSTREAM
-from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
-from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_daemon.platform.listed_upstreams import RECOVERY_S
 from plankspindle_daemon.platform.listed_upstreams import ListedUpstreams
-from plankspindle_daemon.retries.retry_budget import RetryBudget
 from plankspindle_daemon.routes.route_table import RouteTable
 from plankspindle_daemon.sharing.reader_group import ReaderGroup
 from plankspindle_daemon.sharing.shared_reads import SharedReads
 from plankspindle_daemon.shifts.shift_meter import ShiftMeter
 from plankspindle_daemon.steering.entry_vms import known_entry_vms
-from plankspindle_daemon.steering.steering import EntryVm
 from plankspindle_daemon.steering.steering import Steering
-from plankspindle_daemon.upstreams.share_keeper import ShareKeeper
 
 if TYPE_CHECKING:
     from plankspindle_daemon.digests.digest_book import DigestBook
@@ -52,11 +48,11 @@
     from plankspindle_daemon.membership.messages import MembershipEvent
     from plankspindle_daemon.peer_messages.content_messages import ContentChunk
     from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
-    from plankspindle_daemon.peer_messages.load_digest import LoadDigest
+    from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+    from plankspindle_daemon.peer_messages.readiness import Readiness
     from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
     from plankspindle_daemon.retries.retry_budget import RetryBudget
 
-MAX_OVER_SHARE_NAMED = 16
 REFRESH_S = 0.25
 
 
@@ -130,12 +126,11 @@
     vm_drains: VmDrains = field(init=False)
     meter: ShiftMeter = Factory(lambda: ShiftMeter.create(region=None))
     headroom: HeadroomManager = field(init=False)
-    shares: ShareKeeper = field(init=False)
+    slots: SharedSlots = field(init=False)
     talk: DomainTalk = field(init=False)
-    list_read_at: float | None = None
     versions: VersionTalk = field(init=False)
     reads: SharedReads = field(init=False)
-    _sequence: int = 0
+    self_report: SelfReport = field(init=False)
     _next_refresh: float = 0.0
     _wall_ahead_s: float = 0.0
 
@@ -150,12 +145,6 @@
             membership=self.membership,
             headroom=self.headroom,
         )
-        self.shares = ShareKeeper(
-            vm=self.vm,
-            membership=self.membership,
-            started_at=self.started_at,
-            settle_s=self.settle_s,
-        )
         self.versions = VersionTalk(
             vm=self.vm, membership=self.membership, random=self.random
         )
@@ -183,6 +172,27 @@
             clock=self.services.drains,
             membership=self.membership,
         )
+        self.slots = SharedSlots(
+            vm=self.vm,
+            membership=self.membership,
+            services=self.services,
+            leave=self.leave,
+            started_at=self.started_at,
+            settle_s=self.settle_s,
+        )
+        self.self_report = SelfReport(
+            vm=self.vm,
+            failure_domain=self.failure_domain,
+            caller_endpoint=self.caller_endpoint,
+            peer_endpoint=self.peer_endpoint,
+            incarnation=self.incarnation,
+            needs_list=self.needs_list,
+            membership=self.membership,
+            leave=self.leave,
+            services=self.services,
+            vm_drains=self.vm_drains,
+            head=self.versions.head,
+        )
 
     @property
     def dispatchers_by_service(self) -> dict[str, Dispatcher]:
@@ -238,7 +248,10 @@
         wall = now + self._wall_ahead_s
         self.services.use(configuration, version=version, now=now, wall=wall)
         self._refresh_steering(now)
-        return [*self.versions.spread(), *self._update_shares(now)]
+        return [
+            *self.versions.spread(),
+            *self.slots.update_shares(self.configuration, now),
+        ]
 
     def _use_routes(self, configuration: Configuration) -> None:
         before = self.routes
@@ -277,12 +290,12 @@
             told = event.heartbeat
             self.services.take_hints(told.silent_upstreams, told.failure_domain, now)
         if isinstance(event, membership.LiveListRead):
-            self.list_read_at = now
+            self.self_report.list_read_at = now
             self._wall_ahead_s = wall - now
             self.services.take_list(event.vms, now=now, wall=wall)
             self._apply_drains(now=now, wall=wall)
             self._refresh_steering(now)
-        return [*effects, *self._update_shares(now)]
+        return [*effects, *self.slots.update_shares(self.configuration, now)]
 
     def _take_effect(self, effect: MembershipEffect, now: float) -> list[NodeEffect]:
         match effect:
@@ -304,15 +317,8 @@
     def take_slot_request(
         self, request: SlotRequest, reply_to: Endpoint, now: float
     ) -> list[NodeEffect]:
-        """Lend slots to a member, unless this VM leaves.
-
-        Whoever this VM does not count gets none, since its share may overlap.
-        """
-        known = request.sender in self.membership.members_by_name
-        if not known or self.leave.is_leaving:
-            return []
-        asked = dispatch.SlotsAsked(request=request, reply_to=reply_to)
-        return self.take_dispatch(self.service_of(request.upstream), asked, now)
+        """Lend slots to a member, unless this VM leaves."""
+        return [*self.slots.lend(request, reply_to, now)]
 
     def service_of(self, upstream: str) -> str:
         """Name the service of an upstream; empty if it is not declared."""
@@ -329,7 +335,7 @@
             self.services.note_room(now)
             self._refresh_steering(now)
             self.ids.expire(now)
-            self._forget_removals(now)
+            self.slots.forget_removals(self.configuration, now)
         effects += self.versions.tick(now)
         return [*effects, *self._talk_to_other_domains(now)]
 
@@ -337,17 +343,9 @@
         self.services.apply_drains(now=now, wall=wall)
         self.vm_drains.apply(now=now, wall=wall)
 
-    def _forget_removals(self, now: float) -> None:
-        """Forget removed members whose work must have ended."""
-        if self.configuration is None:
-            return
-        services = self.configuration.services_by_name.values()
-        longest_ms = max((each.longest_timeout_ms for each in services), default=0)
-        self.membership.expire_removals(before=now - longest_ms / 1000)
-
     def accepts(self, now: float) -> bool:
         """Tell whether new requests are accepted here."""
-        return self.leave.accepts and not self.vm_drains.refuses(now)
+        return self.self_report.accepts(now)
 
     def _talk_to_other_domains(self, now: float) -> list[NodeEffect]:
         loads = self.dispatchers_by_service
@@ -359,10 +357,6 @@
             ),
         ]
 
-    def load_digest(self, now: float) -> LoadDigest:
-        """Sum up the own load."""
-        return self.talk.own_digest(self.dispatchers_by_service, self.version, now)
-
     def take_headroom_request(
         self, request: HeadroomRequest, reply_to: Endpoint, now: float
     ) -> list[NodeEffect]:
@@ -374,7 +368,7 @@
 
     def wake_from_pause(self, *, now: float, wall: float) -> list[NodeEffect]:
         """Distrust what was agreed before the process stood still."""
-        self.shares.distrust(now)
+        self.slots.distrust(now)
         self.reads.distrust()
         self.headroom.grants.drop_all()
         effects: list[NodeEffect] = []
@@ -383,65 +377,13 @@
         effects += self.take_membership(membership.Paused(), now=now, wall=wall)
         return effects
 
-    def _update_shares(self, now: float) -> list[NodeEffect]:
-        if self.configuration is None:
-            return []
-        effects: list[NodeEffect] = []
-        for service, dispatcher in self.dispatchers_by_service.items():
-            declared = self.configuration.services_by_name.get(service)
-            if declared is None:
-                continue
-            longest_s = declared.longest_timeout_ms / 1000
-            if self.shares.update_all(
-                dispatcher.upstreams_by_name.values(), longest_work_s=longest_s, now=now
-            ):
-                effects += self.take_dispatch(service, dispatch.TimePassed(), now)
-        return effects
-
     def readiness(self) -> Readiness:
         """What this VM says of itself."""
-        if self.leave.is_leaving or self.vm in self.vm_drains.drained:
-            return Readiness.LEAVING
-        if self.configuration is None or self._lacks_list():
-            return Readiness.STARTING
-        overloaded = self.services.is_overloaded()
-        return Readiness.OVERLOADED if overloaded else Readiness.READY
-
-    def _lacks_list(self) -> bool:
-        """Tell whether upstreams come from a list that was never read."""
-        return self.needs_list and self.list_read_at is None
+        return self.self_report.readiness(self.version)
 
     def heartbeat(self, *, now: float, left: bool = False) -> Heartbeat:
-        """Make the next heartbeat.
-
-        Parameters
-        ----------
-        now : float
-            Monotonic seconds.
-        left : bool
-            Whether it is the last one, after which nothing of this process runs.
-        """
-        self._sequence += 1
-        return Heartbeat(
-            sender=self.vm,
-            incarnation=self.incarnation,
-            sequence=self._sequence,
-            failure_domain=self.failure_domain,
-            caller_endpoint=self.caller_endpoint,
-            peer_endpoint=self.peer_endpoint,
-            readiness=Readiness.LEFT if left else self.readiness(),
-            view_digest=self.membership.view_digest(),
-            over_share=self._over_share(now),
-            configuration_version=self.version,
-            head_read_ago_ms=self.versions.head.ago_ms(now),
-            silent_upstreams=self.services.silent_upstreams(now),
-        )
-
-    def _over_share(self, now: float) -> tuple[str, ...]:
-        names = self.services.over_share(now)
-        if len(names) > MAX_OVER_SHARE_NAMED:
-            return (EVERY_UPSTREAM,)
-        return tuple(names)
+        """Make the next heartbeat, the last one of this process if ``left``."""
+        return self.self_report.heartbeat(self.version, now=now, left=left)
 
     def _refresh_steering(self, now: float) -> None:
         if self.steering is None:
@@ -449,18 +391,5 @@
         entries = known_entry_vms(
             self.membership, drained=self.vm_drains.drained, now=now
         )
-        entries[self.vm] = EntryVm(
-            name=self.vm,
-            failure_domain=self.failure_domain,
-            endpoint=self.caller_endpoint,
-            usable=self.readiness() is Readiness.READY,
-        )
+        entries[self.vm] = self.self_report.entry_vm(self.version)
         self.steering.use_vms(entries.values())
-
-    def home_of(self, vm: str) -> Endpoint | None:
-        """Give the caller listener of an entry VM by its name."""
-        member = self.membership.members_by_name.get(vm)
-        if member is not None and member.caller_endpoint is not None:
-            return member.caller_endpoint
-        listed = self.membership.listed_by_name.get(vm)
-        return listed.caller_endpoint if listed is not None else None
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/node/shared_slots.py
@@ -0,0 +1,139 @@
+"""Slots of upstreams that the members of a failure domain share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import field
+
+from plankspindle_daemon.dispatch.messages import SlotsAsked
+from plankspindle_daemon.dispatch.messages import TimePassed
+from plankspindle_daemon.dispatch.service_book import ServiceBook
+from plankspindle_daemon.leaving.leave import Leave
+from plankspindle_daemon.membership.membership import Membership
+from plankspindle_daemon.node.effects import OfService
+from plankspindle_daemon.upstreams.share_keeper import ShareKeeper
+
+if TYPE_CHECKING:
+    from plankspindle_core.configuration.configuration import Configuration
+    from plankspindle_core.endpoint import Endpoint
+    from plankspindle_daemon.dispatch.messages import DispatchEvent
+    from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
+
+
+@define(kw_only=True)
+class SharedSlots:
+    """Keep the shares of this VM, and lend idle slots to members.
+
+    Parameters
+    ----------
+    vm : str
+        Name of this VM.
+    membership : Membership
+        The members.
+    services : ServiceBook
+        Services in force.
+    leave : Leave
+        The planned stop of this VM.
+    started_at : float
+        Monotonic seconds.
+    settle_s : float
+        Time for which a new process listens for peers before it takes slots, in
+        seconds.
+    """
+
+    vm: str
+    membership: Membership
+    services: ServiceBook
+    leave: Leave
+    started_at: float
+    settle_s: float
+    _shares: ShareKeeper = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._shares = ShareKeeper(
+            vm=self.vm,
+            membership=self.membership,
+            started_at=self.started_at,
+            settle_s=self.settle_s,
+        )
+
+    def distrust(self, now: float) -> None:
+        """Listen for peers anew, as after a pause."""
+        self._shares.distrust(now)
+
+    def update_shares(
+        self, configuration: Configuration | None, now: float
+    ) -> list[OfService]:
+        """Bring all shares closer to their targets.
+
+        Parameters
+        ----------
+        configuration : Configuration or None
+            The version in force.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        list of OfService
+            What follows for requests that wait for a share that grew.
+        """
+        if configuration is None:
+            return []
+        effects: list[OfService] = []
+        for service, dispatcher in self.services.dispatchers_by_service.items():
+            declared = configuration.services_by_name.get(service)
+            if declared is None:
+                continue
+            longest_s = declared.longest_timeout_ms / 1000
+            if self._shares.update_all(
+                dispatcher.upstreams_by_name.values(), longest_work_s=longest_s, now=now
+            ):
+                effects += self._tell(service, TimePassed(), now)
+        return effects
+
+    def lend(
+        self, request: SlotRequest, reply_to: Endpoint, now: float
+    ) -> list[OfService]:
+        """Lend slots to a member, unless this VM leaves.
+
+        Parameters
+        ----------
+        request : SlotRequest
+            What is asked for.
+        reply_to : Endpoint
+            Where the member listens.
+        now : float
+            Monotonic seconds.
+
+        Notes
+        -----
+        Whoever this VM does not count gets none, since its share may overlap.
+        """
+        known = request.sender in self.membership.members_by_name
+        if not known or self.leave.is_leaving:
+            return []
+        asked = SlotsAsked(request=request, reply_to=reply_to)
+        return self._tell(self.services.service_of(request.upstream), asked, now)
+
+    def _tell(self, service: str, event: DispatchEvent, now: float) -> list[OfService]:
+        effects = self.services.handle(service, event, now)
+        return [OfService(service, each) for each in effects]
+
+    def forget_removals(self, configuration: Configuration | None, now: float) -> None:
+        """Forget removed members whose work at shared slots must have ended.
+
+        Parameters
+        ----------
+        configuration : Configuration or None
+            The version in force.
+        now : float
+            Monotonic seconds.
+        """
+        if configuration is None:
+            return
+        services = configuration.services_by_name.values()
+        longest_ms = max((each.longest_timeout_ms for each in services), default=0)
+        self.membership.expire_removals(before=now - longest_ms / 1000)
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -88,7 +88,7 @@
 
 def _dump_membership(node: Node, now: float) -> dict[str, Any]:
     membership = node.membership
-    read_at = node.list_read_at
+    read_at = node.self_report.list_read_at
     return {
         "view": list(membership.view()),
         "view_digest": f"{membership.view_digest():016x}",
--- a/packages/testkit/src/plankspindle_testkit/bench/slopes_bench.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/slopes_bench.py
@@ -284,7 +284,7 @@
     """Add up the load of all failure domains for a plan."""
     node = _build_node(1)
     node.tick(now=3.0, wall=WALL)
-    digest = node.load_digest(3.0)
+    digest = node.talk.own_digest(node.dispatchers_by_service, node.version, 3.0)
     for number in range(senders):
         node.digests.take(evolve(digest, sender=f"vm-{number}"), 3.0)
     return median_ms(
