Build the end that gives an unused slot back in one place

Cause: RequestRunner._free and DispatchRunner._give_back each built the same Ended, of the same ticket and upstream, as cancelled and with nothing learned of the upstream.

Now Assign.given_back() makes it, beside the messages it is made of; both tell it to the dispatcher as before.

Ruled out: one method of DispatchRunner for both, since when a slot is given back differs (one has an Assign it forgets first, the other a decision that may be a refusal), and the tests of the request runner rightly see what is told to the dispatcher. Ends of attempts that ran carry times and loads and stay where they are.

No test was changed.

Conclusion: one copy of the rule. That an interrupted wait gives its slot back has no test of DispatchRunner by itself.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
@@ -170,6 +170,18 @@
     endpoint: Endpoint
     step: Placed | None = field(default=None, eq=False)
 
+    def given_back(self) -> Ended:
+        """Give the end of a request that goes no further at its upstream.
+
+        Returns
+        -------
+        Ended
+            What frees the slot; it says nothing of the upstream.
+        """
+        return Ended(
+            ticket=self.ticket, upstream=self.upstream, verdict=Verdict.CANCELLED
+        )
+
 
 @frozen(kw_only=True)
 class Reject:
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -19,7 +19,6 @@
 from plankspindle_core.time_limit import TimeLimit
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.dispatch.messages import Assign
-from plankspindle_daemon.dispatch.messages import Ended
 from plankspindle_daemon.dispatch.messages import Verdict
 from plankspindle_daemon.exchange.answers import answer_with_outcome
 from plankspindle_daemon.exchange.attempt import Attempt
@@ -123,12 +122,7 @@
             await self._attempt.close()
         assigned, self._assigned = self._assigned, None
         if assigned is not None:
-            ended = Ended(
-                ticket=assigned.ticket,
-                upstream=assigned.upstream,
-                verdict=Verdict.CANCELLED,
-            )
-            await self.dispatch.tell(self.service, ended)
+            await self.dispatch.tell(self.service, assigned.given_back())
 
     async def _run_with_deadline(self) -> None:
         try:
--- a/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
@@ -17,12 +17,10 @@
 from plankspindle_daemon.dispatch.messages import Arrived
 from plankspindle_daemon.dispatch.messages import AskSlots
 from plankspindle_daemon.dispatch.messages import Assign
-from plankspindle_daemon.dispatch.messages import Ended
 from plankspindle_daemon.dispatch.messages import GrantSlots
 from plankspindle_daemon.dispatch.messages import Probe
 from plankspindle_daemon.dispatch.messages import Probed
 from plankspindle_daemon.dispatch.messages import Reject
-from plankspindle_daemon.dispatch.messages import Verdict
 from plankspindle_daemon.dispatch.messages import Withdrawn
 from plankspindle_daemon.membership.peer_link import PeerLink
 from plankspindle_daemon.node.effects import OfService
@@ -105,12 +103,7 @@
     async def _give_back(self, service: str, decision: Assign | Reject | None) -> None:
         """Return a slot whose request was interrupted before it learned of it."""
         if isinstance(decision, Assign):
-            ended = Ended(
-                ticket=decision.ticket,
-                upstream=decision.upstream,
-                verdict=Verdict.CANCELLED,
-            )
-            await self.tell(service, ended)
+            await self.tell(service, decision.given_back())
 
     def usual_s(self, service: str, ticket: Ticket) -> float:
         """Give the usual duration of a request, in seconds."""
