Test a read's log lines without those of tests that ran before

Cause: the log library hands what was logged before a process's first destination to that one. Run without the other packages' tests before it, this test was given their lines and failed; in the order of the whole suite, alone, or after another destination it passed. Ruled out: the program (it starts one destination at its start).

--- a/packages/daemon/tests/platform/test_read_watch.py
+++ b/packages/daemon/tests/platform/test_read_watch.py
@@ -10,6 +10,9 @@
 
 
 def test_a_row_of_failures_is_logged_at_its_beginning_and_its_end() -> None:
+    # The first destination of a process is given what was logged before it, here by
+    # tests that ran earlier; it is taken away first.
+    stop_logging(start_logging(stream=io.StringIO()))
     stream = io.StringIO()
     destination = start_logging(stream=stream)
     try:
