Trust no connection to the platform that rested, and no odd number that it lists

(3) A cold time of 1e306 s, slots of 400 digits or a name with half a surrogate passed the reading of rows and ended the task that reads the list or tells it; a claim's time of 400 digits did so for the task that removes claims.

Ruled out: reading entry rows over the connection of the list (mends only one of the two); shorter limits of calls (a slow platform could not be read any more).

Now a connection that rested for 1 s is not used again; only the list's own calls that were made over a new connection tell of an outage; rows are bounded where they are read. What others read keeps the time at which it was read; a reader's word of how long it keeps is bounded; what others tell is left out until a read has been taken. Price: a connect for calls that come seldom.

--- a/packages/daemon/src/plankspindle_daemon/idempotency/claim_row.py
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/claim_row.py
@@ -94,7 +94,7 @@
                 answer=answer,
             )
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
         return Err(Unreadable(repr(error)))
 
 
--- a/packages/daemon/src/plankspindle_daemon/idempotency/recorded_answer.py
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/recorded_answer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 from typing import Any
 
 from attrs import frozen
@@ -58,5 +57,5 @@
                 body=base64.b64decode(mapping["body"], validate=True),
             )
         )
-    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
         return Err(Unreadable(repr(error)))
--- a/packages/daemon/src/plankspindle_daemon/node/list_follower.py
+++ b/packages/daemon/src/plankspindle_daemon/node/list_follower.py
@@ -67,28 +67,33 @@
                 await sleep(LOOK_S)
                 await self._drop_kept()
                 continue
-            began = monotonic()
+            await self._read_and_take()
+
+    async def _read_and_take(self) -> None:
+        began = monotonic()
+        reads = self.node.reads
+        reads.is_reading = True
+        try:
             read = await self._read()
-            if read is None:
-                # The process stood still until now, whenever the platform was away.
-                self.node.services.listed.note_failed(away_at=monotonic())
-                continue
-            if read.is_err():
-                self._note_unread(read.unwrap_err().detail, began)
-                await self._pause(RETRY_S)
-                continue
-            self._watch.note_read(monotonic())
-            await self._take_read(read.unwrap())
+            if read is not None and read.is_ok():
+                self._watch.note_read(monotonic())
+                await self._take_read(read.unwrap())
+        finally:
+            reads.is_reading = False
+        if read is None:
+            # The process stood still until now, whenever the platform was away.
+            self.node.services.listed.note_failed(away_at=monotonic())
+        elif read.is_err():
+            self._note_unread(read.unwrap_err().detail, began)
+            await self._pause(RETRY_S)
+        else:
             await self._pause_after_read(monotonic())
 
     async def _read(self) -> Result[list[ListedVm], PlatformUnavailable] | None:
         """Read the list; None if the read was given up."""
-        reads = self.node.reads
         wait_s = self._wait_s(monotonic())
-        reads.is_reading = True
         self._task = await spawn(self.platform.read_live_list, wait_s, daemon=True)
         await self._task.wait()
-        reads.is_reading = False
         if self._task.cancelled:
             return None
         read: Result[list[ListedVm], PlatformUnavailable] = self._task.result
@@ -128,7 +133,9 @@
         """Leave what is missing once it is kept no longer, while others read."""
         listed = self.node.services.listed
         if listed.kept_until is not None and not listed.is_lenient(monotonic()):
+            read_at = listed.read_at
             await self._take_again()
+            listed.correct_read_at(read_at)
 
     async def _take_again(self) -> None:
         """Take the list that this VM holds, as it would be taken now."""
@@ -163,11 +170,13 @@
         change = self.node.reads.take_news(news, now)
         if change is not None:
             if news.after_gap:
-                listed.keep_until(now + (news.keep_ms / 1000 or RETURN_S))
+                keep_s = news.keep_ms / 1000 or RETURN_S
+                listed.keep_until(now + min(keep_s, RETURN_S))
             vms = self.platform.take_list_change(
                 version=change.version, changed=change.changed, gone=change.gone
             )
             await self._take(vms)
+            listed.correct_read_at(now - news.list_age_ms / 1000)
         elif self.node.reads.is_told_current(news):
             if listed.is_to_be_taken_again:
                 await self._take_again()
@@ -187,7 +196,7 @@
 
     def _note_unread(self, detail: str, began: float) -> None:
         listed = self.node.services.listed
-        listed.note_failed(away_at=self.platform.calls.away_at)
+        listed.note_failed(away_at=self.platform.list_away_at)
         self._watch.note_failed(
             detail, began=began, now=monotonic(), upstreams=len(listed.by_name)
         )
--- a/packages/daemon/src/plankspindle_daemon/platform/bounded_calls.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/bounded_calls.py
@@ -69,8 +69,6 @@
         Calls not made, since the platform is away.
     failure : str or None
         What was last seen of a platform that is away.
-    away_at : float or None
-        When the last call was begun that found the platform away, monotonic seconds.
     seconds_by_key : dict of (str, str) to Histogram
         Durations by kind and outcome, without the time that an answer was delayed on
         purpose.
@@ -86,7 +84,6 @@
     )
     refused_by_breaker: int = 0
     failure: str | None = None
-    away_at: float | None = None
     seconds_by_key: dict[tuple[str, str], Histogram] = field(factory=dict)
 
     @property
@@ -105,7 +102,6 @@
         call: Callable[..., Awaitable[Result[HttpAnswer, Any]]],
         *args: Any,
         extra_s: float = 0.0,
-        is_fresh: bool = True,
     ) -> Result[HttpAnswer, PlatformUnavailable]:
         """Make one call, unless it must not be made.
 
@@ -119,9 +115,6 @@
             Its arguments.
         extra_s : float
             Time for which the platform may delay the answer on purpose, in seconds.
-        is_fresh : bool
-            Whether it opens a connection. One that rested may have fallen silent long
-            before the call, and its failure says nothing of the platform at that time.
 
         Returns
         -------
@@ -134,13 +127,13 @@
         if not self.breaker.allows(began):
             self.refused_by_breaker += 1
             away = f"recent calls failed ({self.failure}); not tried"
-            return Err(PlatformUnavailable(away))
+            return Err(PlatformUnavailable(away, tried=False))
         if not budget.take(began):
-            return Err(PlatformUnavailable("the budget of calls is used up"))
+            return Err(
+                PlatformUnavailable("the budget of calls is used up", tried=False)
+            )
         self.made_by_kind[kind] += 1
         answer = await self._bounded(call, args, self.timeout_s + extra_s)
-        if is_fresh and answer.is_err():
-            self.away_at = began
         self._note(kind, answer, began, delayed=extra_s > 0)
         return answer
 
--- a/packages/daemon/src/plankspindle_daemon/platform/errors.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/errors.py
@@ -13,9 +13,12 @@
     ----------
     detail : str
         What was seen.
+    tried : bool
+        Whether the call was made; if not, it says nothing new of the platform.
     """
 
     detail: str
+    tried: bool = True
 
 
 @frozen
--- a/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
@@ -95,6 +95,10 @@
         if self._read_at is not None:
             self._read_at = max(self._read_at, at)
 
+    def correct_read_at(self, at: float | None) -> None:
+        """Say when the list that was taken last was read, if not just then."""
+        self._read_at = at
+
     @property
     def is_to_be_taken_again(self) -> bool:
         """Whether the same list, taken later, would say something else."""
--- a/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -59,6 +60,7 @@
     def __init__(self, *, endpoint: Endpoint, timeout_s: float) -> None:
         self.endpoint = endpoint
         self.calls = BoundedCalls(timeout_s=timeout_s)
+        self._list_away_at: float | None = None
 
     async def read_row(self, key: str) -> Result[Row, PlatformUnavailable]:
         """Read one row; an absent one has version ``ABSENT``."""
@@ -177,6 +179,15 @@
         """Usual longest wait for a change of the list; None if it tells of none."""
         return None
 
+    @property
+    def list_away_at(self) -> float | None:
+        """When a read of the list was begun that last found the platform away.
+
+        Monotonic seconds; None if none did. Only reads over new connections count: one
+        that rested may have fallen silent long before, while the platform was there.
+        """
+        return self._list_away_at
+
     @property
     def list_version(self) -> int | None:
         """Version of the list that was read last; None if the platform gives none."""
@@ -210,8 +221,11 @@
             client's own if not given.
         """
         del wait_s
+        began = monotonic()
         answer = await self._call("GET", "/vms")
         if answer.is_err():
+            if answer.unwrap_err().tried:
+                self._list_away_at = began
             return Err(answer.unwrap_err())
         document = self._read(answer.unwrap(), lambda found: found)
         return document.and_then(parse_live_list)
--- a/packages/daemon/tests/platform/test_bounded_calls.py
+++ b/packages/daemon/tests/platform/test_bounded_calls.py
@@ -119,37 +119,12 @@
     assert calls.available
 
 
-def test_a_failed_call_tells_when_the_platform_was_away() -> None:
-    now = 5.0
-    calls = BoundedCalls(timeout_s=1.0, clock=lambda: now)
-    lost = Callee(Err(ConnectionLost("reset")))
-    assert calls.away_at is None
-    curio.run(calls.make, CallKind.READ, Callee(answer(200)).call)
-    assert calls.away_at is None
-    curio.run(calls.make, CallKind.READ, lost.call)
-    assert calls.away_at == 5.0
-
-
-def test_a_connection_that_had_rested_tells_nothing_of_the_platform() -> None:
+def test_a_call_that_is_not_made_says_so() -> None:
     calls = BoundedCalls(timeout_s=1.0, clock=lambda: 5.0)
-
-    async def run() -> None:
-        callee = Callee(Err(ConnectionLost("reset")))
-        await calls.make(CallKind.READ, callee.call, is_fresh=False)
-
-    curio.run(run)
-    assert calls.away_at is None
-
-
-def test_a_call_that_is_not_made_tells_nothing_new() -> None:
-    times = iter([5.0, 5.0, 6.0, 6.0, 7.0, 7.0, 7.1])
-    calls = BoundedCalls(timeout_s=1.0, clock=lambda: next(times))
     callee = Callee(Err(ConnectionLost("reset")))
 
-    async def run() -> None:
-        for _ in range(4):
-            await calls.make(CallKind.READ, callee.call)
+    async def run() -> list[bool]:
+        made = [await calls.make(CallKind.READ, callee.call) for _ in range(4)]
+        return [each.unwrap_err().tried for each in made]
 
-    curio.run(run)
-    assert callee.calls == 3
-    assert calls.away_at == 7.0
+    assert curio.run(run) == [True, True, True, False]
--- a/packages/daemon/tests/platform/test_values_from_outside.py
+++ b/packages/daemon/tests/platform/test_values_from_outside.py
@@ -132,3 +132,16 @@
         return answers
 
     assert all(each.is_err() for each in curio.run(run))
+
+
+def test_numbers_without_end_in_a_claim_are_refused() -> None:
+    claim = {
+        "caller": "a",
+        "digest": "d",
+        "nonce": "n",
+        "state": "claimed",
+        "expires_at": 10**400,
+        "answer": None,
+    }
+    assert claim_row_from_mapping({**claim, "expires_at": 5.0}).is_ok()
+    assert claim_row_from_mapping(claim).is_err()
--- a/tests/fleet/store_stand_in.py
+++ b/tests/fleet/store_stand_in.py
@@ -41,6 +41,8 @@
         Waits that callers of the feed asked for.
     waits : bool
         Whether the feed waits for a change as it is asked to.
+    turns_writes_away : bool
+        Whether transactions get 429.
     is_away : bool
         Whether calls that come or wait get no answer, then or later; their connections
         stay open.
@@ -57,6 +59,7 @@
         self.loses_answers = False
         self.is_silent = False
         self.is_away = False
+        self.turns_writes_away = False
         self._silent: set[Any] = set()
         self._connections: set[Any] = set()
         self.changes_before_writes: str | None = None
@@ -86,6 +89,8 @@
         self._silent |= self._connections
 
     def _transact(self, change: dict[str, Any]) -> tuple[int, Any]:
+        if self.turns_writes_away:
+            return 429, {"error": "too many"}
         if self.changes_before_writes is not None:
             self.put("plankspindle-vms", self.changes_before_writes, {"nonce": "new"})
         for wanted in change["expected_revision"]:
--- a/tests/fleet/test_after_outage.py
+++ b/tests/fleet/test_after_outage.py
@@ -38,6 +38,7 @@
     from plankspindle_core.endpoint import Endpoint
 
 AWAY_S = 0.5
+NOTHING = b'{"expected_revision":[],"puts":[],"remove":[]}'
 RETURN_S = 1.9
 """Time after which entries that lapsed in an outage are back, a little under 2 s."""
 MORE_PATHS = [build_path(), build_path(name="r2", path_prefix="/vins/")]
@@ -218,3 +219,75 @@
 
     run_with_store(use)
     assert least == names
+
+
+def test_entry_rows_that_fall_due_in_a_lost_wait_put_nothing_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """They are read over a connection of their own, which rested for half a minute."""
+
+    async def use(store: StoreStandIn, endpoint: Endpoint) -> float:
+        store.waits = True
+        store.put("op", "config", build_operator_document())
+        store.put("servers", "i-1", SERVER)
+        vm = build_vm(0, endpoint, build_boot(monkeypatch))
+        await vm.start()
+        try:
+            await until(lambda: vm.upstreams() == {"i-1"} and len(store.waits_ms) >= 2)
+            # Rests longer than a connection is trusted, as between two readings.
+            await curio.sleep(1.5)
+            await until_asked_again(store)
+            store.silence_connections()
+            fell_silent_at = monotonic()
+            vm.platform.entries._due = fell_silent_at + 0.5
+            add_upstream(store)
+            await until(lambda: vm.upstreams() == {"i-1", "i-2"})
+            return monotonic() - fell_silent_at
+        finally:
+            await vm.close()
+
+    assert run_with_store(use) < CONTACT_S
+
+
+async def until_asked_again(store: StoreStandIn) -> None:
+    """Wait until a VM has just begun to wait for changes of list and configuration."""
+    asked = len(store.waits_ms)
+    while len(store.waits_ms) < asked + 2:
+        await curio.sleep(0.01)
+
+
+def test_writes_that_are_turned_away_say_nothing_of_the_list(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Their failure over a new connection must not count as an outage of the list."""
+    names = {f"i-{number}" for number in range(4)}
+
+    async def write(vm: FleetVm) -> None:
+        while True:
+            for _ in range(2):
+                await vm.platform._store.call("POST", "/rows-tx", NOTHING)
+            await vm.platform.read_row("k")
+            await curio.sleep(0.1)
+
+    async def use(store: StoreStandIn, endpoint: Endpoint) -> float:
+        store.waits = True
+        store.turns_writes_away = True
+        store.put("op", "config", build_operator_document())
+        for name in names:
+            store.put("servers", name, SERVER)
+        vm = build_vm(0, endpoint, build_boot(monkeypatch))
+        await vm.start()
+        writer = await curio.spawn(write, vm, daemon=True)
+        try:
+            await until(lambda: vm.upstreams() == names and len(store.waits_ms) >= 2)
+            store.silence_connections()
+            fell_silent_at = monotonic()
+            for name in ("i-0", "i-1"):
+                store.drop("servers", name)
+            await until(lambda: vm.upstreams() == {"i-2", "i-3"})
+            return monotonic() - fell_silent_at
+        finally:
+            await writer.cancel()
+            await vm.close()
+
+    assert run_with_store(use) < CONTACT_S
--- a/tests/fleet/test_shared_reads.py
+++ b/tests/fleet/test_shared_reads.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import curio
 from builders import CONTACT_S
 from builders import build_boot
 from builders import build_operator_document
@@ -27,22 +28,25 @@
     from plankspindle_core.endpoint import Endpoint
 
 VMS = 8
+SHORT_CONTACT_S = 3.0
 TIMING = {"shared_read_ms": 1_000, "watch_ms": 2_000}
 
 
 def run_fleet(
     monkeypatch: pytest.MonkeyPatch,
     use: Callable[[StoreStandIn, list[FleetVm]], Awaitable[Any]],
+    **timing: int,
 ) -> Any:
     """Run VMs until they share reads, then a test."""
     monkeypatch.setattr(shared_reads, "SETTLE_S", 0.5)
     boot = build_boot(monkeypatch)
+    timing = {**TIMING, **timing}
 
     async def with_vms(store: StoreStandIn, endpoint: Endpoint) -> Any:
         store.waits = True
         store.put("op", "config", build_operator_document())
         store.put("servers", "i-1", SERVER)
-        vms = [build_vm(number, endpoint, boot, **TIMING) for number in range(VMS)]
+        vms = [build_vm(number, endpoint, boot, **timing) for number in range(VMS)]
         for vm in vms:
             await vm.start()
         try:
@@ -145,3 +149,31 @@
         return monotonic() - fell_silent_at
 
     assert run_fleet(monkeypatch, use) < CONTACT_S
+
+
+def test_a_change_is_known_in_time_when_all_connections_fall_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Those of the followers, too, which rested while the reader read for them.
+
+    Waits are those of a site whose bounds hold again after 3 s.
+    """
+
+    async def use(store: StoreStandIn, vms: list[FleetVm]) -> float:
+        await curio.sleep(2.0)
+        await until_read(store)
+        store.silence_connections()
+        fell_silent_at = monotonic()
+        store.put("servers", "i-2", SERVER)
+        await until(lambda: all(vm.upstreams() == {"i-1", "i-2"} for vm in vms))
+        return monotonic() - fell_silent_at
+
+    took_s = run_fleet(monkeypatch, use, watch_ms=1_250, recovery_ms=3_000)
+    assert took_s < SHORT_CONTACT_S
+
+
+async def until_read(store: StoreStandIn) -> None:
+    """Wait until the reader has just asked for changes."""
+    asked = len(store.waits_ms)
+    while len(store.waits_ms) == asked:
+        await curio.sleep(0.01)
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -26,6 +26,7 @@
 from plankspindle_daemon.platform.live_list import VmKind
 from plankspindle_daemon.platform.table import RowWrite
 from plankspindle_daemon.platform.table import Transaction
+from plankspindle_platform import row_store
 from plankspindle_platform.entry_rows import EntryRows
 from plankspindle_platform.row_store import HistoryGone
 from plankspindle_platform.row_store import RowStore
@@ -400,9 +401,26 @@
             await names_of(platform)
         store.is_away = True
         assert (await platform.read_live_list(0.05)).is_err()
-        found_away = platform.calls.away_at is not None
+        found_away = platform.list_away_at is not None
         assert (await platform.read_live_list(0.05)).is_err()
-        assert platform.calls.away_at is not None
+        assert platform.list_away_at is not None
         return found_away
 
     assert run_with_platform(monkeypatch, use) is not rests
+
+
+def test_a_connection_that_rested_is_not_used_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It may have fallen silent, which the next call would learn a limit later."""
+    monkeypatch.setattr(row_store, "REST_S", 0.2)
+
+    async def use(store: StoreStandIn, platform: StorePlatform) -> list[int]:
+        connections = []
+        for rest_s in (0.0, 0.0, 0.4):
+            await curio.sleep(rest_s)
+            await platform.read_row("k")
+            connections.append(len(store._connections))
+        return connections
+
+    assert run_with_platform(monkeypatch, use) == [1, 1, 2]
--- a/tests/fleet/test_values_from_store.py
+++ b/tests/fleet/test_values_from_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from time import monotonic
+from typing import TYPE_CHECKING
 from typing import Any
 
 import hypothesis.strategies as st
@@ -17,11 +18,36 @@
 from test_operator_reader import build_reader
 from test_operator_reader import read
 
+from plankspindle_core.stable_hash import stable_hash
+from plankspindle_daemon.peer_messages.list_news import ListNews
 from plankspindle_daemon.sharing.told_upstreams import told_of
+from plankspindle_daemon.wire.codec import decode
+from plankspindle_daemon.wire.codec import encode
 from plankspindle_platform.listed_rows import read_server
 
+if TYPE_CHECKING:
+    from plankspindle_daemon.platform.live_list import ListedVm
+
 ODD = st.sampled_from(
-    [None, 0, -1, 65_536, 10**30, 1e400, "", "infs", "nans", "1e400ms", "-1ms", [], {}]
+    [
+        None,
+        0,
+        -1,
+        65_536,
+        10**30,
+        10**400,
+        1e400,
+        "",
+        "infs",
+        "nans",
+        "1e400ms",
+        "-1ms",
+        "1e306s",
+        "-1e306s",
+        "\ud800",
+        [],
+        {},
+    ]
 )
 PARTS = [{"service": "desk", "weight": 3}, {"service": "vault", "weight": 1}]
 DOCUMENT = build_operator_document(
@@ -69,7 +95,27 @@
 @given(document=spoiled(SERVER))
 def test_any_row_of_a_server_is_told_or_unreadable(document: Any) -> None:
     found = read_server(build_row("i-1", 5, document))
-    assert found.is_err() or told_of(found.unwrap(), monotonic()).cold_ms >= 0
+    assert found.is_err() or is_told(found.unwrap())
+
+
+@pytest.mark.parametrize("name", ["\ud800", "i-\udfff"])
+def test_a_name_that_is_no_text_is_unreadable(name: str) -> None:
+    assert read_server(build_row(name, 5, SERVER)).is_err()
+
+
+def is_told(listed: ListedVm) -> bool:
+    """Tell it to another VM; fails with what a reader would end with."""
+    news = ListNews(
+        sender="a",
+        bases=(1, 1),
+        version=2,
+        list_age_ms=0,
+        configuration_age_ms=0,
+        configuration_version=1,
+        changed=(told_of(listed, monotonic()),),
+    )
+    stable_hash(listed.name)
+    return decode(encode(news)).is_ok()
 
 
 def test_a_document_without_its_version_is_an_error(
