Give each run of the tests a loopback network of its own

Cause: tests and soaks bound fixed addresses in 127.0.0.0/16 at fixed ports, so that two runs on one machine took one another's addresses. Short soaks and the tests of kept connections listened at 30,000 to 41,600 besides, of which all from 32,768 on may be held by any connection that the kernel gave a port to (ip_local_port_range 32768 to 60999).

Now a process claims the first free network 127.N.0.0/16, N from 1 to 254, by binding a guard socket at 127.N.255.254:19999, and keeps it until it ends; tests and both soaks take their hosts from it (`host_of_run`). Last two octets and ports stay as they were, but for the soaks' ports, which end below 32,768 now. No assertion changed. The pages that run as tests, OPERATIONS.md and callers.md, name none of these addresses and stay as they are. Demo and benchmarks keep 127.0, where nothing of the tests is any more.

Ruled out: port 0 everywhere, since a daemon's ports must be in its settings and in the platform's list before it starts; a lock file, since it outlives a run that is killed, while the kernel closes a socket however the run ends; a network by process id, since two may give the same one.

Before: six test files (test_server, test_daemon, test_connection_pool, test_kept_connections, test_reload, test_store) twice at the same time: one run 1 error of 60 tests (test_reload: a daemon that did not start in 15 s), the other 3 failures of 60 (test_kept_connections: "Address already in use"; test_daemon twice: the request beside the broken one had no answer).

--- a/packages/client/tests/test_operations_page.py
+++ b/packages/client/tests/test_operations_page.py
@@ -22,6 +22,7 @@
 from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.builders import build_route
 from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.loopback_network import host_of_run
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.processes import call
 from plankspindle_testkit.processes import put_in_force
@@ -35,10 +36,12 @@
     from plankspindle_core.http.fetch import HttpAnswer
 
 PAGE = Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
-PLATFORM = Endpoint("127.0.4.1", 17000)
-UPSTREAM = Endpoint("127.0.4.3", 17200)
+PLATFORM = Endpoint(host_of_run(4, 1), 17000)
+UPSTREAM = Endpoint(host_of_run(4, 3), 17200)
 BRONZE = (header_names.AUTHORIZATION, b"Bearer " + BRONZE_KEY.encode())
-PLACE = VmPlace(name="ke-1-a", failure_domain="ke-1", host="127.0.4.2", base_port=17100)
+PLACE = VmPlace(
+    name="ke-1-a", failure_domain="ke-1", host=host_of_run(4, 2), base_port=17100
+)
 
 
 @pytest.fixture
--- a/packages/daemon/tests/exchange/test_busy_loop.py
+++ b/packages/daemon/tests/exchange/test_busy_loop.py
@@ -45,6 +45,7 @@
 from plankspindle_daemon.stories.story import Story
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
 from plankspindle_testkit.builders import build_ticket
+from plankspindle_testkit.loopback_network import host_of_run
 
 _PORTS = count(18_980)
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n"
@@ -124,7 +125,7 @@
 
 async def run_busy() -> FakeSource:
     """Let a head come while the loop is busy from the patience to the deadline."""
-    endpoint = Endpoint("127.0.7.11", next(_PORTS))
+    endpoint = Endpoint(host_of_run(7, 11), next(_PORTS))
     busy = curio.Event()
 
     async def keep_busy() -> None:
@@ -155,7 +156,7 @@
     async def raise_it(self: Attempt, *_: object) -> None:
         raise UnexpectedError
 
-    endpoint = Endpoint("127.0.7.11", next(_PORTS))
+    endpoint = Endpoint(host_of_run(7, 11), next(_PORTS))
     dispatch = FakeDispatch(endpoint, usually_s=DEADLINE_S)
     with socket.create_server((endpoint.host, endpoint.port)):
         monkeypatch.setattr(Attempt, step, raise_it)
--- a/packages/daemon/tests/membership/test_peer_link.py
+++ b/packages/daemon/tests/membership/test_peer_link.py
@@ -17,6 +17,7 @@
 from plankspindle_daemon.peer_messages.list_news import ToldUpstream
 from plankspindle_daemon.wire.frame import FrameSealer
 from plankspindle_testkit.builders import build_membership
+from plankspindle_testkit.loopback_network import host_of_run
 
 if TYPE_CHECKING:
     from plankspindle_daemon.peer_messages.peer_message import PeerMessage
@@ -26,7 +27,7 @@
 
 def build_link(supervisor: Supervisor) -> PeerLink:
     return PeerLink(
-        endpoint=Endpoint("127.0.7.12", next(_PORTS)),
+        endpoint=Endpoint(host_of_run(7, 12), next(_PORTS)),
         sealer=FrameSealer(keys=[b"k" * 16]),
         membership=build_membership("a"),
         random=Random(1),
--- a/packages/daemon/tests/test_caller_page.py
+++ b/packages/daemon/tests/test_caller_page.py
@@ -16,6 +16,7 @@
 from plankspindle_testkit.builders import VmPlace
 from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.loopback_network import host_of_run
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.processes import call
 from plankspindle_testkit.processes import put_in_force
@@ -27,9 +28,11 @@
     from plankspindle_core.http.fetch import HttpAnswer
 
 PAGE = Path(__file__).parents[3] / "docs" / "callers.md"
-PLATFORM = Endpoint("127.0.5.1", 17000)
-UPSTREAM = Endpoint("127.0.5.3", 17200)
-PLACE = VmPlace(name="ba-1-a", failure_domain="ba-1", host="127.0.5.2", base_port=17100)
+PLATFORM = Endpoint(host_of_run(5, 1), 17000)
+UPSTREAM = Endpoint(host_of_run(5, 3), 17200)
+PLACE = VmPlace(
+    name="ba-1-a", failure_domain="ba-1", host=host_of_run(5, 2), base_port=17100
+)
 EXAMPLE_HOST = "http://10.41.1.10:8080"
 
 
--- a/packages/daemon/tests/test_daemon.py
+++ b/packages/daemon/tests/test_daemon.py
@@ -24,6 +24,7 @@
 from plankspindle_daemon.settings.reading import parse_settings
 from plankspindle_testkit.builders import VmPlace
 from plankspindle_testkit.builders import build_settings_mapping
+from plankspindle_testkit.loopback_network import host_of_run
 
 if TYPE_CHECKING:
     import pytest
@@ -38,9 +39,9 @@
 
 def build_settings() -> DaemonSettings:
     place = VmPlace(
-        name="a", failure_domain="ba-1", host="127.0.3.1", base_port=next(_PORTS)
+        name="a", failure_domain="ba-1", host=host_of_run(3, 1), base_port=next(_PORTS)
     )
-    mapping = build_settings_mapping(place, platform=Endpoint("127.0.3.9", 9))
+    mapping = build_settings_mapping(place, platform=Endpoint(host_of_run(3, 9), 9))
     return parse_settings(yaml.safe_dump(mapping)).unwrap()
 
 
--- a/packages/daemon/tests/test_real_processes.py
+++ b/packages/daemon/tests/test_real_processes.py
@@ -19,6 +19,7 @@
 from plankspindle_testkit.builders import VmPlace
 from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.loopback_network import host_of_run
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.processes import call
 from plankspindle_testkit.processes import put_in_force
@@ -31,15 +32,19 @@
 
     from plankspindle_core.http.fetch import HttpAnswer
 
-PLATFORM = Endpoint("127.0.7.1", 17000)
+PLATFORM = Endpoint(host_of_run(7, 1), 17000)
 PLACES = [
-    VmPlace(name="ba-1-a", failure_domain="ba-1", host="127.0.7.11", base_port=17100),
-    VmPlace(name="ba-1-b", failure_domain="ba-1", host="127.0.7.12", base_port=17100),
+    VmPlace(
+        name="ba-1-a", failure_domain="ba-1", host=host_of_run(7, 11), base_port=17100
+    ),
+    VmPlace(
+        name="ba-1-b", failure_domain="ba-1", host=host_of_run(7, 12), base_port=17100
+    ),
 ]
 FIRST, SECOND = PLACES
 UPSTREAMS = {
-    "u1": build_upstream(endpoint=Endpoint("127.0.7.21", 17200), slots=4),
-    "u2": build_upstream(endpoint=Endpoint("127.0.7.22", 17200), slots=4),
+    "u1": build_upstream(endpoint=Endpoint(host_of_run(7, 21), 17200), slots=4),
+    "u2": build_upstream(endpoint=Endpoint(host_of_run(7, 22), 17200), slots=4),
 }
 GOLD = (header_names.AUTHORIZATION, b"Bearer " + GOLD_KEY.encode())
 BRONZE = (header_names.AUTHORIZATION, b"Bearer " + BRONZE_KEY.encode())
--- a/packages/daemon/tests/test_reload.py
+++ b/packages/daemon/tests/test_reload.py
@@ -13,6 +13,7 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_testkit.builders import VmPlace
 from plankspindle_testkit.builders import build_settings_mapping
+from plankspindle_testkit.loopback_network import host_of_run
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.processes import call
 from plankspindle_testkit.processes import wait_for_operator_listener
@@ -22,8 +23,10 @@
     from collections.abc import Iterator
     from pathlib import Path
 
-PLATFORM = Endpoint("127.0.9.1", 17000)
-PLACE = VmPlace(name="ke-1-a", failure_domain="ke-1", host="127.0.9.2", base_port=17100)
+PLATFORM = Endpoint(host_of_run(9, 1), 17000)
+PLACE = VmPlace(
+    name="ke-1-a", failure_domain="ke-1", host=host_of_run(9, 2), base_port=17100
+)
 TOKEN = (header_names.AUTHORIZATION, b"Bearer fresh")
 
 
--- a/packages/daemon/tests/test_unread_log.py
+++ b/packages/daemon/tests/test_unread_log.py
@@ -7,6 +7,7 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_testkit.builders import VmPlace
 from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.loopback_network import host_of_run
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.processes import call
 from plankspindle_testkit.processes import put_in_force
@@ -17,8 +18,10 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-PLATFORM = Endpoint("127.0.8.1", 17000)
-PLACE = VmPlace(name="ke-1-a", failure_domain="ke-1", host="127.0.8.2", base_port=17100)
+PLATFORM = Endpoint(host_of_run(8, 1), 17000)
+PLACE = VmPlace(
+    name="ke-1-a", failure_domain="ke-1", host=host_of_run(8, 2), base_port=17100
+)
 
 
 def test_a_log_that_nobody_reads_holds_no_request_up(tmp_path: Path) -> None:
--- a/packages/daemon/tests/upstreams/test_dirty_connection.py
+++ b/packages/daemon/tests/upstreams/test_dirty_connection.py
@@ -12,6 +12,7 @@
 from plankspindle_core.http.client_connection import ClientConnection
 from plankspindle_core.http.fetch import exchange_on
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
+from plankspindle_testkit.loopback_network import host_of_run
 
 if TYPE_CHECKING:
     import pytest
@@ -46,7 +47,7 @@
 
 
 async def _second_answer() -> tuple[bytes, int]:
-    endpoint = Endpoint("127.0.7.10", next(_PORTS))
+    endpoint = Endpoint(host_of_run(7, 10), next(_PORTS))
     listener = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((endpoint.host, endpoint.port))
--- a/packages/testkit/src/plankspindle_testkit/soak/layout.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/layout.py
@@ -15,6 +15,7 @@
 from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.builders import build_service
 from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.loopback_network import host_of_run
 from plankspindle_testkit.soak.link_proxy import LinkProxy
 
 if TYPE_CHECKING:
@@ -64,7 +65,7 @@
             place = VmPlace(
                 name=f"{domain}-{number}",
                 failure_domain=domain,
-                host="127.0.12.1",
+                host=host_of_run(12, 1),
                 base_port=port,
             )
             self.places.append(place)
@@ -74,17 +75,17 @@
             for domain in ("ba-1", "ke-1"):
                 name = f"u{number}-{domain}"
                 port = self.first_port + 50 + len(self.upstream_endpoints)
-                self.upstream_endpoints[name] = Endpoint("127.0.12.2", port)
+                self.upstream_endpoints[name] = Endpoint(host_of_run(12, 2), port)
                 self._add_proxy("upstream", name, self.upstream_endpoints[name])
 
     @property
     def platform(self) -> Endpoint:
         """The platform stand-in."""
-        return Endpoint("127.0.12.3", self.first_port)
+        return Endpoint(host_of_run(12, 3), self.first_port)
 
     def _add_proxy(self, link: str, name: str, target: Endpoint) -> None:
         port = self.first_port + 5_000 + len(self.proxies_by_link)
-        listens = Endpoint("127.0.12.4", port)
+        listens = Endpoint(host_of_run(12, 4), port)
         proxy = LinkProxy(listens=listens, target=target)
         self.proxies_by_link[f"{link}:{name}"] = proxy
 
--- a/packages/testkit/tests/soak/test_kept_connections.py
+++ b/packages/testkit/tests/soak/test_kept_connections.py
@@ -29,7 +29,7 @@
 
 VM = "ba-1-0"
 LOAD = Load(kept_a_vm=1, slots=1, slow_part=0.0, rest_s=0.0)
-_FIRST_PORTS = count(36_000, 200)
+_FIRST_PORTS = count(26_000, 200)
 _DONE = (header_names.OUTCOME, Outcome.DONE.value.encode())
 
 
--- a/packages/testkit/tests/soak/test_link_proxy.py
+++ b/packages/testkit/tests/soak/test_link_proxy.py
@@ -12,6 +12,7 @@
 from plankspindle_core.http.fetch import fetch
 from plankspindle_core.http.limits import HttpLimits
 from plankspindle_core.http.server import HttpServer
+from plankspindle_testkit.loopback_network import host_of_run
 from plankspindle_testkit.soak.link_proxy import LinkProxy
 from plankspindle_testkit.soak.link_proxy import LinkState
 
@@ -37,12 +38,12 @@
 def run(use: Callable[[LinkProxy, Server], Awaitable[Any]]) -> Any:
     async def run_with_proxy() -> Any:
         port = next(_PORTS)
-        target = Endpoint("127.0.7.11", port)
+        target = Endpoint(host_of_run(7, 11), port)
         counted = Server()
         server = HttpServer(
             endpoint=target, limits=HttpLimits(), handler=counted.handle
         )
-        proxy = LinkProxy(listens=Endpoint("127.0.7.11", port + 1), target=target)
+        proxy = LinkProxy(listens=Endpoint(host_of_run(7, 11), port + 1), target=target)
         await server.start()
         await proxy.start()
         try:
--- a/packages/testkit/tests/soak/test_soak.py
+++ b/packages/testkit/tests/soak/test_soak.py
@@ -34,14 +34,14 @@
 
 
 def test_promises_hold_under_faults_from_outside() -> None:
-    verdict = soak(30_000, *FAULTS)
+    verdict = soak(20_000, *FAULTS)
     assert verdict.broken is None
     assert verdict.requests > 100
     assert verdict.struck_by_kind.total() == len(FAULTS)
 
 
 def test_a_vm_that_is_ended_by_somebody_else_is_seen() -> None:
-    plan = SoakPlan(seed=1, vms=2, faults=FAULTS, first_port=31_000)
+    plan = SoakPlan(seed=1, vms=2, faults=FAULTS, first_port=21_000)
     running = Soak(plan=plan)
 
     async def run() -> SoakVerdict:
@@ -60,7 +60,7 @@
 
 def test_connections_that_close_without_an_answer_are_seen() -> None:
     faults = (SoakFault(at=4.0, for_s=0.5, kind="hup", target="ke-1-1"),)
-    plan = SoakPlan(seed=1, vms=2, faults=faults, first_port=34_000, load=LoadKind.FULL)
+    plan = SoakPlan(seed=1, vms=2, faults=faults, first_port=24_000, load=LoadKind.FULL)
     running = Soak(plan=plan)
 
     async def run() -> SoakVerdict:
@@ -81,7 +81,7 @@
         raise ZeroDivisionError(caller.name)
 
     monkeypatch.setattr(KeptCaller, "run", end)
-    plan = SoakPlan(seed=1, vms=1, faults=(), first_port=35_000, recovery_s=0.0)
+    plan = SoakPlan(seed=1, vms=1, faults=(), first_port=25_000, recovery_s=0.0)
     with pytest.raises(RuntimeError, match="callers ended"):
         curio.run(Soak(plan=plan).run)
 
@@ -100,7 +100,7 @@
 
 
 def test_a_drain_is_watched_beside_faults_elsewhere() -> None:
-    verdict = watch_a_drain(32_000)
+    verdict = watch_a_drain(22_000)
     assert verdict.broken is None
     assert verdict.drains_watched == 1
 
@@ -112,6 +112,6 @@
         return intent["kind"] != "apply" or await put_in_force(operators, intent)
 
     monkeypatch.setattr(Operators, "put_in_force", pretend)
-    broken = watch_a_drain(33_000).broken
+    broken = watch_a_drain(23_000).broken
     assert broken is not None
     assert broken.promise == "drained gets nothing new"
--- a/tests/fleet/fleet_vm.py
+++ b/tests/fleet/fleet_vm.py
@@ -25,6 +25,7 @@
 from plankspindle_platform.operator_reader import OperatorReader
 from plankspindle_platform.row_store import RowStore
 from plankspindle_platform.store_platform import StorePlatform
+from plankspindle_testkit.loopback_network import host_of_run
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -81,7 +82,7 @@
     number: int, store: Endpoint, boot: BootSettings, **timing: int
 ) -> FleetVm:
     """Build a VM; timing that is not given follows from the platform's bounds."""
-    host = f"127.0.8.{number + 1}"
+    host = host_of_run(8, number + 1)
     settings = evolve(
         boot.daemon,
         vm=f"edge-a-{number}",
--- a/tests/fleet/soak/layout.py
+++ b/tests/fleet/soak/layout.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_testkit.loopback_network import host_of_run
 
 ZONES = {"zone-a": "region-1", "zone-b": "region-1", "zone-c": "region-2"}
 SERVICES = ("desk", "vault", "press")
@@ -86,7 +87,7 @@
         return Endpoint(self._host(FIRST_UPSTREAM + number), self.first_port)
 
     def _host(self, last: int) -> str:
-        return f"127.0.{_OCTETS + self.first_port // 100 % _OCTETS}.{last}"
+        return host_of_run(_OCTETS + self.first_port // 100 % _OCTETS, last)
 
     def boot(self, vm: str, bounds: Bounds) -> dict[str, Any]:
         """Build the settings file of a VM."""
--- a/tests/fleet/store_stand_in.py
+++ b/tests/fleet/store_stand_in.py
@@ -16,6 +16,7 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.limits import HttpLimits
 from plankspindle_core.http.server import HttpServer
+from plankspindle_testkit.loopback_network import host_of_run
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -157,7 +158,7 @@
 
 
 def run_with_store(use: Callable[[StoreStandIn, Endpoint], Awaitable[Any]]) -> Any:
-    endpoint = Endpoint("127.0.7.1", next(_PORTS))
+    endpoint = Endpoint(host_of_run(7, 1), next(_PORTS))
     store = StoreStandIn()
 
     async def run() -> Any:
