Let both kinds of soak callers share what they have and note

Cause: `SoakCaller` and `KeptCaller` had the same six fields, marked requests the same way and built the same record of what they were told, each in its own copy.

Now `TellingCaller` holds the fields, marks and notes; the two add how they send. Before: two copies of fields, marks and notes. Conclusion: behaviour and checks are the same.

--- a/packages/testkit/src/plankspindle_testkit/soak/callers.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/callers.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from random import Random
-from time import monotonic
 from typing import TYPE_CHECKING
 
 from attrs import define
@@ -12,15 +10,10 @@
 from plankspindle_core import header_names
 from plankspindle_core.http.fetch import fetch
 from plankspindle_core.outcome import Outcome
-from plankspindle_testkit.builders import BRONZE_KEY
 from plankspindle_testkit.soak.layout import SERVICE
 from plankspindle_testkit.soak.layout import TIMEOUT_MS
-from plankspindle_testkit.soak.layout import Layout
-from plankspindle_testkit.soak.promises import Observations
-from plankspindle_testkit.soak.promises import Told
-from plankspindle_testkit.soak.telling import is_own
-from plankspindle_testkit.soak.telling import log_id_of
-from plankspindle_testkit.soak.telling import outcome_of
+from plankspindle_testkit.soak.telling_caller import AUTHORIZATION
+from plankspindle_testkit.soak.telling_caller import TellingCaller
 from plankspindle_testkit.upstream_stand_in.upstream_stand_in import RUN_HEADER
 
 if TYPE_CHECKING:
@@ -30,39 +23,16 @@
 MAX_TRIES = 4
 FETCH_TIMEOUT_S = TIMEOUT_MS / 1000 + 3.0
 """Longest wait of a caller; beyond it no answer will come."""
-_AUTHORIZATION = (header_names.AUTHORIZATION, b"Bearer " + BRONZE_KEY.encode())
 
 
 @define(kw_only=True)
-class SoakCaller:
-    """Send requests one after the other, to any entry VM.
-
-    Parameters
-    ----------
-    name : str
-        Part of the marks of its requests.
-    layout : Layout
-        Where to send them.
-    seen : Observations
-        Where to note what was told.
-    began_at : float
-        Start of the soak, monotonic seconds.
-    random : Random
-        Source of choices.
-    """
-
-    name: str
-    layout: Layout
-    seen: Observations
-    began_at: float
-    random: Random
-    sent: int = 0
+class SoakCaller(TellingCaller):
+    """Send requests one after the other, to any entry VM."""
 
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
-            self.sent += 1
-            mark = f"{self.name}-{self.sent}"
+            mark = self.next_mark()
             kind = self.random.choice(("read", "read", "write", "key"))
             self.seen.open_marks.add(mark)
             if kind == "key":
@@ -85,30 +55,25 @@
         self, mark: str, *, is_read: bool, extra: HeaderList | None = None
     ) -> Outcome | None:
         place = self.random.choice(self.layout.places)
-        asked_at = monotonic() - self.began_at
+        asked_at = self.now()
         answer = await fetch(
             self.layout.entry("caller", place.name),
             method="GET" if is_read else "POST",
             target=f"/v1/services/{SERVICE}/{mark}",
             headers=[
-                _AUTHORIZATION,
+                AUTHORIZATION,
                 (RUN_HEADER, mark.encode()),
                 (header_names.TIMEOUT, str(TIMEOUT_MS).encode()),
                 *(extra or []),
             ],
             timeout_s=FETCH_TIMEOUT_S,
         )
-        found = answer.ok()
-        told = Told(
+        told = self.note(
+            answer.ok(),
             mark=mark,
-            request="" if found is None else log_id_of(found),
             vm=place.name,
-            may_repeat=is_read,
-            outcome=None if found is None else outcome_of(found),
-            is_own=found is not None and is_own(found, mark),
+            is_read=is_read,
             asked_at=asked_at,
-            told_at=monotonic() - self.began_at,
-            deadline=asked_at + TIMEOUT_MS / 1000,
+            timeout_ms=TIMEOUT_MS,
         )
-        self.seen.told.append(told)
         return told.outcome
--- a/packages/testkit/src/plankspindle_testkit/soak/kept_connections.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/kept_connections.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from random import Random
-from time import monotonic
 from typing import TYPE_CHECKING
 
 from attrs import define
@@ -23,17 +21,12 @@
 from plankspindle_core.http.headers import as_header_list
 from plankspindle_core.outcome import Outcome
 from plankspindle_core.time_limit import within
-from plankspindle_testkit.builders import BRONZE_KEY
 from plankspindle_testkit.soak.layout import SERVICE
 from plankspindle_testkit.soak.layout import TIMEOUT_MS
-from plankspindle_testkit.soak.layout import Layout
 from plankspindle_testkit.soak.load import LEAST_TIMEOUT_MS
 from plankspindle_testkit.soak.load import Load
-from plankspindle_testkit.soak.promises import Observations
-from plankspindle_testkit.soak.promises import Told
-from plankspindle_testkit.soak.telling import is_own
-from plankspindle_testkit.soak.telling import log_id_of
-from plankspindle_testkit.soak.telling import outcome_of
+from plankspindle_testkit.soak.telling_caller import AUTHORIZATION
+from plankspindle_testkit.soak.telling_caller import TellingCaller
 from plankspindle_testkit.upstream_stand_in.upstream_stand_in import RUN_HEADER
 from plankspindle_testkit.upstream_stand_in.upstream_stand_in import WORK_HEADER
 
@@ -54,7 +47,6 @@
 SLOW_FROM = 0.6
 SLOW_TO = 1.1
 """Work of slow requests, as parts of the time that they are given."""
-_AUTHORIZATION = (header_names.AUTHORIZATION, b"Bearer " + BRONZE_KEY.encode())
 
 
 @frozen
@@ -85,25 +77,15 @@
 
 
 @define(kw_only=True)
-class KeptCaller:
+class KeptCaller(TellingCaller):
     """Send requests one after the other on one connection to one entry VM.
 
     Parameters
     ----------
-    name : str
-        Part of the marks of its requests.
     vm : str
         The entry VM.
-    layout : Layout
-        Where that is reached.
     load : Load
         How long requests take.
-    seen : Observations
-        Where to note what was told.
-    began_at : float
-        Start of the soak, monotonic seconds.
-    random : Random
-        Source of choices.
 
     Notes
     -----
@@ -111,14 +93,8 @@
     tells it to stop, and then connects anew.
     """
 
-    name: str
     vm: str
-    layout: Layout
     load: Load
-    seen: Observations
-    began_at: float
-    random: Random
-    sent: int = 0
 
     async def run(self) -> None:
         """Send requests until cancelled."""
@@ -138,7 +114,7 @@
                 await sleep(self.load.rest_s * self.random.random() ** 2)
 
     def _draw(self) -> KeptRequest:
-        self.sent += 1
+        mark = self.next_mark()
         is_slow = self.random.random() < self.load.slow_part
         timeout_ms, work_ms = TIMEOUT_MS, SHORT_WORK_MS
         if is_slow and not self.seen.is_calming:
@@ -147,7 +123,7 @@
             )
             work_ms = timeout_ms * self.random.uniform(SLOW_FROM, SLOW_TO)
         return KeptRequest(
-            mark=f"{self.name}-{self.sent}",
+            mark=mark,
             is_read=self.random.random() < 2 / 3,
             timeout_ms=timeout_ms,
             work_ms=work_ms,
@@ -156,38 +132,33 @@
     async def _send(self, connection: ClientConnection, request: KeptRequest) -> bool:
         """Make one exchange; False if the connection can't be used again."""
         self.seen.open_marks.add(request.mark)
-        asked_at = monotonic() - self.began_at
+        asked_at = self.now()
         wait_s = request.timeout_ms / 1000 + NO_ANSWER_S
         answer: Result[HttpAnswer, HttpError]
         try:
             answer = await within(wait_s, _exchange, connection, request)
         except TaskTimeout:
             answer = Err(TimedOut(wait_s))
-        self._note(request, asked_at, answer)
+        self._note_end(request, asked_at, answer)
         self.seen.open_marks.discard(request.mark)
         return answer.is_ok() and connection.prepare_reuse()
 
-    def _note(
+    def _note_end(
         self,
         request: KeptRequest,
         asked_at: float,
         answer: Result[HttpAnswer, HttpError],
     ) -> None:
-        found = answer.ok()
         error = answer.err()
-        told = Told(
+        self.note(
+            answer.ok(),
             mark=request.mark,
-            request="" if found is None else log_id_of(found),
             vm=self.vm,
-            may_repeat=request.is_read,
-            outcome=None if found is None else outcome_of(found),
-            is_own=found is not None and is_own(found, request.mark),
+            is_read=request.is_read,
             asked_at=asked_at,
-            told_at=monotonic() - self.began_at,
-            deadline=asked_at + request.timeout_ms / 1000,
+            timeout_ms=request.timeout_ms,
             is_cut=isinstance(error, ConnectionLost) and not isinstance(error, Unsent),
         )
-        self.seen.told.append(told)
 
 
 async def _exchange(
@@ -221,7 +192,7 @@
     return [
         (b"host", str(connection.endpoint).encode()),
         (b"content-length", b"0"),
-        _AUTHORIZATION,
+        AUTHORIZATION,
         (RUN_HEADER, request.mark.encode()),
         (WORK_HEADER, f"{request.work_ms:.0f}".encode()),
         (header_names.TIMEOUT, str(request.timeout_ms).encode()),
