Let both soaks wait for their start and end their processes by the same code

Cause: the soak and the soak on the fleet's platform each had a loop that waits for the start, a function that runs one and ends its processes, and a reader of the time that a process waited for a processor.

Ruled out: one layout for both. They share only the number of VMs and the first port: one puts a proxy on each link and gives ports by kind, the other gives each VM an address and writes the fleet's settings file. Also ruled out: one command for both, whose options and reports differ.

Now `wait_for_start` and `run_and_end` serve both, and the fleet's soak uses `waited_s`. The limits stay: 30 s and 60 s, looks every 0.2 s and 0.25 s. Tests of the shared pieces are new (5): a start that comes and one that does not, and processes that end with a soak that returns, breaks or is interrupted. Before: three pieces, twice each.

--- a/packages/testkit/src/plankspindle_testkit/soak/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/__main__.py
@@ -11,7 +11,6 @@
 from typing import TYPE_CHECKING
 
 import click
-import curio
 import yaml
 from click.testing import CliRunner
 
@@ -19,6 +18,7 @@
 from plankspindle_testkit.soak.layout import Layout
 from plankspindle_testkit.soak.load import LoadKind
 from plankspindle_testkit.soak.load import draw_load
+from plankspindle_testkit.soak.running import run_and_end
 from plankspindle_testkit.soak.soak import Soak
 from plankspindle_testkit.soak.soak import SoakPlan
 from plankspindle_testkit.soak.soak import SoakVerdict
@@ -102,13 +102,8 @@
 
 
 def _run(plan: SoakPlan) -> SoakVerdict:
-    """Run a soak; its processes end with it, also if it is ended by a signal."""
     soak = Soak(plan=plan)
-    try:
-        verdict: SoakVerdict = curio.run(soak.run)
-    finally:
-        soak.processes.close()
-    return verdict
+    return run_and_end(soak.run, soak.processes)
 
 
 class _Totals:
--- a/packages/testkit/src/plankspindle_testkit/soak/soak.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak.py
@@ -38,6 +38,7 @@
 from plankspindle_testkit.soak.promises import check_all
 from plankspindle_testkit.soak.promises import check_end
 from plankspindle_testkit.soak.promises import check_growth
+from plankspindle_testkit.soak.running import wait_for_start
 from plankspindle_testkit.soak.soak_fault import SoakFault
 from plankspindle_testkit.soak.striker import Striker
 
@@ -47,6 +48,7 @@
 
 CHECK_PERIOD_S = 1.0
 START_S = 30.0
+START_LOOK_S = 0.2
 RECOVERY_S = 15.0
 CALM_S = 5.0
 """Time after that for which it is watched."""
@@ -203,11 +205,8 @@
         self.striker.began_at = self.operators.began_at = monotonic()
 
     async def _until(self, holds: Any) -> None:
-        end = monotonic() + START_S
-        while not await holds():
-            if monotonic() > end:
-                raise TimeoutError(f"the soak does not start: {holds.__name__}")
-            await sleep(0.2)
+        what = f"the soak does not start: {holds.__name__}"
+        await wait_for_start(holds, within_s=START_S, look_s=START_LOOK_S, what=what)
 
     async def _platform_lists(self) -> bool:
         vms = [place.listed() for place in self.layout.places]
--- /dev/null
+++ b/packages/testkit/tests/soak/test_running.py
@@ -0,0 +1,63 @@
+"""A soak that does not start says so; an interrupted one ends its processes."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+import curio
+import pytest
+
+from plankspindle_testkit.processes import Processes
+from plankspindle_testkit.soak.running import run_and_end
+from plankspindle_testkit.soak.running import wait_for_start
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+WAITS = [sys.executable, "-c", "import time; time.sleep(60)"]
+
+
+def wait(looks: int, within_s: float) -> int:
+    """Wait for what holds from some look on, and give how many were needed."""
+    looked = 0
+
+    async def holds() -> bool:
+        nonlocal looked
+        looked += 1
+        return looked >= looks
+
+    async def run() -> None:
+        await wait_for_start(holds, within_s=within_s, look_s=0.01, what="not yet")
+
+    curio.run(run)
+    return looked
+
+
+def test_a_start_is_awaited() -> None:
+    assert wait(3, within_s=5.0) == 3
+
+
+def test_a_start_that_does_not_come_is_given_up() -> None:
+    with pytest.raises(TimeoutError, match="not yet"):
+        wait(sys.maxsize, within_s=0.1)
+
+
+@pytest.mark.parametrize("ends_by", [None, KeyboardInterrupt, ZeroDivisionError])
+def test_processes_end_with_their_soak(
+    tmp_path: Path, ends_by: type[BaseException] | None
+) -> None:
+    processes = Processes(folder=tmp_path)
+
+    async def run() -> str:
+        processes._start("vm", WAITS)
+        if ends_by is not None:
+            raise ends_by
+        return "verdict"
+
+    if ends_by is None:
+        assert run_and_end(run, processes) == "verdict"
+    else:
+        with pytest.raises(ends_by):
+            run_and_end(run, processes)
+    assert processes.by_name["vm"].poll() is not None
--- a/tests/fleet/soak/__main__.py
+++ b/tests/fleet/soak/__main__.py
@@ -10,8 +10,8 @@
 from typing import TYPE_CHECKING
 
 import click
-import curio
 
+from plankspindle_testkit.soak.running import run_and_end
 from plankspindle_testkit.soak.soak_fault import read_schedule
 from soak.fleet_soak import FleetSoak
 from soak.fleet_soak import Plan
@@ -78,13 +78,8 @@
 
 
 def _run(plan: Plan) -> Verdict:
-    """Run a soak; what it started is ended also when it is interrupted."""
     soak = FleetSoak(plan=plan)
-    try:
-        verdict: Verdict = curio.run(soak.run)
-    finally:
-        soak.striker.processes.close()
-    return verdict
+    return run_and_end(soak.run, soak.striker.processes)
 
 
 def _text(counted: Counter[str]) -> str:
--- a/tests/fleet/soak/fleet_soak.py
+++ b/tests/fleet/soak/fleet_soak.py
@@ -4,7 +4,6 @@
 
 import tempfile
 from collections import Counter
-from contextlib import suppress
 from pathlib import Path
 from random import Random
 from time import monotonic
@@ -19,6 +18,8 @@
 
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.soak.link_proxy import LinkProxy
+from plankspindle_testkit.soak.process_facts import waited_s
+from plankspindle_testkit.soak.running import wait_for_start
 from plankspindle_testkit.soak.soak_fault import SoakFault
 from plankspindle_testkit.soak.soak_fault import write_schedule
 from soak.callers import Caller
@@ -185,16 +186,16 @@
         for vm in self.layout.names():
             striker.start(vm)
         await self._start_callers()
-        end = monotonic() + START_S
-        while not all(self._serves(vm) for vm in self.layout.names()):
-            if monotonic() > end:
-                raise TimeoutError(f"not all serve: {striker.processes.folder}")
-            await sleep(LOOK_S)
+        what = f"not all serve: {striker.processes.folder}"
+        await wait_for_start(
+            self._all_serve, within_s=START_S, look_s=LOOK_S, what=what
+        )
         starting.end = monotonic()
         self._tasks.append(await spawn(self._watch, daemon=True))
 
-    def _serves(self, vm: str) -> bool:
-        return any(each.vm == vm and each.status == 200 for each in self.checks.told)
+    async def _all_serve(self) -> bool:
+        serving = {each.vm for each in self.checks.told if each.status == 200}
+        return serving.issuperset(self.layout.names())
 
     async def _start_callers(self) -> None:
         callers = CALLERS_A_VM * self.plan.vms
@@ -220,7 +221,7 @@
             await sleep(LOOK_S)
             held_s = monotonic() - before - LOOK_S
             waits = {
-                vm: _waited_s(self.striker.processes.by_name[vm].pid)
+                vm: waited_s(self.striker.processes.by_name[vm].pid)
                 for vm in self.layout.names()
             }
             grown = [waits[vm] - waited_by_vm.get(vm, waits[vm]) for vm in waits]
@@ -264,10 +265,3 @@
         lines += [str(each) for each in checks.broken]
         lines += [str(each) for each in checks.told]
         (folder / "history.txt").write_text("\n".join(lines) + "\n")
-
-
-def _waited_s(pid: int) -> float:
-    """Read how long a process could have run but got no processor, in seconds."""
-    with suppress(OSError):
-        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
-    return 0.0
