Write once how tests of the daemon's ends catch the log and play a broken request

Cause: two functions each started and stopped logging around a run, and three tests repeated the lines that patch the listener and take a tuple of four apart.

Ruled out: one parametrised test, since each of the three checks something of its own.

Now `run_logged` serves both, a fixture plays the request, and its end is a named record. The assertions are the same.

--- a/packages/daemon/tests/test_daemon.py
+++ b/packages/daemon/tests/test_daemon.py
@@ -4,11 +4,15 @@
 
 import io
 import socket
+from functools import partial
 from itertools import count
 from typing import TYPE_CHECKING
+from typing import Any
 
 import curio
+import pytest
 import yaml
+from attrs import frozen
 
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.fetch import fetch
@@ -27,11 +31,13 @@
 from plankspindle_testkit.loopback_network import host_of_run
 
 if TYPE_CHECKING:
-    import pytest
+    from collections.abc import Callable
 
     from plankspindle_core.http.server_exchange import ServerExchange
     from plankspindle_daemon.settings.daemon_settings import DaemonSettings
 
+    Play = Callable[[str], tuple["Played", str]]
+
 _PORTS = count(18_600, 3)
 WHOLE_BYTES = 400_000
 """Length of an answer that is still on its way when its sender has handed it over."""
@@ -45,14 +51,19 @@
     return parse_settings(yaml.safe_dump(mapping)).unwrap()
 
 
-def run(settings: DaemonSettings) -> tuple[int, str]:
+def run_logged(run: Callable[..., Any], *arguments: object) -> tuple[Any, str]:
+    """Run something, and give its result and what was logged."""
     stream = io.StringIO()
     destination = start_logging(stream=stream)
     try:
-        status = curio.run(run_daemon, settings)
+        result = curio.run(run, *arguments)
     finally:
         stop_logging(destination)
-    return status, stream.getvalue()
+    return result, stream.getvalue()
+
+
+def run(settings: DaemonSettings) -> tuple[int, str]:
+    return run_logged(run_daemon, settings)
 
 
 def test_a_broken_invariant_stops_the_process_with_one_clear_line(
@@ -83,17 +94,27 @@
     assert "ZeroDivisionError" in log
 
 
-async def ask_beside_a_running_one(
-    settings: DaemonSettings, broken: str
-) -> tuple[int, list[int | None], bool]:
-    """Send a request that breaks while another one runs.
+@frozen(kw_only=True)
+class Played:
+    """How a request that breaks ended beside another one.
 
-    Returns
-    -------
-    tuple
-        Status of the broken request, that of the other, and whether the daemon still
-        runs then.
+    Parameters
+    ----------
+    exit_status : int
+        That of the daemon; zero while it runs.
+    statuses : list of int or None
+        Status of the broken request and that of the other.
+    runs_on : bool
+        Whether the daemon still runs then.
     """
+
+    exit_status: int
+    statuses: list[int | None]
+    runs_on: bool
+
+
+async def ask_beside_a_running_one(settings: DaemonSettings, broken: str) -> Played:
+    """Send a request that breaks while another one runs."""
     daemon = await curio.spawn(run_daemon, settings)
     while (await fetch(settings.listen.caller, timeout_s=1.0)).is_err():
         await curio.sleep(0.02)
@@ -103,8 +124,9 @@
     await curio.sleep(0.2)
     runs_on = not daemon.terminated
     await daemon.cancel()
-    status: int = 0 if runs_on else daemon.result
-    return status, statuses, runs_on
+    return Played(
+        exit_status=0 if runs_on else daemon.result, statuses=statuses, runs_on=runs_on
+    )
 
 
 async def status_of(settings: DaemonSettings, target: str) -> int | None:
@@ -126,44 +148,31 @@
     await source.answer(status=200, body=b"own")
 
 
-def play(
-    monkeypatch: pytest.MonkeyPatch, broken: str
-) -> tuple[int, list[int | None], bool, str]:
+@pytest.fixture
+def play(monkeypatch: pytest.MonkeyPatch) -> Play:
     monkeypatch.setattr(CallerListener, "handle", handle_or_break)
-    stream = io.StringIO()
-    destination = start_logging(stream=stream)
-    try:
-        played = curio.run(ask_beside_a_running_one, build_settings(), broken)
-    finally:
-        stop_logging(destination)
-    return (*played, stream.getvalue())
+    return partial(run_logged, ask_beside_a_running_one, build_settings())
 
 
-def test_an_unexpected_error_of_a_request_ends_only_that_request(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    _, statuses, runs_on, log = play(monkeypatch, "/unexpected")
-    assert statuses == [500, 200]
-    assert runs_on
+def test_an_unexpected_error_of_a_request_ends_only_that_request(play: Play) -> None:
+    played, log = play("/unexpected")
+    assert played.statuses == [500, 200]
+    assert played.runs_on
     assert 'error="ZeroDivisionError()"' in log
     assert "handle_or_break" in log
 
 
-def test_an_unexpected_error_after_an_answer_leaves_it_whole(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    _, statuses, runs_on, log = play(monkeypatch, "/after-answer")
-    assert statuses == [200, 200]
-    assert runs_on
+def test_an_unexpected_error_after_an_answer_leaves_it_whole(play: Play) -> None:
+    played, log = play("/after-answer")
+    assert played.statuses == [200, 200]
+    assert played.runs_on
     assert "event=error_contained" in log
 
 
-def test_a_broken_invariant_of_a_request_stops_the_process(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    status, _, runs_on, log = play(monkeypatch, "/invariant")
-    assert not runs_on
-    assert status == EXIT_BROKEN_INVARIANT
+def test_a_broken_invariant_of_a_request_stops_the_process(play: Play) -> None:
+    played, log = play("/invariant")
+    assert not played.runs_on
+    assert played.exit_status == EXIT_BROKEN_INVARIANT
     assert "event=invariant_broken" in log
 
 
