Soak on the fleet's platform: let entries of living upstreams lapse in outages

Cause: the soak took the store away, but no entry of a living upstream ever lapsed with it, as the platform's page says entries may. That missing ones are kept for a time and taken again as they come back was played by no real process of the soak.

Now the store is away from all for 3 to 7 s (silent, refusing, resetting), a tenth to all of the entries go, each is back within 2 s of its return, and up to two of their upstreams have vanished in earnest. Checked: used again, served again, not run, answered twice; that vanished ones are left is judged by the check of those that left. Lapses are drawn from a source of their own, so that the other faults of a seed are what they were.

Needed for it: the stand-in of the store told a row that was put again as gone, as its tombstone stayed; a refusing store kept answering calls that waited (it still does in outages without lapses, so that those stay what they were); a slow call that came before the store fell silent was answered while it was away.

Ruled out: requests without a key to judge use by.

--- a/tests/fleet/soak/callers.py
+++ b/tests/fleet/soak/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from contextlib import suppress
 from random import Random
@@ -16,6 +17,8 @@
 
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.client_connection import ClientConnection
+from plankspindle_core.http.headers import find_header
+from plankspindle_platform.dialect import DIALECT
 from soak.checks import Checks
 from soak.checks import Told
 from soak.history import HOST
@@ -23,9 +26,13 @@
 from soak.upstreams import ID
 from soak.upstreams import Upstreams
 
+KEY_COOKIE = DIALECT.affinity_cookie
 DEADLINE_MS = 2_500
 PATIENCE_S = 4.0
 CONNECT_S = 1.0
+KEYED_PART = 0.75
+"""Keys spread requests over all upstreams; without, few are used while little runs."""
+AFTER = "bytes came after an answer"
 PAUSE_S = (0.08, 0.25)
 MAX_BODY_BYTES = 100_000
 
@@ -50,6 +57,8 @@
         Source of choices.
     pauses : float
         Factor on the pauses.
+    keyed_part : float
+        Part of its requests that carry an affinity key, a new one each.
     """
 
     vm: str
@@ -59,7 +68,9 @@
     upstreams: Upstreams
     random: Random
     pauses: float = 1.0
+    keyed_part: float = KEYED_PART
     _connection: Any = field(default=None)
+    _surplus: str = ""
 
     async def run(self) -> None:
         """Send requests until cancelled."""
@@ -71,6 +82,8 @@
     async def _connect(self) -> bool:
         if self._connection is not None and self._connection.is_quiet():
             return True
+        if self._connection is not None and _has_bytes(self._connection):
+            self._surplus = AFTER
         await self._close()
         self._connection = ClientConnection(endpoint=self.endpoint)
         started = await self._connection.start(timeout_s=CONNECT_S)
@@ -86,31 +99,42 @@
     async def _send(self) -> None:
         request = f"{self.random.getrandbits(64):016x}"
         prefix = self.checks.history.draw_prefix(self.random)
+        has_key = self.random.random() < self.keyed_part
         life, sent_at = self.life(), monotonic()
-        status = None
+        status, surplus, self._surplus = None, self._surplus, ""
         with suppress(TaskTimeout):
-            status = await timeout_after(PATIENCE_S, self._exchange, request, prefix)
+            status = await timeout_after(
+                PATIENCE_S, self._exchange, request, prefix, has_key
+            )
+        ended_at = monotonic()
+        if status is None or not self._connection.prepare_reuse():
+            if status is not None and _has_bytes(self._connection):
+                self._surplus = AFTER
+            await self._close()
         told = Told(
             request=request,
             vm=self.vm,
             prefix=prefix,
             life=life if life == self.life() else None,
             sent_at=sent_at,
-            ended_at=monotonic(),
+            ended_at=ended_at,
             status=status,
             is_lost=status is None,
+            has_key=has_key,
+            surplus=surplus or self._surplus,
         )
-        if status is None or not self._connection.prepare_reuse():
-            await self._close()
-        self.checks.take(told, self.upstreams.runs_by_id.pop(request, []))
+        self._surplus = ""
+        self.checks.take(told, self.upstreams.runs_by_id.setdefault(request, []))
 
-    async def _exchange(self, request: str, prefix: str) -> int | None:
+    async def _exchange(self, request: str, prefix: str, has_key: bool) -> int | None:
         connection = self._connection
         headers = [
             (b"host", HOST.encode()),
             (ID, request.encode()),
             (b"x-plankspindle-deadline-ms", str(DEADLINE_MS).encode()),
         ]
+        if has_key:
+            headers.append((b"cookie", f"{KEY_COOKIE}={request}".encode()))
         if prefix in ONCE:
             headers.append((b"content-length", b"0"))
         await connection.send_request(
@@ -123,5 +147,18 @@
         head = await connection.read_head()
         if head.is_err():
             return None
+        answered = find_header(head.unwrap().headers, ID) or request.encode()
+        if answered != request.encode():
+            self._surplus = f"the answer to {answered.decode()}"
         body = await connection.read_body(max_bytes=MAX_BODY_BYTES)
         return None if body.is_err() else int(head.unwrap().status_code)
+
+
+def _has_bytes(connection: ClientConnection) -> bool:
+    """Tell whether more came on a connection that rests, other than its end."""
+    if connection._protocol.trailing_data[0]:
+        return True
+    with suppress(OSError):
+        peeked: bytes = connection._socket._socket.recv(1, socket.MSG_PEEK)
+        return bool(peeked)
+    return False
--- a/tests/fleet/soak/checks.py
+++ b/tests/fleet/soak/checks.py
@@ -45,6 +45,10 @@
         Status of a whole answer.
     is_lost : bool
         Whether its connection was made, but ended or stayed silent without an answer.
+    has_key : bool
+        Whether it carried an affinity key.
+    surplus : str
+        What came that was no answer to it, if something did.
     """
 
     request: str
@@ -55,6 +59,8 @@
     ended_at: float
     status: int | None
     is_lost: bool = False
+    has_key: bool = False
+    surplus: str = ""
 
 
 @frozen(kw_only=True)
@@ -95,6 +101,8 @@
         What was found.
     counts : Counter of str
         Requests and how many of them each check could judge.
+    taken : list of tuple of Told and list of Run
+        Requests and where they ran; runs that begin later join.
     """
 
     bounds: Bounds
@@ -103,6 +111,7 @@
     broken: list[Broken] = Factory(list)
     counts: Counter[str] = Factory(Counter)
     told: list[Told] = Factory(list)
+    taken: list[tuple[Told, list[Run]]] = Factory(list)
     _waiting: deque[tuple[Told, list[Run]]] = Factory(deque)
     _floors_by_life: dict[tuple[str, int], list[tuple[float, int]]] = Factory(dict)
 
@@ -121,6 +130,7 @@
             Where it ran.
         """
         self.told.append(told)
+        self.taken.append((told, runs))
         self._waiting.append((told, runs))
 
     def judge(self, before: float = inf) -> None:
@@ -138,6 +148,9 @@
         self.counts["judged for running once"] += told.prefix in ONCE and bool(runs)
         if told.prefix in ONCE and len(runs) > 1:
             self.fail("once", f"{told} ran {len(runs)} times", told.ended_at)
+        if told.surplus:
+            detail = f"{told}: {told.surplus}"
+            self.fail("answered twice", detail, told.ended_at)
         self._check_lost(told, runs)
 
     def _check_handled(self, told: Told, ran_at: str, seen_at: float) -> None:
@@ -185,6 +198,8 @@
             return
         late_s = run.arrived_at - run.at.left_at
         self.counts["judged for upstreams that left"] += run.others_left > 0
+        vanished = run.others_vanished > 0
+        self.counts["judged for upstreams that vanished in outages"] += vanished
         due = self.disturbed.later(run.at.left_at, self.bounds.drain, run.arrived_at)
         if run.arrived_at > due:
             detail = f"{told} reached {run.at.name} {late_s:.3f} s after it left"
--- a/tests/fleet/soak/faults.py
+++ b/tests/fleet/soak/faults.py
@@ -9,6 +9,7 @@
 OF_STORE = ("away", "held", "refused", "slow", "loses")
 OF_LINKS = ("silence", "reset-links", "forget")
 OF_VMS = ("kill", "stop", "term", "hup", "rolling", "herd-kill", "herd-stop", "hup-all")
+OF_LAPSES = ("lapse-away", "lapse-refused", "lapse-resets")
 OF_OPERATORS = ("change", "storm", "evacuate", "leave", "vanish")
 STORE_S = (0.2, 12.0)
 STOP_S = (0.2, 5.0)
@@ -18,6 +19,9 @@
 """Mean times between faults of the store, of which a seed has one."""
 VM_GAP_S = 9.0
 CHANGE_GAP_S = 1.5
+LAPSE_GAP_S = 14.0
+LAPSE_S = (3.0, 7.0)
+"""Length of an outage in which entries lapse, in seconds."""
 
 
 def draw(seed: int, *, seconds: float, vms: list[str]) -> list[SoakFault]:
@@ -44,9 +48,19 @@
         faults.append(_fault(at, random.uniform(*STOP_S), kind, target))
     for at in _times(random, CHANGE_GAP_S, seconds):
         faults.append(_draw_of_operator(random, at))
+    faults += _draw_lapses(seed, seconds)
     return sorted(faults, key=lambda each: each.at)
 
 
+def _draw_lapses(seed: int, seconds: float) -> list[SoakFault]:
+    """Draw outages with lapses from a source of their own: the others stay as drawn."""
+    random = Random(f"lapses of fleet soak {seed}")
+    return [
+        _fault(at, random.uniform(*LAPSE_S), random.choice(OF_LAPSES), "")
+        for at in _times(random, LAPSE_GAP_S, seconds)
+    ]
+
+
 def _times(random: Random, gap_s: float, seconds: float) -> list[float]:
     times = [random.expovariate(1 / gap_s)]
     while times[-1] < seconds:
--- a/tests/fleet/soak/fleet_soak.py
+++ b/tests/fleet/soak/fleet_soak.py
@@ -21,12 +21,15 @@
 from plankspindle_testkit.soak.link_proxy import LinkProxy
 from plankspindle_testkit.soak.soak_fault import SoakFault
 from plankspindle_testkit.soak.soak_fault import write_schedule
+from soak.callers import KEYED_PART
 from soak.callers import Caller
 from soak.checks import Broken
 from soak.checks import Checks
 from soak.faults import draw
 from soak.history import Disturbances
 from soak.history import History
+from soak.lapser import Lapser
+from soak.lapses import LapseChecks
 from soak.layout import Bounds
 from soak.layout import Layout
 from soak.store import SoakStore
@@ -46,6 +49,9 @@
 CALLERS_A_VM = 2
 OF_EACH_PLACE = (3, 3, 2, 1)
 """Upstreams of a service in a zone, by seed: the fleet has 2 to 4."""
+LATE_CALLERS_A_VM = 1
+LATE_PAUSES = 0.3
+"""Callers that join after the last fault, so that each upstream should be used soon."""
 MOST_REQUESTS_S = 100.0
 """Requests a second that the soak's own process bears beside the store."""
 MEAN_GAP_S = 0.25
@@ -122,18 +128,26 @@
             disturbed=Disturbances(contact_s=bounds.contact),
         )
         store = SoakStore(random)
+        upstreams = Upstreams(
+            layout=self.layout,
+            store=store,
+            random=random,
+            drain_s=bounds.drain,
+            of_each_place=OF_EACH_PLACE[plan.seed % len(OF_EACH_PLACE)],
+        )
         self.striker = Striker(
             layout=self.layout,
             processes=Processes(folder=Path(tempfile.mkdtemp(prefix="fleet-soak-"))),
             store=store,
-            upstreams=Upstreams(
-                layout=self.layout,
+            upstreams=upstreams,
+            checks=self.checks,
+            lapser=Lapser(
                 store=store,
-                random=random,
-                drain_s=bounds.drain,
-                of_each_place=OF_EACH_PLACE[plan.seed % len(OF_EACH_PLACE)],
+                upstreams=upstreams,
+                lapses=LapseChecks(checks=self.checks),
+                vms=self.layout.names(),
+                seed=plan.seed,
             ),
-            checks=self.checks,
             proxies_by_vm={
                 vm: LinkProxy(
                     listens=self.layout.at(vm, 30), target=self.layout.at(vm, 31)
@@ -152,8 +166,12 @@
             began_at = monotonic()
             wall = time() - began_at
             await self._strike()
+            await self._start_callers(
+                "late caller", LATE_CALLERS_A_VM, pauses=LATE_PAUSES, keyed_part=1.0
+            )
             await sleep(RECOVERY_S)
             await self._check_end()
+            ended_at = monotonic()
         finally:
             for task in self._tasks:
                 await task.cancel()
@@ -163,6 +181,7 @@
             await striker.upstreams.close()
             await striker.store.close()
         self.checks.judge()
+        striker.lapser.lapses.check(striker.upstreams.lives, ended_at)
         held_s = self.checks.disturbed.held_s(0.0, monotonic())
         self.checks.counts["seconds held up by the machine"] += round(held_s)
         self._write_history(wall)
@@ -184,7 +203,7 @@
         starting = self.checks.disturbed.begin(self.layout.names(), 0.0)
         for vm in self.layout.names():
             striker.start(vm)
-        await self._start_callers()
+        await self._start_callers("caller", CALLERS_A_VM)
         end = monotonic() + START_S
         while not all(self._serves(vm) for vm in self.layout.names()):
             if monotonic() > end:
@@ -196,9 +215,16 @@
     def _serves(self, vm: str) -> bool:
         return any(each.vm == vm and each.status == 200 for each in self.checks.told)
 
-    async def _start_callers(self) -> None:
-        callers = CALLERS_A_VM * self.plan.vms
-        pauses = max(1.0, callers / MEAN_GAP_S / MOST_REQUESTS_S)
+    async def _start_callers(
+        self,
+        name: str,
+        callers_a_vm: int,
+        *,
+        pauses: float = 1.0,
+        keyed_part: float = KEYED_PART,
+    ) -> None:
+        callers = callers_a_vm * self.plan.vms
+        pauses *= max(1.0, callers / MEAN_GAP_S / MOST_REQUESTS_S)
         for number in range(callers):
             vm = self.layout.names()[number % self.plan.vms]
             caller = Caller(
@@ -207,8 +233,9 @@
                 life=lambda vm=vm: self.striker.lives_by_vm[vm],  # type: ignore[misc]
                 checks=self.checks,
                 upstreams=self.striker.upstreams,
-                random=Random(f"caller {number} of {self.plan.seed}"),
+                random=Random(f"{name} {number} of {self.plan.seed}"),
                 pauses=pauses,
+                keyed_part=keyed_part,
             )
             self._tasks.append(await spawn(caller.run, daemon=True))
 
@@ -261,6 +288,8 @@
         lines += [f"{n} {each}" for n, each in enumerate(checks.history.versions)]
         lines += [str(each) for each in checks.history.evacuations]
         lines += [f"{vm} {s}" for vm, all_ in checks.disturbed.all() for s in all_]
+        lines += [str(each) for each in self.striker.lapser.lapses.lapses]
+        lines += self.striker.lapser.lapses.uses
         lines += [str(each) for each in checks.broken]
         lines += [str(each) for each in checks.told]
         (folder / "history.txt").write_text("\n".join(lines) + "\n")
--- /dev/null
+++ b/tests/fleet/soak/lapses.py
@@ -0,0 +1,213 @@
+"""Entries that lapsed in an outage of the store, and what must follow from it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import define
+from attrs import frozen
+
+from soak.checks import Checks
+from soak.history import ONCE
+from soak.layout import ZONES
+from soak.upstreams import Upstream
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from soak.checks import Told
+
+PROMISES = (408, 421, 429, 503)
+"""Answers that say that the request has not run and will not."""
+WINDOW_S = 6.0
+"""Time after an outage in which reads are judged for being served, in seconds."""
+LEAST_READS = 10
+LEAST_SERVED = 0.9
+LEAST_EXPECTED = 15.0
+"""Requests that an upstream had to get for their lack to show that it was lost.
+
+Keys spread requests evenly over the upstreams of a service in a region; by chance
+alone one gets none of 15 expected in 3 of 10 million cases. Requests without a key
+don't count: few upstreams get them while little runs.
+"""
+OK = 200
+ALL = "all entry VMs"
+
+
+@define(kw_only=True)
+class Lapse:
+    """Entries of living upstreams that went in an outage of the store.
+
+    Parameters
+    ----------
+    ended_at : float
+        When the store was back, monotonic seconds.
+    back_at : list of tuple of Upstream and float
+        Which entries came back when, monotonic seconds.
+    """
+
+    ended_at: float
+    back_at: list[tuple[Upstream, float]] = Factory(list)
+
+    @property
+    def whole_at(self) -> float:
+        """When the last entry was back, monotonic seconds."""
+        return max((at for _, at in self.back_at), default=self.ended_at)
+
+
+@frozen(kw_only=True)
+class _Use:
+    vm: str
+    at: Upstream
+    arrived_at: float
+
+
+@define(kw_only=True)
+class LapseChecks:
+    """Checks of what follows from lapsed entries, made once all is over.
+
+    Parameters
+    ----------
+    checks : Checks
+        What is known, and what is told of findings.
+
+    Attributes
+    ----------
+    uses : list of str
+        What each upstream whose entry lapsed got afterwards, for tracing.
+    """
+
+    checks: Checks
+    lapses: list[Lapse] = Factory(list)
+    uses: list[str] = Factory(list)
+
+    def check(self, upstreams: list[Upstream], end: float) -> None:
+        """Check everything.
+
+        Parameters
+        ----------
+        upstreams : list of Upstream
+            Those that there are at the end.
+        end : float
+            When callers ended, monotonic seconds.
+        """
+        self._check_not_run()
+        for lapse in self.lapses:
+            self._check_served_again(lapse)
+            for upstream, back_at in lapse.back_at:
+                self._check_used_again(lapse, upstream, back_at, upstreams, end)
+
+    def _check_not_run(self) -> None:
+        for told, runs in self.checks.taken:
+            if told.status not in PROMISES:
+                continue
+            self.checks.counts["judged for not running"] += 1
+            if runs:
+                detail = f"{told} ran at {runs[0].at.name}, {runs[0].arrived_at:.3f}"
+                self.checks.fail("not run", detail, told.ended_at)
+
+    def _check_served_again(self, lapse: Lapse) -> None:
+        """Check the share of reads served from the bound after the last entry on."""
+        asked: Counter[str] = Counter()
+        served: Counter[str] = Counter()
+        for told, _ in self.checks.taken:
+            due = self.checks.disturbed.later(
+                lapse.ended_at, self.checks.bounds.contact, told.sent_at
+            )
+            if max(due, lapse.whole_at) < told.sent_at < due + WINDOW_S and (
+                self._must_be_served(told)
+            ):
+                asked[told.vm] += 1
+                served[told.vm] += told.status == OK
+        for vm, number in asked.items():
+            if number < LEAST_READS:
+                continue
+            self.checks.counts["judged for being served after a lapse"] += number
+            if served[vm] < LEAST_SERVED * number:
+                detail = f"{vm} served {served[vm]} of {number} reads"
+                self.checks.fail("served again", detail, lapse.whole_at)
+
+    def _must_be_served(self, told: Told) -> bool:
+        if told.prefix in ONCE:
+            return False
+        versions = self.checks.history.versions
+        apply_s = self.checks.bounds.config_apply
+        later = self.checks.disturbed.later
+        due = max(
+            number
+            for number, version in enumerate(versions)
+            if not number
+            or later(version.acked_at, apply_s, told.sent_at) < told.sent_at
+        )
+        possible = [each for each in versions[due:] if each.sent_at <= told.ended_at]
+        return all(
+            told.prefix in each.service_by_prefix for each in possible
+        ) and self.checks.disturbed.is_calm(told.vm, told.sent_at, told.ended_at)
+
+    def _check_used_again(
+        self,
+        lapse: Lapse,
+        upstream: Upstream,
+        back_at: float,
+        upstreams: list[Upstream],
+        end: float,
+    ) -> None:
+        """Check that an upstream gets its part of what its service and region get."""
+        begin = back_at + self.checks.bounds.contact
+        until = min([upstream.left_at, end, *self._later_lapses(lapse, upstream)])
+        rivals = sum(_is_rival(each, upstream) for each in upstreams)
+        expected: Counter[str] = Counter()
+        used: Counter[str] = Counter()
+        for use in self._uses(upstream, begin, until):
+            for who in (use.vm, ALL):
+                expected[who] += 1
+                used[who] += use.at is upstream
+        for who, number in expected.items():
+            self.uses.append(
+                f"{upstream.name} got {used[who]} of {number} of {who} among {rivals}"
+            )
+            if number < LEAST_EXPECTED * rivals:
+                continue
+            self.checks.counts["judged for being used after a lapse"] += 1
+            if not used[who]:
+                detail = (
+                    f"{upstream.name}, listed again at {back_at:.3f}, got none of "
+                    f"{number} requests of {who} among {rivals}"
+                )
+                self.checks.fail("used again", detail, begin)
+
+    def _uses(self, upstream: Upstream, begin: float, until: float) -> Iterator[_Use]:
+        """Give what the service got in the region while it could be used."""
+        for told, runs in self.checks.taken:
+            for run in runs:
+                if (
+                    told.has_key
+                    and begin < run.arrived_at < until
+                    and _is_rival(run.at, upstream)
+                    and not self._is_evacuated(upstream.zone, run.arrived_at)
+                    and self.checks.disturbed.is_calm(
+                        told.vm, run.arrived_at, run.arrived_at
+                    )
+                ):
+                    yield _Use(vm=told.vm, at=run.at, arrived_at=run.arrived_at)
+
+    def _later_lapses(self, lapse: Lapse, upstream: Upstream) -> list[float]:
+        return [
+            each.ended_at
+            for each in self.lapses
+            if each.ended_at > lapse.ended_at
+            and any(other is upstream for other, _ in each.back_at)
+        ]
+
+    def _is_evacuated(self, zone: str, at: float) -> bool:
+        contact_s = self.checks.bounds.contact
+        return any(
+            each.zone == zone and each.acked_at <= at <= each.undone_at + contact_s
+            for each in self.checks.history.evacuations
+        )
+
+
+def _is_rival(each: Upstream, of: Upstream) -> bool:
+    return each.service == of.service and ZONES[each.zone] == ZONES[of.zone]
--- a/tests/fleet/soak/mutant.py
+++ b/tests/fleet/soak/mutant.py
@@ -56,6 +56,37 @@
     store_platform.StorePlatform._take_servers = take_kept  # type: ignore[method-assign]
 
 
+def lose_lapsed() -> None:
+    """Never list an upstream again whose entry was gone once."""
+    take = store_platform.StorePlatform._take_servers
+    lost: set[str] = set()
+    seen: set[str] = set()
+
+    def take_unless_lost(self: Any, rows: Any) -> None:
+        take(self, rows)
+        seen.update(self._servers_by_id)
+        lost.update(seen - self._servers_by_id.keys())
+        for name in lost:
+            self._servers_by_id.pop(name, None)
+
+    store_platform.StorePlatform._take_servers = (  # type: ignore[method-assign]
+        take_unless_lost
+    )
+
+
+def keep_vanished() -> None:
+    """Keep upstreams that are gone also when the list is read whole."""
+    take = store_platform.StorePlatform._take_servers
+    seen: dict[str, Any] = {}
+
+    def take_and_keep(self: Any, rows: Any) -> None:
+        take(self, rows)
+        seen.update(self._servers_by_id)
+        self._servers_by_id |= seen
+
+    store_platform.StorePlatform._take_servers = take_and_keep  # type: ignore[method-assign]
+
+
 def stay() -> None:
     """Overlook evacuations."""
     translate = operator_reader.translate
@@ -83,6 +114,15 @@
 
 
 if __name__ == "__main__":
-    deeds = (be_late, go_back, keep_upstreams, stay, cut, end)
+    deeds = (
+        be_late,
+        go_back,
+        keep_upstreams,
+        keep_vanished,
+        lose_lapsed,
+        stay,
+        cut,
+        end,
+    )
     {each.__name__: each for each in deeds}[os.environ["PLANKSPINDLE_MUTANT"]]()
     runpy.run_module("plankspindle_platform", run_name="__main__")
--- a/tests/fleet/soak/store.py
+++ b/tests/fleet/soak/store.py
@@ -29,6 +29,8 @@
 """Time after which the connection of a lost call ends, in seconds: beyond any wait."""
 ANSWER_S = 0.004
 """Time of a call, as of the fleet's store, in seconds."""
+KEEP_AWAY = ("away", "held", "refused", "resets")
+"""Troubles in which the operator and upstreams write nothing."""
 
 
 @frozen(kw_only=True, eq=False)
@@ -38,7 +40,8 @@
     Parameters
     ----------
     kind : str
-        ``away``, ``held``, ``refused``, ``slow`` or ``loses``.
+        ``away``, ``held``, ``refused``, ``resets``, ``slow`` or ``loses``. All but
+        ``refused`` concern calls that wait, too.
     vms : frozenset of str
         Whom it concerns; all and the operator if empty.
     """
@@ -97,12 +100,18 @@
         if self.has("refused", vm):
             await self._refuse(source)
             return
+        if self.has("resets", vm):
+            source.abort()
+            return
         await self._slow_down(vm)
         loses = self.has("loses", vm) and self._random.random() < 1 / 2
         if loses and self._random.random() < 1 / 2:
             source.abort()
             return
         answered = await self._answer_for(vm, source.target, body)
+        if answered is None and self.has("resets", vm):
+            source.abort()
+            return
         if answered is None or loses:
             await (self._lose(source) if answered is None else self._cut(source))
             return
@@ -115,6 +124,8 @@
         self, vm: str, target: str, body: bytes
     ) -> tuple[int, Any] | None:
         await sleep(ANSWER_S)
+        if self._ends_calls(vm):
+            return None
         path, _, query = target.partition("?")
         if path == "/rows-tx":
             return self._transact(json.loads(body))
@@ -127,7 +138,7 @@
         """Wait for a change; False if the call is lost meanwhile."""
         end, looked_at = monotonic() + int(fields["wait_ms"]) / 1000, -1
         while monotonic() < end:
-            if self.has("away", vm):
+            if self._ends_calls(vm):
                 return False
             if looked_at != self.version or int(fields["after"]) < self.oldest:
                 looked_at = self.version
@@ -137,6 +148,10 @@
             await sleep(LOOK_S)
         return True
 
+    def _ends_calls(self, vm: str) -> bool:
+        """Tell whether calls that have come get no answer."""
+        return self.has("away", vm) or self.has("resets", vm)
+
     async def _slow_down(self, vm: str) -> None:
         if self.has("slow", vm):
             await sleep(self._random.uniform(*SLOW_S))
@@ -158,6 +173,11 @@
         await sleep(LOST_S)
         source.abort()
 
+    async def wait_until_back(self) -> None:
+        """Wait until the operator and upstreams can write."""
+        while any(self.has(kind, "") for kind in KEEP_AWAY):
+            await sleep(LOOK_S)
+
     async def write(self, table: str, key: str, make: Callable[[], Any]) -> float:
         """Write a row for the operator or an upstream, as often as needed.
 
@@ -175,9 +195,7 @@
         """
         while True:
             await sleep(ANSWER_S)
-            if any(self.has(kind, "") for kind in ("away", "held", "refused")):
-                await sleep(LOOK_S)
-                continue
+            await self.wait_until_back()
             document = make()
             if document is not None:
                 self.put(table, key, document)
--- a/tests/fleet/soak/striker.py
+++ b/tests/fleet/soak/striker.py
@@ -22,8 +22,10 @@
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.soak.link_proxy import LinkProxy
 from soak.checks import Checks
+from soak.faults import OF_LAPSES
 from soak.faults import OF_STORE
 from soak.history import Evacuation
+from soak.lapser import Lapser
 from soak.layout import GRACE_S
 from soak.layout import ZONES
 from soak.layout import Layout
@@ -58,6 +60,8 @@
         The entry VMs.
     store, upstreams, checks
         The stand-ins, and what is told of what is disturbed.
+    lapser : Lapser
+        What lets entries lapse.
     proxies_by_vm : dict of str to LinkProxy
         Links to the store.
     random : Random
@@ -71,6 +75,7 @@
     store: SoakStore
     upstreams: Upstreams
     checks: Checks
+    lapser: Lapser
     proxies_by_vm: dict[str, LinkProxy]
     random: Random
     module: str = MODULE
@@ -88,6 +93,8 @@
         match fault.kind:
             case kind if kind in OF_STORE:
                 await self._trouble(kind, vms, fault.for_s)
+            case kind if kind in OF_LAPSES:
+                await self.lapser.strike(fault)
             case "forget":
                 self.checks.disturbed.begin(self._all(), monotonic()).end = monotonic()
                 self.store.forget()
--- a/tests/fleet/soak/upstreams.py
+++ b/tests/fleet/soak/upstreams.py
@@ -62,11 +62,18 @@
     left_at: float = inf
     is_draining: bool = False
     is_listed: bool = True
+    is_lapsed: bool = False
+    has_vanished: bool = False
     sequence: int = 0
 
+    @property
+    def is_staying(self) -> bool:
+        """Whether it is listed and neither leaves nor is taken for gone."""
+        return self.is_listed and not self.is_draining and not self.is_lapsed
+
     def row(self) -> dict[str, Any] | None:
-        """Give its entry in the store, or None if it is gone."""
-        if not self.is_listed:
+        """Give its entry in the store, or None if it is gone or has lapsed."""
+        if not self.is_listed or self.is_lapsed:
             return None
         self.sequence += 1
         return {
@@ -97,6 +104,8 @@
         When, monotonic seconds.
     others_left : int
         Upstreams of the service that left longer ago than the bound and still serve.
+    others_vanished : int
+        Those of them that vanished in an outage of the store.
     is_cut : bool
         Whether its answer is lost by the upstream.
     """
@@ -104,6 +113,7 @@
     at: Upstream
     arrived_at: float
     others_left: int = 0
+    others_vanished: int = 0
     is_cut: bool = False
 
 
@@ -173,13 +183,13 @@
         while True:
             for number in range(len(self.lives)):
                 await sleep(HEARTBEAT_S / len(self.lives))
-                if self.lives[number].is_listed:
+                if self.lives[number].is_listed and not self.lives[number].is_lapsed:
                     await self._enter(self.lives[number])
 
     async def leave(self, number: int, *, says_so: bool) -> None:
         """Let an upstream leave, and another life of it come at its address."""
         upstream = self.lives[number]
-        if upstream.is_draining or not upstream.is_listed:
+        if not upstream.is_staying:
             return
         if says_so:
             upstream.is_draining = True
@@ -188,6 +198,25 @@
         upstream.is_listed = False
         gone_at = await self._enter(upstream)
         upstream.left_at = min(upstream.left_at, gone_at)
+        await self.replace(number)
+
+    def drop(self, number: int, *, is_gone: bool) -> None:
+        """Drop an entry while the store is away, of one that lives on or is gone."""
+        upstream = self.lives[number]
+        upstream.is_listed, upstream.is_lapsed = not is_gone, not is_gone
+        if is_gone:
+            upstream.left_at, upstream.has_vanished = monotonic(), True
+        if (TABLE, upstream.name) in self.store.rows_by_place:
+            self.store.drop(TABLE, upstream.name)
+
+    async def come_back(self, upstream: Upstream) -> None:
+        """Enter one again whose entry has lapsed."""
+        upstream.is_lapsed = False
+        await self._enter(upstream)
+
+    async def replace(self, number: int) -> None:
+        """Let one that is gone serve on for a while, and another life of it come."""
+        upstream = self.lives[number]
         await sleep(self.drain_s + LINGER_S)
         await self._servers[number].close(drain_s=1.0)
         life = int(upstream.name.rpartition("-")[2]) + 1
@@ -210,14 +239,16 @@
             await source.answer(status=200, headers=own)
             return
         left = [
-            each.left_at < arrived_at - self.drain_s
-            and each.service == upstream.service
+            each
             for each in self.lives
+            if each.left_at < arrived_at - self.drain_s
+            and each.service == upstream.service
         ]
         run = Run(
             at=upstream,
             arrived_at=arrived_at,
-            others_left=sum(left),
+            others_left=len(left),
+            others_vanished=sum(each.has_vanished for each in left),
             is_cut=self.random.random() < CUT_PART,
         )
         self.runs_by_id.setdefault(request.decode(), []).append(run)
--- a/tests/fleet/store_stand_in.py
+++ b/tests/fleet/store_stand_in.py
@@ -153,6 +153,7 @@
     def put(self, table: str, key: str, document: Any) -> None:
         self.version += 1
         value = wire_row(build_row(key, self.version, document))["value"]
+        self.dropped_by_place.pop((table, key), None)
         self.rows_by_place[table, key] = (self.version, value)
 
 
--- a/tests/fleet/test_fleet_soak.py
+++ b/tests/fleet/test_fleet_soak.py
@@ -11,8 +11,12 @@
 import curio
 import pytest
 from soak import fleet_soak
+from soak import lapser
+from soak.callers import AFTER
+from soak.callers import Caller
 from soak.checks import Checks
 from soak.checks import Told
+from soak.faults import OF_LAPSES
 from soak.faults import draw
 from soak.fleet_soak import FleetSoak
 from soak.fleet_soak import Plan
@@ -20,12 +24,20 @@
 from soak.history import Evacuation
 from soak.history import History
 from soak.history import Version
+from soak.lapser import Lapser
+from soak.lapses import Lapse
+from soak.lapses import LapseChecks
 from soak.layout import ZONES
 from soak.layout import Bounds
+from soak.layout import Layout
+from soak.store import SoakStore
+from soak.upstreams import TABLE
 from soak.upstreams import Run
 from soak.upstreams import Upstream
+from soak.upstreams import Upstreams
 
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_testkit.soak.soak_fault import SoakFault
 from plankspindle_testkit.soak.soak_fault import read_schedule
 
 if TYPE_CHECKING:
@@ -41,6 +53,12 @@
     )
     for service in ("desk", "vault")
 )
+SECOND_VAULT = Upstream(
+    name="i-second",
+    service="vault",
+    zone=VAULT.zone,
+    endpoint=Endpoint("127.0.0.9", 10),
+)
 
 
 def test_a_short_soak_holds(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -54,6 +72,9 @@
     counts = verdict.counts
     assert counts["judged for going back"] > 100
     assert counts["judged for lateness"] > 100
+    assert counts["judged for being served after a lapse"] > 0
+    assert counts["judged for being used after a lapse"] > 0
+    assert counts["judged for upstreams that vanished in outages"] > 0
 
 
 def test_faults_of_a_seed_are_the_same_each_time() -> None:
@@ -130,6 +151,10 @@
         "answered",
         lambda checks: take(checks, VAULT, status=None, is_lost=True),
     ),
+    "two answers": (
+        "answered twice",
+        lambda checks: take(checks, VAULT, surplus="bytes"),
+    ),
     "not served": (
         "served",
         lambda checks: checks.check_served(["edge-0"], since=15.0),
@@ -172,3 +197,191 @@
     checks.disturbed.begin(["edge-0"], 18.0, is_planned=True).end = inf
     take(checks, VAULT, status=None, is_lost=True)
     assert [each.check for each in checks.broken] == ["answered"]
+
+
+def check_lapse(
+    checks: Checks, *, used: tuple[Upstream, ...] = (VAULT, SECOND_VAULT), **fields: Any
+) -> set[str]:
+    """Check what followed 20 s, when the store was back; an entry was so at 21 s."""
+    for number in range(40):
+        sent_at = 25.2 + number / 10
+        at = used[number % len(used)]
+        times = {"sent_at": sent_at, "ended_at": sent_at + 0.05}
+        take(checks, at, has_key=True, **times, **fields)
+    lapse = Lapse(ended_at=20.0, back_at=[(VAULT, 21.0)])
+    lapses = LapseChecks(checks=checks, lapses=[lapse])
+    lapses.check([VAULT, SECOND_VAULT], 40.0)
+    return {each.check for each in checks.broken}
+
+
+def test_what_follows_a_lapse_holds() -> None:
+    checks = build_checks()
+    assert check_lapse(checks) == set()
+    assert checks.counts["judged for being used after a lapse"] == 2
+    assert checks.counts["judged for being served after a lapse"] == 40
+
+
+def test_an_upstream_that_is_not_used_again_after_a_lapse_is_found() -> None:
+    checks = build_checks()
+    assert check_lapse(checks, used=(SECOND_VAULT,)) == {"used again"}
+    whose = [each.detail.split("requests of ")[1] for each in checks.broken]
+    assert whose == ["edge-0 among 2", "all entry VMs among 2"]
+
+
+def test_an_upstream_need_not_be_used_while_its_zone_is_evacuated() -> None:
+    checks = build_checks()
+    checks.history.evacuations.append(
+        Evacuation(zone=VAULT.zone, acked_at=24.9, undone_at=26.0)
+    )
+    assert check_lapse(checks, used=(SECOND_VAULT,)) == set()
+
+
+def test_reads_that_are_not_served_after_a_lapse_are_found() -> None:
+    checks = build_checks()
+    assert check_lapse(checks, status=504) == {"served again"}
+
+
+def test_a_refused_request_that_ran_is_found() -> None:
+    checks = build_checks()
+    told = build_told(status=503)
+    runs: list[Run] = []
+    checks.take(told, runs)
+    LapseChecks(checks=checks).check([], 30.0)
+    assert checks.broken == []
+    runs.append(Run(at=VAULT, arrived_at=22.0))
+    LapseChecks(checks=checks).check([], 30.0)
+    assert [each.check for each in checks.broken] == ["not run"]
+
+
+@pytest.mark.parametrize(("arrived_at", "is_late"), [(23.9, False), (24.1, True)])
+def test_an_upstream_that_vanished_in_an_outage_is_left_in_time(
+    arrived_at: float, is_late: bool
+) -> None:
+    checks = build_checks()
+    checks.disturbed.begin(["edge-0"], 16.0).end = 20.0
+    gone = Upstream(
+        name="i-9",
+        service="vault",
+        zone="",
+        endpoint=VAULT.endpoint,
+        left_at=18.0,
+        has_vanished=True,
+    )
+    take(checks, gone, sent_at=arrived_at - 0.01)
+    assert [each.check for each in checks.broken] == ["left"] * is_late
+
+
+@pytest.mark.parametrize("kind", OF_LAPSES)
+def test_entries_lapse_while_the_store_is_away_and_come_back(
+    kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(lapser, "SHARES", (1.0,))
+    monkeypatch.setattr(lapser, "MOST_VANISH", 0)
+    monkeypatch.setattr(lapser, "BACK_S", 0.2)
+    listed, answered, lapses = curio.run(watch_a_lapse, kind)
+    assert (listed[0], min(listed), listed[-1]) == (9, 0, 9)
+    assert answered is None
+    assert len(lapses[0].back_at) == 9
+
+
+async def watch_a_lapse(kind: str) -> tuple[list[int], Any, list[Lapse]]:
+    """Count entries through an outage; tell how a call that waits in it ends."""
+    store = SoakStore(Random(1))
+    upstreams = Upstreams(
+        layout=Layout(vms=1, first_port=28_400),
+        store=store,
+        random=Random(1),
+        drain_s=0.1,
+        of_each_place=1,
+    )
+    for number, zone in enumerate(list(ZONES) * 3):
+        upstreams.lives.append(upstreams._make(number, "desk", zone, life=0))
+        await upstreams._enter(upstreams.lives[number])
+    lapses = LapseChecks(checks=build_checks())
+    striker = Lapser(
+        store=store, upstreams=upstreams, lapses=lapses, vms=["edge-0"], seed=1
+    )
+    target = f"/rows-feed?table={TABLE}&after={store.version}&wait_ms=5000"
+    waiting = await curio.spawn(store._answer_for, "edge-0", target, b"")
+    await curio.sleep(0.1)
+    fault = SoakFault(at=0.0, for_s=0.3, kind=kind)
+    striking = await curio.spawn(striker.strike, fault)
+    beating = await curio.spawn(upstreams.beat)
+    listed = []
+    while not striking.terminated:
+        listed.append(len(store.rows_by_place))
+        await curio.sleep(0.01)
+    listed.append(len(store.rows_by_place))
+    await beating.cancel()
+    return listed, await waiting.join(), lapses.lapses
+
+
+def test_an_entry_that_came_back_is_not_told_as_gone() -> None:
+    store = SoakStore(Random(1))
+    store.put(TABLE, "i-0", {})
+    store.drop(TABLE, "i-0")
+    gone_at = store.version
+    store.put(TABLE, "i-0", {})
+    _, fed = store._feed({"after": "0", "table": TABLE})
+    assert [each.get("tombstone") for each in fed["rows"]] == [None]
+    assert fed["schema_version"] == gone_at + 1
+
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+OTHER = (
+    b"HTTP/1.1 200 OK\r\nX-Plankspindle-Request-Id: 1\r\nContent-Length: 2\r\n\r\nok"
+)
+
+
+@pytest.mark.parametrize(
+    ("answers", "surplus"),
+    [
+        ([ANSWER], ""),
+        ([ANSWER + ANSWER], AFTER),
+        ([ANSWER, ANSWER], AFTER),
+        ([OTHER], "the answer to 1"),
+    ],
+)
+def test_a_caller_sees_what_is_no_answer_to_its_request(
+    answers: list[bytes], surplus: str
+) -> None:
+    seen = curio.run(call, answers)
+    assert seen[0].status == 200
+    assert {each.surplus for each in seen} - {""} == ({surplus} if surplus else set())
+
+
+async def call(answers: list[bytes]) -> list[Told]:
+    """Send two requests to a server that answers each with pieces, a while apart."""
+    endpoint = Endpoint("127.0.9.9", 28_410)
+
+    async def answer(client: Any, _: Any) -> None:
+        while await client.recv(10_000):
+            for each in answers:
+                await client.sendall(each)
+                await curio.sleep(0.03)
+
+    address = (endpoint.host, endpoint.port)
+    server = await curio.spawn(curio.tcp_server, *address, answer, daemon=True)
+    await curio.sleep(0.05)
+    checks = build_checks()
+    caller = Caller(
+        vm="edge-0",
+        endpoint=endpoint,
+        life=lambda: 1,
+        checks=checks,
+        upstreams=Upstreams(
+            layout=Layout(vms=1, first_port=28_400),
+            store=SoakStore(Random(1)),
+            random=Random(1),
+            drain_s=0.1,
+            of_each_place=1,
+        ),
+        random=Random(1),
+    )
+    calling = await curio.spawn(caller.run, daemon=True)
+    while len(checks.told) < 2:
+        await curio.sleep(0.01)
+    await calling.cancel()
+    await caller._close()
+    await server.cancel()
+    return checks.told
