--- a/packages/testkit/src/plankspindle_testkit/soak/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/__main__.py
@@ -13,12 +13,14 @@
 import click
 import curio
 import yaml
+from attrs import evolve
 from click.testing import CliRunner
 
 from plankspindle_client.console.application import main as operate
 from plankspindle_testkit.soak.layout import Layout
 from plankspindle_testkit.soak.load import LoadKind
 from plankspindle_testkit.soak.load import draw_load
+from plankspindle_testkit.soak.shrinking import leave_out
 from plankspindle_testkit.soak.soak import Soak
 from plankspindle_testkit.soak.soak import SoakPlan
 from plankspindle_testkit.soak.soak import SoakVerdict
@@ -209,19 +211,13 @@
 def _shrink(plan: SoakPlan, verdict: SoakVerdict) -> None:
     """Leave out one fault after the other while the same promise breaks."""
     assert verdict.broken is not None
-    needed = list(plan.faults)
-    for fault in plan.faults:
-        fewer = [each for each in needed if each is not fault]
-        tried = SoakPlan(
-            seed=plan.seed,
-            vms=plan.vms,
-            faults=tuple(fewer),
-            first_port=plan.first_port,
-            load=plan.load,
-        )
-        found = _run(tried).broken
-        if found is not None and found.promise == verdict.broken.promise:
-            needed = fewer
+    promise = verdict.broken.promise
+
+    def breaks(faults: tuple[SoakFault, ...]) -> bool:
+        found = _run(evolve(plan, faults=faults)).broken
+        return found is not None and found.promise == promise
+
+    needed = leave_out(plan.faults, breaks)
     click.echo(f"needed, {len(needed)} of {len(plan.faults)} faults:")
     click.echo(write_schedule(needed))
 
--- a/tests/fleet/soak/__main__.py
+++ b/tests/fleet/soak/__main__.py
@@ -11,8 +11,11 @@
 
 import click
 import curio
+from attrs import evolve
 
+from plankspindle_testkit.soak.shrinking import leave_out
 from plankspindle_testkit.soak.soak_fault import read_schedule
+from plankspindle_testkit.soak.soak_fault import write_schedule
 from soak.fleet_soak import FleetSoak
 from soak.fleet_soak import Plan
 from soak.fleet_soak import Verdict
@@ -21,6 +24,8 @@
 if TYPE_CHECKING:
     from typing import TextIO
 
+    from plankspindle_testkit.soak.soak_fault import SoakFault
+
 MOST_TOLD = 5
 
 
@@ -32,6 +37,7 @@
 @click.option("--first-port", default=21_000, help="Where its ports begin.")
 @click.option("--schedule", type=click.File("r"), help="Replay faults of a file.")
 @click.option("--module", default=MODULE, help="What runs on the entry VMs.")
+@click.option("--shrink", is_flag=True, help="Leave out faults that aren't needed.")
 @click.option("--keep-going", is_flag=True, help="Go on after a seed that failed.")
 def main(
     seed: int,
@@ -41,6 +47,7 @@
     first_port: int,
     schedule: TextIO | None,
     module: str,
+    shrink: bool,
     keep_going: bool,
 ) -> None:
     """Soak daemons on the fleet's platform with rising seeds until time is spent."""
@@ -70,6 +77,8 @@
             click.echo(f"  {_text(kinds)}")
             for each in verdict.broken[:MOST_TOLD]:
                 click.echo(f"  {each.check} at {each.at:.3f}: {each.detail}")
+            if shrink:
+                _shrink(plan, verdict)
         if time.monotonic() > end or (failed and not keep_going):
             break
     click.echo(f"seeds {seed} to {number}, failed: {failed or 'none'}")
@@ -87,6 +96,21 @@
     return verdict
 
 
+def _shrink(plan: Plan, verdict: Verdict) -> None:
+    """Leave out one fault after the other while what broke first breaks."""
+    check = verdict.broken[0].check
+    path = verdict.folder / "schedule.jsonl"
+    faults = read_schedule(path.read_text(encoding="utf-8"))
+
+    def breaks(fewer: tuple[SoakFault, ...]) -> bool:
+        found = _run(evolve(plan, faults=fewer)).broken
+        return any(each.check == check for each in found)
+
+    needed = leave_out(faults, breaks)
+    click.echo(f"needed to break {check!r}, {len(needed)} of {len(faults)} faults:")
+    click.echo(write_schedule(needed))
+
+
 def _text(counted: Counter[str]) -> str:
     return ", ".join(f"{name} {times}" for name, times in sorted(counted.items()))
 
