--- a/tests/fleet/soak/fleet_soak.py
+++ b/tests/fleet/soak/fleet_soak.py
@@ -22,12 +22,15 @@
 from plankspindle_testkit.soak.running import wait_for_start
 from plankspindle_testkit.soak.soak_fault import SoakFault
 from plankspindle_testkit.soak.soak_fault import write_schedule
+from soak.callers import KEYED_PART
 from soak.callers import Caller
 from soak.checks import Broken
 from soak.checks import Checks
 from soak.faults import draw
 from soak.history import Disturbances
 from soak.history import History
+from soak.lapser import Lapser
+from soak.lapses import LapseChecks
 from soak.layout import Bounds
 from soak.layout import Layout
 from soak.store import SoakStore
@@ -47,6 +50,9 @@
 CALLERS_A_VM = 2
 OF_EACH_PLACE = (3, 3, 2, 1)
 """Upstreams of a service in a zone, by seed: the fleet has 2 to 4."""
+LATE_CALLERS_A_VM = 1
+LATE_PAUSES = 0.3
+"""Callers that join after the last fault, so that each upstream should be used soon."""
 MOST_REQUESTS_S = 100.0
 """Requests a second that the soak's own process bears beside the store."""
 MEAN_GAP_S = 0.25
@@ -123,18 +129,26 @@
             disturbed=Disturbances(contact_s=bounds.contact),
         )
         store = SoakStore(random)
+        upstreams = Upstreams(
+            layout=self.layout,
+            store=store,
+            random=random,
+            drain_s=bounds.drain,
+            of_each_place=OF_EACH_PLACE[plan.seed % len(OF_EACH_PLACE)],
+        )
         self.striker = Striker(
             layout=self.layout,
             processes=Processes(folder=Path(tempfile.mkdtemp(prefix="fleet-soak-"))),
             store=store,
-            upstreams=Upstreams(
-                layout=self.layout,
+            upstreams=upstreams,
+            checks=self.checks,
+            lapser=Lapser(
                 store=store,
-                random=random,
-                drain_s=bounds.drain,
-                of_each_place=OF_EACH_PLACE[plan.seed % len(OF_EACH_PLACE)],
+                upstreams=upstreams,
+                lapses=LapseChecks(checks=self.checks),
+                vms=self.layout.names(),
+                seed=plan.seed,
             ),
-            checks=self.checks,
             proxies_by_vm={
                 vm: LinkProxy(
                     listens=self.layout.at(vm, 30), target=self.layout.at(vm, 31)
@@ -153,8 +167,12 @@
             began_at = monotonic()
             wall = time() - began_at
             await self._strike()
+            await self._start_callers(
+                "late caller", LATE_CALLERS_A_VM, pauses=LATE_PAUSES, keyed_part=1.0
+            )
             await sleep(RECOVERY_S)
             await self._check_end()
+            ended_at = monotonic()
         finally:
             for task in self._tasks:
                 await task.cancel()
@@ -164,6 +182,7 @@
             await striker.upstreams.close()
             await striker.store.close()
         self.checks.judge()
+        striker.lapser.lapses.check(striker.upstreams.lives, ended_at)
         held_s = self.checks.disturbed.held_s(0.0, monotonic())
         self.checks.counts["seconds held up by the machine"] += round(held_s)
         self._write_history(wall)
@@ -185,7 +204,7 @@
         starting = self.checks.disturbed.begin(self.layout.names(), 0.0)
         for vm in self.layout.names():
             striker.start(vm)
-        await self._start_callers()
+        await self._start_callers("caller", CALLERS_A_VM)
         what = f"not all serve: {striker.processes.folder}"
         await wait_for_start(
             self._all_serve, within_s=START_S, look_s=LOOK_S, what=what
@@ -197,9 +216,16 @@
         serving = {each.vm for each in self.checks.told if each.status == 200}
         return serving.issuperset(self.layout.names())
 
-    async def _start_callers(self) -> None:
-        callers = CALLERS_A_VM * self.plan.vms
-        pauses = max(1.0, callers / MEAN_GAP_S / MOST_REQUESTS_S)
+    async def _start_callers(
+        self,
+        name: str,
+        callers_a_vm: int,
+        *,
+        pauses: float = 1.0,
+        keyed_part: float = KEYED_PART,
+    ) -> None:
+        callers = callers_a_vm * self.plan.vms
+        pauses *= max(1.0, callers / MEAN_GAP_S / MOST_REQUESTS_S)
         for number in range(callers):
             vm = self.layout.names()[number % self.plan.vms]
             caller = Caller(
@@ -208,8 +234,9 @@
                 life=lambda vm=vm: self.striker.lives_by_vm[vm],  # type: ignore[misc]
                 checks=self.checks,
                 upstreams=self.striker.upstreams,
-                random=Random(f"caller {number} of {self.plan.seed}"),
+                random=Random(f"{name} {number} of {self.plan.seed}"),
                 pauses=pauses,
+                keyed_part=keyed_part,
             )
             self._tasks.append(await spawn(caller.run, daemon=True))
 
@@ -262,6 +289,8 @@
         lines += [f"{n} {each}" for n, each in enumerate(checks.history.versions)]
         lines += [str(each) for each in checks.history.evacuations]
         lines += [f"{vm} {s}" for vm, all_ in checks.disturbed.all() for s in all_]
+        lines += [str(each) for each in self.striker.lapser.lapses.lapses]
+        lines += self.striker.lapser.lapses.uses
         lines += [str(each) for each in checks.broken]
         lines += [str(each) for each in checks.told]
         (folder / "history.txt").write_text("\n".join(lines) + "\n")
