Soak: drain an upstream once, also if two drains wait for the same change

Two drains of u2-ke-1 were struck in the same second, while a storm held the lock of changes. Each asked before it had the lock whether the upstream was drained, so both were put in force (versions 6 and 7), both were watched, and the one with the shorter watch took the drain back (version 9). ke-1-3 logs drain_ended at 27.705 s, and sent the request to u2-ke-1 at 28.173 s, while the other drain was watched.

Ruled out: the program (every VM that ran put version 9 in force at 27.68 to 27.72 s, and the request came after that), the machine (0.20 s without a processor at most).

Before: broken after 3,759 requests; the new test sees two drains and two ends of them. Now the question is asked under the lock: the test sees one, and the same schedule held, 20,182 requests, 21 faults, 2 drains watched. Conclusion: a fault of the soak; it could be drawn whenever drains of one upstream met another change.

--- a/packages/testkit/src/plankspindle_testkit/soak/operators.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/operators.py
@@ -153,12 +153,10 @@
         for_s : float
             Time for which it is watched once the drain must hold, in seconds.
         """
-        if name in self.drained:
-            return
         drain = {"kind": "upstream", "name": name}
         intent = {"kind": "drain", "drain_id": drain_id_of(name), "drain": drain}
         async with self._changing:
-            if not await self.put_in_force(intent):
+            if name in self.drained or not await self.put_in_force(intent):
                 return
             self.drained.add(name)
         await sleep(DRAIN_BOUND_S)
