--- a/tests/fleet/test_after_outage.py
+++ b/tests/fleet/test_after_outage.py
@@ -31,6 +31,7 @@
 from store_stand_in import run_with_store
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from fleet_vm import FleetVm
@@ -41,37 +42,53 @@
 NOTHING = b'{"expected_revision":[],"puts":[],"remove":[]}'
 RETURN_S = 1.9
 """Time after which entries that lapsed in an outage are back, a little under 2 s."""
+NAMES = frozenset(f"i-{number}" for number in range(4))
 MORE_PATHS = [build_path(), build_path(name="r2", path_prefix="/vins/")]
 
 
-def seconds_until_known(
+def run_vm(
     monkeypatch: pytest.MonkeyPatch,
-    change: Callable[[StoreStandIn], None],
-    holds: Callable[[FleetVm], bool],
-    *,
-    away_s: float = AWAY_S,
+    names: frozenset[str],
+    use: Callable[[StoreStandIn, FleetVm], Awaitable[Any]],
 ) -> Any:
-    """Let a VM wait for changes, lose that wait, and make a change afterwards."""
+    """Run a VM that knows some upstreams and waits for changes, and then a test."""
 
-    async def use(store: StoreStandIn, endpoint: Endpoint) -> float:
+    async def with_vm(store: StoreStandIn, endpoint: Endpoint) -> Any:
         store.waits = True
         store.put("op", "config", build_operator_document())
-        store.put("servers", "i-1", SERVER)
+        for name in names:
+            store.put("servers", name, SERVER)
         vm = build_vm(0, endpoint, build_boot(monkeypatch))
         await vm.start()
         try:
-            await until(lambda: vm.upstreams() == {"i-1"} and len(store.waits_ms) >= 2)
-            store.is_away = True
-            await curio.sleep(away_s)
-            store.is_away = False
-            back_at = monotonic()
-            change(store)
-            await until(lambda: holds(vm))
-            return monotonic() - back_at
+            await until(lambda: vm.routes() == 1 and vm.upstreams() == names)
+            await until(lambda: len(store.waits_ms) >= 2)
+            return await use(store, vm)
         finally:
             await vm.close()
 
-    return run_with_store(use)
+    return run_with_store(with_vm)
+
+
+def seconds_until_known(
+    monkeypatch: pytest.MonkeyPatch,
+    change: Callable[[StoreStandIn], None],
+    holds: Callable[[FleetVm], bool],
+    *,
+    away_s: float = AWAY_S,
+) -> Any:
+    """Let a VM wait for changes, lose that wait, and make a change afterwards."""
+
+    async def use(store: StoreStandIn, vm: FleetVm) -> float:
+        store.is_away = True
+        await curio.sleep(away_s)
+        store.is_away = False
+        back_at = monotonic()
+        change(store)
+        await until(lambda: holds(vm))
+        return monotonic() - back_at
+
+    return run_vm(monkeypatch, frozenset({"i-1"}), use)
 
 
 def move_route(store: StoreStandIn) -> None:
@@ -119,32 +136,21 @@
 def test_upstreams_that_go_when_all_connections_fall_silent_are_left_in_time(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """More than a quarter missing after a failed read is taken for an outage.
+    """More than a quarter missing after a failed read looks like an outage.
 
-    What is missing is then kept until entries that lapsed would be back, counted from
-    the read; nothing tells a silence of this VM's connections from the platform's.
+    What lapsed in one would be back soon, so it is kept for a while; but nothing tells
+    a silence of this VM's connections from the platform's, and here they are gone.
     """
 
-    async def use(store: StoreStandIn, endpoint: Endpoint) -> float:
-        store.waits = True
-        store.put("op", "config", build_operator_document())
-        names = {f"i-{number}" for number in range(4)}
-        for name in names:
-            store.put("servers", name, SERVER)
-        vm = build_vm(0, endpoint, build_boot(monkeypatch))
-        await vm.start()
-        try:
-            await until(lambda: vm.upstreams() == names and len(store.waits_ms) >= 2)
-            store.silence_connections()
-            fell_silent_at = monotonic()
-            for name in ("i-0", "i-1"):
-                store.drop("servers", name)
-            await until(lambda: vm.upstreams() == {"i-2", "i-3"})
-            return monotonic() - fell_silent_at
-        finally:
-            await vm.close()
+    async def use(store: StoreStandIn, vm: FleetVm) -> float:
+        store.silence_connections()
+        fell_silent_at = monotonic()
+        for name in ("i-0", "i-1"):
+            store.drop("servers", name)
+        await until(lambda: vm.upstreams() == {"i-2", "i-3"})
+        return monotonic() - fell_silent_at
 
-    assert run_with_store(use) < CONTACT_S
+    assert run_vm(monkeypatch, NAMES, use) < CONTACT_S
 
 
 def test_nothing_is_waited_for_while_the_platform_is_away(
@@ -152,21 +158,13 @@
 ) -> None:
     """A wait that is given up inside an outage is not followed by another one."""
 
-    async def use(store: StoreStandIn, endpoint: Endpoint) -> list[int]:
-        store.waits = True
-        store.put("op", "config", build_operator_document())
-        vm = build_vm(0, endpoint, build_boot(monkeypatch))
-        await vm.start()
-        try:
-            await until(lambda: vm.routes() == 1 and len(store.waits_ms) >= 2)
-            store.is_away = True
-            asked = len(store.waits_ms)
-            await curio.sleep(CONTACT_S)
-            return store.waits_ms[asked:]
-        finally:
-            await vm.close()
+    async def use(store: StoreStandIn, vm: FleetVm) -> list[int]:
+        store.is_away = True
+        asked = len(store.waits_ms)
+        await curio.sleep(CONTACT_S)
+        return store.waits_ms[asked:]
 
-    waited = run_with_store(use)
+    waited = run_vm(monkeypatch, frozenset(), use)
     assert waited
     assert set(waited) == {0}
 
@@ -185,8 +183,7 @@
     monkeypatch: pytest.MonkeyPatch, away_s: float
 ) -> None:
     """They are back 2 s after the platform at the latest, and are used meanwhile."""
-    names = {f"i-{number}" for number in range(4)}
-    least = names
+    least = NAMES
 
     async def look(vm: FleetVm, for_s: float) -> None:
         nonlocal least
@@ -195,30 +192,20 @@
             least = least & vm.upstreams()
             await curio.sleep(0.02)
 
-    async def use(store: StoreStandIn, endpoint: Endpoint) -> None:
-        store.waits = True
-        store.put("op", "config", build_operator_document())
-        for name in names:
+    async def use(store: StoreStandIn, vm: FleetVm) -> None:
+        store.is_away = True
+        await look(vm, away_s / 2)
+        for name in NAMES:
+            store.drop("servers", name)
+        await look(vm, away_s / 2)
+        store.is_away = False
+        await look(vm, RETURN_S)
+        for name in NAMES:
             store.put("servers", name, SERVER)
-        vm = build_vm(0, endpoint, build_boot(monkeypatch))
-        await vm.start()
-        try:
-            await until(lambda: vm.upstreams() == names and len(store.waits_ms) >= 2)
-            store.is_away = True
-            await look(vm, away_s / 2)
-            for name in names:
-                store.drop("servers", name)
-            await look(vm, away_s / 2)
-            store.is_away = False
-            await look(vm, RETURN_S)
-            for name in names:
-                store.put("servers", name, SERVER)
-            await look(vm, CONTACT_S)
-        finally:
-            await vm.close()
+        await look(vm, CONTACT_S)
 
-    run_with_store(use)
-    assert least == names
+    run_vm(monkeypatch, NAMES, use)
+    assert least == NAMES
 
 
 def test_entry_rows_that_fall_due_in_a_lost_wait_put_nothing_off(
@@ -226,27 +213,18 @@
 ) -> None:
     """They are read over a connection of their own, which rested for half a minute."""
 
-    async def use(store: StoreStandIn, endpoint: Endpoint) -> float:
-        store.waits = True
-        store.put("op", "config", build_operator_document())
-        store.put("servers", "i-1", SERVER)
-        vm = build_vm(0, endpoint, build_boot(monkeypatch))
-        await vm.start()
-        try:
-            await until(lambda: vm.upstreams() == {"i-1"} and len(store.waits_ms) >= 2)
-            # Rests longer than a connection is trusted, as between two readings.
-            await curio.sleep(1.5)
-            await until_asked_again(store)
-            store.silence_connections()
-            fell_silent_at = monotonic()
-            vm.platform.entries._due = fell_silent_at + 0.5
-            add_upstream(store)
-            await until(lambda: vm.upstreams() == {"i-1", "i-2"})
-            return monotonic() - fell_silent_at
-        finally:
-            await vm.close()
+    async def use(store: StoreStandIn, vm: FleetVm) -> float:
+        # Rests longer than a connection is trusted, as between two readings.
+        await curio.sleep(1.5)
+        await until_asked_again(store)
+        store.silence_connections()
+        fell_silent_at = monotonic()
+        vm.platform.entries._due = fell_silent_at + 0.5
+        add_upstream(store)
+        await until(lambda: vm.upstreams() == {"i-1", "i-2"})
+        return monotonic() - fell_silent_at
 
-    assert run_with_store(use) < CONTACT_S
+    assert run_vm(monkeypatch, frozenset({"i-1"}), use) < CONTACT_S
 
 
 async def until_asked_again(store: StoreStandIn) -> None:
@@ -260,7 +238,6 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Their failure over a new connection must not count as an outage of the list."""
-    names = {f"i-{number}" for number in range(4)}
 
     async def write(vm: FleetVm) -> None:
         while True:
@@ -269,17 +246,11 @@
             await vm.platform.read_row("k")
             await curio.sleep(0.1)
 
-    async def use(store: StoreStandIn, endpoint: Endpoint) -> float:
-        store.waits = True
+    async def use(store: StoreStandIn, vm: FleetVm) -> float:
         store.turns_writes_away = True
-        store.put("op", "config", build_operator_document())
-        for name in names:
-            store.put("servers", name, SERVER)
-        vm = build_vm(0, endpoint, build_boot(monkeypatch))
-        await vm.start()
         writer = await curio.spawn(write, vm, daemon=True)
+        await curio.sleep(0.5)
         try:
-            await until(lambda: vm.upstreams() == names and len(store.waits_ms) >= 2)
             store.silence_connections()
             fell_silent_at = monotonic()
             for name in ("i-0", "i-1"):
@@ -288,6 +259,5 @@
             return monotonic() - fell_silent_at
         finally:
             await writer.cancel()
-            await vm.close()
 
-    assert run_with_store(use) < CONTACT_S
+    assert run_vm(monkeypatch, NAMES, use) < CONTACT_S
