--- a/packages/daemon/src/plankspindle_daemon/node/shared_slots.py
+++ b/packages/daemon/src/plankspindle_daemon/node/shared_slots.py
@@ -85,8 +85,8 @@
         effects: list[OfService] = []
         for service, dispatcher in self.services.dispatchers_by_service.items():
             declared = configuration.services_by_name.get(service)
-            # Asked at each heartbeat: without the last question it was a tenth of the
-            # processor time of an entry VM with 200 upstreams whose load is reported.
+            # Asked at each heartbeat: without the last question it took 0.07 of 0.9 s
+            # of work in 30 s, profiled at 80 entry VMs and 220 upstreams telling loads.
             if declared is None or not dispatcher.shares_slots:
                 continue
             longest_s = declared.longest_timeout_ms / 1000
