Take another life of an upstream under its name for a new one, and bad rows for one upstream

Cause: an upstream may start again under the name and address that it had, and tells when it started. The state kept by name went on: warm, its keys, its latency, its back-off, and ends of requests of the life before counted against the new one. Rows of another writer were read leniently (a number as a service, an unknown state as leaving), one value that is no base64 made a whole read unusable, and a bad row was logged at each read. Now a life has a number (listed, told in shared reads and with hints of silence). A new one gets a new state, is cold for the service's time, and what ran before says nothing of it. Rows of an earlier life change nothing. Rows are read by type, one that is unreadable is logged once until it was readable again, costs no other row, and is not kept in an outage as one that lapsed would be. Ruled out: telling lives apart by requests that the new state does not know, which breaks what may be told of requests not started here.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -163,6 +163,11 @@
         ahead = self.queue.count_ahead(ticket.rank)
         return QueuedStep(ahead=ahead, limit=self.queue.limit)
 
+    def forget_upstream(self, name: str) -> None:
+        """Forget what an upstream had seen: it has started anew under its name."""
+        if self.placement is not None:
+            self.placement.forget_seen(name)
+
     def in_flight(self) -> int:
         """Requests that run at upstreams."""
         return sum(each.ledger.in_flight for each in self.upstreams_by_name.values())
@@ -244,6 +249,7 @@
             ticket=ticket,
             upstream=chosen.name,
             endpoint=chosen.upstream.endpoint,
+            incarnation=chosen.incarnation,
             step=step,
         )
 
@@ -348,7 +354,7 @@
 
     def _take_end(self, ended: Ended, now: float) -> None:
         upstream = self.upstreams_by_name.get(ended.upstream)
-        if upstream is not None:
+        if upstream is not None and ended.incarnation in (0, upstream.incarnation):
             upstream.ledger.finish(ticket=ended.ticket.id)
             missed = ended.ticket.id in self._missing
             judge = EndJudge(durations=self.durations, placement=self.placement)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
@@ -64,6 +64,8 @@
         Requests that ran and waited there, as the answer told.
     waited_s : float, optional
         Time for which its head was waited for, in seconds, if that never came.
+    incarnation : int
+        Life of the upstream that it ran in; zero if that is not known.
     came : str
         What was seen of the upstream, for the log.
     """
@@ -76,6 +78,7 @@
     connect_s: float | None = None
     reported_load: int | None = None
     waited_s: float | None = None
+    incarnation: int = 0
     came: str = field(default="", eq=False)
 
 
@@ -161,6 +164,8 @@
         Its upstream.
     endpoint : Endpoint
         Where that listens.
+    incarnation : int
+        Which life of it is meant; zero if that is not known.
     step : Placed, optional
         What decided, for the log.
     """
@@ -168,6 +173,7 @@
     ticket: Ticket
     upstream: str
     endpoint: Endpoint
+    incarnation: int = 0
     step: Placed | None = field(default=None, eq=False)
 
     def given_back(self) -> Ended:
@@ -179,7 +185,10 @@
             What frees the slot; it says nothing of the upstream.
         """
         return Ended(
-            ticket=self.ticket, upstream=self.upstream, verdict=Verdict.CANCELLED
+            ticket=self.ticket,
+            upstream=self.upstream,
+            verdict=Verdict.CANCELLED,
+            incarnation=self.incarnation,
         )
 
 
--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -190,10 +190,11 @@
                 if fits(upstream):
                     self._weigh(choice, query, upstream, is_hit=True)
             return choice.place
+        key = query.ticket.affinity
         known = self._present_order(query.ticket, by_name, query.now)
         for name, is_planned in known.items():
             upstream = by_name[name]
-            is_hit = is_planned or self._has_seen(query, name)
+            is_hit = is_planned or self.has_seen(key, name, query.now)
             if fits(upstream) and (is_hit or _load(upstream, query.now) <= SECOND_LOAD):
                 self._weigh(choice, query, upstream, is_hit=is_hit)
         if choice.cost[0] <= query.missed_s:
@@ -205,11 +206,10 @@
                 self._weigh(choice, query, upstream, is_hit=False)
         return choice.place
 
-    def _has_seen(self, query: _Query, upstream: str) -> bool:
-        """Tell whether an upstream answered this VM for the key a while ago."""
-        place = (query.ticket.affinity or "", upstream)
-        seen_at = self._seen_at_by_place.get(place)
-        return seen_at is not None and query.now - seen_at < SEEN_S
+    def has_seen(self, key: str, upstream: str, now: float) -> bool:
+        """Tell whether an upstream answered this VM for a key a while ago."""
+        seen_at = self._seen_at_by_place.get((key, upstream))
+        return seen_at is not None and now - seen_at < SEEN_S
 
     def note_seen(self, key: str, upstream: str, now: float) -> None:
         """Record that an upstream answered for a key."""
@@ -222,6 +222,14 @@
         if len(self._seen_at_by_place) < MAX_SEEN:
             self._seen_at_by_place[key, upstream] = now
 
+    def forget_seen(self, upstream: str) -> None:
+        """Forget the keys that an upstream has seen."""
+        self._seen_at_by_place = {
+            place: at
+            for place, at in self._seen_at_by_place.items()
+            if place[1] != upstream
+        }
+
     def explain(
         self,
         ticket: Ticket,
--- a/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
@@ -38,6 +38,7 @@
     from plankspindle_core.configuration.upstream import Upstream
     from plankspindle_daemon.dispatch.messages import DispatchEffect
     from plankspindle_daemon.dispatch.messages import DispatchEvent
+    from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
     from plankspindle_daemon.platform.live_list import ListedVm
 
 OVERLOADED_SHARE = 0.5
@@ -153,7 +154,7 @@
         wall : float
             Seconds since the Unix epoch.
         """
-        listed = tuple(vms)
+        listed = tuple(map(self.listed.newest_of, vms))
         self.listed.take(listed, now)
         if self._configuration is not None:
             self._use_services(self._configuration, now)
@@ -189,23 +190,25 @@
             if upstream.ledger.is_over_share(now)
         ]
 
-    def silent_upstreams(self, now: float) -> tuple[str, ...]:
-        """Name upstreams that answer none of this VM's requests, not too many."""
+    def silent_upstreams(self, now: float) -> tuple[UpstreamState, ...]:
+        """Give upstreams that answer none of this VM's requests, not too many."""
         silent = [
-            upstream.name
+            upstream
             for dispatcher in self.dispatchers_by_service.values()
             for upstream in dispatcher.upstreams_by_name.values()
             if upstream.is_worth_a_hint(now)
         ]
         return tuple(silent[:MAX_HINTS])
 
-    def take_hints(self, names: Iterable[str], domain: str, now: float) -> None:
-        """Take what an entry VM of a failure domain tells of silent upstreams."""
-        for name in names:
+    def take_hints(self, told: Heartbeat, now: float) -> None:
+        """Take what an entry VM tells of silent upstreams, of their present life."""
+        names, incarnations = told.silent_upstreams, told.silent_incarnations
+        hints = zip(names, incarnations or (0,) * len(names), strict=False)
+        for name, incarnation in hints:
             for dispatcher in self.dispatchers_by_service.values():
                 upstream = dispatcher.upstreams_by_name.get(name)
-                if upstream is not None:
-                    upstream.note_hint(domain, now)
+                if upstream is not None and upstream.incarnation == incarnation:
+                    upstream.note_hint(told.failure_domain, now)
 
     def apply_drains(self, *, now: float, wall: float) -> None:
         """Keep new work from drained upstreams, and take back those that no more are.
@@ -242,7 +245,7 @@
             dispatcher.queue.limit = service.queue_limit
             self._use_budget(name, service)
             declared = self._declared_upstreams(configuration, name, service)
-            self._use_upstreams(dispatcher, service, declared, now)
+            self._use_upstreams(dispatcher, name, service, declared, now)
 
     def _use_budget(self, name: str, service: Service) -> None:
         budget = self.budgets_by_service.setdefault(
@@ -288,6 +291,7 @@
     def _use_upstreams(
         self,
         dispatcher: Dispatcher,
+        service_name: str,
         service: Service,
         declared: dict[str, Upstream],
         now: float,
@@ -299,13 +303,19 @@
                 del by_name[name]
         for name, upstream in declared.items():
             known = by_name.get(name)
-            if known is not None and known.upstream.endpoint == upstream.endpoint:
+            incarnation = self.listed.incarnation_of(name)
+            if known is not None and known.is_same_life(upstream, incarnation):
+                known.incarnation = incarnation or known.incarnation
                 known.upstream = upstream
                 known.ledger.slots = upstream.slots
                 known.ledger.shrink_share(upstream.slots)
-            else:
-                by_name[name] = self._new_upstream(
-                    dispatcher, service, name, upstream, now
+                continue
+            by_name[name] = self._new_upstream(dispatcher, service, name, upstream, now)
+            by_name[name].incarnation = incarnation
+            if known is not None:
+                dispatcher.forget_upstream(name)
+                self._note_cold(
+                    service_name, by_name[name], now + service.cold_ms / 1000
                 )
         _place(dispatcher, declared)
 
--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
@@ -324,6 +324,7 @@
             connect_s=self._connect_s,
             reported_load=self._reported_load,
             waited_s=now - self._sent_at if self.head is None else None,
+            incarnation=self.assigned.incarnation,
             came=self._came,
         )
 
--- a/packages/daemon/src/plankspindle_daemon/node/list_follower.py
+++ b/packages/daemon/src/plankspindle_daemon/node/list_follower.py
@@ -143,6 +143,7 @@
 
     async def _take_read(self, vms: list[ListedVm]) -> None:
         listed = self.node.services.listed
+        listed.note_unreadable(self.platform.unreadable_names)
         await self._take(vms)
         now = monotonic()
         news = self.node.reads.note_list_read(
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -288,7 +288,7 @@
         if isinstance(event, membership.HeartbeatReceived):
             effects += self.versions.hear_heartbeat(event.heartbeat, now)
             told = event.heartbeat
-            self.services.take_hints(told.silent_upstreams, told.failure_domain, now)
+            self.services.take_hints(told, now)
         if isinstance(event, membership.LiveListRead):
             self.self_report.list_read_at = now
             self._wall_ahead_s = wall - now
--- a/packages/daemon/src/plankspindle_daemon/node/self_report.py
+++ b/packages/daemon/src/plankspindle_daemon/node/self_report.py
@@ -115,6 +115,7 @@
             Whether it is the last one, after which nothing of this process runs.
         """
         self._sequence += 1
+        silent = self.services.silent_upstreams(now)
         return Heartbeat(
             sender=self.vm,
             incarnation=self.incarnation,
@@ -127,7 +128,8 @@
             over_share=self._over_share(now),
             configuration_version=version,
             head_read_ago_ms=self.head.ago_ms(now),
-            silent_upstreams=self.services.silent_upstreams(now),
+            silent_upstreams=tuple(each.name for each in silent),
+            silent_incarnations=tuple(each.incarnation for each in silent),
         )
 
     def _over_share(self, now: float) -> tuple[str, ...]:
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/heartbeat.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/heartbeat.py
@@ -39,6 +39,8 @@
         Time since any member read the head of the configuration, as far as it knows.
     silent_upstreams : tuple of str
         Upstreams that answer none of its requests at present.
+    silent_incarnations : tuple of int
+        Which life of each of them is meant.
     """
 
     sender: str
@@ -53,3 +55,4 @@
     configuration_version: int
     head_read_ago_ms: int = 0xFFFFFFFF
     silent_upstreams: tuple[str, ...] = ()
+    silent_incarnations: tuple[int, ...] = ()
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/list_news.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/list_news.py
@@ -23,6 +23,8 @@
         Whether it is leaving.
     cold_ms : int
         Time for which it stays cold, from the sending of the message.
+    incarnation : int
+        Number of its present life; zero if the platform does not tell it.
     """
 
     name: str
@@ -32,6 +34,7 @@
     slots: int
     leaving: bool
     cold_ms: int
+    incarnation: int = 0
 
 
 @frozen(kw_only=True)
--- a/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
 
 GAP_S = 8.0
@@ -58,6 +59,7 @@
     _disturbed_at: float | None = None
     _lenient_until: float = 0.0
     _keeps_missing: bool = False
+    _unreadable: frozenset[str] = frozenset()
 
     @property
     def read_at(self) -> float | None:
@@ -95,6 +97,10 @@
         if self._read_at is not None:
             self._read_at = max(self._read_at, at)
 
+    def note_unreadable(self, names: frozenset[str]) -> None:
+        """Take the names whose entries are there but unreadable: none lapsed."""
+        self._unreadable = names
+
     def correct_read_at(self, at: float | None) -> None:
         """Say when the list that was taken last was read, if not just then."""
         self._read_at = at
@@ -117,10 +123,25 @@
         self._disturbed_at = None
         self._read_at = now
         present = {each.name: each for each in listed if each.upstream is not None}
-        self._keeps_missing = self.is_lenient(now) and self._lapsed(present)
-        if self._keeps_missing:
-            present = {**self.by_name, **present}
-        self.by_name = present
+        held = {
+            name: each
+            for name, each in self.by_name.items()
+            if name not in self._unreadable
+        }
+        self._keeps_missing = self.is_lenient(now) and _lapsed(held, present)
+        self.by_name = {**held, **present} if self._keeps_missing else present
+
+    def newest_of(self, listed: ListedVm) -> ListedVm:
+        """Give the known entry in place of one of an earlier life, which lags."""
+        known = self.by_name.get(listed.name)
+        if known is not None and 0 < listed.incarnation < known.incarnation:
+            return known
+        return listed
+
+    def incarnation_of(self, name: str) -> int:
+        """Give the number of an upstream's known life; zero if there is none."""
+        known = self.by_name.get(name)
+        return 0 if known is None else known.incarnation
 
     def _disturbed_until(self, now: float) -> float | None:
         """Tell when a disturbance before this read was last under way."""
@@ -130,6 +151,8 @@
         stood_still = self._read_at is not None and now - self._read_at > GAP_S
         return now if stood_still else None
 
-    def _lapsed(self, present: dict[str, ListedVm]) -> bool:
-        missing = sum(name not in present for name in self.by_name)
-        return missing > LAPSED_SHARE * len(self.by_name)
+
+def _lapsed(held: Mapping[str, ListedVm], present: Mapping[str, ListedVm]) -> bool:
+    """Tell whether so many entries are missing that an outage is the likely cause."""
+    missing = sum(name not in present for name in held)
+    return missing > LAPSED_SHARE * len(held)
--- a/packages/daemon/src/plankspindle_daemon/platform/live_list.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/live_list.py
@@ -45,6 +45,9 @@
         Its declaration, where the platform and not the configuration declares it.
     cold_until : float
         End of the time for which an upstream is cold, monotonic seconds.
+    incarnation : int
+        Number of an upstream's present life, which rises with each start; zero where
+        the platform does not tell it.
     """
 
     name: str
@@ -56,6 +59,7 @@
     peer_endpoint: Endpoint | None = None
     upstream: Upstream | None = None
     cold_until: float = 0.0
+    incarnation: int = 0
 
 
 def parse_live_list(document: Any) -> Result[list[ListedVm], PlatformUnavailable]:
--- a/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
@@ -188,6 +188,11 @@
         """
         return self._list_away_at
 
+    @property
+    def unreadable_names(self) -> frozenset[str]:
+        """VMs of the list whose entries are there but cannot be read."""
+        return frozenset()
+
     @property
     def list_version(self) -> int | None:
         """Version of the list that was read last; None if the platform gives none."""
--- a/packages/daemon/src/plankspindle_daemon/sharing/told_upstreams.py
+++ b/packages/daemon/src/plankspindle_daemon/sharing/told_upstreams.py
@@ -23,6 +23,7 @@
         slots=declared.slots,
         leaving=listed.leaving,
         cold_ms=max(0, round(1000 * (listed.cold_until - now))),
+        incarnation=listed.incarnation,
     )
 
 
@@ -40,4 +41,5 @@
             slots=told.slots,
         ),
         cold_until=now + told.cold_ms / 1000,
+        incarnation=told.incarnation,
     )
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -42,6 +42,8 @@
         Its health.
     ledger : SlotLedger or ReportedSlots
         Its slots.
+    incarnation : int
+        Number of its present life; zero where the platform does not tell it.
     relative_latency : float
         Moving average of its latency over that of all upstreams; 1 is average.
     leaving : bool
@@ -56,8 +58,8 @@
     drained_at : float, optional
         Time from which a confirmed drain keeps new work away, monotonic seconds.
     is_misplaced : bool
-        Whether another one answered at its address. It is gone for good then: a name
-        stands for one life of an upstream.
+        Whether another one answered at its address. This life of it is gone for good
+        then; another one under its name has a state of its own.
     answered_at : float
         When it last answered, monotonic seconds.
     evidence : str, optional
@@ -70,6 +72,7 @@
     upstream: Upstream
     health: UpstreamHealth
     ledger: SlotLedger | ReportedSlots
+    incarnation: int = 0
     relative_latency: float = 1.0
     leaving: bool = False
     leaves_at: float | None = None
@@ -86,6 +89,19 @@
     _latency_at: float = 0.0
     _listed_leaving: bool = False
 
+    def is_same_life(self, declared: Upstream, incarnation: int) -> bool:
+        """Tell whether a declaration is of the life that this is the state of.
+
+        Notes
+        -----
+        An upstream that has started again has empty caches, and none of the latency,
+        failures and requests of before are its own. A number is learned late where the
+        platform did not tell it at first; that starts no other life.
+        """
+        if self.upstream.endpoint != declared.endpoint:
+            return False
+        return 0 in (self.incarnation, incarnation) or self.incarnation == incarnation
+
     def takes_nothing_new(self, now: float) -> bool:
         """Tell whether it is leaving, drained or gone."""
         drained = self.drained_at is not None and now >= self.drained_at
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -73,6 +73,7 @@
     ),
     "over_share": _Conversion(write=list, read=tuple),
     "silent_upstreams": _Conversion(write=list, read=tuple),
+    "silent_incarnations": _Conversion(write=list, read=tuple),
     "loads": _list_of(ServiceLoad),
     "changed": _list_of(ToldUpstream),
     "gone": _Conversion(write=list, read=tuple),
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -23,6 +23,7 @@
   configurationVersion @8 :UInt64;
   headReadAgoMs @9 :UInt32;
   silentUpstreams @10 :List(Text);
+  silentIncarnations @11 :List(UInt64);
 }
 
 struct SlotRequest {
@@ -91,6 +92,7 @@
   slots @4 :UInt16;
   leaving @5 :Bool;
   coldMs @6 :UInt32;
+  incarnation @7 :UInt64;
 }
 
 struct ListNews {
--- a/packages/daemon/tests/node/test_list_follower.py
+++ b/packages/daemon/tests/node/test_list_follower.py
@@ -64,6 +64,7 @@
 
     by_name: dict[str, ListedVm] = Factory(dict)
     list_version: int = 1
+    unreadable_names: frozenset[str] = frozenset()
 
     def take_list_change(
         self, *, version: int, changed: Iterable[ListedVm], gone: Iterable[str]
--- a/packages/daemon/tests/platform/test_listed_upstreams.py
+++ b/packages/daemon/tests/platform/test_listed_upstreams.py
@@ -41,6 +41,15 @@
     assert set(upstreams.by_name) == {"a"}
 
 
+def test_an_entry_that_turned_unreadable_in_an_outage_is_not_kept() -> None:
+    upstreams = ListedUpstreams()
+    upstreams.take([listed("a"), listed("b"), listed("c")], 0.0)
+    upstreams.note_failed()
+    upstreams.note_unreadable(frozenset({"b"}))
+    upstreams.take([], 1.0)
+    assert set(upstreams.by_name) == {"a", "c"}
+
+
 def test_a_failed_read_is_an_outage_too() -> None:
     upstreams = ListedUpstreams()
     upstreams.take([listed("a"), listed("b")], 0.0)
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -11,6 +11,7 @@
 import pytest
 from attrs import evolve
 from builders import build_boot
+from builders import wire_row
 from result import Err
 from store_stand_in import SERVER
 from store_stand_in import StoreStandIn
@@ -30,6 +31,7 @@
 from plankspindle_platform.entry_rows import EntryRows
 from plankspindle_platform.row_store import HistoryGone
 from plankspindle_platform.row_store import RowStore
+from plankspindle_platform.row_store import StoredRow
 from plankspindle_platform.store_platform import StorePlatform
 
 if TYPE_CHECKING:
@@ -352,6 +354,46 @@
     assert "event=row_unreadable table=servers key=i-1 reason=" in stream.getvalue()
 
 
+def test_an_unreadable_row_that_is_written_again_is_logged_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    stream = io.StringIO()
+    log = start_logging(stream=stream)
+
+    async def use(store: StoreStandIn, platform: StorePlatform) -> list[set[str]]:
+        names = []
+        store.put("servers", "i-2", SERVER)
+        for document in (SERVER, {"info": 1}, {"info": 2}, SERVER, {"info": 1}):
+            store.put("servers", "i-1", document)
+            names.append(await names_of(platform))
+        return names
+
+    try:
+        names = run_with_platform(monkeypatch, use)
+    finally:
+        stop_logging(log)
+    both, one = {"i-1", "i-2", "edge-a-1"}, {"i-2", "edge-a-1"}
+    assert names == [both, one, one, both, one]
+    assert stream.getvalue().count("event=row_unreadable") == 2
+
+
+@pytest.mark.parametrize("value", ["%%%", "e30", 7, ["e30="]])
+def test_a_row_of_bytes_that_cannot_be_read_leaves_the_others(
+    monkeypatch: pytest.MonkeyPatch, value: Any
+) -> None:
+    def spoil(row: StoredRow) -> dict[str, Any]:
+        sent = wire_row(row)
+        return {**sent, "value": value} if row.key == "i-1" else sent
+
+    async def use(store: StoreStandIn, platform: StorePlatform) -> set[str]:
+        store.put("servers", "i-1", SERVER)
+        store.put("servers", "i-2", SERVER)
+        return await names_of(platform)
+
+    monkeypatch.setattr("store_stand_in.wire_row", spoil)
+    assert run_with_platform(monkeypatch, use) == {"i-2", "edge-a-1"}
+
+
 def test_the_row_of_a_dead_vm_is_removed_but_not_if_it_changes(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/fleet/test_values_from_store.py
+++ b/tests/fleet/test_values_from_store.py
@@ -23,6 +23,7 @@
 from plankspindle_daemon.sharing.told_upstreams import told_of
 from plankspindle_daemon.wire.codec import decode
 from plankspindle_daemon.wire.codec import encode
+from plankspindle_platform.listed_rows import RowTranslator
 from plankspindle_platform.listed_rows import read_server
 
 if TYPE_CHECKING:
@@ -98,6 +99,58 @@
     assert found.is_err() or is_told(found.unwrap())
 
 
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+@given(document=spoiled(SERVER) | JSON, other=st.sampled_from(["i-0", "i-9"]))
+def test_a_row_of_any_shape_costs_no_other_row(document: Any, other: str) -> None:
+    rows = [build_row("i-1", 5, document), build_row(other, 6, SERVER)]
+    translator = RowTranslator(table="servers", read=read_server)
+    for _ in range(2):
+        found = [translator.translate(row) for row in rows]
+        assert found[1] is not None
+        assert is_told(found[1])
+        assert found[0] is None or is_told(found[0])
+
+
+@pytest.mark.parametrize(
+    ("place", "value"),
+    [
+        (("info", "service"), 7),
+        (("info", "zone"), None),
+        (("info", "slots"), "9"),
+        (("info", "slots"), True),
+        (("info", "slots"), 9.0),
+        (("address",), ["10.6.0.1:8080"]),
+        (("status", "state"), "resting"),
+        (("status", "state"), None),
+        (("status", "cold_remaining"), 0),
+        (("status", "cold_remaining"), ...),
+        (("born",), "1700000000000"),
+        (("born",), 1.7e12),
+        (("born",), -1),
+        (("born",), 1 << 64),
+    ],
+)
+def test_a_field_of_another_writer_names_no_upstream(
+    place: tuple[Any, ...], value: Any
+) -> None:
+    document = with_change({**SERVER, "born": 5}, place, value)
+    assert read_server(build_row("i-1", 5, document)).is_err()
+
+
+def test_the_start_of_a_server_numbers_its_life() -> None:
+    row = build_row("i-1", 5, {**SERVER, "born": 1_700_000_000_000})
+    assert read_server(row).unwrap().incarnation == 1_700_000_000_000
+    assert read_server(build_row("i-1", 5, SERVER)).unwrap().incarnation == 0
+
+
 @pytest.mark.parametrize("name", ["\ud800", "i-\udfff"])
 def test_a_name_that_is_no_text_is_unreadable(name: str) -> None:
     assert read_server(build_row(name, 5, SERVER)).is_err()
