A lab for decisions: real dispatchers of many entry VMs on one fake clock

The lab runs the daemon's own ServiceBook of twelve entry VMs against modelled upstreams (slots, queue, keys seen lately, cold, slow, shedding, silent), with callers that come back, in 2 s a run, seeded, without network. Patterns are checked YAML files; an oracle places the same load with full knowledge. run, compare, ablate; a table and an SVG.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := core daemon client testkit
 
-.PHONY: setup demo test lint format bench soak soak-fleet clean
+.PHONY: setup demo test lint format bench lab soak soak-fleet clean
 
 setup: $(VENV)/.installed
 
@@ -32,6 +32,9 @@
 bench: setup
 	$(BIN)/python -m plankspindle_testkit.bench
 
+lab: setup
+	$(BIN)/python -m plankspindle_testkit.lab run
+
 soak: setup
 	$(BIN)/python -m plankspindle_testkit.soak --minutes 5
 
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/lab/deployment.py
@@ -0,0 +1,101 @@
+"""The entry VMs and upstreams of a run, and the ways between them."""
+
+from __future__ import annotations
+
+from random import Random
+
+from attrs import Factory
+from attrs import define
+from attrs import field
+
+from plankspindle_daemon.steering.steering import ENOUGH_IN_DOMAIN
+from plankspindle_testkit.lab.lab_vm import LabVm
+from plankspindle_testkit.lab.lab_vm import vm_names
+from plankspindle_testkit.lab.modelled_upstream import ModelledUpstream
+from plankspindle_testkit.lab.pattern import Pattern
+
+
+@define(kw_only=True)
+class Deployment:
+    """What runs.
+
+    Parameters
+    ----------
+    pattern : Pattern
+        What is modelled.
+    random : Random
+        Source of all random choices.
+
+    Attributes
+    ----------
+    upstreams_by_name : dict of str to ModelledUpstream
+        The upstreams.
+    vms_by_name : dict of str to LabVm
+        The entry VMs.
+    drained : set of str
+        Failure domains whose upstreams get nothing.
+    """
+
+    pattern: Pattern
+    random: Random
+    upstreams_by_name: dict[str, ModelledUpstream] = field(init=False)
+    vms_by_name: dict[str, LabVm] = field(init=False)
+    drained: set[str] = Factory(set)
+
+    def __attrs_post_init__(self) -> None:
+        self.upstreams_by_name = {
+            f"{service}/{domain}-{number}": self._make_upstream(service, domain, number)
+            for service, model in self.pattern.services_by_name.items()
+            for domain, count in model.upstreams_by_domain.items()
+            for number in range(count)
+        }
+        self.vms_by_name = {}
+        self.start_vms(0.0)
+
+    def _make_upstream(
+        self, service: str, domain: str, number: int
+    ) -> ModelledUpstream:
+        return ModelledUpstream(
+            name=f"{service}/{domain}-{number}",
+            domain=domain,
+            service=self.pattern.services_by_name[service],
+            operations_by_name=self.pattern.operations_by_name,
+            random=Random(self.random.getrandbits(64)),
+        )
+
+    def start_vms(self, now: float) -> None:
+        """Start all entry VMs, with empty memory."""
+        for name, domain in vm_names(self.pattern).items():
+            vm = LabVm.start(
+                name=name,
+                domain=domain,
+                pattern=self.pattern,
+                seed=self.random.getrandbits(64),
+                now=now,
+                drained=self.drained,
+            )
+            vm.read_list(self.upstreams_by_name.values(), now)
+            self.vms_by_name[name] = vm
+
+    def running_vms(self) -> list[LabVm]:
+        """Give the entry VMs that run."""
+        return [each for each in self.vms_by_name.values() if each.is_up]
+
+    def vm_for(self, domain: str) -> LabVm | None:
+        """Choose an entry VM as look-ups name them: of the domain, or of its region."""
+        regions = self.pattern.region_by_domain
+        up = self.running_vms()
+        own = [each for each in up if each.domain == domain]
+        if len(own) >= ENOUGH_IN_DOMAIN:
+            return self.random.choice(own)
+        near = [each for each in up if regions[each.domain] == regions[domain]]
+        return self.random.choice(near or up) if up else None
+
+    def one_way_s(self, domain: str, other: str) -> float:
+        """Give the delay between two failure domains, in seconds."""
+        if domain == other:
+            return 0.0
+        regions = self.pattern.region_by_domain
+        if regions[domain] == regions[other]:
+            return self.pattern.between_domains_ms / 1000
+        return self.pattern.between_regions_ms / 1000
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
@@ -0,0 +1,312 @@
+"""What entry VMs do with requests: place, send, leave, answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from itertools import count
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import define
+from attrs import field
+
+from plankspindle_daemon.admission.ticket import Ticket
+from plankspindle_daemon.dispatch.messages import Arrived
+from plankspindle_daemon.dispatch.messages import Assign
+from plankspindle_daemon.dispatch.messages import Ended
+from plankspindle_daemon.dispatch.messages import Reject
+from plankspindle_daemon.dispatch.messages import Verdict
+from plankspindle_daemon.dispatch.messages import Withdrawn
+from plankspindle_daemon.exchange import patience
+from plankspindle_daemon.listeners import request_reader
+from plankspindle_testkit.lab.clock import Clock
+from plankspindle_testkit.lab.deployment import Deployment
+from plankspindle_testkit.lab.modelled_upstream import Work
+from plankspindle_testkit.lab.oracle import Oracle
+from plankspindle_testkit.lab.outcomes import Outcome
+from plankspindle_testkit.lab.requests import AT_NO_UPSTREAM
+from plankspindle_testkit.lab.requests import Handled
+from plankspindle_testkit.lab.requests import Request
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.dispatch.messages import DispatchEffect
+    from plankspindle_testkit.lab.lab_vm import LabVm
+    from plankspindle_testkit.lab.modelled_upstream import Begun
+    from plankspindle_testkit.lab.modelled_upstream import ModelledUpstream
+    from plankspindle_testkit.lab.pattern import ModelOperation
+
+MAX_ATTEMPTS = 2
+"""Upstreams that one request may be sent to."""
+
+
+@define(kw_only=True)
+class Exchanges:
+    """Requests at the entry VMs of a run.
+
+    Parameters
+    ----------
+    clock : Clock
+        The clock.
+    deployment : Deployment
+        Entry VMs and upstreams.
+    finish : callable
+        Takes a request and how it ended.
+    come_back : callable
+        Takes a request that was refused, and the time to come back in seconds.
+    oracle : Oracle, optional
+        What places requests in place of the entry VMs.
+    """
+
+    clock: Clock
+    deployment: Deployment
+    finish: Callable[[Request, Outcome], None]
+    come_back: Callable[[Request, float], None]
+    oracle: Oracle | None = None
+    _numbers: count[int] = field(factory=count)
+    _by_ticket: dict[int, Handled] = Factory(dict)
+    _by_attempt: dict[int, Handled] = Factory(dict)
+
+    def take(self, request: Request, vm: LabVm) -> None:
+        """Take a request that reaches an entry VM."""
+        if not vm.is_up:
+            self.finish(request, Outcome.FAILED)
+            return
+        operation = self._operation_of(request)
+        handled = Handled(
+            request=request,
+            vm=vm,
+            ticket=self._ticket_of(request, operation),
+            service=operation.service,
+        )
+        self._by_ticket[handled.ticket.id] = handled
+        left_s = max(0.0, handled.ticket.deadline - self.clock.now)
+        self.clock.after(left_s, partial(self._give_up, handled))
+        vm.book.budgets_by_service[operation.service].note_fresh()
+        self._place(handled)
+
+    def perform(self, effects: list[DispatchEffect]) -> None:
+        """Carry out what dispatchers decided."""
+        for effect in effects:
+            match effect:
+                case Assign(ticket=ticket, upstream=upstream, incarnation=incarnation):
+                    handled = self._by_ticket.get(ticket.id)
+                    if handled is not None:
+                        self._send(handled, upstream, incarnation)
+                case Reject(ticket=ticket, retry_after_s=retry_after_s):
+                    handled = self._by_ticket.get(ticket.id)
+                    if handled is not None:
+                        self._refuse(handled, retry_after_s)
+                case _:
+                    pass
+
+    def break_off(self) -> None:
+        """End all requests, as when all entry VMs end."""
+        for handled in list(self._by_ticket.values()):
+            self._end(handled, Outcome.FAILED)
+            if handled.upstream is not None:
+                self._drop(handled.upstream, handled.attempt)
+
+    def _operation_of(self, request: Request) -> ModelOperation:
+        return self.deployment.pattern.operations_by_name[request.operation]
+
+    def _to_caller_s(self) -> float:
+        return self.deployment.pattern.to_callers_ms / 1000
+
+    def _ticket_of(self, request: Request, operation: ModelOperation) -> Ticket:
+        target_s = operation.target_ms / 1000
+        return Ticket(
+            id=next(self._numbers),
+            rank=operation.rank,
+            operation=request.operation,
+            deadline=request.deadline - self._to_caller_s(),
+            expected_s=request_reader.EXPECTED_SHARE * target_s,
+            affinity=f"{request.operation}/{request.key}",
+            hold_until=self.clock.now + request_reader.HOLD_SHARE * target_s,
+        )
+
+    def _place(self, handled: Handled) -> None:
+        if self.oracle is None:
+            self._tell(handled, Arrived(handled.ticket))
+            return
+        upstream = self.oracle.choose(
+            handled.request.operation,
+            handled.request.key,
+            domain=handled.vm.domain,
+            drained=self.deployment.drained,
+            now=self.clock.now,
+        )
+        if upstream is None:
+            self._end(handled, Outcome.REFUSED)
+        else:
+            self._send(handled, upstream.name, upstream.incarnation)
+
+    def _tell(self, handled: Handled, event: Arrived | Ended | Withdrawn) -> None:
+        book = handled.vm.book
+        self.perform(book.handle(handled.service, event, self.clock.now))
+
+    def _refuse(self, handled: Handled, retry_after_s: float) -> None:
+        handled.is_over = True
+        self._by_ticket.pop(handled.ticket.id, None)
+        back = partial(self.come_back, handled.request, retry_after_s)
+        self.clock.after(self._to_caller_s(), back)
+
+    def _end(self, handled: Handled, outcome: Outcome) -> None:
+        handled.is_over = True
+        self._by_ticket.pop(handled.ticket.id, None)
+        self.finish(handled.request, outcome)
+
+    def _send(self, handled: Handled, upstream: str, incarnation: int) -> None:
+        handled.upstream, handled.incarnation = upstream, incarnation
+        handled.attempts += 1
+        handled.attempt = next(self._numbers)
+        handled.sent_at = self.clock.now
+        self._by_attempt[handled.attempt] = handled
+        is_idempotent = self._operation_of(handled.request).idempotent
+        if is_idempotent and self.oracle is None:
+            self._watch(handled, handled.attempt)
+        # A new connection costs the way there and back once more.
+        ways = 1 if is_idempotent else 3
+        work = Work(
+            number=handled.attempt,
+            operation=handled.request.operation,
+            key=handled.request.key,
+        )
+        reach = partial(self._reach, handled, upstream, work)
+        self.clock.after(ways * self._way_s(handled, upstream), reach)
+
+    def _way_s(self, handled: Handled, upstream: str) -> float:
+        other = self.deployment.upstreams_by_name[upstream].domain
+        return self.deployment.one_way_s(handled.vm.domain, other)
+
+    def _watch(self, handled: Handled, attempt: int) -> None:
+        dispatcher = handled.vm.book.dispatchers_by_service[handled.service]
+        usual_s = dispatcher.usual_s(handled.ticket)
+        wait_s = max(patience.MIN_PATIENCE_S, patience.PATIENCE * usual_s)
+        self.clock.after(wait_s, partial(self._look_after, handled, attempt))
+
+    def _look_after(self, handled: Handled, attempt: int) -> None:
+        """Leave an upstream that answers nobody, as an exchange does."""
+        if handled.is_over or handled.attempt != attempt:
+            return
+        if self._may_leave(handled):
+            self._leave(handled, Verdict.TIMED_OUT)
+        else:
+            self._watch(handled, attempt)
+
+    def _may_leave(self, handled: Handled) -> bool:
+        book, upstream = handled.vm.book, handled.upstream
+        dispatcher = book.dispatchers_by_service[handled.service]
+        known = dispatcher.upstreams_by_name.get(upstream or "")
+        if known is not None and known.answered_at >= handled.sent_at:
+            return False
+        return (
+            upstream is not None
+            and handled.attempts < MAX_ATTEMPTS
+            and book.budgets_by_service[handled.service].has_room()
+            and dispatcher.could_place_elsewhere(
+                handled.ticket, upstream, self.clock.now
+            )
+        )
+
+    def _leave(self, handled: Handled, verdict: Verdict) -> None:
+        """End an attempt without an answer, and make another one if that may be."""
+        upstream = handled.upstream
+        assert upstream is not None
+        self._drop(upstream, handled.attempt)
+        ended = self._ended(handled, upstream, verdict)
+        handled.upstream, handled.attempt = None, AT_NO_UPSTREAM
+        excluded = handled.ticket.excluded | frozenset({upstream})
+        handled.ticket = handled.ticket.excluding(excluded)
+        self._tell(handled, ended)
+        budget = handled.vm.book.budgets_by_service[handled.service]
+        if handled.attempts < MAX_ATTEMPTS and budget.take():
+            self._place(handled)
+        else:
+            self._refuse(handled, 0.0)
+
+    def _ended(self, handled: Handled, upstream: str, verdict: Verdict) -> Ended:
+        return Ended(
+            ticket=handled.ticket,
+            upstream=upstream,
+            verdict=verdict,
+            incarnation=handled.incarnation,
+            waited_s=self.clock.now - handled.sent_at,
+        )
+
+    def _drop(self, upstream: str, attempt: int) -> None:
+        """Break off an attempt: its connection is closed."""
+        self._by_attempt.pop(attempt, None)
+        known = self.deployment.upstreams_by_name[upstream]
+        if known.has(attempt):
+            self._continue(known, known.end(attempt, self.clock.now))
+
+    def _give_up(self, handled: Handled) -> None:
+        """End a request whose deadline has passed."""
+        if handled.is_over:
+            return
+        upstream = handled.upstream
+        self._end(handled, Outcome.FAILED)
+        if upstream is None:
+            self._tell(handled, Withdrawn(handled.ticket.id))
+            return
+        self._drop(upstream, handled.attempt)
+        self._tell(handled, self._ended(handled, upstream, Verdict.TIMED_OUT))
+
+    def _reach(self, handled: Handled, upstream: str, work: Work) -> None:
+        if handled.is_over or handled.attempt != work.number:
+            return
+        known = self.deployment.upstreams_by_name[upstream]
+        if known.is_dead:
+            return
+        if known.sheds():
+            shed = partial(self._take_shed, handled, work.number)
+            self.clock.after(self._way_s(handled, upstream), shed)
+            return
+        self._continue(known, known.offer(work, self.clock.now))
+
+    def _take_shed(self, handled: Handled, attempt: int) -> None:
+        if handled.is_over or handled.attempt != attempt:
+            return
+        if self.oracle is None:
+            self._leave(handled, Verdict.SHED)
+        else:
+            self._place(handled)
+
+    def _continue(self, upstream: ModelledUpstream, begun: Begun | None) -> None:
+        if begun is None:
+            return
+        ends = partial(self._end_work, upstream, begun.work, upstream.incarnation)
+        self.clock.after(begun.seconds, ends)
+
+    def _end_work(
+        self, upstream: ModelledUpstream, work: Work, incarnation: int
+    ) -> None:
+        if upstream.incarnation != incarnation or not upstream.has(work.number):
+            return
+        self._continue(upstream, upstream.end(work.number, self.clock.now))
+        handled = self._by_attempt.pop(work.number, None)
+        if upstream.is_dead or handled is None:
+            return
+        answer = partial(self._answer, handled, work.number, upstream.load)
+        self.clock.after(self._way_s(handled, upstream.name), answer)
+
+    def _answer(self, handled: Handled, attempt: int, load: int) -> None:
+        upstream = handled.upstream
+        if handled.is_over or handled.attempt != attempt or upstream is None:
+            return
+        target_s = self._operation_of(handled.request).target_ms / 1000
+        latency_s = self.clock.now - handled.request.first_at + self._to_caller_s()
+        self._end(handled, Outcome.IN_AIM if latency_s <= target_s else Outcome.LATE)
+        took_s = self.clock.now - handled.sent_at
+        ended = Ended(
+            ticket=handled.ticket,
+            upstream=upstream,
+            verdict=Verdict.ANSWERED,
+            head_s=took_s,
+            total_s=took_s,
+            connect_s=2 * self._way_s(handled, upstream),
+            reported_load=load,
+            incarnation=handled.incarnation,
+        )
+        self._tell(handled, ended)
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
@@ -0,0 +1,172 @@
+"""One run of a pattern: callers, entry VMs and upstreams on one fake clock."""
+
+from __future__ import annotations
+
+from functools import partial
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import define
+from attrs import evolve
+from attrs import field
+
+from plankspindle_daemon.dispatch.messages import TimePassed
+from plankspindle_testkit.lab.clock import Clock
+from plankspindle_testkit.lab.deployment import Deployment
+from plankspindle_testkit.lab.exchanges import Exchanges
+from plankspindle_testkit.lab.oracle import Oracle
+from plankspindle_testkit.lab.outcomes import Outcome
+from plankspindle_testkit.lab.outcomes import Outcomes
+from plankspindle_testkit.lab.outcomes import Sample
+from plankspindle_testkit.lab.pattern import Pattern
+from plankspindle_testkit.lab.requests import Request
+from plankspindle_testkit.lab.strikes import Strikes
+
+if TYPE_CHECKING:
+    from plankspindle_testkit.lab.pattern import ModelOperation
+
+TICK_S = 0.05
+REFRESH_S = 0.25
+"""Periods of an entry VM: waiting requests, and the room of its region, in seconds."""
+LIST_S = 0.5
+"""Period of reading the list of upstreams, in seconds."""
+SAMPLE_S = 0.25
+"""Period of the samples over time, in seconds."""
+RETURNS = 1
+"""How often a refused caller comes back."""
+MOST_WAITED = 1 / 3
+"""Part of what is left of its time for which a caller heeds a time to come back."""
+
+
+@define(kw_only=True)
+class LabRun:
+    """One run.
+
+    Parameters
+    ----------
+    pattern : Pattern
+        What is modelled.
+    seed : int
+        Seed of all random choices.
+    uses_oracle : bool
+        Whether requests are placed with full knowledge of slots and keys, in place of
+        the entry VMs' decisions.
+    """
+
+    pattern: Pattern
+    seed: int = 1
+    uses_oracle: bool = False
+    outcomes: Outcomes = Factory(Outcomes)
+    _clock: Clock = Factory(Clock)
+    _random: Random = field(init=False)
+    _deployment: Deployment = field(init=False)
+    _exchanges: Exchanges = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._random = Random(self.seed)
+        self._deployment = Deployment(pattern=self.pattern, random=self._random)
+        upstreams_by_name = self._deployment.upstreams_by_name
+        oracle = Oracle(pattern=self.pattern, upstreams_by_name=upstreams_by_name)
+        self._exchanges = Exchanges(
+            clock=self._clock,
+            deployment=self._deployment,
+            finish=self._finish,
+            come_back=self._come_back,
+            oracle=oracle if self.uses_oracle else None,
+        )
+
+    def run(self) -> Outcomes:
+        """Run to the end, and give what became of every request."""
+        for name, operation in self.pattern.operations_by_name.items():
+            self._plan_arrival(name, operation)
+        strikes = Strikes(
+            clock=self._clock,
+            deployment=self._deployment,
+            exchanges=self._exchanges,
+            seed=self.seed,
+        )
+        strikes.plan()
+        for act in (self._read_lists, self._tick, self._refresh, self._sample):
+            self._clock.after(0.0, act)
+        operations = self.pattern.operations_by_name.values()
+        longest_ms = max(each.timeout_ms for each in operations)
+        self._clock.run_until(self.pattern.seconds + longest_ms / 1000)
+        return self.outcomes
+
+    def _plan_arrival(self, name: str, operation: ModelOperation) -> None:
+        now = self._clock.now
+        rate = operation.per_s * self.pattern.load_factor(now)
+        gap_s = self._random.expovariate(rate)
+        if now + gap_s < self.pattern.seconds:
+            self._clock.after(gap_s, partial(self._arrive, name, operation))
+
+    def _arrive(self, name: str, operation: ModelOperation) -> None:
+        self._plan_arrival(name, operation)
+        domain = self._random.choice(list(self.pattern.region_by_domain))
+        region = self.pattern.region_by_domain[domain]
+        request = Request(
+            operation=name,
+            key=f"{region}-{self._random.randrange(operation.keys_by_region)}",
+            domain=domain,
+            first_at=self._clock.now,
+            deadline=self._clock.now + operation.timeout_ms / 1000,
+        )
+        self._send(request)
+
+    def _send(self, request: Request) -> None:
+        vm = self._deployment.vm_for(request.domain)
+        if vm is None:
+            self._finish(request, Outcome.FAILED)
+            return
+        delay_s = self.pattern.to_callers_ms / 1000
+        self._clock.after(delay_s, partial(self._exchanges.take, request, vm))
+
+    def _come_back(self, request: Request, retry_after_s: float) -> None:
+        left_s = request.deadline - self._clock.now
+        if request.returns >= RETURNS or left_s <= 0:
+            self._finish(request, Outcome.REFUSED)
+            return
+        again = evolve(request, returns=request.returns + 1)
+        wait_s = min(retry_after_s, MOST_WAITED * left_s)
+        self._clock.after(wait_s, partial(self._send, again))
+
+    def _finish(self, request: Request, outcome: Outcome) -> None:
+        operation = self.pattern.operations_by_name[request.operation]
+        self.outcomes.note(operation, request.first_at, outcome)
+
+    def _tick(self) -> None:
+        self._clock.after(TICK_S, self._tick)
+        for vm in self._deployment.running_vms():
+            for service in vm.book.dispatchers_by_service:
+                effects = vm.book.handle(service, TimePassed(), self._clock.now)
+                self._exchanges.perform(effects)
+
+    def _refresh(self) -> None:
+        self._clock.after(REFRESH_S, self._refresh)
+        now = self._clock.now
+        for vm in self._deployment.running_vms():
+            vm.book.apply_drains(now=now, wall=now)
+            vm.book.note_room(now)
+
+    def _read_lists(self) -> None:
+        self._clock.after(LIST_S, self._read_lists)
+        upstreams = self._deployment.upstreams_by_name.values()
+        for vm in self._deployment.running_vms():
+            vm.read_list(upstreams, self._clock.now)
+
+    def _sample(self) -> None:
+        self._clock.after(SAMPLE_S, self._sample)
+        upstreams = self._deployment.upstreams_by_name.values()
+        dispatchers = [
+            dispatcher
+            for vm in self._deployment.running_vms()
+            for dispatcher in vm.book.dispatchers_by_service.values()
+        ]
+        sample = Sample(
+            at_s=self._clock.now,
+            slots=sum(each.service.slots for each in upstreams),
+            load=sum(each.load for each in upstreams),
+            queued=sum(len(each.queue) for each in dispatchers),
+        )
+        self.outcomes.samples.append(sample)
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_vm.py
@@ -0,0 +1,179 @@
+"""Entry VMs of the lab: the daemon's own keeper of services, without its shells."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from plankspindle_core.configuration.configuration import Configuration
+from plankspindle_core.configuration.configuration import FailureDomain
+from plankspindle_core.configuration.distances import Distances
+from plankspindle_core.configuration.drain import Drain
+from plankspindle_core.configuration.drain import DrainKind
+from plankspindle_core.configuration.service import Service
+from plankspindle_core.configuration.service import SlotSharing
+from plankspindle_core.configuration.upstream import Upstream
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.dispatch.service_book import ServiceBook
+from plankspindle_daemon.membership.membership import Membership
+from plankspindle_daemon.membership.membership import MembershipOptions
+from plankspindle_daemon.platform.live_list import ListedVm
+from plankspindle_daemon.platform.live_list import VmKind
+from plankspindle_testkit.builders import build_member
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from plankspindle_testkit.lab.modelled_upstream import ModelledUpstream
+    from plankspindle_testkit.lab.pattern import Pattern
+
+RETRY_PERCENT = 20
+RETRY_BURST = 60
+"""Bounds of a service's retries, all entry VMs together."""
+_ANY = Endpoint("127.0.0.1", 1)
+
+
+@define(kw_only=True)
+class LabVm:
+    """One entry VM.
+
+    Parameters
+    ----------
+    name, domain : str
+        Its name and where it stands.
+    book : ServiceBook
+        Its decisions.
+    is_up : bool
+        Whether it runs.
+    """
+
+    name: str
+    domain: str
+    book: ServiceBook
+    is_up: bool = True
+
+    @classmethod
+    def start(
+        cls,
+        *,
+        name: str,
+        domain: str,
+        pattern: Pattern,
+        seed: int,
+        now: float,
+        drained: Iterable[str],
+    ) -> LabVm:
+        """Start a process that knows the configuration and its members.
+
+        Parameters
+        ----------
+        name, domain : str
+            Its name and where it stands.
+        pattern : Pattern
+            The deployment.
+        seed : int
+            Seed of its random choices.
+        now : float
+            Seconds of the run.
+        drained : iterable of str
+            Failure domains that are drained at present.
+        """
+        book = ServiceBook(
+            vm=name,
+            failure_domain=domain,
+            incarnation=1,
+            random=Random(seed),
+            membership=_membership(name, pattern),
+            probe_s=1.0,
+            new_from=now,
+        )
+        vm = cls(name=name, domain=domain, book=book)
+        vm.adopt(pattern, drained, now)
+        return vm
+
+    def adopt(self, pattern: Pattern, drained: Iterable[str], now: float) -> None:
+        """Take the configuration with the drains of the moment."""
+        configuration = _configuration(pattern, drained)
+        version = int(now * 1000) + 2
+        self.book.use(configuration, version=version, now=now, wall=now)
+        self.book.apply_drains(now=now, wall=now)
+
+    def read_list(self, upstreams: Iterable[ModelledUpstream], now: float) -> None:
+        """Read the list of upstreams; the silent ones stay listed for a while."""
+        listed = [_listed(each) for each in upstreams]
+        self.book.take_list(listed, now=now, wall=now)
+
+
+def vm_names(pattern: Pattern) -> dict[str, str]:
+    """Give the entry VMs of a pattern and their failure domains."""
+    return {
+        f"{domain}-vm-{number}": domain
+        for domain, count in pattern.vms_by_domain.items()
+        for number in range(count)
+    }
+
+
+def _membership(name: str, pattern: Pattern) -> Membership:
+    domain_by_name = vm_names(pattern)
+    membership = Membership(
+        options=MembershipOptions(
+            vm=name,
+            failure_domain=domain_by_name[name],
+            incarnation=1,
+            heartbeat_s=0.5,
+            suspect_after_s=2.0,
+            all_domains=True,
+        )
+    )
+    for other, domain in domain_by_name.items():
+        if other != name:
+            member = build_member(other, failure_domain=domain, last_heard=0.0)
+            membership.members_by_name[other] = member
+    return membership
+
+
+def _configuration(pattern: Pattern, drained: Iterable[str]) -> Configuration:
+    return Configuration(
+        failure_domains_by_name={
+            domain: FailureDomain(region=region)
+            for domain, region in pattern.region_by_domain.items()
+        },
+        distances=Distances(
+            between_failure_domains_ms=pattern.between_domains_ms,
+            between_regions_ms=pattern.between_regions_ms,
+        ),
+        priority_classes=["first", "second", "third"],
+        services_by_name={
+            name: Service(
+                slot_sharing=SlotSharing.REPORTED,
+                retry_percent=RETRY_PERCENT,
+                retry_burst=RETRY_BURST,
+                cold_requests_per_s=service.cold_requests_per_s,
+                cold_ms=round(1000 * service.cold_s),
+            )
+            for name, service in pattern.services_by_name.items()
+        },
+        drains_by_id={
+            f"drain-{domain}": Drain(kind=DrainKind.UPSTREAMS_OF_DOMAIN, name=domain)
+            for domain in drained
+        },
+    )
+
+
+def _listed(upstream: ModelledUpstream) -> ListedVm:
+    service = upstream.name.partition("/")[0]
+    return ListedVm(
+        name=upstream.name,
+        kind=VmKind.UPSTREAM,
+        failure_domain=upstream.domain,
+        upstream=Upstream(
+            service=service,
+            failure_domain=upstream.domain,
+            endpoint=_ANY,
+            slots=upstream.service.slots,
+        ),
+        cold_until=upstream.cold_until,
+        incarnation=upstream.incarnation,
+    )
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/lab/mechanisms.py
@@ -0,0 +1,147 @@
+"""Mechanisms of the decisions, and what switches each of them off."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from importlib import import_module
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+_DAEMON = "plankspindle_daemon"
+
+
+@frozen(kw_only=True)
+class Mechanism:
+    """Something that the decisions do, and a constant by which they do not.
+
+    Parameters
+    ----------
+    name : str
+        What it does.
+    module : str
+        Module of the constant, below the daemon's package.
+    constant : str
+        The constant.
+    off : float
+        Its value without the mechanism.
+    """
+
+    name: str
+    module: str
+    constant: str
+    off: float
+
+
+MECHANISMS = (
+    Mechanism(
+        name="requests wait at upstreams",
+        module="upstreams.reported_slots",
+        constant="QUEUE_SHARE",
+        off=0.01,
+    ),
+    Mechanism(
+        name="an upstream that shed counts as full",
+        module="upstreams.reported_slots",
+        constant="FULL_FADES_S",
+        off=0.0,
+    ),
+    Mechanism(
+        name="requests wait at entry VMs",
+        module="listeners.request_reader",
+        constant="HOLD_SHARE",
+        off=0.0,
+    ),
+    Mechanism(
+        name="upstreams that saw a key lately count",
+        module="dispatch.placement",
+        constant="SEEN_S",
+        off=0.0,
+    ),
+    Mechanism(
+        name="less loaded upstreams are preferred",
+        module="dispatch.placement",
+        constant="SPREAD_SHARE",
+        off=0.0,
+    ),
+    Mechanism(
+        name="the second in a key's order takes over",
+        module="dispatch.placement",
+        constant="SECOND_LOAD",
+        off=-1.0,
+    ),
+    Mechanism(
+        name="idle upstreams take any key",
+        module="dispatch.placement",
+        constant="OTHER_LOAD",
+        off=-1.0,
+    ),
+    Mechanism(
+        name="silent upstreams cost more",
+        module="dispatch.placement",
+        constant="SILENCE_FROM",
+        off=1e9,
+    ),
+    Mechanism(
+        name="measured latency of an upstream counts",
+        module="upstreams.upstream_state",
+        constant="LATENCY_WEIGHT",
+        off=0.0,
+    ),
+    Mechanism(
+        name="silent upstreams are left",
+        module="exchange.patience",
+        constant="MIN_PATIENCE_S",
+        off=1e9,
+    ),
+    Mechanism(
+        name="late requests are given up while they wait",
+        module="dispatch.dispatcher",
+        constant="LATE_SHARE",
+        off=0.0,
+    ),
+    Mechanism(
+        name="a plan of the keys that leave their region adapts",
+        module="dispatch.region_plan",
+        constant="QUICK_PER_S",
+        off=0.0,
+    ),
+    Mechanism(
+        name="requests leave their region at a bounded rate",
+        module="dispatch.region_limiter",
+        constant="RATE_PER_S",
+        off=1e9,
+    ),
+)
+
+
+@contextmanager
+def setting(module: str, constant: str, value: float) -> Iterator[None]:
+    """Give a constant another value for a while.
+
+    Parameters
+    ----------
+    module : str
+        Its module, below the daemon's package.
+    constant : str
+        Its name.
+    value : float
+        The value.
+
+    Raises
+    ------
+    AttributeError
+        If there is no such constant.
+    ModuleNotFoundError
+        If there is no such module.
+    """
+    holder = import_module(f"{_DAEMON}.{module}")
+    before = getattr(holder, constant)
+    setattr(holder, constant, value)
+    try:
+        yield
+    finally:
+        setattr(holder, constant, before)
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/lab/modelled_upstream.py
@@ -0,0 +1,173 @@
+"""Upstreams of the lab: slots, a queue, remembered keys, and what goes wrong."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections import deque
+from random import Random
+
+from attrs import Factory
+from attrs import define
+from attrs import field
+from attrs import frozen
+
+from plankspindle_testkit.lab.pattern import ModelOperation
+from plankspindle_testkit.lab.pattern import ModelService
+
+SPREAD = 0.15
+"""Standard deviation of the time of work, as a part of it."""
+
+
+@frozen(kw_only=True)
+class Work:
+    """A request at an upstream.
+
+    Parameters
+    ----------
+    number : int
+        Number of the attempt in this run.
+    operation : str
+        Its kind.
+    key : str
+        The thing that it concerns.
+    """
+
+    number: int
+    operation: str
+    key: str
+
+
+@frozen(kw_only=True)
+class Begun:
+    """A request runs now.
+
+    Parameters
+    ----------
+    work : Work
+        The request.
+    seconds : float
+        How long it will run.
+    is_hit : bool
+        Whether its key was remembered.
+    """
+
+    work: Work
+    seconds: float
+    is_hit: bool
+
+
+@define(kw_only=True)
+class ModelledUpstream:
+    """One upstream.
+
+    Parameters
+    ----------
+    name, domain : str
+        Its name and where it stands.
+    service : ModelService
+        What it serves.
+    operations_by_name : dict of str to ModelOperation
+        Kinds of requests.
+    random : Random
+        Source of times of work and of shedding.
+
+    Attributes
+    ----------
+    slowness : float
+        Factor on the time of work.
+    shed_part : float
+        Part of the requests that it sheds whatever room it has.
+    is_dead : bool
+        Whether it answers nothing, without a sign.
+    cold_until : float
+        End of its cold time, in seconds of the run.
+    """
+
+    name: str
+    domain: str
+    service: ModelService
+    operations_by_name: dict[str, ModelOperation]
+    random: Random
+    slowness: float = 1.0
+    shed_part: float = 0.0
+    is_dead: bool = False
+    cold_until: float = 0.0
+    incarnation: int = 1
+    hits: int = 0
+    misses: int = 0
+    _running: dict[int, Work] = Factory(dict)
+    _waiting: deque[Work] = Factory(deque)
+    _remembered: OrderedDict[tuple[str, str], None] = field(factory=OrderedDict)
+
+    @property
+    def load(self) -> int:
+        """Requests that run and wait."""
+        return len(self._running) + len(self._waiting)
+
+    @property
+    def running(self) -> int:
+        """Requests that run."""
+        return len(self._running)
+
+    def remembers(self, operation: str, key: str) -> bool:
+        """Tell whether a key was seen recently."""
+        return (operation, key) in self._remembered
+
+    def expected_s(self, operation: str, key: str, now: float) -> float:
+        """Give the mean time of work of a request that would start now."""
+        kind = self.operations_by_name[operation]
+        part = kind.hit_part if self.remembers(operation, key) else 1.0
+        cold = self.service.cold_factor if now < self.cold_until else 1.0
+        return kind.work_ms / 1000 * part * cold * self.slowness
+
+    def sheds(self) -> bool:
+        """Tell whether a request that comes now is refused without being run."""
+        is_full = self.load >= self.service.slots + self.service.queue
+        return is_full or self.random.random() < self.shed_part
+
+    def offer(self, work: Work, now: float) -> Begun | None:
+        """Take a request; None if it waits."""
+        if self.running >= self.service.slots:
+            self._waiting.append(work)
+            return None
+        return self._begin(work, now)
+
+    def end(self, number: int, now: float) -> Begun | None:
+        """End a request, whether it runs or waits, and begin the next, if any."""
+        if self._running.pop(number, None) is None:
+            left = [each for each in self._waiting if each.number != number]
+            self._waiting = deque(left)
+        if not self._waiting or self.running >= self.service.slots:
+            return None
+        return self._begin(self._waiting.popleft(), now)
+
+    def has(self, number: int) -> bool:
+        """Tell whether a request runs or waits here."""
+        return number in self._running or any(
+            each.number == number for each in self._waiting
+        )
+
+    def restart(self, now: float) -> None:
+        """Start anew: nothing is remembered, and it is cold."""
+        self._running.clear()
+        self._waiting.clear()
+        self._remembered.clear()
+        self.is_dead = False
+        self.cold_until = now + self.service.cold_s
+        self.incarnation += 1
+
+    def _begin(self, work: Work, now: float) -> Begun:
+        is_hit = self.remembers(work.operation, work.key)
+        mean_s = self.expected_s(work.operation, work.key, now)
+        self.hits += is_hit
+        self.misses += not is_hit
+        self._remember((work.operation, work.key))
+        self._running[work.number] = work
+        varied = max(0.2, self.random.gauss(1.0, SPREAD))
+        return Begun(work=work, seconds=mean_s * varied, is_hit=is_hit)
+
+    def _remember(self, place: tuple[str, str]) -> None:
+        self._remembered[place] = None
+        self._remembered.move_to_end(place)
+        while len(self._remembered) > self.service.remembered_keys:
+            self._remembered.popitem(last=False)
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/lab/pattern.py
@@ -0,0 +1,250 @@
+"""Load patterns of the lab, read from checked YAML files."""
+
+from __future__ import annotations
+
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+import yaml
+from attrs import field
+from attrs import fields
+from attrs import frozen
+from attrs import validators
+from result import Err
+from result import Ok
+from result import Result
+
+PATTERNS = Path(__file__).with_name("patterns")
+"""Folder of the patterns that ship with the lab."""
+_NUMBER = validators.instance_of((int, float))
+_WHOLE = validators.instance_of(int)
+_POSITIVE = [_NUMBER, validators.gt(0.0)]
+_NOT_NEGATIVE = [_NUMBER, validators.ge(0.0)]
+_PART = [_NUMBER, validators.ge(0.0), validators.le(1.0)]
+_COUNTED = [_WHOLE, validators.gt(0)]
+_COUNTED_OR_NONE = [_WHOLE, validators.ge(0)]
+
+
+class EventKind(Enum):
+    """What may happen to the modelled deployment."""
+
+    LOAD = "load"
+    SLOW = "slow"
+    SHED = "shed"
+    CRASH = "crash"
+    COLD = "cold"
+    DRAIN = "drain"
+    RESTART = "restart"
+
+
+@frozen(kw_only=True)
+class PatternEvent:
+    """Something that happens during a run.
+
+    Parameters
+    ----------
+    kind : EventKind
+        What happens.
+    at_s, for_s : float
+        When, and for how long, in seconds.
+    share : float
+        Part of the upstreams that are struck, chosen by the seed.
+    factor : float
+        Factor on the load or on the time of work; for ``shed`` the part of the
+        requests that is shed.
+    domain : str, optional
+        Failure domain that is struck whole.
+    """
+
+    kind: EventKind = field(converter=EventKind)
+    at_s: float = field(validator=_NOT_NEGATIVE)
+    for_s: float = field(default=0.0, validator=_NOT_NEGATIVE)
+    share: float = field(default=1.0, validator=_PART)
+    factor: float = field(default=1.0, validator=_NOT_NEGATIVE)
+    domain: str | None = None
+
+    def is_on(self, now: float) -> bool:
+        """Tell whether it lasts at a time, in seconds from the start."""
+        return self.at_s <= now < self.at_s + self.for_s
+
+
+@frozen(kw_only=True)
+class ModelService:
+    """A service and its upstreams.
+
+    Parameters
+    ----------
+    upstreams_by_domain : dict of str to int
+        Upstreams in each failure domain.
+    slots : int
+        Requests that each runs at once.
+    queue : int
+        Requests that may wait at each; further ones are shed.
+    remembered_keys : int
+        Keys that each has seen most recently and serves faster.
+    cold_s : float
+        Time for which one is cold after a start, in seconds.
+    cold_factor : float
+        Factor on the time of work while it is cold.
+    cold_requests_per_s : float
+        Requests a second that a cold one bears.
+    """
+
+    upstreams_by_domain: dict[str, int]
+    slots: int = field(validator=_COUNTED)
+    queue: int = field(validator=_COUNTED_OR_NONE)
+    remembered_keys: int = field(validator=_COUNTED_OR_NONE)
+    cold_s: float = field(default=3.0, validator=_NOT_NEGATIVE)
+    cold_factor: float = field(default=2.0, validator=_POSITIVE)
+    cold_requests_per_s: float = field(default=10.0, validator=_POSITIVE)
+
+
+@frozen(kw_only=True)
+class ModelOperation:
+    """One kind of request.
+
+    Parameters
+    ----------
+    service : str
+        Where it goes.
+    per_s : float
+        Requests a second of all callers.
+    work_ms : float
+        Time of work at an upstream that has not seen the key.
+    hit_part : float
+        Part of that time at one that has.
+    target_ms, timeout_ms : float
+        Time within which an answer is wanted, and after which it is given up.
+    keys_by_region : int
+        Keys that the callers of each region use.
+    rank : int
+        Priority class; zero is the most important.
+    worth : float
+        Worth of an answer in time.
+    late_worth : float
+        Worth of a later one.
+    idempotent : bool
+        Whether it may run more than once.
+    """
+
+    service: str
+    per_s: float = field(validator=_POSITIVE)
+    work_ms: float = field(validator=_POSITIVE)
+    hit_part: float = field(default=0.3, validator=_PART)
+    target_ms: float = field(validator=_POSITIVE)
+    timeout_ms: float = field(validator=_POSITIVE)
+    keys_by_region: int = field(validator=_COUNTED)
+    rank: int = field(default=0, validator=_COUNTED_OR_NONE)
+    worth: float = field(default=1.0, validator=_NOT_NEGATIVE)
+    late_worth: float = field(default=0.2, validator=_NOT_NEGATIVE)
+    idempotent: bool = True
+
+
+@frozen(kw_only=True)
+class Pattern:
+    """A deployment, its load, and what happens to it.
+
+    Parameters
+    ----------
+    name, answers, grounds : str
+        Its name, the moment that it models, and where its figures come from.
+    seconds : float
+        Length of a run.
+    region_by_domain : dict of str to str
+        Failure domains and their regions.
+    vms_by_domain : dict of str to int
+        Entry VMs in each failure domain.
+    between_domains_ms, between_regions_ms, to_callers_ms : float
+        One-way delays.
+    services_by_name : dict of str to ModelService
+        Services.
+    operations_by_name : dict of str to ModelOperation
+        Kinds of requests.
+    events : tuple of PatternEvent
+        What happens.
+    """
+
+    name: str
+    answers: str
+    grounds: str
+    seconds: float = field(validator=_POSITIVE)
+    region_by_domain: dict[str, str]
+    vms_by_domain: dict[str, int]
+    between_domains_ms: float = field(validator=_NOT_NEGATIVE)
+    between_regions_ms: float = field(validator=_NOT_NEGATIVE)
+    to_callers_ms: float = field(validator=_NOT_NEGATIVE)
+    services_by_name: dict[str, ModelService]
+    operations_by_name: dict[str, ModelOperation]
+    events: tuple[PatternEvent, ...] = ()
+
+    def problems(self) -> list[str]:
+        """Say what does not fit together."""
+        domains = self.region_by_domain.keys()
+        used = {*self.vms_by_domain}
+        for service in self.services_by_name.values():
+            used |= {*service.upstreams_by_domain}
+        used |= {each.domain for each in self.events if each.domain is not None}
+        unknown = sorted(used - domains)
+        found = [f"no failure domain {name!r} is declared" for name in unknown]
+        found += [
+            f"operation {name!r} names no service that is declared: {each.service!r}"
+            for name, each in self.operations_by_name.items()
+            if each.service not in self.services_by_name
+        ]
+        if not any(self.vms_by_domain.values()):
+            found.append("there is no entry VM; name some under vms_by_domain")
+        return found
+
+    def load_factor(self, now: float) -> float:
+        """Give the factor on all rates at a time."""
+        factor = 1.0
+        for event in self.events:
+            if event.kind is EventKind.LOAD and event.is_on(now):
+                factor *= event.factor
+        return factor
+
+
+def read_pattern(path: Path) -> Result[Pattern, str]:
+    """Read a pattern, or say what is wrong with the file.
+
+    Parameters
+    ----------
+    path : Path
+        The YAML file.
+    """
+    try:
+        document = yaml.safe_load(path.read_text())
+        pattern = _pattern_of(path.stem, document)
+    except OSError as error:
+        return Err(f"{path}: {error.strerror}")
+    except (yaml.YAMLError, TypeError, ValueError, AttributeError) as error:
+        return Err(f"{path}: {error}")
+    problems = pattern.problems()
+    return Err(f"{path}: {'; '.join(problems)}") if problems else Ok(pattern)
+
+
+def _pattern_of(name: str, document: Any) -> Pattern:
+    if not isinstance(document, dict):
+        raise TypeError("write a mapping of the pattern's fields")
+    found = {"name": name, **document}
+    for key, cls in (
+        ("services_by_name", ModelService),
+        ("operations_by_name", ModelOperation),
+    ):
+        found[key] = {
+            each: _made(cls, value) for each, value in dict(found.get(key, {})).items()
+        }
+    events = found.get("events") or ()
+    found["events"] = tuple(_made(PatternEvent, each) for each in events)
+    pattern: Pattern = _made(Pattern, found)
+    return pattern
+
+
+def _made(cls: type[Any], found: Any) -> Any:
+    """Make an instance of its fields; TypeError names one that is not known."""
+    known = {each.name for each in fields(cls)}
+    unknown = sorted(set(found) - known)
+    if unknown:
+        raise TypeError(f"{cls.__name__} has no field {unknown[0]!r}")
+    return cls(**found)
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/lab/requests.py
@@ -0,0 +1,78 @@
+"""Requests of a run, as their callers and the entry VMs see them."""
+
+from __future__ import annotations
+
+from attrs import define
+from attrs import frozen
+
+from plankspindle_daemon.admission.ticket import Ticket
+from plankspindle_testkit.lab.lab_vm import LabVm
+
+AT_NO_UPSTREAM = -1
+"""Number of the attempt of a request that waits."""
+
+
+@frozen(kw_only=True)
+class Request:
+    """A caller's request.
+
+    Parameters
+    ----------
+    operation : str
+        Its kind.
+    key : str
+        The thing that it concerns.
+    domain : str
+        Failure domain of the caller.
+    first_at, deadline : float
+        Time of the first try, and when the caller gives up, in seconds.
+    returns : int
+        How often the caller came back.
+    """
+
+    operation: str
+    key: str
+    domain: str
+    first_at: float
+    deadline: float
+    returns: int = 0
+
+
+@define(kw_only=True)
+class Handled:
+    """A request at an entry VM.
+
+    Parameters
+    ----------
+    request : Request
+        What the caller wants.
+    vm : LabVm
+        Where it is.
+    ticket : Ticket
+        The request as admission sees it.
+    service : str
+        The service asked for.
+    attempts : int
+        Upstreams that it was sent to.
+    upstream : str, optional
+        Where it is now.
+    incarnation : int
+        Which life of that.
+    attempt : int
+        Number of the present attempt.
+    sent_at : float
+        When that began, in seconds.
+    is_over : bool
+        Whether the request has ended here.
+    """
+
+    request: Request
+    vm: LabVm
+    ticket: Ticket
+    service: str
+    attempts: int = 0
+    upstream: str | None = None
+    incarnation: int = 0
+    attempt: int = AT_NO_UPSTREAM
+    sent_at: float = 0.0
+    is_over: bool = False
--- /dev/null
+++ b/packages/testkit/tests/lab/test_pattern.py
@@ -0,0 +1,59 @@
+"""Tests of reading patterns."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from plankspindle_testkit.lab.pattern import PATTERNS
+from plankspindle_testkit.lab.pattern import read_pattern
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+ONE = "overload-cold-domain"
+
+
+def spoiled(folder: Path, before: str, after: str) -> Path:
+    text = (PATTERNS / f"{ONE}.yaml").read_text()
+    assert before in text
+    path = folder / "spoiled.yaml"
+    path.write_text(text.replace(before, after))
+    return path
+
+
+@pytest.mark.parametrize(
+    "path", sorted(PATTERNS.glob("*.yaml")), ids=lambda path: path.stem
+)
+def test_each_pattern_says_what_it_answers_and_on_what_grounds(path: Path) -> None:
+    pattern = read_pattern(path).unwrap()
+    assert pattern.answers.strip()
+    assert pattern.grounds.strip()
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "told"),
+    [
+        ("slots: 5", "slots: 0", "slots"),
+        ("slots: 5", "slot: 5", "'slot'"),
+        ("work_ms: 360", "work_ms: long", "work_ms"),
+        ("service: look", "service: other", "'other'"),
+        ("kind: load", "kind: rain", "rain"),
+        ("domain: s-2}", "domain: x-9}", "'x-9'"),
+        ("seconds: 24", "seconds: [", "spoiled.yaml"),
+        (
+            "vms_by_domain: {n-1: 3, n-2: 1, c-1: 3, c-2: 1, s-1: 2, s-2: 2}",
+            "vms_by_domain: {}",
+            "vms_by_domain",
+        ),
+    ],
+)
+def test_what_is_wrong_with_a_file_is_told(
+    tmp_path: Path, before: str, after: str, told: str
+) -> None:
+    assert told in read_pattern(spoiled(tmp_path, before, after)).unwrap_err()
+
+
+def test_a_file_that_is_not_there_is_told(tmp_path: Path) -> None:
+    assert "No such file" in read_pattern(tmp_path / "none.yaml").unwrap_err()
