Let as many requests wait at an upstream as it has slots

Hypothesis: leaving a busy upstream that knows a key costs more than a wait there. Change: QUEUE_SHARE 0.34 to 1.0. Tests: the queue's length was written into them as a number; they name it now and are as strict.

--- a/packages/daemon/src/plankspindle_daemon/upstreams/reported_slots.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/reported_slots.py
@@ -14,8 +14,14 @@
 if TYPE_CHECKING:
     from plankspindle_daemon.upstreams.slot_ledger import Loan
 
-QUEUE_SHARE = 0.34
-"""Requests that may wait at an upstream, as a share of its slots."""
+QUEUE_SHARE = 1.0
+"""Requests that may wait at an upstream, as a share of its slots.
+
+Behind as many as its slots a request waits one usual duration at most. At any other
+upstream it misses, takes three, and makes that one forget a key. Beside a third of the
+slots this keeps 0.03 more of the worth of days with trouble, played on three seeds, and
+0.02 of that of the modelled loads; twice the slots waste 0.06 where load stays high.
+"""
 REPORT_FADES_S = 1.5
 """Time in which what an answer told of the load of others loses its weight, seconds.
 
--- a/packages/daemon/tests/dispatch/test_placement.py
+++ b/packages/daemon/tests/dispatch/test_placement.py
@@ -22,6 +22,8 @@
     from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
 USUAL_S = 0.1
+FULL = 8
+"""Requests that fill the four slots and the queue of an upstream."""
 
 
 def build_placement(upstreams: dict[str, UpstreamState], seed: int = 1) -> Placement:
@@ -91,7 +93,7 @@
     upstreams = build_upstreams(a="ba_1", b="ba_1", c="ba_1")
     placement = build_placement(upstreams)
     preferred = choose(placement, upstreams, "k").upstream
-    load(preferred, 6)
+    load(preferred, FULL)
     for other in upstreams.values():
         if other is not preferred:
             load(other, 3)
@@ -102,7 +104,7 @@
     upstreams = build_upstreams(a="ba_1", b="ba_1", c="ba_1")
     placement = build_placement(upstreams)
     preferred = choose(placement, upstreams, "k").upstream
-    load(preferred, 6)
+    load(preferred, FULL)
     chosen = choose(placement, upstreams, "k")
     assert chosen.upstream is not preferred
     assert not chosen.is_hit
@@ -117,7 +119,7 @@
 def test_a_full_region_sends_a_key_where_the_plan_would_and_expects_a_miss() -> None:
     upstreams = build_upstreams(a="ba_1", x="ke_1", y="ke_1", z="zi_1")
     placement = build_placement(upstreams)
-    load(upstreams["a"], 6)
+    load(upstreams["a"], FULL)
     chosen = choose(placement, upstreams, "k")
     assert not chosen.is_hit
     planned = choose(planned_out(placement), upstreams, "k")
--- a/packages/daemon/tests/upstreams/test_reported_slots.py
+++ b/packages/daemon/tests/upstreams/test_reported_slots.py
@@ -15,6 +15,8 @@
 from plankspindle_daemon.upstreams.usual_use import UsualUse
 
 SLOTS = 4
+MOST = 2 * SLOTS
+"""As many requests may wait as run."""
 
 
 def start(slots: ReportedSlots, count: int, now: float = 0.0) -> None:
@@ -22,9 +24,9 @@
         slots.start(ticket=number, now=now, deadline=now + 1.0)
 
 
-def test_own_requests_may_fill_the_slots_and_a_short_queue() -> None:
+def test_own_requests_may_fill_the_slots_and_a_queue_as_long() -> None:
     slots = ReportedSlots(slots=SLOTS)
-    assert slots.own_allowance(0.0) == SLOTS + 2
+    assert slots.own_allowance(0.0) == MOST
 
 
 def test_what_others_run_leaves_less_and_fades() -> None:
@@ -32,9 +34,9 @@
     start(slots, 1)
     slots.note_reported(4, 0.0)
     assert slots.load(0.0) == 4
-    assert slots.own_allowance(0.0) == 3
+    assert slots.own_allowance(0.0) == MOST - 3
     assert slots.load(60.0) < 1.1
-    assert slots.own_allowance(60.0) == SLOTS + 2
+    assert slots.own_allowance(60.0) == MOST
 
 
 def report_of_a_full_service(usual: UsualUse, now: float, use: float = 2.0) -> None:
@@ -46,14 +48,14 @@
     usual = UsualUse()
     slots = ReportedSlots(slots=SLOTS, usual=usual)
     slots.note_reported(0, 0.0)
-    report_of_a_full_service(usual, 0.0)
+    report_of_a_full_service(usual, 0.0, use=3.0)
     assert slots.load(0.0) < 0.5
     for tenth in range(60):
-        report_of_a_full_service(usual, tenth / 10)
-    assert slots.load(6.0) > 1.8 * SLOTS
+        report_of_a_full_service(usual, tenth / 10, use=3.0)
+    assert slots.load(6.0) > 2.7 * SLOTS
     assert slots.own_allowance(6.0) == 0
     slots.note_reported(1, 6.0)
-    assert slots.own_allowance(6.0) == SLOTS + 1
+    assert slots.own_allowance(6.0) == MOST - 1
 
 
 def test_a_vm_that_hears_nothing_more_tries_a_full_service_again() -> None:
@@ -63,7 +65,7 @@
     report_of_a_full_service(usual, 0.0)
     assert slots.own_allowance(0.0) == 0
     assert slots.own_allowance(2.0) > 0
-    assert slots.own_allowance(20.0) == SLOTS + 2
+    assert slots.own_allowance(20.0) == MOST
 
 
 def test_an_upstream_that_never_answered_gets_a_request_that_finds_out() -> None:
@@ -71,7 +73,7 @@
     report_of_a_full_service(usual, 0.0, use=5.0)
     slots = ReportedSlots(slots=SLOTS, usual=usual)
     assert slots.load(0.0) == SLOTS
-    assert 0 < slots.own_allowance(0.0) < SLOTS
+    assert slots.own_allowance(0.0) == MOST - SLOTS
 
 
 def test_reports_of_one_upstream_are_heard_by_the_others() -> None:
@@ -96,7 +98,7 @@
     slots.note_full(0.0)
     assert slots.own_allowance(0.1) == 1
     assert slots.load(0.1) > SLOTS
-    assert slots.own_allowance(FULL_FADES_S) == SLOTS + 2
+    assert slots.own_allowance(FULL_FADES_S) == MOST
 
 
 def test_the_oldest_running_request_is_known() -> None:
--- /dev/null
+++ b/packages/testkit/tests/lab/test_decisions.py
@@ -0,0 +1,31 @@
+"""What the decisions keep of the worth of modelled loads.
+
+Each floor lies between what a run earned without the mechanism and with it, on the seed
+that is named; the patterns name the moments that they answer and their grounds.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from plankspindle_testkit.lab.lab_run import LabRun
+from plankspindle_testkit.lab.pattern import PATTERNS
+from plankspindle_testkit.lab.pattern import read_pattern
+
+SEED = 1
+
+
+def worth_of(name: str) -> float:
+    pattern = read_pattern(PATTERNS / f"{name}.yaml").unwrap()
+    return LabRun(pattern=pattern, seed=SEED).run().worth
+
+
+@pytest.mark.parametrize(
+    ("name", "least"),
+    [("overload-cold-domain", 0.88), ("steady-beyond-the-room", 0.78)],
+)
+def test_a_busy_upstream_that_knows_a_key_is_waited_for(
+    name: str, least: float
+) -> None:
+    """0.848 and 0.761 where only a third of the slots may wait."""
+    assert worth_of(name) > least
