Send a key to no upstream beyond the next two of its order

Hypothesis: an idle upstream that takes any key when others are full costs more than it serves: the request misses, takes three times as long, and the key that it displaces misses, too. Change: the look at all upstreams of the service goes; a retry's excluded upstreams are passed over in the order.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -29,11 +29,14 @@
 MISS_FACTOR = 2.5
 """Duration at an upstream that has not seen the affinity key, until it is measured."""
 SECOND_LOAD = 0.7
-OTHER_LOAD = 0.4
 """Load, as a share of the slots, up to which an upstream takes keys of others.
 
-Requests that miss keep an upstream busy several times as long. A fleet that sends
-them anywhere once it is busy loses most of its capacity, and stays busy by that.
+Requests that miss keep an upstream busy several times as long, and make it forget one
+of the few keys that it remembers. A fleet that sends them anywhere once it is busy
+loses most of its capacity, and stays busy by that: no key goes beyond the next two
+upstreams of its own order. Beside letting idle upstreams take any key, that keeps 0.02
+of the worth of days with trouble, played on three seeds, and 0.03 of that of the
+modelled loads.
 """
 SPREAD_SHARE = 0.25
 """Cost of a fully used upstream over an idle one, in usual durations."""
@@ -155,8 +158,8 @@
 
         Notes
         -----
-        The others are looked at only if the wait at those that know the key costs
-        more than a miss, so that the usual choice does not grow with the service.
+        Only the next upstreams in the key's order are looked at, so that the choice
+        does not grow with the service.
         """
         query = _Query(
             ticket=ticket,
@@ -197,13 +200,6 @@
             is_hit = is_planned or self.has_seen(key, name, query.now)
             if fits(upstream) and (is_hit or _load(upstream, query.now) <= SECOND_LOAD):
                 self._weigh(choice, query, upstream, is_hit=is_hit)
-        if choice.cost[0] <= query.missed_s:
-            return choice.place
-        for upstream in by_name.values():
-            is_known = upstream.name in known
-            idle = not is_known and _load(upstream, query.now) <= OTHER_LOAD
-            if idle and fits(upstream):
-                self._weigh(choice, query, upstream, is_hit=False)
         return choice.place
 
     def has_seen(self, key: str, upstream: str, now: float) -> bool:
@@ -322,7 +318,9 @@
             rank = 0
             for name in names:
                 upstream = by_name.get(name)
-                if upstream is None or not upstream.is_usable(now):
+                if upstream is None or name in ticket.excluded:
+                    continue
+                if not upstream.is_usable(now):
                     continue
                 known[name] = not known
                 rank += 1
--- a/packages/testkit/src/plankspindle_testkit/lab/mechanisms.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/mechanisms.py
@@ -73,12 +73,6 @@
         constant="SECOND_LOAD",
         off=-1.0,
     ),
-    Mechanism(
-        name="idle upstreams take any key",
-        module="dispatch.placement",
-        constant="OTHER_LOAD",
-        off=-1.0,
-    ),
     Mechanism(
         name="silent upstreams cost more",
         module="dispatch.placement",
--- a/packages/testkit/tests/lab/test_decisions.py
+++ b/packages/testkit/tests/lab/test_decisions.py
@@ -29,3 +29,8 @@
 ) -> None:
     """0.848 and 0.761 where only a third of the slots may wait."""
     assert worth_of(name) > least
+
+
+def test_keys_stay_with_the_next_upstreams_of_their_order() -> None:
+    """0.698 where idle upstreams take any key while the others shed."""
+    assert worth_of("all-upstreams-shed") > 0.74
