--- a/packages/daemon/src/plankspindle_daemon/dispatch/end_judge.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/end_judge.py
@@ -69,7 +69,7 @@
         """Tell the health of an upstream that a request had no good end there."""
         match ended.verdict:
             case Verdict.SHED:
-                upstream.note_shed(now)
+                upstream.note_shed(ended.reported_load, now)
             case Verdict.MISDIRECTED:
                 upstream.note_misplaced()
             case Verdict.FAILED:
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -193,11 +193,27 @@
         if isinstance(self.ledger, ReportedSlots):
             self.ledger.note_reported(total, now)
 
-    def note_shed(self, now: float) -> None:
-        """Record that it shed a request: it is full, or asks for a pause."""
+    def note_shed(self, reported_load: int | None, now: float) -> None:
+        """Record that it shed a request: it is full, or asks for a pause.
+
+        Parameters
+        ----------
+        reported_load : int, optional
+            Requests that ran and waited there, as its answer told.
+        now : float
+            Monotonic seconds.
+
+        Notes
+        -----
+        One that tells of room sheds a part of its requests for another reason. It still
+        serves the rest, and its keys miss anywhere else: where all upstreams shed a
+        half, taking them for full costs 0.02 of the worth of a day, and 0.09 of the
+        worth of a modelled load.
+        """
         match self.ledger:
             case ReportedSlots() as reported:
-                reported.note_full(now)
+                if reported_load is None or reported_load >= reported.slots:
+                    reported.note_full(now)
             case SlotLedger():
                 self.health.note_refusal(now)
 
--- a/packages/daemon/tests/dispatch/test_dispatcher.py
+++ b/packages/daemon/tests/dispatch/test_dispatcher.py
@@ -294,6 +294,16 @@
     assert assigned(dispatcher.handle(d.TimePassed(), 0.6)) == [(2, "u")]
 
 
+def test_an_upstream_that_sheds_and_tells_of_room_is_not_left() -> None:
+    dispatcher = build_reporting_dispatcher("u")
+    arrive(dispatcher, 1)
+    ended = d.Ended(
+        ticket=build_ticket(1), upstream="u", verdict=d.Verdict.SHED, reported_load=0
+    )
+    dispatcher.handle(ended, 0.1)
+    assert assigned(arrive(dispatcher, 2, now=0.2)) == [(2, "u")]
+
+
 def test_lost_answers_in_a_row_end_trust_and_one_request_tries_again() -> None:
     dispatcher = build_reporting_dispatcher("u")
     for number in range(3):
--- a/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
@@ -209,12 +209,14 @@
             )
         )
 
-    def _leave(self, handled: Handled, verdict: Verdict) -> None:
+    def _leave(
+        self, handled: Handled, verdict: Verdict, load: int | None = None
+    ) -> None:
         """End an attempt without an answer, and make another one if that may be."""
         upstream = handled.upstream
         assert upstream is not None
         self._drop(upstream, handled.attempt)
-        ended = self._ended(handled, upstream, verdict)
+        ended = self._ended(handled, upstream, verdict, load)
         handled.upstream, handled.attempt = None, AT_NO_UPSTREAM
         excluded = handled.ticket.excluded | frozenset({upstream})
         handled.ticket = handled.ticket.excluding(excluded)
@@ -225,11 +227,18 @@
         else:
             self._refuse(handled, 0.0)
 
-    def _ended(self, handled: Handled, upstream: str, verdict: Verdict) -> Ended:
+    def _ended(
+        self,
+        handled: Handled,
+        upstream: str,
+        verdict: Verdict,
+        load: int | None = None,
+    ) -> Ended:
         return Ended(
             ticket=handled.ticket,
             upstream=upstream,
             verdict=verdict,
+            reported_load=load,
             incarnation=handled.incarnation,
             waited_s=self.clock.now - handled.sent_at,
         )
@@ -260,16 +269,16 @@
         if known.is_dead:
             return
         if known.sheds():
-            shed = partial(self._take_shed, handled, work.number)
+            shed = partial(self._take_shed, handled, work.number, known.load)
             self.clock.after(self._way_s(handled, upstream), shed)
             return
         self._continue(known, known.offer(work, self.clock.now))
 
-    def _take_shed(self, handled: Handled, attempt: int) -> None:
+    def _take_shed(self, handled: Handled, attempt: int, load: int) -> None:
         if handled.is_over or handled.attempt != attempt:
             return
         if self.oracle is None:
-            self._leave(handled, Verdict.SHED)
+            self._leave(handled, Verdict.SHED, load)
         else:
             self._place(handled)
 
--- a/packages/testkit/tests/lab/test_decisions.py
+++ b/packages/testkit/tests/lab/test_decisions.py
@@ -34,3 +34,8 @@
 def test_keys_stay_with_the_next_upstreams_of_their_order() -> None:
     """0.698 where idle upstreams take any key while the others shed."""
     assert worth_of("all-upstreams-shed") > 0.74
+
+
+def test_an_upstream_that_sheds_with_room_keeps_its_keys() -> None:
+    """0.771 where it counts as full for 0.4 s after each request that it shed."""
+    assert worth_of("all-upstreams-shed") > 0.82
