--- a/packages/daemon/tests/sharing/test_shared_reads.py
+++ b/packages/daemon/tests/sharing/test_shared_reads.py
@@ -225,7 +225,10 @@
     long = "i-0123456789abcdef"
     before = [listed(f"{long}-{number}") for number in range(MAX_GONE)]
     read(first, *before, version=2**40, now=0.0)
-    after = [listed(f"{long}-n{number}") for number in range(MAX_CHANGED)]
+    after = [
+        evolve(listed(f"{long}-n{number}"), incarnation=2**63 + number)
+        for number in range(MAX_CHANGED)
+    ]
     news = read(first, *after, version=2**40 + 1, now=0.5)
     assert len(news.changed) == MAX_CHANGED
     assert len(encode(news)) < MAX_FRAME_BYTES - 64
--- a/packages/daemon/tests/wire/test_wire.py
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -41,6 +41,7 @@
         over_share=("u1", "u2"),
         configuration_version=9,
         silent_upstreams=("u3",),
+        silent_incarnations=(1_790_000_000_123,),
     ),
     SlotRequest(
         sender="a",
@@ -76,6 +77,7 @@
                 slots=9,
                 leaving=True,
                 cold_ms=1_500,
+                incarnation=1_790_000_000_123,
             ),
         ),
         gone=("v", "w"),
