Keep the bounds of cold upstreams in a module of their own, and hold entries in outages only

What an upstream gets when it starts anew was written beside what one gets that is taken back from a drain: one piece serves both now, and takes the service itself in place of its name. The life's number is given where the state is made. The entries that would be held are gathered only while missing ones are held at all, not at each read of the list.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
@@ -12,6 +12,7 @@
 from plankspindle_core.configuration.configuration import Configuration
 from plankspindle_core.configuration.service import SlotSharing
 from plankspindle_daemon.admission.class_queue import ClassQueue
+from plankspindle_daemon.dispatch.cold_bounds import ColdBounds
 from plankspindle_daemon.dispatch.dispatcher import Dispatcher
 from plankspindle_daemon.dispatch.measured_distances import MeasuredDistances
 from plankspindle_daemon.dispatch.placement import Placement
@@ -22,8 +23,6 @@
 from plankspindle_daemon.platform.listed_upstreams import ListedUpstreams
 from plankspindle_daemon.platform.live_list import VmKind
 from plankspindle_daemon.retries.retry_budget import RetryBudget
-from plankspindle_daemon.upstreams.cold_gate import ColdGate
-from plankspindle_daemon.upstreams.cold_gate import ColdParts
 from plankspindle_daemon.upstreams.health import Ramping
 from plankspindle_daemon.upstreams.health import UpstreamHealth
 from plankspindle_daemon.upstreams.health import Warm
@@ -95,10 +94,10 @@
     _configuration: Configuration | None = None
     _version: int = 0
     _had_drains: bool = False
-    _cold_parts: ColdParts = field(init=False)
+    _cold: ColdBounds = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._cold_parts = ColdParts(vm=self.vm)
+        self._cold = ColdBounds(vm=self.vm, membership=self.membership)
         self.distances = MeasuredDistances(home_domain=self.failure_domain)
         self.room = RegionRoom(
             vm=self.vm,
@@ -230,7 +229,8 @@
                     name, upstream.upstream.failure_domain, now=now, wall=wall
                 )
                 if was_drained and upstream.drained_at is None:
-                    self._note_taken_back(service, upstream, now)
+                    # It had nothing to do while it was drained.
+                    self._cold.note_start(upstream, self._service(service), now)
 
     def note_room(self, now: float) -> None:
         """Count the room of the own region and the others."""
@@ -245,7 +245,7 @@
             dispatcher.queue.limit = service.queue_limit
             self._use_budget(name, service)
             declared = self._declared_upstreams(configuration, name, service)
-            self._use_upstreams(dispatcher, name, service, declared, now)
+            self._use_upstreams(dispatcher, service, declared, now)
 
     def _use_budget(self, name: str, service: Service) -> None:
         budget = self.budgets_by_service.setdefault(
@@ -291,7 +291,6 @@
     def _use_upstreams(
         self,
         dispatcher: Dispatcher,
-        service_name: str,
         service: Service,
         declared: dict[str, Upstream],
         now: float,
@@ -311,12 +310,9 @@
                 known.ledger.shrink_share(upstream.slots)
                 continue
             by_name[name] = self._new_upstream(dispatcher, service, name, upstream, now)
-            by_name[name].incarnation = incarnation
             if known is not None:
                 dispatcher.forget_upstream(name)
-                self._note_cold(
-                    service_name, by_name[name], now + service.cold_ms / 1000
-                )
+                self._cold.note_start(by_name[name], service, now)
         _place(dispatcher, declared)
 
     def _new_upstream(
@@ -344,6 +340,7 @@
                 needs_probe=not reported,
             ),
             ledger=ledger,
+            incarnation=self.listed.incarnation_of(name),
         )
 
     def _note_listed(self, vms: Iterable[ListedVm], *, now: float, wall: float) -> None:
@@ -362,31 +359,8 @@
                     wall=wall,
                 )
                 if listed.cold_until > now:
-                    self._note_cold(service, upstream, listed.cold_until)
-
-    def _note_cold(self, service: str, upstream: UpstreamState, until: float) -> None:
-        """Bound what an upstream gets while it is cold."""
-        declared = self._service(service)
-        if declared is None or declared.cold_requests_per_s == 0:
-            return
-        per_s = self._cold_parts.of(
-            upstream.name,
-            members=self.membership.view(),
-            per_s=declared.cold_requests_per_s,
-        )
-        if upstream.cold is None:
-            upstream.cold = ColdGate(per_s=per_s, until=until)
-        else:
-            upstream.cold.per_s = per_s
-            upstream.cold.until = max(upstream.cold.until, until)
-
-    def _note_taken_back(
-        self, service: str, upstream: UpstreamState, now: float
-    ) -> None:
-        """Take an upstream as cold after its drain, since it had nothing to do."""
-        declared = self._service(service)
-        if declared is not None:
-            self._note_cold(service, upstream, now + declared.cold_ms / 1000)
+                    declared = self._service(service)
+                    self._cold.note_until(upstream, declared, listed.cold_until)
 
     def _service(self, name: str) -> Service | None:
         if self._configuration is None:
--- a/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
@@ -123,13 +123,21 @@
         self._disturbed_at = None
         self._read_at = now
         present = {each.name: each for each in listed if each.upstream is not None}
-        held = {
+        self._keeps_missing = False
+        if self.is_lenient(now):
+            held = self._readable()
+            self._keeps_missing = _lapsed(held, present)
+            if self._keeps_missing:
+                present = {**held, **present}
+        self.by_name = present
+
+    def _readable(self) -> dict[str, ListedVm]:
+        """Give the known entries without those that are there but unreadable."""
+        return {
             name: each
             for name, each in self.by_name.items()
             if name not in self._unreadable
         }
-        self._keeps_missing = self.is_lenient(now) and _lapsed(held, present)
-        self.by_name = {**held, **present} if self._keeps_missing else present
 
     def newest_of(self, listed: ListedVm) -> ListedVm:
         """Give the known entry in place of one of an earlier life, which lags."""
