Lab: call the configuration's distances, one kind of crash, no counters that nobody reads

The delay between failure domains stood in the deployment and in the oracle, and in the configuration before them; the oracle takes the deployment and asks that. An upstream carries its service's name, which two places cut out of its own. Crash and cold did the same thing. Counters of hits and a flag were never read. The mean of the ablation stands once.

--- a/packages/testkit/src/plankspindle_testkit/lab/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/__main__.py
@@ -72,6 +72,10 @@
     ]
 
 
+def _mean_worths(patterns: Sequence[Pattern], seeds: int) -> list[float]:
+    return [mean(each.worth for each in _played(one, seeds)) for one in patterns]
+
+
 def _row(name: str, played: list[Outcomes]) -> list[str]:
     worths = [each.worth for each in played]
     counts = [
@@ -131,11 +135,11 @@
 def ablate(patterns: Sequence[str], seeds: int) -> None:
     """Switch off each mechanism in turn."""
     found = [_pattern(name) for name in _names(patterns)]
-    bases = [mean(each.worth for each in _played(one, seeds)) for one in found]
+    bases = _mean_worths(found, seeds)
     rows = [["as it is", *(f"{base:.3f}" for base in bases)]]
     for mechanism in MECHANISMS:
         with setting(mechanism.module, mechanism.constant, mechanism.off):
-            worths = [mean(each.worth for each in _played(one, seeds)) for one in found]
+            worths = _mean_worths(found, seeds)
         changes = [f"{w - base:+.3f}" for w, base in zip(worths, bases, strict=True)]
         rows.append([f"without: {mechanism.name}", *changes])
     print_table("Change of the worth", ["", *(each.name for each in found)], rows)
--- a/packages/testkit/src/plankspindle_testkit/lab/deployment.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/deployment.py
@@ -8,8 +8,10 @@
 from attrs import define
 from attrs import field
 
+from plankspindle_core.configuration.configuration import Configuration
 from plankspindle_daemon.steering.steering import ENOUGH_IN_DOMAIN
 from plankspindle_testkit.lab.lab_vm import LabVm
+from plankspindle_testkit.lab.lab_vm import configuration_of
 from plankspindle_testkit.lab.lab_vm import vm_names
 from plankspindle_testkit.lab.modelled_upstream import ModelledUpstream
 from plankspindle_testkit.lab.pattern import Pattern
@@ -41,8 +43,10 @@
     upstreams_by_name: dict[str, ModelledUpstream] = field(init=False)
     vms_by_name: dict[str, LabVm] = field(init=False)
     drained: set[str] = Factory(set)
+    _configuration: Configuration = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._configuration = configuration_of(self.pattern)
         self.upstreams_by_name = {
             f"{service}/{domain}-{number}": self._make_upstream(service, domain, number)
             for service, model in self.pattern.services_by_name.items()
@@ -58,6 +62,7 @@
         return ModelledUpstream(
             name=f"{service}/{domain}-{number}",
             domain=domain,
+            service_name=service,
             service=self.pattern.services_by_name[service],
             operations_by_name=self.pattern.operations_by_name,
             random=Random(self.random.getrandbits(64)),
@@ -93,9 +98,4 @@
 
     def one_way_s(self, domain: str, other: str) -> float:
         """Give the delay between two failure domains, in seconds."""
-        if domain == other:
-            return 0.0
-        regions = self.pattern.region_by_domain
-        if regions[domain] == regions[other]:
-            return self.pattern.between_domains_ms / 1000
-        return self.pattern.between_regions_ms / 1000
+        return self._configuration.distance_ms(domain, other) / 1000
--- a/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
@@ -133,7 +133,6 @@
             handled.request.operation,
             handled.request.key,
             domain=handled.vm.domain,
-            drained=self.deployment.drained,
             now=self.clock.now,
         )
         if upstream is None:
--- a/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
@@ -66,8 +66,7 @@
     def __attrs_post_init__(self) -> None:
         self._random = Random(self.seed)
         self._deployment = Deployment(pattern=self.pattern, random=self._random)
-        upstreams_by_name = self._deployment.upstreams_by_name
-        oracle = Oracle(pattern=self.pattern, upstreams_by_name=upstreams_by_name)
+        oracle = Oracle(deployment=self._deployment)
         self._exchanges = Exchanges(
             clock=self._clock,
             deployment=self._deployment,
--- a/packages/testkit/src/plankspindle_testkit/lab/lab_vm.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_vm.py
@@ -95,7 +95,7 @@
 
     def adopt(self, pattern: Pattern, drained: Iterable[str], now: float) -> None:
         """Take the configuration with the drains of the moment."""
-        configuration = _configuration(pattern, drained)
+        configuration = configuration_of(pattern, drained)
         version = int(now * 1000) + 2
         self.book.use(configuration, version=version, now=now, wall=now)
         self.book.apply_drains(now=now, wall=now)
@@ -134,7 +134,8 @@
     return membership
 
 
-def _configuration(pattern: Pattern, drained: Iterable[str]) -> Configuration:
+def configuration_of(pattern: Pattern, drained: Iterable[str] = ()) -> Configuration:
+    """Give the configuration of a pattern, with some failure domains drained."""
     return Configuration(
         failure_domains_by_name={
             domain: FailureDomain(region=region)
@@ -163,13 +164,12 @@
 
 
 def _listed(upstream: ModelledUpstream) -> ListedVm:
-    service = upstream.name.partition("/")[0]
     return ListedVm(
         name=upstream.name,
         kind=VmKind.UPSTREAM,
         failure_domain=upstream.domain,
         upstream=Upstream(
-            service=service,
+            service=upstream.service_name,
             failure_domain=upstream.domain,
             endpoint=_ANY,
             slots=upstream.service.slots,
--- a/packages/testkit/src/plankspindle_testkit/lab/modelled_upstream.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/modelled_upstream.py
@@ -47,13 +47,10 @@
         The request.
     seconds : float
         How long it will run.
-    is_hit : bool
-        Whether its key was remembered.
     """
 
     work: Work
     seconds: float
-    is_hit: bool
 
 
 @define(kw_only=True)
@@ -64,8 +61,10 @@
     ----------
     name, domain : str
         Its name and where it stands.
-    service : ModelService
+    service_name : str
         What it serves.
+    service : ModelService
+        The figures of that.
     operations_by_name : dict of str to ModelOperation
         Kinds of requests.
     random : Random
@@ -81,10 +80,13 @@
         Whether it answers nothing, without a sign.
     cold_until : float
         End of its cold time, in seconds of the run.
+    incarnation : int
+        Number of its present life.
     """
 
     name: str
     domain: str
+    service_name: str
     service: ModelService
     operations_by_name: dict[str, ModelOperation]
     random: Random
@@ -93,8 +95,6 @@
     is_dead: bool = False
     cold_until: float = 0.0
     incarnation: int = 1
-    hits: int = 0
-    misses: int = 0
     _running: dict[int, Work] = Factory(dict)
     _waiting: deque[Work] = Factory(deque)
     _remembered: OrderedDict[tuple[str, str], None] = field(factory=OrderedDict)
@@ -157,14 +157,11 @@
         self.incarnation += 1
 
     def _begin(self, work: Work, now: float) -> Begun:
-        is_hit = self.remembers(work.operation, work.key)
         mean_s = self.expected_s(work.operation, work.key, now)
-        self.hits += is_hit
-        self.misses += not is_hit
         self._remember((work.operation, work.key))
         self._running[work.number] = work
         varied = max(0.2, self.random.gauss(1.0, SPREAD))
-        return Begun(work=work, seconds=mean_s * varied, is_hit=is_hit)
+        return Begun(work=work, seconds=mean_s * varied)
 
     def _remember(self, place: tuple[str, str]) -> None:
         self._remembered[place] = None
--- a/packages/testkit/src/plankspindle_testkit/lab/oracle.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/oracle.py
@@ -2,17 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 from attrs import frozen
 
-from plankspindle_testkit.lab.modelled_upstream import ModelledUpstream
-from plankspindle_testkit.lab.pattern import Pattern
+from plankspindle_testkit.lab.deployment import Deployment
 
 if TYPE_CHECKING:
-    from collections.abc import Set
-
+    from plankspindle_testkit.lab.modelled_upstream import ModelledUpstream
 
 MISS_COST = 1.0
 """Part of its extra work by which a miss counts beyond the answer that it delays.
@@ -27,10 +24,8 @@
 
     Parameters
     ----------
-    pattern : Pattern
-        The deployment.
-    upstreams_by_name : mapping of str to ModelledUpstream
-        The upstreams as they are.
+    deployment : Deployment
+        The upstreams as they are, and the ways to them.
 
     Notes
     -----
@@ -38,11 +33,10 @@
     what will come. It is no bound, but what it gains shows where knowledge is missing.
     """
 
-    pattern: Pattern
-    upstreams_by_name: Mapping[str, ModelledUpstream]
+    deployment: Deployment
 
     def choose(
-        self, operation: str, key: str, *, domain: str, drained: Set[str], now: float
+        self, operation: str, key: str, *, domain: str, now: float
     ) -> ModelledUpstream | None:
         """Give the best upstream for a request; None if there is none.
 
@@ -52,17 +46,15 @@
             The request.
         domain : str
             Where its entry VM stands.
-        drained : set of str
-            Failure domains whose upstreams get nothing.
         now : float
             Seconds of the run.
         """
-        service = self.pattern.operations_by_name[operation].service
+        service = self.deployment.pattern.operations_by_name[operation].service
         fitting = [
             each
-            for name, each in self.upstreams_by_name.items()
-            if name.partition("/")[0] == service
-            and each.domain not in drained
+            for each in self.deployment.upstreams_by_name.values()
+            if each.service_name == service
+            and each.domain not in self.deployment.drained
             and not each.is_dead
             and each.load < each.service.slots + each.service.queue
         ]
@@ -80,7 +72,7 @@
         domain: str,
         now: float,
     ) -> float:
-        kind = self.pattern.operations_by_name[operation]
+        kind = self.deployment.pattern.operations_by_name[operation]
         work_s = upstream.expected_s(operation, key, now)
         slots = upstream.service.slots
         waiting = max(0, upstream.load + 1 - slots) / slots
@@ -91,13 +83,5 @@
             work_s
             + waiting * work_s * kind.hit_part
             + extra_s
-            + self._way_s(domain, upstream.domain)
+            + 2 * self.deployment.one_way_s(domain, upstream.domain)
         )
-
-    def _way_s(self, domain: str, other: str) -> float:
-        if domain == other:
-            return 0.0
-        regions = self.pattern.region_by_domain
-        if regions[domain] == regions[other]:
-            return 2 * self.pattern.between_domains_ms / 1000
-        return 2 * self.pattern.between_regions_ms / 1000
--- a/packages/testkit/src/plankspindle_testkit/lab/pattern.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/pattern.py
@@ -34,7 +34,6 @@
     SLOW = "slow"
     SHED = "shed"
     CRASH = "crash"
-    COLD = "cold"
     DRAIN = "drain"
     RESTART = "restart"
 
--- a/packages/testkit/src/plankspindle_testkit/lab/strikes.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/strikes.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from plankspindle_testkit.lab.modelled_upstream import ModelledUpstream
 
-_OF_UPSTREAMS = (EventKind.SLOW, EventKind.SHED, EventKind.CRASH, EventKind.COLD)
+_OF_UPSTREAMS = (EventKind.SLOW, EventKind.SHED, EventKind.CRASH)
 
 
 @frozen(kw_only=True)
@@ -99,7 +99,7 @@
             upstream.slowness = event.factor
         case EventKind.SHED:
             upstream.shed_part = event.factor
-        case EventKind.CRASH | EventKind.COLD:
+        case EventKind.CRASH:
             upstream.is_dead = True
         case _:
             pass
