Soak: draw the versions of a seed from a source of their own

Versions came from the same source of chance as the stand-ins' choices for each request, so those of a seed differed with the timing. A test that the other draws don't matter fails before and passes now; no assertion changed.

--- a/tests/fleet/soak/fleet_soak.py
+++ b/tests/fleet/soak/fleet_soak.py
@@ -125,7 +125,8 @@
         self.layout = Layout(vms=plan.vms, first_port=plan.first_port)
         self.checks = Checks(
             bounds=bounds,
-            history=History(random=random),
+            # Its own, so that a seed has the same versions however requests fall.
+            history=History(random=Random(f"versions of {plan.seed}")),
             disturbed=Disturbances(contact_s=bounds.contact),
         )
         store = SoakStore(random)
--- a/tests/fleet/test_fleet_soak.py
+++ b/tests/fleet/test_fleet_soak.py
@@ -83,6 +83,19 @@
     assert draw(7, seconds=60, vms=vms) != draw(8, seconds=60, vms=vms)
 
 
+def test_versions_of_a_seed_are_the_same_whatever_else_is_drawn() -> None:
+    drawn = []
+    for others in (0, 3):
+        plan = Plan(seed=1, vms=3, first_port=28_300, seconds=0.0, faults=())
+        soak = FleetSoak(plan=plan)
+        for _ in range(11):
+            soak.checks.history.draw(0.0)
+            for _ in range(others):
+                soak.striker.random.random()
+        drawn.append([v.service_by_prefix for v in soak.checks.history.versions])
+    assert drawn[0] == drawn[1]
+
+
 def build_checks() -> Checks:
     """Build checks after one route moved, one went and one came at 10 s."""
     history = History(random=Random(1))
