--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/lab/crashing_requests.py
@@ -0,0 +1,68 @@
+"""Requests of a run under which upstreams end, and that come again and again."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from random import Random
+
+from attrs import frozen
+
+from plankspindle_testkit.lab.clock import Clock
+from plankspindle_testkit.lab.pattern import EventKind
+from plankspindle_testkit.lab.pattern import Pattern
+from plankspindle_testkit.lab.pattern import PatternEvent
+from plankspindle_testkit.lab.requests import Crash
+from plankspindle_testkit.lab.requests import Request
+
+CRASH_AFTER_S = (0.03, 0.1)
+"""Time from the begin of a request to the end of its upstream, in seconds."""
+
+
+@frozen(kw_only=True)
+class CrashingRequests:
+    """Send such requests, each as often as its event says, from anywhere.
+
+    Parameters
+    ----------
+    clock : Clock
+        The clock.
+    pattern : Pattern
+        What is modelled.
+    random : Random
+        Source of their times and places.
+    send : callable
+        Sends a request to an entry VM.
+    """
+
+    clock: Clock
+    pattern: Pattern
+    random: Random
+    send: Callable[[Request], None]
+
+    def plan(self) -> None:
+        """Plan the first coming of each."""
+        for number, event in enumerate(self.pattern.events):
+            if event.kind is EventKind.CRASHING_REQUEST:
+                come = partial(self._come, event, identity=-1 - number)
+                self.clock.after(event.at_s, come)
+
+    def _come(self, event: PatternEvent, identity: int) -> None:
+        now = self.clock.now
+        if not event.is_on(now):
+            return
+        again = partial(self._come, event, identity)
+        self.clock.after(self.random.expovariate(event.per_s), again)
+        operation = self.pattern.operations_by_name[event.operation or ""]
+        request = Request(
+            operation=event.operation or "",
+            key=f"crashing-{identity}",
+            domain=self.random.choice(list(self.pattern.region_by_domain)),
+            first_at=now,
+            deadline=now + operation.timeout_ms / 1000,
+            identity=identity,
+            crash=Crash(
+                after_s=self.random.uniform(*CRASH_AFTER_S), down_s=event.down_s
+            ),
+        )
+        self.send(request)
--- a/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
@@ -21,11 +21,13 @@
 from plankspindle_daemon.exchange import patience
 from plankspindle_daemon.listeners import request_reader
 from plankspindle_testkit.lab.clock import Clock
+from plankspindle_testkit.lab.crash_record import CrashRecord
 from plankspindle_testkit.lab.deployment import Deployment
 from plankspindle_testkit.lab.modelled_upstream import Work
 from plankspindle_testkit.lab.oracle import Oracle
 from plankspindle_testkit.lab.outcomes import Outcome
 from plankspindle_testkit.lab.requests import AT_NO_UPSTREAM
+from plankspindle_testkit.lab.requests import Crash
 from plankspindle_testkit.lab.requests import Handled
 from plankspindle_testkit.lab.requests import Request
 
@@ -56,12 +58,15 @@
         Takes a request that was refused, and the time to come back in seconds.
     oracle : Oracle, optional
         What places requests in place of the entry VMs.
+    crashes : CrashRecord
+        Where the ends of upstreams under requests are noted.
     """
 
     clock: Clock
     deployment: Deployment
     finish: Callable[[Request, Outcome], None]
     come_back: Callable[[Request, float], None]
+    crashes: CrashRecord
     oracle: Oracle | None = None
     _numbers: count[int] = field(factory=count)
     _by_ticket: dict[int, Handled] = Factory(dict)
@@ -170,7 +175,10 @@
             number=handled.attempt,
             operation=handled.request.operation,
             key=handled.request.key,
+            crash=handled.request.crash,
         )
+        if work.crash is not None:
+            self.crashes.note_sent(handled.request.identity, self.clock.now)
         reach = partial(self._reach, handled, upstream, work)
         self.clock.after(ways * self._way_s(handled, upstream), reach)
 
@@ -265,6 +273,10 @@
         if handled.is_over or handled.attempt != work.number:
             return
         known = self.deployment.upstreams_by_name[upstream]
+        if known.refuses:
+            lost = partial(self._lose, handled, work.number, Verdict.UNREACHABLE)
+            self.clock.after(self._way_s(handled, upstream), lost)
+            return
         if known.is_dead:
             return
         if known.sheds():
@@ -284,9 +296,47 @@
     def _continue(self, upstream: ModelledUpstream, begun: Begun | None) -> None:
         if begun is None:
             return
-        ends = partial(self._end_work, upstream, begun.work, upstream.incarnation)
+        work, incarnation = begun.work, upstream.incarnation
+        if work.crash is not None:
+            crash = partial(self._crash, upstream, work, work.crash, incarnation)
+            self.clock.after(work.crash.after_s, crash)
+            return
+        ends = partial(self._end_work, upstream, work, incarnation)
         self.clock.after(begun.seconds, ends)
 
+    def _crash(
+        self, upstream: ModelledUpstream, work: Work, crash: Crash, incarnation: int
+    ) -> None:
+        """End an upstream under a request; all that was there is lost."""
+        if upstream.incarnation != incarnation or not upstream.has(work.number):
+            return
+        guilty = self._by_attempt.get(work.number)
+        if guilty is not None:
+            self.crashes.note_crash(guilty.request.identity, self.clock.now)
+        for number in upstream.crash():
+            handled = self._by_attempt.get(number)
+            if handled is not None:
+                lost = partial(self._lose, handled, number, Verdict.FAILED)
+                self.clock.after(self._way_s(handled, upstream.name), lost)
+        self.clock.after(crash.down_s, partial(self._restart, upstream))
+
+    def _restart(self, upstream: ModelledUpstream) -> None:
+        upstream.restart(self.clock.now)
+
+    def _lose(self, handled: Handled, attempt: int, verdict: Verdict) -> None:
+        """Take the loss of the connection of an attempt."""
+        if handled.is_over or handled.attempt != attempt:
+            return
+        is_idempotent = self._operation_of(handled.request).idempotent
+        if is_idempotent or verdict is Verdict.UNREACHABLE:
+            self._leave(handled, verdict)
+            return
+        upstream = handled.upstream
+        assert upstream is not None
+        self._by_attempt.pop(attempt, None)
+        self._end(handled, Outcome.FAILED)
+        self._tell(handled, self._ended(handled, upstream, verdict))
+
     def _end_work(
         self, upstream: ModelledUpstream, work: Work, incarnation: int
     ) -> None:
--- a/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from functools import partial
+from itertools import count
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,8 @@
 
 from plankspindle_daemon.dispatch.messages import TimePassed
 from plankspindle_testkit.lab.clock import Clock
+from plankspindle_testkit.lab.crash_record import CrashRecord
+from plankspindle_testkit.lab.crashing_requests import CrashingRequests
 from plankspindle_testkit.lab.deployment import Deployment
 from plankspindle_testkit.lab.exchanges import Exchanges
 from plankspindle_testkit.lab.oracle import Oracle
@@ -52,16 +55,25 @@
     uses_oracle : bool
         Whether requests are placed with full knowledge of slots and keys, in place of
         the entry VMs' decisions.
+
+    Attributes
+    ----------
+    outcomes : Outcomes
+        What became of the requests, but of those under which upstreams end.
+    crashes : CrashRecord
+        What became of those.
     """
 
     pattern: Pattern
     seed: int = 1
     uses_oracle: bool = False
     outcomes: Outcomes = Factory(Outcomes)
+    crashes: CrashRecord = Factory(CrashRecord)
     _clock: Clock = Factory(Clock)
     _random: Random = field(init=False)
     _deployment: Deployment = field(init=False)
     _exchanges: Exchanges = field(init=False)
+    _identities: count[int] = Factory(count)
 
     def __attrs_post_init__(self) -> None:
         self._random = Random(self.seed)
@@ -73,6 +85,7 @@
             finish=self._finish,
             come_back=self._come_back,
             oracle=oracle if self.uses_oracle else None,
+            crashes=self.crashes,
         )
 
     def run(self) -> Outcomes:
@@ -86,6 +99,13 @@
             seed=self.seed,
         )
         strikes.plan()
+        crashing = CrashingRequests(
+            clock=self._clock,
+            pattern=self.pattern,
+            random=Random(f"{self.seed} crashing requests"),
+            send=self._send,
+        )
+        crashing.plan()
         for act in (self._read_lists, self._tick, self._refresh, self._sample):
             self._clock.after(0.0, act)
         operations = self.pattern.operations_by_name.values()
@@ -110,6 +130,7 @@
             domain=domain,
             first_at=self._clock.now,
             deadline=self._clock.now + operation.timeout_ms / 1000,
+            identity=next(self._identities),
         )
         self._send(request)
 
@@ -137,6 +158,8 @@
         self._clock.after(wait_s, partial(self._send, again))
 
     def _finish(self, request: Request, outcome: Outcome) -> None:
+        if request.crash is not None:
+            return
         operation = self.pattern.operations_by_name[request.operation]
         self.outcomes.note(operation, request.first_at, outcome)
 
--- a/packages/testkit/src/plankspindle_testkit/lab/modelled_upstream.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/modelled_upstream.py
@@ -13,6 +13,7 @@
 
 from plankspindle_testkit.lab.pattern import ModelOperation
 from plankspindle_testkit.lab.pattern import ModelService
+from plankspindle_testkit.lab.requests import Crash
 
 SPREAD = 0.15
 """Standard deviation of the time of work, as a part of it."""
@@ -30,11 +31,14 @@
         Its kind.
     key : str
         The thing that it concerns.
+    crash : Crash, optional
+        What it does to the upstream.
     """
 
     number: int
     operation: str
     key: str
+    crash: Crash | None = None
 
 
 @frozen(kw_only=True)
@@ -78,6 +82,8 @@
         Part of the requests that it sheds whatever room it has.
     is_dead : bool
         Whether it answers nothing, without a sign.
+    refuses : bool
+        Whether connections to it are refused, since its process has ended.
     cold_until : float
         End of its cold time, in seconds of the run.
     incarnation : int
@@ -93,6 +99,7 @@
     slowness: float = 1.0
     shed_part: float = 0.0
     is_dead: bool = False
+    refuses: bool = False
     cold_until: float = 0.0
     incarnation: int = 1
     _running: dict[int, Work] = Factory(dict)
@@ -147,12 +154,20 @@
             each.number == number for each in self._waiting
         )
 
+    def crash(self) -> list[int]:
+        """End without a word; give the attempts that ran or waited here."""
+        ended = [*self._running, *(each.number for each in self._waiting)]
+        self._running.clear()
+        self._waiting.clear()
+        self.is_dead = self.refuses = True
+        return ended
+
     def restart(self, now: float) -> None:
         """Start anew: nothing is remembered, and it is cold."""
         self._running.clear()
         self._waiting.clear()
         self._remembered.clear()
-        self.is_dead = False
+        self.is_dead = self.refuses = False
         self.cold_until = now + self.service.cold_s
         self.incarnation += 1
 
--- a/packages/testkit/src/plankspindle_testkit/lab/pattern.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/pattern.py
@@ -36,6 +36,7 @@
     CRASH = "crash"
     DRAIN = "drain"
     RESTART = "restart"
+    CRASHING_REQUEST = "crashing-request"
 
 
 @frozen(kw_only=True)
@@ -55,6 +56,13 @@
         requests that is shed.
     domain : str, optional
         Failure domain that is struck whole.
+    operation : str, optional
+        For ``crashing-request`` the kind of the request that comes again and again,
+        under which each upstream that begins it ends.
+    per_s : float
+        How often it comes, times a second.
+    down_s : float
+        Time after which an upstream that has ended is back, in seconds.
     """
 
     kind: EventKind = field(converter=EventKind)
@@ -63,6 +71,9 @@
     share: float = field(default=1.0, validator=_PART)
     factor: float = field(default=1.0, validator=_NOT_NEGATIVE)
     domain: str | None = None
+    operation: str | None = None
+    per_s: float = field(default=1.0, validator=_POSITIVE)
+    down_s: float = field(default=3.0, validator=_POSITIVE)
 
     def is_on(self, now: float) -> bool:
         """Tell whether it lasts at a time, in seconds from the start."""
@@ -195,6 +206,13 @@
             for name, each in self.operations_by_name.items()
             if each.service not in self.services_by_name
         ]
+        found += [
+            f"event {each.kind.value!r} names no operation that is declared: "
+            f"{each.operation!r}"
+            for each in self.events
+            if each.kind is EventKind.CRASHING_REQUEST
+            and each.operation not in self.operations_by_name
+        ]
         if not any(self.vms_by_domain.values()):
             found.append("there is no entry VM; name some under vms_by_domain")
         return found
--- a/packages/testkit/src/plankspindle_testkit/lab/requests.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/requests.py
@@ -12,6 +12,22 @@
 """Number of the attempt of a request that waits."""
 
 
+@frozen(kw_only=True)
+class Crash:
+    """The end of an upstream under a request.
+
+    Parameters
+    ----------
+    after_s : float
+        Time from the begin of the request, in seconds.
+    down_s : float
+        Time after which the upstream is back, in seconds.
+    """
+
+    after_s: float
+    down_s: float
+
+
 @frozen(kw_only=True)
 class Request:
     """A caller's request.
@@ -28,6 +44,10 @@
         Time of the first try, and when the caller gives up, in seconds.
     returns : int
         How often the caller came back.
+    identity : int
+        The same for requests with the same caller, path and body.
+    crash : Crash, optional
+        What it does to an upstream that begins it.
     """
 
     operation: str
@@ -36,6 +56,8 @@
     first_at: float
     deadline: float
     returns: int = 0
+    identity: int = 0
+    crash: Crash | None = None
 
 
 @define(kw_only=True)
--- /dev/null
+++ b/tests/fleet/soak/crashers.py
@@ -0,0 +1,177 @@
+"""Requests under which upstreams crash, sent again and again, and their check."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import suppress
+from random import Random
+from time import monotonic
+
+from attrs import Factory
+from attrs import define
+from attrs import frozen
+from curio import TaskTimeout
+from curio import sleep
+from curio import spawn
+from curio import timeout_after
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.http.client_connection import ClientConnection
+from soak.checks import Checks
+from soak.history import HOST
+from soak.history import MAIN
+from soak.history import ONCE
+from soak.upstreams import CRASHING
+from soak.upstreams import ID
+from soak.upstreams import Upstreams
+
+MANY = 3
+"""Upstreams that end under a request before it is to be held back."""
+SENT_ON = 3
+"""How often it may be sent on in all, later than the bound after that."""
+GAP_S = 0.3
+"""Mean time between two tries of one request, in seconds."""
+PATIENCE_S = 4.0
+AT_ONCE_S = 0.5
+"""Time in which a request that is held back is answered, in seconds."""
+DEADLINE_MS = 2_500
+NOT_RUN = 503
+
+
+@frozen(kw_only=True)
+class Try:
+    """One try.
+
+    Parameters
+    ----------
+    request, vm : str
+        Its id, and where it was sent.
+    sent_at, ended_at : float
+        Monotonic seconds.
+    status : int or None
+        Status of its answer.
+    """
+
+    request: str
+    vm: str
+    sent_at: float
+    ended_at: float
+    status: int | None
+
+
+@define(kw_only=True)
+class Crashers:
+    """Send requests under which upstreams crash, and check where they came to.
+
+    Parameters
+    ----------
+    checks : Checks
+        Where findings go, and what was disturbed.
+    upstreams : Upstreams
+        What knows where requests ran.
+    front : callable
+        Gives the address of an entry VM.
+    vms : list of str
+        All entry VMs.
+    seed : int
+        Source of choices, with the time of the fault: a replay makes the same.
+    """
+
+    checks: Checks
+    upstreams: Upstreams
+    front: Callable[[str], Endpoint]
+    vms: list[str]
+    seed: int
+    tries_by_path: dict[str, list[Try]] = Factory(dict)
+
+    async def strike(self, at: float, for_s: float) -> None:
+        """Let one such request come for a while, at any entry VM."""
+        random = Random(f"crashing request of {self.seed} at {at}")
+        prefix = random.choice(MAIN)
+        path = f"{prefix}{CRASHING}{len(self.tries_by_path)}"
+        tries = self.tries_by_path.setdefault(path, [])
+        ends_at = monotonic() + for_s
+        while monotonic() < ends_at:
+            await spawn(self._try, path, prefix in ONCE, random, tries, daemon=True)
+            await sleep(random.expovariate(1 / GAP_S))
+
+    async def _try(
+        self, path: str, is_once: bool, random: Random, tries: list[Try]
+    ) -> None:
+        vm, request = random.choice(self.vms), f"{random.getrandbits(64):016x}"
+        connection = ClientConnection(endpoint=self.front(vm))
+        sent_at, status = monotonic(), None
+        with suppress(TaskTimeout):
+            status = await timeout_after(
+                PATIENCE_S, _exchange, connection, path, is_once, request
+            )
+        await connection.close()
+        tries.append(
+            Try(
+                request=request,
+                vm=vm,
+                sent_at=sent_at,
+                ended_at=monotonic(),
+                status=status,
+            )
+        )
+
+    def check(self) -> None:
+        """Check all of them, at the end."""
+        for path, tries in self.tries_by_path.items():
+            crashed_at = sorted(self.upstreams.crashed_at_by_path.get(path, []))
+            self.checks.counts["upstreams that crashed under requests"] += len(
+                crashed_at
+            )
+            self._check_truth(path, tries)
+            if len(crashed_at) >= MANY:
+                self._check_held_back(path, tries, crashed_at[MANY - 1])
+
+    def _check_truth(self, path: str, tries: list[Try]) -> None:
+        for each in tries:
+            runs = self.upstreams.runs_by_id.get(each.request, [])
+            if each.status == NOT_RUN and runs:
+                detail = f"{path} at {each.vm} ran and was told as not run"
+                self.checks.fail("not run", detail, each.ended_at)
+
+    def _check_held_back(self, path: str, tries: list[Try], since: float) -> None:
+        contact_s, disturbed = self.checks.bounds.contact, self.checks.disturbed
+        late = []
+        for each in tries:
+            for run in self.upstreams.runs_by_id.get(each.request, []):
+                at = run.arrived_at
+                is_late = at > disturbed.later(since, contact_s, at)
+                late += [each] * (is_late and disturbed.is_calm(each.vm, at, at))
+        judged = [each for each in tries if each.sent_at > since + contact_s]
+        self.checks.counts["judged for crashing requests"] += len(judged)
+        if len(late) > SENT_ON:
+            detail = f"{path} came to upstreams {len(late)} times more, from {late[0]}"
+            self.checks.fail("held back", detail, late[0].ended_at)
+        for each in judged:
+            took_s = each.ended_at - each.sent_at
+            took_s -= disturbed.held_s(each.sent_at, each.ended_at)
+            is_calm = disturbed.is_calm(each.vm, each.sent_at, each.ended_at)
+            if each not in late and is_calm and took_s > AT_ONCE_S:
+                detail = f"{path} at {each.vm} waited {took_s:.3f} s for {each.status}"
+                self.checks.fail("at once", detail, each.ended_at)
+
+
+async def _exchange(
+    connection: ClientConnection, path: str, is_once: bool, request: str
+) -> int | None:
+    if (await connection.start(timeout_s=1.0)).is_err():
+        return None
+    headers = [
+        (b"host", HOST.encode()),
+        (ID, request.encode()),
+        (b"x-plankspindle-deadline-ms", str(DEADLINE_MS).encode()),
+    ]
+    if is_once:
+        headers.append((b"content-length", b"0"))
+    await connection.send_request(
+        method="POST" if is_once else "GET", target=path, headers=headers
+    )
+    if (await connection.end_request()).is_err():
+        return None
+    head = await connection.read_head()
+    return None if head.is_err() else int(head.unwrap().status_code)
--- a/tests/fleet/soak/faults.py
+++ b/tests/fleet/soak/faults.py
@@ -10,6 +10,7 @@
 OF_LINKS = ("silence", "reset-links", "forget")
 OF_VMS = ("kill", "stop", "term", "hup", "rolling", "herd-kill", "herd-stop", "hup-all")
 OF_LAPSES = ("lapse-away", "lapse-refused", "lapse-resets")
+OF_CRASHERS = ("crashing",)
 OF_OPERATORS = ("change", "storm", "evacuate", "leave", "vanish")
 STORE_S = (0.2, 12.0)
 STOP_S = (0.2, 5.0)
@@ -20,6 +21,9 @@
 VM_GAP_S = 9.0
 CHANGE_GAP_S = 1.5
 LAPSE_GAP_S = 14.0
+CRASHING_GAP_S = 20.0
+CRASHING_S = (4.0, 14.0)
+"""Time for which a request under which upstreams crash comes again, in seconds."""
 LAPSE_S = (3.0, 7.0)
 """Length of an outage in which entries lapse, in seconds."""
 
@@ -49,6 +53,7 @@
     for at in _times(random, CHANGE_GAP_S, seconds):
         faults.append(_draw_of_operator(random, at))
     faults += _draw_lapses(seed, seconds)
+    faults += _draw_crashing(seed, seconds)
     return sorted(faults, key=lambda each: each.at)
 
 
@@ -61,6 +66,15 @@
     ]
 
 
+def _draw_crashing(seed: int, seconds: float) -> list[SoakFault]:
+    """Draw crashing requests from a source of their own, for the same reason."""
+    random = Random(f"crashing requests of fleet soak {seed}")
+    return [
+        _fault(at, random.uniform(*CRASHING_S), "crashing", "")
+        for at in _times(random, CRASHING_GAP_S, seconds)
+    ]
+
+
 def _times(random: Random, gap_s: float, seconds: float) -> list[float]:
     times = [random.expovariate(1 / gap_s)]
     while times[-1] < seconds:
--- a/tests/fleet/soak/fleet_soak.py
+++ b/tests/fleet/soak/fleet_soak.py
@@ -26,6 +26,7 @@
 from soak.callers import Caller
 from soak.checks import Broken
 from soak.checks import Checks
+from soak.crashers import Crashers
 from soak.faults import draw
 from soak.history import Disturbances
 from soak.history import History
@@ -150,6 +151,13 @@
                 vms=self.layout.names(),
                 seed=plan.seed,
             ),
+            crashers=Crashers(
+                checks=self.checks,
+                upstreams=upstreams,
+                front=self.layout.front,
+                vms=self.layout.names(),
+                seed=plan.seed,
+            ),
             proxies_by_vm={
                 vm: LinkProxy(
                     listens=self.layout.at(vm, 30), target=self.layout.at(vm, 31)
@@ -184,6 +192,7 @@
             await striker.store.close()
         self.checks.judge()
         striker.lapser.lapses.check(striker.upstreams.lives, ended_at)
+        striker.crashers.check()
         held_s = self.checks.disturbed.held_s(0.0, monotonic())
         self.checks.counts["seconds held up by the machine"] += round(held_s)
         self._write_history(wall)
@@ -292,6 +301,9 @@
         lines += [f"{vm} {s}" for vm, all_ in checks.disturbed.all() for s in all_]
         lines += [str(each) for each in self.striker.lapser.lapses.lapses]
         lines += self.striker.lapser.lapses.uses
+        for path, tries in self.striker.crashers.tries_by_path.items():
+            crashed_at = self.striker.upstreams.crashed_at_by_path.get(path, [])
+            lines += [f"{path} crashed upstreams at {crashed_at}", *map(str, tries)]
         lines += [str(each) for each in checks.broken]
         lines += [str(each) for each in checks.told]
         (folder / "history.txt").write_text("\n".join(lines) + "\n")
--- a/tests/fleet/soak/striker.py
+++ b/tests/fleet/soak/striker.py
@@ -22,7 +22,10 @@
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.soak.link_proxy import LinkProxy
 from soak.checks import Checks
+from soak.crashers import Crashers
+from soak.faults import OF_CRASHERS
 from soak.faults import OF_LAPSES
+from soak.faults import OF_OPERATORS
 from soak.faults import OF_STORE
 from soak.history import Evacuation
 from soak.lapser import Lapser
@@ -62,6 +65,8 @@
         The stand-ins, and what is told of what is disturbed.
     lapser : Lapser
         What lets entries lapse.
+    crashers : Crashers
+        What sends requests under which upstreams crash.
     proxies_by_vm : dict of str to LinkProxy
         Links to the store.
     random : Random
@@ -76,6 +81,7 @@
     upstreams: Upstreams
     checks: Checks
     lapser: Lapser
+    crashers: Crashers
     proxies_by_vm: dict[str, LinkProxy]
     random: Random
     module: str = MODULE
@@ -95,11 +101,21 @@
                 await self._trouble(kind, vms, fault.for_s)
             case kind if kind in OF_LAPSES:
                 await self.lapser.strike(fault)
+            case kind if kind in OF_CRASHERS:
+                await self.crashers.strike(fault.at, fault.for_s)
             case "forget":
                 self.checks.disturbed.begin(self._all(), monotonic()).end = monotonic()
                 self.store.forget()
             case "silence" | "reset-links":
                 self._strike_links(fault.kind, vms or self._all())
+            case kind if kind in OF_OPERATORS:
+                await self._operate(fault)
+            case _:
+                await self._strike_vms(fault.kind, vms or self._all(), fault.for_s)
+
+    async def _operate(self, fault: SoakFault) -> None:
+        """Do what the platform's operator does."""
+        match fault.kind:
             case "change":
                 await self.change()
             case "storm":
@@ -107,11 +123,9 @@
                     await self.change()
             case "evacuate":
                 await self._evacuate(fault.for_s)
-            case "leave" | "vanish":
+            case _:
                 number = self.random.randrange(len(self.upstreams.lives))
                 await self.upstreams.leave(number, says_so=fault.kind == "leave")
-            case _:
-                await self._strike_vms(fault.kind, vms or self._all(), fault.for_s)
 
     def _all(self) -> list[str]:
         return self.layout.names()
--- a/tests/fleet/soak/upstreams.py
+++ b/tests/fleet/soak/upstreams.py
@@ -12,6 +12,7 @@
 from attrs import define
 from attrs import frozen
 from curio import sleep
+from curio import spawn
 
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.headers import find_header
@@ -37,6 +38,13 @@
 LONG_PART = 0.1
 CUT_PART = 0.01
 TABLE = "servers"
+CRASHING = "crashing-"
+"""Begins the last part of the path of a request under which upstreams crash."""
+CRASH_AFTER_S = (0.02, 0.15)
+DOWN_S = (1.0, 4.0)
+"""Time after which an upstream that crashed is back under another id, in seconds."""
+SILENT_BEATS = 3
+"""Heartbeats that are missing when an entry goes."""
 
 
 @define(kw_only=True)
@@ -64,12 +72,14 @@
     is_listed: bool = True
     is_lapsed: bool = False
     has_vanished: bool = False
+    has_crashed: bool = False
     sequence: int = 0
 
     @property
     def is_staying(self) -> bool:
         """Whether it is listed and neither leaves nor is taken for gone."""
-        return self.is_listed and not self.is_draining and not self.is_lapsed
+        goes = self.is_draining or self.is_lapsed or self.has_crashed
+        return self.is_listed and not goes
 
     def row(self) -> dict[str, Any] | None:
         """Give its entry in the store, or None if it is gone or has lapsed."""
@@ -142,6 +152,7 @@
     of_each_place: int
     lives: list[Upstream] = Factory(list)
     runs_by_id: dict[str, list[Run]] = Factory(dict)
+    crashed_at_by_path: dict[str, list[float]] = Factory(dict)
     _servers: list[HttpServer] = Factory(list)
 
     async def start(self) -> None:
@@ -183,8 +194,10 @@
         while True:
             for number in range(len(self.lives)):
                 await sleep(HEARTBEAT_S / len(self.lives))
-                if self.lives[number].is_listed and not self.lives[number].is_lapsed:
-                    await self._enter(self.lives[number])
+                upstream = self.lives[number]
+                is_silent = upstream.is_lapsed or upstream.has_crashed
+                if upstream.is_listed and not is_silent:
+                    await self._enter(upstream)
 
     async def leave(self, number: int, *, says_so: bool) -> None:
         """Let an upstream leave, and another life of it come at its address."""
@@ -216,9 +229,13 @@
 
     async def replace(self, number: int) -> None:
         """Let one that is gone serve on for a while, and another life of it come."""
-        upstream = self.lives[number]
         await sleep(self.drain_s + LINGER_S)
         await self._servers[number].close(drain_s=1.0)
+        await self._begin_life(number)
+
+    async def _begin_life(self, number: int) -> None:
+        """Start the next life of an upstream at its address."""
+        upstream = self.lives[number]
         life = int(upstream.name.rpartition("-")[2]) + 1
         self.lives[number] = self._make(
             number, upstream.service, upstream.zone, life=life
@@ -226,6 +243,28 @@
         self._servers[number] = await self._listen(number)
         await self._enter(self.lives[number])
 
+    async def _crash(self, upstream: Upstream, path: str) -> None:
+        """End an upstream without a word, and all that runs there with it."""
+        number = next(
+            (n for n, each in enumerate(self.lives) if each is upstream), None
+        )
+        if number is None or upstream.has_crashed:
+            return
+        self.crashed_at_by_path.setdefault(path, []).append(monotonic())
+        is_staying, upstream.has_crashed = upstream.is_staying, True
+        await self._servers[number].close()
+        await spawn(self._forget, upstream, daemon=True)
+        if is_staying:
+            await sleep(self.random.uniform(*DOWN_S))
+            await self._begin_life(number)
+
+    async def _forget(self, upstream: Upstream) -> None:
+        """Drop the entry of one that crashed, after some heartbeats of silence."""
+        await sleep(SILENT_BEATS * HEARTBEAT_S)
+        if upstream.is_listed and not upstream.is_lapsed:
+            upstream.is_listed = False
+            await self._enter(upstream)
+
     async def _handle(self, upstream: Upstream, source: ServerExchange) -> None:
         arrived_at = monotonic()
         await source.read_body(max_bytes=100_000)
@@ -252,6 +291,11 @@
             is_cut=self.random.random() < CUT_PART,
         )
         self.runs_by_id.setdefault(request.decode(), []).append(run)
+        if CRASHING in source.target:
+            await sleep(self.random.uniform(*CRASH_AFTER_S))
+            # Not by this task, which ends with its upstream.
+            await spawn(self._crash, upstream, source.target, daemon=True)
+            await sleep(inf)
         is_long = self.random.random() < LONG_PART
         await sleep(self.random.uniform(*(LONG_S if is_long else SHORT_S)))
         if run.is_cut:
--- a/tests/fleet/test_fleet_soak.py
+++ b/tests/fleet/test_fleet_soak.py
@@ -44,6 +44,7 @@
     from collections.abc import Callable
 
 SHORT = Path(fleet_soak.__file__).with_name("short.jsonl")
+CRASHING = SHORT.with_name("crashing.jsonl")
 DESK, VAULT = (
     Upstream(
         name=f"i-{service}",
@@ -77,6 +78,24 @@
     assert counts["judged for upstreams that vanished in outages"] > 0
 
 
+def test_a_request_that_crashes_upstreams_is_held_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Real entry VMs, of which all end and start again while such a request comes.
+
+    Seen: a request under which three upstreams had ended was sent to others 16 times
+    more, since it came each time at another entry VM, under an id of its own.
+    """
+    root = Path(__file__).parents[2]
+    paths = f"{root / 'platform'}:{root / 'tests/fleet'}"
+    monkeypatch.setenv("PYTHONPATH", paths)
+    faults = tuple(read_schedule(CRASHING.read_text()))
+    plan = Plan(seed=4, vms=3, first_port=28_500, seconds=0.0, faults=faults)
+    verdict = curio.run(FleetSoak(plan=plan).run)
+    assert verdict.broken == []
+    assert verdict.counts["judged for crashing requests"] > 10
+
+
 def test_faults_of_a_seed_are_the_same_each_time() -> None:
     vms = ["edge-0", "edge-1"]
     assert draw(7, seconds=60, vms=vms) == draw(7, seconds=60, vms=vms)
