--- a/packages/client/src/plankspindle_client/console/application.py
+++ b/packages/client/src/plankspindle_client/console/application.py
@@ -11,6 +11,7 @@
 from plankspindle_client.console.commands.explain import explain
 from plankspindle_client.console.commands.history import history
 from plankspindle_client.console.commands.plan import plan
+from plankspindle_client.console.commands.quarantine import quarantine
 from plankspindle_client.console.commands.routes import routes
 from plankspindle_client.console.commands.state import state
 from plankspindle_client.console.commands.status import status
@@ -46,5 +47,16 @@
     context.obj = {"endpoint": endpoint, "token": token, "output": output}
 
 
-for command in (config, confirm, explain, history, plan, routes, state, status, watch):
+for command in (
+    config,
+    confirm,
+    explain,
+    history,
+    plan,
+    quarantine,
+    routes,
+    state,
+    status,
+    watch,
+):
     main.add_command(command)
--- a/packages/client/src/plankspindle_client/explaining/cause.py
+++ b/packages/client/src/plankspindle_client/explaining/cause.py
@@ -26,6 +26,9 @@
         return f"It was refused ({end.fields.get('status')}): {_reason(end)}."
     if ending == "caller-gone":
         return f"Its caller went away after {end.number('took_ms')} ms."
+    held = story.last("request_held_back")
+    if held is not None:
+        return _of_quarantine(story, held)
     rejected = story.last("request_rejected")
     attempted = story.last("attempt_ended")
     if ending == "not-run" and rejected is not None and story.steps[-2] is rejected:
@@ -55,6 +58,19 @@
     return f"{text} Before that, an attempt ended: {attempted.fields.get('came')}."
 
 
+def _of_quarantine(story: RequestStory, held: LoggedEvent) -> str:
+    text = (
+        f"It was held back: the same request, {held.fields.get('identity')}, was in"
+        f" flight at several upstreams when they ended, and has been in quarantine for"
+        f" {held.number('for_ms')} ms; it is let through next after"
+        f" {held.number('retry_after_ms')} ms."
+    )
+    attempted = story.last("attempt_ended")
+    if attempted is None:
+        return f"{text} This try was sent to no upstream."
+    return f"{text} Before that: {_of_attempt(story, attempted)}"
+
+
 def _of_attempt(story: RequestStory, attempted: LoggedEvent) -> str:
     text = (
         f"Attempt {attempted.number('attempt')} at {attempted.fields.get('upstream')}"
--- a/packages/client/src/plankspindle_client/explaining/request_story.py
+++ b/packages/client/src/plankspindle_client/explaining/request_story.py
@@ -38,6 +38,11 @@
         "part_leaving_region",
         "keys_leaving_region",
         "log_lines_dropped",
+        "upstream_crashed",
+        "request_watched",
+        "request_quarantined",
+        "quarantine_trial",
+        "quarantine_lifted",
     }
 )
 ENDS = frozenset({"request_failed", "request_late", "request_served"})
--- a/packages/client/tests/test_operations_page.py
+++ b/packages/client/tests/test_operations_page.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -17,6 +18,8 @@
 from plankspindle_core.configuration.codec import configuration_to_mapping
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.headers import find_header
+from plankspindle_daemon.quarantine.crash_cases import CRASHES
+from plankspindle_daemon.quarantine.crash_probe import LIFE_S
 from plankspindle_testkit.builders import BRONZE_KEY
 from plankspindle_testkit.builders import VmPlace
 from plankspindle_testkit.builders import build_configuration
@@ -140,6 +143,7 @@
     refused = refused_request()
     wait_for_line(folder, refused)
     assert PLACE.name in step(f"explain {refused} {log_of(folder)}")
+    assert "no request is held back" in step("quarantine")
     assert done == commands_on_page()
 
 
@@ -236,5 +240,37 @@
     assert "platform: away" in printed
 
 
+def test_a_request_that_is_held_back_is_explained_and_released(serving: Path) -> None:
+    """An upstream ends under each try of one request, and is started again."""
+    target = "/v1/services/registry/crash"
+    upstream = f"u={UPSTREAM}=4"
+    restarted = Processes(folder=serving)
+    try:
+        for _ in range(CRASHES):
+            control_upstream(crash_path="/crash")
+            assert ask("GET", target).status in (502, 503)
+            time.sleep(LIFE_S)
+            module = "plankspindle_testkit.upstream_stand_in"
+            restarted.start_module("restarted", module, upstream)
+            wait_until(
+                lambda: call(UPSTREAM, target="/load").status == 200, what="upstream"
+            )
+        wait_until(lambda: bool(held_back()), what="a request is held back")
+        held = ask("GET", target)
+        assert held.status == 503
+        heading = "Held back since upstreams crashed under it"
+        printed = follow(serving, heading, log_id_of(held))
+        assert "It was held back" in printed
+        assert f"{held_back()[0]}: held back for" in printed
+        run(serving, f"quarantine --lift {held_back()[0]}")
+        wait_until(lambda: ask("GET", target).status == 200, what="it is served again")
+    finally:
+        restarted.close()
+
+
+def held_back() -> list[str]:
+    return list(state_of(PLACE)["quarantine"]["requests"])
+
+
 def digests() -> int:
     return int(state_of(PLACE)["failure_domains"]["ke-1"]["heard_vms"])
--- a/packages/core/src/plankspindle_core/http/client_connection.py
+++ b/packages/core/src/plankspindle_core/http/client_connection.py
@@ -89,7 +89,8 @@
             )
         except (OSError, TaskTimeout) as error:
             await self.close()
-            return Err(ConnectFailed(f"{type(error).__name__}: {error}"))
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return Err(ConnectFailed(f"{type(error).__name__}: {error}", is_refused))
         return Ok(None)
 
     async def send_request(
--- a/packages/core/src/plankspindle_core/http/errors.py
+++ b/packages/core/src/plankspindle_core/http/errors.py
@@ -13,9 +13,12 @@
     ----------
     detail : str
         What the operating system said.
+    is_refused : bool
+        Whether the host answered that nobody listens there.
     """
 
     detail: str
+    is_refused: bool = False
 
 
 @frozen
--- a/packages/daemon/src/plankspindle_daemon/beliefs/belief_watch.py
+++ b/packages/daemon/src/plankspindle_daemon/beliefs/belief_watch.py
@@ -10,6 +10,7 @@
 from plankspindle_daemon.beliefs.belief import Belief
 from plankspindle_daemon.beliefs.member_watch import MemberWatch
 from plankspindle_daemon.beliefs.plan_watch import PlanWatch
+from plankspindle_daemon.beliefs.quarantine_watch import take_changes
 from plankspindle_daemon.beliefs.upstream_watch import UpstreamWatch
 
 if TYPE_CHECKING:
@@ -65,6 +66,7 @@
             *self._drained(node),
             *self._own(node),
             *self._reads(node, now),
+            *take_changes(node.quarantine),
         ]
 
     def _platform(self, calls: BoundedCalls, now: float) -> Iterator[Belief]:
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/beliefs/quarantine_watch.py
@@ -0,0 +1,21 @@
+"""Gives what changed in the quarantine, to be logged."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from plankspindle_daemon.beliefs.belief import Belief
+from plankspindle_daemon.quarantine.request_identity import identity_text
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from plankspindle_daemon.quarantine.quarantine import Quarantine
+
+
+def take_changes(quarantine: Quarantine) -> Iterator[Belief]:
+    """Take the changes since the last time out of a quarantine."""
+    changes, quarantine.changes = quarantine.changes, []
+    for change in changes:
+        identity = identity_text(change.identity)
+        yield Belief(event=change.event, fields={"identity": identity, **change.fields})
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import time
-from contextlib import suppress
 from functools import partial
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -11,18 +9,15 @@
 
 from attrs import evolve
 from curio import TaskGroup
-from curio import TaskTimeout
 from curio import sleep
 
 from plankspindle_core.logs.key_value_destination import KeyValueDestination
 from plankspindle_core.logs.key_value_destination import log_event
 from plankspindle_core.supervisor import Supervisor
-from plankspindle_core.time_limit import within
 from plankspindle_daemon.beliefs.belief_watch import BeliefWatch
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
 from plankspindle_daemon.idempotency.claim_store import ClaimStore
 from plankspindle_daemon.idempotency.claim_sweeper import ClaimSweeper
-from plankspindle_daemon.leaving.leave import Left
 from plankspindle_daemon.listeners.caller_listener import CallerListener
 from plankspindle_daemon.listeners.idempotency_gate import IdempotencyGate
 from plankspindle_daemon.listeners.metrics_listener import MetricsListener
@@ -44,9 +39,12 @@
 from plankspindle_daemon.ports import Door
 from plankspindle_daemon.ports import Ports
 from plankspindle_daemon.ports import own_ports
+from plankspindle_daemon.quarantine.crash_probe import CrashProbe
+from plankspindle_daemon.quarantine.quarantine_store import QuarantineStore
 from plankspindle_daemon.settings.settings_file import LIVE_SECTIONS
 from plankspindle_daemon.settings.settings_file import SettingsChange
 from plankspindle_daemon.stories.story_log import StoryLog
+from plankspindle_daemon.ticker import Ticker
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
 from plankspindle_daemon.wire.frame import FrameSealer
 
@@ -57,23 +55,9 @@
     from plankspindle_daemon.settings.daemon_settings import DaemonSettings
     from plankspindle_daemon.settings.settings_file import SettingsFile
 
-TICK_S = 0.05
-"""Period of looking at what waits, while requests wait, in seconds."""
-IDLE_TICK_S = 0.125
-"""The same while none waits; a request that begins to wait ends it.
-
-Each look wakes the process: twelve wake-ups a second fewer.
-"""
 STALE_PERIOD_S = 5.0
 SETTINGS_PERIOD_S = 5.0
 """Period of looking whether the settings file has changed."""
-WATCH_PERIOD_S = 0.25
-"""Period of comparing beliefs with those before; changes between are not seen."""
-WATCHED_PER_S = 1_000
-"""Upstreams and members that are compared a second, at 2 us each 0.2 percent of a core.
-
-Beyond 250 of them the period is longer.
-"""
 
 
 class Daemon:
@@ -138,8 +122,7 @@
         self._callers = self._make_callers(requests, random)
         self._operators = self._make_operators(random)
         self._doors = self._make_doors()
-        self._last_tick = monotonic()
-        self._next_watch = 0.0
+        self._ticker = self._make_ticker()
 
     def _make_outgoing(self, random: Random) -> None:
         """Make the ways to other entry VMs and to upstreams."""
@@ -162,6 +145,15 @@
         self._effects = EffectRunner(
             node=self.node, peers=self._peers, dispatch=self._dispatch, leave=self.leave
         )
+        self._crashes = CrashProbe(
+            quarantine=self.node.quarantine,
+            pool=self._pool,
+            supervisor=self._supervisor,
+            perform=lambda news: self._effects.perform([*news]),
+        )
+        self._quarantine = QuarantineStore(
+            quarantine=self.node.quarantine, platform=self._platform, random=random
+        )
 
     def _make_followers(self) -> None:
         """Make what follows the platform."""
@@ -182,6 +174,21 @@
         self._effects.take_news = self._lists.take_news
         self._presence = PresenceKeeper(node=self.node, presence=self._ports.presence)
 
+    def _make_ticker(self) -> Ticker:
+        return Ticker(
+            node=self.node,
+            effects=self._effects,
+            dispatch=self._dispatch,
+            lists=self._lists,
+            quarantine=self._quarantine,
+            beliefs=self._beliefs,
+            calls=self._platform.calls,
+            supervisor=self._supervisor,
+            running=lambda: self._callers.running,
+            pause_s=lambda: self.settings.timing.pause_ms / 1000,
+            log=self._log,
+        )
+
     def _make_callers(self, requests: RequestMetrics, random: Random) -> CallerListener:
         dialect = self._ports.dialect
         return CallerListener(
@@ -200,6 +207,7 @@
                 reader=RequestReader(node=self.node, dialect=dialect),
                 dialect=dialect,
                 stories=StoryLog(vm=self.settings.vm),
+                crashes=self._crashes,
             ),
             metrics=requests,
         )
@@ -212,6 +220,7 @@
             make_plans=partial(self._make_plans, random),
             metrics=self._metrics,
             dump_shells=self._dump_shells,
+            tell=lambda news: self._effects.perform([*news]),
         )
 
     def _make_plans(self, random: Random) -> PlanService:
@@ -318,62 +327,15 @@
     async def run(self) -> None:
         """Run until the planned stop is complete."""
         async with TaskGroup(wait=any) as group:
-            await group.spawn(self._tick_until_left)
+            await group.spawn(self._ticker.run)
             await group.spawn(self._lists.run)
             await group.spawn(self._configurations.run)
             await group.spawn(self._drop_stale_connections)
             await group.spawn(self._presence.run)
+            await group.spawn(self._quarantine.run)
             await group.spawn(self._follow_settings)
         _ = group.result
 
-    async def _tick_until_left(self) -> None:
-        while True:
-            await self._rest_until_tick()
-            self._supervisor.check()
-            now = monotonic()
-            await self._notice_pause(now)
-            await self._effects.perform(self.node.tick(now=now, wall=time.time()))
-            self._watch(now)
-            state = self.node.leave.advance(running=self._callers.running, now=now)
-            if isinstance(state, Left):
-                log_event("left", cut_off=state.cut_off)
-                await self._effects.send_last_heartbeats()
-                return
-
-    async def _rest_until_tick(self) -> None:
-        begins_to_wait = self._dispatch.begins_to_wait
-        if not self._dispatch.has_waiting and not self.node.leave.is_leaving:
-            with suppress(TaskTimeout):
-                await within(IDLE_TICK_S, begins_to_wait.wait)
-            if not begins_to_wait.is_set():
-                return
-        begins_to_wait.clear()
-        await sleep(TICK_S)
-
-    async def _notice_pause(self, now: float) -> None:
-        gap = now - self._last_tick
-        self._last_tick = now
-        if gap > self.settings.timing.pause_ms / 1000:
-            log_event("paused", seconds=round(gap, 3))
-            await self._lists.read_anew()
-            await self._effects.perform(
-                self.node.wake_from_pause(now=now, wall=time.time())
-            )
-
-    def _watch(self, now: float) -> None:
-        """Log what is believed newly, and hand on the log."""
-        if now >= self._next_watch:
-            self._next_watch = now + self._watch_period_s()
-            for belief in self._beliefs.observe(self.node, self._platform.calls, now):
-                log_event(belief.event, **belief.fields)
-        if self._log is not None:
-            self._log.flush(now)
-
-    def _watch_period_s(self) -> float:
-        members = len(self.node.membership.members_by_name)
-        watched = self.node.services.upstream_count() + members
-        return max(WATCH_PERIOD_S, watched / WATCHED_PER_S)
-
     async def _drop_stale_connections(self) -> None:
         while True:
             await sleep(STALE_PERIOD_S)
--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
@@ -114,6 +114,9 @@
     ----------
     head : h11.Response or None
         Head of the answer.
+    was_lost : bool
+        Whether the other side closed or reset the connection while the request was in
+        flight there.
     """
 
     number: int
@@ -125,6 +128,7 @@
     record: RequestRecord
     story: Story
     head: h11.Response | None = None
+    was_lost: bool = False
     _connection: ClientConnection | None = None
     _held: bytes | None = None
     _connect_s: float | None = None
@@ -245,6 +249,7 @@
             whole = await connection.read_body(max_bytes=limit)
             if whole.is_err():
                 self._came = f"an answer that was cut off: {whole.unwrap_err()}"
+                self.was_lost = True
                 return Broke(bytes_handed_over=True)
             self._held = whole.unwrap()
         return HeadArrived()
@@ -259,6 +264,7 @@
 
     def _broke(self, connection: ClientConnection, detail: str) -> Broke:
         self._came = f"connection lost: {detail}"
+        self.was_lost = connection.bytes_handed_over
         if not connection.bytes_handed_over:
             self._ran = Ran.NO
             self.record.note_not_run()
@@ -271,6 +277,7 @@
             chunk = await self._connection.read_chunk()
             if chunk.is_err():
                 self._came = f"an answer that was cut off: {chunk.unwrap_err()}"
+                self.was_lost = True
             return chunk
         held, self._held = self._held, b""
         return Ok(held or None)
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -45,6 +45,9 @@
 from plankspindle_daemon.idempotency.recorded_answer import RecordedAnswer
 from plankspindle_daemon.idempotency.records import RequestRecord
 from plankspindle_daemon.node.dispatch_runner import DispatchRunner
+from plankspindle_daemon.quarantine.crash_probe import CrashProbe
+from plankspindle_daemon.quarantine.request_identity import RequestIdentity
+from plankspindle_daemon.stories.steps import HeldBack
 from plankspindle_daemon.stories.steps import SentOn
 from plankspindle_daemon.stories.story import Ending
 from plankspindle_daemon.stories.story import Story
@@ -54,6 +57,10 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+QUARANTINED = "quarantined"
+LEAST_RETRY_AFTER_S = 1.0
+"""Least time to come back that a request is told which is held back, in seconds."""
+
 
 @define(kw_only=True)
 class RequestRunner:
@@ -79,6 +86,10 @@
         What happened to the request.
     max_recorded_bytes : int
         Longest answer that is kept for replay.
+    identity : RequestIdentity
+        What tells the request from others, whatever id this try carries.
+    crashes : CrashProbe
+        What learns of upstreams that end under requests.
     """
 
     vm: str
@@ -91,6 +102,8 @@
     pool: ConnectionPool
     story: Story
     max_recorded_bytes: int
+    identity: RequestIdentity
+    crashes: CrashProbe
     _assigned: Assign | None = None
     _attempt: Attempt | None = None
     _caller_gone: bool = False
@@ -173,13 +186,40 @@
         return None
 
     async def _find(self, excluded: frozenset[str]) -> ExchangeEvent:
+        held = self._held_back()
+        if held is not None:
+            return held
         self.ticket = self.ticket.excluding(excluded)
         found = await self.dispatch.find(self.service, self.ticket, self.story)
         if isinstance(found, Assign):
             self._assigned = found
+            # Others may have learned of it while it waited here.
+            held = self._held_back()
+            if held is not None:
+                await self._free()
+                return held
             return Assigned(upstream=found.upstream, endpoint=found.endpoint)
         return Refused(reason=found.reason.value, retry_after_s=found.retry_after_s)
 
+    def _held_back(self) -> Refused | None:
+        """Refuse a request under which upstreams end, at once and as not run now."""
+        quarantine = self.crashes.quarantine
+        if not quarantine.is_active:
+            return None
+        now = monotonic()
+        entry = quarantine.holding(self.identity.value, now)
+        if entry is None:
+            return None
+        retry_after_s = max(LEAST_RETRY_AFTER_S, entry.trial_at - now)
+        step = HeldBack(
+            identity=self.identity.text,
+            for_ms=round(1000 * (now - entry.since)),
+            trials=entry.trials,
+            retry_after_ms=round(1000 * retry_after_s),
+        )
+        self.story.note(step, now)
+        return Refused(reason=QUARANTINED, retry_after_s=retry_after_s)
+
     async def _open(self, wanted: OpenConnection) -> ExchangeEvent:
         if self._assigned is None:
             self.story.note(SentOn(to=str(wanted.endpoint)), monotonic())
@@ -202,10 +242,15 @@
         if self._attempt is None:
             return
         # Both stay known until the slot is given back, for an end in between.
-        ended = await self._attempt.end(verdict)
+        attempt, assigned = self._attempt, self._assigned
+        ended = await attempt.end(verdict)
         self._attempt = self._assigned = None
         if ended is not None:
             await self.dispatch.tell(self.service, ended)
+        if assigned is not None and verdict is Verdict.ANSWERED:
+            await self.crashes.note_answered(self.identity)
+        elif assigned is not None and attempt.was_lost:
+            await self.crashes.note_lost(self.identity, assigned)
 
     async def _relay(self, attempt: Attempt) -> ExchangeEvent:
         assert attempt.head is not None
--- a/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import hmac
+import re
+from collections.abc import Awaitable
 from collections.abc import Callable
 from functools import partial
 from time import monotonic
@@ -18,18 +20,23 @@
 from plankspindle_core.http.headers import find_header
 from plankspindle_core.http.limits import HttpLimits
 from plankspindle_core.http.server import HttpServer
+from plankspindle_core.read_json import read_json
 from plankspindle_core.supervisor import Supervisor
 from plankspindle_daemon.listeners.json_answer import answer_json
 from plankspindle_daemon.listeners.metrics_listener import TEXT_FORM
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.observability.metrics_reader import MetricsReader
 from plankspindle_daemon.observability.state_dump import dump_node
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+from plankspindle_daemon.quarantine.request_identity import identity_text
 from plankspindle_daemon.settings.daemon_settings import DaemonSettings
 
 if TYPE_CHECKING:
     from plankspindle_core.http.server_exchange import ServerExchange
 
 MAX_INTENT_BYTES = 64 * 1024 * 1024
+_IDENTITY = re.compile("[0-9a-fA-F]{16}")
+_LIFT = "/v1/quarantine/lift"
 _PLANS = "/v1/plans"
 
 
@@ -64,6 +71,8 @@
         Metrics.
     dump_shells : callable
         Gives the counts of the shells.
+    tell : callable
+        Sends messages to other entry VMs.
     """
 
     settings: DaemonSettings
@@ -72,6 +81,7 @@
     make_plans: Callable[[], PlanPort]
     metrics: MetricsReader
     dump_shells: Callable[[], dict[str, Any]]
+    tell: Callable[[list[SendToPeer]], Awaitable[None]]
     _server: HttpServer = field(init=False)
     _plans: PlanPort | None = None
 
@@ -114,6 +124,8 @@
                 await self._show_configuration(source)
             case "GET", "/v1/history":
                 await self._plan_service().show_history(source)
+            case "POST", path if path == _LIFT:
+                await self._lift_quarantine(source, body or b"")
             case method, _ if path.startswith(_PLANS):
                 plan_id = path.removeprefix(_PLANS).strip("/")
                 await self._plan_service().serve(source, method, plan_id, body or b"")
@@ -138,7 +150,30 @@
         shown = {"version": self.node.version, "configuration": content}
         await answer_json(source, 200, shown)
 
+    async def _lift_quarantine(self, source: ServerExchange, body: bytes) -> None:
+        identity = _identity_in(body)
+        if identity is None:
+            advice = 'send {"identity": "16 hexadecimal digits"}'
+            await answer_json(source, 400, {"error": advice})
+            return
+        held = identity in self.node.quarantine.listed.entries_by_identity
+        await self.tell(self.node.quarantine.lift(identity, monotonic()))
+        if held:
+            await answer_json(source, 200, {"lifted": identity_text(identity)})
+        else:
+            advice = "no such request is held back; plankspindle quarantine lists them"
+            await answer_json(source, 404, {"error": advice})
+
     def _plan_service(self) -> PlanPort:
         if self._plans is None:
             self._plans = self.make_plans()
         return self._plans
+
+
+def _identity_in(body: bytes) -> int | None:
+    """Read the request that a quarantine is to be lifted of."""
+    try:
+        text = read_json(body)["identity"]
+        return int(text, 16) if _IDENTITY.fullmatch(text) else None
+    except (ValueError, KeyError, TypeError):
+        return None
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -19,6 +19,7 @@
 from plankspindle_daemon.exchange.answers import answer_with_outcome
 from plankspindle_daemon.exchange.answers import refuse
 from plankspindle_daemon.exchange.attempt import Outgoing
+from plankspindle_daemon.exchange.caller_request import SERVICES_PREFIX
 from plankspindle_daemon.exchange.caller_request import BadRequest
 from plankspindle_daemon.exchange.caller_request import head_as_it_came
 from plankspindle_daemon.exchange.caller_request import headers_for_peer
@@ -45,6 +46,8 @@
 from plankspindle_daemon.node.dispatch_runner import DispatchRunner
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.observability.metrics import RequestMetrics
+from plankspindle_daemon.quarantine.crash_probe import CrashProbe
+from plankspindle_daemon.quarantine.request_identity import RequestIdentity
 from plankspindle_daemon.settings.daemon_settings import DaemonSettings
 from plankspindle_daemon.shifts.shift_meter import Move
 from plankspindle_daemon.stories.steps import ClaimDecided
@@ -102,6 +105,8 @@
         Names of headers.
     stories : StoryLog
         What logs requests when they end.
+    crashes : CrashProbe
+        What learns of upstreams that end under requests.
 
     Attributes
     ----------
@@ -118,6 +123,7 @@
     reader: RequestReader
     dialect: Dialect
     stories: StoryLog
+    crashes: CrashProbe
     running: int = 0
     _ticket_numbers: count[int] = field(factory=count)
 
@@ -301,6 +307,15 @@
             pool=self.pool,
             story=story,
             max_recorded_bytes=settings.max_recorded_answer_bytes,
+            identity=RequestIdentity(
+                caller=asked.identity.caller,
+                method=source.method,
+                target=source.target,
+                headers=source.headers,
+                names_service=source.target.startswith(SERVICES_PREFIX),
+                body=body.whole,
+            ),
+            crashes=self.crashes,
         )
 
     def _make_ticket(self, asked: AskedFor, terms: _RequestTerms) -> Ticket:
--- a/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
@@ -20,6 +20,7 @@
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.peer_messages.content_messages import ContentChunk
 from plankspindle_daemon.peer_messages.content_messages import ContentRequest
+from plankspindle_daemon.peer_messages.crash_news import CrashNews
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomGrant
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
@@ -104,6 +105,9 @@
             case ListNews():
                 if self.take_news is not None:
                     await self.take_news(message)
+            case CrashNews():
+                news = self.node.quarantine.take(message, sender, monotonic())
+                await self.perform([*news])
             case LoadDigest():
                 self.node.digests.take(message, monotonic())
             case SlotRequest() | SlotGrant() | HeadroomRequest() | HeadroomGrant():
@@ -121,8 +125,8 @@
         """Take what is asked or given of slots and headroom."""
         match message:
             case SlotRequest():
-                effects = self.node.take_slot_request(message, sender, monotonic())
-                await self.perform(effects)
+                lent = self.node.slots.lend(message, sender, monotonic())
+                await self.perform([*lent])
             case SlotGrant():
                 service = self.node.services.service_of(message.upstream)
                 await self.dispatch.tell(service, SlotsGranted(message))
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -35,6 +35,7 @@
 from plankspindle_daemon.node.version_talk import VersionTalk
 from plankspindle_daemon.platform.listed_upstreams import RECOVERY_S
 from plankspindle_daemon.platform.listed_upstreams import ListedUpstreams
+from plankspindle_daemon.quarantine.quarantine import Quarantine
 from plankspindle_daemon.routes.route_table import RouteTable
 from plankspindle_daemon.sharing.reader_group import ReaderGroup
 from plankspindle_daemon.sharing.shared_reads import SharedReads
@@ -50,7 +51,6 @@
     from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
     from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
     from plankspindle_daemon.peer_messages.readiness import Readiness
-    from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
     from plankspindle_daemon.retries.retry_budget import RetryBudget
     from plankspindle_daemon.steering.steering import Steering
 
@@ -129,6 +129,7 @@
     slots: SharedSlots = field(init=False)
     talk: DomainTalk = field(init=False)
     versions: VersionTalk = field(init=False)
+    quarantine: Quarantine = field(init=False)
     reads: SharedReads = field(init=False)
     self_report: SelfReport = field(init=False)
     look_ups: LookUps = field(init=False)
@@ -146,6 +147,7 @@
             membership=self.membership,
             headroom=self.headroom,
         )
+        self.quarantine = Quarantine.of(self.vm, self.failure_domain, self.membership)
         self.versions = VersionTalk(
             vm=self.vm, membership=self.membership, random=self.random
         )
@@ -193,6 +195,7 @@
             services=self.services,
             vm_drains=self.vm_drains,
             head=self.versions.head,
+            quarantine=self.quarantine,
         )
         self.look_ups = LookUps(
             failure_domain=self.failure_domain,
@@ -300,6 +303,7 @@
         if isinstance(event, membership.HeartbeatReceived):
             effects += self.versions.hear_heartbeat(event.heartbeat, now)
             self.services.take_hints(event.heartbeat, now)
+            effects += self.quarantine.hear(event.heartbeat, now)
         if isinstance(event, membership.LiveListRead):
             self.self_report.list_read_at = now
             self._wall_ahead_s = wall - now
@@ -326,12 +330,6 @@
         effects = self.services.handle(service, event, now)
         return [OfService(service, each) for each in effects]
 
-    def take_slot_request(
-        self, request: SlotRequest, reply_to: Endpoint, now: float
-    ) -> list[NodeEffect]:
-        """Lend slots to a member, unless this VM leaves."""
-        return [*self.slots.lend(request, reply_to, now)]
-
     def tick(self, *, now: float, wall: float) -> list[NodeEffect]:
         """Let some time pass."""
         effects = self.take_membership(membership.TimePassed(), now=now, wall=wall)
@@ -346,7 +344,18 @@
             self.ids.expire(now)
             self.slots.forget_removals(self.configuration, now)
         effects += self.versions.tick(now)
-        return [*effects, *self._talk_to_other_domains(now)]
+        effects += self.quarantine.tick(now)
+        effects += self.talk.send_digests(
+            self.dispatchers_by_service, self.version, now
+        )
+        drained = self.vm_drains.drained
+        shifts = self.meter.shifts()
+        return [
+            *effects,
+            *self.talk.ask_headroom(
+                shifts, self.configuration, drained=drained, now=now
+            ),
+        ]
 
     def _apply_drains(self, *, now: float, wall: float) -> None:
         self.services.apply_drains(now=now, wall=wall)
@@ -356,16 +365,6 @@
         """Tell whether new requests are accepted here."""
         return self.self_report.accepts(now)
 
-    def _talk_to_other_domains(self, now: float) -> list[NodeEffect]:
-        loads = self.dispatchers_by_service
-        shifts = [metered.shift for metered in self.meter.counts_by_id().values()]
-        return [
-            *self.talk.send_digests(loads, self.version, now),
-            *self.talk.ask_headroom(
-                shifts, self.configuration, drained=self.vm_drains.drained, now=now
-            ),
-        ]
-
     def take_headroom_request(
         self, request: HeadroomRequest, reply_to: Endpoint, now: float
     ) -> list[NodeEffect]:
--- a/packages/daemon/src/plankspindle_daemon/node/self_report.py
+++ b/packages/daemon/src/plankspindle_daemon/node/self_report.py
@@ -12,6 +12,7 @@
 from plankspindle_daemon.peer_messages.heartbeat import EVERY_UPSTREAM
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
 from plankspindle_daemon.peer_messages.readiness import Readiness
+from plankspindle_daemon.quarantine.quarantine import Quarantine
 from plankspindle_daemon.steering.steering import EntryVm
 
 MAX_OVER_SHARE_NAMED = 16
@@ -42,6 +43,8 @@
         Drained entry VMs.
     head : HeadWatch
         When anybody read the head of the configuration.
+    quarantine : Quarantine
+        Requests that are held back.
 
     Attributes
     ----------
@@ -60,6 +63,7 @@
     services: ServiceBook
     vm_drains: VmDrains
     head: HeadWatch
+    quarantine: Quarantine
     list_read_at: float | None = None
     _sequence: int = 0
 
@@ -134,6 +138,7 @@
             silent_upstreams=tuple(each.name for each in silent),
             silent_incarnations=tuple(each.incarnation for each in silent),
             is_watched=is_watched,
+            quarantine_digest=self.quarantine.listed.digest,
         )
 
     def _over_share(self, now: float) -> tuple[str, ...]:
--- a/packages/daemon/src/plankspindle_daemon/observability/instruments.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/instruments.py
@@ -43,6 +43,9 @@
         self._count("log_lines_dropped", self._lines_dropped)
         self._count("platform_calls", self._platform_calls)
         self._count("platform_calls_refused", self._platform_calls_refused)
+        self._count("upstream_crashes_reported", self._crashes_reported)
+        self._count("requests_held_back", self._held_back)
+        self._gauge("quarantined_requests", self._quarantined)
         self._gauge("platform_available", self._platform_available)
         self._gauge("queued", self._queued)
         self._gauge("in_flight", self._in_flight)
@@ -102,6 +105,16 @@
             for service, count in self._measures.ejections_by_service.items()
         ]
 
+    def _crashes_reported(self) -> Iterable[Observation]:
+        return [Observation(self._measures.node.quarantine.reported)]
+
+    def _held_back(self) -> Iterable[Observation]:
+        return [Observation(self._measures.node.quarantine.refused)]
+
+    def _quarantined(self) -> Iterable[Observation]:
+        listed = self._measures.node.quarantine.listed
+        return [Observation(len(listed.entries_by_identity))]
+
     def _lines_dropped(self) -> Iterable[Observation]:
         return [Observation(self._measures.lines_dropped)]
 
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from plankspindle_core.invariants import checks_by_name
+from plankspindle_daemon.quarantine.request_identity import identity_text
 
 if TYPE_CHECKING:
     from plankspindle_daemon.dispatch.dispatcher import Dispatcher
@@ -56,6 +57,7 @@
             }
             for shift_id, metered in node.meter.counts_by_id().items()
         },
+        "quarantine": _dump_quarantine(node, now),
         "drained_vms": sorted(node.vm_drains.drained),
         "headroom": {
             service: {"granted": ledger.granted, "refused": ledger.refused}
@@ -143,6 +145,26 @@
     }
 
 
+def _dump_quarantine(node: Node, now: float) -> dict[str, Any]:
+    quarantine = node.quarantine
+    return {
+        "requests": {
+            identity_text(each.identity): {
+                "for_s": round(now - each.since, 3),
+                "trials": each.trials,
+                "next_trial_s": round(each.trial_at - now, 3),
+            }
+            for each in quarantine.listed.entries_by_identity.values()
+        },
+        "counted": {
+            identity_text(case.identity): list(case.ended_at_by_life)
+            for case in quarantine.cases.cases_by_identity.values()
+        },
+        "held_back": quarantine.refused,
+        "crashes_reported": quarantine.reported,
+    }
+
+
 def _dump_domains(node: Node, now: float) -> dict[str, Any]:
     if node.configuration is None:
         return {}
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/heartbeat.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/heartbeat.py
@@ -42,6 +42,8 @@
         Which life of each of them is meant.
     is_watched : bool
         Whether the receiver is to tell all members if no further one comes soon.
+    quarantine_digest : int
+        Digest of the requests that it holds back, 64 bits; zero if there are none.
     """
 
     sender: str
@@ -58,3 +60,4 @@
     silent_upstreams: tuple[str, ...] = ()
     silent_incarnations: tuple[int, ...] = ()
     is_watched: bool = False
+    quarantine_digest: int = 0
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/peer_message.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/peer_message.py
@@ -6,6 +6,7 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.peer_messages.content_messages import ContentChunk
 from plankspindle_daemon.peer_messages.content_messages import ContentRequest
+from plankspindle_daemon.peer_messages.crash_news import CrashNews
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomGrant
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
@@ -26,6 +27,7 @@
     | ContentChunk
     | ListNews
     | Suspicion
+    | CrashNews
 )
 
 
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/__init__.py
@@ -0,0 +1,3 @@
+"""Requests under which upstreams end, held back at all entry VMs."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/crash_cases.py
@@ -0,0 +1,137 @@
+"""Counts the upstreams that ended under each request."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+
+from plankspindle_core.classes import define
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+CRASHES = 3
+"""Upstreams that end under a request before it is put in quarantine."""
+WATCHED_FROM = 2
+"""Upstreams that end under a request before all entry VMs look for an answer to it."""
+CONTEST_S = 0.7
+"""Time in which an answer clears a watched request, in seconds.
+
+One that many callers send is in flight at several upstreams that end at once of
+something else. It is answered elsewhere meanwhile.
+"""
+EVIDENCE_S = 600.0
+"""Time for which an end counts, in seconds."""
+MAX_CASES = 4_096
+MAX_LIVES = 8
+"""Ends that are kept of one request."""
+MAX_EXPLAINED = 1_024
+
+
+@define(kw_only=True)
+class CrashCase:
+    """Upstreams that ended under one request.
+
+    Parameters
+    ----------
+    identity : int
+        The request.
+    ended_at_by_life : dict of str to float
+        When lives of upstreams ended, monotonic seconds.
+    watched_at : float, optional
+        Since when all entry VMs look for an answer, monotonic seconds.
+    """
+
+    identity: int
+    ended_at_by_life: dict[str, float] = Factory(dict)
+    watched_at: float | None = None
+
+    def is_due(self, now: float) -> bool:
+        """Tell whether the request is to be put in quarantine."""
+        return (
+            self.watched_at is not None
+            and len(self.ended_at_by_life) >= CRASHES
+            and now >= self.watched_at + CONTEST_S
+        )
+
+
+@define(kw_only=True)
+class CrashCases:
+    """Requests that were in flight at upstreams that ended.
+
+    Notes
+    -----
+    All that was in flight at an upstream ends with it, and nothing tells which request
+    it was. Only the one that crashes it is in flight at the next one, too. An end that
+    a quarantined request explains counts for no other: the callers of those that
+    crashed with it try again, and would meet it at a second and third upstream.
+    """
+
+    cases_by_identity: OrderedDict[int, CrashCase] = Factory(OrderedDict)
+    _explained: OrderedDict[str, None] = Factory(OrderedDict)
+
+    def note(self, identity: int, life: str, *, at: float, now: float) -> bool:
+        """Count the end of an upstream.
+
+        Parameters
+        ----------
+        identity : int
+            A request that was in flight there.
+        life : str
+            Which life of which upstream ended.
+        at, now : float
+            When it ended, and the time now, monotonic seconds.
+
+        Returns
+        -------
+        bool
+            Whether all entry VMs are to watch the request from now on.
+        """
+        if life in self._explained:
+            return False
+        case = self.cases_by_identity.get(identity)
+        if case is None:
+            case = self.cases_by_identity[identity] = CrashCase(identity=identity)
+            while len(self.cases_by_identity) > MAX_CASES:
+                self.cases_by_identity.popitem(last=False)
+        self.cases_by_identity.move_to_end(identity)
+        self._forget_old(case, now)
+        if len(case.ended_at_by_life) < MAX_LIVES:
+            case.ended_at_by_life.setdefault(life, at)
+        if case.watched_at is None and len(case.ended_at_by_life) >= WATCHED_FROM:
+            case.watched_at = now
+            return True
+        return False
+
+    def clear(self, identity: int) -> None:
+        """Forget a request that was answered."""
+        self.cases_by_identity.pop(identity, None)
+
+    def explain(self, lives: Iterable[str]) -> None:
+        """Take ends that a quarantined request has brought about off the others."""
+        for life in lives:
+            self._explained[life] = None
+            for identity, case in list(self.cases_by_identity.items()):
+                if case.ended_at_by_life.pop(life, None) is None:
+                    continue
+                if not case.ended_at_by_life:
+                    del self.cases_by_identity[identity]
+        while len(self._explained) > MAX_EXPLAINED:
+            self._explained.popitem(last=False)
+
+    def take_due(self, now: float) -> list[CrashCase]:
+        """Take out the requests that are to be put in quarantine."""
+        due = [each for each in self.cases_by_identity.values() if each.is_due(now)]
+        for case in due:
+            del self.cases_by_identity[case.identity]
+        return due
+
+    def _forget_old(self, case: CrashCase, now: float) -> None:
+        kept = case.ended_at_by_life
+        case.ended_at_by_life = {
+            life: at for life, at in kept.items() if now - at <= EVIDENCE_S
+        }
+        if len(case.ended_at_by_life) < WATCHED_FROM:
+            case.watched_at = None
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/crash_probe.py
@@ -0,0 +1,145 @@
+"""Finds out whether an upstream that broke a request off has ended."""
+
+from __future__ import annotations
+
+import time
+from collections import OrderedDict
+from collections.abc import Awaitable
+from collections.abc import Callable
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+
+from plankspindle_core.classes import define
+from plankspindle_core.http.client_connection import ClientConnection
+from plankspindle_core.logs.key_value_destination import log_event
+from plankspindle_core.supervisor import Supervisor
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+from plankspindle_daemon.quarantine.quarantine import Quarantine
+from plankspindle_daemon.quarantine.request_identity import RequestIdentity
+from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
+
+if TYPE_CHECKING:
+    from plankspindle_core.endpoint import Endpoint
+    from plankspindle_daemon.dispatch.messages import Assign
+
+CONNECT_S = 0.5
+"""Longest wait for a connection to an upstream that broke a request off, in seconds."""
+LIFE_S = 5.0
+"""Time in which an upstream whose lives nobody numbers ends once, in seconds."""
+MAX_ENDED = 1_024
+"""Lives that are known to have ended."""
+
+
+@define(kw_only=True)
+class _Lost:
+    """A request whose connection was lost, and when, in monotonic seconds."""
+
+    identity: RequestIdentity
+    at: float
+
+
+@define(kw_only=True)
+class CrashProbe:
+    """Tell the quarantine of requests that were in flight where an upstream ended.
+
+    Parameters
+    ----------
+    quarantine : Quarantine
+        The decisions.
+    pool : ConnectionPool
+        Connections to upstreams.
+    supervisor : Supervisor
+        Starter of tasks.
+    perform : callable
+        Sends messages to other entry VMs.
+
+    Notes
+    -----
+    A connection is lost for other reasons, too: a reset on the way, an answer that the
+    upstream broke off. A process that has ended closes its connections, the resting
+    ones as well, and its port refuses new ones until it is back after some seconds. So
+    one connection is tried where no resting one is left; a machine that says nothing
+    is none that a request has crashed.
+    """
+
+    quarantine: Quarantine
+    pool: ConnectionPool
+    supervisor: Supervisor
+    perform: Callable[[list[SendToPeer]], Awaitable[None]]
+    _lost_by_life: dict[str, list[_Lost]] = Factory(dict)
+    _ended: OrderedDict[str, None] = Factory(OrderedDict)
+
+    async def note_lost(self, identity: RequestIdentity, assigned: Assign) -> None:
+        """Take the loss of a connection with a request in flight.
+
+        Parameters
+        ----------
+        identity : RequestIdentity
+            The request.
+        assigned : Assign
+            Where it was.
+        """
+        life = _life_of(assigned)
+        lost = _Lost(identity=identity, at=monotonic())
+        if life in self._ended:
+            await self._report(life, [lost])
+        elif life in self._lost_by_life:
+            self._lost_by_life[life].append(lost)
+        else:
+            self._lost_by_life[life] = [lost]
+            await self.supervisor.spawn(self._probe, life, assigned.endpoint)
+
+    async def note_answered(self, identity: RequestIdentity) -> None:
+        """Take that an upstream ran a request to its end."""
+        if self.quarantine.is_active:
+            now = monotonic()
+            await self.perform(self.quarantine.note_answered(identity.value, now))
+
+    async def _probe(self, life: str, endpoint: Endpoint) -> None:
+        await self.supervisor.contain(self._take_probe, life, endpoint)
+
+    async def _take_probe(self, life: str, endpoint: Endpoint) -> None:
+        try:
+            has_ended = await self._has_ended(endpoint)
+        finally:
+            lost = self._lost_by_life.pop(life)
+        if not has_ended:
+            return
+        self._ended[life] = None
+        while len(self._ended) > MAX_ENDED:
+            self._ended.popitem(last=False)
+        await self._report(life, lost)
+
+    async def _has_ended(self, endpoint: Endpoint) -> bool:
+        if self.pool.has_quiet(endpoint):
+            return False
+        connection = ClientConnection(endpoint=endpoint)
+        started = await connection.start(timeout_s=CONNECT_S)
+        await connection.close()
+        failure = started.err()
+        return failure is not None and failure.is_refused
+
+    async def _report(self, life: str, lost: list[_Lost]) -> None:
+        for each in lost:
+            identity, now = each.identity, monotonic()
+            log_event(
+                "upstream_crashed",
+                upstream=life,
+                identity=identity.text,
+                method=identity.method,
+                path=identity.path,
+                caller=identity.caller,
+                in_flight=len(lost),
+            )
+            await self.perform(
+                self.quarantine.note_crash(identity.value, life, at=each.at, now=now)
+            )
+
+
+def _life_of(assigned: Assign) -> str:
+    """Name the life of an upstream, at all entry VMs alike."""
+    if assigned.incarnation:
+        return f"{assigned.upstream}#{assigned.incarnation}"
+    return f"{assigned.upstream}@{int(time.time() / LIFE_S)}"
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/quarantine_store.py
@@ -0,0 +1,145 @@
+"""Keeps the quarantine at the platform, for a fleet that starts anew."""
+
+from __future__ import annotations
+
+import time
+from random import Random
+from time import monotonic
+from typing import Any
+
+from attrs import Factory
+from curio import Event
+from curio import sleep
+from result import Err
+from result import Ok
+from result import Result
+
+from plankspindle_core.classes import define
+from plankspindle_core.logs.key_value_destination import log_event
+from plankspindle_daemon.platform.errors import ConditionFailed
+from plankspindle_daemon.platform.errors import PlatformUnavailable
+from plankspindle_daemon.platform.platform_client import PlatformClient
+from plankspindle_daemon.platform.table import Row
+from plankspindle_daemon.platform.table import RowWrite
+from plankspindle_daemon.platform.table import Transaction
+from plankspindle_daemon.quarantine.quarantine import Quarantine
+from plankspindle_daemon.quarantine.quarantine_list import KEPT_S
+from plankspindle_daemon.quarantine.quarantine_list import QuarantineEntry
+from plankspindle_daemon.quarantine.request_identity import identity_text
+
+ROW = "quarantine"
+RETRY_S = 1.0
+"""Pause after a call that failed, in seconds."""
+MAX_TRIALS = 65_535
+
+
+@define(kw_only=True)
+class QuarantineStore:
+    """Read the row once, and write it whenever this VM decides something.
+
+    Parameters
+    ----------
+    quarantine : Quarantine
+        The decisions.
+    platform : PlatformClient
+        Keeper of the row.
+    random : Random
+        Source of the jitter of pauses.
+
+    Notes
+    -----
+    Entry VMs tell one another within a second or two, but when all of them end at once
+    none is left that knows. All entries stand in one row: it is read once a start, and
+    written only when a request is put in quarantine, tried or released.
+    """
+
+    quarantine: Quarantine
+    platform: PlatformClient
+    random: Random
+    _wakes: Any = Factory(Event)
+
+    async def run(self) -> None:
+        """Keep it for ever."""
+        while (await self._read()).is_err():
+            await self._pause()
+        while True:
+            await self._wakes.wait()
+            self._wakes.clear()
+            while self.quarantine.is_unsaved:
+                if not await self._save():
+                    await self._pause()
+
+    async def look(self) -> None:
+        """Begin to write if something was decided here."""
+        if self.quarantine.is_unsaved and not self._wakes.is_set():
+            await self._wakes.set()
+
+    async def _pause(self) -> None:
+        await sleep(RETRY_S * self.random.uniform(0.8, 1.2))
+
+    async def _read(self) -> Result[Row, PlatformUnavailable]:
+        read = await self.platform.read_row(ROW)
+        if read.is_ok():
+            for entry in _entries_of(read.unwrap().value):
+                self.quarantine.restore(entry)
+        return read
+
+    async def _save(self) -> bool:
+        """Write what is known, together with what the row holds; tell if that went."""
+        read = await self._read()
+        if read.is_err():
+            return False
+        self.quarantine.is_unsaved = False
+        row = read.unwrap()
+        value = self._value()
+        if value == (row.value or {"entries": []}):
+            return True
+        write = RowWrite(key=ROW, expected_version=row.version, value=value)
+        committed = await self.platform.commit(Transaction(writes=[write]))
+        if committed.is_ok():
+            return True
+        self.quarantine.is_unsaved = True
+        if not isinstance(committed.unwrap_err(), ConditionFailed):
+            log_event("quarantine_not_saved", detail=str(committed.unwrap_err()))
+        return False
+
+    def _value(self) -> dict[str, Any]:
+        ahead_s = time.time() - monotonic()
+        entries = self.quarantine.listed.entries_by_identity.values()
+        return {
+            "entries": [
+                [identity_text(each.identity), round(each.since + ahead_s), each.trials]
+                for each in sorted(entries, key=lambda each: each.identity)
+            ]
+        }
+
+
+def _entries_of(value: dict[str, Any] | None) -> list[QuarantineEntry]:
+    """Read the row; one that was damaged holds nothing back."""
+    wall_behind_s = monotonic() - time.time()
+    match _parse(value or {"entries": []}):
+        case Ok(parsed):
+            return [
+                QuarantineEntry(
+                    identity=identity, since=at + wall_behind_s, trials=trials
+                )
+                for identity, at, trials in parsed
+                if abs(time.time() - at) < KEPT_S
+            ]
+        case Err(detail):
+            log_event("quarantine_unreadable", detail=detail)
+    return []
+
+
+def _parse(value: dict[str, Any]) -> Result[list[tuple[int, int, int]], str]:
+    try:
+        parsed = [
+            (int(identity, 16), int(at), int(trials))
+            for identity, at, trials in value["entries"]
+        ]
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
+        return Err(f"{type(error).__name__}: {error}")
+    for identity, _, trials in parsed:
+        if not (0 <= identity < 1 << 64 and 0 <= trials <= MAX_TRIALS):
+            return Err(f"no entry: {identity:x}, {trials}")
+    return Ok(parsed)
--- a/packages/daemon/src/plankspindle_daemon/shifts/shift_meter.py
+++ b/packages/daemon/src/plankspindle_daemon/shifts/shift_meter.py
@@ -147,6 +147,10 @@
             move.shift_id,
         )
 
+    def shifts(self) -> list[Shift]:
+        """Give every shift."""
+        return [metered.shift for metered in self.counts_by_id().values()]
+
     def counts_by_id(self) -> dict[str, MeteredShift]:
         """Give every shift with its counts."""
         return {
--- a/packages/daemon/src/plankspindle_daemon/stories/steps.py
+++ b/packages/daemon/src/plankspindle_daemon/stories/steps.py
@@ -247,6 +247,29 @@
     budget_left: float
 
 
+@frozen(kw_only=True)
+class HeldBack:
+    """The request is sent to no upstream, since several have ended under it.
+
+    Parameters
+    ----------
+    identity : str
+        The request as commands and other log lines name it, whatever its tries' ids.
+    for_ms : int
+        For how long it has been in quarantine.
+    trials : int
+        How often it was let through since then.
+    retry_after_ms : int
+        Time until it is let through next.
+    """
+
+    EVENT: ClassVar[str] = "request_held_back"
+    identity: str
+    for_ms: int
+    trials: int
+    retry_after_ms: int
+
+
 Step = (
     Routed
     | ClaimDecided
@@ -257,4 +280,5 @@
     | Sent
     | AttemptEnded
     | RetryDecided
+    | HeldBack
 )
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/ticker.py
@@ -0,0 +1,135 @@
+"""The regular work of a daemon: what is due, what is believed, when it stood still."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from time import monotonic
+
+from attrs import field
+from curio import TaskTimeout
+from curio import sleep
+
+from plankspindle_core.classes import define
+from plankspindle_core.logs.key_value_destination import KeyValueDestination
+from plankspindle_core.logs.key_value_destination import log_event
+from plankspindle_core.supervisor import Supervisor
+from plankspindle_core.time_limit import within
+from plankspindle_daemon.beliefs.belief_watch import BeliefWatch
+from plankspindle_daemon.leaving.leave import Left
+from plankspindle_daemon.node.dispatch_runner import DispatchRunner
+from plankspindle_daemon.node.effect_runner import EffectRunner
+from plankspindle_daemon.node.list_follower import ListFollower
+from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.platform.bounded_calls import BoundedCalls
+from plankspindle_daemon.quarantine.quarantine_store import QuarantineStore
+
+TICK_S = 0.05
+"""Period of looking at what waits, while requests wait, in seconds."""
+IDLE_TICK_S = 0.125
+"""The same while none waits; a request that begins to wait ends it.
+
+Each look wakes the process: twelve wake-ups a second fewer.
+"""
+WATCH_PERIOD_S = 0.25
+"""Period of comparing beliefs with those before; changes between are not seen."""
+WATCHED_PER_S = 1_000
+"""Upstreams and members that are compared a second, at 2 us each 0.2 percent of a core.
+
+Beyond 250 of them the period is longer.
+"""
+
+
+@define(kw_only=True)
+class Ticker:
+    """Let time pass for the decisions, and log what they believe newly.
+
+    Parameters
+    ----------
+    node : Node
+        The decisions.
+    effects, dispatch : EffectRunner, DispatchRunner
+        What carries them out.
+    lists : ListFollower
+        What may have waited through a pause of the process.
+    quarantine : QuarantineStore
+        What keeps requests that are held back at the platform.
+    beliefs : BeliefWatch
+        What was believed before.
+    calls : BoundedCalls
+        Calls to the platform.
+    supervisor : Supervisor
+        What knows of tasks that ended by an error.
+    running : callable
+        Gives the requests that run here.
+    pause_s : callable
+        Gives the time between two ticks from which on the process stood still, in
+        seconds.
+    log : KeyValueDestination, optional
+        Where events go, to be flushed now and then.
+    """
+
+    node: Node
+    effects: EffectRunner
+    dispatch: DispatchRunner
+    lists: ListFollower
+    quarantine: QuarantineStore
+    beliefs: BeliefWatch
+    calls: BoundedCalls
+    supervisor: Supervisor
+    running: Callable[[], int]
+    pause_s: Callable[[], float]
+    log: KeyValueDestination | None = None
+    _last_tick: float = field(factory=monotonic)
+    _next_watch: float = 0.0
+
+    async def run(self) -> None:
+        """Go on until the planned stop is complete."""
+        while True:
+            await self._rest_until_tick()
+            self.supervisor.check()
+            now = monotonic()
+            await self._notice_pause(now)
+            await self.effects.perform(self.node.tick(now=now, wall=time.time()))
+            await self.quarantine.look()
+            self._watch(now)
+            state = self.node.leave.advance(running=self.running(), now=now)
+            if isinstance(state, Left):
+                log_event("left", cut_off=state.cut_off)
+                await self.effects.send_last_heartbeats()
+                return
+
+    async def _rest_until_tick(self) -> None:
+        begins_to_wait = self.dispatch.begins_to_wait
+        if not self.dispatch.has_waiting and not self.node.leave.is_leaving:
+            with suppress(TaskTimeout):
+                await within(IDLE_TICK_S, begins_to_wait.wait)
+            if not begins_to_wait.is_set():
+                return
+        begins_to_wait.clear()
+        await sleep(TICK_S)
+
+    async def _notice_pause(self, now: float) -> None:
+        gap = now - self._last_tick
+        self._last_tick = now
+        if gap > self.pause_s():
+            log_event("paused", seconds=round(gap, 3))
+            await self.lists.read_anew()
+            await self.effects.perform(
+                self.node.wake_from_pause(now=now, wall=time.time())
+            )
+
+    def _watch(self, now: float) -> None:
+        """Log what is believed newly, and hand on the log."""
+        if now >= self._next_watch:
+            self._next_watch = now + self._watch_period_s()
+            for belief in self.beliefs.observe(self.node, self.calls, now):
+                log_event(belief.event, **belief.fields)
+        if self.log is not None:
+            self.log.flush(now)
+
+    def _watch_period_s(self) -> float:
+        members = len(self.node.membership.members_by_name)
+        watched = self.node.services.upstream_count() + members
+        return max(WATCH_PERIOD_S, watched / WATCHED_PER_S)
--- a/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
@@ -111,6 +111,11 @@
         self._count(connection.endpoint, -1)
         await connection.close()
 
+    def has_quiet(self, endpoint: Endpoint) -> bool:
+        """Tell whether an idle connection to an endpoint is still open."""
+        idle = self._idle_by_endpoint.get(endpoint, [])
+        return any(connection.is_quiet() for connection in idle)
+
     async def drop_stale(self) -> None:
         """Close idle connections that the other side has closed or written to."""
         for endpoint, idle in list(self._idle_by_endpoint.items()):
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -17,6 +17,10 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.peer_messages.content_messages import ContentChunk
 from plankspindle_daemon.peer_messages.content_messages import ContentRequest
+from plankspindle_daemon.peer_messages.crash_news import Clearance
+from plankspindle_daemon.peer_messages.crash_news import CrashNews
+from plankspindle_daemon.peer_messages.crash_news import CrashReport
+from plankspindle_daemon.peer_messages.crash_news import Quarantined
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomGrant
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
@@ -81,6 +85,11 @@
     "changed": _list_of(ToldUpstream),
     "gone": _Conversion(write=list, read=tuple),
     "bases": _Conversion(write=list, read=tuple),
+    "reports": _list_of(CrashReport),
+    "watched": _Conversion(write=list, read=tuple),
+    "quarantined": _list_of(Quarantined),
+    "lives": _Conversion(write=list, read=tuple),
+    "cleared": _list_of(Clearance),
 }
 _CLASS_BY_UNION_MEMBER: dict[str, type[Any]] = {
     "heartbeat": Heartbeat,
@@ -93,7 +102,10 @@
     "contentChunk": ContentChunk,
     "listNews": ListNews,
     "suspicion": Suspicion,
+    "crashNews": CrashNews,
 }
+_PARTS = (ServiceLoad, Suspect, ToldUpstream, CrashReport, Quarantined, Clearance)
+"""Classes of which messages hold lists."""
 _UNION_MEMBER_BY_CLASS = {cls: name for name, cls in _CLASS_BY_UNION_MEMBER.items()}
 
 
@@ -104,7 +116,7 @@
 
 _KEYS_BY_CLASS: dict[type[Any], list[tuple[str, str]]] = {
     cls: [(field.name, _camel(field.name)) for field in fields(cls)]
-    for cls in (*_CLASS_BY_UNION_MEMBER.values(), ServiceLoad, Suspect, ToldUpstream)
+    for cls in (*_CLASS_BY_UNION_MEMBER.values(), *_PARTS)
 }
 
 
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -25,6 +25,7 @@
   silentUpstreams @10 :List(Text);
   silentIncarnations @11 :List(UInt64);
   isWatched @12 :Bool;
+  quarantineDigest @13 :UInt64;
 }
 
 struct SlotRequest {
@@ -120,6 +121,31 @@
   suspects @0 :List(Suspect);
 }
 
+struct CrashReport {
+  identity @0 :UInt64;
+  life @1 :Text;
+  agoMs @2 :UInt64;
+}
+
+struct Quarantined {
+  identity @0 :UInt64;
+  agoMs @1 :UInt64;
+  trials @2 :UInt16;
+  lives @3 :List(Text);
+}
+
+struct Clearance {
+  identity @0 :UInt64;
+  agoMs @1 :UInt64;
+}
+
+struct CrashNews {
+  reports @0 :List(CrashReport);
+  watched @1 :List(UInt64);
+  quarantined @2 :List(Quarantined);
+  cleared @3 :List(Clearance);
+}
+
 struct PeerMessage {
   sender @0 :Text;
   union {
@@ -133,5 +159,6 @@
     contentChunk @8 :ContentChunk;
     listNews @9 :ListNews;
     suspicion @10 :Suspicion;
+    crashNews @11 :CrashNews;
   }
 }
--- a/packages/daemon/tests/exchange/test_busy_loop.py
+++ b/packages/daemon/tests/exchange/test_busy_loop.py
@@ -30,6 +30,7 @@
 
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.headers import HeaderList
+from plankspindle_core.supervisor import Supervisor
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import Verdict
 from plankspindle_daemon.exchange.attempt import Attempt
@@ -41,9 +42,13 @@
 from plankspindle_daemon.exchange.request_body import RequestBody
 from plankspindle_daemon.exchange.request_runner import RequestRunner
 from plankspindle_daemon.idempotency.records import NoRecord
+from plankspindle_daemon.quarantine.crash_probe import CrashProbe
+from plankspindle_daemon.quarantine.quarantine import Quarantine
+from plankspindle_daemon.quarantine.request_identity import RequestIdentity
 from plankspindle_daemon.retries.retry_budget import RetryBudget
 from plankspindle_daemon.stories.story import Story
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
+from plankspindle_testkit.builders import build_membership
 from plankspindle_testkit.builders import build_ticket
 from plankspindle_testkit.loopback_network import host_of_run
 
@@ -93,8 +98,13 @@
         return self.usually_s
 
 
+async def send_nothing(news: object) -> None:
+    return None
+
+
 def build_runner(dispatch: FakeDispatch, source: FakeSource) -> RequestRunner:
     deadline = monotonic() + DEADLINE_S
+    pool = ConnectionPool(max_per_endpoint=4, connect_timeout_s=5.0)
     return RequestRunner(
         vm="a",
         service="registry",
@@ -117,9 +127,16 @@
         ticket=build_ticket(1, deadline=deadline),
         record=NoRecord(),
         dispatch=cast("Any", dispatch),
-        pool=ConnectionPool(max_per_endpoint=4, connect_timeout_s=5.0),
+        pool=pool,
         story=Story(request="r", is_callers_id=False, began_at=0.0, began_wall=0.0),
         max_recorded_bytes=0,
+        identity=RequestIdentity(caller=None, method="GET", target=source.target),
+        crashes=CrashProbe(
+            quarantine=Quarantine.of("a", "ba-1", build_membership("a")),
+            pool=pool,
+            supervisor=Supervisor(),
+            perform=send_nothing,
+        ),
     )
 
 
--- a/packages/daemon/tests/node/test_node.py
+++ b/packages/daemon/tests/node/test_node.py
@@ -174,7 +174,7 @@
         duration_ms=1000,
         incarnation=1,
     )
-    return list(node.take_slot_request(request, Endpoint("127.0.0.1", 1), now))
+    return list(node.slots.lend(request, Endpoint("127.0.0.1", 1), now))
 
 
 def test_slots_are_lent_to_members_only_and_not_while_leaving() -> None:
@@ -194,7 +194,7 @@
     asked = third[0]
     assert isinstance(asked, OfService)
     assert isinstance(asked.effect, d.AskSlots)
-    granted = a.take_slot_request(asked.effect.request, Endpoint("127.0.0.1", 1), 0.2)
+    granted = a.slots.lend(asked.effect.request, Endpoint("127.0.0.1", 1), 0.2)
     effect = granted[0]
     assert isinstance(effect, OfService)
     assert isinstance(effect.effect, d.GrantSlots)
--- /dev/null
+++ b/packages/daemon/tests/quarantine/test_crash_probe.py
@@ -0,0 +1,73 @@
+"""Tests of what tells an upstream that ended from one that broke a request off."""
+
+from __future__ import annotations
+
+from functools import partial
+from itertools import count
+from typing import Any
+
+import curio
+import pytest
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.supervisor import Supervisor
+from plankspindle_daemon.dispatch.messages import Assign
+from plankspindle_daemon.quarantine.crash_probe import CrashProbe
+from plankspindle_daemon.quarantine.quarantine import Quarantine
+from plankspindle_daemon.quarantine.request_identity import RequestIdentity
+from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
+from plankspindle_testkit.builders import build_membership
+from plankspindle_testkit.builders import build_ticket
+from plankspindle_testkit.loopback_network import host_of_run
+
+_PORTS = count(18_800)
+SETTLED_S = 0.1
+
+
+async def lose(*, listens: bool, rests: bool) -> Quarantine:
+    """Lose two requests at an upstream that still listens or does not."""
+    endpoint = Endpoint(host_of_run(7, 31), next(_PORTS))
+    pool = ConnectionPool(max_per_endpoint=4, connect_timeout_s=1.0)
+    quarantine = Quarantine.of("a", "ba-1", build_membership("a"))
+
+    async def send(news: Any) -> None:
+        return None
+
+    async def hold(client: Any, _: Any) -> None:
+        await client.recv(100)
+
+    probe = CrashProbe(
+        quarantine=quarantine, pool=pool, supervisor=Supervisor(), perform=send
+    )
+    server = None
+    if listens or rests:
+        server = await curio.spawn(
+            curio.tcp_server, endpoint.host, endpoint.port, hold, daemon=True
+        )
+        await curio.sleep(SETTLED_S)
+    if rests:
+        idle = (await pool.acquire(endpoint, max_idle_s=0.0)).unwrap()
+        pool._idle_by_endpoint[endpoint] = [idle]
+    assigned = Assign(
+        ticket=build_ticket(1), upstream="u", endpoint=endpoint, incarnation=5
+    )
+    for target in ("/a", "/b"):
+        request = RequestIdentity(caller=None, method="GET", target=target)
+        await probe.note_lost(request, assigned)
+    await curio.sleep(SETTLED_S)
+    await pool.close()
+    if server is not None:
+        await server.cancel()
+    return quarantine
+
+
+def test_requests_are_reported_where_nobody_listens_any_more() -> None:
+    quarantine = curio.run(partial(lose, listens=False, rests=False))
+    assert quarantine.reported == 2
+    cases = quarantine.cases.cases_by_identity.values()
+    assert [list(case.ended_at_by_life) for case in cases] == [["u#5"], ["u#5"]]
+
+
+@pytest.mark.parametrize("rests", [False, True])
+def test_an_upstream_that_goes_on_has_not_ended(rests: bool) -> None:
+    assert curio.run(partial(lose, listens=True, rests=rests)).reported == 0
--- /dev/null
+++ b/packages/daemon/tests/quarantine/test_quarantine.py
@@ -0,0 +1,143 @@
+"""Tests of the quarantine of one entry VM, and of several that tell one another."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.peer_messages.crash_news import CrashNews
+from plankspindle_daemon.quarantine.counting_vms import COUNTING
+from plankspindle_daemon.quarantine.crash_cases import CONTEST_S
+from plankspindle_daemon.quarantine.quarantine import MAX_REPEATS
+from plankspindle_daemon.quarantine.quarantine import MAX_WATCHED
+from plankspindle_daemon.quarantine.quarantine import Quarantine
+from plankspindle_daemon.quarantine.quarantine_list import TRIAL_S
+from plankspindle_testkit.builders import build_member
+from plankspindle_testkit.builders import build_membership
+from plankspindle_testkit.fleet_node import Fleet
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+
+REQUEST = 0xABC
+DOMAINS = ("ba-1", "ba-2", "ke-1")
+
+
+class Talk:
+    """Entry VMs whose messages arrive at once."""
+
+    def __init__(self, count: int) -> None:
+        self.by_name = {}
+        names = [f"vm-{number}" for number in range(count)]
+        for own, name in enumerate(names):
+            membership = build_membership(name, all_domains=True)
+            for other, member in enumerate(names):
+                if other != own:
+                    found = build_member(
+                        member, failure_domain=DOMAINS[other % 3], last_heard=0.0
+                    )
+                    found.peer_endpoint = Endpoint(member, 1)
+                    membership.members_by_name[member] = found
+            membership.options = evolve(membership.options, suspect_after_s=1e9)
+            self.by_name[name] = Quarantine.of(name, DOMAINS[own % 3], membership)
+        self.names = names
+        self.sent = 0
+
+    def carry(self, sender: str, effects: list[SendToPeer], now: float) -> None:
+        waiting = [(sender, effect) for effect in effects]
+        while waiting:
+            source, effect = waiting.pop(0)
+            self.sent += 1
+            assert isinstance(effect.message, CrashNews)
+            receiver = effect.to.host
+            answered = self.by_name[receiver].take(
+                effect.message, Endpoint(source, 1), now
+            )
+            waiting += [(receiver, each) for each in answered]
+
+    def crash(self, *lives: str, now: float) -> None:
+        """Let upstreams end under the request, each seen by another entry VM."""
+        for number, life in enumerate(lives):
+            name = self.names[number % len(self.names)]
+            noted = self.by_name[name].note_crash(REQUEST, life, at=now, now=now)
+            self.carry(name, noted, now)
+
+    def tick(self, now: float) -> None:
+        for name in self.names:
+            self.carry(name, self.by_name[name].tick(now), now)
+
+    def holding(self, now: float) -> list[bool]:
+        return [
+            self.by_name[name].holding(REQUEST, now) is not None for name in self.names
+        ]
+
+
+def test_all_hold_back_what_each_saw_but_once() -> None:
+    talk = Talk(9)
+    talk.crash("a", "b", "c", now=1.0)
+    talk.tick(1.0 + CONTEST_S)
+    assert talk.holding(2.0) == [True] * 9
+
+
+def test_an_answer_anywhere_clears_what_is_only_suspected() -> None:
+    talk = Talk(9)
+    talk.crash("a", "b", "c", now=1.0)
+    seen = talk.by_name["vm-7"].note_answered(REQUEST, 1.2)
+    talk.carry("vm-7", seen, 1.2)
+    talk.tick(1.0 + 2 * CONTEST_S)
+    assert talk.holding(5.0) == [False] * 9
+
+
+def test_it_is_let_through_by_one_entry_vm_once_and_released_by_an_answer() -> None:
+    talk = Talk(9)
+    talk.crash("a", "b", "c", now=1.0)
+    talk.tick(2.0)
+    due = 2.0 + TRIAL_S
+    assert talk.holding(due).count(False) == 1
+    talk.tick(due)
+    assert talk.holding(due + 1) == [True] * 9
+    trying = talk.names[0]
+    talk.carry(trying, talk.by_name[trying].note_answered(REQUEST, due + 2), due + 2)
+    assert talk.holding(due + 3) == [False] * 9
+
+
+def test_a_vm_that_starts_is_told_by_the_first_that_hears_it() -> None:
+    talk = Talk(9)
+    talk.crash("a", "b", "c", now=1.0)
+    talk.tick(2.0)
+    new = Talk(9).by_name["vm-4"]
+    talk.by_name["vm-4"] = new
+    heartbeat = Fleet(vms=9, upstreams=1).heartbeat(4, sequence=1)
+    heartbeat = evolve(heartbeat, sender="vm-4", peer_endpoint=Endpoint("vm-4", 1))
+    talk.carry("vm-1", talk.by_name["vm-1"].hear(heartbeat, 3.0), 3.0)
+    assert new.holding(REQUEST, 3.1) is not None
+    known = evolve(heartbeat, quarantine_digest=new.listed.digest)
+    assert talk.by_name["vm-1"].hear(known, 9.0) == []
+
+
+def test_a_report_costs_the_same_in_a_fleet_of_any_size() -> None:
+    for count in (9, 65, 195):
+        talk = Talk(count)
+        noted = talk.by_name["vm-0"].note_crash(REQUEST, "a", at=1.0, now=1.0)
+        assert len(noted) <= COUNTING
+
+
+def test_those_that_count_stand_in_different_failure_domains() -> None:
+    talk = Talk(65)
+    chosen = [
+        tuple(each.name for each in talk.by_name[name].counting.of(REQUEST, 1.0))
+        for name in talk.names
+    ]
+    assert len(set(chosen)) == 1
+    domains = {DOMAINS[int(name.removeprefix("vm-")) % 3] for name in chosen[0]}
+    assert len(domains) == COUNTING
+
+
+def test_memory_is_bounded() -> None:
+    quarantine = Talk(3).by_name["vm-0"]
+    for request in range(3 * MAX_WATCHED):
+        quarantine.note_crash(request, f"{request}", at=1.0, now=1.0)
+    assert len(quarantine._watched_at_by_identity) == MAX_WATCHED
+    assert len(quarantine._repeats) <= MAX_REPEATS
--- /dev/null
+++ b/packages/daemon/tests/quarantine/test_quarantine_list.py
@@ -0,0 +1,76 @@
+"""Tests of the list of requests that are held back."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plankspindle_daemon.quarantine.quarantine_list import AGE_SLACK_S
+from plankspindle_daemon.quarantine.quarantine_list import KEPT_S
+from plankspindle_daemon.quarantine.quarantine_list import MAX_ENTRIES
+from plankspindle_daemon.quarantine.quarantine_list import TRIAL_S
+from plankspindle_daemon.quarantine.quarantine_list import QuarantineEntry
+from plankspindle_daemon.quarantine.quarantine_list import QuarantineList
+
+LATER = 10 * AGE_SLACK_S
+
+
+def entry(identity: int = 1, since: float = 0.0, trials: int = 0) -> QuarantineEntry:
+    return QuarantineEntry(identity=identity, since=since, trials=trials)
+
+
+def test_trials_become_rarer() -> None:
+    at = [entry(trials=trials).trial_at for trials in range(9)]
+    assert at[:3] == [TRIAL_S, 3 * TRIAL_S, 7 * TRIAL_S]
+    gaps = [late - early for early, late in zip(at, at[1:], strict=False)]
+    assert gaps == sorted(gaps)
+
+
+def test_a_cleared_request_is_not_taken_again_from_old_news() -> None:
+    listed = QuarantineList()
+    assert listed.add(entry())
+    assert listed.clear(1, LATER)
+    assert not listed.add(entry(since=LATER))
+    assert listed.entries_by_identity == {}
+    assert listed.add(entry(since=2 * LATER))
+
+
+def test_an_old_answer_does_not_clear_a_later_quarantine() -> None:
+    listed = QuarantineList()
+    listed.add(entry(since=2 * LATER))
+    assert not listed.clear(1, LATER)
+    assert 1 in listed.entries_by_identity
+
+
+def test_the_entry_with_more_trials_counts() -> None:
+    listed = QuarantineList()
+    listed.add(entry(trials=2))
+    assert not listed.add(entry(trials=1))
+    assert listed.entries_by_identity[1].trials == 2
+
+
+@given(st.permutations([("add", n) for n in range(4)] + [("clear", n) for n in (1, 2)]))
+def test_digests_agree_whatever_the_order_of_news(order: list[tuple[str, int]]) -> None:
+    listed = QuarantineList()
+    for _ in range(2):
+        for kind, number in order:
+            if kind == "add":
+                listed.add(entry(number))
+            else:
+                listed.clear(number, LATER)
+    again = QuarantineList()
+    for number in range(4):
+        again.add(entry(number))
+    for number in (1, 2):
+        again.clear(number, LATER)
+    assert listed.digest == again.digest
+    assert listed.entries_by_identity == again.entries_by_identity
+
+
+def test_what_is_old_is_forgotten_and_memory_is_bounded() -> None:
+    listed = QuarantineList()
+    for number in range(2 * MAX_ENTRIES):
+        listed.add(entry(number, since=float(number)))
+    assert len(listed.entries_by_identity) == MAX_ENTRIES
+    listed.expire(KEPT_S + 3 * MAX_ENTRIES)
+    assert (listed.entries_by_identity, listed.digest) == ({}, 0)
--- /dev/null
+++ b/packages/daemon/tests/quarantine/test_quarantine_store.py
@@ -0,0 +1,135 @@
+"""Tests of what of a quarantine outlasts all entry VMs."""
+
+from __future__ import annotations
+
+from functools import partial
+from random import Random
+from typing import Any
+
+import curio
+import pytest
+from attrs import define
+from attrs import field
+from result import Err
+from result import Ok
+
+from plankspindle_daemon.platform.errors import ConditionFailed
+from plankspindle_daemon.platform.errors import PlatformUnavailable
+from plankspindle_daemon.platform.table import Row
+from plankspindle_daemon.quarantine import quarantine_store
+from plankspindle_daemon.quarantine.crash_cases import CONTEST_S
+from plankspindle_daemon.quarantine.quarantine import Quarantine
+from plankspindle_daemon.quarantine.quarantine_store import ROW
+from plankspindle_daemon.quarantine.quarantine_store import QuarantineStore
+from plankspindle_testkit.builders import build_membership
+
+REQUEST = 2**64 - 1
+SETTLED_S = 0.1
+
+
+@define
+class FakePlatform:
+    """One row, and failures that come first."""
+
+    row: Row = field(factory=lambda: Row(key=ROW, version=0))
+    failing_reads: int = 0
+    refused_writes: int = 0
+    reads: int = 0
+    writes: int = 0
+
+    async def read_row(self, key: str) -> Any:
+        self.reads += 1
+        if self.failing_reads:
+            self.failing_reads -= 1
+            return Err(PlatformUnavailable("away"))
+        return Ok(self.row)
+
+    async def commit(self, transaction: Any) -> Any:
+        write = transaction.writes[0]
+        if self.refused_writes or write.expected_version != self.row.version:
+            self.refused_writes = max(0, self.refused_writes - 1)
+            return Err(ConditionFailed((ROW,)))
+        self.writes += 1
+        self.row = Row(key=ROW, version=self.row.version + 1, value=write.value)
+        return Ok(None)
+
+
+async def keep(platform: FakePlatform, *, decides: bool) -> Quarantine:
+    """Let an entry VM start, and put a request in quarantine perhaps."""
+    quarantine = Quarantine.of("a", "ba-1", build_membership("a"))
+    store = QuarantineStore(
+        quarantine=quarantine,
+        platform=platform,
+        random=Random(1),  # type: ignore[arg-type]
+    )
+    task = await curio.spawn(store.run, daemon=True)
+    await curio.sleep(SETTLED_S)
+    if decides:
+        now = quarantine_store.monotonic()
+        for life in "abc":
+            quarantine.note_crash(REQUEST, life, at=now, now=now)
+        quarantine.tick(now + CONTEST_S)
+        await store.look()
+    await curio.sleep(SETTLED_S)
+    await task.cancel()
+    return quarantine
+
+
+@pytest.fixture(autouse=True)
+def short_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(quarantine_store, "RETRY_S", 0.01)
+
+
+def test_a_fleet_that_starts_anew_holds_back_what_it_held_back() -> None:
+    platform = FakePlatform()
+    curio.run(partial(keep, platform, decides=True))
+    found = curio.run(partial(keep, platform, decides=False))
+    assert list(found.listed.entries_by_identity) == [REQUEST]
+    assert platform.writes == 1
+
+
+def test_a_start_costs_one_read() -> None:
+    platform = FakePlatform()
+    curio.run(partial(keep, platform, decides=False))
+    assert (platform.reads, platform.writes) == (1, 0)
+
+
+def test_it_is_written_once_the_platform_is_back() -> None:
+    platform = FakePlatform(failing_reads=2, refused_writes=2)
+    curio.run(partial(keep, platform, decides=True))
+    assert platform.row.value is not None
+    assert len(platform.row.value["entries"]) == 1
+
+
+def test_what_another_vm_wrote_meanwhile_stays() -> None:
+    platform = FakePlatform()
+    curio.run(partial(keep, platform, decides=True))
+    assert platform.row.value is not None
+    entry = ["00000000000000aa", platform.row.value["entries"][0][1], 1]
+    platform.row = Row(key=ROW, version=7, value={"entries": [entry]})
+    curio.run(partial(keep, platform, decides=True))
+    assert [each[0] for each in platform.row.value["entries"]] == [
+        "00000000000000aa",
+        f"{REQUEST:016x}",
+    ]
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        {},
+        {"entries": 7},
+        {"entries": [["xyz", 1, 1]]},
+        {"entries": [["aa", 1]]},
+        {"entries": [["aa", "1e999", 1]]},
+        {"entries": [["-1", 1, 1]]},
+        {"entries": [["aa", 1, -1]]},
+        {"entries": [["f" * 400, 1, 1]]},
+        {"entries": [["aa", 1e308, 1]]},
+    ],
+)
+def test_a_row_that_was_damaged_holds_nothing_back(value: dict[str, Any]) -> None:
+    platform = FakePlatform(row=Row(key=ROW, version=3, value=value))
+    found = curio.run(partial(keep, platform, decides=True))
+    assert list(found.listed.entries_by_identity) == [REQUEST]
+    assert platform.writes == 1
--- a/packages/daemon/tests/wire/test_wire.py
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -12,6 +12,10 @@
 from hypothesis import strategies as st
 
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.peer_messages.crash_news import Clearance
+from plankspindle_daemon.peer_messages.crash_news import CrashNews
+from plankspindle_daemon.peer_messages.crash_news import CrashReport
+from plankspindle_daemon.peer_messages.crash_news import Quarantined
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
 from plankspindle_daemon.peer_messages.list_news import ListNews
 from plankspindle_daemon.peer_messages.list_news import ToldUpstream
@@ -45,11 +49,21 @@
         silent_upstreams=("u3",),
         silent_incarnations=(1_790_000_000_123,),
         is_watched=True,
+        quarantine_digest=2**64 - 1,
     ),
     Suspicion(
         sender="a",
         suspects=(Suspect(name="b", incarnation=2**64 - 1, sequence=7),),
     ),
+    CrashNews(
+        sender="a",
+        reports=(CrashReport(identity=2**64 - 1, life="u#5", ago_ms=3),),
+        watched=(1, 2**63),
+        quarantined=(
+            Quarantined(identity=7, ago_ms=86_400_000, trials=2, lives=("u#5", "v#0")),
+        ),
+        cleared=(Clearance(identity=9, ago_ms=0),),
+    ),
     SlotRequest(
         sender="a",
         request_id=1,
--- a/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
@@ -26,6 +26,7 @@
 from plankspindle_testkit.lab.modelled_upstream import Work
 from plankspindle_testkit.lab.oracle import Oracle
 from plankspindle_testkit.lab.outcomes import Outcome
+from plankspindle_testkit.lab.peer_network import PeerNetwork
 from plankspindle_testkit.lab.requests import AT_NO_UPSTREAM
 from plankspindle_testkit.lab.requests import Crash
 from plankspindle_testkit.lab.requests import Handled
@@ -60,6 +61,8 @@
         What places requests in place of the entry VMs.
     crashes : CrashRecord
         Where the ends of upstreams under requests are noted.
+    network : PeerNetwork
+        Messages between entry VMs.
     """
 
     clock: Clock
@@ -67,6 +70,7 @@
     finish: Callable[[Request, Outcome], None]
     come_back: Callable[[Request, float], None]
     crashes: CrashRecord
+    network: PeerNetwork
     oracle: Oracle | None = None
     _numbers: count[int] = field(factory=count)
     _by_ticket: dict[int, Handled] = Factory(dict)
@@ -130,7 +134,18 @@
             hold_until=self.clock.now + request_reader.HOLD_SHARE * target_s,
         )
 
+    def _is_held_back(self, handled: Handled) -> bool:
+        """Refuse a request that is in quarantine."""
+        quarantine, now = handled.vm.quarantine, self.clock.now
+        entry = quarantine.holding(handled.request.identity, now)
+        if entry is None:
+            return False
+        self._refuse(handled, entry.trial_at - now)
+        return True
+
     def _place(self, handled: Handled) -> None:
+        if self._is_held_back(handled):
+            return
         if self.oracle is None:
             self._tell(handled, Arrived(handled.ticket))
             return
@@ -161,6 +176,9 @@
         self.finish(handled.request, outcome)
 
     def _send(self, handled: Handled, upstream: str, incarnation: int) -> None:
+        if handled.vm.quarantine.is_active and self._is_held_back(handled):
+            self._tell(handled, self._given_back(handled, upstream, incarnation))
+            return
         handled.upstream, handled.incarnation = upstream, incarnation
         handled.attempts += 1
         handled.attempt = next(self._numbers)
@@ -250,6 +268,14 @@
             waited_s=self.clock.now - handled.sent_at,
         )
 
+    def _given_back(self, handled: Handled, upstream: str, incarnation: int) -> Ended:
+        return Ended(
+            ticket=handled.ticket,
+            upstream=upstream,
+            verdict=Verdict.CANCELLED,
+            incarnation=incarnation,
+        )
+
     def _drop(self, upstream: str, attempt: int) -> None:
         """Break off an attempt: its connection is closed."""
         self._by_attempt.pop(attempt, None)
@@ -313,12 +339,16 @@
         guilty = self._by_attempt.get(work.number)
         if guilty is not None:
             self.crashes.note_crash(guilty.request.identity, self.clock.now)
+        self.end_upstream(upstream)
+        self.clock.after(crash.down_s, partial(self._restart, upstream))
+
+    def end_upstream(self, upstream: ModelledUpstream) -> None:
+        """End the process of an upstream, and break off all that was there."""
         for number in upstream.crash():
             handled = self._by_attempt.get(number)
             if handled is not None:
                 lost = partial(self._lose, handled, number, Verdict.FAILED)
                 self.clock.after(self._way_s(handled, upstream.name), lost)
-        self.clock.after(crash.down_s, partial(self._restart, upstream))
 
     def _restart(self, upstream: ModelledUpstream) -> None:
         upstream.restart(self.clock.now)
@@ -327,6 +357,8 @@
         """Take the loss of the connection of an attempt."""
         if handled.is_over or handled.attempt != attempt:
             return
+        if verdict is Verdict.FAILED:
+            self._report_crash(handled)
         is_idempotent = self._operation_of(handled.request).idempotent
         if is_idempotent or verdict is Verdict.UNREACHABLE:
             self._leave(handled, verdict)
@@ -349,6 +381,16 @@
         answer = partial(self._answer, handled, work.number, upstream.load)
         self.clock.after(self._way_s(handled, upstream.name), answer)
 
+    def _report_crash(self, handled: Handled) -> None:
+        """Tell the quarantine of the entry VM, as its probe of the upstream does."""
+        news = handled.vm.quarantine.note_crash(
+            handled.request.identity,
+            f"{handled.upstream}#{handled.incarnation}",
+            at=self.clock.now,
+            now=self.clock.now,
+        )
+        self.network.send(handled.vm, news)
+
     def _answer(self, handled: Handled, attempt: int, load: int) -> None:
         upstream = handled.upstream
         if handled.is_over or handled.attempt != attempt or upstream is None:
@@ -368,3 +410,7 @@
             incarnation=handled.incarnation,
         )
         self._tell(handled, ended)
+        if handled.vm.quarantine.is_active:
+            identity, now = handled.request.identity, self.clock.now
+            news = handled.vm.quarantine.note_answered(identity, now)
+            self.network.send(handled.vm, news)
--- a/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
@@ -23,10 +23,12 @@
 from plankspindle_testkit.lab.outcomes import Outcomes
 from plankspindle_testkit.lab.outcomes import Sample
 from plankspindle_testkit.lab.pattern import Pattern
+from plankspindle_testkit.lab.peer_network import PeerNetwork
 from plankspindle_testkit.lab.requests import Request
 from plankspindle_testkit.lab.strikes import Strikes
 
 if TYPE_CHECKING:
+    from plankspindle_testkit.lab.lab_vm import LabVm
     from plankspindle_testkit.lab.pattern import ModelOperation
 
 TICK_S = 0.05
@@ -36,6 +38,8 @@
 """Period of reading the list of upstreams, in seconds."""
 SAMPLE_S = 0.25
 """Period of the samples over time, in seconds."""
+SAME = 1
+"""Identity of the requests of an operation that are the same one."""
 RETURNS = 1
 """How often a refused caller comes back."""
 MOST_WAITED = 1 / 3
@@ -62,6 +66,8 @@
         What became of the requests, but of those under which upstreams end.
     crashes : CrashRecord
         What became of those.
+    network : PeerNetwork
+        Messages between entry VMs.
     """
 
     pattern: Pattern
@@ -69,15 +75,23 @@
     uses_oracle: bool = False
     outcomes: Outcomes = Factory(Outcomes)
     crashes: CrashRecord = Factory(CrashRecord)
+    network: PeerNetwork = field(init=False)
     _clock: Clock = Factory(Clock)
     _random: Random = field(init=False)
     _deployment: Deployment = field(init=False)
     _exchanges: Exchanges = field(init=False)
-    _identities: count[int] = Factory(count)
+    _identities: count[int] = Factory(lambda: count(SAME + 1))
+    _same: Random = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._random = Random(self.seed)
+        self._same = Random(f"{self.seed} same requests")
         self._deployment = Deployment(pattern=self.pattern, random=self._random)
+        self.network = PeerNetwork(
+            clock=self._clock,
+            deployment=self._deployment,
+            random=Random(f"{self.seed} messages"),
+        )
         oracle = Oracle(deployment=self._deployment)
         self._exchanges = Exchanges(
             clock=self._clock,
@@ -86,6 +100,7 @@
             come_back=self._come_back,
             oracle=oracle if self.uses_oracle else None,
             crashes=self.crashes,
+            network=self.network,
         )
 
     def run(self) -> Outcomes:
@@ -113,6 +128,10 @@
         self._clock.run_until(self.pattern.seconds + longest_ms / 1000)
         return self.outcomes
 
+    def vms(self) -> list[LabVm]:
+        """Give the entry VMs."""
+        return list(self._deployment.vms_by_name.values())
+
     def _plan_arrival(self, name: str, operation: ModelOperation) -> None:
         now = self._clock.now
         rate = operation.per_s * self.pattern.load_factor(now)
@@ -130,10 +149,14 @@
             domain=domain,
             first_at=self._clock.now,
             deadline=self._clock.now + operation.timeout_ms / 1000,
-            identity=next(self._identities),
+            identity=self._identity_of(operation),
         )
         self._send(request)
 
+    def _identity_of(self, operation: ModelOperation) -> int:
+        is_same = self._same.random() < operation.same_part
+        return SAME if is_same else next(self._identities)
+
     def _domain_of_caller(self) -> str:
         weights = self.pattern.callers_by_domain
         if not weights:
@@ -169,6 +192,7 @@
             for service in vm.book.dispatchers_by_service:
                 effects = vm.book.handle(service, TimePassed(), self._clock.now)
                 self._exchanges.perform(effects)
+            self.network.send(vm, vm.quarantine.tick(self._clock.now))
 
     def _refresh(self) -> None:
         self._clock.after(REFRESH_S, self._refresh)
--- a/packages/testkit/src/plankspindle_testkit/lab/lab_vm.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_vm.py
@@ -21,6 +21,7 @@
 from plankspindle_daemon.membership.membership_options import MembershipOptions
 from plankspindle_daemon.platform.live_list import ListedVm
 from plankspindle_daemon.platform.live_list import VmKind
+from plankspindle_daemon.quarantine.quarantine import Quarantine
 from plankspindle_testkit.builders import build_member
 
 if TYPE_CHECKING:
@@ -32,6 +33,8 @@
 RETRY_PERCENT = 20
 RETRY_BURST = 60
 """Bounds of a service's retries, all entry VMs together."""
+MANY_S = 1e9
+"""No entry VM of the lab is taken for silent: they exchange no heartbeats."""
 _ANY = Endpoint("127.0.0.1", 1)
 
 
@@ -45,6 +48,8 @@
         Its name and where it stands.
     book : ServiceBook
         Its decisions.
+    quarantine : Quarantine
+        Requests that it holds back.
     is_up : bool
         Whether it runs.
     """
@@ -52,6 +57,7 @@
     name: str
     domain: str
     book: ServiceBook
+    quarantine: Quarantine
     is_up: bool = True
 
     @classmethod
@@ -80,16 +86,18 @@
         drained : iterable of str
             Failure domains that are drained at present.
         """
+        membership = _membership(name, pattern)
         book = ServiceBook(
             vm=name,
             failure_domain=domain,
             incarnation=1,
             random=Random(seed),
-            membership=_membership(name, pattern),
+            membership=membership,
             probe_s=1.0,
             new_from=now,
         )
-        vm = cls(name=name, domain=domain, book=book)
+        quarantine = Quarantine.of(name, domain, membership)
+        vm = cls(name=name, domain=domain, book=book, quarantine=quarantine)
         vm.adopt(pattern, drained, now)
         return vm
 
@@ -106,6 +114,11 @@
         self.book.take_list(listed, now=now, wall=now)
 
 
+def peer_endpoint_of(vm: str) -> Endpoint:
+    """Give the address by which messages reach an entry VM of the lab."""
+    return Endpoint(vm, 1)
+
+
 def vm_names(pattern: Pattern) -> dict[str, str]:
     """Give the entry VMs of a pattern and their failure domains."""
     return {
@@ -123,13 +136,14 @@
             failure_domain=domain_by_name[name],
             incarnation=1,
             heartbeat_s=0.5,
-            suspect_after_s=2.0,
+            suspect_after_s=MANY_S,
             all_domains=True,
         )
     )
     for other, domain in domain_by_name.items():
         if other != name:
             member = build_member(other, failure_domain=domain, last_heard=0.0)
+            member.peer_endpoint = peer_endpoint_of(other)
             membership.members_by_name[other] = member
     return membership
 
--- a/packages/testkit/src/plankspindle_testkit/lab/pattern.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/pattern.py
@@ -34,6 +34,7 @@
     SLOW = "slow"
     SHED = "shed"
     CRASH = "crash"
+    END = "end"
     DRAIN = "drain"
     RESTART = "restart"
     CRASHING_REQUEST = "crashing-request"
@@ -50,7 +51,8 @@
     at_s, for_s : float
         When, and for how long, in seconds.
     share : float
-        Part of the upstreams that are struck, chosen by the seed.
+        Part of the upstreams that are struck, chosen by the seed. Those of ``crash``
+        fall silent; those of ``end`` break off what runs there, and refuse connections.
     factor : float
         Factor on the load or on the time of work; for ``shed`` the part of the
         requests that is shed.
@@ -137,6 +139,8 @@
         Worth of a later one.
     idempotent : bool
         Whether it may run more than once.
+    same_part : float
+        Part of its requests that are the same one, which many callers send.
     """
 
     service: str
@@ -150,6 +154,7 @@
     worth: float = field(default=1.0, validator=_NOT_NEGATIVE)
     late_worth: float = field(default=0.2, validator=_NOT_NEGATIVE)
     idempotent: bool = True
+    same_part: float = field(default=0.0, validator=_PART)
 
 
 @frozen(kw_only=True)
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/lab/peer_network.py
@@ -0,0 +1,71 @@
+"""Messages between the entry VMs of a run."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from plankspindle_daemon.peer_messages.crash_news import CrashNews
+from plankspindle_testkit.lab.clock import Clock
+from plankspindle_testkit.lab.deployment import Deployment
+from plankspindle_testkit.lab.lab_vm import peer_endpoint_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+    from plankspindle_testkit.lab.lab_vm import LabVm
+
+
+@define(kw_only=True)
+class PeerNetwork:
+    """Carry news of requests under which upstreams end.
+
+    Parameters
+    ----------
+    clock : Clock
+        The clock.
+    deployment : Deployment
+        The entry VMs and the ways between them.
+    random : Random
+        Source of loss.
+    loss : float
+        Part of the messages that are lost.
+    is_cut : callable
+        Tells whether messages from one VM to another are lost, by their names.
+
+    Attributes
+    ----------
+    sent : int
+        Messages that were sent.
+    """
+
+    clock: Clock
+    deployment: Deployment
+    random: Random
+    loss: float = 0.0
+    is_cut: Callable[[str, str], bool] = lambda _sender, _receiver: False
+    sent: int = 0
+
+    def send(self, sender: LabVm, effects: Iterable[SendToPeer]) -> None:
+        """Send messages of an entry VM; some are lost."""
+        for effect in effects:
+            assert isinstance(effect.message, CrashNews)
+            receiver = self.deployment.vms_by_name[effect.to.host]
+            self.sent += 1
+            is_lost = self.random.random() < self.loss
+            if is_lost or self.is_cut(sender.name, receiver.name):
+                continue
+            way_s = self.deployment.one_way_s(sender.domain, receiver.domain)
+            come = partial(self._take, sender, receiver.name, effect.message)
+            self.clock.after(way_s, come)
+
+    def _take(self, sender: LabVm, receiver: str, news: CrashNews) -> None:
+        vm = self.deployment.vms_by_name[receiver]
+        if vm.is_up:
+            reply_to = peer_endpoint_of(sender.name)
+            self.send(vm, vm.quarantine.take(news, reply_to, self.clock.now))
--- a/packages/testkit/src/plankspindle_testkit/lab/strikes.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/strikes.py
@@ -17,7 +17,12 @@
 if TYPE_CHECKING:
     from plankspindle_testkit.lab.modelled_upstream import ModelledUpstream
 
-_OF_UPSTREAMS = (EventKind.SLOW, EventKind.SHED, EventKind.CRASH)
+_OF_UPSTREAMS = (
+    EventKind.SLOW,
+    EventKind.SHED,
+    EventKind.CRASH,
+    EventKind.END,
+)
 
 
 @frozen(kw_only=True)
@@ -52,6 +57,9 @@
         for upstream in struck:
             _strike(upstream, event)
         match event.kind:
+            case EventKind.END:
+                for upstream in struck:
+                    self.exchanges.end_upstream(upstream)
             case EventKind.DRAIN:
                 self.deployment.drained.add(event.domain or "")
                 self._adopt()
--- a/packages/testkit/src/plankspindle_testkit/trial/trial.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial.py
@@ -152,8 +152,8 @@
             case ContentChunk():
                 self._perform(vm, vm.node.take_content_chunk(message, self.world.now))
             case SlotRequest():
-                effects = vm.node.take_slot_request(message, sender, self.world.now)
-                self._perform(vm, effects)
+                lent = vm.node.slots.lend(message, sender, self.world.now)
+                self._perform(vm, [*lent])
             case SlotGrant():
                 self._take_dispatch(vm, SERVICE, dispatch.SlotsGranted(message))
 
--- a/packages/testkit/src/plankspindle_testkit/upstream_stand_in/behaviour.py
+++ b/packages/testkit/src/plankspindle_testkit/upstream_stand_in/behaviour.py
@@ -35,6 +35,8 @@
         Whether the load report says that it is leaving.
     leaves_at : float, optional
         Planned time of leaving, seconds since the Unix epoch.
+    crash_path : str, optional
+        Path of a request under which the process ends.
     """
 
     mode: Mode = Mode.SERVE
@@ -42,3 +44,4 @@
     claims_idle: bool = False
     leaving: bool = False
     leaves_at: float | None = None
+    crash_path: str | None = None
--- a/packages/testkit/src/plankspindle_testkit/upstream_stand_in/upstream_stand_in.py
+++ b/packages/testkit/src/plankspindle_testkit/upstream_stand_in/upstream_stand_in.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import time
 from collections import Counter
 from typing import TYPE_CHECKING
@@ -29,6 +30,8 @@
 SHORT_LENGTH = b"1000"
 CHUNK = b"x" * 65_536
 RUN_HEADER = b"x-run"
+CRASHED = 70
+"""Exit status of a process that ends under a request."""
 WORK_HEADER = b"x-work-ms"
 """Time that this request takes instead of the usual one, in milliseconds."""
 
@@ -124,6 +127,8 @@
             own = find_header(source.headers, WORK_HEADER)
             work_ms = self.behaviour.service_ms if own is None else float(own)
             await sleep(work_ms / 1000)
+            if path == self.behaviour.crash_path:
+                os._exit(CRASHED)
             await self._answer(source, path, body)
         except CallerGoneError:
             self.cancelled += 1
