--- a/packages/core/src/plankspindle_core/logs/key_value_destination.py
+++ b/packages/core/src/plankspindle_core/logs/key_value_destination.py
@@ -5,7 +5,6 @@
 import logging
 import sys
 from collections import Counter
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Protocol
@@ -14,6 +13,7 @@
 
 from plankspindle_core.logs.line_rendering import render_line
 from plankspindle_core.logs.line_writer import LineWriter
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
--- a/packages/core/src/plankspindle_core/logs/line_writer.py
+++ b/packages/core/src/plankspindle_core/logs/line_writer.py
@@ -7,6 +7,8 @@
 import time
 from collections import deque
 
+from plankspindle_core.steady_clock import monotonic
+
 MAX_PENDING_BYTES = 262_144
 """Lines that wait for their reader; about three seconds of a busy entry VM's log."""
 CHUNK_BYTES = 4_096
@@ -83,9 +85,9 @@
         wait_s : float
             Longest time to wait, in seconds.
         """
-        until = time.monotonic() + wait_s
+        until = monotonic() + wait_s
         self.flush()
-        while self._pending and time.monotonic() < until:
+        while self._pending and monotonic() < until:
             time.sleep(POLL_S)
             self.flush()
 
--- a/packages/core/src/plankspindle_core/steady_clock.py
+++ b/packages/core/src/plankspindle_core/steady_clock.py
@@ -1,14 +1,13 @@
 """The clock of all ages, leases, deadlines and timers.
 
-It counts the time for which the machine was suspended, and never jumps. The steady clock
-of :mod:`time` stands still in a suspension: what was agreed for two seconds would hold
-on after a suspension of five.
+It counts the time for which the machine was suspended, and never jumps. The steady
+clock of :mod:`time` stands still in a suspension: what was agreed for two seconds would
+hold on after a suspension of five.
 """
 
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
 from contextlib import contextmanager
 from functools import partial
 from types import SimpleNamespace
@@ -20,11 +19,10 @@
 from curio import kernel
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
-monotonic: Final[Callable[[], float]] = partial(
-    time.clock_gettime, time.CLOCK_BOOTTIME
-)
+monotonic: Final[Callable[[], float]] = partial(time.clock_gettime, time.CLOCK_BOOTTIME)
 """Give the time in seconds since the machine was started, suspensions included."""
 
 
@@ -56,7 +54,7 @@
 @contextmanager
 def _clock_of_kernels() -> Iterator[None]:
     before = kernel.time
-    kernel.time = SimpleNamespace(monotonic=lambda: monotonic())
+    kernel.time = SimpleNamespace(monotonic=monotonic)
     try:
         yield
     finally:
--- a/packages/core/src/plankspindle_core/time_limit.py
+++ b/packages/core/src/plankspindle_core/time_limit.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -10,6 +9,8 @@
 from curio import UncaughtTimeoutError
 from curio import timeout_after
 
+from plankspindle_core.steady_clock import monotonic
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
--- a/packages/core/tests/test_steady_clock.py
+++ b/packages/core/tests/test_steady_clock.py
@@ -5,14 +5,17 @@
 import ast
 import time
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import curio
-import pytest
 
 import plankspindle_core
 import plankspindle_daemon
 from plankspindle_core import steady_clock
 
+if TYPE_CHECKING:
+    import pytest
+
 SUSPENDED_S = 30.0
 LIMIT_S = 20.0
 SOON_S = 2.0
--- a/packages/daemon/src/plankspindle_daemon/console/commands/run.py
+++ b/packages/daemon/src/plankspindle_daemon/console/commands/run.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 
 import click
-import curio
 
+from plankspindle_core import steady_clock
 from plankspindle_core.logs.key_value_destination import start_logging
 from plankspindle_core.logs.key_value_destination import stop_logging
 from plankspindle_daemon.console.reporting import settings_or_exit
@@ -23,7 +23,7 @@
     log = start_logging(vm=found.vm)
     try:
         file = SettingsFile(path=settings, reads=read_settings)
-        status = curio.run(run_daemon, found, None, log, file)
+        status = steady_clock.run(run_daemon, found, None, log, file)
     finally:
         stop_logging(log)
     raise SystemExit(status)
--- a/packages/daemon/src/plankspindle_daemon/control/plan_store.py
+++ b/packages/daemon/src/plankspindle_daemon/control/plan_store.py
@@ -15,6 +15,7 @@
 from plankspindle_core.configuration.codec import content_digest
 from plankspindle_core.configuration.codec import encode_configuration
 from plankspindle_core.errors import InvalidDocument
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
 from plankspindle_daemon.configuration.head_row import HEAD_KEY
 from plankspindle_daemon.configuration.head_row import LOG_PREFIX
@@ -161,7 +162,7 @@
             base=configuration,
             wanted=wanted.unwrap(),
             digests=self.digests,
-            now=time.monotonic(),
+            now=monotonic(),
         ).effects_of(intent)
         if effects.is_err():
             return Err(effects.unwrap_err())
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from functools import partial
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -13,6 +12,7 @@
 
 from plankspindle_core.logs.key_value_destination import KeyValueDestination
 from plankspindle_core.logs.key_value_destination import log_event
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.supervisor import Supervisor
 from plankspindle_daemon.beliefs.belief_watch import BeliefWatch
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from time import monotonic
 from typing import TYPE_CHECKING
 
 import h11
@@ -20,6 +19,7 @@
 from plankspindle_core.http.headers import find_header
 from plankspindle_core.http.server_exchange import ServerExchange
 from plankspindle_core.outcome import Outcome
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.time_limit import within
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.dispatch.messages import Assign
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from functools import partial
-from time import monotonic
 from typing import TYPE_CHECKING
 
 from curio import TaskTimeout
@@ -16,6 +15,7 @@
 from plankspindle_core.http.headers import without_hop_by_hop
 from plankspindle_core.http.server_exchange import CallerGoneError
 from plankspindle_core.outcome import Outcome
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.time_limit import TimeLimit
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.dispatch.messages import Assign
--- a/packages/daemon/src/plankspindle_daemon/idempotency/claim_store.py
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/claim_store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from random import Random
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -14,6 +13,7 @@
 
 from plankspindle_core.classes import define
 from plankspindle_core.classes import frozen
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.supervisor import Supervisor
 from plankspindle_core.time_limit import TimeLimit
 from plankspindle_daemon.idempotency.claim_attempt import ClaimAttempt
--- a/packages/daemon/src/plankspindle_daemon/listeners/caller_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/caller_listener.py
@@ -5,7 +5,6 @@
 import json
 import re
 from functools import partial
-from time import monotonic
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
@@ -13,6 +12,7 @@
 
 from plankspindle_core.classes import define
 from plankspindle_core.http.server import HttpServer
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.supervisor import Supervisor
 from plankspindle_daemon.exchange.answers import refuse
 from plankspindle_daemon.exchange.caller_request import BadRequest
--- a/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
@@ -7,7 +7,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from functools import partial
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Protocol
@@ -21,6 +20,7 @@
 from plankspindle_core.http.limits import HttpLimits
 from plankspindle_core.http.server import HttpServer
 from plankspindle_core.read_json import read_json
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.supervisor import Supervisor
 from plankspindle_daemon.listeners.json_answer import answer_json
 from plankspindle_daemon.listeners.metrics_listener import TEXT_FORM
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_reader.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_reader.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from time import monotonic
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -13,6 +12,7 @@
 from plankspindle_core.classes import frozen
 from plankspindle_core.configuration.operation import Operation
 from plankspindle_core.http.headers import find_header
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.admission.caller_directory import Identity
 from plankspindle_daemon.exchange.caller_request import SERVICES_PREFIX
 from plankspindle_daemon.exchange.caller_request import BadRequest
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -4,7 +4,6 @@
 
 import time
 from itertools import count
-from time import monotonic
 from typing import TYPE_CHECKING
 
 from attrs import field
@@ -15,6 +14,7 @@
 from plankspindle_core.http.headers import find_header
 from plankspindle_core.http.server_exchange import CallerGoneError
 from plankspindle_core.outcome import Outcome
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.exchange.answers import answer_with_outcome
 from plankspindle_daemon.exchange.answers import refuse
--- a/packages/daemon/src/plankspindle_daemon/node/configuration_follower.py
+++ b/packages/daemon/src/plankspindle_daemon/node/configuration_follower.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from time import monotonic
-
 from attrs import field
 from curio import sleep
 
 from plankspindle_core.classes import define
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.configuration.configuration_reader import ReaderPort
 from plankspindle_daemon.node.effect_runner import EffectRunner
 from plankspindle_daemon.node.node import Node
--- a/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -13,6 +12,7 @@
 from plankspindle_core.classes import define
 from plankspindle_core.http.errors import ConnectFailed
 from plankspindle_core.http.fetch import fetch
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.supervisor import Supervisor
 from plankspindle_daemon.dispatch.messages import Arrived
 from plankspindle_daemon.dispatch.messages import AskSlots
--- a/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
@@ -5,11 +5,11 @@
 import time
 from collections.abc import Awaitable
 from collections.abc import Callable
-from time import monotonic
 from typing import TYPE_CHECKING
 
 from plankspindle_core.classes import define
 from plankspindle_core.logs.key_value_destination import log_event
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.dispatch.messages import SlotsGranted
 from plankspindle_daemon.membership.messages import HeartbeatReceived
 from plankspindle_daemon.membership.messages import SendHeartbeat
--- a/packages/daemon/src/plankspindle_daemon/node/list_follower.py
+++ b/packages/daemon/src/plankspindle_daemon/node/list_follower.py
@@ -5,7 +5,6 @@
 import math
 import time
 from contextlib import suppress
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -16,6 +15,7 @@
 from curio import spawn
 
 from plankspindle_core.classes import define
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.time_limit import within
 from plankspindle_daemon.membership.messages import LiveListRead
 from plankspindle_daemon.node.effect_runner import EffectRunner
--- a/packages/daemon/src/plankspindle_daemon/node/make_node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/make_node.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import secrets
-from time import monotonic
 from typing import TYPE_CHECKING
 
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.idempotency.issued_ids import IssuedIds
 from plankspindle_daemon.leaving.leave import Leave
 from plankspindle_daemon.membership.membership import Membership
--- a/packages/daemon/src/plankspindle_daemon/node/presence_keeper.py
+++ b/packages/daemon/src/plankspindle_daemon/node/presence_keeper.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from time import monotonic
-
 from attrs import field
 from curio import Event
 from curio import sleep
 
 from plankspindle_core.classes import define
 from plankspindle_core.logs.key_value_destination import log_event
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.membership.list_sweep import ListSweep
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.platform.presence_port import PresencePort
--- a/packages/daemon/src/plankspindle_daemon/platform/bounded_calls.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/bounded_calls.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from enum import Enum
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -15,6 +14,7 @@
 
 from plankspindle_core.classes import define
 from plankspindle_core.histogram import Histogram
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.time_limit import within
 from plankspindle_core.token_bucket import TokenBucket
 from plankspindle_daemon.platform.circuit_breaker import CircuitBreaker
--- a/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -17,6 +16,7 @@
 from plankspindle_core.http.fetch import HttpAnswer
 from plankspindle_core.http.fetch import fetch
 from plankspindle_core.read_json import read_json
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.platform.bounded_calls import BoundedCalls
 from plankspindle_daemon.platform.bounded_calls import CallKind
 from plankspindle_daemon.platform.errors import ConditionFailed
--- a/packages/daemon/src/plankspindle_daemon/quarantine/crash_probe.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/crash_probe.py
@@ -6,7 +6,6 @@
 from collections import OrderedDict
 from collections.abc import Awaitable
 from collections.abc import Callable
-from time import monotonic
 from typing import TYPE_CHECKING
 
 from attrs import Factory
@@ -14,6 +13,7 @@
 from plankspindle_core.classes import define
 from plankspindle_core.http.client_connection import ClientConnection
 from plankspindle_core.logs.key_value_destination import log_event
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.supervisor import Supervisor
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.quarantine.quarantine import Quarantine
--- a/packages/daemon/src/plankspindle_daemon/quarantine/quarantine_store.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/quarantine_store.py
@@ -4,7 +4,6 @@
 
 import time
 from random import Random
-from time import monotonic
 from typing import Any
 
 from attrs import Factory
@@ -16,6 +15,7 @@
 
 from plankspindle_core.classes import define
 from plankspindle_core.logs.key_value_destination import log_event
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.platform.errors import ConditionFailed
 from plankspindle_daemon.platform.errors import PlatformUnavailable
 from plankspindle_daemon.platform.platform_client import PlatformClient
--- a/packages/daemon/src/plankspindle_daemon/ticker.py
+++ b/packages/daemon/src/plankspindle_daemon/ticker.py
@@ -5,7 +5,6 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from time import monotonic
 
 from attrs import field
 from curio import TaskTimeout
@@ -14,6 +13,7 @@
 from plankspindle_core.classes import define
 from plankspindle_core.logs.key_value_destination import KeyValueDestination
 from plankspindle_core.logs.key_value_destination import log_event
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.supervisor import Supervisor
 from plankspindle_core.time_limit import within
 from plankspindle_daemon.beliefs.belief_watch import BeliefWatch
--- a/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from time import monotonic
-
 from attrs import field
 from result import Err
 from result import Ok
@@ -13,6 +11,7 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.client_connection import ClientConnection
 from plankspindle_core.http.errors import ConnectFailed
+from plankspindle_core.steady_clock import monotonic
 
 MAX_RESTING = 32
 """Idle connections kept to one endpoint; more are not used at once by one entry VM.
--- a/packages/daemon/tests/exchange/test_busy_loop.py
+++ b/packages/daemon/tests/exchange/test_busy_loop.py
@@ -19,7 +19,6 @@
 import socket
 import time
 from itertools import count
-from time import monotonic
 from typing import Any
 from typing import cast
 
@@ -30,6 +29,7 @@
 
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.headers import HeaderList
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.supervisor import Supervisor
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import Verdict
--- a/packages/daemon/tests/node/test_list_follower.py
+++ b/packages/daemon/tests/node/test_list_follower.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from random import Random
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -15,6 +14,7 @@
 
 from plankspindle_core.configuration.service import SlotSharing
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.node.list_follower import ListFollower
 from plankspindle_daemon.peer_messages.content_messages import ContentRequest
 from plankspindle_daemon.peer_messages.list_news import ListNews
--- a/packages/testkit/src/plankspindle_testkit/soak/operators.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/operators.py
@@ -5,7 +5,6 @@
 import json
 from collections import Counter
 from itertools import cycle
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -16,6 +15,7 @@
 
 from plankspindle_core.configuration.codec import configuration_to_mapping
 from plankspindle_core.http.fetch import fetch
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_testkit.soak.drain_watch import knows_drain
 from plankspindle_testkit.soak.layout import Layout
 from plankspindle_testkit.soak.layout import drain_id_of
--- a/packages/testkit/src/plankspindle_testkit/soak/running.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/running.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
 
 import curio
 
+from plankspindle_core.steady_clock import monotonic
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
--- a/packages/testkit/src/plankspindle_testkit/soak/soak.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/soak.py
@@ -8,7 +8,6 @@
 from collections import Counter
 from pathlib import Path
 from random import Random
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -19,6 +18,7 @@
 from curio import spawn
 
 from plankspindle_core.http.fetch import fetch
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.soak.callers import SoakCaller
 from plankspindle_testkit.soak.drain_watch import check_drains
--- a/packages/testkit/src/plankspindle_testkit/soak/striker.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/striker.py
@@ -8,7 +8,6 @@
 from collections import Counter
 from contextlib import ExitStack
 from contextlib import contextmanager
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -18,6 +17,7 @@
 from curio import sleep
 
 from plankspindle_core.http.fetch import fetch
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.soak.layout import Layout
 from plankspindle_testkit.soak.link_proxy import LinkState
--- a/packages/testkit/src/plankspindle_testkit/soak/telling_caller.py
+++ b/packages/testkit/src/plankspindle_testkit/soak/telling_caller.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from random import Random
-from time import monotonic
 from typing import TYPE_CHECKING
 
 from attrs import define
 
 from plankspindle_core import header_names
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_testkit.builders import BRONZE_KEY
 from plankspindle_testkit.soak.layout import Layout
 from plankspindle_testkit.soak.promises import Observations
--- a/packages/testkit/src/plankspindle_testkit/trial/trial_operators.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial_operators.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import cast
@@ -10,6 +9,7 @@
 from attrs import define
 
 from plankspindle_core.configuration.shift import Shift
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
 from plankspindle_daemon.configuration.head_row import HEAD_KEY
 from plankspindle_daemon.configuration.head_row import head_row_from_mapping
@@ -84,7 +84,7 @@
                 configuration_version=1,
                 loads=(load,),
             )
-            book.take(digest, time.monotonic())
+            book.take(digest, monotonic())
         return book
 
     def put_in_force(self, intent: Any) -> None:
--- a/packages/testkit/tests/soak/test_kept_connections.py
+++ b/packages/testkit/tests/soak/test_kept_connections.py
@@ -5,7 +5,6 @@
 import json
 from itertools import count
 from random import Random
-from time import monotonic
 from typing import TYPE_CHECKING
 
 import curio
@@ -14,6 +13,7 @@
 from plankspindle_core.http.limits import HttpLimits
 from plankspindle_core.http.server import HttpServer
 from plankspindle_core.outcome import Outcome
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_testkit.soak.kept_connections import KeptCaller
 from plankspindle_testkit.soak.layout import Layout
 from plankspindle_testkit.soak.load import Load
--- a/packages/testkit/tests/soak/test_striker.py
+++ b/packages/testkit/tests/soak/test_striker.py
@@ -10,6 +10,7 @@
 import curio
 import pytest
 
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.processes import wait_until
 from plankspindle_testkit.soak.layout import Layout
@@ -43,7 +44,7 @@
         processes=processes,
         seen=seen,
         operators=Operators(layout=layout, seen=seen, began_at=0.0),
-        began_at=time.monotonic(),
+        began_at=monotonic(),
     )
     processes.close()
 
--- a/tests/fleet/fleet_vm.py
+++ b/tests/fleet/fleet_vm.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from random import Random
-from time import monotonic
 from time import time
 from typing import TYPE_CHECKING
 from typing import Any
@@ -13,6 +12,7 @@
 from attrs import evolve
 
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.supervisor import Supervisor
 from plankspindle_daemon.membership.peer_link import PeerLink
 from plankspindle_daemon.node.configuration_follower import ConfigurationFollower
--- a/tests/fleet/soak/callers.py
+++ b/tests/fleet/soak/callers.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from contextlib import suppress
 from random import Random
-from time import monotonic
 from typing import Any
 
 from attrs import define
@@ -18,6 +17,7 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.client_connection import ClientConnection
 from plankspindle_core.http.headers import find_header
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_platform.dialect import DIALECT
 from soak.checks import Checks
 from soak.checks import Told
--- a/tests/fleet/soak/crashers.py
+++ b/tests/fleet/soak/crashers.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from contextlib import suppress
 from random import Random
-from time import monotonic
 
 from attrs import Factory
 from attrs import define
@@ -17,6 +16,7 @@
 
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.client_connection import ClientConnection
+from plankspindle_core.steady_clock import monotonic
 from soak.checks import Checks
 from soak.history import HOST
 from soak.history import MAIN
--- a/tests/fleet/soak/fleet_soak.py
+++ b/tests/fleet/soak/fleet_soak.py
@@ -6,7 +6,6 @@
 from collections import Counter
 from pathlib import Path
 from random import Random
-from time import monotonic
 from time import time
 from typing import Any
 
@@ -16,6 +15,7 @@
 from curio import sleep
 from curio import spawn
 
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.soak.link_proxy import LinkProxy
 from plankspindle_testkit.soak.process_facts import waited_s
--- a/tests/fleet/soak/lapser.py
+++ b/tests/fleet/soak/lapser.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from random import Random
-from time import monotonic
 from typing import TYPE_CHECKING
 
 from attrs import define
 from curio import sleep
 from curio import spawn
 
+from plankspindle_core.steady_clock import monotonic
 from soak.lapses import Lapse
 from soak.lapses import LapseChecks
 from soak.store import SoakStore
--- a/tests/fleet/soak/store.py
+++ b/tests/fleet/soak/store.py
@@ -4,7 +4,6 @@
 
 import json
 from functools import partial
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 from urllib.parse import parse_qs
@@ -15,6 +14,7 @@
 
 from plankspindle_core.http.limits import HttpLimits
 from plankspindle_core.http.server import HttpServer
+from plankspindle_core.steady_clock import monotonic
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/fleet/soak/striker.py
+++ b/tests/fleet/soak/striker.py
@@ -8,7 +8,6 @@
 from collections import Counter
 from pathlib import Path
 from random import Random
-from time import monotonic
 from typing import TYPE_CHECKING
 
 import yaml
@@ -19,6 +18,7 @@
 from curio import sleep
 from curio import spawn
 
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.soak.link_proxy import LinkProxy
 from soak.checks import Checks
--- a/tests/fleet/soak/upstreams.py
+++ b/tests/fleet/soak/upstreams.py
@@ -4,7 +4,6 @@
 
 from math import inf
 from random import Random
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -18,6 +17,7 @@
 from plankspindle_core.http.headers import find_header
 from plankspindle_core.http.limits import HttpLimits
 from plankspindle_core.http.server import HttpServer
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_platform.dialect import DIALECT
 from soak.layout import SERVICES
 from soak.layout import SLOTS
--- a/tests/fleet/store_stand_in.py
+++ b/tests/fleet/store_stand_in.py
@@ -4,7 +4,6 @@
 
 import json
 from itertools import count
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 from urllib.parse import parse_qs
@@ -16,6 +15,7 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.limits import HttpLimits
 from plankspindle_core.http.server import HttpServer
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_testkit.loopback_network import host_of_run
 
 if TYPE_CHECKING:
--- a/tests/fleet/test_after_outage.py
+++ b/tests/fleet/test_after_outage.py
@@ -14,7 +14,6 @@
 
 from __future__ import annotations
 
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -30,6 +29,8 @@
 from store_stand_in import StoreStandIn
 from store_stand_in import run_with_store
 
+from plankspindle_core.steady_clock import monotonic
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
--- a/tests/fleet/test_shared_reads.py
+++ b/tests/fleet/test_shared_reads.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -17,6 +16,7 @@
 from store_stand_in import StoreStandIn
 from store_stand_in import run_with_store
 
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.sharing import shared_reads
 
 if TYPE_CHECKING:
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import io
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -19,6 +18,7 @@
 
 from plankspindle_core.logs.key_value_destination import start_logging
 from plankspindle_core.logs.key_value_destination import stop_logging
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.platform.bounded_calls import BoundedCalls
 from plankspindle_daemon.platform.bounded_calls import CallKind
 from plankspindle_daemon.platform.circuit_breaker import OPEN_S
--- a/tests/fleet/test_values_from_store.py
+++ b/tests/fleet/test_values_from_store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from time import monotonic
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -19,6 +18,7 @@
 from test_operator_reader import read
 
 from plankspindle_core.stable_hash import stable_hash
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.peer_messages.list_news import ListNews
 from plankspindle_daemon.sharing.told_upstreams import told_of
 from plankspindle_daemon.wire.codec import decode
