--- a/tests/fleet/test_fleet_soak.py
+++ b/tests/fleet/test_fleet_soak.py
@@ -89,9 +89,9 @@
     Seen: a request under which three upstreams had ended was sent to others 16 times
     more, since it came each time at another entry VM, under an id of its own.
 
-    Cause: nothing remembered that an upstream had ended under a request, at this entry VM
-    or another. What proved it: with the requests told by caller, path and body, and held
-    back everywhere after the third end, no other upstream ends.
+    Cause: nothing remembered that an upstream had ended under a request, at this entry
+    VM or another. What proved it: with the requests told by caller, path and body, and
+    held back everywhere after the third end, no other upstream ends.
     """
     root = Path(__file__).parents[2]
     paths = f"{root / 'platform'}:{root / 'tests/fleet'}"
@@ -110,6 +110,9 @@
 
     Seen: none of them noticed that it had stood still, so that shares, loans and waits
     of before went on, and every age was too low by the time of the suspension.
+
+    Cause: ages, leases, deadlines and timers were read from a clock that stands still
+    in a suspension. What proved it: the pauses are logged with the one that does not.
     """
     root = Path(__file__).parents[2]
     paths = f"{root / 'platform'}:{root / 'tests/fleet'}"
