--- a/tests/fleet/soak/lapser.py
+++ b/tests/fleet/soak/lapser.py
@@ -112,7 +112,8 @@
         upstream: Upstream = self.upstreams.lives[number]
         await sleep(after_s)
         await self.upstreams.come_back(upstream)
-        lapse.back_at.append((upstream, monotonic()))
+        if not upstream.has_crashed:
+            lapse.back_at.append((upstream, monotonic()))
 
     async def _end_vanished(self, number: int) -> None:
         """Serve on until requests would show that a VM still uses it."""
--- a/tests/fleet/soak/lapses.py
+++ b/tests/fleet/soak/lapses.py
@@ -156,7 +156,8 @@
     ) -> None:
         """Check that an upstream gets its part of what its service and region get."""
         begin = back_at + self.checks.bounds.contact
-        until = min([upstream.left_at, end, *self._later_lapses(lapse, upstream)])
+        ends = (upstream.left_at, upstream.crashed_at, end)
+        until = min([*ends, *self._later_lapses(lapse, upstream)])
         rivals = sum(_is_rival(each, upstream) for each in upstreams)
         expected: Counter[str] = Counter()
         used: Counter[str] = Counter()
--- a/tests/fleet/soak/upstreams.py
+++ b/tests/fleet/soak/upstreams.py
@@ -61,6 +61,8 @@
         Its address.
     left_at : float
         When the store acknowledged that it leaves or is gone, monotonic seconds.
+    crashed_at : float
+        When it ended under a request, monotonic seconds.
     """
 
     name: str
@@ -72,9 +74,14 @@
     is_listed: bool = True
     is_lapsed: bool = False
     has_vanished: bool = False
-    has_crashed: bool = False
+    crashed_at: float = inf
     sequence: int = 0
 
+    @property
+    def has_crashed(self) -> bool:
+        """Whether it ended under a request."""
+        return self.crashed_at < inf
+
     @property
     def is_staying(self) -> bool:
         """Whether it is listed and neither leaves nor is taken for gone."""
@@ -223,9 +230,10 @@
             self.store.drop(TABLE, upstream.name)
 
     async def come_back(self, upstream: Upstream) -> None:
-        """Enter one again whose entry has lapsed."""
+        """Enter one again whose entry has lapsed, unless it crashed meanwhile."""
         upstream.is_lapsed = False
-        await self._enter(upstream)
+        if not upstream.has_crashed:
+            await self._enter(upstream)
 
     async def replace(self, number: int) -> None:
         """Let one that is gone serve on for a while, and another life of it come."""
@@ -250,11 +258,13 @@
         )
         if number is None or upstream.has_crashed:
             return
-        self.crashed_at_by_path.setdefault(path, []).append(monotonic())
-        is_staying, upstream.has_crashed = upstream.is_staying, True
+        crashed_at = self.crashed_at_by_path.setdefault(path, [])
+        crashed_at.append(monotonic())
+        upstream.crashed_at = monotonic()
         await self._servers[number].close()
         await spawn(self._forget, upstream, daemon=True)
-        if is_staying:
+        # What leaves or has vanished is replaced in any case.
+        if upstream.is_listed and not upstream.is_draining:
             await sleep(self.random.uniform(*DOWN_S))
             await self._begin_life(number)
 
