--- a/packages/daemon/src/plankspindle_daemon/quarantine/crash_probe.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/crash_probe.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import Factory
+from curio import sleep
 
 from plankspindle_core.classes import define
 from plankspindle_core.http.client_connection import ClientConnection
@@ -28,6 +29,8 @@
 """Longest wait for a connection to an upstream that broke a request off, in seconds."""
 LIFE_S = 5.0
 """Time in which an upstream whose lives nobody numbers ends once, in seconds."""
+SETTLE_S = 0.03
+"""Time in which the ends of all connections of a process arrive, in seconds."""
 MAX_ENDED = 1_024
 """Lives that are known to have ended."""
 
@@ -113,6 +116,7 @@
         await self._report(life, lost)
 
     async def _has_ended(self, endpoint: Endpoint) -> bool:
+        await sleep(SETTLE_S)
         if self.pool.has_quiet(endpoint):
             return False
         connection = ClientConnection(endpoint=endpoint)
--- a/packages/daemon/src/plankspindle_daemon/quarantine/quarantine.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/quarantine.py
@@ -68,6 +68,8 @@
         What is held back.
     is_unsaved : bool
         Whether something was decided here that the platform does not hold yet.
+    is_in_doubt : bool
+        Whether an upstream ended here under a request that others may hold back.
     reported, refused : int
         Ends of upstreams that were noticed here, and requests that were held back here.
     changes : list of QuarantineChange
@@ -85,6 +87,7 @@
     cases: CrashCases = Factory(CrashCases)
     listed: QuarantineList = Factory(QuarantineList)
     is_unsaved: bool = False
+    is_in_doubt: bool = False
     reported: int = 0
     refused: int = 0
     changes: list[QuarantineChange] = Factory(list)
@@ -146,6 +149,7 @@
         self.reported += 1
         if identity in self.listed.entries_by_identity:
             return []
+        self.is_in_doubt = True
         self._watch(identity, now)
         ago_ms = round(1000 * max(0.0, now - at))
         report = CrashReport(identity=identity, life=life, ago_ms=ago_ms)
--- a/packages/daemon/src/plankspindle_daemon/quarantine/quarantine_store.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/quarantine_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from random import Random
 from typing import Any
@@ -28,6 +29,8 @@
 from plankspindle_daemon.quarantine.request_identity import identity_text
 
 ROW = "quarantine"
+DOUBT_S = 2.0
+"""Least time between two reads that ends of upstreams lead to, in seconds."""
 RETRY_S = 1.0
 """Pause after a call that failed, in seconds."""
 MAX_TRIALS = 65_535
@@ -49,7 +52,8 @@
     Notes
     -----
     Entry VMs tell one another within a second or two, but when all of them end at once
-    none is left that knows. All entries stand in one row: it is read once a start, and
+    none is left that knows, and one that is cut off from the others hears nothing. All
+    entries stand in one row: it is read once a start and where an upstream ends, and
     written only when a request is put in quarantine, tried or released.
     """
 
@@ -57,6 +61,7 @@
     platform: PlatformClient
     random: Random
     _wakes: Any = Factory(Event)
+    _read_at: float = -math.inf
 
     async def run(self) -> None:
         """Keep it for ever."""
@@ -65,19 +70,24 @@
         while True:
             await self._wakes.wait()
             self._wakes.clear()
+            if self.quarantine.is_in_doubt:
+                await self._read()
             while self.quarantine.is_unsaved:
                 if not await self._save():
                     await self._pause()
 
     async def look(self) -> None:
-        """Begin to write if something was decided here."""
-        if self.quarantine.is_unsaved and not self._wakes.is_set():
+        """Begin to write what was decided here, or to read what others decided."""
+        may_read = monotonic() - self._read_at >= DOUBT_S
+        if self.quarantine.is_unsaved or (self.quarantine.is_in_doubt and may_read):
             await self._wakes.set()
 
     async def _pause(self) -> None:
         await sleep(RETRY_S * self.random.uniform(0.8, 1.2))
 
     async def _read(self) -> Result[Row, PlatformUnavailable]:
+        self.quarantine.is_in_doubt = False
+        self._read_at = monotonic()
         read = await self.platform.read_row(ROW)
         if read.is_ok():
             for entry in _entries_of(read.unwrap().value):
--- a/packages/daemon/tests/quarantine/test_quarantine_store.py
+++ b/packages/daemon/tests/quarantine/test_quarantine_store.py
@@ -114,6 +114,34 @@
     ]
 
 
+def test_one_that_is_cut_off_learns_of_it_where_an_upstream_ends() -> None:
+    platform = FakePlatform()
+    curio.run(keep_cut_off, platform)
+
+
+async def keep_cut_off(platform: FakePlatform) -> None:
+    """Let the others decide while this VM runs and hears nothing of them."""
+    quarantine = Quarantine.of("a", "ba-1", build_membership("a"))
+    store = QuarantineStore(
+        quarantine=quarantine,
+        platform=platform,  # type: ignore[arg-type]
+        random=Random(1),
+    )
+    task = await curio.spawn(store.run, daemon=True)
+    await curio.sleep(SETTLED_S)
+    await keep(platform, decides=True)
+    store._read_at -= quarantine_store.DOUBT_S
+    for _ in range(3):
+        now = quarantine_store.monotonic()
+        quarantine.note_crash(REQUEST, "d", at=now, now=now)
+        reads = platform.reads
+        await store.look()
+        await curio.sleep(SETTLED_S)
+        assert list(quarantine.listed.entries_by_identity) == [REQUEST]
+    assert platform.reads == reads
+    await task.cancel()
+
+
 @pytest.mark.parametrize(
     "value",
     [
