--- a/packages/client/src/plankspindle_client/explaining/cause.py
+++ b/packages/client/src/plankspindle_client/explaining/cause.py
@@ -82,6 +82,11 @@
         text += " It may have run."
     elif ran == "no":
         text += " It has not run."
+    suspected = story.last("request_suspected")
+    if suspected is not None:
+        identity = suspected.fields.get("identity")
+        text += f" It was not sent again: upstreams ended under the same, {identity}."
+        return text
     decided = story.last("retry_decided")
     if decided is not None and decided.fields.get("taken") == "false":
         text += f" It was not sent again: {decided.fields.get('because')}."
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -49,6 +49,7 @@
 from plankspindle_daemon.quarantine.request_identity import RequestIdentity
 from plankspindle_daemon.stories.steps import HeldBack
 from plankspindle_daemon.stories.steps import SentOn
+from plankspindle_daemon.stories.steps import Suspected
 from plankspindle_daemon.stories.story import Ending
 from plankspindle_daemon.stories.story import Story
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
@@ -58,6 +59,7 @@
     from collections.abc import Callable
 
 QUARANTINED = "quarantined"
+SUSPECTED = "suspected"
 LEAST_RETRY_AFTER_S = 1.0
 """Least time to come back that a request is told which is held back, in seconds."""
 
@@ -207,6 +209,9 @@
         if not quarantine.is_active:
             return None
         now = monotonic()
+        if self.exchange.attempts and quarantine.is_suspected(self.identity.value):
+            self.story.note(Suspected(identity=self.identity.text), now)
+            return Refused(reason=SUSPECTED, retry_after_s=LEAST_RETRY_AFTER_S)
         entry = quarantine.holding(self.identity.value, now)
         if entry is None:
             return None
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/news_outbox.py
@@ -0,0 +1,59 @@
+"""News that is sent several times, since datagrams are lost."""
+
+from __future__ import annotations
+
+from attrs import Factory
+
+from plankspindle_core.classes import define
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+
+REPEATS = 2
+"""Times that news is sent again."""
+REPEAT_S = 0.4
+"""Time between two sendings of the same news, in seconds."""
+MAX_WAITING = 1_024
+"""News that waits to be sent again; older news goes."""
+
+
+@define(kw_only=True)
+class _Repeat:
+    """News that is to be sent again."""
+
+    effects: list[SendToPeer]
+    due: float
+    left: int
+
+
+@define(kw_only=True)
+class NewsOutbox:
+    """Messages that wait to be sent again."""
+
+    _waiting: list[_Repeat] = Factory(list)
+
+    def __len__(self) -> int:
+        """Count the news that waits."""
+        return len(self._waiting)
+
+    def send(self, effects: list[SendToPeer], now: float) -> list[SendToPeer]:
+        """Keep messages that are sent now, to be sent again; give them as they are."""
+        self._keep(_Repeat(effects=effects, due=now + REPEAT_S, left=REPEATS))
+        return effects
+
+    def send_later(self, effects: list[SendToPeer], now: float) -> None:
+        """Keep messages where none can be sent, to be sent from the next tick on."""
+        self._keep(_Repeat(effects=effects, due=now, left=1 + REPEATS))
+
+    def take_due(self, now: float) -> list[SendToPeer]:
+        """Give what is to be sent at this moment."""
+        due = [each for each in self._waiting if now >= each.due]
+        if not due:
+            return []
+        for each in due:
+            each.due = now + REPEAT_S
+            each.left -= 1
+        self._waiting = [each for each in self._waiting if each.left > 0]
+        return [effect for each in due for effect in each.effects]
+
+    def _keep(self, repeat: _Repeat) -> None:
+        if repeat.effects:
+            self._waiting = [*self._waiting, repeat][-MAX_WAITING:]
--- a/packages/daemon/src/plankspindle_daemon/quarantine/quarantine.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/quarantine.py
@@ -18,6 +18,7 @@
 from plankspindle_daemon.quarantine.crash_cases import EVIDENCE_S
 from plankspindle_daemon.quarantine.crash_cases import CrashCase
 from plankspindle_daemon.quarantine.crash_cases import CrashCases
+from plankspindle_daemon.quarantine.news_outbox import NewsOutbox
 from plankspindle_daemon.quarantine.quarantine_change import QuarantineChange
 from plankspindle_daemon.quarantine.quarantine_list import QuarantineEntry
 from plankspindle_daemon.quarantine.quarantine_list import QuarantineList
@@ -27,28 +28,21 @@
     from plankspindle_daemon.membership.membership import Membership
     from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
 
-REPEATS = 2
-"""Times that news is sent again, since datagrams are lost."""
-REPEAT_S = 0.4
 TELL_AGAIN_S = 1.0
 """Least time between two lists told to one member, in seconds."""
 EXPIRE_S = 10.0
 """Period of forgetting what is old, in seconds."""
 MAX_WATCHED = 1_024
+MAX_NEW = 8
+NEW_S = 60.0
+"""Requests that are put in quarantine within some seconds, at most.
+
+Where upstreams crash under more of them, it is the upstreams: a release that ends under
+any request must not leave each popular one held back once it is undone.
+"""
 MAX_CHANGES = 64
 """Changes that are kept for the log."""
 ENTRIES_PER_MESSAGE = 32
-MAX_REPEATS = 1_024
-"""News that waits to be sent again; older news goes."""
-
-
-@define(kw_only=True)
-class _Repeat:
-    """News that is to be sent again."""
-
-    effects: list[SendToPeer]
-    due: float
-    left: int
 
 
 @define(kw_only=True)
@@ -92,7 +86,8 @@
     refused: int = 0
     changes: list[QuarantineChange] = Factory(list)
     _watched_at_by_identity: dict[int, float] = Factory(dict)
-    _repeats: list[_Repeat] = Factory(list)
+    _suspected_at_by_identity: dict[int, float] = Factory(dict)
+    outbox: NewsOutbox = Factory(NewsOutbox)
     _told_at_by_vm: dict[str, float] = Factory(dict)
     _next_expiry: float = -math.inf
 
@@ -109,6 +104,17 @@
         """Whether requests must be identified: some are held back or watched."""
         return bool(self.listed.entries_by_identity or self._watched_at_by_identity)
 
+    def is_suspected(self, identity: int) -> bool:
+        """Tell whether several upstreams ended under a request.
+
+        Notes
+        -----
+        It may be tried again by its caller, but is sent to one upstream a try: of two
+        upstreams that such a request ends, the second brings no further evidence of
+        worth, and fails all that is in flight there.
+        """
+        return identity in self._suspected_at_by_identity
+
     def holding(self, identity: int, now: float) -> QuarantineEntry | None:
         """Give the entry by which a request is held back now; None to send it.
 
@@ -127,7 +133,7 @@
             self.is_unsaved = True
             self._note("quarantine_trial", identity, trial=tried.trials)
             news = CrashNews(sender=self.vm, quarantined=(_told(tried, now),))
-            self._repeats.append(_Repeat(effects=self._to_all(news), due=now, left=1))
+            self.outbox.send_later(self._to_all(news), now)
             return None
         self.refused += 1
         return entry
@@ -169,9 +175,9 @@
         """Release a request at all entry VMs."""
         if identity not in self.listed.entries_by_identity:
             return []
-        self._take_clearance(identity, now)
+        self._take_clearance(identity, now, now)
         self.is_unsaved = True
-        return self._send(self._to_all(self._clearance(identity)), now)
+        return self.outbox.send(self._to_all(self._clearance(identity)), now)
 
     def _clearance(self, identity: int) -> CrashNews:
         cleared = Clearance(identity=identity, ago_ms=0)
@@ -191,11 +197,12 @@
         """
         effects: list[SendToPeer] = []
         for identity in news.watched:
-            self._watch(identity, now)
+            self._suspect(identity, now)
         for each in news.quarantined:
             self._take_entry(each, now)
         for cleared in news.cleared:
-            self._take_clearance(cleared.identity, now - cleared.ago_ms / 1000)
+            at = now - cleared.ago_ms / 1000
+            effects += self._take_clearance(cleared.identity, at, now)
         for report in news.reports:
             effects += self._take_report(report, reply_to, now)
         return effects
@@ -225,8 +232,7 @@
         if self.cases.cases_by_identity:
             for case in self.cases.take_due(now):
                 effects += self._put_in(case, now)
-        if self._repeats:
-            effects += self._due_repeats(now)
+        effects += self.outbox.take_due(now)
         if now >= self._next_expiry:
             self._next_expiry = now + EXPIRE_S
             self._expire(now)
@@ -239,6 +245,10 @@
 
     def _put_in(self, case: CrashCase, now: float) -> list[SendToPeer]:
         """Put a request in quarantine, and tell all of it."""
+        known = self.listed.entries_by_identity.values()
+        if sum(now - each.since < NEW_S for each in known) >= MAX_NEW:
+            self._note("quarantine_withheld", case.identity, others=MAX_NEW)
+            return []
         entry = QuarantineEntry(identity=case.identity, since=now)
         if not self.listed.add(entry):
             return []
@@ -250,7 +260,7 @@
         )
         told = evolve(_told(entry, now), lives=lives)
         news = CrashNews(sender=self.vm, quarantined=(told,))
-        return self._send(self._to_all(news), now)
+        return self.outbox.send(self._to_all(news), now)
 
     def _take_report(
         self, report: CrashReport, reply_to: Endpoint | None, now: float
@@ -265,7 +275,7 @@
         at = now - report.ago_ms / 1000
         if not self.cases.note(report.identity, report.life, at=at, now=now):
             return []
-        self._watch(report.identity, now)
+        self._suspect(report.identity, now)
         case = self.cases.cases_by_identity[report.identity]
         self._note(
             "request_watched",
@@ -273,7 +283,7 @@
             upstreams=",".join(case.ended_at_by_life),
         )
         watch = CrashNews(sender=self.vm, watched=(report.identity,))
-        return self._send(self._to_all(watch), now)
+        return self.outbox.send(self._to_all(watch), now)
 
     def _take_entry(self, told: Quarantined, now: float) -> None:
         entry = QuarantineEntry(
@@ -284,16 +294,23 @@
             self._note("request_quarantined", told.identity, by="member")
         self.cases.explain(told.lives)
 
-    def _take_clearance(self, identity: int, at: float) -> None:
+    def _take_clearance(self, identity: int, at: float, now: float) -> list[SendToPeer]:
+        """Forget what speaks against a request; tell all that had been told of it."""
+        case = self.cases.cases_by_identity.get(identity)
         self.cases.clear(identity)
+        self._suspected_at_by_identity.pop(identity, None)
         if self.listed.clear(identity, at):
             self._note("quarantine_lifted", identity)
+        if case is None or case.watched_at is None:
+            return []
+        return self.outbox.send(self._to_all(self._clearance(identity)), now)
+
+    def _suspect(self, identity: int, now: float) -> None:
+        self._watch(identity, now)
+        _keep_newest(self._suspected_at_by_identity, identity, now)
 
     def _watch(self, identity: int, now: float) -> None:
-        watched = self._watched_at_by_identity
-        watched[identity] = now
-        while len(watched) > MAX_WATCHED:
-            del watched[min(watched, key=watched.__getitem__)]
+        _keep_newest(self._watched_at_by_identity, identity, now)
 
     def _tell_counting(
         self, identity: int, news: CrashNews, now: float
@@ -308,27 +325,12 @@
             for report in news.reports:
                 own += self._take_report(report, None, now)
             for cleared in news.cleared:
-                self._take_clearance(cleared.identity, now)
-        return [*own, *self._send(effects, now)]
+                own += self._take_clearance(cleared.identity, now, now)
+        return [*own, *self.outbox.send(effects, now)]
 
     def _to_all(self, news: CrashNews) -> list[SendToPeer]:
         return [SendToPeer(message=news, to=each) for each in self.counting.others()]
 
-    def _send(self, effects: list[SendToPeer], now: float) -> list[SendToPeer]:
-        """Send now, and again later."""
-        if effects:
-            repeat = _Repeat(effects=effects, due=now + REPEAT_S, left=REPEATS)
-            self._repeats = [*self._repeats, repeat][-MAX_REPEATS:]
-        return effects
-
-    def _due_repeats(self, now: float) -> list[SendToPeer]:
-        due = [each for each in self._repeats if now >= each.due]
-        for each in due:
-            each.due = now + REPEAT_S
-            each.left -= 1
-        self._repeats = [each for each in self._repeats if each.left > 0]
-        return [effect for each in due for effect in each.effects]
-
     def _whole(self, now: float) -> list[CrashNews]:
         """Give all that is held back or was cleared, in parts."""
         held = [_told(e, now) for e in self.listed.entries_by_identity.values()]
@@ -348,11 +350,9 @@
 
     def _expire(self, now: float) -> None:
         self.listed.expire(now)
-        self._watched_at_by_identity = {
-            identity: at
-            for identity, at in self._watched_at_by_identity.items()
-            if now - at <= EVIDENCE_S
-        }
+        for times in (self._watched_at_by_identity, self._suspected_at_by_identity):
+            for identity in [i for i, at in times.items() if now - at > EVIDENCE_S]:
+                del times[identity]
         self._told_at_by_vm = {
             vm: at for vm, at in self._told_at_by_vm.items() if now - at < TELL_AGAIN_S
         }
@@ -362,6 +362,14 @@
         self.changes = [*self.changes, change][-MAX_CHANGES:]
 
 
+def _keep_newest(times: dict[int, float], identity: int, now: float) -> None:
+    """Note a time, and forget the oldest beyond the bound."""
+    times.pop(identity, None)
+    times[identity] = now
+    if len(times) > MAX_WATCHED:
+        del times[next(iter(times))]
+
+
 def _told(entry: QuarantineEntry, now: float) -> Quarantined:
     return Quarantined(
         identity=entry.identity,
--- a/packages/daemon/src/plankspindle_daemon/stories/steps.py
+++ b/packages/daemon/src/plankspindle_daemon/stories/steps.py
@@ -270,6 +270,20 @@
     retry_after_ms: int
 
 
+@frozen(kw_only=True)
+class Suspected:
+    """The request is not sent to another upstream, since several ended under it.
+
+    Parameters
+    ----------
+    identity : str
+        The request, whatever its tries' ids.
+    """
+
+    EVENT: ClassVar[str] = "request_suspected"
+    identity: str
+
+
 Step = (
     Routed
     | ClaimDecided
@@ -281,4 +295,5 @@
     | AttemptEnded
     | RetryDecided
     | HeldBack
+    | Suspected
 )
--- a/packages/daemon/tests/quarantine/test_quarantine.py
+++ b/packages/daemon/tests/quarantine/test_quarantine.py
@@ -10,7 +10,8 @@
 from plankspindle_daemon.peer_messages.crash_news import CrashNews
 from plankspindle_daemon.quarantine.counting_vms import COUNTING
 from plankspindle_daemon.quarantine.crash_cases import CONTEST_S
-from plankspindle_daemon.quarantine.quarantine import MAX_REPEATS
+from plankspindle_daemon.quarantine.news_outbox import MAX_WAITING
+from plankspindle_daemon.quarantine.quarantine import MAX_NEW
 from plankspindle_daemon.quarantine.quarantine import MAX_WATCHED
 from plankspindle_daemon.quarantine.quarantine import Quarantine
 from plankspindle_daemon.quarantine.quarantine_list import TRIAL_S
@@ -90,6 +91,30 @@
     assert talk.holding(5.0) == [False] * 9
 
 
+def test_what_was_suspected_and_answered_may_be_sent_to_another_upstream() -> None:
+    talk = Talk(9)
+    talk.crash("a", "b", now=1.0)
+    suspected = [talk.by_name[name].is_suspected(REQUEST) for name in talk.names]
+    assert suspected == [True] * 9
+    seen = talk.by_name["vm-7"].note_answered(REQUEST, 1.2)
+    talk.carry("vm-7", seen, 1.2)
+    suspected = [talk.by_name[name].is_suspected(REQUEST) for name in talk.names]
+    assert suspected == [False] * 9
+
+
+def test_upstreams_that_crash_under_any_request_hold_few_back() -> None:
+    quarantine = Talk(1).by_name["vm-0"]
+    for request in range(5 * MAX_NEW):
+        for life in "abc":
+            quarantine.note_crash(request, life, at=1.0, now=1.0)
+    quarantine.tick(2.0)
+    assert len(quarantine.listed.entries_by_identity) <= MAX_NEW
+    for life in "abc":
+        quarantine.note_crash(REQUEST, f"later {life}", at=90.0, now=90.0)
+    quarantine.tick(91.0)
+    assert quarantine.holding(REQUEST, 91.0) is not None
+
+
 def test_it_is_let_through_by_one_entry_vm_once_and_released_by_an_answer() -> None:
     talk = Talk(9)
     talk.crash("a", "b", "c", now=1.0)
@@ -140,4 +165,4 @@
     for request in range(3 * MAX_WATCHED):
         quarantine.note_crash(request, f"{request}", at=1.0, now=1.0)
     assert len(quarantine._watched_at_by_identity) == MAX_WATCHED
-    assert len(quarantine._repeats) <= MAX_REPEATS
+    assert len(quarantine.outbox) <= MAX_WAITING
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/lab/ends.py
@@ -0,0 +1,53 @@
+"""How attempts end, as dispatchers are told."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from plankspindle_daemon.dispatch.messages import Ended
+from plankspindle_daemon.dispatch.messages import Verdict
+
+if TYPE_CHECKING:
+    from plankspindle_testkit.lab.requests import Handled
+
+
+def ended_of(
+    handled: Handled,
+    upstream: str,
+    verdict: Verdict,
+    now: float,
+    load: int | None = None,
+) -> Ended:
+    """Give the end of the present attempt of a request.
+
+    Parameters
+    ----------
+    handled : Handled
+        The request.
+    upstream : str
+        Where it was.
+    verdict : Verdict
+        How it ended.
+    now : float
+        Seconds of the run.
+    load : int, optional
+        Requests that ran and waited there, as the answer told.
+    """
+    return Ended(
+        ticket=handled.ticket,
+        upstream=upstream,
+        verdict=verdict,
+        reported_load=load,
+        incarnation=handled.incarnation,
+        waited_s=now - handled.sent_at,
+    )
+
+
+def given_back(handled: Handled, upstream: str, incarnation: int) -> Ended:
+    """Give the end of a request that is not sent to the upstream that it got."""
+    return Ended(
+        ticket=handled.ticket,
+        upstream=upstream,
+        verdict=Verdict.CANCELLED,
+        incarnation=incarnation,
+    )
--- a/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
@@ -23,6 +23,8 @@
 from plankspindle_testkit.lab.clock import Clock
 from plankspindle_testkit.lab.crash_record import CrashRecord
 from plankspindle_testkit.lab.deployment import Deployment
+from plankspindle_testkit.lab.ends import ended_of
+from plankspindle_testkit.lab.ends import given_back
 from plankspindle_testkit.lab.modelled_upstream import Work
 from plankspindle_testkit.lab.oracle import Oracle
 from plankspindle_testkit.lab.outcomes import Outcome
@@ -144,6 +146,10 @@
         return True
 
     def _place(self, handled: Handled) -> None:
+        quarantine, identity = handled.vm.quarantine, handled.request.identity
+        if handled.attempts and quarantine.is_suspected(identity):
+            self._end(handled, Outcome.FAILED)
+            return
         if self._is_held_back(handled):
             return
         if self.oracle is None:
@@ -177,7 +183,7 @@
 
     def _send(self, handled: Handled, upstream: str, incarnation: int) -> None:
         if handled.vm.quarantine.is_active and self._is_held_back(handled):
-            self._tell(handled, self._given_back(handled, upstream, incarnation))
+            self._tell(handled, given_back(handled, upstream, incarnation))
             return
         handled.upstream, handled.incarnation = upstream, incarnation
         handled.attempts += 1
@@ -241,7 +247,7 @@
         upstream = handled.upstream
         assert upstream is not None
         self._drop(upstream, handled.attempt)
-        ended = self._ended(handled, upstream, verdict, load)
+        ended = ended_of(handled, upstream, verdict, self.clock.now, load)
         handled.upstream, handled.attempt = None, AT_NO_UPSTREAM
         excluded = handled.ticket.excluded | frozenset({upstream})
         handled.ticket = handled.ticket.excluding(excluded)
@@ -252,30 +258,6 @@
         else:
             self._refuse(handled, 0.0)
 
-    def _ended(
-        self,
-        handled: Handled,
-        upstream: str,
-        verdict: Verdict,
-        load: int | None = None,
-    ) -> Ended:
-        return Ended(
-            ticket=handled.ticket,
-            upstream=upstream,
-            verdict=verdict,
-            reported_load=load,
-            incarnation=handled.incarnation,
-            waited_s=self.clock.now - handled.sent_at,
-        )
-
-    def _given_back(self, handled: Handled, upstream: str, incarnation: int) -> Ended:
-        return Ended(
-            ticket=handled.ticket,
-            upstream=upstream,
-            verdict=Verdict.CANCELLED,
-            incarnation=incarnation,
-        )
-
     def _drop(self, upstream: str, attempt: int) -> None:
         """Break off an attempt: its connection is closed."""
         self._by_attempt.pop(attempt, None)
@@ -293,7 +275,9 @@
             self._tell(handled, Withdrawn(handled.ticket.id))
             return
         self._drop(upstream, handled.attempt)
-        self._tell(handled, self._ended(handled, upstream, Verdict.TIMED_OUT))
+        self._tell(
+            handled, ended_of(handled, upstream, Verdict.TIMED_OUT, self.clock.now)
+        )
 
     def _reach(self, handled: Handled, upstream: str, work: Work) -> None:
         if handled.is_over or handled.attempt != work.number:
@@ -367,7 +351,7 @@
         assert upstream is not None
         self._by_attempt.pop(attempt, None)
         self._end(handled, Outcome.FAILED)
-        self._tell(handled, self._ended(handled, upstream, verdict))
+        self._tell(handled, ended_of(handled, upstream, verdict, self.clock.now))
 
     def _end_work(
         self, upstream: ModelledUpstream, work: Work, incarnation: int
