--- a/packages/testkit/src/plankspindle_testkit/processes.py
+++ b/packages/testkit/src/plankspindle_testkit/processes.py
@@ -65,6 +65,7 @@
         *,
         platform: Endpoint,
         reads_log: bool = True,
+        prelude: str = "",
         **sections: Any,
     ) -> None:
         """Start a daemon, writing its settings first.
@@ -77,6 +78,8 @@
             The platform stand-in.
         reads_log : bool
             Whether anybody reads what it writes; otherwise the pipe runs full.
+        prelude : str
+            Statements that run before the daemon, to change it.
         **sections : object
             Sections of the settings.
         """
@@ -84,7 +87,7 @@
         path = self.folder / f"{place.name}.yaml"
         path.write_text(yaml.safe_dump(mapping), encoding="utf-8")
         entry = "from plankspindle_daemon.console.entry_point import main; main()"
-        command = [sys.executable, "-c", entry, "run", str(path)]
+        command = [sys.executable, "-c", f"{prelude}\n{entry}", "run", str(path)]
         self._start(place.name, command, reads_log=reads_log)
 
     def _start(self, name: str, command: list[str], *, reads_log: bool = True) -> None:
