--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -31,6 +31,7 @@
 from plankspindle_daemon.node.effect_runner import EffectRunner
 from plankspindle_daemon.node.list_follower import ListFollower
 from plankspindle_daemon.node.make_node import make_node
+from plankspindle_daemon.node.pause_watch import PauseWatch
 from plankspindle_daemon.node.presence_keeper import PresenceKeeper
 from plankspindle_daemon.observability.measures import Measures
 from plankspindle_daemon.observability.metrics import RequestMetrics
@@ -172,6 +173,12 @@
             period_s=timing.live_list_ms / 1000,
         )
         self._effects.take_news = self._lists.take_news
+        self._pauses = PauseWatch(
+            node=self.node,
+            effects=self._effects,
+            lists=self._lists,
+            pause_s=lambda: self.settings.timing.pause_ms / 1000,
+        )
         self._presence = PresenceKeeper(node=self.node, presence=self._ports.presence)
 
     def _make_ticker(self) -> Ticker:
@@ -179,13 +186,12 @@
             node=self.node,
             effects=self._effects,
             dispatch=self._dispatch,
-            lists=self._lists,
+            pauses=self._pauses,
             quarantine=self._quarantine,
             beliefs=self._beliefs,
             calls=self._platform.calls,
             supervisor=self._supervisor,
             running=lambda: self._callers.running,
-            pause_s=lambda: self.settings.timing.pause_ms / 1000,
             log=self._log,
         )
 
@@ -208,6 +214,7 @@
                 dialect=dialect,
                 stories=StoryLog(vm=self.settings.vm),
                 crashes=self._crashes,
+                pauses=self._pauses,
             ),
             metrics=requests,
         )
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -43,8 +43,10 @@
 from plankspindle_daemon.listeners.idempotency_gate import SendHome
 from plankspindle_daemon.listeners.request_reader import AskedFor
 from plankspindle_daemon.listeners.request_reader import RequestReader
+from plankspindle_daemon.listeners.request_terms import RequestTerms
 from plankspindle_daemon.node.dispatch_runner import DispatchRunner
 from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.node.pause_watch import PauseWatch
 from plankspindle_daemon.observability.metrics import RequestMetrics
 from plankspindle_daemon.quarantine.crash_probe import CrashProbe
 from plankspindle_daemon.quarantine.request_identity import RequestIdentity
@@ -58,7 +60,6 @@
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
 
 if TYPE_CHECKING:
-    from plankspindle_core.configuration.operation import Operation
     from plankspindle_core.http.headers import HeaderList
     from plankspindle_core.http.server_exchange import ServerExchange
     from plankspindle_daemon.admission.caller_directory import Identity
@@ -67,12 +68,6 @@
     from plankspindle_daemon.headroom.grant_book import HeldGrant
 
 
-@frozen(kw_only=True)
-class _RequestTerms:
-    deadline_ms: int
-    deadline: float
-
-
 @frozen(kw_only=True)
 class _Way:
     route: Route
@@ -107,6 +102,8 @@
         What logs requests when they end.
     crashes : CrashProbe
         What learns of upstreams that end under requests.
+    pauses : PauseWatch
+        What notices that the process stood still.
 
     Attributes
     ----------
@@ -124,6 +121,7 @@
     dialect: Dialect
     stories: StoryLog
     crashes: CrashProbe
+    pauses: PauseWatch
     running: int = 0
     _ticket_numbers: count[int] = field(factory=count)
 
@@ -134,6 +132,7 @@
             self._id_of(source), now=monotonic(), wall=time.time()
         )
         try:
+            await self.pauses.look()
             await self._serve_counted(source, story)
         except CallerGoneError:
             raise
@@ -157,7 +156,7 @@
             await refuse(source, read.unwrap_err(), story)
             return
         asked = read.unwrap()
-        terms = _work_out_terms(asked)
+        terms = RequestTerms.of(asked)
         self._note_routed(story, asked, terms)
         if not self.node.accepts(monotonic()):
             await answer_with_outcome(source, _not_run("leaving"), self.dialect, story)
@@ -177,7 +176,7 @@
         finally:
             self.node.headroom.end_moved(request.service, request.grant)
 
-    def _note_routed(self, story: Story, asked: AskedFor, terms: _RequestTerms) -> None:
+    def _note_routed(self, story: Story, asked: AskedFor, terms: RequestTerms) -> None:
         now = monotonic()
         adopted_at = self.node.adopted_at
         story.service = asked.request.service
@@ -202,7 +201,7 @@
         self,
         source: ServerExchange,
         asked: AskedFor,
-        terms: _RequestTerms,
+        terms: RequestTerms,
         story: Story,
     ) -> None:
         limit = self.settings.requests.max_keyed_body_bytes
@@ -227,7 +226,7 @@
         source: ServerExchange,
         asked: AskedFor,
         body: RequestBody,
-        terms: _RequestTerms,
+        terms: RequestTerms,
         held: HeldGrant | None,
         story: Story,
     ) -> _Way | Answered:
@@ -269,7 +268,7 @@
         source: ServerExchange,
         asked: AskedFor,
         body: RequestBody,
-        terms: _RequestTerms,
+        terms: RequestTerms,
         way: _Way,
         story: Story,
     ) -> RequestRunner:
@@ -318,7 +317,7 @@
             crashes=self.crashes,
         )
 
-    def _make_ticket(self, asked: AskedFor, terms: _RequestTerms) -> Ticket:
+    def _make_ticket(self, asked: AskedFor, terms: RequestTerms) -> Ticket:
         return Ticket(
             id=next(self._ticket_numbers),
             rank=asked.identity.rank,
@@ -378,23 +377,5 @@
     return request.idempotency_key is not None or request.request_id is not None
 
 
-def _work_out_terms(asked: AskedFor) -> _RequestTerms:
-    wall_ms = int(time.time() * 1000)
-    deadline_ms = _deadline_ms(asked.request, asked.operation, wall_ms)
-    return _RequestTerms(
-        deadline_ms=deadline_ms,
-        deadline=monotonic() + (deadline_ms - wall_ms) / 1000,
-    )
-
-
-def _deadline_ms(request: CallerRequest, operation: Operation, now_ms: int) -> int:
-    deadline = now_ms + operation.timeout_ms
-    if request.timeout_ms is not None:
-        deadline = min(deadline, now_ms + request.timeout_ms)
-    if request.deadline_ms is not None:
-        deadline = min(deadline, request.deadline_ms)
-    return deadline
-
-
 def _not_run(reason: str) -> AnswerCaller:
     return AnswerCaller(status=503, outcome=Outcome.NOT_RUN, reason=reason)
--- a/packages/daemon/src/plankspindle_daemon/ticker.py
+++ b/packages/daemon/src/plankspindle_daemon/ticker.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from contextlib import suppress
 
-from attrs import field
 from curio import TaskTimeout
 from curio import sleep
 
@@ -20,8 +19,8 @@
 from plankspindle_daemon.leaving.leave import Left
 from plankspindle_daemon.node.dispatch_runner import DispatchRunner
 from plankspindle_daemon.node.effect_runner import EffectRunner
-from plankspindle_daemon.node.list_follower import ListFollower
 from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.node.pause_watch import PauseWatch
 from plankspindle_daemon.platform.bounded_calls import BoundedCalls
 from plankspindle_daemon.quarantine.quarantine_store import QuarantineStore
 
@@ -51,8 +50,8 @@
         The decisions.
     effects, dispatch : EffectRunner, DispatchRunner
         What carries them out.
-    lists : ListFollower
-        What may have waited through a pause of the process.
+    pauses : PauseWatch
+        What notices that the process stood still.
     quarantine : QuarantineStore
         What keeps requests that are held back at the platform.
     beliefs : BeliefWatch
@@ -63,9 +62,6 @@
         What knows of tasks that ended by an error.
     running : callable
         Gives the requests that run here.
-    pause_s : callable
-        Gives the time between two ticks from which on the process stood still, in
-        seconds.
     log : KeyValueDestination, optional
         Where events go, to be flushed now and then.
     """
@@ -73,15 +69,13 @@
     node: Node
     effects: EffectRunner
     dispatch: DispatchRunner
-    lists: ListFollower
+    pauses: PauseWatch
     quarantine: QuarantineStore
     beliefs: BeliefWatch
     calls: BoundedCalls
     supervisor: Supervisor
     running: Callable[[], int]
-    pause_s: Callable[[], float]
     log: KeyValueDestination | None = None
-    _last_tick: float = field(factory=monotonic)
     _next_watch: float = 0.0
 
     async def run(self) -> None:
@@ -89,8 +83,8 @@
         while True:
             await self._rest_until_tick()
             self.supervisor.check()
+            await self.pauses.look()
             now = monotonic()
-            await self._notice_pause(now)
             await self.effects.perform(self.node.tick(now=now, wall=time.time()))
             await self.quarantine.look()
             self._watch(now)
@@ -110,16 +104,6 @@
         begins_to_wait.clear()
         await sleep(TICK_S)
 
-    async def _notice_pause(self, now: float) -> None:
-        gap = now - self._last_tick
-        self._last_tick = now
-        if gap > self.pause_s():
-            log_event("paused", seconds=round(gap, 3))
-            await self.lists.read_anew()
-            await self.effects.perform(
-                self.node.wake_from_pause(now=now, wall=time.time())
-            )
-
     def _watch(self, now: float) -> None:
         """Log what is believed newly, and hand on the log."""
         if now >= self._next_watch:
