--- a/tests/fleet/soak/upstreams.py
+++ b/tests/fleet/soak/upstreams.py
@@ -160,6 +160,7 @@
     lives: list[Upstream] = Factory(list)
     runs_by_id: dict[str, list[Run]] = Factory(dict)
     crashed_at_by_path: dict[str, list[float]] = Factory(dict)
+    crashed: list[Upstream] = Factory(list)
     _servers: list[HttpServer] = Factory(list)
 
     async def start(self) -> None:
@@ -261,6 +262,7 @@
         crashed_at = self.crashed_at_by_path.setdefault(path, [])
         crashed_at.append(monotonic())
         upstream.crashed_at = monotonic()
+        self.crashed.append(upstream)
         await self._servers[number].close()
         await spawn(self._forget, upstream, daemon=True)
         # What leaves or has vanished is replaced in any case.
--- a/tests/fleet/test_fleet_soak.py
+++ b/tests/fleet/test_fleet_soak.py
@@ -304,6 +304,25 @@
     assert check_lapse(checks, status=504) == {"served again"}
 
 
+@pytest.mark.parametrize(("service", "found"), [("vault", set()), ("desk", {"served"})])
+def test_reads_need_not_be_served_just_after_an_upstream_of_theirs_crashed(
+    service: str, found: set[str]
+) -> None:
+    checks = build_checks()
+    crashed = Upstream(
+        name="i-9", service=service, zone="", endpoint=VAULT.endpoint, crashed_at=24.5
+    )
+    for number in range(40):
+        sent_at = 25.2 + number / 10
+        at = (VAULT, SECOND_VAULT)[number % 2]
+        times = {"sent_at": sent_at, "ended_at": sent_at + 0.05}
+        take(checks, at, has_key=True, status=504, **times)
+    lapse = Lapse(ended_at=20.0, back_at=[(VAULT, 21.0)])
+    lapses = LapseChecks(checks=checks, crashed=[crashed], lapses=[lapse])
+    lapses.check([VAULT, SECOND_VAULT], 40.0)
+    assert {each.check.split()[0] for each in checks.broken} == found
+
+
 def test_a_refused_request_that_ran_is_found() -> None:
     checks = build_checks()
     told = build_told(status=503)
