--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -209,7 +209,7 @@
         if not quarantine.is_active:
             return None
         now = monotonic()
-        if self.exchange.attempts and quarantine.is_suspected(self.identity.value):
+        if self.exchange.may_have_run and quarantine.is_suspected(self.identity.value):
             self.story.note(Suspected(identity=self.identity.text), now)
             return Refused(reason=SUSPECTED, retry_after_s=LEAST_RETRY_AFTER_S)
         entry = quarantine.holding(self.identity.value, now)
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/crash_news.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/crash_news.py
@@ -74,6 +74,9 @@
         Ends of upstreams that it noticed, for those that count them.
     watched : tuple of int
         Requests whose answers are to be told, since several upstreams ended under them.
+    suspected : tuple of int
+        Those of them under which upstreams ended one after the other, of which a try is
+        sent to one upstream only.
     quarantined : tuple of Quarantined
         Requests that are held back.
     cleared : tuple of Clearance
@@ -83,5 +86,6 @@
     sender: str
     reports: tuple[CrashReport, ...] = ()
     watched: tuple[int, ...] = ()
+    suspected: tuple[int, ...] = ()
     quarantined: tuple[Quarantined, ...] = ()
     cleared: tuple[Clearance, ...] = ()
--- a/packages/daemon/src/plankspindle_daemon/quarantine/crash_cases.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/crash_cases.py
@@ -16,6 +16,11 @@
 """Upstreams that end under a request before it is put in quarantine."""
 WATCHED_FROM = 2
 """Upstreams that end under a request before all entry VMs look for an answer to it."""
+APART_S = 0.15
+"""Least time between the first and the last end that make one suspected, in seconds.
+
+Upstreams that end at one moment have a cause in common, which need not be the request.
+"""
 CONTEST_S = 0.7
 """Time in which an answer clears a watched request, in seconds.
 
@@ -42,11 +47,32 @@
         When lives of upstreams ended, monotonic seconds.
     watched_at : float, optional
         Since when all entry VMs look for an answer, monotonic seconds.
+    is_suspected : bool
+        Whether a try of it is sent to one upstream only.
     """
 
     identity: int
     ended_at_by_life: dict[str, float] = Factory(dict)
     watched_at: float | None = None
+    is_suspected: bool = False
+
+    def take_stock(self, now: float) -> bool:
+        """Watch and suspect the request if its ends say so; tell if that is new."""
+        before = (self.watched_at, self.is_suspected)
+        ends = self.ended_at_by_life.values()
+        if len(ends) >= WATCHED_FROM:
+            self.watched_at = now if self.watched_at is None else self.watched_at
+            self.is_suspected |= max(ends) - min(ends) >= APART_S
+        return before != (self.watched_at, self.is_suspected)
+
+    def forget_old(self, now: float) -> None:
+        """Forget ends that do not count any more."""
+        kept = self.ended_at_by_life.items()
+        self.ended_at_by_life = {
+            life: at for life, at in kept if now - at <= EVIDENCE_S
+        }
+        if len(self.ended_at_by_life) < WATCHED_FROM:
+            self.watched_at, self.is_suspected = None, False
 
     def is_due(self, now: float) -> bool:
         """Tell whether the request is to be put in quarantine."""
@@ -87,7 +113,8 @@
         Returns
         -------
         bool
-            Whether all entry VMs are to watch the request from now on.
+            Whether all entry VMs are to be told: they are to watch the request from now
+            on, or it is suspected now.
         """
         if life in self._explained:
             return False
@@ -97,13 +124,10 @@
             while len(self.cases_by_identity) > MAX_CASES:
                 self.cases_by_identity.popitem(last=False)
         self.cases_by_identity.move_to_end(identity)
-        self._forget_old(case, now)
+        case.forget_old(now)
         if len(case.ended_at_by_life) < MAX_LIVES:
             case.ended_at_by_life.setdefault(life, at)
-        if case.watched_at is None and len(case.ended_at_by_life) >= WATCHED_FROM:
-            case.watched_at = now
-            return True
-        return False
+        return case.take_stock(now)
 
     def clear(self, identity: int) -> None:
         """Forget a request that was answered."""
@@ -127,11 +151,3 @@
         for case in due:
             del self.cases_by_identity[case.identity]
         return due
-
-    def _forget_old(self, case: CrashCase, now: float) -> None:
-        kept = case.ended_at_by_life
-        case.ended_at_by_life = {
-            life: at for life, at in kept.items() if now - at <= EVIDENCE_S
-        }
-        if len(case.ended_at_by_life) < WATCHED_FROM:
-            case.watched_at = None
--- a/packages/daemon/src/plankspindle_daemon/quarantine/quarantine.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/quarantine.py
@@ -197,6 +197,8 @@
         """
         effects: list[SendToPeer] = []
         for identity in news.watched:
+            self._watch(identity, now)
+        for identity in news.suspected:
             self._suspect(identity, now)
         for each in news.quarantined:
             self._take_entry(each, now)
@@ -275,14 +277,19 @@
         at = now - report.ago_ms / 1000
         if not self.cases.note(report.identity, report.life, at=at, now=now):
             return []
-        self._suspect(report.identity, now)
+        self._watch(report.identity, now)
         case = self.cases.cases_by_identity[report.identity]
+        suspected = (report.identity,) if case.is_suspected else ()
+        if suspected:
+            self._suspect(report.identity, now)
         self._note(
             "request_watched",
             report.identity,
             upstreams=",".join(case.ended_at_by_life),
         )
-        watch = CrashNews(sender=self.vm, watched=(report.identity,))
+        watch = CrashNews(
+            sender=self.vm, watched=(report.identity,), suspected=suspected
+        )
         return self.outbox.send(self._to_all(watch), now)
 
     def _take_entry(self, told: Quarantined, now: float) -> None:
@@ -306,7 +313,6 @@
         return self.outbox.send(self._to_all(self._clearance(identity)), now)
 
     def _suspect(self, identity: int, now: float) -> None:
-        self._watch(identity, now)
         _keep_newest(self._suspected_at_by_identity, identity, now)
 
     def _watch(self, identity: int, now: float) -> None:
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -87,6 +87,7 @@
     "bases": _Conversion(write=list, read=tuple),
     "reports": _list_of(CrashReport),
     "watched": _Conversion(write=list, read=tuple),
+    "suspected": _Conversion(write=list, read=tuple),
     "quarantined": _list_of(Quarantined),
     "lives": _Conversion(write=list, read=tuple),
     "cleared": _list_of(Clearance),
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -144,6 +144,7 @@
   watched @1 :List(UInt64);
   quarantined @2 :List(Quarantined);
   cleared @3 :List(Clearance);
+  suspected @4 :List(UInt64);
 }
 
 struct PeerMessage {
--- a/packages/daemon/tests/wire/test_wire.py
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -59,6 +59,7 @@
         sender="a",
         reports=(CrashReport(identity=2**64 - 1, life="u#5", ago_ms=3),),
         watched=(1, 2**63),
+        suspected=(2**63,),
         quarantined=(
             Quarantined(identity=7, ago_ms=86_400_000, trials=2, lives=("u#5", "v#0")),
         ),
--- a/packages/testkit/src/plankspindle_testkit/lab/requests.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/requests.py
@@ -84,6 +84,8 @@
         Number of the present attempt.
     sent_at : float
         When that began, in seconds.
+    may_have_run : bool
+        Whether an upstream was lost while it was in flight there.
     is_over : bool
         Whether the request has ended here.
     """
@@ -97,4 +99,5 @@
     incarnation: int = 0
     attempt: int = AT_NO_UPSTREAM
     sent_at: float = 0.0
+    may_have_run: bool = False
     is_over: bool = False
