--- a/packages/client/tests/console/test_explain.py
+++ b/packages/client/tests/console/test_explain.py
@@ -86,6 +86,19 @@
     )
 
 
+def test_a_suspected_request_is_told_with_its_identity() -> None:
+    log = [
+        line("attempt_ended", 1.0, request="q", step=1, attempt=1, upstream="u",
+             verdict="failed", came="connection lost", ran="maybe", took_ms=90),
+        line("request_suspected", 1.0, request="q", step=2, identity="00ab"),
+        line("request_failed", 1.1, request="q", step=3, ending="unknown",
+             status=502, reason="suspected", took_ms=100),
+    ]  # fmt: skip
+    told = explain("q", log=log).output
+    assert "It may have run. It was not sent again: upstreams ended under" in told
+    assert "00ab" in told
+
+
 def test_a_late_answer_is_told_with_its_longest_part() -> None:
     log = [
         line("request_routed", 1.0, request="r", step=1),
--- a/packages/daemon/tests/observability/test_metrics.py
+++ b/packages/daemon/tests/observability/test_metrics.py
@@ -107,6 +107,20 @@
     assert found["plankspindle_configuration_version"] == 7
 
 
+def test_requests_that_are_held_back_are_counted(measures: Measures) -> None:
+    quarantine = measures.node.quarantine
+    for life in "abc":
+        quarantine.note_crash(7, life, at=1.0, now=1.0)
+    quarantine.tick(2.0)
+    assert quarantine.holding(7, 3.0) is not None
+    reader = MetricsReader(measures=measures)
+    found = samples(reader.render().decode())
+    reader.close()
+    assert found["plankspindle_upstream_crashes_reported_total"] == 3
+    assert found["plankspindle_requests_held_back_total"] == 1
+    assert found["plankspindle_quarantined_requests"] == 1
+
+
 def test_metrics_and_state_dump_agree(measures: Measures) -> None:
     reader = MetricsReader(measures=measures)
     found = samples(reader.render().decode())
