--- a/packages/daemon/tests/observability/test_metrics.py
+++ b/packages/daemon/tests/observability/test_metrics.py
@@ -18,6 +18,7 @@
 from plankspindle_daemon.observability.state_dump import dump_measures
 from plankspindle_daemon.platform.bounded_calls import BoundedCalls
 from plankspindle_daemon.platform.bounded_calls import CallKind
+from plankspindle_daemon.quarantine.quarantine import Quarantine
 from plankspindle_daemon.stories.steps import AttemptEnded
 from plankspindle_daemon.stories.steps import Placed
 from plankspindle_daemon.stories.steps import Queued
@@ -25,6 +26,7 @@
 from plankspindle_daemon.stories.steps import RetryDecided
 from plankspindle_daemon.stories.story import Ending
 from plankspindle_daemon.stories.story import Story
+from plankspindle_testkit.builders import build_membership
 
 PLACED = Placed(upstream="u", own_load=0, others_load=0.0, slots=4, latency=1.0)
 
@@ -35,6 +37,9 @@
     dispatchers_by_service: dict[str, Any] = {}
     version = 7
 
+    def __init__(self) -> None:
+        self.quarantine = Quarantine.of("a", "ba-1", build_membership("a"))
+
 
 def build_story() -> Story:
     story = Story(request="r", is_callers_id=True, began_at=10.0, began_wall=0.0)
