--- a/tests/fleet/soak/striker.py
+++ b/tests/fleet/soak/striker.py
@@ -32,6 +32,7 @@
 from soak.layout import GRACE_S
 from soak.layout import ZONES
 from soak.layout import Layout
+from soak.standstills import Standstills
 from soak.store import SoakStore
 from soak.store import Trouble
 from soak.suspendable import SECONDS
@@ -91,8 +92,7 @@
     lives_by_vm: Counter[str] = field(factory=Counter)
     started_at_by_vm: dict[str, float] = field(factory=dict)
     stopped: set[str] = field(factory=set)
-    _stands_still: Counter[str] = field(factory=Counter)
-    _stood_still_at: dict[str, float] = field(factory=dict)
+    standstills: Standstills = field(factory=Standstills)
     _is_evacuating: bool = False
     _operator: Lock = field(factory=Lock)
 
@@ -194,14 +194,12 @@
         span = self.checks.disturbed.begin([vm], monotonic(), is_planned=is_planned)
         if kind in ("stop", "suspend"):
             process.send_signal(signal.SIGSTOP)
-            stopped_at = monotonic()
-            self._stands_still[vm] += 1
+            still = self.standstills.begin(vm, monotonic())
             await sleep(for_s)
             if kind == "suspend":
-                self._add_suspended(vm, monotonic() - stopped_at)
+                self._add_suspended(vm, monotonic() - still.begin)
             process.send_signal(signal.SIGCONT)
-            self._stands_still[vm] -= 1
-            self._stood_still_at[vm] = monotonic()
+            still.end = monotonic()
         else:
             self.stopped.add(vm)
             if kind == "kill":
@@ -225,8 +223,9 @@
 
     async def _end_planned(self, vm: str) -> None:
         process = self.processes.by_name[vm]
-        ran_s = monotonic() - self.started_at_by_vm[vm]
-        asked_at = monotonic()
+        asked_at, started_at = monotonic(), self.started_at_by_vm[vm]
+        still_s = self.standstills.lasted_s(vm, started_at, asked_at)
+        ran_s = asked_at - started_at - still_s
         process.send_signal(signal.SIGTERM)
         try:
             status = await run_in_thread(process.wait, GRACE_S + LATE_END_S)
@@ -240,7 +239,7 @@
 
     def _judge_late_end(self, vm: str, asked_at: float) -> None:
         """Fail a process that runs on, unless it stood still since it was asked."""
-        if self._stands_still[vm] or self._stood_still_at.get(vm, 0.0) > asked_at:
+        if self.standstills.lasted_s(vm, asked_at, monotonic()):
             self.checks.counts["ends of processes that stood still"] += 1
             return
         self.checks.fail("ends", f"{vm} runs on after its grace", monotonic())
--- a/tests/fleet/test_striker.py
+++ b/tests/fleet/test_striker.py
@@ -2,24 +2,34 @@
 
 from __future__ import annotations
 
+from math import inf
+
 import pytest
 from soak.fleet_soak import FleetSoak
 from soak.fleet_soak import Plan
+from soak.standstills import Standstills
 
 VM = "edge-0"
 ASKED_AT = 10.0
 
 
 @pytest.mark.parametrize(
-    ("still", "stood_still_at", "found"),
-    [(0, 9.0, ["ends"]), (0, 11.0, []), (1, 9.0, [])],
+    ("begin", "end", "found"),
+    [(8.0, 9.0, ["ends"]), (9.0, 11.0, []), (9.0, inf, []), (11.0, inf, [])],
 )
 def test_a_process_that_runs_on_fails_unless_it_stood_still_since(
-    still: int, stood_still_at: float, found: list[str]
+    begin: float, end: float, found: list[str]
 ) -> None:
     plan = Plan(seed=1, vms=1, first_port=28_800, seconds=0.0, faults=())
     striker = FleetSoak(plan=plan).striker
-    striker._stands_still[VM] = still
-    striker._stood_still_at[VM] = stood_still_at
+    striker.standstills.begin(VM, begin).end = end
     striker._judge_late_end(VM, ASKED_AT)
     assert [each.check for each in striker.checks.broken] == found
+
+
+def test_standstills_that_overlap_count_once() -> None:
+    standstills = Standstills()
+    for begin, end in ((1.0, 4.0), (2.0, 3.0), (3.0, 6.0), (8.0, inf)):
+        standstills.begin(VM, begin).end = end
+    assert standstills.lasted_s(VM, 2.0, 9.0) == pytest.approx(5.0)
+    assert standstills.lasted_s("edge-1", 2.0, 9.0) == 0.0
