--- /dev/null
+++ b/packages/daemon/tests/quarantine/test_trial_of_a_real_process.py
@@ -0,0 +1,88 @@
+"""A real entry VM lets a quarantined request through now and then.
+
+Seen: found by reading the change. A request that was held back stayed so for good: no
+trial of it ever came to an upstream.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+
+from plankspindle_core import header_names
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.quarantine.crash_cases import CRASHES
+from plankspindle_testkit.builders import GOLD_KEY
+from plankspindle_testkit.builders import VmPlace
+from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.loopback_network import host_of_run
+from plankspindle_testkit.processes import Processes
+from plankspindle_testkit.processes import call
+from plankspindle_testkit.processes import put_in_force
+from plankspindle_testkit.processes import state_of
+from plankspindle_testkit.processes import wait_for_operator_listener
+from plankspindle_testkit.processes import wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+PLATFORM = Endpoint(host_of_run(9, 1), 17000)
+PLACE = VmPlace(
+    name="ba-1-a", failure_domain="ba-1", host=host_of_run(9, 11), base_port=17100
+)
+UPSTREAM = build_upstream(endpoint=Endpoint(host_of_run(9, 21), 17200), slots=4)
+GOLD = (header_names.AUTHORIZATION, b"Bearer " + GOLD_KEY.encode())
+TARGET = "/v1/services/registry/plates/crash"
+LIFE_S = 1.0
+SHORT_TIMES = f"""
+from plankspindle_daemon.quarantine import crash_probe, quarantine_list
+crash_probe.LIFE_S, quarantine_list.TRIAL_S = {LIFE_S}, 3.0
+"""
+
+
+@pytest.fixture
+def processes(tmp_path: Path) -> Iterator[Processes]:
+    started = Processes(folder=tmp_path)
+    try:
+        started.start_platform(PLATFORM, [PLACE])
+        start_upstream(started)
+        started.start_daemon(PLACE, platform=PLATFORM, prelude=SHORT_TIMES)
+        wait_for_operator_listener(PLACE)
+        put_in_force(PLACE, build_configuration(upstreams_by_name={"u": UPSTREAM}))
+        wait_until(lambda: ask() == 200, what="a request is served")
+        yield started
+    finally:
+        started.close()
+
+
+def start_upstream(started: Processes) -> None:
+    text = f"u={UPSTREAM.endpoint}={UPSTREAM.slots}"
+    name = f"u{len(started.by_name)}"
+    started.start_module(name, "plankspindle_testkit.upstream_stand_in", text)
+    wait_until(lambda: call(UPSTREAM.endpoint, target="/load").status == 200, what=name)
+
+
+def ask() -> int:
+    return call(PLACE.caller, target=TARGET, headers=[GOLD]).status
+
+
+def is_held() -> bool:
+    return bool(state_of(PLACE)["quarantine"]["requests"])
+
+
+def test_an_answer_to_a_trial_releases_it(processes: Processes) -> None:
+    for _ in range(CRASHES):
+        crash = json.dumps({"crash_path": "/plates/crash"}).encode()
+        call(UPSTREAM.endpoint, "POST", "/control", body=crash)
+        assert ask() in (502, 503)
+        time.sleep(LIFE_S)
+        start_upstream(processes)
+    wait_until(is_held, what="it is held back")
+    assert ask() == 503
+    wait_until(lambda: ask() == 200, what="a trial is answered")
+    assert not is_held()
