--- a/tests/fleet/test_fleet_soak.py
+++ b/tests/fleet/test_fleet_soak.py
@@ -21,6 +21,7 @@
 from soak.faults import draw
 from soak.fleet_soak import FleetSoak
 from soak.fleet_soak import Plan
+from soak.fleet_soak import Verdict
 from soak.history import Disturbances
 from soak.history import Evacuation
 from soak.history import History
@@ -65,13 +66,21 @@
 )
 
 
-def test_a_short_soak_holds(monkeypatch: pytest.MonkeyPatch) -> None:
+def soak(
+    monkeypatch: pytest.MonkeyPatch, schedule: Path, *, seed: int, first_port: int
+) -> Verdict:
+    """Run a schedule with three real entry VMs."""
     root = Path(__file__).parents[2]
     paths = f"{root / 'platform'}:{root / 'tests/fleet'}"
     monkeypatch.setenv("PYTHONPATH", paths)
-    faults = tuple(read_schedule(SHORT.read_text()))
-    plan = Plan(seed=1, vms=3, first_port=28_300, seconds=0.0, faults=faults)
-    verdict = curio.run(FleetSoak(plan=plan).run)
+    faults = tuple(read_schedule(schedule.read_text()))
+    plan = Plan(seed=seed, vms=3, first_port=first_port, seconds=0.0, faults=faults)
+    verdict: Verdict = curio.run(FleetSoak(plan=plan).run)
+    return verdict
+
+
+def test_a_short_soak_holds(monkeypatch: pytest.MonkeyPatch) -> None:
+    verdict = soak(monkeypatch, SHORT, seed=1, first_port=28_300)
     assert verdict.broken == []
     counts = verdict.counts
     assert counts["judged for going back"] > 100
@@ -93,12 +102,7 @@
     VM or another. What proved it: with the requests told by caller, path and body, and
     held back everywhere after the third end, no other upstream ends.
     """
-    root = Path(__file__).parents[2]
-    paths = f"{root / 'platform'}:{root / 'tests/fleet'}"
-    monkeypatch.setenv("PYTHONPATH", paths)
-    faults = tuple(read_schedule(CRASHING.read_text()))
-    plan = Plan(seed=4, vms=3, first_port=28_500, seconds=0.0, faults=faults)
-    verdict = curio.run(FleetSoak(plan=plan).run)
+    verdict = soak(monkeypatch, CRASHING, seed=4, first_port=28_500)
     assert verdict.broken == []
     assert verdict.counts["judged for crashing requests"] > 10
 
@@ -114,12 +118,7 @@
     Cause: ages, leases, deadlines and timers were read from a clock that stands still
     in a suspension. What proved it: the pauses are logged with the one that does not.
     """
-    root = Path(__file__).parents[2]
-    paths = f"{root / 'platform'}:{root / 'tests/fleet'}"
-    monkeypatch.setenv("PYTHONPATH", paths)
-    faults = tuple(read_schedule(SUSPEND.read_text()))
-    plan = Plan(seed=1, vms=3, first_port=28_600, seconds=0.0, faults=faults)
-    verdict = curio.run(FleetSoak(plan=plan).run)
+    verdict = soak(monkeypatch, SUSPEND, seed=1, first_port=28_600)
     assert verdict.broken == []
     for vm, least_s in (("edge-0", 5.9), ("edge-1", 2.9), ("edge-2", 2.9)):
         log = (verdict.folder / f"{vm}.log").read_text()
