--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -53,6 +53,7 @@
     from random import Random
 
     from plankspindle_daemon.listeners.plan_service import PlanService
+    from plankspindle_daemon.peer_messages.peer_message import SendToPeer
     from plankspindle_daemon.settings.daemon_settings import DaemonSettings
     from plankspindle_daemon.settings.settings_file import SettingsFile
 
@@ -150,7 +151,7 @@
             quarantine=self.node.quarantine,
             pool=self._pool,
             supervisor=self._supervisor,
-            perform=lambda news: self._effects.perform([*news]),
+            perform=self._tell,
         )
         self._quarantine = QuarantineStore(
             quarantine=self.node.quarantine, platform=self._platform, random=random
@@ -227,7 +228,7 @@
             make_plans=partial(self._make_plans, random),
             metrics=self._metrics,
             dump_shells=self._dump_shells,
-            tell=lambda news: self._effects.perform([*news]),
+            tell=self._tell,
         )
 
     def _make_plans(self, random: Random) -> PlanService:
@@ -343,6 +344,10 @@
             await group.spawn(self._follow_settings)
         _ = group.result
 
+    async def _tell(self, news: list[SendToPeer]) -> None:
+        """Send news to other entry VMs."""
+        await self._effects.perform([*news])
+
     async def _drop_stale_connections(self) -> None:
         while True:
             await sleep(STALE_PERIOD_S)
--- a/packages/daemon/src/plankspindle_daemon/quarantine/crash_cases.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/crash_cases.py
@@ -145,6 +145,13 @@
         while len(self._explained) > MAX_EXPLAINED:
             self._explained.popitem(last=False)
 
+    def expire(self, now: float) -> None:
+        """Forget requests of which no end counts any more; each tick looks at all."""
+        for identity, case in list(self.cases_by_identity.items()):
+            case.forget_old(now)
+            if not case.ended_at_by_life:
+                del self.cases_by_identity[identity]
+
     def take_due(self, now: float) -> list[CrashCase]:
         """Take out the requests that are to be put in quarantine."""
         due = [each for each in self.cases_by_identity.values() if each.is_due(now)]
--- a/packages/daemon/src/plankspindle_daemon/quarantine/quarantine.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/quarantine.py
@@ -371,6 +371,7 @@
 
     def _expire(self, now: float) -> None:
         self.listed.expire(now)
+        self.cases.expire(now)
         for identities in (self.watched, self.suspected):
             identities.expire(before=now - EVIDENCE_S)
         self._told_at_by_vm = {
--- a/packages/daemon/tests/quarantine/test_crash_cases.py
+++ b/packages/daemon/tests/quarantine/test_crash_cases.py
@@ -63,6 +63,14 @@
     assert due(cases, EVIDENCE_S + LATER) == []
 
 
+def test_requests_of_which_no_end_counts_are_forgotten() -> None:
+    cases = CrashCases()
+    note(cases, REQUEST, "a")
+    note(cases, OTHER, "a", at=LATER)
+    cases.expire(EVIDENCE_S + LATER / 2)
+    assert list(cases.cases_by_identity) == [OTHER]
+
+
 @given(
     st.lists(st.tuples(st.integers(0, 5), st.sampled_from("abcdefgh"), st.booleans()))
 )
