--- a/packages/core/src/plankspindle_core/configuration/codec.py
+++ b/packages/core/src/plankspindle_core/configuration/codec.py
@@ -30,6 +30,7 @@
     "shifts_by_id": "shifts",
     "drains_by_id": "drains",
     "routes_by_name": "routes",
+    "workspaces_by_name": "workspaces",
 }
 
 
--- a/packages/core/src/plankspindle_core/configuration/configuration.py
+++ b/packages/core/src/plankspindle_core/configuration/configuration.py
@@ -15,6 +15,7 @@
 from plankspindle_core.configuration.service import Service
 from plankspindle_core.configuration.shift import Shift
 from plankspindle_core.configuration.upstream import Upstream
+from plankspindle_core.configuration.workspace import Workspace
 
 MAX_TOTAL_SHIFT_PERCENT = 100.0
 
@@ -61,6 +62,9 @@
         All upstreams.
     callers_by_name : dict of str to Caller
         Callers with an API key.
+    workspaces_by_name : dict of str to Workspace
+        Customers with API keys, quotas and homes. Where there are any, routes need a
+        key of one of them unless they are public.
     sites_by_name : dict of str to Site
         Targets of client blocks.
     site_by_prefix : dict of str to str
@@ -86,6 +90,7 @@
     drains_by_id: dict[str, Drain] = Factory(dict)
     distances: Distances = Factory(Distances)
     routes_by_name: dict[str, Route] = Factory(dict)
+    workspaces_by_name: dict[str, Workspace] = Factory(dict)
 
     def region_of(self, failure_domain: str) -> str | None:
         """Name the region of a failure domain, or None if it is not declared."""
@@ -161,6 +166,7 @@
             *self._shift_problems(),
             *self._drain_problems(),
             *self._route_problems(),
+            *self._workspace_problems(),
         ]
 
     def _class_problems(self) -> list[str]:
@@ -270,3 +276,30 @@
                 problems.append(f"host and path_prefix are those of route {other!r}")
             found += [f"routes.{name}.{problem}" for problem in problems]
         return found
+
+    def _workspace_problems(self) -> list[str]:
+        regions = {each.region for each in self.failure_domains_by_name.values()}
+        found = []
+        name_by_digest = {
+            caller.key_sha256: f"caller {name!r}"
+            for name, caller in self.callers_by_name.items()
+        }
+        for name, workspace in self.workspaces_by_name.items():
+            if workspace.priority_class not in (None, *self.priority_classes):
+                found.append(
+                    f"workspaces.{name}.priority_class: {workspace.priority_class!r} is"
+                    " not declared in priority_classes"
+                )
+            if set(workspace.home_regions) - regions:
+                found.append(
+                    f"workspaces.{name}.home_regions: each must have a failure domain"
+                )
+            if name in self.callers_by_name:
+                found.append(f"workspaces.{name}: a caller has the same name")
+            for digest in workspace.key_sha256s:
+                holder = name_by_digest.setdefault(digest, f"workspace {name!r}")
+                if holder != f"workspace {name!r}":
+                    found.append(
+                        f"workspaces.{name}.key_sha256s: one key is that of {holder}"
+                    )
+        return found
--- a/packages/core/src/plankspindle_core/configuration/route.py
+++ b/packages/core/src/plankspindle_core/configuration/route.py
@@ -56,6 +56,8 @@
         Whether requests with the same affinity key should meet the same upstream.
     home_regions : list of str
         The only regions that may serve it; any region if empty.
+    public : bool
+        Whether it is open to callers without an API key.
     """
 
     host: str
@@ -69,6 +71,7 @@
     max_attempts: int = field(default=DEFAULT_MAX_ATTEMPTS, validator=validators.gt(0))
     affinity: bool = False
     home_regions: list[str] = Factory(list)
+    public: bool = False
 
     def problems(self) -> list[str]:
         """List what is wrong with the route itself, one sentence a problem."""
--- /dev/null
+++ b/packages/core/tests/configuration/test_workspace.py
@@ -0,0 +1,78 @@
+"""Tests of workspaces in a configuration."""
+
+from __future__ import annotations
+
+import pytest
+
+from plankspindle_core.configuration.codec import configuration_from_yaml
+from plankspindle_core.configuration.codec import decode_configuration
+from plankspindle_core.configuration.codec import encode_configuration
+from plankspindle_testkit.builders import GOLD_KEY
+from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_workspace
+
+KEY = "ymh2rrytapjsujqurtyi"
+
+
+def test_a_configuration_carries_digests_and_no_keys() -> None:
+    depot = build_workspace(
+        KEY,
+        priority_class="gold",
+        rate_per_s=8.0,
+        burst=4.0,
+        home_regions=["kosice"],
+    )
+    configuration = build_configuration(workspaces_by_name={"depot": depot})
+    assert configuration.problems() == []
+    content = encode_configuration(configuration)
+    assert KEY.encode() not in content
+    assert decode_configuration(content).unwrap() == configuration
+
+
+@pytest.mark.parametrize(
+    ("fields", "problem"),
+    [
+        ({"priority_class": "platinum"}, "workspaces.depot.priority_class"),
+        ({"home_regions": ["vienna"]}, "workspaces.depot.home_regions"),
+    ],
+)
+def test_what_is_not_declared_is_a_problem(
+    fields: dict[str, object], problem: str
+) -> None:
+    depot = build_workspace(KEY, **fields)
+    problems = build_configuration(workspaces_by_name={"depot": depot}).problems()
+    assert [each for each in problems if each.startswith(problem)]
+
+
+def test_a_key_belongs_to_one_workspace_or_caller() -> None:
+    by_name = {"depot": build_workspace(KEY), "yard": build_workspace(KEY)}
+    problems = build_configuration(workspaces_by_name=by_name).problems()
+    assert problems == [
+        "workspaces.yard.key_sha256s: one key is that of workspace 'depot'"
+    ]
+    by_name = {"depot": build_workspace(GOLD_KEY)}
+    problems = build_configuration(workspaces_by_name=by_name).problems()
+    assert problems == [
+        "workspaces.depot.key_sha256s: one key is that of caller 'dealer'"
+    ]
+
+
+def test_a_workspace_is_not_named_like_a_caller() -> None:
+    by_name = {"dealer": build_workspace(KEY)}
+    problems = build_configuration(workspaces_by_name=by_name).problems()
+    assert problems == ["workspaces.dealer: a caller has the same name"]
+
+
+@pytest.mark.parametrize(
+    "line",
+    ["rate_per_s: -1", "burst: -1", "key_sha256s: [plain]", "api_keys: [plain]"],
+)
+def test_yaml_that_is_wrong_gets_a_clear_error(line: str) -> None:
+    text = (
+        "failure_domains: {ba-1: {region: bratislava}}\n"
+        "priority_classes: [gold]\n"
+        f"workspaces:\n  depot: {{{line}}}\n"
+    )
+    found = configuration_from_yaml(text)
+    assert found.is_err()
+    assert "workspaces.depot" in str(found.unwrap_err())
--- a/packages/daemon/src/plankspindle_daemon/admission/caller_directory.py
+++ b/packages/daemon/src/plankspindle_daemon/admission/caller_directory.py
@@ -5,17 +5,19 @@
 import hmac
 from typing import TYPE_CHECKING
 
+from attrs import field
 from result import Err
 from result import Ok
 from result import Result
 
 from plankspindle_core.classes import frozen
-from plankspindle_core.configuration.caller import hash_api_key
+from plankspindle_daemon.admission.api_key import NotAuthenticated
 
 if TYPE_CHECKING:
     from plankspindle_core.configuration.configuration import Configuration
+    from plankspindle_core.configuration.workspace import Workspace
 
-_BEARER = b"bearer "
+KEY_NOT_KNOWN = NotAuthenticated("this API key is not known")
 
 
 @frozen(kw_only=True)
@@ -25,30 +27,26 @@
     Parameters
     ----------
     caller : str, optional
-        Name of the caller; None without an API key.
+        Name of the caller or workspace; None without an API key.
     rank : int
         Rank of its priority class.
+    workspace : str, optional
+        Name of the workspace that the key belongs to, if it is one's.
+    home_regions : frozenset of str
+        The only regions that may serve the workspace; any region if empty.
+    key_digest : str, optional
+        Digest of the key, to look it up again in a later version.
     """
 
     caller: str | None
     rank: int
-
-
-@frozen
-class NotAuthenticated:
-    """The request carries no key that is known.
-
-    Parameters
-    ----------
-    reason : str
-        What the caller has to do.
-    """
-
-    reason: str
+    workspace: str | None = None
+    home_regions: frozenset[str] = frozenset()
+    key_digest: str | None = field(default=None, repr=False, eq=False)
 
 
 class CallerDirectory:
-    """Callers of one version of the configuration, by the digest of their key.
+    """Callers and workspaces of one version of the configuration, by key digest.
 
     Parameters
     ----------
@@ -61,51 +59,115 @@
         self._rank_by_class = {
             name: rank for rank, name in enumerate(configuration.priority_classes)
         }
-        self._name_by_digest = {
+        self._caller_by_digest = {
             caller.key_sha256: name
             for name, caller in configuration.callers_by_name.items()
         }
+        self._workspace_by_digest = {
+            digest: name
+            for name, workspace in configuration.workspaces_by_name.items()
+            for digest in workspace.key_sha256s
+        }
+
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether routes that are not public need the key of a workspace."""
+        return bool(self._configuration.workspaces_by_name)
 
     def identify(
-        self, *, service: str, authorization: bytes | None
+        self, *, service: str, key_digest: str | None
     ) -> Result[Identity, NotAuthenticated]:
-        """Recognise the sender of a request.
+        """Recognise the sender of a request for a service.
 
         Parameters
         ----------
         service : str
             Service it asks for.
-        authorization : bytes, optional
-            Value of its ``Authorization`` header.
+        key_digest : str, optional
+            Digest of its API key.
 
         Returns
         -------
         Result
             Who it is, or what is missing.
         """
-        if authorization is None:
-            return self._anonymous(service)
-        if authorization[: len(_BEARER)].lower() != _BEARER:
-            return Err(
-                NotAuthenticated("send the API key as Authorization: Bearer KEY")
-            )
-        digest = hash_api_key(authorization[len(_BEARER) :].strip())
-        name = self._name_by_digest.get(digest)
+        default = self._configuration.services_by_name[service].default_class
+        if key_digest is None:
+            if default is None:
+                return Err(NotAuthenticated("send an API key"))
+            return Ok(self.anonymous_of(default))
+        name = self._caller_by_digest.get(key_digest)
         if name is None:
-            return Err(NotAuthenticated("this API key is not known"))
+            lowest = default or self._configuration.priority_classes[-1]
+            return self.identify_workspace(key_digest, route_class=lowest)
         caller = self._configuration.callers_by_name[name]
-        if not hmac.compare_digest(caller.key_sha256, digest):
-            return Err(NotAuthenticated("this API key is not known"))
+        if not hmac.compare_digest(caller.key_sha256, key_digest):
+            return Err(KEY_NOT_KNOWN)
+        rank = self._rank_by_class[caller.priority_class]
+        return Ok(Identity(caller=name, rank=rank, key_digest=key_digest))
+
+    def identify_workspace(
+        self, key_digest: str, *, route_class: str
+    ) -> Result[Identity, NotAuthenticated]:
+        """Recognise the workspace that a key belongs to.
+
+        Parameters
+        ----------
+        key_digest : str
+            Digest of the API key.
+        route_class : str
+            Class of its requests if the workspace has none of its own.
+        """
+        name = self._workspace_by_digest.get(key_digest)
+        if name is None:
+            return Err(KEY_NOT_KNOWN)
+        workspace = self._configuration.workspaces_by_name[name]
+        if not _holds(workspace, key_digest):
+            return Err(KEY_NOT_KNOWN)
         return Ok(
-            Identity(caller=name, rank=self._rank_by_class[caller.priority_class])
+            Identity(
+                caller=name,
+                rank=self._rank_by_class[workspace.priority_class or route_class],
+                workspace=name,
+                home_regions=frozenset(workspace.home_regions),
+                key_digest=key_digest,
+            )
         )
 
-    def _anonymous(self, service: str) -> Result[Identity, NotAuthenticated]:
-        default = self._configuration.services_by_name[service].default_class
-        if default is None:
-            return Err(NotAuthenticated("send an API key as Authorization: Bearer KEY"))
-        return Ok(self.anonymous_of(default))
+    def identify_by_name(self, name: str, *, service: str) -> Identity | None:
+        """Give the identity of a caller that another entry VM has authenticated.
+
+        Parameters
+        ----------
+        name : str
+            Name of a caller or workspace.
+        service : str
+            Service it asks for.
+        """
+        caller = self._configuration.callers_by_name.get(name)
+        if caller is not None:
+            digest: str | None = caller.key_sha256
+        else:
+            workspace = self._configuration.workspaces_by_name.get(name)
+            digests = workspace.key_sha256s if workspace is not None else []
+            digest = digests[0] if digests else None
+        if digest is None:
+            return None
+        return self.identify(service=service, key_digest=digest).unwrap_or(None)
+
+    def admits(self, identity: Identity) -> bool:
+        """Tell whether the key of a request still belongs to who sent it."""
+        digest = identity.key_digest
+        if digest is None:
+            return True
+        if identity.workspace is not None:
+            return self._workspace_by_digest.get(digest) == identity.workspace
+        return self._caller_by_digest.get(digest) == identity.caller
 
     def anonymous_of(self, priority_class: str) -> Identity:
         """Give the identity of a caller without an API key in a declared class."""
         return Identity(caller=None, rank=self._rank_by_class[priority_class])
+
+
+def _holds(workspace: Workspace, key_digest: str) -> bool:
+    return any(hmac.compare_digest(each, key_digest) for each in workspace.key_sha256s)
--- a/packages/daemon/src/plankspindle_daemon/console/entry_point.py
+++ b/packages/daemon/src/plankspindle_daemon/console/entry_point.py
@@ -5,6 +5,8 @@
 import signal
 from importlib import import_module
 
+import plankspindle_core.process_start  # noqa: F401
+
 
 def start(module: str) -> int | None:
     """Import a module and call its ``main``.
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
@@ -14,6 +15,7 @@
 from plankspindle_core.logs.key_value_destination import log_event
 from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.supervisor import Supervisor
+from plankspindle_daemon.admission.identity_sealer import IdentitySealer
 from plankspindle_daemon.beliefs.belief_watch import BeliefWatch
 from plankspindle_daemon.configuration.configuration_reader import ConfigurationReader
 from plankspindle_daemon.idempotency.claim_store import ClaimStore
@@ -33,6 +35,7 @@
 from plankspindle_daemon.node.make_node import make_node
 from plankspindle_daemon.node.pause_watch import PauseWatch
 from plankspindle_daemon.node.presence_keeper import PresenceKeeper
+from plankspindle_daemon.node.quota_runner import QuotaRunner
 from plankspindle_daemon.observability.measures import Measures
 from plankspindle_daemon.observability.metrics import RequestMetrics
 from plankspindle_daemon.observability.metrics_reader import MetricsReader
@@ -144,8 +147,13 @@
             max_per_endpoint=settings.requests.max_connections_per_upstream,
             connect_timeout_s=settings.timing.connect_timeout_ms / 1000,
         )
+        self._quotas = QuotaRunner(node=self.node, peers=self._peers)
         self._effects = EffectRunner(
-            node=self.node, peers=self._peers, dispatch=self._dispatch, leave=self.leave
+            node=self.node,
+            peers=self._peers,
+            dispatch=self._dispatch,
+            quotas=self._quotas,
+            leave=self.leave,
         )
         self._crashes = CrashProbe(
             quarantine=self.node.quarantine,
@@ -206,12 +214,18 @@
                 settings=self.settings,
                 node=self.node,
                 dispatch=self._dispatch,
+                quotas=self._quotas,
                 pool=self._pool,
                 gate=IdempotencyGate(
                     node=self.node, claims=self._claims, random=random
                 ),
                 metrics=requests,
-                reader=RequestReader(node=self.node, dialect=dialect),
+                reader=RequestReader(
+                    node=self.node,
+                    dialect=dialect,
+                    sealer=IdentitySealer(keys=_keys_of(self.settings)),
+                    max_key_age_s=_max_key_age_s(self.settings),
+                ),
                 dialect=dialect,
                 stories=StoryLog(vm=self.settings.vm),
                 crashes=self._crashes,
@@ -322,6 +336,9 @@
         self._callers.requests.settings = self.settings
         self._operators.settings = self.settings
         self._sealer.use(_keys_of(new))
+        reader = self._callers.requests.reader
+        reader.sealer = IdentitySealer(keys=_keys_of(new))
+        reader.max_key_age_s = _max_key_age_s(new)
         membership = self.node.membership
         membership.options = evolve(membership.options, seeds=tuple(new.peers))
 
@@ -365,5 +382,9 @@
         return {**dumped, **dump_measures(self._measures)}
 
 
+def _max_key_age_s(settings: DaemonSettings) -> float:
+    return settings.quotas.max_key_age_ms / 1000 or math.inf
+
+
 def _keys_of(settings: DaemonSettings) -> list[bytes]:
     return [bytes.fromhex(key) for key in settings.secrets.peer_keys]
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/exchange/admission_door.py
@@ -0,0 +1,100 @@
+"""What a request needs each time before it is sent to an upstream."""
+
+from __future__ import annotations
+
+from plankspindle_core.classes import define
+from plankspindle_core.steady_clock import monotonic
+from plankspindle_daemon.admission.caller_directory import Identity
+from plankspindle_daemon.exchange.messages import Refused
+from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.node.quota_runner import QuotaRunner
+from plankspindle_daemon.quotas.messages import TokenRefused
+from plankspindle_daemon.stories.steps import TokenDecided
+from plankspindle_daemon.stories.story import Story
+
+KEY_REVOKED = "key-revoked"
+OVER_QUOTA = "over-quota"
+QUOTA_UNKNOWN = "quota-unknown"
+MIN_RETRY_AFTER_S = 0.1
+_UNAUTHORIZED = 401
+_TOO_MANY = 429
+_UNAVAILABLE = 503
+
+
+@define(kw_only=True)
+class AdmissionDoor:
+    """Hold a request against its key and the quota of its workspace.
+
+    Parameters
+    ----------
+    identity : Identity
+        Who sends it.
+    node : Node
+        Keeper of the configuration in force.
+    quotas : QuotaRunner
+        Where tokens come from.
+    story : Story
+        What happened to the request.
+    """
+
+    identity: Identity
+    node: Node
+    quotas: QuotaRunner
+    story: Story
+    _has_token: bool = False
+    _sent_with_token: bool = False
+
+    async def admit(self) -> Refused | None:
+        """Take a token, unless the request has one that it did not use.
+
+        Returns
+        -------
+        Refused or None
+            None if the request may go on.
+        """
+        refused = self.refuse_if_revoked()
+        if refused is not None or self._has_token or self.identity.workspace is None:
+            return refused
+        began = monotonic()
+        decided = await self.quotas.take(self.identity.workspace)
+        refusal = decided if isinstance(decided, TokenRefused) else None
+        self._has_token = refusal is None
+        self._note(refusal, began)
+        if refusal is None:
+            return None
+        return Refused(
+            reason=OVER_QUOTA if refusal.is_over_quota else QUOTA_UNKNOWN,
+            retry_after_s=max(MIN_RETRY_AFTER_S, refusal.retry_after_s),
+            status=_TOO_MANY if refusal.is_over_quota else _UNAVAILABLE,
+        )
+
+    def refuse_if_revoked(self) -> Refused | None:
+        """Refuse a request whose key was revoked while it waited."""
+        directory = self.node.directory
+        if directory is None or directory.admits(self.identity):
+            return None
+        return Refused(reason=KEY_REVOKED, retry_after_s=0.0, status=_UNAUTHORIZED)
+
+    def note_sent(self) -> None:
+        """Use up the token: the request may run now."""
+        self._sent_with_token, self._has_token = self._has_token, False
+
+    def note_not_run(self) -> None:
+        """Keep the token for another attempt: this one provably did not run."""
+        self._has_token = self._sent_with_token
+
+    def close(self) -> None:
+        """Return a token that was not used."""
+        if self._has_token and self.identity.workspace is not None:
+            self._has_token = False
+            self.quotas.give_back(self.identity.workspace)
+
+    def _note(self, refusal: TokenRefused | None, began: float) -> None:
+        now = monotonic()
+        step = TokenDecided(
+            workspace=self.identity.workspace or "",
+            taken=refusal is None,
+            waited_ms=round(1000 * (now - began)),
+            over_quota=None if refusal is None else refusal.is_over_quota,
+        )
+        self.story.note(step, now)
--- a/packages/daemon/src/plankspindle_daemon/exchange/answers.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/answers.py
@@ -19,7 +19,9 @@
 
 DEFAULT_RETRY_AFTER_S = 0.5
 _UNAUTHORIZED = 401
+_TOO_MANY = 429
 _UNAVAILABLE = 503
+_COME_BACK = (_TOO_MANY, _UNAVAILABLE)
 _TEXT = (b"content-type", b"text/plain")
 
 
@@ -46,7 +48,9 @@
         *_log_id(story),
     ]
     retry_after_s = None
-    if answer.status == _UNAVAILABLE:
+    if answer.status == _UNAUTHORIZED:
+        headers.append((b"www-authenticate", dialect.key_scheme.encode()))
+    if answer.status in _COME_BACK:
         retry_after_s = answer.retry_after_s or DEFAULT_RETRY_AFTER_S
         whole = not dialect.fractional_retry_after
         seconds = f"{math.ceil(retry_after_s) if whole else retry_after_s:.3g}".encode()
@@ -71,7 +75,11 @@
 
 
 async def refuse(
-    source: ServerExchange, error: BadRequest, story: Story | None = None
+    source: ServerExchange,
+    error: BadRequest,
+    story: Story | None = None,
+    *,
+    key_scheme: str = "Bearer",
 ) -> None:
     """Tell a caller what to change; its request was not run.
 
@@ -83,13 +91,15 @@
         What is wrong.
     story : Story, optional
         What happened to the request, if it is one for a service.
+    key_scheme : str
+        Scheme by which a key is to be sent.
     """
     headers: HeaderList = [
         _TEXT,
         (header_names.OUTCOME, Outcome.NOT_RUN.value.encode()),
     ]
     if error.status == _UNAUTHORIZED:
-        headers.append((b"www-authenticate", b"Bearer"))
+        headers.append((b"www-authenticate", key_scheme.encode()))
     if error.status == _UNAVAILABLE:
         headers.append((header_names.RETRY_AFTER, b"1"))
     if story is not None:
--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
@@ -138,6 +138,11 @@
     _came: str = _NEVER_SENT
     _ran: Ran = Ran.NO
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the other side may have run the request."""
+        return self._ran is not Ran.NO
+
     async def open(self, wanted: OpenConnection) -> ExchangeEvent:
         """Get a connection."""
         max_idle_s = math.inf
--- a/packages/daemon/src/plankspindle_daemon/exchange/caller_request.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/caller_request.py
@@ -137,7 +137,11 @@
 
 
 def headers_for_upstream(
-    headers: HeaderList, *, caller: str | None, peer_host: str
+    headers: HeaderList,
+    *,
+    caller: str | None,
+    workspace: str | None,
+    peer_host: str,
 ) -> HeaderList:
     """Give the headers that go on to an upstream, without framing and deadline.
 
@@ -147,6 +151,8 @@
         Headers of the caller.
     caller : str, optional
         Name of the caller, if it has an API key. The key itself stays here.
+    workspace : str, optional
+        Name of its workspace.
     peer_host : str
         IP number of the caller.
     """
@@ -158,10 +164,14 @@
     kept.append((b"x-forwarded-for", peer_host.encode()))
     if caller is not None:
         kept.append((b"plankspindle-caller", caller.encode()))
+    if workspace is not None:
+        kept.append((header_names.WORKSPACE, workspace.encode()))
     return kept
 
 
-def head_as_it_came(headers: HeaderList, *, dialect: Dialect) -> HeaderList:
+def head_as_it_came(
+    headers: HeaderList, *, dialect: Dialect, workspace: str | None
+) -> HeaderList:
     """Give the headers of a caller but those of one connection, framing and deadline.
 
     Parameters
@@ -170,12 +180,21 @@
         Headers of the caller.
     dialect : Dialect
         Names of those that are set anew.
+    workspace : str, optional
+        Name of the caller's workspace, which replaces what the caller says it is. Its
+        API key stays here.
     """
     set_anew = {*_FRAMING, dialect.deadline, dialect.wanted_upstream}
-    return [each for each in without_hop_by_hop(headers) if each[0] not in set_anew]
+    set_anew |= {header_names.AUTHORIZATION, dialect.workspace}
+    kept = [each for each in without_hop_by_hop(headers) if each[0] not in set_anew]
+    if workspace is not None:
+        kept.append((dialect.workspace, workspace.encode()))
+    return kept
 
 
-def headers_for_peer(headers: HeaderList, *, grant: int | None) -> HeaderList:
+def headers_for_peer(
+    headers: HeaderList, *, grant: int | None, sealed_identity: bytes | None
+) -> HeaderList:
     """Give the headers that go on to another entry VM, without framing and deadline.
 
     Parameters
@@ -184,11 +203,16 @@
         Headers of the caller.
     grant : int, optional
         Grant of headroom under which the request is moved.
+    sealed_identity : bytes, optional
+        Who the caller is, instead of its API key, which stays here.
     """
     dropped = {b"host", b"expect", b"content-length", header_names.DEADLINE}
     dropped |= {header_names.TIMEOUT, header_names.FORWARDED, header_names.GRANT}
+    dropped |= {header_names.AUTHORIZATION, header_names.IDENTITY}
     kept = [each for each in without_hop_by_hop(headers) if each[0] not in dropped]
     kept.append((header_names.FORWARDED, b"1"))
+    if sealed_identity is not None:
+        kept.append((header_names.IDENTITY, sealed_identity))
     if grant is not None:
         kept.append((header_names.GRANT, str(grant).encode()))
     return kept
--- a/packages/daemon/src/plankspindle_daemon/exchange/dialect.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/dialect.py
@@ -46,6 +46,10 @@
         Whether the head goes on to the upstream as it came, ``Host`` included.
     fractional_retry_after : bool
         Whether callers read fractions of seconds in ``Retry-After``.
+    key_scheme : str
+        Authentication scheme by which callers send API keys.
+    workspace : bytes
+        Header that tells an upstream the caller's workspace.
     """
 
     timeout: bytes = header_names.TIMEOUT
@@ -60,6 +64,8 @@
     affinity_cookie: str | None = None
     keeps_head: bool = False
     fractional_retry_after: bool = False
+    key_scheme: str = "Bearer"
+    workspace: bytes = header_names.WORKSPACE
 
     def is_misdirected(self, status: int) -> bool:
         """Tell whether another than the wanted upstream answered."""
--- a/packages/daemon/src/plankspindle_daemon/exchange/exchange.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/exchange.py
@@ -142,8 +142,12 @@
                 self.state = Connecting(upstream)
                 fresh = not self.terms.idempotent
                 return [OpenConnection(endpoint=endpoint, fresh=fresh)]
-            case Refused(reason=reason, retry_after_s=retry_after_s):
-                return self._give_up(reason, retry_after_s=retry_after_s)
+            case Refused():
+                return self._give_up(
+                    event.reason,
+                    retry_after_s=event.retry_after_s,
+                    status=event.status,
+                )
             case Connected():
                 return self._send()
             case ConnectFailed() | Stalled():
@@ -256,7 +260,12 @@
                 return [*effects, *self._give_up("too-late", late=True)]
 
     def _give_up(
-        self, reason: str, *, late: bool = False, retry_after_s: float | None = None
+        self,
+        reason: str,
+        *,
+        late: bool = False,
+        retry_after_s: float | None = None,
+        status: int = _UNAVAILABLE,
     ) -> list[ExchangeEffect]:
         self.state = Over()
         if self.may_have_run or self.terms.may_have_run_elsewhere:
@@ -266,7 +275,7 @@
             )
             return [unknown]
         not_run = AnswerCaller(
-            status=_UNAVAILABLE,
+            status=status,
             outcome=Outcome.NOT_RUN,
             reason=reason,
             retry_after_s=retry_after_s,
--- a/packages/daemon/src/plankspindle_daemon/exchange/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/messages.py
@@ -72,10 +72,21 @@
 
 @frozen(kw_only=True)
 class Refused:
-    """No upstream was found."""
+    """No upstream was found, or none may be asked.
+
+    Parameters
+    ----------
+    reason : str
+        Why, in a word.
+    retry_after_s : float
+        When to come back, in seconds from now.
+    status : int
+        Status with which the caller is told, if the request has not run.
+    """
 
     reason: str
     retry_after_s: float
+    status: int = 503
 
 
 @frozen
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -20,6 +20,7 @@
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import Verdict
+from plankspindle_daemon.exchange.admission_door import AdmissionDoor
 from plankspindle_daemon.exchange.answers import answer_with_outcome
 from plankspindle_daemon.exchange.attempt import Attempt
 from plankspindle_daemon.exchange.attempt import Outgoing
@@ -94,6 +95,8 @@
         What tells the request from others, whatever id this try carries.
     crashes : CrashProbe
         What learns of upstreams that end under requests.
+    door : AdmissionDoor
+        What holds it against its key and quota.
     """
 
     vm: str
@@ -108,6 +111,7 @@
     max_recorded_bytes: int
     identity: RequestIdentity
     crashes: CrashProbe
+    door: AdmissionDoor
     _assigned: Assign | None = None
     _attempt: Attempt | None = None
     _caller_gone: bool = False
@@ -135,6 +139,7 @@
 
     async def _free(self) -> None:
         """Give back what an unexpected error, or a caller's going, left taken."""
+        self.door.close()
         if self._attempt is not None:
             await self._attempt.close()
         assigned, self._assigned = self._assigned, None
@@ -171,8 +176,7 @@
             case OpenConnection():
                 return await self._open(effect)
             case SendRequest():
-                assert self._attempt is not None
-                return await self._attempt.send()
+                return await self._send()
             case RelayAnswer():
                 assert self._attempt is not None
                 return await self._relay(self._attempt)
@@ -189,19 +193,29 @@
                 self.outgoing.source.abort()
         return None
 
+    async def _send(self) -> ExchangeEvent:
+        assert self._attempt is not None
+        self.door.note_sent()
+        event = await self._attempt.send()
+        if not self._attempt.may_have_run:
+            self.door.note_not_run()
+        return event
+
     async def _find(self, excluded: frozenset[str]) -> ExchangeEvent:
         held = self._held_back(self.crashes.quarantine.holding)
-        if held is not None:
-            return held
+        refused = held or await self.door.admit()
+        if refused is not None:
+            return refused
         self.ticket = self.ticket.excluding(excluded)
         found = await self.dispatch.find(self.service, self.ticket, self.story)
         if isinstance(found, Assign):
             self._assigned = found
             # Others may have learned of it while it waited here.
             held = self._held_back(self.crashes.quarantine.holding_or_trial)
-            if held is not None:
+            refused = held or self.door.refuse_if_revoked()
+            if refused is not None:
                 await self._free()
-                return held
+                return refused
             return Assigned(upstream=found.upstream, endpoint=found.endpoint)
         return Refused(reason=found.reason.value, retry_after_s=found.retry_after_s)
 
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_reader.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_reader.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import time
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -9,11 +11,16 @@
 from result import Result
 
 from plankspindle_core import header_names
+from plankspindle_core.classes import define
 from plankspindle_core.classes import frozen
 from plankspindle_core.configuration.operation import Operation
 from plankspindle_core.http.headers import find_header
 from plankspindle_core.steady_clock import monotonic
+from plankspindle_daemon.admission.api_key import NotAuthenticated
+from plankspindle_daemon.admission.api_key import read_key_digest
+from plankspindle_daemon.admission.caller_directory import CallerDirectory
 from plankspindle_daemon.admission.caller_directory import Identity
+from plankspindle_daemon.admission.identity_sealer import IdentitySealer
 from plankspindle_daemon.exchange.caller_request import SERVICES_PREFIX
 from plankspindle_daemon.exchange.caller_request import BadRequest
 from plankspindle_daemon.exchange.caller_request import CallerRequest
@@ -25,9 +32,12 @@
 
 if TYPE_CHECKING:
     from plankspindle_core.configuration.configuration import Configuration
+    from plankspindle_core.configuration.route import Route
     from plankspindle_core.http.server_exchange import ServerExchange
     from plankspindle_daemon.routes.route_table import FoundRoute
 
+KEYS_STALE = "API keys cannot be checked: there is no word of the platform"
+NO_COMMON_HOME = "route and workspace have no home region in common"
 NO_CONFIGURATION = "no configuration is in force yet"
 EXPECTED_SHARE = 0.5
 """Part of the wanted time that a request is taken to need before any was answered."""
@@ -75,7 +85,7 @@
     target_s: float | None = None
 
 
-@frozen(kw_only=True)
+@define(kw_only=True)
 class RequestReader:
     """Read requests against the configuration in force.
 
@@ -85,10 +95,17 @@
         Keeper of the configuration.
     dialect : Dialect
         Names of headers.
+    sealer : IdentitySealer
+        What knows the identities that other entry VMs have sealed.
+    max_key_age_s : float
+        Time without word of the platform after which keys are no longer accepted, in
+        seconds.
     """
 
     node: Node
     dialect: Dialect
+    sealer: IdentitySealer
+    max_key_age_s: float = math.inf
 
     def serves(self, source: ServerExchange) -> bool:
         """Tell whether a request is for a service, by its path or by a route."""
@@ -131,17 +148,23 @@
                 identity=identified.unwrap(),
                 operation=operation,
                 name=f"{operation.method} {operation.path_prefix}",
+                regions=identified.unwrap().home_regions,
             )
         )
 
     def _identify(
         self, source: ServerExchange, request: CallerRequest
     ) -> Result[Identity, BadRequest]:
-        directory = self.node.directory
-        assert directory is not None
-        authorization = find_header(source.headers, header_names.AUTHORIZATION)
-        identified = directory.identify(
-            service=request.service, authorization=authorization
+        sealed = self._sealed_identity(source, request)
+        if sealed is not None:
+            return Ok(sealed)
+        digest = read_key_digest(source.headers, scheme=self.dialect.key_scheme)
+        if digest.is_ok() and digest.unwrap() is not None and self._keys_are_stale():
+            return Err(BadRequest(503, KEYS_STALE))
+        identified = digest.and_then(
+            lambda found: self._directory.identify(
+                service=request.service, key_digest=found
+            )
         )
         if identified.is_err():
             return Err(BadRequest(401, identified.unwrap_err().reason))
@@ -150,6 +173,33 @@
             return Err(BadRequest(401, "Idempotency-Key needs an API key"))
         return Ok(identity)
 
+    def _sealed_identity(
+        self, source: ServerExchange, request: CallerRequest
+    ) -> Identity | None:
+        """Give the identity that the entry VM which moved a request here has sealed."""
+        sealed = find_header(source.headers, header_names.IDENTITY)
+        if sealed is None or not request.forwarded:
+            return None
+        name = self.sealer.open(
+            sealed, target=source.target, wall_ms=int(time.time() * 1000)
+        )
+        if name is None:
+            return None
+        return self._directory.identify_by_name(name, service=request.service)
+
+    def _keys_are_stale(self) -> bool:
+        """Tell whether keys may have been revoked without word of it coming here."""
+        if math.isinf(self.max_key_age_s):
+            return False
+        ago_s = self.node.versions.head.ago_s(monotonic())
+        return ago_s is None or ago_s > self.max_key_age_s
+
+    @property
+    def _directory(self) -> CallerDirectory:
+        directory = self.node.directory
+        assert directory is not None
+        return directory
+
     def _read_routed(self, source: ServerExchange) -> Result[AskedFor, BadRequest]:
         path = source.target.partition("?")[0]
         found = self.node.routes.find(host=_host_of(source), path=path)
@@ -158,16 +208,57 @@
         timeout = number_in(source.headers, self.dialect.timeout)
         if timeout.is_err():
             return Err(timeout.unwrap_err())
-        return Ok(self._asked_for(source, found, timeout.unwrap()))
+        identified = self._identify_routed(source, found.route)
+        if identified.is_err():
+            return Err(identified.unwrap_err())
+        identity = identified.unwrap()
+        regions = _common_homes(found.route, identity)
+        if regions is None:
+            return Err(BadRequest(503, NO_COMMON_HOME))
+        return Ok(self._asked_for(source, found, identity, regions, timeout.unwrap()))
+
+    def _identify_routed(
+        self, source: ServerExchange, route: Route
+    ) -> Result[Identity, BadRequest]:
+        """Find out whose key a request on a route carries.
+
+        Notes
+        -----
+        A public route serves a caller without a good key like one without a key.
+        """
+        directory = self._directory
+        anonymous = directory.anonymous_of(route.priority_class)
+        if not directory.has_workspaces:
+            return Ok(anonymous)
+        digest = read_key_digest(source.headers, scheme=self.dialect.key_scheme)
+        if digest == Ok(None):
+            identified: Result[Identity, NotAuthenticated] = Err(
+                NotAuthenticated(
+                    f"send an API key as Authorization: {self.dialect.key_scheme} KEY"
+                )
+            )
+        else:
+            identified = digest.and_then(
+                lambda found: directory.identify_workspace(
+                    found or "", route_class=route.priority_class
+                )
+            )
+        if identified.is_ok() and not self._keys_are_stale():
+            return Ok(identified.unwrap())
+        if route.public:
+            return Ok(anonymous)
+        if identified.is_ok():
+            return Err(BadRequest(503, KEYS_STALE))
+        return Err(BadRequest(401, identified.unwrap_err().reason))
 
     def _asked_for(
         self,
         source: ServerExchange,
         found: FoundRoute,
+        identity: Identity,
+        regions: frozenset[str],
         timeout_ms: int | None,
     ) -> AskedFor:
-        directory = self.node.directory
-        assert directory is not None
         route = found.route
         operation = Operation(
             method=source.method,
@@ -181,17 +272,28 @@
             request=CallerRequest(
                 service=found.service, path=source.target, timeout_ms=timeout_ms
             ),
-            identity=directory.anonymous_of(route.priority_class),
+            identity=identity,
             operation=operation,
             name=found.name,
             max_attempts=route.max_attempts,
             affinity=None if key is None else f"{route.path_prefix}{key}",
             bulky=route.bulky,
-            regions=frozenset(route.home_regions),
+            regions=regions,
             hold_until=monotonic() + HOLD_SHARE * route.target_ms / 1000,
             target_s=route.target_ms / 1000,
         )
 
 
+def _common_homes(route: Route, identity: Identity) -> frozenset[str] | None:
+    """Give the regions that may serve a request; None if there is none.
+
+    An empty set allows any region.
+    """
+    homes = frozenset(route.home_regions)
+    if not homes or not identity.home_regions:
+        return homes or identity.home_regions
+    return homes & identity.home_regions or None
+
+
 def _host_of(source: ServerExchange) -> str:
     return (find_header(source.headers, b"host") or b"").decode("latin-1")
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -16,6 +16,7 @@
 from plankspindle_core.outcome import Outcome
 from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.admission.ticket import Ticket
+from plankspindle_daemon.exchange.admission_door import AdmissionDoor
 from plankspindle_daemon.exchange.answers import answer_with_outcome
 from plankspindle_daemon.exchange.answers import refuse
 from plankspindle_daemon.exchange.attempt import Outgoing
@@ -47,6 +48,7 @@
 from plankspindle_daemon.node.dispatch_runner import DispatchRunner
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.node.pause_watch import PauseWatch
+from plankspindle_daemon.node.quota_runner import QuotaRunner
 from plankspindle_daemon.observability.metrics import RequestMetrics
 from plankspindle_daemon.quarantine.crash_probe import CrashProbe
 from plankspindle_daemon.quarantine.request_identity import RequestIdentity
@@ -88,6 +90,8 @@
         The decisions.
     dispatch : DispatchRunner
         Finder of upstreams.
+    quotas : QuotaRunner
+        Where tokens of workspaces' quotas come from.
     pool : ConnectionPool
         Connections to upstreams and other entry VMs.
     gate : IdempotencyGate
@@ -114,6 +118,7 @@
     settings: DaemonSettings
     node: Node
     dispatch: DispatchRunner
+    quotas: QuotaRunner
     pool: ConnectionPool
     gate: IdempotencyGate
     metrics: RequestMetrics
@@ -153,7 +158,8 @@
     async def _serve_counted(self, source: ServerExchange, story: Story) -> None:
         read = self.reader.read(source)
         if read.is_err():
-            await refuse(source, read.unwrap_err(), story)
+            scheme = self.dialect.key_scheme
+            await refuse(source, read.unwrap_err(), story, key_scheme=scheme)
             return
         asked = read.unwrap()
         terms = RequestTerms.of(asked)
@@ -281,7 +287,7 @@
                 source=source,
                 path=request.path,
                 upstream_headers=self._headers_for_upstream(source, asked.identity),
-                peer_headers=headers_for_peer(source.headers, grant=way.grant),
+                peer_headers=self._headers_for_peer(source, asked.identity, way),
                 body=body,
                 deadline=terms.deadline,
                 deadline_ms=terms.deadline_ms,
@@ -315,6 +321,12 @@
                 body=body.whole,
             ),
             crashes=self.crashes,
+            door=AdmissionDoor(
+                identity=asked.identity,
+                node=self.node,
+                quotas=self.quotas,
+                story=story,
+            ),
         )
 
     def _make_ticket(self, asked: AskedFor, terms: RequestTerms) -> Ticket:
@@ -334,11 +346,26 @@
         self, source: ServerExchange, identity: Identity
     ) -> HeaderList:
         if self.dialect.keeps_head:
-            return head_as_it_came(source.headers, dialect=self.dialect)
+            return head_as_it_came(
+                source.headers, dialect=self.dialect, workspace=identity.workspace
+            )
         return headers_for_upstream(
-            source.headers, caller=identity.caller, peer_host=source.peer_host
+            source.headers,
+            caller=identity.caller,
+            workspace=identity.workspace,
+            peer_host=source.peer_host,
         )
 
+    def _headers_for_peer(
+        self, source: ServerExchange, identity: Identity, way: _Way
+    ) -> HeaderList:
+        sealed = None
+        if identity.caller is not None and isinstance(way.route, ToPeer):
+            sealed = self.reader.sealer.seal(
+                identity.caller, target=source.target, wall_ms=int(time.time() * 1000)
+            )
+        return headers_for_peer(source.headers, grant=way.grant, sealed_identity=sealed)
+
     def _choose_move(
         self, source: ServerExchange, request: CallerRequest, identity: Identity
     ) -> HeldGrant | None:
--- a/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
@@ -18,6 +18,7 @@
 from plankspindle_daemon.node.dispatch_runner import DispatchRunner
 from plankspindle_daemon.node.effects import BeginLeaving
 from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.node.quota_runner import QuotaRunner
 from plankspindle_daemon.peer_messages.content_messages import ContentChunk
 from plankspindle_daemon.peer_messages.content_messages import ContentRequest
 from plankspindle_daemon.peer_messages.crash_news import CrashNews
@@ -27,9 +28,15 @@
 from plankspindle_daemon.peer_messages.list_news import ListNews
 from plankspindle_daemon.peer_messages.load_digest import LoadDigest
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+from plankspindle_daemon.peer_messages.quota_messages import ShareClaim
+from plankspindle_daemon.peer_messages.quota_messages import ShareLease
+from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
+from plankspindle_daemon.peer_messages.quota_messages import TokenRequest
 from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
 from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 from plankspindle_daemon.peer_messages.suspicion import Suspicion
+from plankspindle_daemon.quotas.messages import TokenRefused
+from plankspindle_daemon.quotas.messages import TokenTaken
 
 if TYPE_CHECKING:
     from plankspindle_core.endpoint import Endpoint
@@ -53,6 +60,8 @@
         The way to the other entry VMs.
     dispatch : DispatchRunner
         What carries out the effects of dispatchers.
+    quotas : QuotaRunner
+        What tells waiting requests whether they have a token.
     leave : callable
         Begins the planned stop, for a reason.
     take_news : callable, optional
@@ -62,6 +71,7 @@
     node: Node
     peers: PeerLink
     dispatch: DispatchRunner
+    quotas: QuotaRunner
     leave: Callable[[str], None]
     take_news: Callable[[ListNews], Awaitable[None]] | None = None
 
@@ -76,6 +86,8 @@
                     await self.peers.send(message, to)
                 case BeginLeaving(reason=reason):
                     self.leave(reason)
+                case TokenTaken() | TokenRefused():
+                    await self.quotas.decide(effect)
                 case _:
                     pass
         await self.dispatch.perform(effects)
@@ -98,10 +110,8 @@
                 await self._take_membership(HeartbeatReceived(message))
             case Suspicion():
                 await self._take_membership(SuspicionReceived(message))
-            case ContentRequest():
-                await self.perform([*self.node.versions.answer(message, sender)])
-            case ContentChunk():
-                await self._take_chunk(message)
+            case ContentRequest() | ContentChunk():
+                await self._receive_content(message, sender)
             case ListNews():
                 if self.take_news is not None:
                     await self.take_news(message)
@@ -110,6 +120,9 @@
                 await self.perform([*news])
             case LoadDigest():
                 self.node.digests.take(message, monotonic())
+            case ShareClaim() | ShareLease() | TokenRequest() | TokenGrant():
+                taken = self.node.quotas.receive(message, sender, monotonic())
+                await self.perform([*taken])
             case SlotRequest() | SlotGrant() | HeadroomRequest() | HeadroomGrant():
                 await self._receive_loan(message, sender)
 
@@ -137,6 +150,14 @@
             case HeadroomGrant():
                 self.node.headroom.grants.take_grant(message, monotonic())
 
+    async def _receive_content(
+        self, message: ContentRequest | ContentChunk, sender: Endpoint
+    ) -> None:
+        if isinstance(message, ContentChunk):
+            await self._take_chunk(message)
+        else:
+            await self.perform([*self.node.versions.answer(message, sender)])
+
     async def _take_chunk(self, chunk: ContentChunk) -> None:
         before = self.node.version
         effects = self.node.take_content_chunk(chunk, monotonic())
--- a/packages/daemon/src/plankspindle_daemon/node/effects.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effects.py
@@ -6,6 +6,8 @@
 from plankspindle_daemon.dispatch.messages import DispatchEffect
 from plankspindle_daemon.membership.messages import SendHeartbeat
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+from plankspindle_daemon.quotas.messages import TokenRefused
+from plankspindle_daemon.quotas.messages import TokenTaken
 
 
 @frozen
@@ -23,4 +25,6 @@
     reason: str
 
 
-NodeEffect = OfService | SendHeartbeat | BeginLeaving | SendToPeer
+NodeEffect = (
+    OfService | SendHeartbeat | BeginLeaving | SendToPeer | TokenTaken | TokenRefused
+)
--- a/packages/daemon/src/plankspindle_daemon/node/make_node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/make_node.py
@@ -5,12 +5,14 @@
 import secrets
 from typing import TYPE_CHECKING
 
+from plankspindle_core.process_start import PROCESS_STARTED_AT
 from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.idempotency.issued_ids import IssuedIds
 from plankspindle_daemon.leaving.leave import Leave
 from plankspindle_daemon.membership.membership import Membership
 from plankspindle_daemon.membership.membership_options import MembershipOptions
 from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.quotas.quota_options import QuotaOptions
 
 if TYPE_CHECKING:
     from random import Random
@@ -72,7 +74,9 @@
         needs_list=lists_upstreams,
         shared_read_s=timing.shared_read_ms / 1000,
         recovery_s=timing.recovery_ms / 1000,
+        quota_options=QuotaOptions(slack_requests=settings.quotas.slack_requests),
         probe_s=timing.probe_ms / 1000,
         started_at=monotonic(),
+        process_started_at=PROCESS_STARTED_AT,
         settle_s=timing.suspect_after_ms / 1000,
     )
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -33,9 +33,12 @@
 from plankspindle_daemon.node.self_report import SelfReport
 from plankspindle_daemon.node.shared_slots import SharedSlots
 from plankspindle_daemon.node.version_talk import VersionTalk
+from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_daemon.platform.listed_upstreams import RECOVERY_S
 from plankspindle_daemon.platform.listed_upstreams import ListedUpstreams
 from plankspindle_daemon.quarantine.quarantine import Quarantine
+from plankspindle_daemon.quotas.quota_options import QuotaOptions
+from plankspindle_daemon.quotas.quotas import Quotas
 from plankspindle_daemon.routes.route_table import RouteTable
 from plankspindle_daemon.sharing.reader_group import ReaderGroup
 from plankspindle_daemon.sharing.shared_reads import SharedReads
@@ -50,7 +53,6 @@
     from plankspindle_daemon.peer_messages.content_messages import ContentChunk
     from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
     from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
-    from plankspindle_daemon.peer_messages.readiness import Readiness
     from plankspindle_daemon.retries.retry_budget import RetryBudget
     from plankspindle_daemon.steering.steering import Steering
 
@@ -83,6 +85,8 @@
         Period of reading load reports, in seconds.
     started_at : float
         Monotonic seconds.
+    process_started_at : float, optional
+        When the process began, if that was earlier.
     settle_s : float
         Time for which a new process listens for peers before it takes slots, in
         seconds.
@@ -93,6 +97,8 @@
         zero if every VM reads for itself.
     recovery_s : float
         Time after a disturbance by which what is gone must be left, in seconds.
+    quota_options : QuotaOptions
+        Bounds of the quotas of workspaces.
 
     Attributes
     ----------
@@ -114,9 +120,11 @@
     probe_s: float
     started_at: float
     settle_s: float
+    process_started_at: float | None = None
     needs_list: bool = False
     shared_read_s: float = 0.0
     recovery_s: float = RECOVERY_S
+    quota_options: QuotaOptions = Factory(QuotaOptions)
     configuration: Configuration | None = None
     version: int = 0
     adopted_at: float | None = None
@@ -130,6 +138,7 @@
     talk: DomainTalk = field(init=False)
     versions: VersionTalk = field(init=False)
     quarantine: Quarantine = field(init=False)
+    quotas: Quotas = field(init=False)
     reads: SharedReads = field(init=False)
     self_report: SelfReport = field(init=False)
     look_ups: LookUps = field(init=False)
@@ -148,6 +157,20 @@
             headroom=self.headroom,
         )
         self.quarantine = Quarantine.of(self.vm, self.failure_domain, self.membership)
+        self.quotas = Quotas(
+            vm=self.vm,
+            failure_domain=self.failure_domain,
+            endpoint=self.peer_endpoint,
+            incarnation=self.incarnation,
+            started_at=(
+                self.started_at
+                if self.process_started_at is None
+                else self.process_started_at
+            ),
+            random=self.random,
+            membership=self.membership,
+            options=self.quota_options,
+        )
         self.versions = VersionTalk(
             vm=self.vm, membership=self.membership, random=self.random
         )
@@ -260,6 +283,7 @@
             self.meter = ShiftMeter.create(region=region)
         self.meter.use_shifts(configuration.shifts_by_id, now)
         self._use_routes(configuration)
+        self.quotas.use(configuration)
         wall = now + self._wall_ahead_s
         self.services.use(configuration, version=version, now=now, wall=wall)
         self.look_ups.refresh(self.version, now)
@@ -345,6 +369,7 @@
             self.slots.forget_removals(self.configuration, now)
         effects += self.versions.tick(now)
         effects += self.quarantine.tick(now)
+        effects += self._tick_quotas(now)
         effects += self.talk.send_digests(
             self.dispatchers_by_service, self.version, now
         )
@@ -357,6 +382,13 @@
             ),
         ]
 
+    def _tick_quotas(self, now: float) -> list[NodeEffect]:
+        takes_part = self.readiness() in (Readiness.READY, Readiness.OVERLOADED)
+        knows_list = self.self_report.list_read_at is not None
+        return [
+            *self.quotas.tick(takes_part=takes_part, knows_list=knows_list, now=now)
+        ]
+
     def _apply_drains(self, *, now: float, wall: float) -> None:
         self.services.apply_drains(now=now, wall=wall)
         self.vm_drains.apply(now=now, wall=wall)
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/peer_message.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/peer_message.py
@@ -12,6 +12,10 @@
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
 from plankspindle_daemon.peer_messages.list_news import ListNews
 from plankspindle_daemon.peer_messages.load_digest import LoadDigest
+from plankspindle_daemon.peer_messages.quota_messages import ShareClaim
+from plankspindle_daemon.peer_messages.quota_messages import ShareLease
+from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
+from plankspindle_daemon.peer_messages.quota_messages import TokenRequest
 from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
 from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 from plankspindle_daemon.peer_messages.suspicion import Suspicion
@@ -28,6 +32,10 @@
     | ListNews
     | Suspicion
     | CrashNews
+    | ShareClaim
+    | ShareLease
+    | TokenRequest
+    | TokenGrant
 )
 
 
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces, kept over all entry VMs together."""
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/quotas/holder_map.py
@@ -0,0 +1,100 @@
+"""Which entry VMs hand out tokens."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+
+from plankspindle_core.classes import define
+from plankspindle_core.classes import frozen
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.stable_hash import stable_hash
+from plankspindle_daemon.quotas.quota_options import SHARDS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+@frozen(kw_only=True)
+class QuotaVm:
+    """An entry VM that may hold shares of quotas.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    region : str
+        Region that it stands in.
+    endpoint : Endpoint
+        Where messages go.
+    """
+
+    name: str
+    region: str
+    endpoint: Endpoint
+
+
+@define(kw_only=True)
+class HolderMap:
+    """The holder of each shard in each region, as far as this VM knows.
+
+    Notes
+    -----
+    Each region has a holder of its own, so that most tokens are a short way off and a
+    region that is cut off still has what its VMs own. Views may differ: a share is with
+    one holder whatever VMs believe, and who asks a wrong one gets nothing there.
+    """
+
+    _holders_by_region: dict[str, list[QuotaVm]] = Factory(dict)
+    _known: frozenset[QuotaVm] = frozenset()
+    _vm_by_name: dict[str, QuotaVm] = Factory(dict)
+    _ranks_by_name: dict[str, list[int]] = Factory(dict)
+
+    def use(self, vms: Iterable[QuotaVm]) -> None:
+        """Take the VMs that take part now."""
+        known = frozenset(vms)
+        if known == self._known:
+            return
+        self._known = known
+        self._vm_by_name = {vm.name: vm for vm in known}
+        by_region: dict[str, list[QuotaVm]] = {}
+        for vm in known:
+            by_region.setdefault(vm.region, []).append(vm)
+        self._holders_by_region = {
+            region: [
+                max(there, key=lambda vm: (self._rank(vm.name, shard), vm.name))  # noqa: B023
+                for shard in range(SHARDS)
+            ]
+            for region, there in by_region.items()
+        }
+
+    def holder(self, shard: int, region: str) -> QuotaVm | None:
+        """Give the holder of a shard in a region."""
+        holders = self._holders_by_region.get(region)
+        return None if holders is None else holders[shard]
+
+    def shards_of(self, vm: str, region: str) -> tuple[int, ...]:
+        """Give the shards that a VM is to hold in its region."""
+        holders = self._holders_by_region.get(region, [])
+        return tuple(shard for shard, holder in enumerate(holders) if holder.name == vm)
+
+    def regions(self) -> list[str]:
+        """Name the regions with holders, sorted."""
+        return sorted(self._holders_by_region)
+
+    def vm(self, name: str | None) -> QuotaVm | None:
+        """Give a VM that takes part; None if it does not."""
+        return self._vm_by_name.get(name or "")
+
+    def vms_of(self, region: str) -> list[QuotaVm]:
+        """Give the VMs of a region."""
+        return [vm for vm in self._known if vm.region == region]
+
+    def _rank(self, name: str, shard: int) -> int:
+        """Give a VM's place in the rendezvous order of a shard."""
+        ranks = self._ranks_by_name.get(name)
+        if ranks is None:
+            ranks = [stable_hash(f"{name}#{number}") for number in range(SHARDS)]
+            self._ranks_by_name[name] = ranks
+        return ranks[shard]
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/quotas/quota_holder.py
@@ -0,0 +1,172 @@
+"""Handing out of tokens by the VM to which others have leased their shares."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import evolve
+
+from plankspindle_core.classes import define
+from plankspindle_core.classes import frozen
+from plankspindle_core.stable_hash import stable_hash
+from plankspindle_daemon.peer_messages.quota_messages import ShareClaim
+from plankspindle_daemon.peer_messages.quota_messages import ShareLease
+from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
+from plankspindle_daemon.peer_messages.quota_messages import TokenRequest
+from plankspindle_daemon.quotas.leased_shares import LeasedShares
+from plankspindle_daemon.quotas.quota_options import LEASE_S
+from plankspindle_daemon.quotas.quota_options import SHARDS
+from plankspindle_daemon.quotas.quota_options import QuotaOptions
+from plankspindle_daemon.quotas.token_pool import TokenPool
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from plankspindle_core.configuration.workspace import Workspace
+
+NO_SHARE_S = 0.25
+"""Time after which a VM that holds no share may have one."""
+
+
+def shard_of(workspace: str) -> int:
+    """Give the shard of a workspace, the same at every VM."""
+    return stable_hash(workspace) % SHARDS
+
+
+@frozen(kw_only=True)
+class TokensTaken:
+    """Tokens that a holder gave.
+
+    Parameters
+    ----------
+    count : int
+        Their number, as many as were wanted or fewer.
+    retry_after_s : float
+        Time until there is one for who got none, in seconds.
+    has_share : bool
+        Whether any share of the quota is leased to the holder.
+    """
+
+    count: int
+    retry_after_s: float
+    has_share: bool
+
+
+@define(kw_only=True)
+class QuotaHolder:
+    """Collect leases of shares, and give tokens from what they amount to.
+
+    Parameters
+    ----------
+    vm : str
+        Name of this VM.
+    incarnation : int
+        Number of this process.
+    options : QuotaOptions
+        Bounds of the quotas.
+
+    Attributes
+    ----------
+    granted_by_workspace, denied_by_workspace : dict of str to int
+        Tokens given and not given here.
+    """
+
+    vm: str
+    incarnation: int
+    options: QuotaOptions
+    granted_by_workspace: dict[str, int] = Factory(dict)
+    denied_by_workspace: dict[str, int] = Factory(dict)
+    _shares_by_shard: dict[int, LeasedShares] = Factory(
+        lambda: {shard: LeasedShares() for shard in range(SHARDS)}
+    )
+    _pools_by_workspace: dict[str, TokenPool] = Factory(dict)
+
+    def use(self, workspaces_by_name: Mapping[str, Workspace]) -> None:
+        """Take the quotas of another version; pools keep what they have given."""
+        pools = self._pools_by_workspace
+        self._pools_by_workspace = {}
+        for name, terms in workspaces_by_name.items():
+            if not terms.is_limited:
+                continue
+            known = pools.get(name)
+            self._pools_by_workspace[name] = (
+                TokenPool(
+                    workspace=name,
+                    holder=self.vm,
+                    terms=terms,
+                    slack_requests=self.options.slack_requests,
+                )
+                if known is None
+                else evolve(known, terms=terms)
+            )
+        for counted in (self.granted_by_workspace, self.denied_by_workspace):
+            for name in set(counted) - set(self._pools_by_workspace):
+                del counted[name]
+
+    def claim(
+        self, shards: tuple[int, ...], *, fleet_size: int, now: float
+    ) -> ShareClaim:
+        """Make a claim to the shares of other VMs."""
+        return ShareClaim(
+            sender=self.vm,
+            incarnation=self.incarnation,
+            sent_ms=int(now * 1000),
+            shards=shards,
+            fleet_size=fleet_size,
+        )
+
+    def take_lease(self, lease: ShareLease, now: float) -> None:
+        """Add the share of a VM that answered a claim."""
+        if lease.claim_incarnation != self.incarnation or lease.fleet_size <= 0:
+            return
+        ends_at = lease.claim_sent_ms / 1000 + LEASE_S
+        for shard in lease.shards:
+            shares = self._shares_by_shard.get(shard)
+            if shares is not None:
+                share = 1.0 / lease.fleet_size
+                shares.take(lease.sender, share=share, ends_at=ends_at, now=now)
+
+    def share_of(self, shard: int, now: float) -> float:
+        """Give the part of each quota of a shard that is leased here."""
+        shares = self._shares_by_shard[shard]
+        shares.advance(now)
+        return shares.share
+
+    def has_all(self, shards: tuple[int, ...], *, vms: int, now: float) -> bool:
+        """Tell whether so many VMs have leased their share of each shard."""
+        for shard in shards:
+            self._shares_by_shard[shard].advance(now)
+        return all(self._shares_by_shard[each].lessors >= vms for each in shards)
+
+    def answer(self, request: TokenRequest, now: float) -> TokenGrant:
+        """Give tokens, as far as there are any."""
+        taken = self.take(request.workspace, request.count, now)
+        all_given = taken.count == request.count
+        return TokenGrant(
+            sender=self.vm,
+            request_id=request.request_id,
+            workspace=request.workspace,
+            count=taken.count,
+            retry_after_ms=0 if all_given else 1 + int(1000 * taken.retry_after_s),
+            has_share=taken.has_share,
+        )
+
+    def take(self, workspace: str, wanted: int, now: float) -> TokensTaken:
+        """Take tokens for requests of this VM or another."""
+        pool = self._pools_by_workspace.get(workspace)
+        shares = self._shares_by_shard[shard_of(workspace)]
+        shares.advance(now)
+        if pool is None or shares.share <= 0.0:
+            return TokensTaken(count=0, retry_after_s=NO_SHARE_S, has_share=False)
+        given = pool.take(wanted, shares)
+        _count(self.granted_by_workspace, workspace, given)
+        _count(self.denied_by_workspace, workspace, wanted - given)
+        return TokensTaken(
+            count=given, retry_after_s=pool.retry_after_s(), has_share=True
+        )
+
+
+def _count(by_workspace: dict[str, int], workspace: str, number: int) -> None:
+    if number:
+        by_workspace[workspace] = by_workspace.get(workspace, 0) + number
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/quotas/quota_options.py
@@ -0,0 +1,32 @@
+"""How strictly quotas are kept."""
+
+from __future__ import annotations
+
+from plankspindle_core.classes import frozen
+
+LEASE_S = 1.5
+"""Life of a leased share.
+
+What is out when a holder dies comes back after this, and a process that starts waits as
+long for the leases of the one before it to end.
+"""
+CLAIM_PERIOD_S = 0.5
+"""Period of renewing leases; a claim may be lost."""
+FIRST_CLAIMS_S = 0.15
+"""Period of claims while VMs of the region have not leased their share yet."""
+SHARDS = 4
+"""Parts into which workspaces are divided among the holders of a region."""
+
+
+@frozen(kw_only=True)
+class QuotaOptions:
+    """Bounds of the quotas of one fleet.
+
+    Parameters
+    ----------
+    slack_requests : float
+        Requests that a workspace may send beyond its burst, shared by the fleet. They
+        make up for tokens that lie where no request comes.
+    """
+
+    slack_requests: float = 0.0
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/quotas/quotas.py
@@ -0,0 +1,232 @@
+"""Quotas of all workspaces as one entry VM takes part in keeping them."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import field
+
+from plankspindle_core.classes import define
+from plankspindle_core.configuration.configuration import Configuration
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.membership.membership import Membership
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+from plankspindle_daemon.peer_messages.quota_messages import ShareClaim
+from plankspindle_daemon.peer_messages.quota_messages import ShareLease
+from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
+from plankspindle_daemon.peer_messages.quota_messages import TokenRequest
+from plankspindle_daemon.peer_messages.readiness import Readiness
+from plankspindle_daemon.platform.live_list import VmKind
+from plankspindle_daemon.quotas.fleet_size import FleetSize
+from plankspindle_daemon.quotas.holder_map import HolderMap
+from plankspindle_daemon.quotas.holder_map import QuotaVm
+from plankspindle_daemon.quotas.messages import TokenTaken
+from plankspindle_daemon.quotas.quota_borrower import QuotaBorrower
+from plankspindle_daemon.quotas.quota_holder import QuotaHolder
+from plankspindle_daemon.quotas.quota_options import CLAIM_PERIOD_S
+from plankspindle_daemon.quotas.quota_options import FIRST_CLAIMS_S
+from plankspindle_daemon.quotas.quota_options import LEASE_S
+from plankspindle_daemon.quotas.quota_options import QuotaOptions
+from plankspindle_daemon.quotas.share_lessor import ShareLessor
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.quotas.quota_borrower import BorrowerEffect
+
+REFRESH_S = 1.0
+"""Longest time after which it is looked which VMs may hold shares."""
+_MAY_HOLD = (Readiness.READY, Readiness.OVERLOADED)
+
+QuotaMessage = ShareClaim | ShareLease | TokenRequest | TokenGrant
+
+
+@define(kw_only=True)
+class Quotas:
+    """Decide which requests of limited workspaces may go on to an upstream.
+
+    Parameters
+    ----------
+    vm, failure_domain : str
+        This VM and where it stands.
+    endpoint : Endpoint
+        Where other VMs reach it.
+    incarnation : int
+        Number of this process.
+    started_at : float
+        When the process began, monotonic seconds.
+    random : Random
+        Seeded source of all random choices.
+    membership : Membership
+        Other entry VMs.
+    options : QuotaOptions
+        Bounds of the quotas.
+
+    Notes
+    -----
+    Every VM owns one part of each quota and leases it, shard by shard, to one holder of
+    its region. A holder gives tokens from the shares that are leased to it; a request
+    needs one before it is sent to an upstream. The sum over all holders never exceeds
+    the quota, since each share is with one holder at a time.
+    """
+
+    vm: str
+    failure_domain: str
+    endpoint: Endpoint
+    incarnation: int
+    started_at: float
+    random: Random
+    membership: Membership
+    options: QuotaOptions
+    fleet: FleetSize = Factory(FleetSize)
+    holders: HolderMap = Factory(HolderMap)
+    lessor: ShareLessor = field(init=False)
+    holder: QuotaHolder = field(init=False)
+    borrower: QuotaBorrower = field(init=False)
+    _configuration: Configuration | None = None
+    _is_needed: bool = False
+    _known: tuple[int, bool] = (0, False)
+    _claimed: tuple[int, ...] = ()
+    _next_claim: float = 0.0
+    _next_refresh: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        self.lessor = ShareLessor(vm=self.vm, owns_from=self.started_at + LEASE_S)
+        self.holder = QuotaHolder(
+            vm=self.vm, incarnation=self.incarnation, options=self.options
+        )
+        self.borrower = QuotaBorrower(
+            vm=self.vm,
+            random=self.random,
+            holder=self.holder,
+            lessor=self.lessor,
+            map=self.holders,
+        )
+
+    def use(self, configuration: Configuration) -> None:
+        """Take the quotas of another version of the configuration."""
+        workspaces = configuration.workspaces_by_name
+        self._configuration = configuration
+        self._is_needed = any(each.is_limited for each in workspaces.values())
+        self.borrower.region = configuration.region_of(self.failure_domain) or ""
+        self.holder.use(workspaces)
+        self.borrower.forget(
+            {name for name, each in workspaces.items() if each.is_limited}
+        )
+        self._next_refresh = 0.0
+
+    def want(self, ticket: int, workspace: str, now: float) -> list[BorrowerEffect]:
+        """Get a token for a request of a workspace."""
+        terms = None
+        if self._configuration is not None:
+            terms = self._configuration.workspaces_by_name.get(workspace)
+        if terms is None or not terms.is_limited:
+            return [TokenTaken(ticket=ticket)]
+        return self.borrower.want(ticket, workspace, now)
+
+    def receive(
+        self, message: QuotaMessage, reply_to: Endpoint, now: float
+    ) -> list[BorrowerEffect]:
+        """Take a message of another entry VM."""
+        match message:
+            case ShareClaim():
+                lease = self._lease(message, now)
+                return [] if lease is None else [SendToPeer(message=lease, to=reply_to)]
+            case ShareLease():
+                self.fleet.note(message.fleet_size, now)
+                self.holder.take_lease(message, now)
+                return []
+            case TokenRequest():
+                grant = self.holder.answer(message, now)
+                return [SendToPeer(message=grant, to=reply_to)]
+            case TokenGrant():
+                return self.borrower.take_grant(message, now)
+
+    def tick(
+        self, *, takes_part: bool, knows_list: bool, now: float
+    ) -> list[BorrowerEffect]:
+        """Let time pass.
+
+        Parameters
+        ----------
+        takes_part : bool
+            Whether this VM may hold shares: it serves, and is not about to leave.
+        knows_list : bool
+            Whether the list of VMs was read, without which none knows its share.
+        now : float
+            Monotonic seconds.
+        """
+        if not self._is_needed:
+            return []
+        effects = self.borrower.tick(now)
+        known = (self.membership.changes, takes_part)
+        if now >= self._next_refresh or known != self._known:
+            self._next_refresh = now + REFRESH_S
+            self._known = known
+            if knows_list:
+                self.fleet.note(self._count(), now)
+            self._use_vms(takes_part=takes_part, now=now)
+        return [*effects, *self._claim(now)]
+
+    def _lease(self, claim: ShareClaim, now: float) -> ShareLease | None:
+        self.fleet.note(claim.fleet_size, now)
+        return self.lessor.answer(claim, fleet_size=self.fleet.at(now), now=now)
+
+    def _claim(self, now: float) -> list[BorrowerEffect]:
+        """Claim the shares of the region for the shards that are held here."""
+        region = self.borrower.region
+        shards = self.holders.shards_of(self.vm, region)
+        is_due = shards != self._claimed or now >= self._next_claim
+        self._claimed = shards
+        if not shards or not is_due:
+            return []
+        vms = self.holders.vms_of(region)
+        is_whole = self.holder.has_all(shards, vms=len(vms), now=now)
+        self._next_claim = now + (CLAIM_PERIOD_S if is_whole else FIRST_CLAIMS_S)
+        claim = self.holder.claim(shards, fleet_size=self.fleet.at(now), now=now)
+        own = self._lease(claim, now)
+        if own is not None:
+            self.holder.take_lease(own, now)
+        return [
+            SendToPeer(message=claim, to=vm.endpoint)
+            for vm in vms
+            if vm.name != self.vm
+        ]
+
+    def _count(self) -> int:
+        listed = {
+            each.name
+            for each in self.membership.listed_by_name.values()
+            if each.kind is VmKind.ENTRY
+        }
+        return len(listed | {self.vm, *self.membership.members_by_name})
+
+    def _use_vms(self, *, takes_part: bool, now: float) -> None:
+        vms = {}
+        if takes_part:
+            vms[self.vm] = self._quota_vm(self.vm, self.failure_domain, self.endpoint)
+        members = self.membership.members_by_name
+        for listed in self.membership.listed_by_name.values():
+            is_other = listed.kind is VmKind.ENTRY and listed.name not in members
+            if is_other and listed.name != self.vm and not listed.leaving:
+                endpoint = listed.peer_endpoint
+                vms[listed.name] = self._quota_vm(
+                    listed.name, listed.failure_domain, endpoint
+                )
+        for member in members.values():
+            if member.readiness in _MAY_HOLD and not self.membership.is_silent(
+                member, now
+            ):
+                vms[member.name] = self._quota_vm(
+                    member.name, member.failure_domain, member.peer_endpoint
+                )
+        self.holders.use(each for each in vms.values() if each is not None)
+
+    def _quota_vm(
+        self, name: str, failure_domain: str, endpoint: Endpoint | None
+    ) -> QuotaVm | None:
+        assert self._configuration is not None
+        region = self._configuration.region_of(failure_domain)
+        if endpoint is None or region is None:
+            return None
+        return QuotaVm(name=name, region=region, endpoint=endpoint)
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/quotas/token_pool.py
@@ -0,0 +1,88 @@
+"""A token bucket that holds a part of one workspace's quota."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from plankspindle_core.classes import define
+from plankspindle_core.configuration.workspace import Workspace
+from plankspindle_core.stable_hash import stable_hash
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.quotas.leased_shares import LeasedShares
+
+MAX_RETRY_AFTER_S = 5.0
+_HASH_RANGE = 2.0**64
+
+
+@define(kw_only=True)
+class TokenPool:
+    """Tokens of one workspace at one holder.
+
+    Parameters
+    ----------
+    workspace : str
+        Name of the workspace.
+    holder : str
+        Name of this VM.
+    terms : Workspace
+        Its quota.
+    slack_requests : float
+        Requests that the fleet admits beyond the burst.
+
+    Notes
+    -----
+    It is empty when its holder begins to have shares, since the holder before it may
+    have given its whole burst.
+    """
+
+    workspace: str
+    holder: str
+    terms: Workspace
+    slack_requests: float
+    _tokens: float = 0.0
+    _refused: float = 0.0
+    _share_s: float = 0.0
+    _share: float = 0.0
+
+    def take(self, wanted: int, shares: LeasedShares) -> int:
+        """Take as many of the wanted tokens as there are."""
+        self._fill(shares)
+        taken = min(wanted, int(self._tokens))
+        self._tokens -= taken
+        self._refused += wanted - taken
+        return taken
+
+    def retry_after_s(self) -> float:
+        """Give the time after which who got none may come back, in seconds.
+
+        Those that were refused before come first, so that not all come at once.
+        """
+        per_s = self.terms.rate_per_s * self._share
+        if per_s <= 0.0 or self._capacity(self._share) < 1.0:
+            return MAX_RETRY_AFTER_S
+        missing = max(0.0, self._refused - self._tokens)
+        return min(MAX_RETRY_AFTER_S, missing / per_s)
+
+    def _fill(self, shares: LeasedShares) -> None:
+        if shares.drops and self._share_s < shares.drops[0].share_s:
+            self._tokens, self._share_s = 0.0, shares.drops[0].share_s
+        for drop in shares.drops:
+            if drop.share_s >= self._share_s:
+                self._gain(drop.share_s, drop.share)
+        self._gain(shares.share_s, shares.share)
+
+    def _gain(self, share_s: float, share: float) -> None:
+        gained = self.terms.rate_per_s * (share_s - self._share_s)
+        self._tokens = min(self._capacity(share), self._tokens + gained)
+        self._refused = max(0.0, self._refused - gained)
+        self._share_s, self._share = share_s, share
+
+    def _capacity(self, share: float) -> float:
+        burst = (max(1.0, self.terms.burst) + self.slack_requests) * share
+        if burst >= 1.0 or burst <= 0.0:
+            return burst
+        # Rounded by hash, so that the bursts of all holders together keep their sum.
+        place = stable_hash(f"{self.workspace} {self.holder}") / _HASH_RANGE
+        return math.floor(burst + place)
--- a/packages/daemon/src/plankspindle_daemon/settings/daemon_settings.py
+++ b/packages/daemon/src/plankspindle_daemon/settings/daemon_settings.py
@@ -140,6 +140,24 @@
     hold_answer_bytes: int = field(default=16_384, validator=validators.ge(0))
 
 
+@frozen(kw_only=True)
+class QuotaSettings:
+    """Bounds on the quotas of workspaces.
+
+    Parameters
+    ----------
+    slack_requests : float
+        Requests that all entry VMs together may admit of a workspace beyond its burst.
+        They keep small workspaces from being refused below their quota.
+    max_key_age_ms : int
+        Time without word of the platform after which a VM no longer accepts API keys,
+        which may have been revoked meanwhile; unlimited if zero.
+    """
+
+    slack_requests: float = field(default=0.0, validator=validators.ge(0))
+    max_key_age_ms: int = field(default=0, validator=validators.ge(0))
+
+
 @frozen(kw_only=True)
 class DaemonSettings:
     """All settings of one daemon.
@@ -164,6 +182,8 @@
         Bounds on requests.
     http : HttpLimits
         Limits of the caller listener.
+    quotas : QuotaSettings
+        Bounds on workspaces.
     """
 
     vm: str
@@ -175,6 +195,7 @@
     timing: TimingSettings = Factory(TimingSettings)
     requests: RequestSettings = Factory(RequestSettings)
     http: HttpLimits = Factory(HttpLimits)
+    quotas: QuotaSettings = Factory(QuotaSettings)
 
     def problems(self) -> list[str]:
         """List what is wrong beyond the types of single keys.
--- a/packages/daemon/src/plankspindle_daemon/stories/steps.py
+++ b/packages/daemon/src/plankspindle_daemon/stories/steps.py
@@ -284,6 +284,30 @@
     identity: str
 
 
+@frozen(kw_only=True)
+class TokenDecided:
+    """The request was held against the quota of its workspace.
+
+    Parameters
+    ----------
+    workspace : str
+        Name of the workspace.
+    taken : bool
+        Whether it may be sent to an upstream.
+    waited_ms : int
+        Time that the decision took.
+    over_quota : bool, optional
+        Whether the workspace has used its quota, if the request may not be sent;
+        otherwise no VM that hands out tokens was reached.
+    """
+
+    EVENT: ClassVar[str] = "quota_token_decided"
+    workspace: str
+    taken: bool
+    waited_ms: int
+    over_quota: bool | None
+
+
 Step = (
     Routed
     | ClaimDecided
@@ -296,4 +320,5 @@
     | RetryDecided
     | HeldBack
     | Suspected
+    | TokenDecided
 )
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -28,6 +28,10 @@
 from plankspindle_daemon.peer_messages.list_news import ToldUpstream
 from plankspindle_daemon.peer_messages.load_digest import LoadDigest
 from plankspindle_daemon.peer_messages.load_digest import ServiceLoad
+from plankspindle_daemon.peer_messages.quota_messages import ShareClaim
+from plankspindle_daemon.peer_messages.quota_messages import ShareLease
+from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
+from plankspindle_daemon.peer_messages.quota_messages import TokenRequest
 from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
 from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
@@ -91,6 +95,7 @@
     "quarantined": _list_of(Quarantined),
     "lives": _Conversion(write=list, read=tuple),
     "cleared": _list_of(Clearance),
+    "shards": _Conversion(write=list, read=tuple),
 }
 _CLASS_BY_UNION_MEMBER: dict[str, type[Any]] = {
     "heartbeat": Heartbeat,
@@ -104,6 +109,10 @@
     "listNews": ListNews,
     "suspicion": Suspicion,
     "crashNews": CrashNews,
+    "shareClaim": ShareClaim,
+    "shareLease": ShareLease,
+    "tokenRequest": TokenRequest,
+    "tokenGrant": TokenGrant,
 }
 _PARTS = (ServiceLoad, Suspect, ToldUpstream, CrashReport, Quarantined, Clearance)
 """Classes of which messages hold lists."""
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -147,6 +147,34 @@
   suspected @4 :List(UInt64);
 }
 
+struct ShareClaim {
+  incarnation @0 :UInt64;
+  sentMs @1 :UInt64;
+  shards @2 :List(UInt8);
+  fleetSize @3 :UInt32;
+}
+
+struct ShareLease {
+  claimIncarnation @0 :UInt64;
+  claimSentMs @1 :UInt64;
+  shards @2 :List(UInt8);
+  fleetSize @3 :UInt32;
+}
+
+struct TokenRequest {
+  requestId @0 :UInt64;
+  workspace @1 :Text;
+  count @2 :UInt32;
+}
+
+struct TokenGrant {
+  requestId @0 :UInt64;
+  workspace @1 :Text;
+  count @2 :UInt32;
+  retryAfterMs @3 :UInt32;
+  hasShare @4 :Bool;
+}
+
 struct PeerMessage {
   sender @0 :Text;
   union {
@@ -161,5 +189,9 @@
     listNews @9 :ListNews;
     suspicion @10 :Suspicion;
     crashNews @11 :CrashNews;
+    shareClaim @12 :ShareClaim;
+    shareLease @13 :ShareLease;
+    tokenRequest @14 :TokenRequest;
+    tokenGrant @15 :TokenGrant;
   }
 }
--- a/packages/daemon/tests/exchange/test_busy_loop.py
+++ b/packages/daemon/tests/exchange/test_busy_loop.py
@@ -19,6 +19,7 @@
 import socket
 import time
 from itertools import count
+from types import SimpleNamespace
 from typing import Any
 from typing import cast
 
@@ -31,8 +32,10 @@
 from plankspindle_core.http.headers import HeaderList
 from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.supervisor import Supervisor
+from plankspindle_daemon.admission.caller_directory import Identity
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import Verdict
+from plankspindle_daemon.exchange.admission_door import AdmissionDoor
 from plankspindle_daemon.exchange.attempt import Attempt
 from plankspindle_daemon.exchange.attempt import Outgoing
 from plankspindle_daemon.exchange.dialect import Dialect
@@ -105,6 +108,7 @@
 def build_runner(dispatch: FakeDispatch, source: FakeSource) -> RequestRunner:
     deadline = monotonic() + DEADLINE_S
     pool = ConnectionPool(max_per_endpoint=4, connect_timeout_s=5.0)
+    story = Story(request="r", is_callers_id=False, began_at=0.0, began_wall=0.0)
     return RequestRunner(
         vm="a",
         service="registry",
@@ -128,7 +132,7 @@
         record=NoRecord(),
         dispatch=cast("Any", dispatch),
         pool=pool,
-        story=Story(request="r", is_callers_id=False, began_at=0.0, began_wall=0.0),
+        story=story,
         max_recorded_bytes=0,
         identity=RequestIdentity(caller=None, method="GET", target=source.target),
         crashes=CrashProbe(
@@ -137,6 +141,12 @@
             supervisor=Supervisor(),
             perform=send_nothing,
         ),
+        door=AdmissionDoor(
+            identity=Identity(caller=None, rank=0),
+            node=cast("Any", SimpleNamespace(directory=None)),
+            quotas=cast("Any", None),
+            story=story,
+        ),
     )
 
 
--- /dev/null
+++ b/packages/daemon/tests/quotas/test_quota_loads.py
@@ -0,0 +1,244 @@
+"""Loads on quotas of a whole fleet: hot workspaces, cuts, restarts, lost messages.
+
+The bound is that of the promise: what runs in any window stays below the quota and a
+small slack, whatever VMs can reach of each other.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from plankspindle_testkit.builders import build_workspace
+from plankspindle_testkit.quota_fleet import QuotaFleet
+
+if TYPE_CHECKING:
+    from plankspindle_core.configuration.workspace import Workspace
+
+WINDOW_S = 5.0
+OVERAGE = 1.1
+SLACK = 20
+SETTLE_S = 8.0
+"""Time in which a fleet that starts has its shares leased and its pools filled."""
+SIZES = (9, 67, 195, 300)
+
+
+def bound(rate_per_s: float, burst: float) -> float:
+    return (rate_per_s * WINDOW_S + burst) * OVERAGE + SLACK
+
+
+def limited(rate_per_s: float, burst: float | None = None) -> Workspace:
+    return build_workspace(rate_per_s=rate_per_s, burst=burst or rate_per_s)
+
+
+def build_fleet(size: int, seed: int = 1, **rates: float) -> QuotaFleet:
+    fleet = QuotaFleet(
+        random=Random(seed),
+        workspaces_by_name={name: limited(rate) for name, rate in rates.items()},
+    )
+    fleet.add_vms(size)
+    fleet.run(SETTLE_S)
+    return fleet
+
+
+class Load:
+    """Requests of workspaces at given rates, at random VMs, ten times a second."""
+
+    def __init__(self, fleet: QuotaFleet, **per_s: float) -> None:
+        self.fleet = fleet
+        self.per_s = per_s
+        self.random = Random(7)
+        self.sent = dict.fromkeys(per_s, 0)
+
+    def __call__(self, now: float) -> None:
+        names = list(self.fleet.vms_by_name)
+        for workspace, per_s in self.per_s.items():
+            wanted = per_s / 10
+            number = int(wanted) + (self.random.random() < wanted % 1)
+            self.sent[workspace] += number
+            for _ in range(number):
+                self.fleet.request(self.random.choice(names), workspace)
+
+
+def refused(fleet: QuotaFleet, workspace: str) -> int:
+    return len(fleet.refused_at_by_workspace.get(workspace, []))
+
+
+def assert_bound(fleet: QuotaFleet) -> None:
+    for name, terms in fleet.workspaces_by_name.items():
+        most = fleet.most_in_window(name, WINDOW_S)
+        assert most <= bound(terms.rate_per_s, terms.burst), name
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_calm_workspaces_are_hardly_refused(size: int) -> None:
+    fleet = build_fleet(size, small=5.0, large=160.0)
+    load = Load(fleet, small=3.0, large=100.0)
+    fleet.run(20.0, load)
+    asked = sum(load.sent.values())
+    assert refused(fleet, "small") + refused(fleet, "large") <= asked / 1000
+    assert_bound(fleet)
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_one_instant_of_requests_at_all_vms(size: int) -> None:
+    fleet = build_fleet(size, small=2.0)
+    for name in fleet.vms_by_name:
+        fleet.request(name, "small")
+    fleet.run(1.0)
+    for name in fleet.vms_by_name:
+        fleet.request(name, "small")
+    fleet.run(6.0)
+    assert fleet.admitted_at_by_workspace["small"]
+    assert_bound(fleet)
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_hot_workspaces_get_their_quota_and_no_more(size: int) -> None:
+    fleet = build_fleet(size, small=5.0, large=160.0)
+    fleet.run(12.0, Load(fleet, small=40.0, large=1280.0))
+    assert_bound(fleet)
+    for name, terms in fleet.workspaces_by_name.items():
+        admitted = len(fleet.admitted_at_by_workspace[name])
+        assert admitted >= 0.9 * terms.rate_per_s * 12.0, name
+    assert all(each.is_over_quota for each in fleet.refusals)
+
+
+@pytest.mark.parametrize("size", [9, 67])
+def test_half_of_the_vms_cut_from_the_other_half(size: int) -> None:
+    fleet = build_fleet(size, small=5.0, large=160.0)
+    half = {name for index, name in enumerate(fleet.vms_by_name) if index % 2}
+    load = Load(fleet, small=40.0, large=1280.0)
+    fleet.run(3.0, load)
+    fleet.cut(lambda one, other: (one in half) == (other in half))
+    fleet.run(8.0, load)
+    fleet.heal()
+    fleet.run(8.0, load)
+    assert_bound(fleet)
+
+
+@pytest.mark.parametrize("size", [9, 67])
+def test_single_vms_cut_from_all(size: int) -> None:
+    fleet = build_fleet(size, small=5.0, large=160.0)
+    load = Load(fleet, small=40.0, large=1280.0)
+    alone = {name for index, name in enumerate(fleet.vms_by_name) if index % 3 == 0}
+    fleet.cut(lambda one, other: one not in alone and other not in alone)
+    fleet.run(10.0, load)
+    fleet.heal()
+    fleet.run(6.0, load)
+    assert_bound(fleet)
+    assert len(fleet.admitted_at_by_workspace["large"]) >= 0.5 * 160.0 * 16.0
+
+
+@pytest.mark.parametrize("size", [9, 67])
+def test_all_vms_restarted_just_after_a_burst(size: int) -> None:
+    fleet = build_fleet(size, small=5.0, large=160.0)
+    load = Load(fleet, small=40.0, large=1280.0)
+    fleet.run(1.0, load)
+    for name in list(fleet.vms_by_name):
+        fleet.restart(name)
+    fleet.run(6.0, load)
+    assert_bound(fleet)
+    late = [at for at in fleet.admitted_at_by_workspace["large"] if at > fleet.now - 2]
+    assert len(late) >= 0.9 * 160.0 * 2.0
+
+
+def test_vms_rolled_one_after_another() -> None:
+    fleet = build_fleet(67, small=5.0, large=160.0)
+    load = Load(fleet, small=40.0, large=1280.0)
+    for name in list(fleet.vms_by_name)[:30]:
+        fleet.restart(name)
+        fleet.run(0.3, load)
+    assert_bound(fleet)
+
+
+def test_vms_added() -> None:
+    fleet = build_fleet(67, small=5.0, large=160.0)
+    load = Load(fleet, small=40.0, large=1280.0)
+    fleet.run(2.0, load)
+    fleet.add_vms(12)
+    fleet.run(8.0, load)
+    assert_bound(fleet)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_third_of_the_messages_lost_and_others_late(seed: int) -> None:
+    fleet = build_fleet(67, seed, small=5.0, large=160.0)
+    fleet.loss, fleet.delay_s = 0.3, 1.0
+    fleet.run(15.0, Load(fleet, small=40.0, large=1280.0))
+    assert_bound(fleet)
+
+
+@pytest.mark.parametrize("mistakes", [0.2, 0.5, 0.9])
+def test_vms_that_are_wrong_about_who_is_there(mistakes: float) -> None:
+    fleet = build_fleet(67, small=5.0, large=160.0)
+    fleet.mistakes = mistakes
+    fleet.run(15.0, Load(fleet, small=40.0, large=1280.0))
+    assert_bound(fleet)
+
+
+def test_messages_lost_refuse_few_calm_requests() -> None:
+    fleet = build_fleet(67, small=5.0, large=160.0)
+    fleet.loss = 0.025
+    load = Load(fleet, small=3.0, large=100.0)
+    fleet.run(20.0, load)
+    asked = sum(load.sent.values())
+    assert refused(fleet, "small") + refused(fleet, "large") <= asked / 200
+
+
+def test_a_frozen_vm_gives_nothing_of_what_it_held() -> None:
+    fleet = build_fleet(9, large=160.0)
+    load = Load(fleet, large=1280.0)
+    fleet.run(2.0, load)
+    frozen = list(fleet.vms_by_name.values())[:5]
+    for vm in frozen:
+        vm.is_running = False
+    fleet.run(5.0, load)
+    for vm in frozen:
+        vm.is_running = True
+    fleet.run(6.0, load)
+    assert_bound(fleet)
+
+
+@pytest.mark.parametrize("cut", [False, True])
+def test_a_quota_lowered_to_a_tenth_holds_one_window_later(cut: bool) -> None:
+    fleet = build_fleet(67, large=160.0)
+    load = Load(fleet, large=1280.0)
+    fleet.run(3.0, load)
+    if cut:
+        fleet.cut(lambda one, other: int(one[3:]) % 2 == int(other[3:]) % 2)
+    fleet.use({"large": limited(16.0)})
+    lowered_at = fleet.now
+    fleet.run(14.0, load)
+    fleet.admitted_at_by_workspace["large"] = [
+        at
+        for at in fleet.admitted_at_by_workspace["large"]
+        if at > lowered_at + WINDOW_S
+    ]
+    assert_bound(fleet)
+
+
+def test_quotas_raised_lifted_and_absent() -> None:
+    fleet = build_fleet(9, large=16.0)
+    load = Load(fleet, large=100.0)
+    fleet.run(3.0, load)
+    fleet.use({"large": limited(160.0)})
+    fleet.run(4.0)
+    before = refused(fleet, "large")
+    fleet.run(4.0, load)
+    assert refused(fleet, "large") == before
+    fleet.use({"large": build_workspace()})
+    fleet.run(4.0, Load(fleet, large=1000.0))
+    assert refused(fleet, "large") == before
+
+
+def test_a_refusal_tells_when_there_is_room() -> None:
+    fleet = build_fleet(9, small=5.0)
+    for _ in range(40):
+        fleet.request("vm-0", "small")
+    fleet.run(1.0)
+    waits = [each.retry_after_s for each in fleet.refusals]
+    assert waits
+    assert all(0.0 < each <= 5.0 for each in waits)
--- a/packages/testkit/src/plankspindle_testkit/builders.py
+++ b/packages/testkit/src/plankspindle_testkit/builders.py
@@ -19,6 +19,7 @@
 from plankspindle_core.configuration.route import ServicePart
 from plankspindle_core.configuration.service import Service
 from plankspindle_core.configuration.upstream import Upstream
+from plankspindle_core.configuration.workspace import Workspace
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.admission.class_queue import ClassQueue
 from plankspindle_daemon.admission.ticket import Ticket
@@ -118,6 +119,12 @@
     )
 
 
+def build_workspace(*keys: str, **fields: Any) -> Workspace:
+    """Build a workspace with some API keys, and the given fields changed."""
+    digests = [hash_api_key(key.encode()) for key in keys]
+    return Workspace(**{"key_sha256s": digests, **fields})
+
+
 def build_service(**fields: Any) -> Service:
     """Build the registry service, with the given fields changed."""
     defaults: dict[str, Any] = {
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/quota_fleet.py
@@ -0,0 +1,278 @@
+"""Quotas of many entry VMs on one fake clock, with messages that may be lost."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from collections.abc import Callable
+from itertools import count
+from random import Random
+from typing import TYPE_CHECKING
+from typing import cast
+
+from attrs import Factory
+from attrs import define
+from attrs import field
+
+from plankspindle_core.configuration.configuration import FailureDomain
+from plankspindle_core.configuration.workspace import Workspace
+from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.stable_hash import stable_hash
+from plankspindle_daemon.membership.member import Member
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+from plankspindle_daemon.peer_messages.readiness import Readiness
+from plankspindle_daemon.platform.live_list import ListedVm
+from plankspindle_daemon.quotas.messages import TokenRefused
+from plankspindle_daemon.quotas.messages import TokenTaken
+from plankspindle_daemon.quotas.quota_options import QuotaOptions
+from plankspindle_daemon.quotas.quotas import QuotaMessage
+from plankspindle_daemon.quotas.quotas import Quotas
+from plankspindle_testkit.builders import build_configuration
+
+if TYPE_CHECKING:
+    from plankspindle_core.configuration.configuration import Configuration
+    from plankspindle_daemon.membership.membership import Membership
+    from plankspindle_daemon.quotas.quota_borrower import BorrowerEffect
+
+TICK_S = 0.1
+NEAR_S = 0.0005
+FAR_S = 0.035
+"""One-way delays within a region and between two, in seconds."""
+MISTAKE_S = 0.7
+"""Time for which a wrong belief lasts, in seconds."""
+NOTICE_S = 1.0
+"""Time after which a VM that cannot be reached counts as silent, in seconds."""
+REGIONS = ("bratislava", "zilina", "kosice")
+_PORT = 7000
+
+
+@define(kw_only=True)
+class FakeMembership:
+    """Members as one VM counts them: those that it could reach lately."""
+
+    fleet: QuotaFleet
+    vm: str
+    changes: int = 0
+    members_by_name: dict[str, Member] = Factory(dict)
+    listed_by_name: dict[str, ListedVm] = Factory(dict)
+
+    def is_silent(self, member: Member, now: float) -> bool:
+        """Tell whether a member was out of reach for long."""
+        return self.fleet.is_silent(self.vm, member.name, now)
+
+
+@define(kw_only=True)
+class QuotaFleetVm:
+    """One entry VM of the fleet."""
+
+    name: str
+    region: str
+    quotas: Quotas
+    membership: FakeMembership
+    is_running: bool = True
+    next_tick: float = 0.0
+
+
+@define(kw_only=True)
+class QuotaFleet:
+    """Entry VMs that keep quotas together.
+
+    Parameters
+    ----------
+    random : Random
+        Source of all random choices.
+    workspaces_by_name : dict of str to Workspace
+        The quotas.
+    slack_requests : float
+        What the fleet admits beyond a burst.
+    loss : float
+        Part of the messages that are lost.
+
+    Attributes
+    ----------
+    reaches : callable
+        Tells whether messages of one VM reach another.
+    delay_s : float
+        Longest additional delay of a message, in seconds.
+    mistakes : float
+        Part of the others that each VM takes for silent, without reason.
+    admitted_at_by_workspace, refused_at_by_workspace : dict of str to list of float
+        When requests got a token, and when they got none.
+    refusals : list of TokenRefused
+        Each refusal.
+    sent_by_kind : Counter of str
+        Messages that were sent.
+    """
+
+    random: Random
+    workspaces_by_name: dict[str, Workspace]
+    slack_requests: float = 10.0
+    loss: float = 0.0
+    now: float = 1_000.0
+    vms_by_name: dict[str, QuotaFleetVm] = Factory(dict)
+    admitted_at_by_workspace: dict[str, list[float]] = Factory(dict)
+    refused_at_by_workspace: dict[str, list[float]] = Factory(dict)
+    refusals: list[TokenRefused] = Factory(list)
+    sent_by_kind: Counter[str] = field(factory=Counter)
+    reaches: Callable[[str, str], bool] = lambda one, other: True
+    delay_s: float = 0.0
+    mistakes: float = 0.0
+    _cut_since: float | None = None
+    _in_flight: list[tuple[float, int, str, str, QuotaMessage]] = Factory(list)
+    _numbers: count[int] = field(factory=count)
+    _workspace_by_ticket: dict[int, str] = Factory(dict)
+
+    def add_vms(self, number: int) -> None:
+        """Start some more VMs."""
+        first = len(self.vms_by_name)
+        for index in range(first, first + number):
+            self._start(f"vm-{index}", REGIONS[index % len(REGIONS)])
+        for vm in self.vms_by_name.values():
+            self._meet(vm)
+
+    def restart(self, name: str) -> None:
+        """End a VM's process and start another."""
+        self._start(name, self.vms_by_name[name].region)
+        self._meet(self.vms_by_name[name])
+
+    def use(self, workspaces_by_name: dict[str, Workspace]) -> None:
+        """Put other quotas in force at all VMs that run."""
+        self.workspaces_by_name = workspaces_by_name
+        for vm in self.vms_by_name.values():
+            vm.quotas.use(self._configuration())
+
+    def cut(self, reaches: Callable[[str, str], bool]) -> None:
+        """Say from now on which VM reaches which."""
+        self.reaches = reaches
+        self._cut_since = self.now
+
+    def heal(self) -> None:
+        """Let all VMs reach each other."""
+        self.reaches = lambda one, other: True
+        self._cut_since = None
+
+    def is_silent(self, vm: str, other: str, now: float) -> bool:
+        """Tell whether one VM has noticed that it does not hear another."""
+        if not self.vms_by_name[other].is_running:
+            return True
+        if self.mistakes > 0.0:
+            guess = stable_hash(f"{vm} {other} {int(now / MISTAKE_S)}") / 2.0**64
+            return guess < self.mistakes
+        since = self._cut_since
+        return (
+            since is not None and now - since > NOTICE_S and not self.reaches(other, vm)
+        )
+
+    def request(self, vm: str, workspace: str) -> None:
+        """Let a request of a workspace come to a VM."""
+        ticket = next(self._numbers)
+        self._workspace_by_ticket[ticket] = workspace
+        running = self.vms_by_name[vm]
+        if running.is_running:
+            self._take(running, running.quotas.want(ticket, workspace, self.now))
+
+    def run(self, seconds: float, load: Callable[[float], None] | None = None) -> None:
+        """Let time pass, with a load that is called every tenth of a second."""
+        until = self.now + seconds
+        while self.now < until:
+            if load is not None:
+                load(self.now)
+            self._deliver(self.now + TICK_S)
+            for vm in self.vms_by_name.values():
+                if vm.is_running:
+                    self._take(vm, self._tick(vm))
+
+    def most_in_window(self, workspace: str, window_s: float) -> int:
+        """Give the most requests that were admitted in any window."""
+        admitted = self.admitted_at_by_workspace.get(workspace, [])
+        most = first = 0
+        for index, at in enumerate(admitted):
+            while admitted[first] < at - window_s:
+                first += 1
+            most = max(most, index - first + 1)
+        return most
+
+    def _tick(self, vm: QuotaFleetVm) -> list[BorrowerEffect]:
+        return vm.quotas.tick(takes_part=True, knows_list=True, now=self.now)
+
+    def _deliver(self, until: float) -> None:
+        while self._in_flight and self._in_flight[0][0] <= until:
+            at, _, sender, to, message = heapq.heappop(self._in_flight)
+            self.now = max(self.now, at)
+            vm = self.vms_by_name[to]
+            if vm.is_running and self.reaches(sender, to):
+                reply_to = _endpoint(sender)
+                self._take(vm, vm.quotas.receive(message, reply_to, self.now))
+        self.now = until
+
+    def _take(self, vm: QuotaFleetVm, effects: list[BorrowerEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case SendToPeer(message=message, to=to):
+                    self._send(vm, cast("QuotaMessage", message), to)
+                case TokenTaken(ticket=ticket):
+                    workspace = self._workspace_by_ticket.pop(ticket)
+                    taken = self.admitted_at_by_workspace.setdefault(workspace, [])
+                    taken.append(self.now)
+                case TokenRefused(ticket=ticket):
+                    workspace = self._workspace_by_ticket.pop(ticket)
+                    refused = self.refused_at_by_workspace.setdefault(workspace, [])
+                    refused.append(self.now)
+                    self.refusals.append(effect)
+
+    def _send(self, vm: QuotaFleetVm, message: QuotaMessage, to: Endpoint) -> None:
+        self.sent_by_kind[type(message).__name__] += 1
+        if self.random.random() < self.loss:
+            return
+        other = self.vms_by_name[to.host]
+        delay_s = NEAR_S if vm.region == other.region else FAR_S
+        delay_s += self.random.uniform(0.0, self.delay_s)
+        flight = (self.now + delay_s, next(self._numbers), vm.name, other.name, message)
+        heapq.heappush(self._in_flight, flight)
+
+    def _start(self, name: str, region: str) -> None:
+        membership = FakeMembership(fleet=self, vm=name)
+        quotas = Quotas(
+            vm=name,
+            failure_domain=region,
+            endpoint=_endpoint(name),
+            incarnation=self.random.getrandbits(63),
+            started_at=self.now,
+            random=Random(self.random.getrandbits(32)),
+            membership=cast("Membership", membership),
+            options=QuotaOptions(slack_requests=self.slack_requests),
+        )
+        quotas.use(self._configuration())
+        self.vms_by_name[name] = QuotaFleetVm(
+            name=name, region=region, quotas=quotas, membership=membership
+        )
+
+    def _meet(self, vm: QuotaFleetVm) -> None:
+        vm.membership.changes += 1
+        vm.membership.members_by_name = {
+            other.name: Member(
+                name=other.name,
+                peer_endpoint=_endpoint(other.name),
+                failure_domain=other.region,
+                counted_since=0.0,
+                readiness=Readiness.READY,
+                last_heard=self.now,
+            )
+            for other in self.vms_by_name.values()
+            if other is not vm
+        }
+
+    def _configuration(self) -> Configuration:
+        return build_configuration(
+            failure_domains_by_name={
+                region: FailureDomain(region=region) for region in REGIONS
+            },
+            upstreams_by_name={},
+            sites_by_name={},
+            site_by_prefix={},
+            workspaces_by_name=self.workspaces_by_name,
+        )
+
+
+def _endpoint(name: str) -> Endpoint:
+    return Endpoint(name, _PORT)
--- a/tests/fleet/fleet_vm.py
+++ b/tests/fleet/fleet_vm.py
@@ -21,6 +21,7 @@
 from plankspindle_daemon.node.list_follower import ListFollower
 from plankspindle_daemon.node.make_node import make_node
 from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.node.quota_runner import QuotaRunner
 from plankspindle_daemon.wire.frame import FrameSealer
 from plankspindle_platform.operator_reader import OperatorReader
 from plankspindle_platform.row_store import RowStore
@@ -109,7 +110,11 @@
     )
     dispatch = DispatchRunner(node=node, peers=peers, supervisor=supervisor)
     effects = EffectRunner(
-        node=node, peers=peers, dispatch=dispatch, leave=lambda _: None
+        node=node,
+        peers=peers,
+        dispatch=dispatch,
+        quotas=QuotaRunner(node=node, peers=peers),
+        leave=lambda _: None,
     )
     lists = ListFollower(node=node, platform=platform, effects=effects, period_s=0.05)
     effects.take_news = lists.take_news
--- a/tests/fleet/test_boot_settings.py
+++ b/tests/fleet/test_boot_settings.py
@@ -123,3 +123,16 @@
 ) -> None:
     timing = build_boot(monkeypatch).daemon.timing
     assert timing.recovery_ms == 1_000 * CONTACT_S
+
+
+@pytest.mark.parametrize(("strict", "max_age_ms"), [("false", 0), ("true", 5000)])
+def test_bounds_of_quotas_and_revocation_are_taken(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, strict: str, max_age_ms: int
+) -> None:
+    bounds = f'    quota_slack: 20\n    revoke: "5000ms"\n    strict_revoke: {strict}\n'
+    text = BOOT.read_text().replace("  bounds:\n", f"  bounds:\n{bounds}")
+    path = tmp_path / "boot.yaml"
+    path.write_text(text)
+    quotas = build_boot(monkeypatch, path).daemon.quotas
+    assert quotas.slack_requests == 10.0
+    assert quotas.max_key_age_ms == max_age_ms
--- a/tests/fleet/test_operator_reader.py
+++ b/tests/fleet/test_operator_reader.py
@@ -14,8 +14,11 @@
 from result import Err
 from result import Ok
 
+from plankspindle_core.configuration.caller import hash_api_key
+from plankspindle_core.configuration.codec import encode_configuration
 from plankspindle_core.configuration.drain import DrainKind
 from plankspindle_core.configuration.service import SlotSharing
+from plankspindle_core.configuration.workspace import Workspace
 from plankspindle_daemon.platform.errors import PlatformUnavailable
 from plankspindle_platform.operator_reader import OperatorReader
 from plankspindle_platform.operator_reader import translate
@@ -163,3 +166,53 @@
 def test_a_store_that_does_not_answer_is_said(monkeypatch: pytest.MonkeyPatch) -> None:
     reader = build_reader(monkeypatch, Err(PlatformUnavailable("down")))
     assert read(reader, 0).unwrap_err().detail == "down"
+
+
+KEY = "ymh2rrytapjsujqurtyi"
+
+
+def test_tenants_become_workspaces_without_their_keys(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    boot = build_boot(monkeypatch)
+    region = min(boot.region_by_zone.values())
+    tenants = [
+        {
+            "name": "huka270",
+            "api_keys": [KEY, "ikdrbn4ryrbbkf83fgfw"],
+            "priority": 0,
+            "rate_per_s": 206,
+            "burst": 103,
+            "home_regions": [region],
+        },
+        {"name": "jelo10", "api_keys": []},
+    ]
+    document = build_operator_document(tenants=tenants)
+    configuration = translate(document, zones=[], boot=boot)
+    assert configuration.problems() == []
+    assert configuration.priority_classes == ["priority-0", "priority-2"]
+    first = configuration.workspaces_by_name["huka270"]
+    assert hash_api_key(KEY.encode()) in first.key_sha256s
+    assert (first.rate_per_s, first.burst) == (206.0, 103.0)
+    assert (first.priority_class, first.home_regions) == ("priority-0", [region])
+    assert configuration.workspaces_by_name["jelo10"] == Workspace()
+    assert KEY.encode() not in encode_configuration(configuration)
+
+
+def test_a_key_that_two_tenants_name_is_the_later_ones(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    tenants = [{"name": name, "api_keys": [KEY]} for name in ("one", "two")]
+    document = build_operator_document(tenants=tenants)
+    configuration = translate(document, zones=[], boot=build_boot(monkeypatch))
+    assert configuration.problems() == []
+    assert configuration.workspaces_by_name["one"].key_sha256s == []
+    assert len(configuration.workspaces_by_name["two"].key_sha256s) == 1
+
+
+def test_only_a_route_that_says_so_is_public(monkeypatch: pytest.MonkeyPatch) -> None:
+    paths = [build_path(), build_path(name="r2", path_prefix="/b/", public=True)]
+    document = build_operator_document(hosts=[{"host": "h", "paths": paths}])
+    configuration = translate(document, zones=[], boot=build_boot(monkeypatch))
+    assert not configuration.routes_by_name["r1"].public
+    assert configuration.routes_by_name["r2"].public
