Operators: plankspindle workspaces, counts of quotas, why a request got 429

Cause: nothing showed limits, who hands out tokens, or why a request was refused by its quota.

Change: `plankspindle workspaces` lists limits, homes, what a VM has admitted and refused, and the holder; `explain` tells a refusal by quota, one without a holder, and a revoked key; metrics count admitted and refused requests, by name for the 20 workspaces that are refused most. Digests of keys are not in the state dump.

--- a/packages/client/src/plankspindle_client/console/application.py
+++ b/packages/client/src/plankspindle_client/console/application.py
@@ -16,6 +16,7 @@
 from plankspindle_client.console.commands.state import state
 from plankspindle_client.console.commands.status import status
 from plankspindle_client.console.commands.watch import watch
+from plankspindle_client.console.commands.workspaces import workspaces
 from plankspindle_client.console.context import EndpointType
 
 if TYPE_CHECKING:
@@ -58,5 +59,6 @@
     state,
     status,
     watch,
+    workspaces,
 ):
     main.add_command(command)
--- a/packages/client/src/plankspindle_client/explaining/cause.py
+++ b/packages/client/src/plankspindle_client/explaining/cause.py
@@ -10,6 +10,9 @@
     from plankspindle_client.explaining.request_story import RequestStory
 
 
+KEY_REVOKED = "key-revoked"
+
+
 def cause_of(story: RequestStory) -> str:
     """Say why a request ended as it did.
 
@@ -24,11 +27,16 @@
     ending = end.fields.get("ending")
     if ending == "refused":
         return f"It was refused ({end.fields.get('status')}): {_reason(end)}."
+    if ending == "not-run" and end.fields.get("reason") == KEY_REVOKED:
+        return "Its API key was revoked while it waited, and it was not run."
     if ending == "caller-gone":
         return f"Its caller went away after {end.number('took_ms')} ms."
     held = story.last("request_held_back")
     if held is not None:
         return _of_quarantine(story, held)
+    token = story.last("quota_token_decided")
+    if token is not None and token.fields.get("taken") == "false":
+        return _of_quota(token)
     rejected = story.last("request_rejected")
     attempted = story.last("attempt_ended")
     if ending == "not-run" and rejected is not None and story.steps[-2] is rejected:
@@ -58,6 +66,20 @@
     return f"{text} Before that, an attempt ended: {attempted.fields.get('came')}."
 
 
+def _of_quota(token: LoggedEvent) -> str:
+    workspace = token.fields.get("workspace")
+    waited = f"it was decided after {token.number('waited_ms')} ms"
+    if token.fields.get("over_quota") == "true":
+        return (
+            f"Workspace {workspace} had used its quota, and the request was not run;"
+            f" {waited}. plankspindle workspaces shows its limit."
+        )
+    return (
+        f"No entry VM that hands out the quota of workspace {workspace} answered, and"
+        f" the request was not run; {waited}."
+    )
+
+
 def _of_quarantine(story: RequestStory, held: LoggedEvent) -> str:
     text = (
         f"It was held back: the same request, {held.fields.get('identity')}, was in"
--- a/packages/daemon/src/plankspindle_daemon/observability/instruments.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/instruments.py
@@ -13,6 +13,9 @@
 
 from plankspindle_daemon.observability.histogram_collector import HistogramCollector
 
+MAX_NAMED = 20
+"""Workspaces that metrics name, so that their number stays bounded."""
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
@@ -45,6 +48,7 @@
         self._count("platform_calls_refused", self._platform_calls_refused)
         self._count("upstream_crashes_reported", self._crashes_reported)
         self._count("requests_held_back", self._held_back)
+        self._count("quota_requests", self._quota_requests)
         self._gauge("quarantined_requests", self._quarantined)
         self._gauge("platform_available", self._platform_available)
         self._gauge("queued", self._queued)
@@ -111,6 +115,22 @@
     def _held_back(self) -> Iterable[Observation]:
         return [Observation(self._measures.node.quarantine.refused)]
 
+    def _quota_requests(self) -> Iterable[Observation]:
+        """Give counts of the workspaces with most refusals; the rest go together."""
+        borrower = self._measures.node.quotas.borrower
+        for decision, counts in (
+            ("admitted", borrower.admitted_by_workspace),
+            ("refused", borrower.refused_by_workspace),
+        ):
+            named = [
+                name for name, _ in borrower.refused_by_workspace.most_common(MAX_NAMED)
+            ]
+            for name in named:
+                labels = {"workspace": name, "decision": decision}
+                yield Observation(counts[name], labels)
+            rest = counts.total() - sum(counts[name] for name in named)
+            yield Observation(rest, {"workspace": "others", "decision": decision})
+
     def _quarantined(self) -> Iterable[Observation]:
         listed = self._measures.node.quarantine.listed
         return [Observation(len(listed.entries_by_identity))]
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -7,6 +7,7 @@
 
 from plankspindle_core.invariants import checks_by_name
 from plankspindle_daemon.quarantine.request_identity import identity_text
+from plankspindle_daemon.quotas.quota_holder import shard_of
 
 if TYPE_CHECKING:
     from plankspindle_daemon.dispatch.dispatcher import Dispatcher
@@ -58,6 +59,7 @@
             for shift_id, metered in node.meter.counts_by_id().items()
         },
         "quarantine": _dump_quarantine(node, now),
+        "workspaces": _dump_workspaces(node, now),
         "drained_vms": sorted(node.vm_drains.drained),
         "headroom": {
             service: {"granted": ledger.granted, "refused": ledger.refused}
@@ -75,6 +77,30 @@
     }
 
 
+def _dump_workspaces(node: Node, now: float) -> dict[str, Any]:
+    """Dump quotas and who hands out their tokens; digests of keys are left out."""
+    configuration = node.configuration
+    if configuration is None:
+        return {}
+    quotas = node.quotas
+    return {
+        name: {
+            "keys": len(workspace.key_sha256s),
+            "priority_class": workspace.priority_class,
+            "rate_per_s": workspace.rate_per_s,
+            "burst": workspace.burst,
+            "home_regions": workspace.home_regions,
+            "holder": quotas.lessor.holder_of(shard_of(name), now),
+            "share_held": round(quotas.holder.share_of(shard_of(name), now), 4),
+            "tokens_given": quotas.holder.granted_by_workspace.get(name, 0),
+            "tokens_denied": quotas.holder.denied_by_workspace.get(name, 0),
+            "admitted": quotas.borrower.admitted_by_workspace.get(name, 0),
+            "refused": quotas.borrower.refused_by_workspace.get(name, 0),
+        }
+        for name, workspace in configuration.workspaces_by_name.items()
+    }
+
+
 def _dump_configuration(node: Node, now: float) -> dict[str, Any]:
     age = None if node.adopted_at is None else round(now - node.adopted_at, 3)
     checked = node.versions.head.ago_s(now)
