Bound only what spills into another region than the one planned for it

Cause: a region short of upstreams plans a part of its keys for other regions. The bound on changes of what leaves the region counted these, too: at a VM with 9 requests a second the chance order of keys alone passed it, and a request that kept to its plan was made to stay, or another to leave, to an upstream that had not seen its key.

Change: the bound holds for requests that differ from their plan. The plan itself changes by at most the same rate, unless room was lost.

Ruled out: a longer average of what wants to leave (the order still decides which single request is held back).

--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -281,8 +281,7 @@
             return None
         if not place.is_hit:
             self._missing.add(ticket.id)
-        leaves = not self.placement.is_near(place.upstream)
-        self.placement.limiter.note_sent(leaves=leaves)
+        self.placement.limiter.note_sent(spills=place.spills)
         return place.upstream
 
     def _explain(self, ticket: Ticket, chosen: UpstreamState, now: float) -> Placed:
--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import Factory
+from attrs import evolve
 from attrs import field
 
 from plankspindle_core.classes import define
@@ -66,10 +67,13 @@
         The upstream.
     is_hit : bool
         Whether it is the one that the affinity key prefers.
+    spills : bool
+        Whether it stands in a region that is not planned for the request.
     """
 
     upstream: UpstreamState
     is_hit: bool
+    spills: bool = False
 
 
 @frozen(kw_only=True)
@@ -170,16 +174,30 @@
         free = self._choose(query, by_name, fits)
         if free is None:
             return None
-        wants = not self.is_near(free.upstream)
-        leaves = self.limiter.leaves(now, wants=wants)
-        if leaves == wants or (leaves and ticket.bulky):
-            return free
+        planned_near = self._is_planned_near(ticket)
+        wants = self.is_near(free.upstream) is not planned_near
+        spills = self.limiter.spills(now, wants=wants)
+        if spills == wants or (spills and ticket.bulky):
+            return evolve(free, spills=wants)
         bound = self._choose(
             query,
             by_name,
-            lambda each: self.is_near(each) is not leaves and fits(each),
+            lambda each: (
+                (self.is_near(each) is planned_near) is not spills and fits(each)
+            ),
+        )
+        if bound is None:
+            return evolve(free, spills=wants) if spills else None
+        return evolve(bound, spills=spills)
+
+    def _is_planned_near(self, ticket: Ticket) -> bool:
+        """Tell whether the upstream planned for a request is in the own region."""
+        if ticket.affinity is None:
+            return True
+        planned = self._planned_orders(ticket)[0]
+        return not planned or self.distances.is_near(
+            self.orders.domain_by_name[planned[0]]
         )
-        return free if bound is None and leaves else bound
 
     def _choose(
         self,
--- a/packages/daemon/src/plankspindle_daemon/dispatch/region_limiter.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/region_limiter.py
@@ -1,4 +1,4 @@
-"""Bound on how fast the part of requests that leave the own region changes."""
+"""Bound on how fast the part of requests that spill into another region changes."""
 
 from __future__ import annotations
 
@@ -7,13 +7,13 @@
 from plankspindle_core.classes import define
 
 RATE_PER_S = 0.05
-"""Change of the part that leaves, in a second."""
+"""Change of the part that spills over, in a second."""
 DEMAND_FADES_S = 1.0
-"""Time over which it is averaged how many requests want to leave, in seconds."""
+"""Time over which it is averaged how many requests want to spill, in seconds."""
 BEGIN_S = 1.0
 """Time after the first request in which the part is found, in seconds."""
 OWED = 4.0
-"""Requests that the part that left may fall behind before one is made to leave."""
+"""Requests that the part may fall behind before one is made to spill over."""
 MOST_OWED = 6.0
 ROOM_STEP = 0.05
 """Loss of the own region's room, as a part of it, that ends the bound for a while."""
@@ -23,15 +23,22 @@
 
 @define(kw_only=True)
 class RegionLimiter:
-    """Decide which requests leave the region, near to what each would do by itself.
+    """Decide which requests go to another region than the one planned for them.
+
+    Attributes
+    ----------
+    part : float
+        Part of the requests that may spill over now.
 
     Notes
     -----
     Requests that flood from a busy region into the next make that one busy, too, and
-    come back when it is. The part that leaves therefore follows what requests want at a
-    bounded rate, both ways, and is met by counting what is owed. When upstreams of the
-    region go, or are drained, there is no bound for a while: requests go where there is
-    room.
+    come back when it is. The part that spills over therefore follows what requests want
+    at a bounded rate, both ways, and is met by counting what is owed. When upstreams of
+    the own region go, or are drained, there is no bound for a while: requests go where
+    there is room. Requests that keep to their plan are not counted against the bound:
+    at an entry VM with few requests a second their chance order alone would send some
+    to upstreams that have not seen their key.
     """
 
     part: float = 0.0
@@ -57,8 +64,8 @@
             self._free_until = now + FREE_S
         self._room = slots
 
-    def leaves(self, now: float, *, wants: bool) -> bool:
-        """Tell whether a request leaves the region.
+    def spills(self, now: float, *, wants: bool) -> bool:
+        """Tell whether a request goes to a region that is not planned for it.
 
         Parameters
         ----------
@@ -70,7 +77,9 @@
         elapsed_s = max(0.0, now - self._counted_at)
         self._note_demand(wants=wants, elapsed_s=elapsed_s)
         self._counted_at = now
-        if self._is_free(now):
+        if self._began_at is None:
+            self._began_at = now
+        if not self.is_bounded(now):
             self.part = self._demand / self._weight
             self._owed = 0.0
             return wants
@@ -80,18 +89,18 @@
         self._owed = min(MOST_OWED, self._owed + self.part)
         return self._owed >= (1.0 if wants else OWED)
 
-    def _is_free(self, now: float) -> bool:
-        if self._began_at is None:
-            self._began_at = now
-        begins = now - self._began_at < BEGIN_S
-        return begins or now < self._free_until or self._room == 0
+    def is_bounded(self, now: float) -> bool:
+        """Tell whether changes are bounded, which they are not at first."""
+        if self._began_at is None or now - self._began_at < BEGIN_S:
+            return False
+        return now >= self._free_until and self._room > 0
 
     def _note_demand(self, *, wants: bool, elapsed_s: float) -> None:
         fading = math.exp(-elapsed_s / DEMAND_FADES_S)
         self._demand = self._demand * fading + (1 if wants else 0)
         self._weight = self._weight * fading + 1
 
-    def note_sent(self, *, leaves: bool) -> None:
+    def note_sent(self, *, spills: bool) -> None:
         """Count a request that was sent."""
-        if leaves:
+        if spills:
             self._owed = max(0.0, self._owed - 1)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/region_plan.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/region_plan.py
@@ -36,7 +36,9 @@
         """Tell whether a key leaves, by its place among all keys, from 0 to 1."""
         return fraction < self.part
 
-    def note_room(self, *, near: float, far: float, vm_share: float) -> None:
+    def note_room(
+        self, *, near: float, far: float, vm_share: float, most_change: float = 1.0
+    ) -> None:
         """Take the slots of upstreams that stay, and work out the part.
 
         Parameters
@@ -45,9 +47,12 @@
             Slots in the own region and in the others.
         vm_share : float
             Part of the entry VMs that stand in the own region; above 0.
+        most_change : float
+            Most by which the part may change now.
         """
         if near == 0 or far == 0:
             self.part = 1.0 if far > 0 else 0.0
             return
         kept = near / (near + far) / vm_share
-        self.part = max(0.0, 1.0 - kept)
+        change = max(0.0, 1.0 - kept) - self.part
+        self.part += max(-most_change, min(most_change, change))
--- a/packages/daemon/src/plankspindle_daemon/dispatch/region_room.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/region_room.py
@@ -7,6 +7,7 @@
 from plankspindle_core.classes import define
 from plankspindle_core.classes import frozen
 from plankspindle_daemon.dispatch.measured_distances import MeasuredDistances
+from plankspindle_daemon.dispatch.region_limiter import RATE_PER_S
 from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
 from plankspindle_daemon.membership.membership import Membership
 from plankspindle_daemon.platform.live_list import ListedVm
@@ -53,6 +54,7 @@
     _counted: tuple[tuple[str, ...], dict[str, ListedVm]] | None = None
     _share: float = 1.0
     _next_at: float = 0.0
+    _noted_at: float | None = None
 
     def forget(self) -> None:
         """Count anew: regions may have changed."""
@@ -71,18 +73,33 @@
         if now < self._next_at:
             return
         vm_share = self._vm_share()
+        most_change = self._most_change(now)
         usable_near = upstreams = 0
         for dispatcher in dispatchers:
             upstreams += len(dispatcher.upstreams_by_name)
             if dispatcher.placement is not None:
                 slots = self._count_slots(dispatcher, now)
                 dispatcher.placement.plan.note_room(
-                    near=slots.near, far=slots.far, vm_share=vm_share
+                    near=slots.near,
+                    far=slots.far,
+                    vm_share=vm_share,
+                    most_change=most_change,
                 )
                 usable_near += slots.usable_near
         self._next_at = now + upstreams / COUNTED_PER_S
         self.limiter.note_room(usable_near, now)
 
+    def _most_change(self, now: float) -> float:
+        """Give the most by which plans may change; any change where room was lost.
+
+        A plan that jumped would move whole keys at once, to upstreams that have not
+        seen them.
+        """
+        before, self._noted_at = self._noted_at, now
+        if before is None or not self.limiter.is_bounded(now):
+            return 1.0
+        return RATE_PER_S * (now - before)
+
     def _count_slots(self, dispatcher: Dispatcher, now: float) -> _Slots:
         """Count the slots of upstreams that stay.
 
--- a/packages/daemon/tests/dispatch/test_region_limiter.py
+++ b/packages/daemon/tests/dispatch/test_region_limiter.py
@@ -29,8 +29,8 @@
         left = 0
         for _ in range(int(per_s * WINDOW_S)):
             now += 1 / per_s
-            leaves = limiter.leaves(now, wants=wants)
-            limiter.note_sent(leaves=leaves)
+            leaves = limiter.spills(now, wants=wants)
+            limiter.note_sent(spills=leaves)
             left += leaves
         parts.append(left / (per_s * WINDOW_S))
     return parts
@@ -69,11 +69,11 @@
     limiter = build_limiter()
     parts_by_window(limiter, per_s=50, wanted=[False])
     limiter.note_room(80.0, 103.0)
-    assert limiter.leaves(103.0, wants=True)
-    assert limiter.leaves(102.9 + FREE_S, wants=True)
-    limiter.leaves(103.1 + FREE_S, wants=False)
+    assert limiter.spills(103.0, wants=True)
+    assert limiter.spills(102.9 + FREE_S, wants=True)
+    limiter.spills(103.1 + FREE_S, wants=False)
     limiter.note_room(100.0, 104.0 + FREE_S)
-    assert not limiter.leaves(104.0 + FREE_S, wants=False)
+    assert not limiter.spills(104.0 + FREE_S, wants=False)
 
 
 def test_a_region_without_room_lets_everything_leave() -> None:
