Quotas: shorter leases, and what a share gathers while nobody has it

A lease tells for how long nobody had the share, and that time counts for the pool as if it had been there. Those who were refused count once over all regions in the time that a 429 tells, not once in each.

Ruled out: a start with a full burst (the process before may have used it); leasing at once after a start (the lease of the process before may live on at a holder that was not restarted).

--- a/packages/daemon/src/plankspindle_daemon/peer_messages/quota_messages.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/quota_messages.py
@@ -42,6 +42,8 @@
         The claim that it answers.
     shards : tuple of int
         Shards that are leased.
+    idle_ms : tuple of int
+        For each of them, the time for which nobody had the share before.
     fleet_size : int
         Entry VMs that the sender knows of; its share is one part in so many.
     """
@@ -50,6 +52,7 @@
     claim_incarnation: int
     claim_sent_ms: int
     shards: tuple[int, ...]
+    idle_ms: tuple[int, ...]
     fleet_size: int
 
 
--- a/packages/daemon/src/plankspindle_daemon/quotas/leased_shares.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/leased_shares.py
@@ -57,13 +57,28 @@
     _lease_by_vm: dict[str, _Lease] = Factory(dict)
     _counted_to: float = 0.0
 
-    def take(self, vm: str, *, share: float, ends_at: float, now: float) -> None:
-        """Take a lease, or its renewal."""
+    def take(
+        self, vm: str, *, share: float, idle_s: float, ends_at: float, now: float
+    ) -> None:
+        """Take a lease, or its renewal.
+
+        Parameters
+        ----------
+        vm : str
+            Whose share it is.
+        share : float
+            Its part of all shares.
+        idle_s : float
+            Time for which nobody had it before, which counts like time here.
+        ends_at, now : float
+            Monotonic seconds.
+        """
         self.advance(now)
         known = self._lease_by_vm.get(vm)
         if now < ends_at and (known is None or known.ends_at < ends_at):
             self._lease_by_vm[vm] = _Lease(share=share, ends_at=ends_at)
             self._sum_up()
+            self.share_s += share * idle_s
 
     @property
     def lessors(self) -> int:
--- a/packages/daemon/src/plankspindle_daemon/quotas/quota_holder.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/quota_holder.py
@@ -121,11 +121,16 @@
         if lease.claim_incarnation != self.incarnation or lease.fleet_size <= 0:
             return
         ends_at = lease.claim_sent_ms / 1000 + LEASE_S
-        for shard in lease.shards:
+        for shard, idle_ms in zip(lease.shards, lease.idle_ms, strict=False):
             shares = self._shares_by_shard.get(shard)
             if shares is not None:
-                share = 1.0 / lease.fleet_size
-                shares.take(lease.sender, share=share, ends_at=ends_at, now=now)
+                shares.take(
+                    lease.sender,
+                    share=1.0 / lease.fleet_size,
+                    idle_s=idle_ms / 1000,
+                    ends_at=ends_at,
+                    now=now,
+                )
 
     def share_of(self, shard: int, now: float) -> float:
         """Give the part of each quota of a shard that is leased here."""
--- a/packages/daemon/src/plankspindle_daemon/quotas/quota_options.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/quota_options.py
@@ -4,13 +4,13 @@
 
 from plankspindle_core.classes import frozen
 
-LEASE_S = 1.5
+LEASE_S = 1.0
 """Life of a leased share.
 
 What is out when a holder dies comes back after this, and a process that starts waits as
 long for the leases of the one before it to end.
 """
-CLAIM_PERIOD_S = 0.5
+CLAIM_PERIOD_S = 0.4
 """Period of renewing leases; a claim may be lost."""
 FIRST_CLAIMS_S = 0.15
 """Period of claims while VMs of the region have not leased their share yet."""
--- a/packages/daemon/src/plankspindle_daemon/quotas/share_lessor.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/share_lessor.py
@@ -11,6 +11,9 @@
 from plankspindle_daemon.quotas.quota_options import LEASE_S
 from plankspindle_daemon.quotas.quota_options import SHARDS
 
+MAX_IDLE_MS = 60_000
+"""Longest idle time that is told; no burst takes as long to gather."""
+
 
 @frozen(kw_only=True)
 class _Lease:
@@ -52,6 +55,7 @@
         )
         if not leased:
             return None
+        idle_ms = tuple(self._idle_ms(shard, now) for shard in leased)
         for shard in leased:
             lease = _Lease(holder=claim.sender, ends_at=now + LEASE_S)
             self._lease_by_shard[shard] = lease
@@ -60,6 +64,7 @@
             claim_incarnation=claim.incarnation,
             claim_sent_ms=claim.sent_ms,
             shards=leased,
+            idle_ms=idle_ms,
             fleet_size=fleet_size,
         )
 
@@ -68,6 +73,12 @@
         lease = self._lease_by_shard.get(shard)
         return lease.holder if lease is not None and now < lease.ends_at else None
 
+    def _idle_ms(self, shard: int, now: float) -> int:
+        """Give the time for which nobody has had the share of a shard."""
+        lease = self._lease_by_shard.get(shard)
+        idle_since = self.owns_from if lease is None else lease.ends_at
+        return max(0, min(MAX_IDLE_MS, int(1000 * (now - idle_since))))
+
     def _may_lease(self, shard: int, claim: ShareClaim, now: float) -> bool:
         if not 0 <= shard < SHARDS:
             return False
--- a/packages/daemon/src/plankspindle_daemon/quotas/token_pool.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/token_pool.py
@@ -51,13 +51,14 @@
         self._fill(shares)
         taken = min(wanted, int(self._tokens))
         self._tokens -= taken
-        self._refused += wanted - taken
+        self._refused += (wanted - taken) * self._share
         return taken
 
     def retry_after_s(self) -> float:
         """Give the time after which who got none may come back, in seconds.
 
-        Those that were refused before come first, so that not all come at once.
+        Those that were refused before come first, so that not all come at once. Who
+        is refused was refused by all holders, so each counts its share of them.
         """
         per_s = self.terms.rate_per_s * self._share
         if per_s <= 0.0 or self._capacity(self._share) < 1.0:
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -96,6 +96,7 @@
     "lives": _Conversion(write=list, read=tuple),
     "cleared": _list_of(Clearance),
     "shards": _Conversion(write=list, read=tuple),
+    "idle_ms": _Conversion(write=list, read=tuple),
 }
 _CLASS_BY_UNION_MEMBER: dict[str, type[Any]] = {
     "heartbeat": Heartbeat,
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -159,6 +159,7 @@
   claimSentMs @1 :UInt64;
   shards @2 :List(UInt8);
   fleetSize @3 :UInt32;
+  idleMs @4 :List(UInt32);
 }
 
 struct TokenRequest {
