--- a/packages/client/tests/test_operations_page.py
+++ b/packages/client/tests/test_operations_page.py
@@ -25,6 +25,7 @@
 from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.builders import build_route
 from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.builders import build_workspace
 from plankspindle_testkit.loopback_network import host_of_run
 from plankspindle_testkit.processes import Processes
 from plankspindle_testkit.processes import call
@@ -39,6 +40,7 @@
     from plankspindle_core.http.fetch import HttpAnswer
 
 PAGE = Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
+DEPOT_KEY = "k-depot"
 PLATFORM = Endpoint(host_of_run(4, 1), 17000)
 UPSTREAM = Endpoint(host_of_run(4, 3), 17200)
 BRONZE = (header_names.AUTHORIZATION, b"Bearer " + BRONZE_KEY.encode())
@@ -64,6 +66,7 @@
         configuration = build_configuration(
             upstreams_by_name=upstreams,
             routes_by_name={"plates": build_route(path_prefix="/plates/")},
+            workspaces_by_name={"depot": build_workspace(DEPOT_KEY, rate_per_s=8.0)},
         )
         mapping = configuration_to_mapping(configuration)
         (tmp_path / "FILE").write_text(yaml.safe_dump(mapping))
@@ -120,6 +123,7 @@
     assert "nothing differs" in step("config diff FILE")
     assert '"version": 1' in step("config show")
     assert "registry.example/plates/" in step("routes")
+    assert "depot: 8/s" in step("workspaces")
     assert PLACE.name in step("status")
     assert PLACE.name in step("watch --count 1")
     assert json.loads(step("state ADDR"))["vm"] == PLACE.name
@@ -268,6 +272,45 @@
         restarted.close()
 
 
+@pytest.fixture
+def depot(serving: Path) -> Path:
+    """Put a workspace with a tiny quota in force, whose key routes need."""
+    upstreams = {"u": build_upstream(endpoint=UPSTREAM, slots=4, failure_domain="ke-1")}
+    configuration = build_configuration(
+        upstreams_by_name=upstreams,
+        routes_by_name={"plates": build_route(host=PLACE.host, path_prefix="/plates/")},
+        workspaces_by_name={"depot": build_workspace(DEPOT_KEY, rate_per_s=0.001)},
+    )
+    put_in_force(PLACE, configuration)
+    wait_until(lambda: ask("GET", "/plates/1").status == 401, what="the workspace")
+    return serving
+
+
+def test_a_request_over_its_quota_is_explained(depot: Path) -> None:
+    key = (header_names.AUTHORIZATION, f"Bearer {DEPOT_KEY}".encode())
+    refused = []
+
+    def is_over_quota() -> bool:
+        refused[:] = [ask("GET", "/plates/1", key)]
+        return refused[0].status == 429
+
+    wait_until(is_over_quota, what="429")
+    assert find_header(refused[0].headers, header_names.RETRY_AFTER) is not None
+    printed = follow(depot, "Refused by its quota", log_id_of(refused[0]))
+    assert "Workspace depot had used its quota, and the request was not run" in printed
+    assert "depot: 0.001/s" in printed
+    assert f"tokens come from {PLACE.name}" in printed
+
+
+def test_a_request_with_an_unknown_key_is_explained(depot: Path) -> None:
+    key = (header_names.AUTHORIZATION, b"Bearer k-nobody")
+    refused = ask("GET", "/plates/1", key)
+    assert refused.status == 401
+    printed = follow(depot, "Refused for its key", log_id_of(refused))
+    assert "It was refused (401): this API key is not known." in printed
+    assert "k-nobody" not in log_of(depot).read_text()
+
+
 def held_back() -> list[str]:
     return list(state_of(PLACE)["quarantine"]["requests"])
 
