Soak of the fleet: callers with a key of a limited workspace

Cause: the soak played no keys, so that neither the way of a key nor tokens of a quota met its faults.

Change: the operator's documents name a workspace with a key and a quota far above the load; callers send it with a forged workspace. An upstream that is told another workspace, or the key, breaks the soak; so does a 401 or 429.

--- a/tests/fleet/soak/callers.py
+++ b/tests/fleet/soak/callers.py
@@ -21,6 +21,7 @@
 from plankspindle_platform.dialect import DIALECT
 from soak.checks import Checks
 from soak.checks import Told
+from soak.history import CREDENTIALS
 from soak.history import HOST
 from soak.history import ONCE
 from soak.upstreams import ID
@@ -131,6 +132,8 @@
         headers = [
             (b"host", HOST.encode()),
             (ID, request.encode()),
+            CREDENTIALS,
+            (DIALECT.workspace, b"forged"),
             (b"x-plankspindle-deadline-ms", str(DEADLINE_MS).encode()),
         ]
         if has_key:
--- a/tests/fleet/soak/checks.py
+++ b/tests/fleet/soak/checks.py
@@ -27,6 +27,8 @@
 LEAST_SERVED = 0.9
 NOT_THERE = 404
 OK = 200
+NEVER_DUE = (401, 429)
+"""Answers that are never due to a known key whose workspace is below its quota."""
 
 
 @frozen(kw_only=True)
@@ -143,6 +145,10 @@
         for run in runs:
             self._check_handled(told, run.at.service, run.arrived_at)
             self._check_upstream(told, run)
+            if not run.keeps_key:
+                self.fail("key and workspace", f"{told}: {run}", run.arrived_at)
+        if told.status in NEVER_DUE:
+            self.fail("good key refused", f"{told}", told.ended_at)
         if told.status == NOT_THERE:
             self._check_handled(told, NOT_FOUND, told.ended_at)
         self.counts["judged for running once"] += told.prefix in ONCE and bool(runs)
--- a/tests/fleet/soak/crashers.py
+++ b/tests/fleet/soak/crashers.py
@@ -18,6 +18,7 @@
 from plankspindle_core.http.client_connection import ClientConnection
 from plankspindle_core.steady_clock import monotonic
 from soak.checks import Checks
+from soak.history import CREDENTIALS
 from soak.history import HOST
 from soak.history import MAIN
 from soak.history import ONCE
@@ -164,6 +165,7 @@
     headers = [
         (b"host", HOST.encode()),
         (ID, request.encode()),
+        CREDENTIALS,
         (b"x-plankspindle-deadline-ms", str(DEADLINE_MS).encode()),
     ]
     if is_once:
--- a/tests/fleet/soak/history.py
+++ b/tests/fleet/soak/history.py
@@ -24,6 +24,10 @@
 ONCE = ("/m2/", "/m3/")
 """Routes whose requests may run once."""
 HOST = "desk.example"
+WORKSPACE = "depot"
+CREDENTIALS = (b"authorization", b"Token soak-key-of-depot")
+RATE_PER_S = 5_000
+"""Quota of the workspace, which callers stay far below even at one entry VM."""
 NOT_FOUND = ""
 """Stands in place of a service where there is no route."""
 
@@ -119,6 +123,14 @@
         config_version=f"{number:08x}",
         services=[{"name": each, "health_check": "/up"} for each in SERVICES],
         hosts=[{"host": HOST, "paths": paths}],
+        tenants=[
+            {
+                "name": WORKSPACE,
+                "api_keys": [CREDENTIALS[1].split()[1].decode()],
+                "rate_per_s": RATE_PER_S,
+                "burst": RATE_PER_S,
+            }
+        ],
     )
 
 
--- a/tests/fleet/soak/upstreams.py
+++ b/tests/fleet/soak/upstreams.py
@@ -19,6 +19,8 @@
 from plankspindle_core.http.server import HttpServer
 from plankspindle_core.steady_clock import monotonic
 from plankspindle_platform.dialect import DIALECT
+from soak.history import CREDENTIALS
+from soak.history import WORKSPACE
 from soak.layout import SERVICES
 from soak.layout import SLOTS
 from soak.layout import ZONES
@@ -26,6 +28,7 @@
 from soak.store import SoakStore
 
 if TYPE_CHECKING:
+    from plankspindle_core.http.headers import HeaderList
     from plankspindle_core.http.server_exchange import ServerExchange
 
 HEARTBEAT_S = 1.5
@@ -125,6 +128,8 @@
         Those of them that vanished in an outage of the store.
     is_cut : bool
         Whether its answer is lost by the upstream.
+    keeps_key : bool
+        Whether it told its caller's workspace and nothing of the key.
     """
 
     at: Upstream
@@ -132,6 +137,7 @@
     others_left: int = 0
     others_vanished: int = 0
     is_cut: bool = False
+    keeps_key: bool = True
 
 
 @define(kw_only=True)
@@ -301,6 +307,7 @@
             others_left=len(left),
             others_vanished=sum(each.has_vanished for each in left),
             is_cut=self.random.random() < CUT_PART,
+            keeps_key=_keeps_key(source.headers),
         )
         self.runs_by_id.setdefault(request.decode(), []).append(run)
         if CRASHING in source.target:
@@ -315,3 +322,8 @@
             return
         signed = (b"x-plankspindle-response-signature", upstream.name.encode())
         await source.answer(status=200, headers=[*own, signed], body=b"done")
+
+
+def _keeps_key(headers: HeaderList) -> bool:
+    told = [value for name, value in headers if name == DIALECT.workspace]
+    return told == [WORKSPACE.encode()] and not find_header(headers, CREDENTIALS[0])
