--- a/packages/testkit/src/plankspindle_testkit/bench/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/__main__.py
@@ -13,6 +13,7 @@
 from plankspindle_testkit.bench.policy_bench import run_balancing_bench
 from plankspindle_testkit.bench.policy_bench import run_priority_bench
 from plankspindle_testkit.bench.proxy_bench import run_proxy_bench
+from plankspindle_testkit.bench.quota_bench import run_quota_bench
 from plankspindle_testkit.bench.shift_bench import run_shift_bench
 from plankspindle_testkit.bench.size_bench import run_size_bench
 from plankspindle_testkit.bench.slopes_bench import run_slopes_bench
@@ -32,6 +33,7 @@
     "log": run_log_bench,
     "lookup": run_lookup_bench,
     "proxy": run_proxy_bench,
+    "quota": run_quota_bench,
 }
 
 
--- a/packages/testkit/src/plankspindle_testkit/quota_fleet.py
+++ b/packages/testkit/src/plankspindle_testkit/quota_fleet.py
@@ -87,6 +87,8 @@
         What the fleet admits beyond a burst.
     loss : float
         Part of the messages that are lost.
+    regions : tuple of str
+        Regions among which VMs are divided.
 
     Attributes
     ----------
@@ -108,6 +110,7 @@
     workspaces_by_name: dict[str, Workspace]
     slack_requests: float = 10.0
     loss: float = 0.0
+    regions: tuple[str, ...] = REGIONS
     now: float = 1_000.0
     vms_by_name: dict[str, QuotaFleetVm] = Factory(dict)
     admitted_at_by_workspace: dict[str, list[float]] = Factory(dict)
@@ -126,7 +129,7 @@
         """Start some more VMs."""
         first = len(self.vms_by_name)
         for index in range(first, first + number):
-            self._start(f"vm-{index}", REGIONS[index % len(REGIONS)])
+            self._start(f"vm-{index}", self.regions[index % len(self.regions)])
         for vm in self.vms_by_name.values():
             self._meet(vm)
 
