--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -254,7 +254,7 @@
                 platform=self._platform,
                 reader=ConfigurationReader(platform=self._platform),
                 random=random,
-                digests=self.node.digests,
+                digests=self.node.talk.digests,
             )
         )
 
--- a/packages/daemon/src/plankspindle_daemon/digests/domain_talk.py
+++ b/packages/daemon/src/plankspindle_daemon/digests/domain_talk.py
@@ -87,7 +87,23 @@
             loads=sum_up_loads(dispatchers_by_service, now),
         )
 
-    def send_digests(
+    def tick(
+        self,
+        dispatchers_by_service: Mapping[str, Dispatcher],
+        *,
+        version: int,
+        shifts: Iterable[Shift],
+        configuration: Configuration | None,
+        drained: AbstractSet[str],
+        now: float,
+    ) -> list[SendToPeer]:
+        """Send digests and ask for headroom, each once a period."""
+        return [
+            *self._send_digests(dispatchers_by_service, version, now),
+            *self._ask_headroom(shifts, configuration, drained=drained, now=now),
+        ]
+
+    def _send_digests(
         self, dispatchers_by_service: Mapping[str, Dispatcher], version: int, now: float
     ) -> list[SendToPeer]:
         """Send the own load to one VM of each failure domain, once a period."""
@@ -101,7 +117,7 @@
         endpoints = one_vm_a_domain(listed, me=self.vm, random=self.random)
         return [SendToPeer(message=digest, to=endpoint) for endpoint in endpoints]
 
-    def ask_headroom(
+    def _ask_headroom(
         self,
         shifts: Iterable[Shift],
         configuration: Configuration | None,
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/listeners/outgoing_headers.py
@@ -0,0 +1,69 @@
+"""Headers that go on with a request of a known or anonymous caller."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from plankspindle_core.classes import frozen
+from plankspindle_core.http.server_exchange import ServerExchange
+from plankspindle_daemon.admission.caller_directory import Identity
+from plankspindle_daemon.admission.identity_sealer import IdentitySealer
+from plankspindle_daemon.exchange.caller_request import head_as_it_came
+from plankspindle_daemon.exchange.caller_request import headers_for_peer
+from plankspindle_daemon.exchange.caller_request import headers_for_upstream
+from plankspindle_daemon.exchange.dialect import Dialect
+from plankspindle_daemon.exchange.messages import ToPeer
+
+if TYPE_CHECKING:
+    from plankspindle_core.http.headers import HeaderList
+    from plankspindle_daemon.exchange.messages import Route
+
+
+@frozen(kw_only=True)
+class OutgoingHeaders:
+    """Tell upstreams and other entry VMs who the caller is, and never its API key.
+
+    Parameters
+    ----------
+    source : ServerExchange
+        The caller's side.
+    identity : Identity
+        Who the caller is.
+    dialect : Dialect
+        Names of headers.
+    sealer : IdentitySealer
+        What vouches for the identity to other entry VMs.
+    """
+
+    source: ServerExchange
+    identity: Identity
+    dialect: Dialect
+    sealer: IdentitySealer
+
+    def for_upstream(self) -> HeaderList:
+        """Give the headers for an upstream, without framing and deadline."""
+        identity, headers = self.identity, self.source.headers
+        if self.dialect.keeps_head:
+            return head_as_it_came(
+                headers, dialect=self.dialect, workspace=identity.workspace
+            )
+        return headers_for_upstream(
+            headers,
+            caller=identity.caller,
+            workspace=identity.workspace,
+            peer_host=self.source.peer_host,
+        )
+
+    def for_peer(self, route: Route, *, grant: int | None) -> HeaderList:
+        """Give the headers for another entry VM, sealed if the route leads to one."""
+        sealed = None
+        if self.identity.caller is not None and isinstance(route, ToPeer):
+            sealed = self.sealer.seal(
+                self.identity.caller,
+                target=self.source.target,
+                wall_ms=int(time.time() * 1000),
+            )
+        return headers_for_peer(
+            self.source.headers, grant=grant, sealed_identity=sealed
+        )
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -22,9 +22,6 @@
 from plankspindle_daemon.exchange.attempt import Outgoing
 from plankspindle_daemon.exchange.caller_request import SERVICES_PREFIX
 from plankspindle_daemon.exchange.caller_request import BadRequest
-from plankspindle_daemon.exchange.caller_request import head_as_it_came
-from plankspindle_daemon.exchange.caller_request import headers_for_peer
-from plankspindle_daemon.exchange.caller_request import headers_for_upstream
 from plankspindle_daemon.exchange.dialect import Dialect
 from plankspindle_daemon.exchange.exchange import Exchange
 from plankspindle_daemon.exchange.messages import AnswerCaller
@@ -42,6 +39,7 @@
 from plankspindle_daemon.listeners.idempotency_gate import IdempotencyGate
 from plankspindle_daemon.listeners.idempotency_gate import RunRequest
 from plankspindle_daemon.listeners.idempotency_gate import SendHome
+from plankspindle_daemon.listeners.outgoing_headers import OutgoingHeaders
 from plankspindle_daemon.listeners.request_reader import AskedFor
 from plankspindle_daemon.listeners.request_reader import RequestReader
 from plankspindle_daemon.listeners.request_terms import RequestTerms
@@ -62,7 +60,6 @@
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
 
 if TYPE_CHECKING:
-    from plankspindle_core.http.headers import HeaderList
     from plankspindle_core.http.server_exchange import ServerExchange
     from plankspindle_daemon.admission.caller_directory import Identity
     from plankspindle_daemon.exchange.caller_request import CallerRequest
@@ -280,14 +277,20 @@
     ) -> RequestRunner:
         operation, request = asked.operation, asked.request
         settings = self.settings.requests
+        headers = OutgoingHeaders(
+            source=source,
+            identity=asked.identity,
+            dialect=self.dialect,
+            sealer=self.reader.sealer,
+        )
         return RequestRunner(
             vm=self.settings.vm,
             service=request.service,
             outgoing=Outgoing(
                 source=source,
                 path=request.path,
-                upstream_headers=self._headers_for_upstream(source, asked.identity),
-                peer_headers=self._headers_for_peer(source, asked.identity, way),
+                upstream_headers=headers.for_upstream(),
+                peer_headers=headers.for_peer(way.route, grant=way.grant),
                 body=body,
                 deadline=terms.deadline,
                 deadline_ms=terms.deadline_ms,
@@ -304,7 +307,7 @@
                     max_attempts=asked.max_attempts,
                 ),
                 route=way.route,
-                budget=self.node.budgets_by_service[request.service],
+                budget=self.node.services.budgets_by_service[request.service],
             ),
             ticket=self._make_ticket(asked, terms),
             record=way.record,
@@ -342,30 +345,6 @@
             hold_until=asked.hold_until,
         )
 
-    def _headers_for_upstream(
-        self, source: ServerExchange, identity: Identity
-    ) -> HeaderList:
-        if self.dialect.keeps_head:
-            return head_as_it_came(
-                source.headers, dialect=self.dialect, workspace=identity.workspace
-            )
-        return headers_for_upstream(
-            source.headers,
-            caller=identity.caller,
-            workspace=identity.workspace,
-            peer_host=source.peer_host,
-        )
-
-    def _headers_for_peer(
-        self, source: ServerExchange, identity: Identity, way: _Way
-    ) -> HeaderList:
-        sealed = None
-        if identity.caller is not None and isinstance(way.route, ToPeer):
-            sealed = self.reader.sealer.seal(
-                identity.caller, target=source.target, wall_ms=int(time.time() * 1000)
-            )
-        return headers_for_peer(source.headers, grant=way.grant, sealed_identity=sealed)
-
     def _choose_move(
         self, source: ServerExchange, request: CallerRequest, identity: Identity
     ) -> HeldGrant | None:
--- a/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
@@ -119,7 +119,7 @@
                 news = self.node.quarantine.take(message, sender, monotonic())
                 await self.perform([*news])
             case LoadDigest():
-                self.node.digests.take(message, monotonic())
+                self.node.talk.digests.take(message, monotonic())
             case ShareClaim() | ShareLease() | TokenRequest() | TokenGrant():
                 taken = self.node.quotas.receive(message, sender, monotonic())
                 await self.perform([*taken])
--- a/packages/daemon/src/plankspindle_daemon/node/make_node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/make_node.py
@@ -74,9 +74,11 @@
         needs_list=lists_upstreams,
         shared_read_s=timing.shared_read_ms / 1000,
         recovery_s=timing.recovery_ms / 1000,
-        quota_options=QuotaOptions(slack_requests=settings.quotas.slack_requests),
+        quota_options=QuotaOptions(
+            slack_requests=settings.quotas.slack_requests,
+            process_started_at=PROCESS_STARTED_AT,
+        ),
         probe_s=timing.probe_ms / 1000,
         started_at=monotonic(),
-        process_started_at=PROCESS_STARTED_AT,
         settle_s=timing.suspect_after_ms / 1000,
     )
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -33,7 +33,6 @@
 from plankspindle_daemon.node.self_report import SelfReport
 from plankspindle_daemon.node.shared_slots import SharedSlots
 from plankspindle_daemon.node.version_talk import VersionTalk
-from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_daemon.platform.listed_upstreams import RECOVERY_S
 from plankspindle_daemon.platform.listed_upstreams import ListedUpstreams
 from plankspindle_daemon.quarantine.quarantine import Quarantine
@@ -45,7 +44,6 @@
 from plankspindle_daemon.shifts.shift_meter import ShiftMeter
 
 if TYPE_CHECKING:
-    from plankspindle_daemon.digests.digest_book import DigestBook
     from plankspindle_daemon.dispatch.dispatcher import Dispatcher
     from plankspindle_daemon.dispatch.messages import DispatchEvent
     from plankspindle_daemon.membership.messages import MembershipEffect
@@ -53,7 +51,7 @@
     from plankspindle_daemon.peer_messages.content_messages import ContentChunk
     from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
     from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
-    from plankspindle_daemon.retries.retry_budget import RetryBudget
+    from plankspindle_daemon.peer_messages.readiness import Readiness
     from plankspindle_daemon.steering.steering import Steering
 
 REFRESH_S = 0.25
@@ -85,8 +83,6 @@
         Period of reading load reports, in seconds.
     started_at : float
         Monotonic seconds.
-    process_started_at : float, optional
-        When the process began, if that was earlier.
     settle_s : float
         Time for which a new process listens for peers before it takes slots, in
         seconds.
@@ -120,7 +116,6 @@
     probe_s: float
     started_at: float
     settle_s: float
-    process_started_at: float | None = None
     needs_list: bool = False
     shared_read_s: float = 0.0
     recovery_s: float = RECOVERY_S
@@ -162,11 +157,7 @@
             failure_domain=self.failure_domain,
             endpoint=self.peer_endpoint,
             incarnation=self.incarnation,
-            started_at=(
-                self.started_at
-                if self.process_started_at is None
-                else self.process_started_at
-            ),
+            started_at=self.started_at,
             random=self.random,
             membership=self.membership,
             options=self.quota_options,
@@ -237,16 +228,6 @@
         """Answers to look-ups; None before a version is in force."""
         return self.look_ups.steering
 
-    @property
-    def budgets_by_service(self) -> dict[str, RetryBudget]:
-        """Retries that each service may still make."""
-        return self.services.budgets_by_service
-
-    @property
-    def digests(self) -> DigestBook:
-        """Loads of other failure domains that were heard."""
-        return self.talk.digests
-
     def adopt(
         self, configuration: Configuration, *, version: int, now: float
     ) -> list[NodeEffect]:
@@ -268,8 +249,7 @@
         """
         if version <= self.version:
             return []
-        before = self.version
-        self.configuration = configuration
+        before, self.configuration = self.version, configuration
         self.version = version
         self.versions.exchange.hold(
             version, partial(encode_configuration, configuration)
@@ -282,7 +262,7 @@
         if region != self.meter.region:
             self.meter = ShiftMeter.create(region=region)
         self.meter.use_shifts(configuration.shifts_by_id, now)
-        self._use_routes(configuration)
+        self.routes = self.routes.replaced_by(configuration.routes_by_name)
         self.quotas.use(configuration)
         wall = now + self._wall_ahead_s
         self.services.use(configuration, version=version, now=now, wall=wall)
@@ -292,11 +272,6 @@
             *self.slots.update_shares(self.configuration, now),
         ]
 
-    def _use_routes(self, configuration: Configuration) -> None:
-        before = self.routes
-        self.routes = RouteTable(routes_by_name=configuration.routes_by_name)
-        self.routes.keep_divisions(before)
-
     def take_content_chunk(self, chunk: ContentChunk, now: float) -> list[NodeEffect]:
         """Take a part of a higher version, and adopt it once it is whole."""
         taken = self.versions.take_chunk(chunk, now)
@@ -369,25 +344,20 @@
             self.slots.forget_removals(self.configuration, now)
         effects += self.versions.tick(now)
         effects += self.quarantine.tick(now)
-        effects += self._tick_quotas(now)
-        effects += self.talk.send_digests(
-            self.dispatchers_by_service, self.version, now
+        effects += self.quotas.tick(
+            readiness=self.readiness(),
+            knows_list=self.self_report.list_read_at is not None,
+            now=now,
         )
-        drained = self.vm_drains.drained
-        shifts = self.meter.shifts()
-        return [
-            *effects,
-            *self.talk.ask_headroom(
-                shifts, self.configuration, drained=drained, now=now
-            ),
-        ]
-
-    def _tick_quotas(self, now: float) -> list[NodeEffect]:
-        takes_part = self.readiness() in (Readiness.READY, Readiness.OVERLOADED)
-        knows_list = self.self_report.list_read_at is not None
-        return [
-            *self.quotas.tick(takes_part=takes_part, knows_list=knows_list, now=now)
-        ]
+        effects += self.talk.tick(
+            self.dispatchers_by_service,
+            version=self.version,
+            shifts=self.meter.shifts(),
+            configuration=self.configuration,
+            drained=self.vm_drains.drained,
+            now=now,
+        )
+        return effects
 
     def _apply_drains(self, *, now: float, wall: float) -> None:
         self.services.apply_drains(now=now, wall=wall)
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -46,7 +46,7 @@
         },
         "retries": {
             name: {"fresh": budget.fresh, "retried": budget.retried}
-            for name, budget in node.budgets_by_service.items()
+            for name, budget in node.services.budgets_by_service.items()
         },
         "shifts": {
             shift_id: {
@@ -194,13 +194,15 @@
 def _dump_domains(node: Node, now: float) -> dict[str, Any]:
     if node.configuration is None:
         return {}
-    heard = node.digests.heard_by_vm.values()
+    heard = node.talk.digests.heard_by_vm.values()
     dumped = {}
     for domain, declared in node.configuration.failure_domains_by_name.items():
         digests = [each for each in heard if each.digest.failure_domain == domain]
         versions = [each.digest.configuration_version for each in digests]
         loads = {
-            service: node.digests.load_of(service=service, domains={domain}, now=now)
+            service: node.talk.digests.load_of(
+                service=service, domains={domain}, now=now
+            )
             for service in node.configuration.services_by_name
         }
         dumped[domain] = {
--- a/packages/daemon/src/plankspindle_daemon/quotas/quota_options.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/quota_options.py
@@ -27,6 +27,9 @@
     slack_requests : float
         Requests that a workspace may send beyond its burst, shared by the fleet. They
         make up for tokens that lie where no request comes.
+    process_started_at : float, optional
+        When the process began, if that was before the node was made, monotonic seconds.
     """
 
     slack_requests: float = 0.0
+    process_started_at: float | None = None
--- a/packages/daemon/src/plankspindle_daemon/quotas/quotas.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/quotas.py
@@ -54,7 +54,7 @@
     incarnation : int
         Number of this process.
     started_at : float
-        When the process began, monotonic seconds.
+        When the node was made, monotonic seconds.
     random : Random
         Seeded source of all random choices.
     membership : Membership
@@ -91,7 +91,8 @@
     _next_refresh: float = 0.0
 
     def __attrs_post_init__(self) -> None:
-        self.lessor = ShareLessor(vm=self.vm, owns_from=self.started_at + LEASE_S)
+        began_at = self.options.process_started_at or self.started_at
+        self.lessor = ShareLessor(vm=self.vm, owns_from=began_at + LEASE_S)
         self.holder = QuotaHolder(
             vm=self.vm, incarnation=self.incarnation, options=self.options
         )
@@ -143,14 +144,14 @@
                 return self.borrower.take_grant(message, now)
 
     def tick(
-        self, *, takes_part: bool, knows_list: bool, now: float
+        self, *, readiness: Readiness, knows_list: bool, now: float
     ) -> list[BorrowerEffect]:
         """Let time pass.
 
         Parameters
         ----------
-        takes_part : bool
-            Whether this VM may hold shares: it serves, and is not about to leave.
+        readiness : Readiness
+            Of this VM, which holds shares only while it serves and is not leaving.
         knows_list : bool
             Whether the list of VMs was read, without which none knows its share.
         now : float
@@ -159,6 +160,7 @@
         if not self._is_needed:
             return []
         effects = self.borrower.tick(now)
+        takes_part = readiness in _MAY_HOLD
         known = (self.membership.changes, takes_part)
         if now >= self._next_refresh or known != self._known:
             self._next_refresh = now + REFRESH_S
--- a/packages/daemon/src/plankspindle_daemon/routes/route_table.py
+++ b/packages/daemon/src/plankspindle_daemon/routes/route_table.py
@@ -69,12 +69,17 @@
     def __len__(self) -> int:
         return sum(len(by_prefix) for by_prefix in self._by_host.values())
 
-    def keep_divisions(self, before: RouteTable) -> None:
-        """Go on with the turns of routes whose parts have not changed."""
-        for name, division in self._divisions_by_name.items():
-            known = before._divisions_by_name.get(name)
+    def replaced_by(self, routes_by_name: Mapping[str, Route]) -> RouteTable:
+        """Give the table of another version.
+
+        Routes whose parts have not changed go on with their turns.
+        """
+        table = RouteTable(routes_by_name=routes_by_name)
+        for name, division in table._divisions_by_name.items():
+            known = self._divisions_by_name.get(name)
             if known is not None and known.parts == division.parts:
                 division.credits = known.credits
+        return table
 
     def knows_host(self, host: str) -> bool:
         """Tell whether any route is for a host."""
--- a/packages/daemon/tests/routes/test_route_table.py
+++ b/packages/daemon/tests/routes/test_route_table.py
@@ -64,9 +64,7 @@
     table = RouteTable(routes_by_name={"r": route})
     for _ in range(40):
         counts[table.find(host=HOST, path="/").service] += 1
-        newer = RouteTable(routes_by_name={"r": route})
-        newer.keep_divisions(table)
-        table = newer
+        table = table.replaced_by({"r": route})
     assert counts == {"a": 30, "b": 10}
 
 
--- a/packages/testkit/src/plankspindle_testkit/bench/slopes_bench.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/slopes_bench.py
@@ -286,9 +286,9 @@
     node.tick(now=3.0, wall=WALL)
     digest = node.talk.own_digest(node.dispatchers_by_service, node.version, 3.0)
     for number in range(senders):
-        node.digests.take(evolve(digest, sender=f"vm-{number}"), 3.0)
+        node.talk.digests.take(evolve(digest, sender=f"vm-{number}"), 3.0)
     return median_ms(
-        lambda: node.digests.load_of(service="registry", domains={"ba-1"}, now=3.0)
+        lambda: node.talk.digests.load_of(service="registry", domains={"ba-1"}, now=3.0)
     )
 
 
--- a/packages/testkit/src/plankspindle_testkit/quota_fleet.py
+++ b/packages/testkit/src/plankspindle_testkit/quota_fleet.py
@@ -196,7 +196,7 @@
         return most
 
     def _tick(self, vm: QuotaFleetVm) -> list[BorrowerEffect]:
-        return vm.quotas.tick(takes_part=True, knows_list=True, now=self.now)
+        return vm.quotas.tick(readiness=Readiness.READY, knows_list=True, now=self.now)
 
     def _deliver(self, until: float) -> None:
         while self._in_flight and self._in_flight[0][0] <= until:
--- a/packages/testkit/src/plankspindle_testkit/trial/trial_requests.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial_requests.py
@@ -187,7 +187,7 @@
                     recorded=not isinstance(record, NoRecord),
                 ),
                 route=m.ToUpstream(),
-                budget=vm.node.budgets_by_service[SERVICE],
+                budget=vm.node.services.budgets_by_service[SERVICE],
             ),
             ticket=Ticket(
                 id=number,
