--- a/packages/daemon/src/plankspindle_daemon/exchange/admission_door.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_admission.py
@@ -22,7 +22,7 @@
 
 
 @define(kw_only=True)
-class AdmissionDoor:
+class RequestAdmission:
     """Hold a request against its key and the quota of its workspace.
 
     Parameters
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -20,7 +20,6 @@
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import Verdict
-from plankspindle_daemon.exchange.admission_door import AdmissionDoor
 from plankspindle_daemon.exchange.answers import answer_with_outcome
 from plankspindle_daemon.exchange.attempt import Attempt
 from plankspindle_daemon.exchange.attempt import Outgoing
@@ -43,6 +42,7 @@
 from plankspindle_daemon.exchange.messages import SendRequest
 from plankspindle_daemon.exchange.messages import WithdrawTicket
 from plankspindle_daemon.exchange.patience import Patience
+from plankspindle_daemon.exchange.request_admission import RequestAdmission
 from plankspindle_daemon.idempotency.recorded_answer import RecordedAnswer
 from plankspindle_daemon.idempotency.records import RequestRecord
 from plankspindle_daemon.node.dispatch_runner import DispatchRunner
@@ -95,7 +95,7 @@
         What tells the request from others, whatever id this try carries.
     crashes : CrashProbe
         What learns of upstreams that end under requests.
-    door : AdmissionDoor
+    admission : RequestAdmission
         What holds it against its key and quota.
     """
 
@@ -111,7 +111,7 @@
     max_recorded_bytes: int
     identity: RequestIdentity
     crashes: CrashProbe
-    door: AdmissionDoor
+    admission: RequestAdmission
     _assigned: Assign | None = None
     _attempt: Attempt | None = None
     _caller_gone: bool = False
@@ -139,7 +139,7 @@
 
     async def _free(self) -> None:
         """Give back what an unexpected error, or a caller's going, left taken."""
-        self.door.close()
+        self.admission.close()
         if self._attempt is not None:
             await self._attempt.close()
         assigned, self._assigned = self._assigned, None
@@ -195,15 +195,15 @@
 
     async def _send(self) -> ExchangeEvent:
         assert self._attempt is not None
-        self.door.note_sent()
+        self.admission.note_sent()
         event = await self._attempt.send()
         if not self._attempt.may_have_run:
-            self.door.note_not_run()
+            self.admission.note_not_run()
         return event
 
     async def _find(self, excluded: frozenset[str]) -> ExchangeEvent:
         held = self._held_back(self.crashes.quarantine.holding)
-        refused = held or await self.door.admit()
+        refused = held or await self.admission.admit()
         if refused is not None:
             return refused
         self.ticket = self.ticket.excluding(excluded)
@@ -212,7 +212,7 @@
             self._assigned = found
             # Others may have learned of it while it waited here.
             held = self._held_back(self.crashes.quarantine.holding_or_trial)
-            refused = held or self.door.refuse_if_revoked()
+            refused = held or self.admission.refuse_if_revoked()
             if refused is not None:
                 await self._free()
                 return refused
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -16,7 +16,6 @@
 from plankspindle_core.outcome import Outcome
 from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.admission.ticket import Ticket
-from plankspindle_daemon.exchange.admission_door import AdmissionDoor
 from plankspindle_daemon.exchange.answers import answer_with_outcome
 from plankspindle_daemon.exchange.answers import refuse
 from plankspindle_daemon.exchange.attempt import Outgoing
@@ -29,6 +28,7 @@
 from plankspindle_daemon.exchange.messages import Terms
 from plankspindle_daemon.exchange.messages import ToPeer
 from plankspindle_daemon.exchange.messages import ToUpstream
+from plankspindle_daemon.exchange.request_admission import RequestAdmission
 from plankspindle_daemon.exchange.request_body import read_request_body
 from plankspindle_daemon.exchange.request_runner import RequestRunner
 from plankspindle_daemon.idempotency import verdicts
@@ -324,7 +324,7 @@
                 body=body.whole,
             ),
             crashes=self.crashes,
-            door=AdmissionDoor(
+            admission=RequestAdmission(
                 identity=asked.identity,
                 node=self.node,
                 quotas=self.quotas,
--- a/packages/daemon/src/plankspindle_daemon/quotas/quota_borrower.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/quota_borrower.py
@@ -89,7 +89,7 @@
         What this VM hands out itself.
     lessor : ShareLessor
         What knows the holder that has the own share.
-    map : HolderMap
+    holder_map : HolderMap
         Holders elsewhere.
 
     Attributes
@@ -102,7 +102,7 @@
     random: Random
     holder: QuotaHolder
     lessor: ShareLessor
-    map: HolderMap
+    holder_map: HolderMap
     region: str = ""
     admitted_by_workspace: Counter[str] = field(factory=Counter)
     refused_by_workspace: Counter[str] = field(factory=Counter)
@@ -201,7 +201,7 @@
     def _next_region(self, demand: _Demand, now: float) -> str | None:
         open_regions = [
             region
-            for region in {self.region, *self.map.regions()}
+            for region in {self.region, *self.holder_map.regions()}
             if region not in demand.closed_by_region
             or demand.closed_by_region[region].until <= now
         ]
@@ -212,10 +212,10 @@
     def _holder(self, shard: int, region: str, now: float) -> QuotaVm | None:
         """Give whom to ask; in the own region who has the own share knows best."""
         if region == self.region:
-            known = self.map.vm(self.lessor.holder_of(shard, now))
+            known = self.holder_map.vm(self.lessor.holder_of(shard, now))
             if known is not None:
                 return known
-        return self.map.holder(shard, region)
+        return self.holder_map.holder(shard, region)
 
     def _take_own(
         self, workspace: str, demand: _Demand, now: float
--- a/packages/daemon/src/plankspindle_daemon/quotas/quotas.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/quotas.py
@@ -101,7 +101,7 @@
             random=self.random,
             holder=self.holder,
             lessor=self.lessor,
-            map=self.holders,
+            holder_map=self.holders,
         )
 
     def use(self, configuration: Configuration) -> None:
--- a/packages/daemon/tests/exchange/test_busy_loop.py
+++ b/packages/daemon/tests/exchange/test_busy_loop.py
@@ -35,13 +35,13 @@
 from plankspindle_daemon.admission.caller_directory import Identity
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import Verdict
-from plankspindle_daemon.exchange.admission_door import AdmissionDoor
 from plankspindle_daemon.exchange.attempt import Attempt
 from plankspindle_daemon.exchange.attempt import Outgoing
 from plankspindle_daemon.exchange.dialect import Dialect
 from plankspindle_daemon.exchange.exchange import Exchange
 from plankspindle_daemon.exchange.messages import Terms
 from plankspindle_daemon.exchange.messages import ToUpstream
+from plankspindle_daemon.exchange.request_admission import RequestAdmission
 from plankspindle_daemon.exchange.request_body import RequestBody
 from plankspindle_daemon.exchange.request_runner import RequestRunner
 from plankspindle_daemon.idempotency.records import NoRecord
@@ -141,7 +141,7 @@
             supervisor=Supervisor(),
             perform=send_nothing,
         ),
-        door=AdmissionDoor(
+        admission=RequestAdmission(
             identity=Identity(caller=None, rank=0),
             node=cast("Any", SimpleNamespace(directory=None)),
             quotas=cast("Any", None),
