A request leaves a silent upstream only for a place that a retry would get

The trace: its key is planned for another region; the upstream there was excluded, the second one of that region was full, and the bound on spill-over kept the retry from the own region. Whether it may leave was asked of all upstreams, not of those that its key knows.

Change: a retry is not bounded by region, and may go wherever its key knows room; whether there is any is asked in the same way.

Tests: a retry leaves the planned region, which it does not on the code before; a request is not left for upstreams that its key does not know.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -39,6 +39,8 @@
 from plankspindle_daemon.upstreams.usual_use import UsualUse
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from plankspindle_daemon.admission.ticket import Ticket
 
 LATE_SHARE = 1.5
@@ -201,11 +203,19 @@
     def could_place_elsewhere(self, ticket: Ticket, upstream: str, now: float) -> bool:
         """Tell whether another upstream than a given one could take a request now."""
         elsewhere = ticket.excluding(ticket.excluded | {upstream})
+        fits = self._fits(elsewhere, now)
+        if self.placement is None:
+            return any(map(fits, self.upstreams_by_name.values()))
+        return self.placement.has_place(
+            elsewhere, self.upstreams_by_name, fits=fits, now=now
+        )
+
+    def _fits(self, ticket: Ticket, now: float) -> Callable[[UpstreamState], bool]:
+        """Give what tells whether an upstream may take a request now."""
         ends_by = now + max(ticket.expected_s, self.usual_s(ticket))
-        return any(
-            self._may_run_at(elsewhere, each)
+        return lambda each: (
+            self._may_run_at(ticket, each)
             and each.can_take(now=now, deadline=ticket.deadline, ends_by=ends_by)
-            for each in self.upstreams_by_name.values()
         )
 
     def _may_run_at(self, ticket: Ticket, upstream: UpstreamState) -> bool:
@@ -258,13 +268,7 @@
 
     def _choose(self, ticket: Ticket, now: float) -> UpstreamState | None:
         usual_s = self.usual_s(ticket)
-        ends_by = now + max(ticket.expected_s, usual_s)
-
-        def fits(upstream: UpstreamState) -> bool:
-            return self._may_run_at(ticket, upstream) and upstream.can_take(
-                now=now, deadline=ticket.deadline, ends_by=ends_by
-            )
-
+        fits = self._fits(ticket, now)
         if self.placement is None:
             fitting = [each for each in self.upstreams_by_name.values() if fits(each)]
             scored = [(each.score(now), self.random.random()) for each in fitting]
@@ -314,12 +318,9 @@
         return RejectReason.BUSY if now >= ticket.hold_until else None
 
     def _would_be_late(self, ticket: Ticket, now: float) -> bool:
-        wait = self._expected_wait_s(ticket.rank, now)
+        wait = self._wait_at(self.capacity(now), ticket.rank)
         return now + wait + LATE_SHARE * self.usual_s(ticket) > ticket.deadline
 
-    def _expected_wait_s(self, rank: int, now: float) -> float:
-        return self._wait_at(self.capacity(now), rank)
-
     def _wait_at(self, capacity: int, rank: int) -> float:
         """Estimate the wait of a request where so many may run at once."""
         if capacity == 0 or self.durations.overall_total is None:
--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -11,21 +10,24 @@
 from attrs import field
 
 from plankspindle_core.classes import define
-from plankspindle_core.classes import frozen
-from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.dispatch.key_orders import MAX_KEYS
 from plankspindle_daemon.dispatch.key_orders import KeyOrder
 from plankspindle_daemon.dispatch.key_orders import KeyOrders
 from plankspindle_daemon.dispatch.measured_distances import MeasuredDistances
+from plankspindle_daemon.dispatch.place import Choice
+from plankspindle_daemon.dispatch.place import Place
+from plankspindle_daemon.dispatch.place import Query
 from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
 from plankspindle_daemon.dispatch.region_plan import RegionPlan
 from plankspindle_daemon.stories.steps import Placed
-from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
 
+    from plankspindle_daemon.admission.ticket import Ticket
+    from plankspindle_daemon.upstreams.upstream_state import UpstreamState
+
 
 MISS_FACTOR = 2.5
 """Duration at an upstream that has not seen the affinity key, until it is measured."""
@@ -57,43 +59,6 @@
 """Keys at upstreams that are remembered as seen."""
 
 
-@frozen(kw_only=True)
-class Place:
-    """An upstream chosen for a request.
-
-    Parameters
-    ----------
-    upstream : UpstreamState
-        The upstream.
-    is_hit : bool
-        Whether it is the one that the affinity key prefers.
-    spills : bool
-        Whether it stands in a region that is not planned for the request.
-    """
-
-    upstream: UpstreamState
-    is_hit: bool
-    spills: bool = False
-
-
-@frozen(kw_only=True)
-class _Query:
-    """A request to be placed; what stays the same while upstreams are weighed."""
-
-    ticket: Ticket
-    usual_s: float
-    missed_s: float
-    now: float
-
-
-@define(kw_only=True)
-class _Choice:
-    """The best place so far, and its cost with a tie-break."""
-
-    place: Place | None = None
-    cost: tuple[float, float] = (math.inf, 0.0)
-
-
 @define(kw_only=True)
 class Placement:
     """Order of preference among the upstreams of one service.
@@ -163,9 +128,10 @@
         Notes
         -----
         Only the next upstreams in the key's order are looked at, so that the choice
-        does not grow with the service.
+        does not grow with the service. A retry goes wherever there is room: it left an
+        upstream, and would end as unknown if it waited.
         """
-        query = _Query(
+        query = Query(
             ticket=ticket,
             usual_s=usual_s,
             missed_s=max(miss_s or 0.0, MISS_FACTOR * usual_s),
@@ -176,6 +142,8 @@
             return None
         planned_near = self._is_planned_near(ticket)
         wants = self.is_near(free.upstream) is not planned_near
+        if ticket.excluded:
+            return evolve(free, spills=wants)
         spills = self.limiter.spills(now, wants=wants)
         if spills == wants or (spills and ticket.bulky):
             return evolve(free, spills=wants)
@@ -190,6 +158,30 @@
             return evolve(free, spills=wants) if spills else None
         return evolve(bound, spills=spills)
 
+    def has_place(
+        self,
+        ticket: Ticket,
+        by_name: Mapping[str, UpstreamState],
+        *,
+        fits: Callable[[UpstreamState], bool],
+        now: float,
+    ) -> bool:
+        """Tell whether a retry would be given an upstream now, as :meth:`choose` does.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The request, with the upstreams that it leaves excluded.
+        by_name : mapping of str to UpstreamState
+            All upstreams of the service.
+        fits : callable
+            Tells whether an upstream may take the request now.
+        now : float
+            Monotonic seconds.
+        """
+        query = Query(ticket=ticket, usual_s=0.0, missed_s=0.0, now=now)
+        return self._choose(query, by_name, fits) is not None
+
     def _is_planned_near(self, ticket: Ticket) -> bool:
         """Tell whether the upstream planned for a request is in the own region."""
         if ticket.affinity is None:
@@ -201,11 +193,11 @@
 
     def _choose(
         self,
-        query: _Query,
+        query: Query,
         by_name: Mapping[str, UpstreamState],
         fits: Callable[[UpstreamState], bool],
     ) -> Place | None:
-        choice = _Choice()
+        choice = Choice()
         if query.ticket.affinity is None:
             for upstream in by_name.values():
                 if fits(upstream):
@@ -314,7 +306,7 @@
         return self.distances.is_near(upstream.upstream.failure_domain)
 
     def _weigh(
-        self, choice: _Choice, query: _Query, upstream: UpstreamState, *, is_hit: bool
+        self, choice: Choice, query: Query, upstream: UpstreamState, *, is_hit: bool
     ) -> None:
         work_s = query.usual_s if is_hit else query.missed_s
         cost_s = self._cost_s(upstream, query.ticket, work_s, query.now)
--- a/packages/daemon/tests/dispatch/test_placement.py
+++ b/packages/daemon/tests/dispatch/test_placement.py
@@ -10,7 +10,6 @@
 from plankspindle_daemon.dispatch.measured_distances import MeasuredDistances
 from plankspindle_daemon.dispatch.placement import MAX_SEEN
 from plankspindle_daemon.dispatch.placement import SEEN_S
-from plankspindle_daemon.dispatch.placement import Place
 from plankspindle_daemon.dispatch.placement import Placement
 from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
 from plankspindle_daemon.upstreams.health import BackedOff
@@ -19,6 +18,7 @@
 from plankspindle_testkit.builders import build_ticket
 
 if TYPE_CHECKING:
+    from plankspindle_daemon.dispatch.place import Place
     from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
 USUAL_S = 0.1
@@ -244,3 +244,49 @@
     upstreams["b"].ledger.start(ticket=1, now=1.9, deadline=9.0)
     upstreams["b"].ledger.start(ticket=2, now=1.9, deadline=9.0)
     assert choose(placement, upstreams, now=2.0).upstream.name == "b"
+
+
+def test_a_retry_may_leave_the_region_planned_for_its_key() -> None:
+    """The upstream planned for a key falls silent, and its region has no other room."""
+    upstreams = build_upstreams(near="ba_1", far="ke_1", farther="ke_1")
+    placement = build_placement(upstreams)
+    placement.plan.note_room(near=0.0, far=8.0, vm_share=1.0)
+    placement.limiter.note_room(4.0, 0.0)
+    for number in range(20):
+        placement.limiter.spills(0.1 * number, wants=False)
+    first = choose(placement, upstreams, "k", now=2.0)
+    assert first is not None
+    other = {"far": "farther", "farther": "far"}[first.upstream.name]
+    load(upstreams[other], FULL)
+    ticket = build_ticket(1, affinity="k").excluding(frozenset({first.upstream.name}))
+
+    def fits(upstream: UpstreamState) -> bool:
+        return upstream.name not in ticket.excluded and upstream.limit(
+            2.0
+        ) > upstream.load(2.0)
+
+    assert placement.has_place(ticket, upstreams, fits=fits, now=2.0)
+    retry = placement.choose(
+        ticket, upstreams, fits=fits, usual_s=USUAL_S, miss_s=None, now=2.0
+    )
+    assert retry is not None
+    assert retry.upstream.name == "near"
+    assert retry.spills
+
+
+def test_a_request_is_not_left_for_upstreams_that_its_key_does_not_know() -> None:
+    names = {f"u{number}": "ba_1" for number in range(8)}
+    upstreams = build_upstreams(**names)
+    placement = build_placement(upstreams)
+    ranked = placement.orders.of("k").near
+    ticket = build_ticket(1, affinity="k").excluding(frozenset(ranked[:1]))
+    known = set(ranked[1:3])
+    assert not placement.has_place(
+        ticket,
+        upstreams,
+        fits=lambda each: each.name not in {*known, *ticket.excluded},
+        now=0.0,
+    )
+    assert placement.has_place(
+        ticket, upstreams, fits=lambda each: each.name in known, now=0.0
+    )
