See what upstreams state of themselves: logs and metrics, no decision yet

Cause: of an upstream that named a limit the logs showed nothing, so that it was not to be seen which entry VM knew of it, and whether an answer had named it.

Change: the platform's adapter reads the limit from the head of any answer, but of one that another upstream gave, into a typed statement. A changed statement is logged as upstream_stated; plankspindle_upstreams_limited counts the upstreams that name one, plankspindle_upstream_statements_unreadable what could not be read: empty, negative, no number, too large, sent twice. Nothing is decided by it.

Conclusion: with this the first hypothesis (nobody reads it) can be told from the second (each VM keeps to it, the sum does not).

--- a/packages/daemon/src/plankspindle_daemon/beliefs/upstream_watch.py
+++ b/packages/daemon/src/plankspindle_daemon/beliefs/upstream_watch.py
@@ -10,6 +10,8 @@
 from plankspindle_core.classes import define
 from plankspindle_daemon.beliefs.belief import Belief
 from plankspindle_daemon.upstreams.standing import Standing
+from plankspindle_daemon.upstreams.upstream_statement import SAYS_NOTHING
+from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -34,6 +36,7 @@
 
     ejections_by_service: Counter[str] = field(factory=Counter)
     _standing_by_service: dict[str, dict[str, Standing]] = field(factory=dict)
+    _stated_by_name: dict[str, UpstreamStatement] = field(factory=dict)
 
     def observe(
         self, dispatchers_by_service: Mapping[str, Dispatcher], now: float
@@ -52,6 +55,7 @@
             present = dispatcher.upstreams_by_name
             known = self._standing_by_service.setdefault(service, {})
             for name, upstream in present.items():
+                beliefs += self._stated(service, upstream)
                 standing = upstream.standing(now)
                 was = known.get(name)
                 if standing is was:
@@ -62,9 +66,27 @@
                 if standing is Standing.BACKED_OFF:
                     self.ejections_by_service[service] += 1
                 beliefs.append(_changed(service, upstream, was, now))
-            beliefs += _gone(service, known, present)
+            for gone in _gone(service, known, present):
+                self._stated_by_name.pop(str(gone.fields["upstream"]), None)
+                beliefs.append(gone)
         return beliefs
 
+    def _stated(self, service: str, upstream: UpstreamState) -> Iterator[Belief]:
+        """Give what an upstream says of itself, where that is another than before."""
+        was = self._stated_by_name.get(upstream.name, SAYS_NOTHING)
+        stated = upstream.stated
+        if stated == was:
+            return
+        self._stated_by_name[upstream.name] = stated
+        fields = {
+            "service": service,
+            "upstream": upstream.name,
+            "limit_per_s": stated.limit_per_s,
+            "limit_before_per_s": was.limit_per_s,
+            "unreadable": "; ".join(stated.unreadable) or None,
+        }
+        yield Belief(event="upstream_stated", fields=fields)
+
 
 def _gone(
     service: str, known: dict[str, Standing], present: Mapping[str, UpstreamState]
--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -22,15 +22,16 @@
 from plankspindle_daemon.dispatch.messages import DispatchEvent
 from plankspindle_daemon.dispatch.messages import Ended
 from plankspindle_daemon.dispatch.messages import Paused
-from plankspindle_daemon.dispatch.messages import Probe
 from plankspindle_daemon.dispatch.messages import Probed
 from plankspindle_daemon.dispatch.messages import Reject
 from plankspindle_daemon.dispatch.messages import RejectReason
 from plankspindle_daemon.dispatch.messages import SlotsAsked
 from plankspindle_daemon.dispatch.messages import SlotsGranted
+from plankspindle_daemon.dispatch.messages import Stated
 from plankspindle_daemon.dispatch.messages import TimePassed
 from plankspindle_daemon.dispatch.messages import Withdrawn
 from plankspindle_daemon.dispatch.placement import Placement
+from plankspindle_daemon.dispatch.probe_schedule import ProbeSchedule
 from plankspindle_daemon.dispatch.slot_lending import SlotLending
 from plankspindle_daemon.stories.steps import Placed
 from plankspindle_daemon.stories.steps import Queued as QueuedStep
@@ -53,7 +54,6 @@
 """Waiting requests that are tried on the free upstreams at a time."""
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 30.0
-MIN_PROBE_GAP_S = 0.05
 BUSY_RETRY_AFTER_S = 0.3
 """Least time to come back for a request that found every fitting upstream busy."""
 
@@ -97,13 +97,14 @@
     durations: DurationAverages = Factory(DurationAverages)
     rejected_by_reason: dict[RejectReason, int] = Factory(dict)
     assigned: int = 0
-    _next_probe_by_name: dict[str, float] = field(factory=dict)
-    _last_probe_by_name: dict[str, float] = field(factory=dict)
+    statements_unreadable: int = 0
+    _schedule: ProbeSchedule = field(init=False)
     lending: SlotLending = field(init=False)
     _missing: set[int] = field(factory=set)
     _capacity: CapacitySum = Factory(CapacitySum)
 
     def __attrs_post_init__(self) -> None:
+        self._schedule = ProbeSchedule(random=self.random, probe_s=self.probe_s)
         self.lending = SlotLending(
             vm=self.vm,
             incarnation=self.incarnation,
@@ -135,6 +136,9 @@
             case Ended():
                 self._take_end(event, now)
                 return self._serve(now)
+            case Stated():
+                self._take_statement(event)
+                return []
             case Probed():
                 self._take_probe(event, now)
                 return self._serve(now)
@@ -146,11 +150,15 @@
             case TimePassed():
                 return [*self._give_up_late(now), *self._serve(now), *self._probes(now)]
             case Paused():
-                self._capacity.forget()
-                for upstream in self.upstreams_by_name.values():
-                    upstream.ledger.give_up_all()
-                    upstream.is_unconfirmed = True
-                return [*self._give_up_late(now), *self._probe_all(now)]
+                return self._wake(now)
+
+    def _wake(self, now: float) -> list[DispatchEffect]:
+        """Distrust what was known of upstreams before the process stood still."""
+        self._capacity.forget()
+        for upstream in self.upstreams_by_name.values():
+            upstream.ledger.give_up_all()
+            upstream.is_unconfirmed = True
+        return [*self._give_up_late(now), *self._probes(now, at_once=True)]
 
     def free_slots(self, now: float) -> int:
         """Requests that could start at this moment."""
@@ -364,6 +372,12 @@
             judge.take(ended, upstream, missed=missed, now=now)
         self._missing.discard(ended.ticket.id)
 
+    def _take_statement(self, stated: Stated) -> None:
+        upstream = self.upstreams_by_name.get(stated.upstream)
+        if upstream is not None and stated.incarnation in (0, upstream.incarnation):
+            upstream.stated = stated.statement
+        self.statements_unreadable += len(stated.statement.unreadable)
+
     def _take_probe(self, probed: Probed, now: float) -> None:
         upstream = self.upstreams_by_name.get(probed.upstream)
         if upstream is None:
@@ -376,24 +390,8 @@
         upstream.note_report(probed.report, now=now, wall=probed.wall)
         upstream.health.note_report(now)
 
-    def _probe_all(self, now: float) -> list[DispatchEffect]:
-        self._next_probe_by_name.clear()
-        return self._probes(now)
-
-    def _probes(self, now: float) -> list[DispatchEffect]:
-        effects: list[DispatchEffect] = []
+    def _probes(self, now: float, *, at_once: bool = False) -> list[DispatchEffect]:
         if self.placement is not None:
-            return effects
-        for name, upstream in self.upstreams_by_name.items():
-            due = self._next_probe_by_name.get(name, 0.0) <= now
-            if due or self._returns_by_probe(name, upstream, now):
-                jittered = self.probe_s * self.random.uniform(0.8, 1.2)
-                self._next_probe_by_name[name] = now + jittered
-                self._last_probe_by_name[name] = now
-                endpoint = upstream.upstream.endpoint
-                effects.append(Probe(upstream=name, endpoint=endpoint))
-        return effects
-
-    def _returns_by_probe(self, name: str, upstream: UpstreamState, now: float) -> bool:
-        last = self._last_probe_by_name.get(name, 0.0)
-        return upstream.health.probe_is_due(now) and now - last >= MIN_PROBE_GAP_S
+            return []
+        give = self._schedule.all if at_once else self._schedule.due
+        return [*give(self.upstreams_by_name, now)]
--- a/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
@@ -14,6 +14,7 @@
 from plankspindle_daemon.stories.steps import Placed
 from plankspindle_daemon.stories.steps import Rejected
 from plankspindle_daemon.upstreams.load_report import LoadReport
+from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
 
 
 class Verdict(Enum):
@@ -82,6 +83,28 @@
     came: str = field(default="", eq=False)
 
 
+@frozen(kw_only=True)
+class Stated:
+    """An upstream said something of itself in an answer.
+
+    Parameters
+    ----------
+    upstream : str
+        Which one.
+    incarnation : int
+        Life of it that answered; zero if that is not known.
+    statement : UpstreamStatement
+        What it said.
+    sent_at : float
+        When the request was sent that it answered, monotonic seconds.
+    """
+
+    upstream: str
+    incarnation: int
+    statement: UpstreamStatement
+    sent_at: float
+
+
 @frozen(kw_only=True)
 class Probed:
     """A probe of an upstream ended.
@@ -133,6 +156,7 @@
     Arrived
     | Withdrawn
     | Ended
+    | Stated
     | Probed
     | SlotsAsked
     | SlotsGranted
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/probe_schedule.py
@@ -0,0 +1,57 @@
+"""When upstreams whose slots are shared are asked for their load reports."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+
+from plankspindle_core.classes import define
+from plankspindle_daemon.dispatch.messages import Probe
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from plankspindle_daemon.upstreams.upstream_state import UpstreamState
+
+MIN_PROBE_GAP_S = 0.05
+
+
+@define(kw_only=True)
+class ProbeSchedule:
+    """Probe each upstream once a period, and sooner to end a back-off.
+
+    Parameters
+    ----------
+    random : Random
+        Source of jitter.
+    probe_s : float
+        Period of reading load reports, in seconds.
+    """
+
+    random: Random
+    probe_s: float
+    _next_by_name: dict[str, float] = Factory(dict)
+    _last_by_name: dict[str, float] = Factory(dict)
+
+    def all(self, by_name: Mapping[str, UpstreamState], now: float) -> list[Probe]:
+        """Probe all upstreams now."""
+        self._next_by_name.clear()
+        return self.due(by_name, now)
+
+    def due(self, by_name: Mapping[str, UpstreamState], now: float) -> list[Probe]:
+        """Give the probes that are due."""
+        probes: list[Probe] = []
+        for name, upstream in by_name.items():
+            is_due = self._next_by_name.get(name, 0.0) <= now
+            if is_due or self._returns_by_probe(name, upstream, now):
+                jittered = self.probe_s * self.random.uniform(0.8, 1.2)
+                self._next_by_name[name] = now + jittered
+                self._last_by_name[name] = now
+                probes.append(Probe(upstream=name, endpoint=upstream.upstream.endpoint))
+        return probes
+
+    def _returns_by_probe(self, name: str, upstream: UpstreamState, now: float) -> bool:
+        last = self._last_by_name.get(name, 0.0)
+        return upstream.health.probe_is_due(now) and now - last >= MIN_PROBE_GAP_S
--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
@@ -41,6 +41,8 @@
 from plankspindle_daemon.stories.steps import Sent
 from plankspindle_daemon.stories.story import Story
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
+from plankspindle_daemon.upstreams.upstream_statement import SAYS_NOTHING
+from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
 
 if TYPE_CHECKING:
     from plankspindle_core.http.errors import ConnectionLost
@@ -114,6 +116,10 @@
     ----------
     head : h11.Response or None
         Head of the answer.
+    statement : UpstreamStatement
+        What the upstream said of itself in its answer.
+    sent_at : float
+        When the request was sent, monotonic seconds.
     was_lost : bool
         Whether the other side closed or reset the connection while the request was in
         flight there.
@@ -128,12 +134,13 @@
     record: RequestRecord
     story: Story
     head: h11.Response | None = None
+    statement: UpstreamStatement = SAYS_NOTHING
+    sent_at: float = 0.0
     was_lost: bool = False
     _connection: ClientConnection | None = None
     _held: bytes | None = None
     _connect_s: float | None = None
     _reported_load: int | None = None
-    _sent_at: float = 0.0
     _head_s: float = 0.0
     _came: str = _NEVER_SENT
     _ran: Ran = Ran.NO
@@ -148,7 +155,7 @@
         max_idle_s = math.inf
         if wanted.fresh:
             max_idle_s = self.outgoing.max_idle_unrepeatable_s
-        began = self._sent_at = monotonic()
+        began = self.sent_at = monotonic()
         acquired = await self.pool.acquire(wanted.endpoint, max_idle_s=max_idle_s)
         if acquired.is_err():
             self._came = f"no connection: {acquired.unwrap_err()}"
@@ -167,7 +174,7 @@
             self._came = "the deadline had passed before it was sent"
             return Broke(bytes_handed_over=False)
         self.record.note_started()
-        self._sent_at = now
+        self.sent_at = now
         self._note_sent(connection, now)
         source = self.outgoing.source
         to_peer = self.assigned is None
@@ -183,7 +190,7 @@
             return self._broke(connection, "the body could not be sent whole")
         head = await self._read_head(connection)
         if head is None:
-            silent_ms = round((monotonic() - self._sent_at) * 1000)
+            silent_ms = round((monotonic() - self.sent_at) * 1000)
             self._came = f"silent to all requests for {silent_ms} ms"
             return Stalled()
         if head.is_err():
@@ -220,13 +227,13 @@
         return await connection.read_head()
 
     def _may_leave(self, upstream: str) -> bool:
-        return self.patience.may_leave(self.ticket, upstream, self._sent_at)
+        return self.patience.may_leave(self.ticket, upstream, self.sent_at)
 
     async def _take_head(
         self, head: h11.Response, connection: ClientConnection
     ) -> ExchangeEvent:
         self.head = head
-        self._head_s = monotonic() - self._sent_at
+        self._head_s = monotonic() - self.sent_at
         self._came = f"status {head.status_code}"
         headers = as_header_list(head.headers)
         if self.assigned is None:
@@ -238,6 +245,8 @@
             if not dialect.answers(self.outgoing.source.headers, headers):
                 self._came = "the answer to another request"
                 return Broke(bytes_handed_over=True)
+            if not dialect.is_misdirected(head.status_code):
+                self.statement = dialect.read_statement(head.status_code, headers)
         if proves:
             self._ran = Ran.NO
             self._came = f"status {head.status_code}, stating that it was not run"
@@ -332,10 +341,10 @@
             upstream=self.assigned.upstream,
             verdict=verdict,
             head_s=self._head_s if answered else None,
-            total_s=now - self._sent_at if answered else None,
+            total_s=now - self.sent_at if answered else None,
             connect_s=self._connect_s,
             reported_load=self._reported_load,
-            waited_s=now - self._sent_at if self.head is None else None,
+            waited_s=now - self.sent_at if self.head is None else None,
             incarnation=self.assigned.incarnation,
             came=self._came,
         )
@@ -350,7 +359,7 @@
             verdict=verdict.value,
             came=self._came,
             ran=self._ran,
-            took_ms=round((now - self._sent_at) * 1000),
+            took_ms=round((now - self.sent_at) * 1000),
         )
         self.story.note(step, now)
 
--- a/packages/daemon/src/plankspindle_daemon/exchange/dialect.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/dialect.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 from plankspindle_core import header_names
 from plankspindle_core.classes import frozen
+from plankspindle_core.http.headers import HeaderList
 from plankspindle_core.http.headers import find_header
-
-if TYPE_CHECKING:
-    from plankspindle_core.http.headers import HeaderList
+from plankspindle_daemon.upstreams.upstream_statement import SAYS_NOTHING
+from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
 
 _UNAVAILABLE = 503
 _MAX_DIGITS = 9
@@ -50,6 +50,8 @@
         Authentication scheme by which callers send API keys.
     workspace : bytes
         Header that tells an upstream the caller's workspace.
+    read_statement : callable
+        Reads what an upstream says of itself from the status and headers of an answer.
     """
 
     timeout: bytes = header_names.TIMEOUT
@@ -66,6 +68,9 @@
     fractional_retry_after: bool = False
     key_scheme: str = "Bearer"
     workspace: bytes = header_names.WORKSPACE
+    read_statement: Callable[[int, HeaderList], UpstreamStatement] = (
+        lambda _status, _headers: SAYS_NOTHING
+    )
 
     def is_misdirected(self, status: int) -> bool:
         """Tell whether another than the wanted upstream answered."""
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -19,6 +19,7 @@
 from plankspindle_core.time_limit import TimeLimit
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.dispatch.messages import Assign
+from plankspindle_daemon.dispatch.messages import Stated
 from plankspindle_daemon.dispatch.messages import Verdict
 from plankspindle_daemon.exchange.answers import answer_with_outcome
 from plankspindle_daemon.exchange.attempt import Attempt
@@ -199,8 +200,19 @@
         event = await self._attempt.send()
         if not self._attempt.may_have_run:
             self.admission.note_not_run()
+        if self._assigned is not None and self._attempt.head is not None:
+            await self._take_statement(self._attempt, self._assigned)
         return event
 
+    async def _take_statement(self, attempt: Attempt, assigned: Assign) -> None:
+        stated = Stated(
+            upstream=assigned.upstream,
+            incarnation=assigned.incarnation,
+            statement=attempt.statement,
+            sent_at=attempt.sent_at,
+        )
+        await self.dispatch.take_statement(self.service, stated)
+
     async def _find(self, excluded: frozenset[str]) -> ExchangeEvent:
         held = self._held_back(self.crashes.quarantine.holding)
         refused = held or await self.admission.admit()
--- a/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
@@ -21,6 +21,7 @@
 from plankspindle_daemon.dispatch.messages import Probe
 from plankspindle_daemon.dispatch.messages import Probed
 from plankspindle_daemon.dispatch.messages import Reject
+from plankspindle_daemon.dispatch.messages import Stated
 from plankspindle_daemon.dispatch.messages import Withdrawn
 from plankspindle_daemon.membership.peer_link import PeerLink
 from plankspindle_daemon.node.effects import OfService
@@ -138,6 +139,16 @@
             return False
         return dispatcher.could_place_elsewhere(ticket, upstream, monotonic())
 
+    async def take_statement(self, service: str, stated: Stated) -> None:
+        """Take what an upstream says of itself, unless that is nothing as before."""
+        dispatcher = self.node.dispatchers_by_service.get(service)
+        known = None if dispatcher is None else dispatcher.upstreams_by_name
+        state = None if known is None else known.get(stated.upstream)
+        if state is not None and not (
+            stated.statement.is_empty and state.stated.is_empty
+        ):
+            await self.tell(service, stated)
+
     async def withdraw(self, service: str, ticket: Ticket) -> None:
         """Stop waiting with a request."""
         await self.tell(service, Withdrawn(ticket.id))
--- a/packages/daemon/src/plankspindle_daemon/observability/instruments.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/instruments.py
@@ -49,6 +49,8 @@
         self._count("upstream_crashes_reported", self._crashes_reported)
         self._count("requests_held_back", self._held_back)
         self._count("quota_requests", self._quota_requests)
+        self._count("upstream_statements_unreadable", self._unreadable)
+        self._gauge("upstreams_limited", self._limited)
         self._gauge("quarantined_requests", self._quarantined)
         self._gauge("platform_available", self._platform_available)
         self._gauge("queued", self._queued)
@@ -131,6 +133,24 @@
             rest = counts.total() - sum(counts[name] for name in named)
             yield Observation(rest, {"workspace": "others", "decision": decision})
 
+    def _unreadable(self) -> Iterable[Observation]:
+        return [
+            Observation(each.statements_unreadable, {"service": service})
+            for service, each in self._measures.node.dispatchers_by_service.items()
+        ]
+
+    def _limited(self) -> Iterable[Observation]:
+        return [
+            Observation(
+                sum(
+                    upstream.stated.limit_per_s is not None
+                    for upstream in each.upstreams_by_name.values()
+                ),
+                {"service": service},
+            )
+            for service, each in self._measures.node.dispatchers_by_service.items()
+        ]
+
     def _quarantined(self) -> Iterable[Observation]:
         listed = self._measures.node.quarantine.listed
         return [Observation(len(listed.entries_by_identity))]
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -20,6 +20,8 @@
 from plankspindle_daemon.upstreams.silence import Silence
 from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
 from plankspindle_daemon.upstreams.standing import Standing
+from plankspindle_daemon.upstreams.upstream_statement import SAYS_NOTHING
+from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
 
 LATENCY_WEIGHT = 0.2
 MIN_LATENCY = 0.1
@@ -62,6 +64,8 @@
         then; another one under its name has a state of its own.
     answered_at : float
         When it last answered, monotonic seconds.
+    stated : UpstreamStatement
+        What it said of itself in its last answer.
     evidence : str, optional
         What was last seen of it other than an answer.
     evidence_at : float
@@ -82,6 +86,7 @@
     is_misplaced: bool = False
     answered_at: float = 0.0
     silence: Silence = Factory(Silence)
+    stated: UpstreamStatement = SAYS_NOTHING
     evidence: str | None = None
     evidence_at: float = 0.0
     _report: LoadReport | None = None
--- a/packages/daemon/tests/beliefs/test_belief_watch.py
+++ b/packages/daemon/tests/beliefs/test_belief_watch.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
 from plankspindle_daemon.beliefs.belief_watch import BeliefWatch
@@ -9,14 +11,19 @@
 from plankspindle_daemon.beliefs.plan_watch import PlanWatch
 from plankspindle_daemon.beliefs.upstream_watch import UpstreamWatch
 from plankspindle_daemon.dispatch.messages import Ended
+from plankspindle_daemon.dispatch.messages import Stated
 from plankspindle_daemon.dispatch.messages import Verdict
 from plankspindle_daemon.platform.bounded_calls import BoundedCalls
+from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
 from plankspindle_testkit.builders import build_dispatcher
 from plankspindle_testkit.builders import build_member
 from plankspindle_testkit.builders import build_membership
 from plankspindle_testkit.builders import build_reporting_dispatcher
 from plankspindle_testkit.builders import build_ticket
 
+if TYPE_CHECKING:
+    from plankspindle_daemon.beliefs.belief import Belief
+
 NOW = 100.0
 
 
@@ -112,3 +119,23 @@
     assert told.fields["service"] == "registry"
     assert (told.fields["was"], told.fields["now"]) == (0.0, 0.75)
     assert list(watch.observe(by_service)) == []
+
+
+def test_what_an_upstream_states_of_itself_is_told_when_it_changes() -> None:
+    dispatcher = build_dispatcher(slots_by_upstream={"u": 4})
+    watch, by_service = UpstreamWatch(), {"registry": dispatcher}
+
+    def state(statement: UpstreamStatement) -> list[Belief]:
+        stated = Stated(
+            upstream="u", incarnation=0, statement=statement, sent_at=NOW - 0.1
+        )
+        dispatcher.handle(stated, NOW)
+        return watch.observe(by_service, NOW)
+
+    (named,) = state(UpstreamStatement(limit_per_s=4.6))
+    assert named.event == "upstream_stated"
+    assert named.fields["limit_per_s"] == 4.6
+    assert state(UpstreamStatement(limit_per_s=4.6)) == []
+    (unread,) = state(UpstreamStatement(unreadable=("x: b'-1'",)))
+    assert unread.fields["unreadable"] == "x: b'-1'"
+    assert dispatcher.statements_unreadable == 1
--- /dev/null
+++ b/tests/fleet/test_upstream_statements.py
@@ -0,0 +1,56 @@
+"""Tests of reading what servers of the platform say of themselves."""
+
+from __future__ import annotations
+
+import pytest
+
+from plankspindle_daemon.upstreams.upstream_statement import SAYS_NOTHING
+from plankspindle_platform.upstream_statements import read_statement
+
+LIMIT = b"server-limit"
+
+
+@pytest.mark.parametrize("status", [200, 400, 429, 500, 503])
+def test_a_limit_is_read_from_an_answer_of_any_status(status: int) -> None:
+    statement = read_statement(status, [(b"date", b"now"), (LIMIT, b" 4.6 ")])
+    assert statement.limit_per_s == 4.6
+    assert statement.unreadable == ()
+
+
+def test_an_answer_without_statements_says_nothing() -> None:
+    assert read_statement(200, [(b"date", b"now")]) == SAYS_NOTHING
+
+
+@pytest.mark.parametrize("value", [b"0", b"0.5", b"12", b"7.", b"1000000"])
+def test_limits_from_zero_on_are_taken(value: bytes) -> None:
+    assert read_statement(200, [(LIMIT, value)]).limit_per_s == float(value)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b" ",
+        b"-1",
+        b"nan",
+        b"inf",
+        b"1e3",
+        b"4,6",
+        b"5; q=1",
+        b"0x10",
+        b"9" * 400,
+        b"1000001",
+        b"\xd9\xa5",
+    ],
+)
+def test_a_limit_that_cannot_be_read_counts_as_not_named(value: bytes) -> None:
+    statement = read_statement(200, [(LIMIT, value)])
+    assert statement.limit_per_s is None
+    (problem,) = statement.unreadable
+    assert len(problem) < 120
+
+
+def test_a_limit_that_is_named_twice_counts_as_not_named() -> None:
+    statement = read_statement(200, [(LIMIT, b"4"), (LIMIT, b"4")])
+    assert statement.limit_per_s is None
+    assert "2 times" in statement.unreadable[0]
