--- a/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
@@ -16,6 +16,7 @@
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import Ended
 from plankspindle_daemon.dispatch.messages import Reject
+from plankspindle_daemon.dispatch.messages import Stated
 from plankspindle_daemon.dispatch.messages import Verdict
 from plankspindle_daemon.dispatch.messages import Withdrawn
 from plankspindle_daemon.exchange import patience
@@ -31,12 +32,15 @@
 from plankspindle_testkit.lab.outcomes import Outcome
 from plankspindle_testkit.lab.peer_network import PeerNetwork
 from plankspindle_testkit.lab.requests import AT_NO_UPSTREAM
+from plankspindle_testkit.lab.requests import AnswerTold
 from plankspindle_testkit.lab.requests import Crash
 from plankspindle_testkit.lab.requests import Handled
 from plankspindle_testkit.lab.requests import Request
+from plankspindle_testkit.lab.statement_record import StatementRecord
 
 if TYPE_CHECKING:
     from plankspindle_daemon.dispatch.messages import DispatchEffect
+    from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
     from plankspindle_testkit.lab.lab_vm import LabVm
     from plankspindle_testkit.lab.modelled_upstream import Begun
     from plankspindle_testkit.lab.modelled_upstream import ModelledUpstream
@@ -65,6 +69,8 @@
         What places requests in place of the entry VMs.
     crashes : CrashRecord
         Where the ends of upstreams under requests are noted.
+    statements : StatementRecord
+        Where it is noted what upstreams say of themselves, and what they get.
     network : PeerNetwork
         Messages between entry VMs.
     """
@@ -74,6 +80,7 @@
     finish: Callable[[Request, Outcome], None]
     come_back: Callable[[Request, float], None]
     crashes: CrashRecord
+    statements: StatementRecord
     network: PeerNetwork
     oracle: Oracle | None = None
     _numbers: count[int] = field(factory=count)
@@ -284,6 +291,7 @@
         if handled.is_over or handled.attempt != work.number:
             return
         known = self.deployment.upstreams_by_name[upstream]
+        self.statements.note_arrival(upstream, handled.vm.name, self.clock.now)
         if known.refuses:
             lost = partial(self._lose, handled, work.number, Verdict.UNREACHABLE)
             self.clock.after(self._way_s(handled, upstream), lost)
@@ -291,16 +299,18 @@
         if known.is_dead:
             return
         if known.sheds():
-            shed = partial(self._take_shed, handled, work.number, known.load)
+            told = AnswerTold(load=known.load, statement=known.statement())
+            shed = partial(self._take_shed, handled, work.number, told)
             self.clock.after(self._way_s(handled, upstream), shed)
             return
         self._continue(known, known.offer(work, self.clock.now))
 
-    def _take_shed(self, handled: Handled, attempt: int, load: int) -> None:
+    def _take_shed(self, handled: Handled, attempt: int, told: AnswerTold) -> None:
         if handled.is_over or handled.attempt != attempt:
             return
+        self._take_statement(handled, told.statement)
         if self.oracle is None:
-            self._leave(handled, Verdict.SHED, load)
+            self._leave(handled, Verdict.SHED, told.load)
         else:
             self._place(handled)
 
@@ -361,9 +371,25 @@
         handled = self._by_attempt.pop(work.number, None)
         if upstream.is_dead or handled is None:
             return
-        answer = partial(self._answer, handled, work.number, upstream.load)
+        told = AnswerTold(load=upstream.load, statement=upstream.statement())
+        answer = partial(self._answer, handled, work.number, told)
         self.clock.after(self._way_s(handled, upstream.name), answer)
 
+    def _take_statement(self, handled: Handled, statement: UpstreamStatement) -> None:
+        """Tell an entry VM what an upstream said of itself in its answer."""
+        upstream, vm = handled.upstream, handled.vm
+        if upstream is None or self.oracle is not None:
+            return
+        stated = Stated(
+            upstream=upstream,
+            incarnation=handled.incarnation,
+            statement=statement,
+            sent_at=handled.sent_at,
+        )
+        self.perform(vm.book.handle(handled.service, stated, self.clock.now))
+        if statement.limit_per_s is not None:
+            self.statements.note_told(upstream, vm.name, self.clock.now)
+
     def _report_crash(self, handled: Handled) -> None:
         """Tell the quarantine of the entry VM, as its probe of the upstream does."""
         news = handled.vm.quarantine.note_crash(
@@ -374,10 +400,11 @@
         )
         self.network.send(handled.vm, news)
 
-    def _answer(self, handled: Handled, attempt: int, load: int) -> None:
+    def _answer(self, handled: Handled, attempt: int, told: AnswerTold) -> None:
         upstream = handled.upstream
         if handled.is_over or handled.attempt != attempt or upstream is None:
             return
+        self._take_statement(handled, told.statement)
         target_s = self._operation_of(handled.request).target_ms / 1000
         latency_s = self.clock.now - handled.request.first_at + self._to_caller_s()
         self._end(handled, Outcome.IN_AIM if latency_s <= target_s else Outcome.LATE)
@@ -389,7 +416,7 @@
             head_s=took_s,
             total_s=took_s,
             connect_s=2 * self._way_s(handled, upstream),
-            reported_load=load,
+            reported_load=told.load,
             incarnation=handled.incarnation,
         )
         self._tell(handled, ended)
--- a/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
@@ -25,6 +25,7 @@
 from plankspindle_testkit.lab.pattern import Pattern
 from plankspindle_testkit.lab.peer_network import PeerNetwork
 from plankspindle_testkit.lab.requests import Request
+from plankspindle_testkit.lab.statement_record import StatementRecord
 from plankspindle_testkit.lab.strikes import Strikes
 
 if TYPE_CHECKING:
@@ -66,6 +67,8 @@
         What became of the requests, but of those under which upstreams end.
     crashes : CrashRecord
         What became of those.
+    statements : StatementRecord
+        What upstreams said of themselves, and what they got.
     network : PeerNetwork
         Messages between entry VMs.
     """
@@ -75,6 +78,7 @@
     uses_oracle: bool = False
     outcomes: Outcomes = Factory(Outcomes)
     crashes: CrashRecord = Factory(CrashRecord)
+    statements: StatementRecord = Factory(StatementRecord)
     network: PeerNetwork = field(init=False)
     _clock: Clock = Factory(Clock)
     _random: Random = field(init=False)
@@ -100,6 +104,7 @@
             come_back=self._come_back,
             oracle=oracle if self.uses_oracle else None,
             crashes=self.crashes,
+            statements=self.statements,
             network=self.network,
         )
 
--- a/packages/testkit/src/plankspindle_testkit/lab/modelled_upstream.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/modelled_upstream.py
@@ -11,6 +11,7 @@
 from attrs import field
 from attrs import frozen
 
+from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
 from plankspindle_testkit.lab.pattern import ModelOperation
 from plankspindle_testkit.lab.pattern import ModelService
 from plankspindle_testkit.lab.requests import Crash
@@ -88,6 +89,8 @@
         End of its cold time, in seconds of the run.
     incarnation : int
         Number of its present life.
+    limit_per_s : float or None
+        Requests a second that it names as its limit in answers.
     """
 
     name: str
@@ -102,6 +105,7 @@
     refuses: bool = False
     cold_until: float = 0.0
     incarnation: int = 1
+    limit_per_s: float | None = None
     _running: dict[int, Work] = Factory(dict)
     _waiting: deque[Work] = Factory(deque)
     _remembered: OrderedDict[tuple[str, str], None] = field(factory=OrderedDict)
@@ -148,6 +152,10 @@
             return None
         return self._begin(self._waiting.popleft(), now)
 
+    def statement(self) -> UpstreamStatement:
+        """Give what its answers say of it."""
+        return UpstreamStatement(limit_per_s=self.limit_per_s)
+
     def has(self, number: int) -> bool:
         """Tell whether a request runs or waits here."""
         return number in self._running or any(
@@ -168,6 +176,7 @@
         self._waiting.clear()
         self._remembered.clear()
         self.is_dead = self.refuses = False
+        self.limit_per_s = None
         self.cold_until = now + self.service.cold_s
         self.incarnation += 1
 
--- a/packages/testkit/src/plankspindle_testkit/lab/pattern.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/pattern.py
@@ -38,6 +38,7 @@
     DRAIN = "drain"
     RESTART = "restart"
     CRASHING_REQUEST = "crashing-request"
+    LIMIT = "limit"
 
 
 @frozen(kw_only=True)
@@ -55,7 +56,7 @@
         fall silent; those of ``end`` break off what runs there, and refuse connections.
     factor : float
         Factor on the load or on the time of work; for ``shed`` the part of the
-        requests that is shed.
+        requests that is shed, for ``limit`` the requests a second that each names.
     domain : str, optional
         Failure domain that is struck whole.
     operation : str, optional
--- a/packages/testkit/src/plankspindle_testkit/lab/requests.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/requests.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 
 from plankspindle_daemon.admission.ticket import Ticket
+from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
 from plankspindle_testkit.lab.lab_vm import LabVm
 
 AT_NO_UPSTREAM = -1
@@ -101,3 +102,19 @@
     sent_at: float = 0.0
     may_have_run: bool = False
     is_over: bool = False
+
+
+@frozen(kw_only=True)
+class AnswerTold:
+    """What the head of an answer tells.
+
+    Parameters
+    ----------
+    load : int
+        Requests that run and wait at the upstream.
+    statement : UpstreamStatement
+        What it says of itself.
+    """
+
+    load: int
+    statement: UpstreamStatement
--- /dev/null
+++ b/packages/testkit/src/plankspindle_testkit/lab/statement_record.py
@@ -0,0 +1,85 @@
+"""What upstreams said of themselves, and what they got from whom they had told."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from attrs import Factory
+from attrs import define
+
+WINDOW_S = 4.0
+"""Time over which requests at an upstream that names a limit are summed, seconds."""
+OVERAGE = 1.5
+SLACK = 5
+"""Bound on them: so often what the limit allows, and so many requests more."""
+KNOWN_S = 0.5
+"""Time after which an entry VM that relayed a statement must go by it, seconds."""
+
+
+def most_allowed(limit_per_s: float) -> float:
+    """Give the requests that an upstream with a limit may get in a window."""
+    return OVERAGE * limit_per_s * WINDOW_S + SLACK
+
+
+@define(kw_only=True)
+class StatementRecord:
+    """Statements of the upstreams of a run, and requests that reached them.
+
+    Attributes
+    ----------
+    arrivals_by_upstream : dict of str to list of (float, str)
+        When requests reached an upstream, in seconds, and from which entry VM.
+    limit_by_upstream : dict of str to float
+        Limits that were named, in requests a second.
+    """
+
+    arrivals_by_upstream: dict[str, list[tuple[float, str]]] = Factory(
+        lambda: defaultdict(list)
+    )
+    limit_by_upstream: dict[str, float] = Factory(dict)
+    _limited_from: dict[str, float] = Factory(dict)
+    _limited_until: dict[str, float] = Factory(dict)
+    _told_at: dict[tuple[str, str], float] = Factory(dict)
+
+    def note_arrival(self, upstream: str, vm: str, now: float) -> None:
+        """Note that a request of an entry VM reaches an upstream."""
+        self.arrivals_by_upstream[upstream].append((now, vm))
+
+    def note_limit(self, upstream: str, limit_per_s: float | None, now: float) -> None:
+        """Note that an upstream begins, or ceases, to name a limit."""
+        if limit_per_s is None:
+            self._limited_until[upstream] = now
+        else:
+            self.limit_by_upstream[upstream] = limit_per_s
+            self._limited_from[upstream] = now
+
+    def note_told(self, upstream: str, vm: str, now: float) -> None:
+        """Note that an entry VM relays an answer that names a limit."""
+        self._told_at.setdefault((upstream, vm), now)
+
+    def most_of_allowed(self) -> float:
+        """Give the most that any upstream got in a window, as a part of its bound."""
+        return max(map(self._most_at, self.limit_by_upstream), default=0.0)
+
+    def used(self, upstream: str) -> float:
+        """Give the part of its limit that an upstream got from the second window on."""
+        since = self._limited_from[upstream] + WINDOW_S
+        until = self._limited_until[upstream]
+        got = [
+            at for at, _ in self.arrivals_by_upstream[upstream] if since < at < until
+        ]
+        return len(got) / (until - since) / self.limit_by_upstream[upstream]
+
+    def _most_at(self, upstream: str) -> float:
+        until = self._limited_until.get(upstream, float("inf"))
+        known = [
+            at
+            for at, vm in self.arrivals_by_upstream[upstream]
+            if self._told_at.get((upstream, vm), until) + KNOWN_S < at < until
+        ]
+        most = first = 0
+        for index, at in enumerate(known):
+            while known[first] < at - WINDOW_S:
+                first += 1
+            most = max(most, index - first + 1)
+        return most / most_allowed(self.limit_by_upstream[upstream])
--- a/packages/testkit/src/plankspindle_testkit/lab/strikes.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/strikes.py
@@ -22,6 +22,7 @@
     EventKind.SHED,
     EventKind.CRASH,
     EventKind.END,
+    EventKind.LIMIT,
 )
 
 
@@ -56,6 +57,7 @@
         self.clock.after(event.for_s, partial(self._end, event, struck))
         for upstream in struck:
             _strike(upstream, event)
+            self._note_limit(upstream)
         match event.kind:
             case EventKind.END:
                 for upstream in struck:
@@ -75,6 +77,8 @@
             if upstream.is_dead:
                 upstream.restart(self.clock.now)
             upstream.slowness, upstream.shed_part = 1.0, 0.0
+            upstream.limit_per_s = None
+            self._note_limit(upstream)
         match event.kind:
             case EventKind.DRAIN:
                 self.deployment.drained.discard(event.domain or "")
@@ -95,6 +99,11 @@
         random = Random(f"{self.seed} {event.at_s} {event.kind.value}")
         return random.sample(fitting, round(event.share * len(fitting)))
 
+    def _note_limit(self, upstream: ModelledUpstream) -> None:
+        record, named = self.exchanges.statements, upstream.limit_per_s
+        if named is not None or upstream.name in record.limit_by_upstream:
+            record.note_limit(upstream.name, named, self.clock.now)
+
     def _adopt(self) -> None:
         pattern, drained = self.deployment.pattern, self.deployment.drained
         for vm in self.deployment.vms_by_name.values():
@@ -109,5 +118,7 @@
             upstream.shed_part = event.factor
         case EventKind.CRASH:
             upstream.is_dead = True
+        case EventKind.LIMIT:
+            upstream.limit_per_s = event.factor
         case _:
             pass
