--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -29,7 +29,10 @@
 from plankspindle_daemon.dispatch.messages import SlotsGranted
 from plankspindle_daemon.dispatch.messages import Stated
 from plankspindle_daemon.dispatch.messages import TimePassed
+from plankspindle_daemon.dispatch.messages import WantToken
 from plankspindle_daemon.dispatch.messages import Withdrawn
+from plankspindle_daemon.dispatch.place import NeedsToken
+from plankspindle_daemon.dispatch.place import Place
 from plankspindle_daemon.dispatch.placement import Placement
 from plankspindle_daemon.dispatch.probe_schedule import ProbeSchedule
 from plankspindle_daemon.dispatch.slot_lending import SlotLending
@@ -186,27 +189,44 @@
         return sum(each.ledger.in_flight for each in self.upstreams_by_name.values())
 
     def _admit(self, ticket: Ticket, now: float) -> list[DispatchEffect]:
-        if not self._has_candidate(ticket, now):
+        opens_at = self._opens_at(ticket, now)
+        if opens_at is None:
             return [self._reject(ticket, RejectReason.NO_UPSTREAM, now)]
+        if opens_at > min(ticket.hold_until, ticket.deadline):
+            return [self._reject(ticket, RejectReason.LIMITED, now, opens_at=opens_at)]
+        wanted: list[DispatchEffect] = []
         if not self.queue:
             assigned = self._assign(ticket, now)
-            if assigned is not None:
+            if isinstance(assigned, Assign):
                 return [assigned]
+            wanted += [] if assigned is None else [assigned]
         if self._would_be_late(ticket, now):
             return [self._reject(ticket, RejectReason.TOO_LATE, now)]
         offered = self.queue.offer(ticket)
         if not isinstance(offered, Queued):
             return [self._reject(ticket, RejectReason.QUEUE_FULL, now)]
-        effects: list[DispatchEffect] = []
+        effects: list[DispatchEffect] = [*wanted]
         if offered.evicted is not None:
             effects.append(self._reject(offered.evicted, RejectReason.EVICTED, now))
         return [*effects, *self._serve(now)]
 
-    def _has_candidate(self, ticket: Ticket, now: float) -> bool:
-        return any(
-            not each.takes_nothing_new(now) and self._may_run_at(ticket, each)
-            for each in self.upstreams_by_name.values()
-        )
+    def _opens_at(self, ticket: Ticket, now: float) -> float | None:
+        """Give when limits of upstreams leave room for a request; None if none may.
+
+        Returns
+        -------
+        float or None
+            Monotonic seconds; now if any upstream that may take it names no limit.
+        """
+        first: float | None = None
+        for each in self.upstreams_by_name.values():
+            if each.takes_nothing_new(now) or not self._may_run_at(ticket, each):
+                continue
+            opens_at = each.opens_at(now)
+            if opens_at <= now:
+                return now
+            first = opens_at if first is None else min(first, opens_at)
+        return first
 
     def could_place_elsewhere(self, ticket: Ticket, upstream: str, now: float) -> bool:
         """Tell whether another upstream than a given one could take a request now."""
@@ -247,17 +267,20 @@
                 continue
             scanned += 1
             assigned = self._assign(ticket, now)
-            if assigned is not None:
+            if isinstance(assigned, Assign):
                 self.queue.remove(ticket.id)
+            if assigned is not None:
                 effects.append(assigned)
         if self.queue and self.placement is None:
             effects += self.lending.ask(self.upstreams_by_name, now)
         return effects
 
-    def _assign(self, ticket: Ticket, now: float) -> Assign | None:
+    def _assign(self, ticket: Ticket, now: float) -> Assign | WantToken | None:
         chosen = self._choose(ticket, now)
         if chosen is None:
             return None
+        if isinstance(chosen, NeedsToken):
+            return _want_token(chosen.upstream, now)
         check_invariant(
             "leaving-gets-nothing-new",
             not chosen.takes_nothing_new(now),
@@ -274,7 +297,7 @@
             step=step,
         )
 
-    def _choose(self, ticket: Ticket, now: float) -> UpstreamState | None:
+    def _choose(self, ticket: Ticket, now: float) -> UpstreamState | NeedsToken | None:
         usual_s = self.usual_s(ticket)
         fits = self._fits(ticket, now)
         if self.placement is None:
@@ -289,8 +312,8 @@
             miss_s=self.durations.total_by_operation.get(miss_of(ticket)),
             now=now,
         )
-        if place is None:
-            return None
+        if not isinstance(place, Place):
+            return place
         if not place.is_hit:
             self._missing.add(ticket.id)
         self.placement.limiter.note_sent(spills=place.spills)
@@ -345,12 +368,21 @@
                 given_up.append(self._reject(ticket, reason, now))
         return given_up
 
-    def _reject(self, ticket: Ticket, reason: RejectReason, now: float) -> Reject:
+    def _reject(
+        self,
+        ticket: Ticket,
+        reason: RejectReason,
+        now: float,
+        *,
+        opens_at: float | None = None,
+    ) -> Reject:
         self.rejected_by_reason[reason] = self.rejected_by_reason.get(reason, 0) + 1
         capacity = self.capacity(now)
         wait = self._wait_at(capacity, ticket.rank) * self.random.uniform(1.0, 1.5)
         if reason is RejectReason.BUSY:
             wait = max(wait, BUSY_RETRY_AFTER_S * self.random.uniform(1.0, 2.0))
+        if opens_at is not None:
+            wait = max(wait, (opens_at - now) * self.random.uniform(1.0, 1.5))
         bounded = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait))
         step = Rejected(
             reason=reason.value,
@@ -395,3 +427,12 @@
             return []
         give = self._schedule.all if at_once else self._schedule.due
         return [*give(self.upstreams_by_name, now)]
+
+
+def _want_token(upstream: UpstreamState, now: float) -> WantToken | None:
+    """Ask for a token, unless one was asked for already."""
+    gate = upstream.limit_gate()
+    if gate is None or not gate.may_ask(now):
+        return None
+    gate.note_asked(now)
+    return WantToken(upstream=upstream.name, incarnation=upstream.incarnation)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
@@ -174,6 +174,7 @@
     BUSY = "busy"
     NO_UPSTREAM = "no-upstream"
     LEAVING = "leaving"
+    LIMITED = "limited"
 
 
 @frozen(kw_only=True)
@@ -246,6 +247,22 @@
     endpoint: Endpoint
 
 
+@frozen(kw_only=True)
+class WantToken:
+    """A request waits for a token of the limit that an upstream names.
+
+    Parameters
+    ----------
+    upstream : str
+        The upstream.
+    incarnation : int
+        Which life of it is meant; zero if that is not known.
+    """
+
+    upstream: str
+    incarnation: int
+
+
 @frozen
 class AskSlots:
     """A peer, chosen by the shell's member list, is to be asked for slots."""
@@ -261,4 +278,4 @@
     to: Endpoint
 
 
-DispatchEffect = Assign | Reject | Probe | AskSlots | GrantSlots
+DispatchEffect = Assign | Reject | Probe | AskSlots | GrantSlots | WantToken
--- a/packages/daemon/src/plankspindle_daemon/dispatch/place.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/place.py
@@ -29,6 +29,13 @@
     spills: bool = False
 
 
+@frozen
+class NeedsToken:
+    """A request had better wait for a token of the limit that its upstream names."""
+
+    upstream: UpstreamState
+
+
 @frozen(kw_only=True)
 class Query:
     """A request to be placed; what stays the same while upstreams are weighed."""
--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -15,14 +15,17 @@
 from plankspindle_daemon.dispatch.key_orders import KeyOrders
 from plankspindle_daemon.dispatch.measured_distances import MeasuredDistances
 from plankspindle_daemon.dispatch.place import Choice
+from plankspindle_daemon.dispatch.place import NeedsToken
 from plankspindle_daemon.dispatch.place import Place
 from plankspindle_daemon.dispatch.place import Query
 from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
 from plankspindle_daemon.dispatch.region_plan import RegionPlan
 from plankspindle_daemon.stories.steps import Placed
+from plankspindle_daemon.upstreams.limit_gate import ASK_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
     from collections.abc import Mapping
 
     from plankspindle_daemon.admission.ticket import Ticket
@@ -102,7 +105,7 @@
         usual_s: float,
         miss_s: float | None,
         now: float,
-    ) -> Place | None:
+    ) -> Place | NeedsToken | None:
         """Choose the upstream whose answer is expected first.
 
         Parameters
@@ -122,7 +125,7 @@
 
         Returns
         -------
-        Place or None
+        Place, NeedsToken or None
             None if it is better to wait for an upstream that has seen the key.
 
         Notes
@@ -138,8 +141,8 @@
             now=now,
         )
         free = self._choose(query, by_name, fits)
-        if free is None:
-            return None
+        if not isinstance(free, Place):
+            return free
         planned_near = self._is_planned_near(ticket)
         wants = self.is_near(free.upstream) is not planned_near
         if ticket.excluded:
@@ -154,9 +157,9 @@
                 (self.is_near(each) is planned_near) is not spills and fits(each)
             ),
         )
-        if bound is None:
-            return evolve(free, spills=wants) if spills else None
-        return evolve(bound, spills=spills)
+        if isinstance(bound, Place):
+            return evolve(bound, spills=spills)
+        return evolve(free, spills=wants) if spills else bound
 
     def has_place(
         self,
@@ -180,7 +183,7 @@
             Monotonic seconds.
         """
         query = Query(ticket=ticket, usual_s=0.0, missed_s=0.0, now=now)
-        return self._choose(query, by_name, fits) is not None
+        return isinstance(self._choose(query, by_name, fits), Place)
 
     def _is_planned_near(self, ticket: Ticket) -> bool:
         """Tell whether the upstream planned for a request is in the own region."""
@@ -196,22 +199,43 @@
         query: Query,
         by_name: Mapping[str, UpstreamState],
         fits: Callable[[UpstreamState], bool],
-    ) -> Place | None:
+    ) -> Place | NeedsToken | None:
         choice = Choice()
         if query.ticket.affinity is None:
             for upstream in by_name.values():
                 if fits(upstream):
                     self._weigh(choice, query, upstream, is_hit=True)
-            return choice.place
+            return choice.place or self._needed_token(query, by_name.values())
         key = query.ticket.affinity
         known = self._present_order(query.ticket, by_name, query.now)
         for name, is_planned in known.items():
             upstream = by_name[name]
             is_hit = is_planned or self.has_seen(key, name, query.now)
+            if is_planned and (needed := self._needed_token(query, [upstream])):
+                return needed
             if fits(upstream) and (is_hit or _load(upstream, query.now) <= SECOND_LOAD):
                 self._weigh(choice, query, upstream, is_hit=is_hit)
         return choice.place
 
+    def _needed_token(
+        self, query: Query, upstreams: Iterable[UpstreamState]
+    ) -> NeedsToken | None:
+        """Give an upstream that a request should wait for, if a token may come soon.
+
+        A retry does not wait, as it would end as unknown; nor does a request that would
+        be rejected before the token comes.
+        """
+        if query.ticket.excluded or query.ticket.hold_until < query.now + ASK_S:
+            return None
+        for upstream in upstreams:
+            gate = upstream.limit_gate()
+            if gate is None or gate.has_token(query.now):
+                continue
+            is_open = gate.is_asking(query.now) or gate.may_ask(query.now)
+            if is_open and upstream.is_usable(query.now):
+                return NeedsToken(upstream)
+        return None
+
     def has_seen(self, key: str, upstream: str, now: float) -> bool:
         """Tell whether an upstream answered this VM for a key a while ago."""
         seen_at = self._seen_at_by_place.get((key, upstream))
--- a/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
@@ -26,6 +26,7 @@
 from plankspindle_daemon.upstreams.health import Ramping
 from plankspindle_daemon.upstreams.health import UpstreamHealth
 from plankspindle_daemon.upstreams.health import Warm
+from plankspindle_daemon.upstreams.limit_gate import LimitGate
 from plankspindle_daemon.upstreams.reported_slots import ReportedSlots
 from plankspindle_daemon.upstreams.silence import HINT_FADES_S
 from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
@@ -72,6 +73,8 @@
     ----------
     listed : ListedUpstreams
         Upstreams of the platform's list.
+    gate_by_life : dict of str to LimitGate
+        Limits that upstreams name over all entry VMs.
     drains : DrainClock
         Drains of the version in force.
     dispatchers_by_service, budgets_by_service : dict
@@ -86,6 +89,7 @@
     probe_s: float
     new_from: float
     listed: ListedUpstreams = Factory(ListedUpstreams)
+    gate_by_life: dict[str, LimitGate] = Factory(dict)
     drains: DrainClock = Factory(DrainClock)
     limiter: RegionLimiter = Factory(RegionLimiter)
     distances: MeasuredDistances = field(init=False)
@@ -353,6 +357,7 @@
             ),
             ledger=ledger,
             incarnation=self.listed.incarnation_of(name),
+            gate_by_life=self.gate_by_life,
         )
 
     def _note_listed(self, vms: Iterable[ListedVm], *, now: float, wall: float) -> None:
--- a/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
@@ -26,6 +26,7 @@
 from plankspindle_daemon.membership.peer_link import PeerLink
 from plankspindle_daemon.node.effects import OfService
 from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.upstreams.load_report import parse_load_report
 
 if TYPE_CHECKING:
@@ -144,9 +145,10 @@
         dispatcher = self.node.dispatchers_by_service.get(service)
         known = None if dispatcher is None else dispatcher.upstreams_by_name
         state = None if known is None else known.get(stated.upstream)
-        if state is not None and not (
-            stated.statement.is_empty and state.stated.is_empty
-        ):
+        if state is None:
+            return
+        is_silent = stated.statement.is_empty and state.stated.is_empty
+        if not is_silent or state.limit_gate() is not None:
             await self.tell(service, stated)
 
     async def withdraw(self, service: str, ticket: Ticket) -> None:
@@ -160,8 +162,13 @@
     async def perform(self, effects: Iterable[NodeEffect]) -> None:
         """Carry out effects of dispatchers; others are left to the daemon."""
         for effect in effects:
-            if isinstance(effect, OfService):
-                await self._perform_one(effect)
+            match effect:
+                case OfService():
+                    await self._perform_one(effect)
+                case SendToPeer(message=message, to=to):
+                    await self.peers.send(message, to)
+                case _:
+                    pass
 
     async def _perform_one(self, effect: OfService) -> None:
         match effect.effect:
--- a/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
@@ -25,9 +25,9 @@
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomGrant
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+from plankspindle_daemon.peer_messages.limit_news import LimitNews
 from plankspindle_daemon.peer_messages.list_news import ListNews
 from plankspindle_daemon.peer_messages.load_digest import LoadDigest
-from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.peer_messages.quota_messages import ShareClaim
 from plankspindle_daemon.peer_messages.quota_messages import ShareLease
 from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
@@ -82,8 +82,6 @@
             match effect:
                 case SendHeartbeat(to=to):
                     await self.peers.send(self._heartbeat(to, heartbeats_by_watch), to)
-                case SendToPeer(message=message, to=to):
-                    await self.peers.send(message, to)
                 case BeginLeaving(reason=reason):
                     self.leave(reason)
                 case TokenTaken() | TokenRefused():
@@ -120,9 +118,15 @@
                 await self.perform([*news])
             case LoadDigest():
                 self.node.talk.digests.take(message, monotonic())
-            case ShareClaim() | ShareLease() | TokenRequest() | TokenGrant():
-                taken = self.node.quotas.receive(message, sender, monotonic())
-                await self.perform([*taken])
+            case (
+                ShareClaim()
+                | ShareLease()
+                | TokenRequest()
+                | TokenGrant()
+                | LimitNews()
+            ):
+                taken = self.node.limited.receive(message, sender, monotonic())
+                await self.perform(taken)
             case SlotRequest() | SlotGrant() | HeadroomRequest() | HeadroomGrant():
                 await self._receive_loan(message, sender)
 
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -28,7 +28,7 @@
 from plankspindle_daemon.membership.membership import Membership
 from plankspindle_daemon.node.effects import BeginLeaving
 from plankspindle_daemon.node.effects import NodeEffect
-from plankspindle_daemon.node.effects import OfService
+from plankspindle_daemon.node.limited_dispatch import LimitedDispatch
 from plankspindle_daemon.node.look_ups import LookUps
 from plankspindle_daemon.node.self_report import SelfReport
 from plankspindle_daemon.node.shared_slots import SharedSlots
@@ -134,6 +134,7 @@
     versions: VersionTalk = field(init=False)
     quarantine: Quarantine = field(init=False)
     quotas: Quotas = field(init=False)
+    limited: LimitedDispatch = field(init=False)
     reads: SharedReads = field(init=False)
     self_report: SelfReport = field(init=False)
     look_ups: LookUps = field(init=False)
@@ -183,6 +184,7 @@
             new_from=self.started_at + self.settle_s,
             listed=ListedUpstreams(recovery_s=self.recovery_s),
         )
+        self.limited = LimitedDispatch(services=self.services, quotas=self.quotas)
         self.vm_drains = VmDrains(
             vm=self.vm,
             failure_domain=self.failure_domain,
@@ -326,8 +328,7 @@
         self, service: str, event: DispatchEvent, now: float
     ) -> list[NodeEffect]:
         """Give an event to the dispatcher of a service."""
-        effects = self.services.handle(service, event, now)
-        return [OfService(service, each) for each in effects]
+        return self.limited.handle(service, event, now)
 
     def tick(self, *, now: float, wall: float) -> list[NodeEffect]:
         """Let some time pass."""
@@ -344,7 +345,7 @@
             self.slots.forget_removals(self.configuration, now)
         effects += self.versions.tick(now)
         effects += self.quarantine.tick(now)
-        effects += self.quotas.tick(
+        effects += self.limited.tick(
             readiness=self.readiness(),
             knows_list=self.self_report.list_read_at is not None,
             now=now,
@@ -381,10 +382,9 @@
         self.slots.distrust(now)
         self.reads.distrust()
         self.headroom.grants.drop_all()
-        effects: list[NodeEffect] = []
+        effects = self.take_membership(membership.Paused(), now=now, wall=wall)
         for service in self.dispatchers_by_service:
             effects += self.take_dispatch(service, dispatch.Paused(), now)
-        effects += self.take_membership(membership.Paused(), now=now, wall=wall)
         return effects
 
     def readiness(self) -> Readiness:
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/quota_messages.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/quota_messages.py
@@ -4,6 +4,9 @@
 
 from plankspindle_core.classes import frozen
 
+OF_WORKSPACE = -1.0
+"""Limit of a request for tokens of a workspace's quota."""
+
 
 @frozen(kw_only=True)
 class ShareClaim:
@@ -58,7 +61,7 @@
 
 @frozen(kw_only=True)
 class TokenRequest:
-    """Ask a holder for tokens of a workspace, one for each request.
+    """Ask a holder for tokens, one for each request.
 
     Parameters
     ----------
@@ -67,20 +70,31 @@
     request_id : int
         Random number, repeated in the grant.
     workspace : str
-        The workspace.
+        The workspace; for the limit of an upstream, the life of that.
     count : int
         Tokens wanted.
+    limit_per_s : float
+        Limit of the upstream, in requests a second; negative for a workspace.
+    heard_ago_ms : int
+        Age of the answer that named the limit.
     """
 
     sender: str
     request_id: int
     workspace: str
     count: int
+    limit_per_s: float = OF_WORKSPACE
+    heard_ago_ms: int = 0
+
+    @property
+    def is_of_limit(self) -> bool:
+        """Whether tokens for an upstream that names a limit are wanted."""
+        return self.limit_per_s >= 0
 
 
 @frozen(kw_only=True)
 class TokenGrant:
-    """Give tokens of a workspace.
+    """Give tokens of a workspace or an upstream's limit.
 
     Parameters
     ----------
@@ -89,13 +103,15 @@
     request_id : int
         Of the request it answers.
     workspace : str
-        The workspace.
+        What they are for, as in the request.
     count : int
         Tokens given, as many as were wanted or fewer.
     retry_after_ms : int
         Time until there is one for who got none; zero if all were given.
     has_share : bool
-        Whether the sender holds any share of the workspace's quota.
+        Whether the sender holds any share of the quota or limit.
+    is_of_limit : bool
+        Whether they are for an upstream that names a limit.
     """
 
     sender: str
@@ -104,3 +120,4 @@
     count: int
     retry_after_ms: int
     has_share: bool
+    is_of_limit: bool = False
--- a/packages/daemon/src/plankspindle_daemon/quarantine/quarantine.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/quarantine.py
@@ -13,12 +13,12 @@
 from plankspindle_daemon.peer_messages.crash_news import CrashNews
 from plankspindle_daemon.peer_messages.crash_news import CrashReport
 from plankspindle_daemon.peer_messages.crash_news import Quarantined
+from plankspindle_daemon.peer_messages.news_outbox import NewsOutbox
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.quarantine.counting_vms import CountingVms
 from plankspindle_daemon.quarantine.crash_cases import EVIDENCE_S
 from plankspindle_daemon.quarantine.crash_cases import CrashCase
 from plankspindle_daemon.quarantine.crash_cases import CrashCases
-from plankspindle_daemon.quarantine.news_outbox import NewsOutbox
 from plankspindle_daemon.quarantine.quarantine_change import QuarantineChange
 from plankspindle_daemon.quarantine.quarantine_list import QuarantineEntry
 from plankspindle_daemon.quarantine.quarantine_list import QuarantineList
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/quotas/limit_holder.py
@@ -0,0 +1,133 @@
+"""Handing out of tokens for upstreams that name a limit."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+
+from plankspindle_core.classes import define
+from plankspindle_core.classes import frozen
+from plankspindle_daemon.quotas.quota_holder import NO_SHARE_S
+from plankspindle_daemon.quotas.quota_holder import QuotaHolder
+from plankspindle_daemon.quotas.quota_holder import TokensTaken
+from plankspindle_daemon.quotas.token_pool import TokenPool
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
+    from plankspindle_daemon.peer_messages.quota_messages import TokenRequest
+
+LEAST_PER_S = 0.25
+"""Least limit that is gone by, in requests a second.
+
+An upstream that takes nothing says so only in answers: a request now and then finds out
+when it takes some again.
+"""
+SLACK_REQUESTS = 2.0
+"""Tokens that may gather beside those of one second, shared by the fleet.
+
+They let each region keep one where a limit is low. With requests under way, an upstream
+gets less than 1.5 times its limit and five requests more in any four seconds.
+"""
+KEEP_S = 60.0
+"""Time for which a pool is kept that nobody takes from, in seconds."""
+
+
+@frozen(kw_only=True)
+class NamedLimit:
+    """A limit that an upstream named.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Requests a second from all entry VMs together.
+    heard_at : float
+        When an answer named it, monotonic seconds.
+    """
+
+    rate_per_s: float
+    heard_at: float
+
+    @property
+    def burst(self) -> float:
+        """Requests that may come at once: those of one second."""
+        return self.rate_per_s
+
+
+@define(kw_only=True)
+class _HeldLimit:
+    pool: TokenPool
+    limit: NamedLimit
+    used_at: float
+
+
+@define(kw_only=True)
+class LimitHolder:
+    """Give tokens of limits from the shares that are leased to this VM.
+
+    Parameters
+    ----------
+    holder : QuotaHolder
+        Holder of the leased shares.
+
+    Notes
+    -----
+    A holder learns of a limit from who asks it for a token, so that it need not have
+    heard of it itself. What was named last counts.
+    """
+
+    holder: QuotaHolder
+    _held_by_life: dict[str, _HeldLimit] = Factory(dict)
+
+    def __len__(self) -> int:
+        """Count the limits of which tokens are given here."""
+        return len(self._held_by_life)
+
+    def note(self, life: str, limit: NamedLimit, now: float) -> None:
+        """Take a limit that was named."""
+        held = self._held_by_life.get(life)
+        if held is None:
+            pool = TokenPool.empty(
+                workspace=life,
+                holder=self.holder.vm,
+                terms=_bounded(limit),
+                slack_requests=SLACK_REQUESTS,
+                shares=self.holder.shares_of(life, now),
+            )
+            held = _HeldLimit(pool=pool, limit=limit, used_at=now)
+            self._held_by_life[life] = held
+        elif limit.heard_at > held.limit.heard_at:
+            held.limit, held.pool.terms = limit, _bounded(limit)
+
+    def take(self, life: str, wanted: int, now: float) -> TokensTaken:
+        """Take tokens for requests of this VM or another."""
+        held = self._held_by_life.get(life)
+        shares = self.holder.shares_of(life, now)
+        if held is None or shares.share <= 0.0:
+            return TokensTaken(count=0, retry_after_s=NO_SHARE_S, has_share=False)
+        held.used_at = now
+        given = held.pool.take(wanted, shares)
+        return TokensTaken(
+            count=given, retry_after_s=held.pool.retry_after_s(), has_share=True
+        )
+
+    def answer(self, request: TokenRequest, now: float) -> TokenGrant:
+        """Give tokens to another VM, as far as there are any."""
+        heard_at = now - request.heard_ago_ms / 1000
+        limit = NamedLimit(rate_per_s=request.limit_per_s, heard_at=heard_at)
+        self.note(request.workspace, limit, now)
+        taken = self.take(request.workspace, request.count, now)
+        return taken.as_grant(request, sender=self.holder.vm, is_of_limit=True)
+
+    def forget(self, now: float) -> None:
+        """Forget the limits of which nobody takes tokens any more."""
+        self._held_by_life = {
+            life: held
+            for life, held in self._held_by_life.items()
+            if now - held.used_at < KEEP_S
+        }
+
+
+def _bounded(limit: NamedLimit) -> NamedLimit:
+    rate_per_s = max(LEAST_PER_S, limit.rate_per_s)
+    return NamedLimit(rate_per_s=rate_per_s, heard_at=limit.heard_at)
--- a/packages/daemon/src/plankspindle_daemon/quotas/quota_borrower.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/quota_borrower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -12,10 +13,13 @@
 from plankspindle_core.classes import define
 from plankspindle_core.classes import frozen
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+from plankspindle_daemon.peer_messages.quota_messages import OF_WORKSPACE
 from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
 from plankspindle_daemon.peer_messages.quota_messages import TokenRequest
 from plankspindle_daemon.quotas.holder_map import HolderMap
 from plankspindle_daemon.quotas.holder_map import QuotaVm
+from plankspindle_daemon.quotas.limit_holder import LimitHolder
+from plankspindle_daemon.quotas.limit_holder import NamedLimit
 from plankspindle_daemon.quotas.messages import TokenRefused
 from plankspindle_daemon.quotas.messages import TokenTaken
 from plankspindle_daemon.quotas.quota_holder import QuotaHolder
@@ -85,12 +89,14 @@
         This VM and where it stands.
     random : Random
         Source of request ids and of the order of other regions.
-    holder : QuotaHolder
+    holder : QuotaHolder or LimitHolder
         What this VM hands out itself.
     lessor : ShareLessor
         What knows the holder that has the own share.
     holder_map : HolderMap
         Holders elsewhere.
+    limit_of : callable, optional
+        Gives the limit of an upstream's life, where tokens are for upstreams.
 
     Attributes
     ----------
@@ -100,9 +106,10 @@
 
     vm: str
     random: Random
-    holder: QuotaHolder
+    holder: QuotaHolder | LimitHolder
     lessor: ShareLessor
     holder_map: HolderMap
+    limit_of: Callable[[str], NamedLimit | None] | None = None
     region: str = ""
     admitted_by_workspace: Counter[str] = field(factory=Counter)
     refused_by_workspace: Counter[str] = field(factory=Counter)
@@ -244,11 +251,14 @@
             until=now + (NEAR_TIMEOUT_S if near else FAR_TIMEOUT_S),
         )
         self._workspace_by_request[demand.ask.request_id] = workspace
+        limit = None if self.limit_of is None else self.limit_of(workspace)
         request = TokenRequest(
             sender=self.vm,
             request_id=demand.ask.request_id,
             workspace=workspace,
             count=demand.ask.count,
+            limit_per_s=OF_WORKSPACE if limit is None else limit.rate_per_s,
+            heard_ago_ms=0 if limit is None else int(1000 * (now - limit.heard_at)),
         )
         return SendToPeer(message=request, to=holder.endpoint)
 
--- a/packages/daemon/src/plankspindle_daemon/quotas/quota_holder.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/quota_holder.py
@@ -52,6 +52,21 @@
     retry_after_s: float
     has_share: bool
 
+    def as_grant(
+        self, request: TokenRequest, *, sender: str, is_of_limit: bool = False
+    ) -> TokenGrant:
+        """Give the answer to another VM that asked for them."""
+        all_given = self.count == request.count
+        return TokenGrant(
+            sender=sender,
+            request_id=request.request_id,
+            workspace=request.workspace,
+            count=self.count,
+            retry_after_ms=0 if all_given else 1 + int(1000 * self.retry_after_s),
+            has_share=self.has_share,
+            is_of_limit=is_of_limit,
+        )
+
 
 @define(kw_only=True)
 class QuotaHolder:
@@ -138,6 +153,12 @@
         shares.advance(now)
         return shares.share
 
+    def shares_of(self, subject: str, now: float) -> LeasedShares:
+        """Give the shares leased here for a workspace or an upstream's life."""
+        shares = self._shares_by_shard[shard_of(subject)]
+        shares.advance(now)
+        return shares
+
     def has_all(self, shards: tuple[int, ...], *, vms: int, now: float) -> bool:
         """Tell whether so many VMs have leased their share of each shard."""
         for shard in shards:
@@ -147,21 +168,12 @@
     def answer(self, request: TokenRequest, now: float) -> TokenGrant:
         """Give tokens, as far as there are any."""
         taken = self.take(request.workspace, request.count, now)
-        all_given = taken.count == request.count
-        return TokenGrant(
-            sender=self.vm,
-            request_id=request.request_id,
-            workspace=request.workspace,
-            count=taken.count,
-            retry_after_ms=0 if all_given else 1 + int(1000 * taken.retry_after_s),
-            has_share=taken.has_share,
-        )
+        return taken.as_grant(request, sender=self.vm)
 
     def take(self, workspace: str, wanted: int, now: float) -> TokensTaken:
         """Take tokens for requests of this VM or another."""
         pool = self._pools_by_workspace.get(workspace)
-        shares = self._shares_by_shard[shard_of(workspace)]
-        shares.advance(now)
+        shares = self.shares_of(workspace, now)
         if pool is None or shares.share <= 0.0:
             return TokensTaken(count=0, retry_after_s=NO_SHARE_S, has_share=False)
         given = pool.take(wanted, shares)
--- a/packages/daemon/src/plankspindle_daemon/quotas/quotas.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/quotas.py
@@ -1,4 +1,4 @@
-"""Quotas of all workspaces as one entry VM takes part in keeping them."""
+"""Quotas and limits over all entry VMs, as one of them takes part in keeping them."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 from plankspindle_core.configuration.configuration import Configuration
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.membership.membership import Membership
+from plankspindle_daemon.peer_messages.limit_news import LimitNews
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.peer_messages.quota_messages import ShareClaim
 from plankspindle_daemon.peer_messages.quota_messages import ShareLease
@@ -22,6 +23,8 @@
 from plankspindle_daemon.quotas.fleet_size import FleetSize
 from plankspindle_daemon.quotas.holder_map import HolderMap
 from plankspindle_daemon.quotas.holder_map import QuotaVm
+from plankspindle_daemon.quotas.limit_holder import LimitHolder
+from plankspindle_daemon.quotas.messages import TokenRefused
 from plankspindle_daemon.quotas.messages import TokenTaken
 from plankspindle_daemon.quotas.quota_borrower import QuotaBorrower
 from plankspindle_daemon.quotas.quota_holder import QuotaHolder
@@ -30,6 +33,8 @@
 from plankspindle_daemon.quotas.quota_options import LEASE_S
 from plankspindle_daemon.quotas.quota_options import QuotaOptions
 from plankspindle_daemon.quotas.share_lessor import ShareLessor
+from plankspindle_daemon.quotas.upstream_limits import LimitEffect
+from plankspindle_daemon.quotas.upstream_limits import UpstreamLimits
 
 if TYPE_CHECKING:
     from plankspindle_daemon.quotas.quota_borrower import BorrowerEffect
@@ -38,12 +43,13 @@
 """Longest time after which it is looked which VMs may hold shares."""
 _MAY_HOLD = (Readiness.READY, Readiness.OVERLOADED)
 
-QuotaMessage = ShareClaim | ShareLease | TokenRequest | TokenGrant
+QuotaMessage = ShareClaim | ShareLease | TokenRequest | TokenGrant | LimitNews
+QuotaEffect = TokenTaken | TokenRefused | LimitEffect
 
 
 @define(kw_only=True)
 class Quotas:
-    """Decide which requests of limited workspaces may go on to an upstream.
+    """Decide which requests of limited workspaces, and to limited upstreams, go on.
 
     Parameters
     ----------
@@ -83,8 +89,11 @@
     lessor: ShareLessor = field(init=False)
     holder: QuotaHolder = field(init=False)
     borrower: QuotaBorrower = field(init=False)
+    limits: UpstreamLimits = field(init=False)
     _configuration: Configuration | None = None
-    _is_needed: bool = False
+    _has_quotas: bool = False
+    _takes_part: bool = False
+    _knows_list: bool = False
     _known: tuple[int, bool] = (0, False)
     _claimed: tuple[int, ...] = ()
     _next_claim: float = 0.0
@@ -103,13 +112,15 @@
             lessor=self.lessor,
             holder_map=self.holders,
         )
+        self.limits = self._make_limits()
 
     def use(self, configuration: Configuration) -> None:
         """Take the quotas of another version of the configuration."""
         workspaces = configuration.workspaces_by_name
         self._configuration = configuration
-        self._is_needed = any(each.is_limited for each in workspaces.values())
-        self.borrower.region = configuration.region_of(self.failure_domain) or ""
+        self._has_quotas = any(each.is_limited for each in workspaces.values())
+        region = configuration.region_of(self.failure_domain) or ""
+        self.borrower.region = self.limits.borrower.region = region
         self.holder.use(workspaces)
         self.borrower.forget(
             {name for name, each in workspaces.items() if each.is_limited}
@@ -125,9 +136,17 @@
             return [TokenTaken(ticket=ticket)]
         return self.borrower.want(ticket, workspace, now)
 
+    def want_for_upstream(
+        self, life: str, service: str, now: float
+    ) -> list[LimitEffect]:
+        """Get a token for a request to an upstream that names a limit."""
+        if now >= self._next_refresh:
+            self._refresh(now)
+        return self.limits.want(life, service, now)
+
     def receive(
         self, message: QuotaMessage, reply_to: Endpoint, now: float
-    ) -> list[BorrowerEffect]:
+    ) -> list[QuotaEffect]:
         """Take a message of another entry VM."""
         match message:
             case ShareClaim():
@@ -138,14 +157,20 @@
                 self.holder.take_lease(message, now)
                 return []
             case TokenRequest():
-                grant = self.holder.answer(message, now)
+                holder = self.limits.holder if message.is_of_limit else self.holder
+                grant = holder.answer(message, now)
                 return [SendToPeer(message=grant, to=reply_to)]
+            case TokenGrant(is_of_limit=True):
+                return [*self.limits.take_grant(message, now)]
             case TokenGrant():
-                return self.borrower.take_grant(message, now)
+                return [*self.borrower.take_grant(message, now)]
+            case LimitNews():
+                self.limits.take_news(message, now)
+                return []
 
     def tick(
         self, *, readiness: Readiness, knows_list: bool, now: float
-    ) -> list[BorrowerEffect]:
+    ) -> list[QuotaEffect]:
         """Let time pass.
 
         Parameters
@@ -157,24 +182,49 @@
         now : float
             Monotonic seconds.
         """
-        if not self._is_needed:
+        self._takes_part = readiness in _MAY_HOLD
+        self._knows_list = knows_list
+        if not (self._has_quotas or self.limits.is_needed):
             return []
-        effects = self.borrower.tick(now)
-        takes_part = readiness in _MAY_HOLD
-        known = (self.membership.changes, takes_part)
+        effects = [*self.borrower.tick(now), *self.limits.tick(now)]
+        known = (self.membership.changes, self._takes_part)
         if now >= self._next_refresh or known != self._known:
-            self._next_refresh = now + REFRESH_S
-            self._known = known
-            if knows_list:
-                self.fleet.note(self._count(), now)
-            self._use_vms(takes_part=takes_part, now=now)
+            self._refresh(now)
         return [*effects, *self._claim(now)]
 
+    def _make_limits(self) -> UpstreamLimits:
+        holder = LimitHolder(holder=self.holder)
+        limits = UpstreamLimits(
+            vm=self.vm,
+            failure_domain=self.failure_domain,
+            membership=self.membership,
+            holder=holder,
+            borrower=QuotaBorrower(
+                vm=self.vm,
+                random=self.random,
+                holder=holder,
+                lessor=self.lessor,
+                holder_map=self.holders,
+            ),
+        )
+        limits.borrower.limit_of = limits.limit_of
+        return limits
+
+    def _refresh(self, now: float) -> None:
+        """Look which VMs there are, and which of them may hold shares."""
+        if self._configuration is None:
+            return
+        self._next_refresh = now + REFRESH_S
+        self._known = (self.membership.changes, self._takes_part)
+        if self._knows_list:
+            self.fleet.note(self._count(), now)
+        self._use_vms(takes_part=self._takes_part, now=now)
+
     def _lease(self, claim: ShareClaim, now: float) -> ShareLease | None:
         self.fleet.note(claim.fleet_size, now)
         return self.lessor.answer(claim, fleet_size=self.fleet.at(now), now=now)
 
-    def _claim(self, now: float) -> list[BorrowerEffect]:
+    def _claim(self, now: float) -> list[SendToPeer]:
         """Claim the shares of the region for the shards that are held here."""
         region = self.borrower.region
         shards = self.holders.shards_of(self.vm, region)
--- a/packages/daemon/src/plankspindle_daemon/quotas/token_pool.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/token_pool.py
@@ -1,12 +1,12 @@
-"""A token bucket that holds a part of one workspace's quota."""
+"""A token bucket that holds a part of a quota or limit over all entry VMs."""
 
 from __future__ import annotations
 
 import math
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from plankspindle_core.classes import define
-from plankspindle_core.configuration.workspace import Workspace
 from plankspindle_core.stable_hash import stable_hash
 
 if TYPE_CHECKING:
@@ -16,18 +16,30 @@
 _HASH_RANGE = 2.0**64
 
 
+class TokenTerms(Protocol):
+    """What tokens are given for: a workspace's quota, or an upstream's limit."""
+
+    @property
+    def rate_per_s(self) -> float:
+        """Requests a second, by all entry VMs together."""
+
+    @property
+    def burst(self) -> float:
+        """Requests that may come at once beyond that rate."""
+
+
 @define(kw_only=True)
 class TokenPool:
-    """Tokens of one workspace at one holder.
+    """Tokens of one workspace, or one life of an upstream, at one holder.
 
     Parameters
     ----------
     workspace : str
-        Name of the workspace.
+        Name of the workspace, or of the upstream's life.
     holder : str
         Name of this VM.
-    terms : Workspace
-        Its quota.
+    terms : TokenTerms
+        Its quota or limit.
     slack_requests : float
         Requests that the fleet admits beyond the burst.
 
@@ -39,13 +51,33 @@
 
     workspace: str
     holder: str
-    terms: Workspace
+    terms: TokenTerms
     slack_requests: float
     _tokens: float = 0.0
     _refused: float = 0.0
     _share_s: float = 0.0
     _share: float = 0.0
 
+    @classmethod
+    def empty(
+        cls,
+        *,
+        workspace: str,
+        holder: str,
+        terms: TokenTerms,
+        slack_requests: float,
+        shares: LeasedShares,
+    ) -> TokenPool:
+        """Make a pool that gathers tokens from now on only."""
+        return cls(
+            workspace=workspace,
+            holder=holder,
+            terms=terms,
+            slack_requests=slack_requests,
+            share_s=shares.share_s,
+            share=shares.share,
+        )
+
     def take(self, wanted: int, shares: LeasedShares) -> int:
         """Take as many of the wanted tokens as there are."""
         self._fill(shares)
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/quotas/upstream_limits.py
@@ -0,0 +1,263 @@
+"""Limits over all entry VMs that upstreams name in their answers."""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import field
+
+from plankspindle_core.classes import define
+from plankspindle_core.classes import frozen
+from plankspindle_daemon.membership.membership import Membership
+from plankspindle_daemon.peer_messages.limit_news import LimitNews
+from plankspindle_daemon.peer_messages.news_outbox import NewsOutbox
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+from plankspindle_daemon.quotas.limit_holder import LimitHolder
+from plankspindle_daemon.quotas.limit_holder import NamedLimit
+from plankspindle_daemon.quotas.messages import TokenRefused
+from plankspindle_daemon.quotas.messages import TokenTaken
+from plankspindle_daemon.quotas.quota_borrower import QuotaBorrower
+from plankspindle_daemon.upstreams.limit_gate import LimitGate
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
+    from plankspindle_daemon.quotas.quota_borrower import BorrowerEffect
+    from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
+
+MAX_LIMITS = 4_096
+"""Lives of upstreams whose limits are remembered; the one heard of first goes."""
+LIFTED_S = 30.0
+"""Time for which older news of a limit that was lifted is passed over, in seconds."""
+FORGET_S = 5.0
+"""Period of forgetting what is old, in seconds."""
+TELL_STEP = 0.2
+"""Change of a limit, as a part of it, that other VMs are told of."""
+TELL_GAP_S = 1.0
+"""Least time between two such changes that are told, in seconds."""
+MAX_TOLD = 512
+"""Entry VMs that are told of a limit; in a larger fleet, those of the own domain."""
+
+
+@frozen(kw_only=True)
+class GateChanged:
+    """A token for an upstream came, or none is to be had for a while."""
+
+    service: str
+
+
+LimitEffect = SendToPeer | GateChanged
+
+
+@frozen(kw_only=True)
+class _Ask:
+    life: str
+    service: str
+
+
+@frozen(kw_only=True)
+class _Told:
+    limit_per_s: float
+    at: float
+
+
+@define(kw_only=True)
+class UpstreamLimits:
+    """Keep requests to an upstream within the limit that it names.
+
+    Parameters
+    ----------
+    vm, failure_domain : str
+        This VM and where it stands.
+    membership : Membership
+        Other entry VMs.
+    holder : LimitHolder
+        What gives tokens here.
+    borrower : QuotaBorrower
+        What gets tokens from other VMs.
+
+    Attributes
+    ----------
+    gate_by_life : dict of str to LimitGate
+        Upstreams that name a limit.
+
+    Notes
+    -----
+    A limit is a sum over all entry VMs that none of them sees, as a quota is, and it is
+    kept in the same way: each request takes a token, from the shares of the limit that
+    the VMs of a region have leased to one of them. A limit is in force from the first
+    answer that names it until the answer to a later request names none; it has no other
+    end, since what is not asked says nothing.
+    """
+
+    vm: str
+    failure_domain: str
+    membership: Membership
+    holder: LimitHolder
+    borrower: QuotaBorrower
+    gate_by_life: dict[str, LimitGate] = Factory(dict)
+    _lifted_by_life: dict[str, float] = Factory(dict)
+    _told_by_life: dict[str, _Told] = Factory(dict)
+    _asks_by_ticket: dict[int, _Ask] = Factory(dict)
+    _tickets: count[int] = field(factory=count)
+    _outbox: NewsOutbox = Factory(NewsOutbox)
+    _next_forget: float = 0.0
+
+    @property
+    def is_needed(self) -> bool:
+        """Whether this VM has limits to keep, or tokens to give."""
+        return bool(self.gate_by_life) or len(self.holder) > 0
+
+    def limit_of(self, life: str) -> NamedLimit | None:
+        """Give the limit of an upstream, as far as this VM knows."""
+        gate = self.gate_by_life.get(life)
+        if gate is None:
+            return None
+        return NamedLimit(rate_per_s=gate.limit_per_s, heard_at=gate.heard_at)
+
+    def take_statement(
+        self, life: str, statement: UpstreamStatement, *, sent_at: float, now: float
+    ) -> list[SendToPeer]:
+        """Take what an upstream said of itself in an answer to this VM.
+
+        Parameters
+        ----------
+        life : str
+            Life of the upstream.
+        statement : UpstreamStatement
+            What it said.
+        sent_at, now : float
+            When the request was sent, and now, monotonic seconds.
+
+        Returns
+        -------
+        list of SendToPeer
+            What other VMs are told of it.
+        """
+        if statement.limit_per_s is not None:
+            self._name(life, statement.limit_per_s, heard_at=now)
+            return self._tell_named(life, statement.limit_per_s, now)
+        if statement.unreadable or not self._lift(life, sent_at):
+            return []
+        self._told_by_life.pop(life, None)
+        return self._tell(life, 0.0, is_lifted=True, at=sent_at, now=now)
+
+    def take_news(self, news: LimitNews, now: float) -> None:
+        """Take what another VM has learned."""
+        at = now - news.ago_ms / 1000
+        if news.is_lifted:
+            self._lift(news.life, at)
+        else:
+            self._name(news.life, news.limit_per_s, heard_at=at)
+            self._told_by_life[news.life] = _Told(limit_per_s=news.limit_per_s, at=now)
+
+    def want(self, life: str, service: str, now: float) -> list[LimitEffect]:
+        """Get a token for a request of a service."""
+        limit = self.limit_of(life)
+        if limit is None:
+            return []
+        self.holder.note(life, limit, now)
+        ticket = next(self._tickets)
+        self._asks_by_ticket[ticket] = _Ask(life=life, service=service)
+        return self._take(self.borrower.want(ticket, life, now), now)
+
+    def take_grant(self, grant: TokenGrant, now: float) -> list[LimitEffect]:
+        """Take what a holder answered."""
+        return self._take(self.borrower.take_grant(grant, now), now)
+
+    def tick(self, now: float) -> list[LimitEffect]:
+        """Let time pass."""
+        effects: list[LimitEffect] = [*self._outbox.take_due(now)]
+        if now >= self._next_forget:
+            self._next_forget = now + FORGET_S
+            self._forget(now)
+        return [*effects, *self._take(self.borrower.tick(now), now)]
+
+    def _name(self, life: str, limit_per_s: float, *, heard_at: float) -> None:
+        if heard_at < self._lifted_by_life.get(life, 0.0):
+            return
+        gate = self.gate_by_life.get(life)
+        if gate is None:
+            if len(self.gate_by_life) >= MAX_LIMITS:
+                del self.gate_by_life[next(iter(self.gate_by_life))]
+            self.gate_by_life[life] = LimitGate(
+                limit_per_s=limit_per_s, heard_at=heard_at
+            )
+        elif heard_at >= gate.heard_at:
+            gate.limit_per_s, gate.heard_at = limit_per_s, heard_at
+
+    def _lift(self, life: str, sent_at: float) -> bool:
+        """End a limit, if it was last named before a request was sent."""
+        gate = self.gate_by_life.get(life)
+        if gate is None or sent_at <= gate.heard_at:
+            return False
+        del self.gate_by_life[life]
+        self._lifted_by_life[life] = sent_at
+        return True
+
+    def _tell_named(
+        self, life: str, limit_per_s: float, now: float
+    ) -> list[SendToPeer]:
+        told = self._told_by_life.get(life)
+        if told is not None:
+            step = abs(limit_per_s - told.limit_per_s)
+            if step <= TELL_STEP * told.limit_per_s or now - told.at < TELL_GAP_S:
+                return []
+        self._told_by_life[life] = _Told(limit_per_s=limit_per_s, at=now)
+        return self._tell(life, limit_per_s, is_lifted=False, at=now, now=now)
+
+    def _tell(
+        self, life: str, limit_per_s: float, *, is_lifted: bool, at: float, now: float
+    ) -> list[SendToPeer]:
+        members = list(self.membership.members_by_name.values())
+        if len(members) > MAX_TOLD:
+            members = [
+                each for each in members if each.failure_domain == self.failure_domain
+            ]
+        news = LimitNews(
+            sender=self.vm,
+            life=life,
+            limit_per_s=limit_per_s,
+            is_lifted=is_lifted,
+            ago_ms=int(1000 * (now - at)),
+        )
+        effects = [
+            SendToPeer(message=news, to=each.peer_endpoint)
+            for each in members
+            if each.peer_endpoint is not None
+        ]
+        return self._outbox.send(effects, now)
+
+    def _take(self, effects: list[BorrowerEffect], now: float) -> list[LimitEffect]:
+        """Give tokens to their gates, and say whose requests may go on."""
+        taken: list[LimitEffect] = []
+        for effect in effects:
+            match effect:
+                case SendToPeer():
+                    taken.append(effect)
+                case TokenTaken(ticket=ticket):
+                    ask = self._asks_by_ticket.pop(ticket)
+                    gate = self.gate_by_life.get(ask.life)
+                    if gate is not None:
+                        gate.add_token(now)
+                    taken.append(GateChanged(service=ask.service))
+                case TokenRefused(ticket=ticket, retry_after_s=retry_after_s):
+                    ask = self._asks_by_ticket.pop(ticket)
+                    gate = self.gate_by_life.get(ask.life)
+                    if gate is not None:
+                        gate.close(now + retry_after_s)
+                    taken.append(GateChanged(service=ask.service))
+        return taken
+
+    def _forget(self, now: float) -> None:
+        self.holder.forget(now)
+        self.borrower.forget(self.gate_by_life)
+        self._lifted_by_life = {
+            life: at for life, at in self._lifted_by_life.items() if now - at < LIFTED_S
+        }
+        self._told_by_life = {
+            life: told
+            for life, told in self._told_by_life.items()
+            if life in self.gate_by_life
+        }
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -13,6 +13,8 @@
 from plankspindle_daemon.upstreams.health import Ramping
 from plankspindle_daemon.upstreams.health import UpstreamHealth
 from plankspindle_daemon.upstreams.health import Warm
+from plankspindle_daemon.upstreams.limit_gate import LimitGate
+from plankspindle_daemon.upstreams.limit_gate import life_of
 from plankspindle_daemon.upstreams.load_report import MAX_AGE_S
 from plankspindle_daemon.upstreams.load_report import LoadReport
 from plankspindle_daemon.upstreams.reported_slots import ReportedSlots
@@ -57,6 +59,8 @@
         until the next probe or list it gets no new work.
     cold : ColdGate, optional
         Bound on requests while it is cold.
+    gate_by_life : dict of str to LimitGate
+        Limits that upstreams name over all entry VMs, of any service.
     drained_at : float, optional
         Time from which a confirmed drain keeps new work away, monotonic seconds.
     is_misplaced : bool
@@ -84,6 +88,7 @@
     drained_at: float | None = None
     cold: ColdGate | None = None
     is_misplaced: bool = False
+    gate_by_life: dict[str, LimitGate] = Factory(dict)
     answered_at: float = 0.0
     silence: Silence = Factory(Silence)
     stated: UpstreamStatement = SAYS_NOTHING
@@ -128,11 +133,28 @@
             or (self.leaves_at is not None and ends_by > self.leaves_at)
             or (self.drained_at is not None and ends_by > self.drained_at)
             or not self._is_warm_enough(now)
+            or self.lacks_token(now)
         ):
             return False
         allowed = self.ledger.allowance(now, deadline)
         return self.ledger.in_flight < self.health.limit(allowed, now)
 
+    def limit_gate(self) -> LimitGate | None:
+        """Give the gate of the limit that it names; None if it names none."""
+        if not self.gate_by_life:
+            return None
+        return self.gate_by_life.get(life_of(self.name, self.incarnation))
+
+    def lacks_token(self, now: float) -> bool:
+        """Tell whether it names a limit of which this VM has no token."""
+        gate = self.limit_gate()
+        return gate is not None and not gate.has_token(now)
+
+    def opens_at(self, now: float) -> float:
+        """Give when a request may be sent as far as its limit goes, monotonic s."""
+        gate = self.limit_gate()
+        return now if gate is None else gate.opens_at(now)
+
     def _is_warm_enough(self, now: float) -> bool:
         return self.cold is None or self.cold.allows(now)
 
@@ -141,6 +163,9 @@
         self.ledger.start(ticket=ticket, now=now, deadline=deadline)
         if self.cold is not None:
             self.cold.take(now)
+        gate = self.limit_gate()
+        if gate is not None:
+            gate.take(now)
 
     def stays(self, now: float) -> bool:
         """Tell whether keys may be given to it: it is neither going nor cold."""
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -24,6 +24,7 @@
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomGrant
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+from plankspindle_daemon.peer_messages.limit_news import LimitNews
 from plankspindle_daemon.peer_messages.list_news import ListNews
 from plankspindle_daemon.peer_messages.list_news import ToldUpstream
 from plankspindle_daemon.peer_messages.load_digest import LoadDigest
@@ -114,6 +115,7 @@
     "shareLease": ShareLease,
     "tokenRequest": TokenRequest,
     "tokenGrant": TokenGrant,
+    "limitNews": LimitNews,
 }
 _PARTS = (ServiceLoad, Suspect, ToldUpstream, CrashReport, Quarantined, Clearance)
 """Classes of which messages hold lists."""
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -166,6 +166,8 @@
   requestId @0 :UInt64;
   workspace @1 :Text;
   count @2 :UInt32;
+  limitPerS @3 :Float64 = -1;
+  heardAgoMs @4 :UInt64;
 }
 
 struct TokenGrant {
@@ -174,6 +176,14 @@
   count @2 :UInt32;
   retryAfterMs @3 :UInt32;
   hasShare @4 :Bool;
+  isOfLimit @5 :Bool;
+}
+
+struct LimitNews {
+  life @0 :Text;
+  limitPerS @1 :Float64;
+  isLifted @2 :Bool;
+  agoMs @3 :UInt64;
 }
 
 struct PeerMessage {
@@ -194,5 +204,6 @@
     shareLease @13 :ShareLease;
     tokenRequest @14 :TokenRequest;
     tokenGrant @15 :TokenGrant;
+    limitNews @16 :LimitNews;
   }
 }
--- a/packages/daemon/tests/quarantine/test_quarantine.py
+++ b/packages/daemon/tests/quarantine/test_quarantine.py
@@ -8,10 +8,10 @@
 
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.peer_messages.crash_news import CrashNews
+from plankspindle_daemon.peer_messages.news_outbox import MAX_WAITING
 from plankspindle_daemon.quarantine.counting_vms import COUNTING
 from plankspindle_daemon.quarantine.crash_cases import APART_S
 from plankspindle_daemon.quarantine.crash_cases import CONTEST_S
-from plankspindle_daemon.quarantine.news_outbox import MAX_WAITING
 from plankspindle_daemon.quarantine.quarantine import MAX_NEW
 from plankspindle_daemon.quarantine.quarantine import Quarantine
 from plankspindle_daemon.quarantine.quarantine_list import TRIAL_S
--- a/packages/daemon/tests/wire/test_wire.py
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -17,8 +17,11 @@
 from plankspindle_daemon.peer_messages.crash_news import CrashReport
 from plankspindle_daemon.peer_messages.crash_news import Quarantined
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+from plankspindle_daemon.peer_messages.limit_news import LimitNews
 from plankspindle_daemon.peer_messages.list_news import ListNews
 from plankspindle_daemon.peer_messages.list_news import ToldUpstream
+from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
+from plankspindle_daemon.peer_messages.quota_messages import TokenRequest
 from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
 from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
@@ -65,6 +68,24 @@
         ),
         cleared=(Clearance(identity=9, ago_ms=0),),
     ),
+    TokenRequest(
+        sender="a",
+        request_id=2**63,
+        workspace="u#5",
+        count=1,
+        limit_per_s=4.6,
+        heard_ago_ms=70_000_000,
+    ),
+    TokenGrant(
+        sender="a",
+        request_id=1,
+        workspace="u#5",
+        count=1,
+        retry_after_ms=0,
+        has_share=True,
+        is_of_limit=True,
+    ),
+    LimitNews(sender="a", life="u#5", limit_per_s=0.25, is_lifted=False, ago_ms=9),
     SlotRequest(
         sender="a",
         request_id=1,
--- a/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
@@ -21,6 +21,8 @@
 from plankspindle_daemon.dispatch.messages import Withdrawn
 from plankspindle_daemon.exchange import patience
 from plankspindle_daemon.listeners import request_reader
+from plankspindle_daemon.node.effects import OfService
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.quarantine.quarantine_list import QuarantineEntry
 from plankspindle_testkit.lab.clock import Clock
 from plankspindle_testkit.lab.crash_record import CrashRecord
@@ -40,6 +42,8 @@
 
 if TYPE_CHECKING:
     from plankspindle_daemon.dispatch.messages import DispatchEffect
+    from plankspindle_daemon.dispatch.messages import DispatchEvent
+    from plankspindle_daemon.node.effects import NodeEffect
     from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
     from plankspindle_testkit.lab.lab_vm import LabVm
     from plankspindle_testkit.lab.modelled_upstream import Begun
@@ -105,21 +109,34 @@
         vm.book.budgets_by_service[operation.service].note_fresh()
         self._place(handled)
 
-    def perform(self, effects: list[DispatchEffect]) -> None:
-        """Carry out what dispatchers decided."""
+    def handle(self, vm: LabVm, service: str, event: DispatchEvent) -> None:
+        """Give an event to a dispatcher of an entry VM, and carry out what follows."""
+        self.perform(vm, vm.limited.handle(service, event, self.clock.now))
+
+    def perform(self, vm: LabVm, effects: list[NodeEffect]) -> None:
+        """Carry out what an entry VM decided."""
         for effect in effects:
             match effect:
-                case Assign(ticket=ticket, upstream=upstream, incarnation=incarnation):
-                    handled = self._by_ticket.get(ticket.id)
-                    if handled is not None:
-                        self._send(handled, upstream, incarnation)
-                case Reject(ticket=ticket, retry_after_s=retry_after_s):
-                    handled = self._by_ticket.get(ticket.id)
-                    if handled is not None:
-                        self._refuse(handled, retry_after_s)
+                case OfService(effect=decided):
+                    self._perform(decided)
+                case SendToPeer():
+                    self.network.send(vm, [effect])
                 case _:
                     pass
 
+    def _perform(self, effect: DispatchEffect) -> None:
+        match effect:
+            case Assign(ticket=ticket, upstream=upstream, incarnation=incarnation):
+                handled = self._by_ticket.get(ticket.id)
+                if handled is not None:
+                    self._send(handled, upstream, incarnation)
+            case Reject(ticket=ticket, retry_after_s=retry_after_s):
+                handled = self._by_ticket.get(ticket.id)
+                if handled is not None:
+                    self._refuse(handled, retry_after_s)
+            case _:
+                pass
+
     def break_off(self) -> None:
         """End all requests, as when all entry VMs end."""
         for handled in list(self._by_ticket.values()):
@@ -175,8 +192,7 @@
             self._send(handled, upstream.name, upstream.incarnation)
 
     def _tell(self, handled: Handled, event: Arrived | Ended | Withdrawn) -> None:
-        book = handled.vm.book
-        self.perform(book.handle(handled.service, event, self.clock.now))
+        self.handle(handled.vm, handled.service, event)
 
     def _refuse(self, handled: Handled, retry_after_s: float) -> None:
         handled.is_over = True
@@ -386,7 +402,7 @@
             statement=statement,
             sent_at=handled.sent_at,
         )
-        self.perform(vm.book.handle(handled.service, stated, self.clock.now))
+        self.handle(vm, handled.service, stated)
         if statement.limit_per_s is not None:
             self.statements.note_told(upstream, vm.name, self.clock.now)
 
--- a/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
@@ -13,6 +13,7 @@
 from attrs import field
 
 from plankspindle_daemon.dispatch.messages import TimePassed
+from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_testkit.lab.clock import Clock
 from plankspindle_testkit.lab.crash_record import CrashRecord
 from plankspindle_testkit.lab.crashing_requests import CrashingRequests
@@ -29,6 +30,8 @@
 from plankspindle_testkit.lab.strikes import Strikes
 
 if TYPE_CHECKING:
+    from plankspindle_core.endpoint import Endpoint
+    from plankspindle_daemon.quotas.quotas import QuotaMessage
     from plankspindle_testkit.lab.lab_vm import LabVm
     from plankspindle_testkit.lab.pattern import ModelOperation
 
@@ -95,6 +98,7 @@
             clock=self._clock,
             deployment=self._deployment,
             random=Random(f"{self.seed} messages"),
+            take_quota_message=self._take_quota_message,
         )
         oracle = Oracle(deployment=self._deployment)
         self._exchanges = Exchanges(
@@ -195,9 +199,18 @@
         self._clock.after(TICK_S, self._tick)
         for vm in self._deployment.running_vms():
             for service in vm.book.dispatchers_by_service:
-                effects = vm.book.handle(service, TimePassed(), self._clock.now)
-                self._exchanges.perform(effects)
+                self._exchanges.handle(vm, service, TimePassed())
             self.network.send(vm, vm.quarantine.tick(self._clock.now))
+            ticked = vm.limited.tick(
+                readiness=Readiness.READY, knows_list=True, now=self._clock.now
+            )
+            self._exchanges.perform(vm, ticked)
+
+    def _take_quota_message(
+        self, vm: LabVm, message: QuotaMessage, reply_to: Endpoint
+    ) -> None:
+        effects = vm.limited.receive(message, reply_to, self._clock.now)
+        self._exchanges.perform(vm, effects)
 
     def _refresh(self) -> None:
         self._clock.after(REFRESH_S, self._refresh)
--- a/packages/testkit/src/plankspindle_testkit/lab/lab_vm.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_vm.py
@@ -19,9 +19,13 @@
 from plankspindle_daemon.dispatch.service_book import ServiceBook
 from plankspindle_daemon.membership.membership import Membership
 from plankspindle_daemon.membership.membership_options import MembershipOptions
+from plankspindle_daemon.node.limited_dispatch import LimitedDispatch
+from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_daemon.platform.live_list import ListedVm
 from plankspindle_daemon.platform.live_list import VmKind
 from plankspindle_daemon.quarantine.quarantine import Quarantine
+from plankspindle_daemon.quotas.quota_options import QuotaOptions
+from plankspindle_daemon.quotas.quotas import Quotas
 from plankspindle_testkit.builders import build_member
 
 if TYPE_CHECKING:
@@ -50,6 +54,8 @@
         Its decisions.
     quarantine : Quarantine
         Requests that it holds back.
+    limited : LimitedDispatch
+        Its decisions beside limits that upstreams name.
     is_up : bool
         Whether it runs.
     """
@@ -58,6 +64,7 @@
     domain: str
     book: ServiceBook
     quarantine: Quarantine
+    limited: LimitedDispatch
     is_up: bool = True
 
     @classmethod
@@ -97,7 +104,23 @@
             new_from=now,
         )
         quarantine = Quarantine.of(name, domain, membership)
-        vm = cls(name=name, domain=domain, book=book, quarantine=quarantine)
+        quotas = Quotas(
+            vm=name,
+            failure_domain=domain,
+            endpoint=peer_endpoint_of(name),
+            incarnation=Random(seed).getrandbits(63),
+            started_at=now,
+            random=Random(seed),
+            membership=membership,
+            options=QuotaOptions(),
+        )
+        vm = cls(
+            name=name,
+            domain=domain,
+            book=book,
+            quarantine=quarantine,
+            limited=LimitedDispatch(services=book, quotas=quotas),
+        )
         vm.adopt(pattern, drained, now)
         return vm
 
@@ -105,6 +128,7 @@
         """Take the configuration with the drains of the moment."""
         configuration = configuration_of(pattern, drained)
         version = int(now * 1000) + 2
+        self.limited.quotas.use(configuration)
         self.book.use(configuration, version=version, now=now, wall=now)
         self.book.apply_drains(now=now, wall=now)
 
@@ -144,6 +168,7 @@
         if other != name:
             member = build_member(other, failure_domain=domain, last_heard=0.0)
             member.peer_endpoint = peer_endpoint_of(other)
+            member.readiness = Readiness.READY
             membership.members_by_name[other] = member
     return membership
 
--- a/packages/testkit/src/plankspindle_testkit/lab/peer_network.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/peer_network.py
@@ -6,24 +6,28 @@
 from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
+from typing import cast
 
 from attrs import define
 
+from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.peer_messages.crash_news import CrashNews
+from plankspindle_daemon.quotas.quotas import QuotaMessage
 from plankspindle_testkit.lab.clock import Clock
 from plankspindle_testkit.lab.deployment import Deployment
+from plankspindle_testkit.lab.lab_vm import LabVm
 from plankspindle_testkit.lab.lab_vm import peer_endpoint_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from plankspindle_daemon.peer_messages.peer_message import PeerMessage
     from plankspindle_daemon.peer_messages.peer_message import SendToPeer
-    from plankspindle_testkit.lab.lab_vm import LabVm
 
 
 @define(kw_only=True)
 class PeerNetwork:
-    """Carry news of requests under which upstreams end.
+    """Carry news of requests under which upstreams end, and tokens of limits.
 
     Parameters
     ----------
@@ -33,6 +37,8 @@
         The entry VMs and the ways between them.
     random : Random
         Source of loss.
+    take_quota_message : callable
+        Gives an entry VM a message on limits, and the address to reply to.
     loss : float
         Part of the messages that are lost.
     is_cut : callable
@@ -47,6 +53,7 @@
     clock: Clock
     deployment: Deployment
     random: Random
+    take_quota_message: Callable[[LabVm, QuotaMessage, Endpoint], None]
     loss: float = 0.0
     is_cut: Callable[[str, str], bool] = lambda _sender, _receiver: False
     sent: int = 0
@@ -54,7 +61,6 @@
     def send(self, sender: LabVm, effects: Iterable[SendToPeer]) -> None:
         """Send messages of an entry VM; some are lost."""
         for effect in effects:
-            assert isinstance(effect.message, CrashNews)
             receiver = self.deployment.vms_by_name[effect.to.host]
             self.sent += 1
             is_lost = self.random.random() < self.loss
@@ -64,8 +70,12 @@
             come = partial(self._take, sender, receiver.name, effect.message)
             self.clock.after(way_s, come)
 
-    def _take(self, sender: LabVm, receiver: str, news: CrashNews) -> None:
+    def _take(self, sender: LabVm, receiver: str, message: PeerMessage) -> None:
         vm = self.deployment.vms_by_name[receiver]
-        if vm.is_up:
-            reply_to = peer_endpoint_of(sender.name)
-            self.send(vm, vm.quarantine.take(news, reply_to, self.clock.now))
+        if not vm.is_up:
+            return
+        reply_to = peer_endpoint_of(sender.name)
+        if isinstance(message, CrashNews):
+            self.send(vm, vm.quarantine.take(message, reply_to, self.clock.now))
+        else:
+            self.take_quota_message(vm, cast("QuotaMessage", message), reply_to)
--- a/packages/testkit/src/plankspindle_testkit/quota_fleet.py
+++ b/packages/testkit/src/plankspindle_testkit/quota_fleet.py
@@ -27,12 +27,16 @@
 from plankspindle_daemon.quotas.quota_options import QuotaOptions
 from plankspindle_daemon.quotas.quotas import QuotaMessage
 from plankspindle_daemon.quotas.quotas import Quotas
+from plankspindle_daemon.quotas.upstream_limits import GateChanged
+from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
 from plankspindle_testkit.builders import build_configuration
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from plankspindle_core.configuration.configuration import Configuration
     from plankspindle_daemon.membership.membership import Membership
-    from plankspindle_daemon.quotas.quota_borrower import BorrowerEffect
+    from plankspindle_daemon.quotas.quotas import QuotaEffect
 
 TICK_S = 0.1
 NEAR_S = 0.0005
@@ -40,6 +44,8 @@
 """One-way delays within a region and between two, in seconds."""
 MISTAKE_S = 0.7
 """Time for which a wrong belief lasts, in seconds."""
+ANSWER_S = 0.001
+"""Time from a request to an upstream to its answer, in seconds."""
 NOTICE_S = 1.0
 """Time after which a VM that cannot be reached counts as silent, in seconds."""
 REGIONS = ("bratislava", "zilina", "kosice")
@@ -104,6 +110,10 @@
         Each refusal.
     sent_by_kind : Counter of str
         Messages that were sent.
+    limit_by_life : dict of str to float
+        Limits that upstreams name now, in requests a second.
+    arrived_at_by_life : dict of str to list of float
+        When requests of VMs reached an upstream that had told them of its limit.
     """
 
     random: Random
@@ -124,6 +134,9 @@
     _in_flight: list[tuple[float, int, str, str, QuotaMessage]] = Factory(list)
     _numbers: count[int] = field(factory=count)
     _workspace_by_ticket: dict[int, str] = Factory(dict)
+    limit_by_life: dict[str, float] = Factory(dict)
+    arrived_at_by_life: dict[str, list[float]] = Factory(dict)
+    _waiting_by_place: Counter[tuple[str, str]] = field(factory=Counter)
 
     def add_vms(self, number: int) -> None:
         """Start some more VMs."""
@@ -174,6 +187,41 @@
         if running.is_running:
             self._take(running, running.quotas.want(ticket, workspace, self.now))
 
+    def send_to_upstream(self, vm: str, life: str) -> None:
+        """Let a request come to a VM that wants to go on to an upstream."""
+        running = self.vms_by_name[vm]
+        if not running.is_running:
+            return
+        gate = running.quotas.limits.gate_by_life.get(life)
+        if gate is not None and not gate.has_token(self.now):
+            self._waiting_by_place[vm, life] += 1
+            if gate.may_ask(self.now):
+                gate.note_asked(self.now)
+                wanted = running.quotas.want_for_upstream(life, life, self.now)
+                self._take(running, wanted)
+        else:
+            self._arrive(running, life)
+
+    def _arrive(self, vm: QuotaFleetVm, life: str) -> None:
+        """Let a request reach an upstream, and its answer come at once."""
+        gate = vm.quotas.limits.gate_by_life.get(life)
+        if gate is not None:
+            gate.take(self.now)
+            self.arrived_at_by_life.setdefault(life, []).append(self.now)
+        statement = UpstreamStatement(limit_per_s=self.limit_by_life.get(life))
+        # An answer is later than its request, by which a limit is seen to be lifted.
+        told = vm.quotas.limits.take_statement(
+            life, statement, sent_at=self.now - ANSWER_S, now=self.now
+        )
+        self._take(vm, [*told])
+
+    def _serve_waiting(self, vm: QuotaFleetVm, life: str) -> None:
+        """Send what waits for a token that came; the rest goes to other upstreams."""
+        waiting = self._waiting_by_place.pop((vm.name, life), 0)
+        gate = vm.quotas.limits.gate_by_life.get(life)
+        if waiting and gate is not None and gate.has_token(self.now):
+            self._arrive(vm, life)
+
     def run(self, seconds: float, load: Callable[[float], None] | None = None) -> None:
         """Let time pass, with a load that is called every tenth of a second."""
         until = self.now + seconds
@@ -187,15 +235,16 @@
 
     def most_in_window(self, workspace: str, window_s: float) -> int:
         """Give the most requests that were admitted in any window."""
-        admitted = self.admitted_at_by_workspace.get(workspace, [])
-        most = first = 0
-        for index, at in enumerate(admitted):
-            while admitted[first] < at - window_s:
-                first += 1
-            most = max(most, index - first + 1)
-        return most
-
-    def _tick(self, vm: QuotaFleetVm) -> list[BorrowerEffect]:
+        return most_in_window(
+            self.admitted_at_by_workspace.get(workspace, []), window_s
+        )
+
+    def most_arrived(self, life: str, window_s: float, since: float = 0.0) -> int:
+        """Give the most requests that reached an upstream in any window."""
+        arrived = [at for at in self.arrived_at_by_life.get(life, []) if at >= since]
+        return most_in_window(arrived, window_s)
+
+    def _tick(self, vm: QuotaFleetVm) -> list[QuotaEffect]:
         return vm.quotas.tick(readiness=Readiness.READY, knows_list=True, now=self.now)
 
     def _deliver(self, until: float) -> None:
@@ -208,7 +257,7 @@
                 self._take(vm, vm.quotas.receive(message, reply_to, self.now))
         self.now = until
 
-    def _take(self, vm: QuotaFleetVm, effects: list[BorrowerEffect]) -> None:
+    def _take(self, vm: QuotaFleetVm, effects: Iterable[QuotaEffect]) -> None:
         for effect in effects:
             match effect:
                 case SendToPeer(message=message, to=to):
@@ -222,6 +271,8 @@
                     refused = self.refused_at_by_workspace.setdefault(workspace, [])
                     refused.append(self.now)
                     self.refusals.append(effect)
+                case GateChanged(service=life):
+                    self._serve_waiting(vm, life)
 
     def _send(self, vm: QuotaFleetVm, message: QuotaMessage, to: Endpoint) -> None:
         self.sent_by_kind[type(message).__name__] += 1
@@ -279,3 +330,13 @@
 
 def _endpoint(name: str) -> Endpoint:
     return Endpoint(name, _PORT)
+
+
+def most_in_window(times: list[float], window_s: float) -> int:
+    """Give the most of rising times that lie within a window, in seconds."""
+    most = first = 0
+    for index, at in enumerate(times):
+        while times[first] < at - window_s:
+            first += 1
+        most = max(most, index - first + 1)
+    return most
