See when upstreams say that they leave or ask for rest

Cause: logs named neither, so that it was not to be seen which entry VM had been told.

Change: the platform's adapter reads both into the typed statement of an answer: a leaving from an answer of any status, a rest from a refusal only. They are logged by upstream_stated; what is empty, negative, no number, too large or sent twice is logged as unreadable and counts as not said. Nothing is decided by them.

--- a/packages/daemon/src/plankspindle_daemon/beliefs/upstream_watch.py
+++ b/packages/daemon/src/plankspindle_daemon/beliefs/upstream_watch.py
@@ -83,6 +83,8 @@
             "upstream": upstream.name,
             "limit_per_s": stated.limit_per_s,
             "limit_before_per_s": was.limit_per_s,
+            "leaving": stated.is_leaving or None,
+            "rest_s": stated.rest_s,
             "unreadable": "; ".join(stated.unreadable) or None,
         }
         yield Belief(event="upstream_stated", fields=fields)
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_statement.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_statement.py
@@ -14,17 +14,24 @@
     limit_per_s : float, optional
         Requests a second that the upstream takes from all entry VMs together; None if
         it names no limit.
+    is_leaving : bool
+        Whether it says that it leaves.
+    rest_s : float, optional
+        Time for which it wants no request from this VM, in seconds, as it turned one
+        away; None if it does not say.
     unreadable : tuple of str
         Statements that could not be read, and why; they count as not made.
     """
 
     limit_per_s: float | None = None
+    is_leaving: bool = False
+    rest_s: float | None = None
     unreadable: tuple[str, ...] = ()
 
     @property
     def is_empty(self) -> bool:
         """Whether the upstream says nothing of itself."""
-        return self.limit_per_s is None and not self.unreadable
+        return self == SAYS_NOTHING
 
 
 SAYS_NOTHING = UpstreamStatement()
--- a/tests/fleet/test_upstream_statements.py
+++ b/tests/fleet/test_upstream_statements.py
@@ -8,6 +8,8 @@
 from plankspindle_platform.upstream_statements import read_statement
 
 LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 
 
 @pytest.mark.parametrize("status", [200, 400, 429, 500, 503])
@@ -54,3 +56,36 @@
     statement = read_statement(200, [(LIMIT, b"4"), (LIMIT, b"4")])
     assert statement.limit_per_s is None
     assert "2 times" in statement.unreadable[0]
+
+
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+def test_a_leaving_is_read_from_an_answer_of_any_status(status: int) -> None:
+    assert read_statement(status, [(LEAVING, b"1")]).is_leaving
+    assert not read_statement(status, [(LEAVING, b"0")]).is_leaving
+
+
+def test_a_rest_is_read_from_a_refusal_only() -> None:
+    assert read_statement(503, [(RETRY_AFTER, b"2.5")]).rest_s == 2.5
+    for status in (200, 301, 429, 500):
+        assert read_statement(status, [(RETRY_AFTER, b"2.5")]) == SAYS_NOTHING
+
+
+@pytest.mark.parametrize("value", [b"", b"-1", b"nan", b"Wed, 21 Oct", b"601"])
+def test_a_rest_that_cannot_be_read_counts_as_not_asked_for(value: bytes) -> None:
+    statement = read_statement(503, [(RETRY_AFTER, value)])
+    assert statement.rest_s is None
+    assert len(statement.unreadable) == 1
+
+
+@pytest.mark.parametrize("values", [[b""], [b"yes"], [b"2"], [b"1", b"0"]])
+def test_a_leaving_that_cannot_be_read_counts_as_not_said(values: list[bytes]) -> None:
+    statement = read_statement(200, [(LEAVING, value) for value in values])
+    assert not statement.is_leaving
+    assert len(statement.unreadable) == 1
+
+
+def test_one_unreadable_statement_leaves_the_others() -> None:
+    headers = [(LIMIT, b"-4"), (LEAVING, b"1"), (RETRY_AFTER, b"3")]
+    statement = read_statement(503, headers)
+    assert (statement.is_leaving, statement.rest_s) == (True, 3.0)
+    assert len(statement.unreadable) == 1
