--- a/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
@@ -403,8 +403,7 @@
             sent_at=handled.sent_at,
         )
         self.handle(vm, handled.service, stated)
-        if statement.limit_per_s is not None:
-            self.statements.note_told(upstream, vm.name, self.clock.now)
+        self.statements.note_told(upstream, vm.name, statement, self.clock.now)
 
     def _report_crash(self, handled: Handled) -> None:
         """Tell the quarantine of the entry VM, as its probe of the upstream does."""
--- a/packages/testkit/src/plankspindle_testkit/lab/modelled_upstream.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/modelled_upstream.py
@@ -91,6 +91,10 @@
         Number of its present life.
     limit_per_s : float or None
         Requests a second that it names as its limit in answers.
+    is_leaving : bool
+        Whether it says in answers that it leaves, and serves on.
+    rest_s : float or None
+        Rest that it asks for as it sheds each request, in seconds.
     """
 
     name: str
@@ -106,6 +110,8 @@
     cold_until: float = 0.0
     incarnation: int = 1
     limit_per_s: float | None = None
+    is_leaving: bool = False
+    rest_s: float | None = None
     _running: dict[int, Work] = Factory(dict)
     _waiting: deque[Work] = Factory(deque)
     _remembered: OrderedDict[tuple[str, str], None] = field(factory=OrderedDict)
@@ -134,6 +140,8 @@
     def sheds(self) -> bool:
         """Tell whether a request that comes now is refused without being run."""
         is_full = self.load >= self.service.slots + self.service.queue
+        if self.rest_s is not None:
+            return True
         return is_full or self.random.random() < self.shed_part
 
     def offer(self, work: Work, now: float) -> Begun | None:
@@ -154,7 +162,11 @@
 
     def statement(self) -> UpstreamStatement:
         """Give what its answers say of it."""
-        return UpstreamStatement(limit_per_s=self.limit_per_s)
+        return UpstreamStatement(
+            limit_per_s=self.limit_per_s,
+            is_leaving=self.is_leaving,
+            rest_s=self.rest_s,
+        )
 
     def has(self, number: int) -> bool:
         """Tell whether a request runs or waits here."""
@@ -176,7 +188,8 @@
         self._waiting.clear()
         self._remembered.clear()
         self.is_dead = self.refuses = False
-        self.limit_per_s = None
+        self.limit_per_s = self.rest_s = None
+        self.is_leaving = False
         self.cold_until = now + self.service.cold_s
         self.incarnation += 1
 
--- a/packages/testkit/src/plankspindle_testkit/lab/pattern.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/pattern.py
@@ -39,6 +39,8 @@
     RESTART = "restart"
     CRASHING_REQUEST = "crashing-request"
     LIMIT = "limit"
+    LEAVE = "leave"
+    REST = "rest"
 
 
 @frozen(kw_only=True)
@@ -56,7 +58,8 @@
         fall silent; those of ``end`` break off what runs there, and refuse connections.
     factor : float
         Factor on the load or on the time of work; for ``shed`` the part of the
-        requests that is shed, for ``limit`` the requests a second that each names.
+        requests that is shed, for ``limit`` the requests a second that each names, for
+        ``rest`` the seconds of rest that each asks for as it sheds all.
     domain : str, optional
         Failure domain that is struck whole.
     operation : str, optional
--- a/packages/testkit/src/plankspindle_testkit/lab/statement_record.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/statement_record.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from typing import TYPE_CHECKING
 
 from attrs import Factory
 from attrs import define
 
+if TYPE_CHECKING:
+    from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
+
 WINDOW_S = 4.0
 """Time over which requests at an upstream that names a limit are summed, seconds."""
 OVERAGE = 1.5
@@ -40,6 +44,10 @@
     _limited_from: dict[str, float] = Factory(dict)
     _limited_until: dict[str, float] = Factory(dict)
     _told_at: dict[tuple[str, str], float] = Factory(dict)
+    _leaving_at: dict[tuple[str, str], float] = Factory(dict)
+    _rests: dict[tuple[str, str], list[tuple[float, float]]] = Factory(
+        lambda: defaultdict(list)
+    )
 
     def note_arrival(self, upstream: str, vm: str, now: float) -> None:
         """Note that a request of an entry VM reaches an upstream."""
@@ -53,9 +61,44 @@
             self.limit_by_upstream[upstream] = limit_per_s
             self._limited_from[upstream] = now
 
-    def note_told(self, upstream: str, vm: str, now: float) -> None:
-        """Note that an entry VM relays an answer that names a limit."""
-        self._told_at.setdefault((upstream, vm), now)
+    def note_told(
+        self, upstream: str, vm: str, statement: UpstreamStatement, now: float
+    ) -> None:
+        """Note that an entry VM takes an answer in which an upstream says something."""
+        place = (upstream, vm)
+        if statement.limit_per_s is not None:
+            self._told_at.setdefault(place, now)
+        if statement.is_leaving:
+            self._leaving_at.setdefault(place, now)
+        if statement.rest_s is not None:
+            self._rests[place].append((now, now + statement.rest_s))
+
+    def sent_to_leaving(self, *, drain_s: float) -> int:
+        """Count requests that came long after their entry VM knew of the leaving."""
+        return sum(
+            at > self._leaving_at.get((upstream, vm), float("inf")) + drain_s
+            for upstream, arrivals in self.arrivals_by_upstream.items()
+            for at, vm in arrivals
+        )
+
+    def most_in_rest(self) -> int:
+        """Give the most requests of an entry VM that came in one rest it knew of."""
+        return max(
+            (
+                sum(
+                    vm == sender and since + KNOWN_S < at < until
+                    for at, sender in self.arrivals_by_upstream[upstream]
+                )
+                for (upstream, vm), rests in self._rests.items()
+                for since, until in rests
+            ),
+            default=0,
+        )
+
+    @property
+    def rests(self) -> int:
+        """Count the times that an upstream asked an entry VM for rest."""
+        return sum(map(len, self._rests.values()))
 
     def most_of_allowed(self) -> float:
         """Give the most that any upstream got in a window, as a part of its bound."""
--- a/packages/testkit/src/plankspindle_testkit/lab/strikes.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/strikes.py
@@ -23,6 +23,8 @@
     EventKind.CRASH,
     EventKind.END,
     EventKind.LIMIT,
+    EventKind.LEAVE,
+    EventKind.REST,
 )
 
 
@@ -77,7 +79,7 @@
             if upstream.is_dead:
                 upstream.restart(self.clock.now)
             upstream.slowness, upstream.shed_part = 1.0, 0.0
-            upstream.limit_per_s = None
+            upstream.limit_per_s = upstream.rest_s = None
             self._note_limit(upstream)
         match event.kind:
             case EventKind.DRAIN:
@@ -120,5 +122,9 @@
             upstream.is_dead = True
         case EventKind.LIMIT:
             upstream.limit_per_s = event.factor
+        case EventKind.LEAVE:
+            upstream.is_leaving = True
+        case EventKind.REST:
+            upstream.rest_s = event.factor
         case _:
             pass
