Send nothing new to an upstream that says it leaves in an answer

What callers saw: nothing yet; requests reached an upstream up to 3.5 s after it had said that it leaves, when it may end at any moment.

Cause: an entry VM learned of a leaving from the platform's list only. The store was slow to take that one (13 s), so that no list told it. Class: what an upstream says of itself in an answer (as with limits).

Change: a leaving that an answer states counts at once, from the head of the answer on, and holds for the life of the upstream: an entry that lapses and returns, a list that goes on naming it as ready, and a move to another service change nothing. The next life under its name is not meant. Other entry VMs hear of it from the list or their own answers.

Ruled out: a list that was read and lost (the store gave none in that time).

--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -140,7 +140,7 @@
                 self._take_end(event, now)
                 return self._serve(now)
             case Stated():
-                self._take_statement(event)
+                self.take_statement(event, now)
                 return []
             case Probed():
                 self._take_probe(event, now)
@@ -404,11 +404,12 @@
             judge.take(ended, upstream, missed=missed, now=now)
         self._missing.discard(ended.ticket.id)
 
-    def _take_statement(self, stated: Stated) -> None:
+    def take_statement(self, stated: Stated, now: float) -> None:
+        """Take what an upstream said of itself, if it is one of this service."""
         upstream = self.upstreams_by_name.get(stated.upstream)
         if upstream is not None and stated.incarnation in (0, upstream.incarnation):
-            upstream.stated = stated.statement
-        self.statements_unreadable += len(stated.statement.unreadable)
+            upstream.note_statement(stated.statement, now)
+            self.statements_unreadable += len(stated.statement.unreadable)
 
     def _take_probe(self, probed: Probed, now: float) -> None:
         upstream = self.upstreams_by_name.get(probed.upstream)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
@@ -15,6 +15,7 @@
 from plankspindle_daemon.dispatch.cold_bounds import ColdBounds
 from plankspindle_daemon.dispatch.dispatcher import Dispatcher
 from plankspindle_daemon.dispatch.measured_distances import MeasuredDistances
+from plankspindle_daemon.dispatch.messages import Stated
 from plankspindle_daemon.dispatch.placement import Placement
 from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
 from plankspindle_daemon.dispatch.region_room import RegionRoom
@@ -26,6 +27,7 @@
 from plankspindle_daemon.upstreams.health import Ramping
 from plankspindle_daemon.upstreams.health import UpstreamHealth
 from plankspindle_daemon.upstreams.health import Warm
+from plankspindle_daemon.upstreams.heard_statements import HeardStatements
 from plankspindle_daemon.upstreams.limit_gate import LimitGate
 from plankspindle_daemon.upstreams.reported_slots import ReportedSlots
 from plankspindle_daemon.upstreams.silence import HINT_FADES_S
@@ -75,6 +77,8 @@
         Upstreams of the platform's list.
     gate_by_life : dict of str to LimitGate
         Limits that upstreams name over all entry VMs.
+    heard : HeardStatements
+        What upstreams said of themselves.
     drains : DrainClock
         Drains of the version in force.
     dispatchers_by_service, budgets_by_service : dict
@@ -90,6 +94,7 @@
     new_from: float
     listed: ListedUpstreams = Factory(ListedUpstreams)
     gate_by_life: dict[str, LimitGate] = Factory(dict)
+    heard: HeardStatements = Factory(HeardStatements)
     drains: DrainClock = Factory(DrainClock)
     limiter: RegionLimiter = Factory(RegionLimiter)
     distances: MeasuredDistances = field(init=False)
@@ -168,6 +173,11 @@
         self, service: str, event: DispatchEvent, now: float
     ) -> list[DispatchEffect]:
         """Give an event to the dispatcher of a service; nothing if there is none."""
+        if isinstance(event, Stated):
+            # The upstream may belong to another service since it was asked.
+            for each in self.dispatchers_by_service.values():
+                each.take_statement(event, now)
+            return []
         dispatcher = self.dispatchers_by_service.get(service)
         return [] if dispatcher is None else dispatcher.handle(event, now)
 
@@ -347,7 +357,7 @@
             if reported
             else SlotLedger(slots=upstream.slots)
         )
-        return UpstreamState(
+        state = UpstreamState(
             name=name,
             upstream=upstream,
             health=UpstreamHealth(
@@ -358,7 +368,10 @@
             ledger=ledger,
             incarnation=self.listed.incarnation_of(name),
             gate_by_life=self.gate_by_life,
+            heard=self.heard,
         )
+        state.leaving = self.heard.is_leaving(state.life)
+        return state
 
     def _note_listed(self, vms: Iterable[ListedVm], *, now: float, wall: float) -> None:
         listed_by_name = {
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -13,6 +13,7 @@
 from plankspindle_daemon.upstreams.health import Ramping
 from plankspindle_daemon.upstreams.health import UpstreamHealth
 from plankspindle_daemon.upstreams.health import Warm
+from plankspindle_daemon.upstreams.heard_statements import HeardStatements
 from plankspindle_daemon.upstreams.limit_gate import LimitGate
 from plankspindle_daemon.upstreams.limit_gate import life_of
 from plankspindle_daemon.upstreams.load_report import MAX_AGE_S
@@ -61,6 +62,8 @@
         Bound on requests while it is cold.
     gate_by_life : dict of str to LimitGate
         Limits that upstreams name over all entry VMs, of any service.
+    heard : HeardStatements
+        What upstreams said of themselves, of any service.
     drained_at : float, optional
         Time from which a confirmed drain keeps new work away, monotonic seconds.
     is_misplaced : bool
@@ -89,6 +92,7 @@
     cold: ColdGate | None = None
     is_misplaced: bool = False
     gate_by_life: dict[str, LimitGate] = Factory(dict)
+    heard: HeardStatements = Factory(HeardStatements)
     answered_at: float = 0.0
     silence: Silence = Factory(Silence)
     stated: UpstreamStatement = SAYS_NOTHING
@@ -139,11 +143,24 @@
         allowed = self.ledger.allowance(now, deadline)
         return self.ledger.in_flight < self.health.limit(allowed, now)
 
+    @property
+    def life(self) -> str:
+        """Name of its present life."""
+        return life_of(self.name, self.incarnation)
+
+    def note_statement(self, statement: UpstreamStatement, now: float) -> None:
+        """Take what it said of itself in an answer."""
+        self.stated = statement
+        if statement.is_leaving and not self.leaving:
+            self.note_evidence("it says that it leaves", now)
+            self.heard.note_leaving(self.life)
+            self.leaving = True
+
     def limit_gate(self) -> LimitGate | None:
         """Give the gate of the limit that it names; None if it names none."""
         if not self.gate_by_life:
             return None
-        return self.gate_by_life.get(life_of(self.name, self.incarnation))
+        return self.gate_by_life.get(self.life)
 
     def lacks_token(self, now: float) -> bool:
         """Tell whether it names a limit of which this VM has no token."""
@@ -354,7 +371,8 @@
 
     def _set_leaving(self, *, now: float, wall: float, leaves_at: float | None) -> None:
         reported = self._report is not None and self._report.leaving
-        self.leaving = reported or self._listed_leaving
+        said = self.heard.is_leaving(self.life)
+        self.leaving = reported or said or self._listed_leaving
         if leaves_at is not None:
             self.leaves_at = now + (leaves_at - wall)
         elif self._report is None or self._report.leaves_at is None:
--- /dev/null
+++ b/packages/daemon/tests/node/test_upstream_statements.py
@@ -0,0 +1,135 @@
+"""What an upstream says of itself holds for its life, whatever lists say of it."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from plankspindle_core.configuration.service import SlotSharing
+from plankspindle_daemon.dispatch.messages import Arrived
+from plankspindle_daemon.dispatch.messages import Assign
+from plankspindle_daemon.dispatch.messages import DispatchEffect
+from plankspindle_daemon.dispatch.messages import Reject
+from plankspindle_daemon.dispatch.messages import RejectReason
+from plankspindle_daemon.dispatch.messages import Stated
+from plankspindle_daemon.membership.messages import LiveListRead
+from plankspindle_daemon.node.effects import OfService
+from plankspindle_daemon.platform.live_list import ListedVm
+from plankspindle_daemon.platform.live_list import VmKind
+from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
+from plankspindle_testkit.builders import VmPlace
+from plankspindle_testkit.builders import build_configuration
+from plankspindle_testkit.builders import build_service
+from plankspindle_testkit.builders import build_ticket
+from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.trial.trial_vm import TrialVm
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.node.node import Node
+
+PLACE = VmPlace(name="a", failure_domain="ba-1", host="127.0.1.1", base_port=7000)
+FIRST, SECOND = 1_700_000_000_000, 1_700_000_009_000
+LEAVES = UpstreamStatement(is_leaving=True)
+
+
+def build_node() -> Node:
+    node = TrialVm.start(PLACE, seeds=[PLACE], random=Random(1), now=0.0).node
+    services = {
+        name: build_service(slot_sharing=SlotSharing.REPORTED)
+        for name in ("registry", "documents")
+    }
+    configuration = build_configuration(services_by_name=services, upstreams_by_name={})
+    node.adopt(configuration, version=1, now=0.0)
+    return node
+
+
+def read_list(
+    node: Node, now: float, incarnation: int | None, service: str = "registry"
+) -> None:
+    """Read a list with one upstream, or none."""
+    vms = ()
+    if incarnation is not None:
+        upstream = build_upstream(slots=4, service=service)
+        vms = (
+            ListedVm(
+                name="u",
+                kind=VmKind.UPSTREAM,
+                failure_domain="ba-1",
+                upstream=upstream,
+                incarnation=incarnation,
+            ),
+        )
+    node.take_membership(LiveListRead(vms), now=now, wall=1000.0 + now)
+
+
+def send(node: Node, now: float, service: str = "registry") -> DispatchEffect:
+    ticket = build_ticket(int(now * 1000), deadline=now + 9.0, hold_until=now + 0.1)
+    (effect,) = node.take_dispatch(service, Arrived(ticket), now)
+    assert isinstance(effect, OfService)
+    return effect.effect
+
+
+def state(
+    node: Node,
+    now: float,
+    statement: UpstreamStatement,
+    incarnation: int = FIRST,
+    service: str = "registry",
+) -> None:
+    stated = Stated(
+        upstream="u", incarnation=incarnation, statement=statement, sent_at=now - 0.1
+    )
+    node.take_dispatch(service, stated, now)
+
+
+def assert_refused(effect: DispatchEffect) -> None:
+    assert isinstance(effect, Reject)
+    assert effect.reason is RejectReason.NO_UPSTREAM
+
+
+def test_an_upstream_that_says_it_leaves_gets_nothing_however_it_is_listed() -> None:
+    node = build_node()
+    read_list(node, 1.0, FIRST)
+    assert isinstance(send(node, 1.0), Assign)
+    state(node, 1.2, LEAVES)
+    assert_refused(send(node, 1.3))
+    read_list(node, 2.0, FIRST)
+    assert_refused(send(node, 2.1))
+
+
+def test_an_entry_that_lapses_and_returns_is_still_leaving() -> None:
+    node = build_node()
+    read_list(node, 1.0, FIRST)
+    state(node, 1.2, LEAVES)
+    for now in (20.0, 40.0, 60.0):
+        read_list(node, now, None)
+    read_list(node, 61.0, FIRST)
+    assert_refused(send(node, 61.1))
+
+
+def test_an_upstream_that_moves_to_another_service_is_still_leaving() -> None:
+    node = build_node()
+    read_list(node, 1.0, FIRST)
+    send(node, 1.0)
+    read_list(node, 1.5, FIRST, service="documents")
+    state(node, 1.6, LEAVES)
+    assert_refused(send(node, 1.7, service="documents"))
+    read_list(node, 2.0, FIRST, service="documents")
+    assert_refused(send(node, 2.1, service="documents"))
+
+
+def test_the_next_life_of_an_upstream_that_left_is_used() -> None:
+    node = build_node()
+    read_list(node, 1.0, FIRST)
+    state(node, 1.2, LEAVES)
+    read_list(node, 5.0, SECOND)
+    assert isinstance(send(node, 5.1), Assign)
+    state(node, 5.2, LEAVES, incarnation=FIRST)
+    assert isinstance(send(node, 5.3), Assign)
+
+
+def test_a_leaving_that_could_not_be_read_changes_nothing() -> None:
+    node = build_node()
+    read_list(node, 1.0, FIRST)
+    state(node, 1.2, UpstreamStatement(unreadable=("server-leaving: b'x'",)))
+    assert isinstance(send(node, 1.3), Assign)
