Give an upstream that asks for rest the rest that it asks for

What callers saw: over a tenth of look-ups and transfers refused, while seven of 24 upstreams turned every request away for 8 s and got more of them than before.

Cause: an entry VM took an upstream that sheds for full for 0.4 s, whatever time that had asked for, and then sent it the next requests; their retries went to others that did the same. Class: what an upstream says of itself in an answer (as with limits and leavings).

Change: a refusal that asks for rest keeps new requests from that upstream until it ends; the longest rest counts, and it holds for the life of the upstream, whatever lists say. One request tries it then, and the usual ramp follows. A request that finds all upstreams that may take it resting, or at their limits, is rejected at once with the time at which the first of them wants one again (reason withheld).

Ruled out: retries alone (most of what was turned away were first attempts).

--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -193,7 +193,7 @@
         if opens_at is None:
             return [self._reject(ticket, RejectReason.NO_UPSTREAM, now)]
         if opens_at > min(ticket.hold_until, ticket.deadline):
-            return [self._reject(ticket, RejectReason.LIMITED, now, opens_at=opens_at)]
+            return [self._reject(ticket, RejectReason.WITHHELD, now, opens_at=opens_at)]
         wanted: list[DispatchEffect] = []
         if not self.queue:
             assigned = self._assign(ticket, now)
@@ -211,12 +211,12 @@
         return [*effects, *self._serve(now)]
 
     def _opens_at(self, ticket: Ticket, now: float) -> float | None:
-        """Give when limits of upstreams leave room for a request; None if none may.
+        """Give when an upstream wants a request; None if none may take it.
 
         Returns
         -------
         float or None
-            Monotonic seconds; now if any upstream that may take it names no limit.
+            Monotonic seconds; now unless all that may take it are limited or rest.
         """
         first: float | None = None
         for each in self.upstreams_by_name.values():
--- a/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
@@ -174,7 +174,7 @@
     BUSY = "busy"
     NO_UPSTREAM = "no-upstream"
     LEAVING = "leaving"
-    LIMITED = "limited"
+    WITHHELD = "withheld"
 
 
 @frozen(kw_only=True)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
@@ -370,7 +370,7 @@
             gate_by_life=self.gate_by_life,
             heard=self.heard,
         )
-        state.leaving = self.heard.is_leaving(state.life)
+        state.take_heard(now)
         return state
 
     def _note_listed(self, vms: Iterable[ListedVm], *, now: float, wall: float) -> None:
--- a/packages/daemon/src/plankspindle_daemon/upstreams/health.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/health.py
@@ -77,6 +77,7 @@
     _timeouts: int = 0
     _answered_at: float = float("-inf")
     _on_trial: bool = False
+    _rests_until: float = float("-inf")
 
     def limit(self, share: int, now: float) -> int:
         """Give the usable part of a share.
@@ -93,6 +94,8 @@
         int
             At most ``share``; zero while backed off.
         """
+        if now < self._rests_until:
+            return 0
         match self.state:
             case Warm():
                 return share
@@ -161,9 +164,24 @@
             return
         self._back_off(now)
 
+    def rests_until(self, now: float) -> float:
+        """Give when the rest ends that it asked for, monotonic seconds; now if none."""
+        return max(now, self._rests_until)
+
+    def note_rest(self, until: float) -> None:
+        """Record that it wants no request until a time, monotonic seconds.
+
+        Notes
+        -----
+        What comes then is one request, on trial: who wanted rest may want more of it.
+        """
+        self._rests_until = max(self._rests_until, until)
+        self._on_trial = False
+        self.state = BackedOff(self._rests_until, self._failures)
+
     def note_report(self, now: float) -> None:
-        """Record that a probe brought a report, which ends a back-off."""
-        if isinstance(self.state, BackedOff):
+        """Record that a probe brought a report, which ends a back-off but no rest."""
+        if isinstance(self.state, BackedOff) and now >= self._rests_until:
             self.state = Ramping(now)
 
     def note_silence(self, *, reached: bool, now: float) -> None:
@@ -182,7 +200,8 @@
 
     def probe_is_due(self, now: float) -> bool:
         """Tell whether a backed-off upstream is to be probed."""
-        return isinstance(self.state, BackedOff) and now >= self.state.until
+        is_due = isinstance(self.state, BackedOff) and now >= self.state.until
+        return is_due and now >= self._rests_until
 
     def _back_off(self, now: float) -> None:
         doublings = min(self._failures, _MAX_DOUBLINGS)
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -155,6 +155,17 @@
             self.note_evidence("it says that it leaves", now)
             self.heard.note_leaving(self.life)
             self.leaving = True
+        if statement.rest_s is not None:
+            until = self.heard.note_rest(self.life, now + statement.rest_s)
+            self.health.note_rest(until)
+            self.note_evidence(f"it wants {statement.rest_s:.3g} s of rest", now)
+
+    def take_heard(self, now: float) -> None:
+        """Take what its life said before this state of it was made."""
+        self.leaving = self.leaving or self.heard.is_leaving(self.life)
+        rests_until = self.heard.rests_until(self.life)
+        if rests_until > now:
+            self.health.note_rest(rests_until)
 
     def limit_gate(self) -> LimitGate | None:
         """Give the gate of the limit that it names; None if it names none."""
@@ -168,9 +179,10 @@
         return gate is not None and not gate.has_token(now)
 
     def opens_at(self, now: float) -> float:
-        """Give when a request may be sent as far as its limit goes, monotonic s."""
+        """Give when it wants another request, as far as it said so, monotonic s."""
         gate = self.limit_gate()
-        return now if gate is None else gate.opens_at(now)
+        rests_until = self.health.rests_until(now)
+        return rests_until if gate is None else max(rests_until, gate.opens_at(now))
 
     def _is_warm_enough(self, now: float) -> bool:
         return self.cold is None or self.cold.allows(now)
--- a/packages/daemon/tests/node/test_upstream_statements.py
+++ b/packages/daemon/tests/node/test_upstream_statements.py
@@ -30,6 +30,7 @@
 PLACE = VmPlace(name="a", failure_domain="ba-1", host="127.0.1.1", base_port=7000)
 FIRST, SECOND = 1_700_000_000_000, 1_700_000_009_000
 LEAVES = UpstreamStatement(is_leaving=True)
+RESTS = UpstreamStatement(rest_s=3.0)
 
 
 def build_node() -> Node:
@@ -133,3 +134,55 @@
     read_list(node, 1.0, FIRST)
     state(node, 1.2, UpstreamStatement(unreadable=("server-leaving: b'x'",)))
     assert isinstance(send(node, 1.3), Assign)
+
+
+def assert_withheld(effect: DispatchEffect, least_s: float) -> None:
+    assert isinstance(effect, Reject)
+    assert effect.reason is RejectReason.WITHHELD
+    assert effect.retry_after_s >= least_s
+
+
+def test_an_upstream_that_wants_rest_gets_nothing_until_it_ends() -> None:
+    node = build_node()
+    read_list(node, 1.0, FIRST)
+    state(node, 1.2, RESTS)
+    assert_withheld(send(node, 1.3), 2.8)
+    assert_withheld(send(node, 4.0), 0.1)
+    assert isinstance(send(node, 4.2), Assign)
+
+
+def test_a_rest_is_tried_by_one_request_and_asked_for_again() -> None:
+    node = build_node()
+    read_list(node, 1.0, FIRST)
+    state(node, 1.2, RESTS)
+    assert isinstance(send(node, 4.2), Assign)
+    ticket = build_ticket(7, deadline=13.0, hold_until=4.5)
+    assert node.take_dispatch("registry", Arrived(ticket), 4.25) == []
+    state(node, 4.3, RESTS)
+    assert_withheld(send(node, 5.0), 2.2)
+
+
+def test_a_shorter_rest_does_not_end_a_longer_one() -> None:
+    node = build_node()
+    read_list(node, 1.0, FIRST)
+    state(node, 1.2, RESTS)
+    state(node, 1.4, UpstreamStatement(rest_s=0.1))
+    assert_withheld(send(node, 2.0), 2.1)
+
+
+def test_an_entry_that_lapses_and_returns_still_rests() -> None:
+    node = build_node()
+    read_list(node, 1.0, FIRST)
+    state(node, 1.2, UpstreamStatement(rest_s=90.0))
+    for now in (20.0, 40.0, 60.0):
+        read_list(node, now, None)
+    read_list(node, 61.0, FIRST)
+    assert_withheld(send(node, 61.1), 30.0)
+
+
+def test_the_next_life_of_an_upstream_that_rests_is_used() -> None:
+    node = build_node()
+    read_list(node, 1.0, FIRST)
+    state(node, 1.2, RESTS)
+    read_list(node, 2.0, SECOND)
+    assert isinstance(send(node, 2.1), Assign)
