--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -34,9 +34,11 @@
 from plankspindle_daemon.dispatch.place import NeedsToken
 from plankspindle_daemon.dispatch.place import Place
 from plankspindle_daemon.dispatch.placement import Placement
+from plankspindle_daemon.dispatch.placement_step import explain_choice
 from plankspindle_daemon.dispatch.probe_schedule import ProbeSchedule
 from plankspindle_daemon.dispatch.slot_lending import SlotLending
-from plankspindle_daemon.stories.steps import Placed
+from plankspindle_daemon.dispatch.withheld_upstreams import opening_of
+from plankspindle_daemon.dispatch.withheld_upstreams import want_token
 from plankspindle_daemon.stories.steps import Queued as QueuedStep
 from plankspindle_daemon.stories.steps import Rejected
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
@@ -189,45 +191,26 @@
         return sum(each.ledger.in_flight for each in self.upstreams_by_name.values())
 
     def _admit(self, ticket: Ticket, now: float) -> list[DispatchEffect]:
-        opens_at = self._opens_at(ticket, now)
+        by_name = self.upstreams_by_name
+        may_run = (each for each in by_name.values() if self._may_run_at(ticket, each))
+        opens_at = opening_of(may_run, now)
         if opens_at is None:
             return [self._reject(ticket, RejectReason.NO_UPSTREAM, now)]
         if opens_at > min(ticket.hold_until, ticket.deadline):
             return [self._reject(ticket, RejectReason.WITHHELD, now, opens_at=opens_at)]
-        wanted: list[DispatchEffect] = []
-        if not self.queue:
-            assigned = self._assign(ticket, now)
-            if isinstance(assigned, Assign):
-                return [assigned]
-            wanted += [] if assigned is None else [assigned]
+        assigned = None if self.queue else self._assign(ticket, now)
+        if isinstance(assigned, Assign):
+            return [assigned]
         if self._would_be_late(ticket, now):
             return [self._reject(ticket, RejectReason.TOO_LATE, now)]
         offered = self.queue.offer(ticket)
         if not isinstance(offered, Queued):
             return [self._reject(ticket, RejectReason.QUEUE_FULL, now)]
-        effects: list[DispatchEffect] = [*wanted]
+        effects: list[DispatchEffect] = [] if assigned is None else [assigned]
         if offered.evicted is not None:
             effects.append(self._reject(offered.evicted, RejectReason.EVICTED, now))
         return [*effects, *self._serve(now)]
 
-    def _opens_at(self, ticket: Ticket, now: float) -> float | None:
-        """Give when an upstream wants a request; None if none may take it.
-
-        Returns
-        -------
-        float or None
-            Monotonic seconds; now unless all that may take it are limited or rest.
-        """
-        first: float | None = None
-        for each in self.upstreams_by_name.values():
-            if each.takes_nothing_new(now) or not self._may_run_at(ticket, each):
-                continue
-            opens_at = each.opens_at(now)
-            if opens_at <= now:
-                return now
-            first = opens_at if first is None else min(first, opens_at)
-        return first
-
     def could_place_elsewhere(self, ticket: Ticket, upstream: str, now: float) -> bool:
         """Tell whether another upstream than a given one could take a request now."""
         elsewhere = ticket.excluding(ticket.excluded | {upstream})
@@ -280,13 +263,20 @@
         if chosen is None:
             return None
         if isinstance(chosen, NeedsToken):
-            return _want_token(chosen.upstream, now)
+            return want_token(chosen.upstream, now)
         check_invariant(
             "leaving-gets-nothing-new",
             not chosen.takes_nothing_new(now),
             chosen.name,
         )
-        step = self._explain(ticket, chosen, now)
+        step = explain_choice(
+            self.placement,
+            ticket,
+            self.upstreams_by_name,
+            chosen,
+            is_hit=ticket.id not in self._missing,
+            now=now,
+        )
         chosen.start(ticket=ticket.id, now=now, deadline=ticket.deadline)
         self.assigned += 1
         return Assign(
@@ -319,21 +309,6 @@
         self.placement.limiter.note_sent(spills=place.spills)
         return place.upstream
 
-    def _explain(self, ticket: Ticket, chosen: UpstreamState, now: float) -> Placed:
-        """Say what decided for an upstream, before the request is counted there."""
-        if self.placement is not None:
-            is_hit = ticket.id not in self._missing
-            return self.placement.explain(
-                ticket, self.upstreams_by_name, chosen, is_hit=is_hit, now=now
-            )
-        return Placed(
-            upstream=chosen.name,
-            own_load=chosen.ledger.in_flight,
-            others_load=0.0,
-            slots=chosen.ledger.slots,
-            latency=chosen.present_latency(now),
-        )
-
     def usual_s(self, ticket: Ticket) -> float:
         """Give the usual duration of a request, in seconds."""
         return self.durations.expected_total(
@@ -349,16 +324,11 @@
         return RejectReason.BUSY if now >= ticket.hold_until else None
 
     def _would_be_late(self, ticket: Ticket, now: float) -> bool:
-        wait = self._wait_at(self.capacity(now), ticket.rank)
+        wait = self.durations.wait_s(
+            ahead=self.queue.count_ahead(ticket.rank), capacity=self.capacity(now)
+        )
         return now + wait + LATE_SHARE * self.usual_s(ticket) > ticket.deadline
 
-    def _wait_at(self, capacity: int, rank: int) -> float:
-        """Estimate the wait of a request where so many may run at once."""
-        if capacity == 0 or self.durations.overall_total is None:
-            return 0.0
-        rounds = (self.queue.count_ahead(rank) + 1) / capacity
-        return rounds * self.durations.overall_total
-
     def _give_up_late(self, now: float) -> list[DispatchEffect]:
         given_up: list[DispatchEffect] = []
         for ticket in self.queue:
@@ -378,7 +348,9 @@
     ) -> Reject:
         self.rejected_by_reason[reason] = self.rejected_by_reason.get(reason, 0) + 1
         capacity = self.capacity(now)
-        wait = self._wait_at(capacity, ticket.rank) * self.random.uniform(1.0, 1.5)
+        wait = self.durations.wait_s(
+            ahead=self.queue.count_ahead(ticket.rank), capacity=capacity
+        ) * self.random.uniform(1.0, 1.5)
         if reason is RejectReason.BUSY:
             wait = max(wait, BUSY_RETRY_AFTER_S * self.random.uniform(1.0, 2.0))
         if opens_at is not None:
@@ -415,25 +387,13 @@
         upstream = self.upstreams_by_name.get(probed.upstream)
         if upstream is None:
             return
-        upstream.is_unconfirmed = False
         if probed.report is None:
-            upstream.note_evidence("a probe brought no report", now)
-            upstream.health.note_silence(reached=probed.reached, now=now)
-            return
-        upstream.note_report(probed.report, now=now, wall=probed.wall)
-        upstream.health.note_report(now)
+            upstream.note_unreported(reached=probed.reached, now=now)
+        else:
+            upstream.note_report(probed.report, now=now, wall=probed.wall)
 
     def _probes(self, now: float, *, at_once: bool = False) -> list[DispatchEffect]:
         if self.placement is not None:
             return []
         give = self._schedule.all if at_once else self._schedule.due
         return [*give(self.upstreams_by_name, now)]
-
-
-def _want_token(upstream: UpstreamState, now: float) -> WantToken | None:
-    """Ask for a token, unless one was asked for already."""
-    gate = upstream.limit_gate()
-    if gate is None or not gate.may_ask(now):
-        return None
-    gate.note_asked(now)
-    return WantToken(upstream=upstream.name, incarnation=upstream.incarnation)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/duration_averages.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/duration_averages.py
@@ -44,6 +44,20 @@
         """Give the average duration of an operation, or what was declared."""
         return self.total_by_operation.get(operation, declared_s)
 
+    def wait_s(self, *, ahead: int, capacity: int) -> float:
+        """Estimate the wait of a request, in seconds.
+
+        Parameters
+        ----------
+        ahead : int
+            Requests that wait before it.
+        capacity : int
+            Requests that may run at once.
+        """
+        if capacity == 0 or self.overall_total is None:
+            return 0.0
+        return (ahead + 1) / capacity * self.overall_total
+
 
 def _moved(average: float, value: float) -> float:
     return average + WEIGHT * (value - average)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -20,7 +20,6 @@
 from plankspindle_daemon.dispatch.place import Query
 from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
 from plankspindle_daemon.dispatch.region_plan import RegionPlan
-from plankspindle_daemon.stories.steps import Placed
 from plankspindle_daemon.upstreams.limit_gate import ASK_S
 
 if TYPE_CHECKING:
@@ -189,7 +188,7 @@
         """Tell whether the upstream planned for a request is in the own region."""
         if ticket.affinity is None:
             return True
-        planned = self._planned_orders(ticket)[0]
+        planned = self.planned_orders(ticket)[0]
         return not planned or self.distances.is_near(
             self.orders.domain_by_name[planned[0]]
         )
@@ -260,71 +259,6 @@
             if place[1] != upstream
         }
 
-    def explain(
-        self,
-        ticket: Ticket,
-        by_name: Mapping[str, UpstreamState],
-        chosen: UpstreamState,
-        *,
-        is_hit: bool,
-        now: float,
-    ) -> Placed:
-        """Say what decided for an upstream, before the request is counted there.
-
-        Parameters
-        ----------
-        ticket : Ticket
-            The request.
-        by_name : mapping of str to UpstreamState
-            All upstreams of the service.
-        chosen : UpstreamState
-            Its upstream.
-        is_hit : bool
-            Whether the affinity key prefers it.
-        now : float
-            Monotonic seconds.
-        """
-        leaves = not self.is_near(chosen)
-        preferred = None
-        if ticket.affinity is not None and (leaves or not is_hit):
-            preferred = self._preferred(ticket, by_name)
-        domain = chosen.upstream.failure_domain
-        return Placed(
-            upstream=chosen.name,
-            own_load=chosen.ledger.in_flight,
-            others_load=chosen.load(now) - chosen.ledger.in_flight,
-            report_age_ms=chosen.report_age_ms(now),
-            slots=chosen.upstream.slots,
-            latency=chosen.present_latency(now),
-            rtt_ms=1000 * self.distances.rtt_s(domain),
-            hit=is_hit,
-            leaves_region=leaves,
-            preferred=None if preferred is None else preferred.name,
-            not_preferred=self._why_not(preferred, ticket, now),
-        )
-
-    def _preferred(
-        self, ticket: Ticket, by_name: Mapping[str, UpstreamState]
-    ) -> UpstreamState | None:
-        """Give the upstream that the key of a request prefers, usable or not."""
-        names = self._planned_orders(ticket)[0]
-        return by_name.get(names[0]) if names else None
-
-    def _why_not(
-        self, preferred: UpstreamState | None, ticket: Ticket, now: float
-    ) -> str | None:
-        """Say why the preferred upstream was not taken."""
-        if preferred is None:
-            return None
-        if preferred.name in ticket.excluded:
-            return "it failed this request before"
-        if not preferred.is_usable(now):
-            return preferred.standing(now).value
-        load = preferred.load(now)
-        if load >= preferred.upstream.slots:
-            return f"full: {load:.1f} of {preferred.upstream.slots} slots"
-        return f"costlier: {load:.1f} of {preferred.upstream.slots} slots"
-
     def is_near(self, upstream: UpstreamState) -> bool:
         """Tell whether an upstream stands in the region of this VM."""
         return self.distances.is_near(upstream.upstream.failure_domain)
@@ -348,7 +282,7 @@
         has seen it, as far as everybody goes by the plan.
         """
         known: dict[str, bool] = {}
-        for names in self._planned_orders(ticket):
+        for names in self.planned_orders(ticket):
             rank = 0
             for name in names:
                 upstream = by_name.get(name)
@@ -362,7 +296,7 @@
                     break
         return known
 
-    def _planned_orders(self, ticket: Ticket) -> tuple[list[str], list[str]]:
+    def planned_orders(self, ticket: Ticket) -> tuple[list[str], list[str]]:
         """Give a key's orders of the upstreams, that of its planned place first.
 
         Large answers stay in the region, since they cost more on the way than a miss;
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement_step.py
@@ -0,0 +1,117 @@
+"""What is logged of the choice of an upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from plankspindle_core.classes import frozen
+from plankspindle_daemon.dispatch.placement import Placement
+from plankspindle_daemon.stories.steps import Placed
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from plankspindle_daemon.admission.ticket import Ticket
+    from plankspindle_daemon.upstreams.upstream_state import UpstreamState
+
+
+def explain_choice(
+    placement: Placement | None,
+    ticket: Ticket,
+    by_name: Mapping[str, UpstreamState],
+    chosen: UpstreamState,
+    *,
+    is_hit: bool,
+    now: float,
+) -> Placed:
+    """Say what decided for an upstream, before the request is counted there.
+
+    Parameters
+    ----------
+    placement : Placement, optional
+        What chose it, if any entry VM may use the upstreams of the service.
+    ticket : Ticket
+        The request.
+    by_name : mapping of str to UpstreamState
+        All upstreams of the service.
+    chosen : UpstreamState
+        Its upstream.
+    is_hit : bool
+        Whether the affinity key prefers it.
+    now : float
+        Monotonic seconds.
+    """
+    if placement is not None:
+        step = PlacementStep(placement=placement)
+        return step.explain(ticket, by_name, chosen, is_hit=is_hit, now=now)
+    return Placed(
+        upstream=chosen.name,
+        own_load=chosen.ledger.in_flight,
+        others_load=0.0,
+        slots=chosen.ledger.slots,
+        latency=chosen.present_latency(now),
+    )
+
+
+@frozen(kw_only=True)
+class PlacementStep:
+    """Say what decided for an upstream.
+
+    Parameters
+    ----------
+    placement : Placement
+        What chose it.
+    """
+
+    placement: Placement
+
+    def explain(
+        self,
+        ticket: Ticket,
+        by_name: Mapping[str, UpstreamState],
+        chosen: UpstreamState,
+        *,
+        is_hit: bool,
+        now: float,
+    ) -> Placed:
+        """Say what decided, as :func:`explain_choice` does."""
+        leaves = not self.placement.is_near(chosen)
+        preferred = None
+        if ticket.affinity is not None and (leaves or not is_hit):
+            preferred = self._preferred(ticket, by_name)
+        domain = chosen.upstream.failure_domain
+        return Placed(
+            upstream=chosen.name,
+            own_load=chosen.ledger.in_flight,
+            others_load=chosen.load(now) - chosen.ledger.in_flight,
+            report_age_ms=chosen.report_age_ms(now),
+            slots=chosen.upstream.slots,
+            latency=chosen.present_latency(now),
+            rtt_ms=1000 * self.placement.distances.rtt_s(domain),
+            hit=is_hit,
+            leaves_region=leaves,
+            preferred=None if preferred is None else preferred.name,
+            not_preferred=self._why_not(preferred, ticket, now),
+        )
+
+    def _preferred(
+        self, ticket: Ticket, by_name: Mapping[str, UpstreamState]
+    ) -> UpstreamState | None:
+        """Give the upstream that the key of a request prefers, usable or not."""
+        names = self.placement.planned_orders(ticket)[0]
+        return by_name.get(names[0]) if names else None
+
+    def _why_not(
+        self, preferred: UpstreamState | None, ticket: Ticket, now: float
+    ) -> str | None:
+        """Say why the preferred upstream was not taken."""
+        if preferred is None:
+            return None
+        if preferred.name in ticket.excluded:
+            return "it failed this request before"
+        if not preferred.is_usable(now):
+            return preferred.standing(now).value
+        load = preferred.load(now)
+        if load >= preferred.upstream.slots:
+            return f"full: {load:.1f} of {preferred.upstream.slots} slots"
+        return f"costlier: {load:.1f} of {preferred.upstream.slots} slots"
--- a/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
@@ -30,7 +30,6 @@
 from plankspindle_daemon.upstreams.heard_statements import HeardStatements
 from plankspindle_daemon.upstreams.limit_gate import LimitGate
 from plankspindle_daemon.upstreams.reported_slots import ReportedSlots
-from plankspindle_daemon.upstreams.silence import HINT_FADES_S
 from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
@@ -41,13 +40,10 @@
     from plankspindle_core.configuration.upstream import Upstream
     from plankspindle_daemon.dispatch.messages import DispatchEffect
     from plankspindle_daemon.dispatch.messages import DispatchEvent
-    from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
     from plankspindle_daemon.platform.live_list import ListedVm
 
 OVERLOADED_SHARE = 0.5
 """Share of a queue's limit from which on look-ups do not name this VM."""
-MAX_HINTS = 8
-"""Silent upstreams that a heartbeat names, in about 100 bytes."""
 MIN_ENTRY_VMS = 3
 """Entry VMs that are assumed to share fleet-wide bounds before others are heard."""
 
@@ -204,32 +200,6 @@
             if upstream.ledger.is_over_share(now)
         ]
 
-    def silent_upstreams(self, now: float) -> tuple[UpstreamState, ...]:
-        """Give upstreams that answer none of this VM's requests, not too many.
-
-        None if heartbeats are rarer than hints last: looking through 900 upstreams for
-        each heartbeat took 1 percent of the loop, and nobody could use what was found.
-        """
-        if self.membership.heartbeat_period_s() > HINT_FADES_S:
-            return ()
-        silent = [
-            upstream
-            for dispatcher in self.dispatchers_by_service.values()
-            for upstream in dispatcher.upstreams_by_name.values()
-            if upstream.is_worth_a_hint(now)
-        ]
-        return tuple(silent[:MAX_HINTS])
-
-    def take_hints(self, told: Heartbeat, now: float) -> None:
-        """Take what an entry VM tells of silent upstreams, of their present life."""
-        names, incarnations = told.silent_upstreams, told.silent_incarnations
-        hints = zip(names, incarnations or (0,) * len(names), strict=False)
-        for name, incarnation in hints:
-            for dispatcher in self.dispatchers_by_service.values():
-                upstream = dispatcher.upstreams_by_name.get(name)
-                if upstream is not None and upstream.incarnation == incarnation:
-                    upstream.note_hint(told.failure_domain, now)
-
     def apply_drains(self, *, now: float, wall: float) -> None:
         """Keep new work from drained upstreams, and take back those that no more are.
 
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -20,6 +20,7 @@
 from plankspindle_daemon.digests.domain_talk import DomainTalk
 from plankspindle_daemon.dispatch import messages as dispatch
 from plankspindle_daemon.dispatch.service_book import ServiceBook
+from plankspindle_daemon.dispatch.silence_hints import SilenceHints
 from plankspindle_daemon.drains.vm_drains import VmDrains
 from plankspindle_daemon.headroom.headroom_manager import HeadroomManager
 from plankspindle_daemon.idempotency.issued_ids import IssuedIds
@@ -298,12 +299,11 @@
         wall : float
             Seconds since the Unix epoch, to place planned leaves.
         """
-        effects: list[NodeEffect] = []
-        for effect in self.membership.handle(event, now):
-            effects += self._take_effect(effect)
+        handled = self.membership.handle(event, now)
+        effects = [each for effect in handled for each in self._take_effect(effect)]
         if isinstance(event, membership.HeartbeatReceived):
             effects += self.versions.hear_heartbeat(event.heartbeat, now)
-            self.services.take_hints(event.heartbeat, now)
+            SilenceHints(services=self.services).take(event.heartbeat, now)
             effects += self.quarantine.hear(event.heartbeat, now)
         if isinstance(event, membership.LiveListRead):
             self.self_report.list_read_at = now
--- a/packages/daemon/src/plankspindle_daemon/node/self_report.py
+++ b/packages/daemon/src/plankspindle_daemon/node/self_report.py
@@ -6,6 +6,7 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.configuration.head_watch import HeadWatch
 from plankspindle_daemon.dispatch.service_book import ServiceBook
+from plankspindle_daemon.dispatch.silence_hints import SilenceHints
 from plankspindle_daemon.drains.vm_drains import VmDrains
 from plankspindle_daemon.leaving.leave import Leave
 from plankspindle_daemon.membership.membership import Membership
@@ -122,7 +123,7 @@
             Whether it goes to watchers of this VM.
         """
         self._sequence += 1
-        silent = self.services.silent_upstreams(now)
+        silent = SilenceHints(services=self.services).give(now)
         return Heartbeat(
             sender=self.vm,
             incarnation=self.incarnation,
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -369,9 +369,25 @@
         wall : float
             Seconds since the Unix epoch, to place a planned leave.
         """
+        self.is_unconfirmed = False
         self._report = report
         self._reported_at = now
         self._set_leaving(now=now, wall=wall, leaves_at=report.leaves_at)
+        self.health.note_report(now)
+
+    def note_unreported(self, *, reached: bool, now: float) -> None:
+        """Record that a probe brought no report that can be read.
+
+        Parameters
+        ----------
+        reached : bool
+            Whether a connection was made.
+        now : float
+            Monotonic seconds.
+        """
+        self.is_unconfirmed = False
+        self.note_evidence("a probe brought no report", now)
+        self.health.note_silence(reached=reached, now=now)
 
     def note_listed(
         self, *, leaving: bool, leaves_at: float | None, now: float, wall: float
--- a/packages/testkit/src/plankspindle_testkit/lab/ends.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/ends.py
@@ -8,6 +8,7 @@
 from plankspindle_daemon.dispatch.messages import Verdict
 
 if TYPE_CHECKING:
+    from plankspindle_testkit.lab.requests import AnswerTold
     from plankspindle_testkit.lab.requests import Handled
 
 
@@ -43,6 +44,35 @@
     )
 
 
+def answered_of(
+    handled: Handled, upstream: str, told: AnswerTold, connect_s: float, now: float
+) -> Ended:
+    """Give the end of the present attempt of a request that was answered.
+
+    Parameters
+    ----------
+    handled : Handled
+        The request.
+    upstream : str
+        What answered it.
+    told : AnswerTold
+        What its answer told.
+    connect_s, now : float
+        Time that a connection needs, and now, in seconds.
+    """
+    took_s = now - handled.sent_at
+    return Ended(
+        ticket=handled.ticket,
+        upstream=upstream,
+        verdict=Verdict.ANSWERED,
+        head_s=took_s,
+        total_s=took_s,
+        connect_s=connect_s,
+        reported_load=told.load,
+        incarnation=handled.incarnation,
+    )
+
+
 def given_back(handled: Handled, upstream: str, incarnation: int) -> Ended:
     """Give the end of a request that is not sent to the upstream that it got."""
     return Ended(
--- a/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
@@ -11,7 +11,6 @@
 from attrs import define
 from attrs import field
 
-from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.dispatch.messages import Arrived
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import Ended
@@ -20,13 +19,13 @@
 from plankspindle_daemon.dispatch.messages import Verdict
 from plankspindle_daemon.dispatch.messages import Withdrawn
 from plankspindle_daemon.exchange import patience
-from plankspindle_daemon.listeners import request_reader
 from plankspindle_daemon.node.effects import OfService
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.quarantine.quarantine_list import QuarantineEntry
 from plankspindle_testkit.lab.clock import Clock
 from plankspindle_testkit.lab.crash_record import CrashRecord
 from plankspindle_testkit.lab.deployment import Deployment
+from plankspindle_testkit.lab.ends import answered_of
 from plankspindle_testkit.lab.ends import ended_of
 from plankspindle_testkit.lab.ends import given_back
 from plankspindle_testkit.lab.modelled_upstream import Work
@@ -34,14 +33,16 @@
 from plankspindle_testkit.lab.outcomes import Outcome
 from plankspindle_testkit.lab.peer_network import PeerNetwork
 from plankspindle_testkit.lab.requests import AT_NO_UPSTREAM
+from plankspindle_testkit.lab.requests import MAX_ATTEMPTS
 from plankspindle_testkit.lab.requests import AnswerTold
 from plankspindle_testkit.lab.requests import Crash
 from plankspindle_testkit.lab.requests import Handled
 from plankspindle_testkit.lab.requests import Request
+from plankspindle_testkit.lab.requests import may_leave
+from plankspindle_testkit.lab.requests import ticket_of
 from plankspindle_testkit.lab.statement_record import StatementRecord
 
 if TYPE_CHECKING:
-    from plankspindle_daemon.dispatch.messages import DispatchEffect
     from plankspindle_daemon.dispatch.messages import DispatchEvent
     from plankspindle_daemon.node.effects import NodeEffect
     from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
@@ -51,8 +52,6 @@
     from plankspindle_testkit.lab.pattern import ModelOperation
 
 Holding = Callable[[int, float], QuarantineEntry | None]
-MAX_ATTEMPTS = 2
-"""Upstreams that one request may be sent to."""
 
 
 @define(kw_only=True)
@@ -100,7 +99,13 @@
         handled = Handled(
             request=request,
             vm=vm,
-            ticket=self._ticket_of(request, operation),
+            ticket=ticket_of(
+                request,
+                operation,
+                number=next(self._numbers),
+                to_caller_s=self._to_caller_s(),
+                now=self.clock.now,
+            ),
             service=operation.service,
         )
         self._by_ticket[handled.ticket.id] = handled
@@ -117,25 +122,21 @@
         """Carry out what an entry VM decided."""
         for effect in effects:
             match effect:
-                case OfService(effect=decided):
-                    self._perform(decided)
                 case SendToPeer():
                     self.network.send(vm, [effect])
+                case OfService(effect=Assign() | Reject() as decided):
+                    self._take_decision(decided)
                 case _:
                     pass
 
-    def _perform(self, effect: DispatchEffect) -> None:
-        match effect:
-            case Assign(ticket=ticket, upstream=upstream, incarnation=incarnation):
-                handled = self._by_ticket.get(ticket.id)
-                if handled is not None:
-                    self._send(handled, upstream, incarnation)
-            case Reject(ticket=ticket, retry_after_s=retry_after_s):
-                handled = self._by_ticket.get(ticket.id)
-                if handled is not None:
-                    self._refuse(handled, retry_after_s)
-            case _:
-                pass
+    def _take_decision(self, decided: Assign | Reject) -> None:
+        handled = self._by_ticket.get(decided.ticket.id)
+        if handled is None:
+            return
+        if isinstance(decided, Assign):
+            self._send(handled, decided.upstream, decided.incarnation)
+        else:
+            self._refuse(handled, decided.retry_after_s)
 
     def break_off(self) -> None:
         """End all requests, as when all entry VMs end."""
@@ -150,25 +151,11 @@
     def _to_caller_s(self) -> float:
         return self.deployment.pattern.to_callers_ms / 1000
 
-    def _ticket_of(self, request: Request, operation: ModelOperation) -> Ticket:
-        target_s = operation.target_ms / 1000
-        return Ticket(
-            id=next(self._numbers),
-            rank=operation.rank,
-            operation=request.operation,
-            deadline=request.deadline - self._to_caller_s(),
-            expected_s=request_reader.EXPECTED_SHARE * target_s,
-            affinity=f"{request.operation}/{request.key}",
-            hold_until=self.clock.now + request_reader.HOLD_SHARE * target_s,
-        )
-
     def _is_held_back(self, handled: Handled, holding: Holding) -> bool:
-        now = self.clock.now
-        entry = holding(handled.request.identity, now)
-        if entry is None:
-            return False
-        self._refuse(handled, entry.trial_at - now)
-        return True
+        entry = holding(handled.request.identity, self.clock.now)
+        if entry is not None:
+            self._refuse(handled, entry.trial_at - self.clock.now)
+        return entry is not None
 
     def _place(self, handled: Handled) -> None:
         quarantine, identity = handled.vm.quarantine, handled.request.identity
@@ -244,26 +231,11 @@
         """Leave an upstream that answers nobody, as an exchange does."""
         if handled.is_over or handled.attempt != attempt:
             return
-        if self._may_leave(handled):
+        if may_leave(handled, self.clock.now):
             self._leave(handled, Verdict.TIMED_OUT)
         else:
             self._watch(handled, attempt)
 
-    def _may_leave(self, handled: Handled) -> bool:
-        book, upstream = handled.vm.book, handled.upstream
-        dispatcher = book.dispatchers_by_service[handled.service]
-        known = dispatcher.upstreams_by_name.get(upstream or "")
-        if known is not None and known.answered_at >= handled.sent_at:
-            return False
-        return (
-            upstream is not None
-            and handled.attempts < MAX_ATTEMPTS
-            and book.budgets_by_service[handled.service].has_room()
-            and dispatcher.could_place_elsewhere(
-                handled.ticket, upstream, self.clock.now
-            )
-        )
-
     def _leave(
         self, handled: Handled, verdict: Verdict, load: int | None = None
     ) -> None:
@@ -423,17 +395,8 @@
         target_s = self._operation_of(handled.request).target_ms / 1000
         latency_s = self.clock.now - handled.request.first_at + self._to_caller_s()
         self._end(handled, Outcome.IN_AIM if latency_s <= target_s else Outcome.LATE)
-        took_s = self.clock.now - handled.sent_at
-        ended = Ended(
-            ticket=handled.ticket,
-            upstream=upstream,
-            verdict=Verdict.ANSWERED,
-            head_s=took_s,
-            total_s=took_s,
-            connect_s=2 * self._way_s(handled, upstream),
-            reported_load=told.load,
-            incarnation=handled.incarnation,
-        )
+        connect_s = 2 * self._way_s(handled, upstream)
+        ended = answered_of(handled, upstream, told, connect_s, self.clock.now)
         self._tell(handled, ended)
         if handled.vm.quarantine.is_active:
             identity, now = handled.request.identity, self.clock.now
--- a/packages/testkit/src/plankspindle_testkit/lab/requests.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/requests.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from attrs import define
 from attrs import frozen
 
 from plankspindle_daemon.admission.ticket import Ticket
+from plankspindle_daemon.listeners import request_reader
 from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
 from plankspindle_testkit.lab.lab_vm import LabVm
 
+if TYPE_CHECKING:
+    from plankspindle_testkit.lab.pattern import ModelOperation
+
+MAX_ATTEMPTS = 2
+"""Upstreams that one request may be sent to."""
 AT_NO_UPSTREAM = -1
 """Number of the attempt of a request that waits."""
 
@@ -118,3 +126,39 @@
 
     load: int
     statement: UpstreamStatement
+
+
+def ticket_of(
+    request: Request,
+    operation: ModelOperation,
+    *,
+    number: int,
+    to_caller_s: float,
+    now: float,
+) -> Ticket:
+    """Give a request as an entry VM's admission sees it."""
+    target_s = operation.target_ms / 1000
+    return Ticket(
+        id=number,
+        rank=operation.rank,
+        operation=request.operation,
+        deadline=request.deadline - to_caller_s,
+        expected_s=request_reader.EXPECTED_SHARE * target_s,
+        affinity=f"{request.operation}/{request.key}",
+        hold_until=now + request_reader.HOLD_SHARE * target_s,
+    )
+
+
+def may_leave(handled: Handled, now: float) -> bool:
+    """Tell whether a request may leave an upstream that answers nobody."""
+    book, upstream = handled.vm.book, handled.upstream
+    dispatcher = book.dispatchers_by_service[handled.service]
+    known = dispatcher.upstreams_by_name.get(upstream or "")
+    if known is not None and known.answered_at >= handled.sent_at:
+        return False
+    return (
+        upstream is not None
+        and handled.attempts < MAX_ATTEMPTS
+        and book.budgets_by_service[handled.service].has_room()
+        and dispatcher.could_place_elsewhere(handled.ticket, upstream, now)
+    )
