A limit ends by several answers in a row, and begins with a second of nothing

Cause: one answer without the limit ended it at all entry VMs, and each such answer let through what came until the next one named it. What the upstream got before entry VMs knew counts in the same four seconds, and a new holder gave at once what shares had gathered while nobody asked for tokens.

Change: four answers in a row, of any VMs, over a second or more end a limit; VMs tell each other of them, each answer once. A holder gives no token for the first second, and begins with an empty pool. The lab counts requests of before a VM knew, too, and answers say what held as their request began.

Ruled out: entry VMs that are slow to hear of a limit (nine real ones under 200 requests a second stopped within one answer), and tokens beside the limit (they got 2.0 a second of 2).

--- a/packages/daemon/src/plankspindle_daemon/peer_messages/limit_news.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/limit_news.py
@@ -1,4 +1,4 @@
-"""What an entry VM has learned of the limit of an upstream."""
+"""What an entry VM has heard of the limit of an upstream."""
 
 from __future__ import annotations
 
@@ -7,18 +7,20 @@
 
 @frozen(kw_only=True)
 class LimitNews:
-    """An upstream names a limit over all entry VMs, or none any more.
+    """An upstream names a limit over all entry VMs, or did not name it once.
 
     Parameters
     ----------
     sender : str
-        Name of the VM that learned it.
+        Name of the VM that heard it.
     life : str
         Life of the upstream.
     limit_per_s : float
         Requests a second that it takes from all of them.
-    is_lifted : bool
-        Whether it names none any more; the limit says nothing then.
+    is_silent : bool
+        Whether an answer named none; the limit says nothing then.
+    number : int
+        Random number of the answer, since news comes more than once.
     ago_ms : int
         Age of what is told: of the answer that named the limit, or of the request
         whose answer named none.
@@ -27,5 +29,6 @@
     sender: str
     life: str
     limit_per_s: float
-    is_lifted: bool
+    is_silent: bool
+    number: int
     ago_ms: int
--- a/packages/daemon/src/plankspindle_daemon/quotas/limit_holder.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/limit_holder.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
     from plankspindle_daemon.peer_messages.quota_messages import TokenRequest
+    from plankspindle_daemon.quotas.leased_shares import LeasedShares
 
 LEAST_PER_S = 0.25
 """Least limit that is gone by, in requests a second.
@@ -23,6 +24,11 @@
 An upstream that takes nothing says so only in answers: a request now and then finds out
 when it takes some again.
 """
+SETTLE_S = 1.0
+"""Time for which no token is given after a limit is first heard of, in seconds.
+
+Until then the upstream got more than its limit, which counts in the same windows.
+"""
 SLACK_REQUESTS = 2.0
 """Tokens that may gather beside those of one second, shared by the fleet.
 
@@ -56,9 +62,10 @@
 
 @define(kw_only=True)
 class _HeldLimit:
-    pool: TokenPool
     limit: NamedLimit
+    opens_at: float
     used_at: float
+    pool: TokenPool | None = None
 
 
 @define(kw_only=True)
@@ -87,17 +94,17 @@
         """Take a limit that was named."""
         held = self._held_by_life.get(life)
         if held is None:
-            pool = TokenPool.empty(
-                workspace=life,
-                holder=self.holder.vm,
-                terms=_bounded(limit),
-                slack_requests=SLACK_REQUESTS,
-                shares=self.holder.shares_of(life, now),
-            )
-            held = _HeldLimit(pool=pool, limit=limit, used_at=now)
+            opens_at = now + SETTLE_S
+            held = _HeldLimit(limit=limit, opens_at=opens_at, used_at=now)
             self._held_by_life[life] = held
         elif limit.heard_at > held.limit.heard_at:
-            held.limit, held.pool.terms = limit, _bounded(limit)
+            held.limit = limit
+            if held.pool is not None:
+                held.pool.terms = _bounded(limit)
+
+    def drop(self, life: str) -> None:
+        """Forget a limit that is not named any more."""
+        self._held_by_life.pop(life, None)
 
     def take(self, life: str, wanted: int, now: float) -> TokensTaken:
         """Take tokens for requests of this VM or another."""
@@ -106,9 +113,24 @@
         if held is None or shares.share <= 0.0:
             return TokensTaken(count=0, retry_after_s=NO_SHARE_S, has_share=False)
         held.used_at = now
-        given = held.pool.take(wanted, shares)
+        if now < held.opens_at:
+            wait_s = held.opens_at - now
+            return TokensTaken(count=0, retry_after_s=wait_s, has_share=True)
+        pool = held.pool = held.pool or self._new_pool(life, held.limit, shares)
+        given = pool.take(wanted, shares)
         return TokensTaken(
-            count=given, retry_after_s=held.pool.retry_after_s(), has_share=True
+            count=given, retry_after_s=pool.retry_after_s(), has_share=True
+        )
+
+    def _new_pool(
+        self, life: str, limit: NamedLimit, shares: LeasedShares
+    ) -> TokenPool:
+        return TokenPool.empty(
+            workspace=life,
+            holder=self.holder.vm,
+            terms=_bounded(limit),
+            slack_requests=SLACK_REQUESTS,
+            shares=shares,
         )
 
     def answer(self, request: TokenRequest, now: float) -> TokenGrant:
--- a/packages/daemon/src/plankspindle_daemon/quotas/upstream_limits.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/upstream_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from itertools import count
 from typing import TYPE_CHECKING
 
@@ -36,6 +37,8 @@
 """Change of a limit, as a part of it, that other VMs are told of."""
 TELL_GAP_S = 1.0
 """Least time between two such changes that are told, in seconds."""
+MAX_NEWS = 1_024
+"""Numbers of news that are remembered, since each comes more than once."""
 MAX_TOLD = 512
 """Entry VMs that are told of a limit; in a larger fleet, those of the own domain."""
 
@@ -87,8 +90,8 @@
     A limit is a sum over all entry VMs that none of them sees, as a quota is, and it is
     kept in the same way: each request takes a token, from the shares of the limit that
     the VMs of a region have leased to one of them. A limit is in force from the first
-    answer that names it until the answer to a later request names none; it has no other
-    end, since what is not asked says nothing.
+    answer that names it until the answers to some later requests, of any VM, have not
+    named it in a row; it has no other end, since what is not asked says nothing.
     """
 
     vm: str
@@ -102,6 +105,7 @@
     _asks_by_ticket: dict[int, _Ask] = Factory(dict)
     _tickets: count[int] = field(factory=count)
     _outbox: NewsOutbox = Factory(NewsOutbox)
+    _heard_news: OrderedDict[int, None] = Factory(OrderedDict)
     _next_forget: float = 0.0
 
     @property
@@ -136,21 +140,36 @@
             What other VMs are told of it.
         """
         if statement.limit_per_s is not None:
-            self._name(life, statement.limit_per_s, heard_at=now)
-            return self._tell_named(life, statement.limit_per_s, now)
-        if statement.unreadable or not self._lift(life, sent_at):
+            return self._take_named(life, statement.limit_per_s, now)
+        gate = self.gate_by_life.get(life)
+        if statement.unreadable or gate is None or sent_at <= gate.heard_at:
             return []
-        self._told_by_life.pop(life, None)
-        return self._tell(life, 0.0, is_lifted=True, at=sent_at, now=now)
+        number = self.borrower.random.getrandbits(63)
+        self._note_silent(life, gate, number, sent_at)
+        news = LimitNews(
+            sender=self.vm,
+            life=life,
+            limit_per_s=0.0,
+            is_silent=True,
+            number=number,
+            ago_ms=int(1000 * (now - sent_at)),
+        )
+        return self._tell(news, now)
 
     def take_news(self, news: LimitNews, now: float) -> None:
-        """Take what another VM has learned."""
+        """Take what another VM has heard; news that comes again says nothing new."""
+        if news.number in self._heard_news:
+            return
+        self._heard_news[news.number] = None
+        if len(self._heard_news) > MAX_NEWS:
+            self._heard_news.popitem(last=False)
         at = now - news.ago_ms / 1000
-        if news.is_lifted:
-            self._lift(news.life, at)
-        else:
+        gate = self.gate_by_life.get(news.life)
+        if not news.is_silent:
             self._name(news.life, news.limit_per_s, heard_at=at)
             self._told_by_life[news.life] = _Told(limit_per_s=news.limit_per_s, at=now)
+        elif gate is not None:
+            self._note_silent(news.life, gate, news.number, at)
 
     def want(self, life: str, service: str, now: float) -> list[LimitEffect]:
         """Get a token for a request of a service."""
@@ -174,54 +193,61 @@
             self._forget(now)
         return [*effects, *self._take(self.borrower.tick(now), now)]
 
+    def _take_named(
+        self, life: str, limit_per_s: float, now: float
+    ) -> list[SendToPeer]:
+        gate = self.gate_by_life.get(life)
+        was_doubted = gate is not None and gate.is_doubted
+        self._name(life, limit_per_s, heard_at=now)
+        if not was_doubted and not self._is_news(life, limit_per_s, now):
+            return []
+        self._told_by_life[life] = _Told(limit_per_s=limit_per_s, at=now)
+        news = LimitNews(
+            sender=self.vm,
+            life=life,
+            limit_per_s=limit_per_s,
+            is_silent=False,
+            number=self.borrower.random.getrandbits(63),
+            ago_ms=0,
+        )
+        return self._tell(news, now)
+
     def _name(self, life: str, limit_per_s: float, *, heard_at: float) -> None:
         if heard_at < self._lifted_by_life.get(life, 0.0):
             return
         gate = self.gate_by_life.get(life)
-        if gate is None:
-            if len(self.gate_by_life) >= MAX_LIMITS:
-                del self.gate_by_life[next(iter(self.gate_by_life))]
-            self.gate_by_life[life] = LimitGate(
-                limit_per_s=limit_per_s, heard_at=heard_at
-            )
-        elif heard_at >= gate.heard_at:
-            gate.limit_per_s, gate.heard_at = limit_per_s, heard_at
-
-    def _lift(self, life: str, sent_at: float) -> bool:
-        """End a limit, if it was last named before a request was sent."""
-        gate = self.gate_by_life.get(life)
-        if gate is None or sent_at <= gate.heard_at:
-            return False
-        del self.gate_by_life[life]
-        self._lifted_by_life[life] = sent_at
-        return True
-
-    def _tell_named(
-        self, life: str, limit_per_s: float, now: float
-    ) -> list[SendToPeer]:
+        if gate is not None:
+            gate.note_named(limit_per_s, heard_at)
+            return
+        if len(self.gate_by_life) >= MAX_LIMITS:
+            del self.gate_by_life[next(iter(self.gate_by_life))]
+        self.gate_by_life[life] = LimitGate(limit_per_s=limit_per_s, heard_at=heard_at)
+
+    def _note_silent(
+        self, life: str, gate: LimitGate, number: int, sent_at: float
+    ) -> None:
+        """Take an answer that named no limit, and end the limit after some of them."""
+        gate.note_silent(number, sent_at)
+        if gate.is_lifted():
+            del self.gate_by_life[life]
+            self.holder.drop(life)
+            self._lifted_by_life[life] = sent_at
+            self._told_by_life.pop(life, None)
+
+    def _is_news(self, life: str, limit_per_s: float, now: float) -> bool:
+        """Tell whether other VMs should hear of a limit that was named."""
         told = self._told_by_life.get(life)
-        if told is not None:
-            step = abs(limit_per_s - told.limit_per_s)
-            if step <= TELL_STEP * told.limit_per_s or now - told.at < TELL_GAP_S:
-                return []
-        self._told_by_life[life] = _Told(limit_per_s=limit_per_s, at=now)
-        return self._tell(life, limit_per_s, is_lifted=False, at=now, now=now)
+        if told is None:
+            return True
+        step = abs(limit_per_s - told.limit_per_s)
+        return step > TELL_STEP * told.limit_per_s and now - told.at >= TELL_GAP_S
 
-    def _tell(
-        self, life: str, limit_per_s: float, *, is_lifted: bool, at: float, now: float
-    ) -> list[SendToPeer]:
+    def _tell(self, news: LimitNews, now: float) -> list[SendToPeer]:
         members = list(self.membership.members_by_name.values())
         if len(members) > MAX_TOLD:
             members = [
                 each for each in members if each.failure_domain == self.failure_domain
             ]
-        news = LimitNews(
-            sender=self.vm,
-            life=life,
-            limit_per_s=limit_per_s,
-            is_lifted=is_lifted,
-            ago_ms=int(1000 * (now - at)),
-        )
         effects = [
             SendToPeer(message=news, to=each.peer_endpoint)
             for each in members
--- a/packages/daemon/src/plankspindle_daemon/upstreams/limit_gate.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/limit_gate.py
@@ -13,6 +13,12 @@
 
 That is the way to the holder of the own region and back, with room for a busy one.
 """
+LIFTING_ANSWERS = 4
+LIFTING_S = 1.0
+"""Answers in a row without a limit, and the time from first to last, that end it.
+
+One answer without it says little: an upstream that fails a request may leave it out.
+"""
 TOKEN_S = 0.5
 """Life of a token that no request has used, in seconds.
 
@@ -41,9 +47,42 @@
     heard_at: float
     used: int = 0
     _token_ends: deque[float] = Factory(deque)
+    _silent_at_by_number: dict[int, float] = Factory(dict)
     _asked_until: float = 0.0
     _closed_until: float = 0.0
 
+    @property
+    def is_doubted(self) -> bool:
+        """Whether an answer since the limit was last named did not name it."""
+        return bool(self._silent_at_by_number)
+
+    def note_named(self, limit_per_s: float, heard_at: float) -> None:
+        """Take that an answer named the limit."""
+        if heard_at >= self.heard_at:
+            self.limit_per_s, self.heard_at = limit_per_s, heard_at
+            self._silent_at_by_number.clear()
+
+    def note_silent(self, number: int, sent_at: float) -> None:
+        """Take that an answer named no limit.
+
+        Parameters
+        ----------
+        number : int
+            Number of the answer, the same at all entry VMs that hear of it.
+        sent_at : float
+            When its request was sent, monotonic seconds; a limit that was named later
+            than that is not in doubt.
+        """
+        if sent_at > self.heard_at:
+            self._silent_at_by_number[number] = sent_at
+
+    def is_lifted(self) -> bool:
+        """Tell whether enough answers in a row have named no limit."""
+        times = self._silent_at_by_number.values()
+        if len(times) < LIFTING_ANSWERS:
+            return False
+        return max(times) - min(times) >= LIFTING_S
+
     def has_token(self, now: float) -> bool:
         """Tell whether a request may be sent now."""
         while self._token_ends and self._token_ends[0] <= now:
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -182,8 +182,9 @@
 struct LimitNews {
   life @0 :Text;
   limitPerS @1 :Float64;
-  isLifted @2 :Bool;
-  agoMs @3 :UInt64;
+  isSilent @2 :Bool;
+  number @3 :UInt64;
+  agoMs @4 :UInt64;
 }
 
 struct PeerMessage {
--- a/packages/daemon/tests/quotas/test_limit_loads.py
+++ b/packages/daemon/tests/quotas/test_limit_loads.py
@@ -197,6 +197,6 @@
     fleet.run(40.0, load(fleet))
     assert fleet.most_arrived(LIFE, WINDOW_S) <= most_allowed(0.0)
     del fleet.limit_by_life[LIFE]
-    fleet.run(15.0, load(fleet))
+    fleet.run(40.0, load(fleet))
     gates = [vm.quotas.limits.gate_by_life for vm in fleet.vms_by_name.values()]
     assert not any(gates)
--- a/packages/daemon/tests/wire/test_wire.py
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -85,7 +85,14 @@
         has_share=True,
         is_of_limit=True,
     ),
-    LimitNews(sender="a", life="u#5", limit_per_s=0.25, is_lifted=False, ago_ms=9),
+    LimitNews(
+        sender="a",
+        life="u#5",
+        limit_per_s=0.25,
+        is_silent=True,
+        number=2**63,
+        ago_ms=9,
+    ),
     SlotRequest(
         sender="a",
         request_id=1,
--- a/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
@@ -359,7 +359,8 @@
         handled = self._by_attempt.pop(work.number, None)
         if upstream.is_dead or handled is None:
             return
-        told = AnswerTold(load=upstream.load, statement=upstream.statement())
+        said = upstream.said_in(work.number)
+        told = AnswerTold(load=upstream.load, statement=said)
         answer = partial(self._answer, handled, work.number, told)
         self.clock.after(self._way_s(handled, upstream.name), answer)
 
--- a/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
@@ -33,6 +33,7 @@
     from plankspindle_core.endpoint import Endpoint
     from plankspindle_daemon.quotas.quotas import QuotaMessage
     from plankspindle_testkit.lab.lab_vm import LabVm
+    from plankspindle_testkit.lab.modelled_upstream import ModelledUpstream
     from plankspindle_testkit.lab.pattern import ModelOperation
 
 TICK_S = 0.05
@@ -141,6 +142,10 @@
         """Give the entry VMs."""
         return list(self._deployment.vms_by_name.values())
 
+    def upstreams(self) -> list[ModelledUpstream]:
+        """Give the upstreams."""
+        return list(self._deployment.upstreams_by_name.values())
+
     def _plan_arrival(self, name: str, operation: ModelOperation) -> None:
         now = self._clock.now
         rate = operation.per_s * self.pattern.load_factor(now)
--- a/packages/testkit/src/plankspindle_testkit/lab/modelled_upstream.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/modelled_upstream.py
@@ -11,6 +11,7 @@
 from attrs import field
 from attrs import frozen
 
+from plankspindle_daemon.upstreams.upstream_statement import SAYS_NOTHING
 from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
 from plankspindle_testkit.lab.pattern import ModelOperation
 from plankspindle_testkit.lab.pattern import ModelService
@@ -95,6 +96,8 @@
         Whether it says in answers that it leaves, and serves on.
     rest_s : float or None
         Rest that it asks for as it sheds each request, in seconds.
+    silent_part : float
+        Part of its answers that say nothing of it, whatever the others say.
     """
 
     name: str
@@ -112,9 +115,11 @@
     limit_per_s: float | None = None
     is_leaving: bool = False
     rest_s: float | None = None
+    silent_part: float = 0.0
     _running: dict[int, Work] = Factory(dict)
     _waiting: deque[Work] = Factory(deque)
     _remembered: OrderedDict[tuple[str, str], None] = field(factory=OrderedDict)
+    _said_by_number: dict[int, UpstreamStatement] = Factory(dict)
 
     @property
     def load(self) -> int:
@@ -160,8 +165,17 @@
             return None
         return self._begin(self._waiting.popleft(), now)
 
+    def said_in(self, number: int) -> UpstreamStatement:
+        """Give what the answer to a request that ends says of it.
+
+        That is what held as it began: answers to requests under way say nothing new.
+        """
+        return self._said_by_number.pop(number, SAYS_NOTHING)
+
     def statement(self) -> UpstreamStatement:
-        """Give what its answers say of it."""
+        """Give what it says of itself now."""
+        if self.silent_part and self.random.random() < self.silent_part:
+            return SAYS_NOTHING
         return UpstreamStatement(
             limit_per_s=self.limit_per_s,
             is_leaving=self.is_leaving,
@@ -197,6 +211,7 @@
         mean_s = self.expected_s(work.operation, work.key, now)
         self._remember((work.operation, work.key))
         self._running[work.number] = work
+        self._said_by_number[work.number] = self.statement()
         varied = max(0.2, self.random.gauss(1.0, SPREAD))
         return Begun(work=work, seconds=mean_s * varied)
 
--- a/packages/testkit/src/plankspindle_testkit/lab/statement_record.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/statement_record.py
@@ -101,7 +101,11 @@
         return sum(map(len, self._rests.values()))
 
     def most_of_allowed(self) -> float:
-        """Give the most that any upstream got in a window, as a part of its bound."""
+        """Give the most that any upstream got in a window, as a part of its bound.
+
+        All requests of an entry VM count that knows of the limit at the end of the
+        window, those before it was told included.
+        """
         return max(map(self._most_at, self.limit_by_upstream), default=0.0)
 
     def used(self, upstream: str) -> float:
@@ -115,14 +119,15 @@
 
     def _most_at(self, upstream: str) -> float:
         until = self._limited_until.get(upstream, float("inf"))
-        known = [
-            at
-            for at, vm in self.arrivals_by_upstream[upstream]
-            if self._told_at.get((upstream, vm), until) + KNOWN_S < at < until
-        ]
-        most = first = 0
-        for index, at in enumerate(known):
-            while known[first] < at - WINDOW_S:
-                first += 1
-            most = max(most, index - first + 1)
+        judged_from = self._limited_from[upstream] + WINDOW_S
+        arrivals = self.arrivals_by_upstream[upstream]
+        most = 0
+        for end, _ in arrivals:
+            if judged_from <= end < until:
+                got = sum(
+                    self._told_at.get((upstream, vm), until) + KNOWN_S < end
+                    for at, vm in arrivals
+                    if end - WINDOW_S <= at <= end
+                )
+                most = max(most, got)
         return most / most_allowed(self.limit_by_upstream[upstream])
--- a/packages/testkit/tests/lab/test_upstream_limits.py
+++ b/packages/testkit/tests/lab/test_upstream_limits.py
@@ -6,9 +6,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 from attrs import evolve
 
+from plankspindle_daemon.dispatch.messages import RejectReason
 from plankspindle_testkit.lab.lab_run import LabRun
 from plankspindle_testkit.lab.pattern import PATTERNS
 from plankspindle_testkit.lab.pattern import Pattern
@@ -48,3 +51,32 @@
     run.run()
     assert run.statements.limit_by_upstream
     assert run.statements.most_of_allowed() <= 1.0
+
+
+@pytest.mark.parametrize(("share", "silent_part"), [(0.3, 0.1), (1.0, 0.02)])
+def test_answers_that_leave_the_limit_out_now_and_then_do_not_end_it(
+    share: float, silent_part: float
+) -> None:
+    """Some upstreams, or all of them; a limit that flaps lets whole bursts through."""
+    small = pattern(9)
+    struck = evolve(small, events=(evolve(small.events[0], share=share),))
+    run = LabRun(pattern=struck, seed=1)
+    for upstream in run.upstreams():
+        upstream.silent_part = silent_part
+    run.run()
+    assert run.statements.most_of_allowed() <= 1.0
+
+
+def test_requests_that_limits_leave_no_room_for_are_rejected_at_once() -> None:
+    """All upstreams name a quarter of what they get: most requests cannot be served."""
+    small = pattern(9)
+    struck = evolve(small, events=(evolve(small.events[0], share=1.0),))
+    run = LabRun(pattern=struck, seed=1)
+    run.run()
+    rejected: Counter[RejectReason] = Counter()
+    for vm in run.vms():
+        for dispatcher in vm.book.dispatchers_by_service.values():
+            rejected.update(dispatcher.rejections.count_by_reason)
+    assert rejected[RejectReason.WITHHELD] > 0.8 * rejected.total()
+    named = run.statements.limit_by_upstream
+    assert sum(map(run.statements.used, named)) / len(named) > 0.9
