Reject at once what limits and rests leave no upstream for

What callers saw: where most upstreams name a limit, most requests can't be served; they waited for what a waiting request is allowed and were then told to come back at a time that had nothing to do with the limits.

Cause: whether any upstream may take a request soon was asked of all upstreams of the service, one of which mostly has a token; a request with an affinity key is given to few of them.

Change: the upstreams that its key knows are asked. Who would get none now is rejected with the time at which the one planned for it has a token again.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -36,11 +36,11 @@
 from plankspindle_daemon.dispatch.placement import Placement
 from plankspindle_daemon.dispatch.placement_step import explain_choice
 from plankspindle_daemon.dispatch.probe_schedule import ProbeSchedule
+from plankspindle_daemon.dispatch.rejections import Rejections
 from plankspindle_daemon.dispatch.slot_lending import SlotLending
 from plankspindle_daemon.dispatch.withheld_upstreams import opening_of
 from plankspindle_daemon.dispatch.withheld_upstreams import want_token
-from plankspindle_daemon.stories.steps import Queued as QueuedStep
-from plankspindle_daemon.stories.steps import Rejected
+from plankspindle_daemon.upstreams.limit_gate import LimitGate
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 from plankspindle_daemon.upstreams.usual_use import UsualUse
 
@@ -57,10 +57,6 @@
 """
 MAX_SCANNED = 16
 """Waiting requests that are tried on the free upstreams at a time."""
-MIN_RETRY_AFTER_S = 0.05
-MAX_RETRY_AFTER_S = 30.0
-BUSY_RETRY_AFTER_S = 0.3
-"""Least time to come back for a request that found every fitting upstream busy."""
 
 
 @define(kw_only=True)
@@ -88,6 +84,8 @@
         How busy other entry VMs keep such upstreams.
     shares_slots : bool
         Whether members share the slots of any upstream that there ever was.
+    gate_by_life : dict of str to LimitGate
+        Limits that upstreams name over all entry VMs, of any service.
     """
 
     vm: str
@@ -99,8 +97,9 @@
     placement: Placement | None = None
     usual: UsualUse = Factory(UsualUse)
     shares_slots: bool = True
+    gate_by_life: dict[str, LimitGate] = Factory(dict)
     durations: DurationAverages = Factory(DurationAverages)
-    rejected_by_reason: dict[RejectReason, int] = Factory(dict)
+    rejections: Rejections = field(init=False)
     assigned: int = 0
     statements_unreadable: int = 0
     _schedule: ProbeSchedule = field(init=False)
@@ -109,6 +108,9 @@
     _capacity: CapacitySum = Factory(CapacitySum)
 
     def __attrs_post_init__(self) -> None:
+        self.rejections = Rejections(
+            queue=self.queue, durations=self.durations, random=self.random
+        )
         self._schedule = ProbeSchedule(random=self.random, probe_s=self.probe_s)
         self.lending = SlotLending(
             vm=self.vm,
@@ -176,11 +178,6 @@
         """Requests that may run at once, as summed up a moment ago."""
         return self._capacity.of(self.upstreams_by_name, now)
 
-    def queued_step(self, ticket: Ticket) -> QueuedStep:
-        """Say where a request waits, for the log."""
-        ahead = self.queue.count_ahead(ticket.rank)
-        return QueuedStep(ahead=ahead, limit=self.queue.limit)
-
     def forget_upstream(self, name: str) -> None:
         """Forget what an upstream had seen: it has started anew under its name."""
         if self.placement is not None:
@@ -196,11 +193,12 @@
         opens_at = opening_of(may_run, now)
         if opens_at is None:
             return [self._reject(ticket, RejectReason.NO_UPSTREAM, now)]
-        if opens_at > min(ticket.hold_until, ticket.deadline):
-            return [self._reject(ticket, RejectReason.WITHHELD, now, opens_at=opens_at)]
         assigned = None if self.queue else self._assign(ticket, now)
         if isinstance(assigned, Assign):
             return [assigned]
+        withheld = self._withhold(ticket, opens_at, now)
+        if withheld is not None:
+            return [withheld]
         if self._would_be_late(ticket, now):
             return [self._reject(ticket, RejectReason.TOO_LATE, now)]
         offered = self.queue.offer(ticket)
@@ -250,14 +248,26 @@
                 continue
             scanned += 1
             assigned = self._assign(ticket, now)
-            if isinstance(assigned, Assign):
+            effect = assigned or self._withhold(ticket, now, now)
+            if isinstance(effect, Assign | Reject):
                 self.queue.remove(ticket.id)
-            if assigned is not None:
-                effects.append(assigned)
+            if effect is not None:
+                effects.append(effect)
         if self.queue and self.placement is None:
             effects += self.lending.ask(self.upstreams_by_name, now)
         return effects
 
+    def _withhold(self, ticket: Ticket, opens_at: float, now: float) -> Reject | None:
+        """Reject a request at once that limits and rests leave no upstream now."""
+        if self.placement is not None and self.gate_by_life:
+            known_opens_at = self.placement.opens_at(
+                ticket, self.upstreams_by_name, now
+            )
+            opens_at = max(opens_at, known_opens_at)
+        if opens_at <= now:
+            return None
+        return self._reject(ticket, RejectReason.WITHHELD, now, opens_at=opens_at)
+
     def _assign(self, ticket: Ticket, now: float) -> Assign | WantToken | None:
         chosen = self._choose(ticket, now)
         if chosen is None:
@@ -346,26 +356,14 @@
         *,
         opens_at: float | None = None,
     ) -> Reject:
-        self.rejected_by_reason[reason] = self.rejected_by_reason.get(reason, 0) + 1
-        capacity = self.capacity(now)
-        wait = self.durations.wait_s(
-            ahead=self.queue.count_ahead(ticket.rank), capacity=capacity
-        ) * self.random.uniform(1.0, 1.5)
-        if reason is RejectReason.BUSY:
-            wait = max(wait, BUSY_RETRY_AFTER_S * self.random.uniform(1.0, 2.0))
-        if opens_at is not None:
-            wait = max(wait, (opens_at - now) * self.random.uniform(1.0, 1.5))
-        bounded = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait))
-        step = Rejected(
-            reason=reason.value,
-            retry_after_ms=round(bounded * 1000),
-            queued=len(self.queue),
-            capacity=capacity,
+        return self.rejections.reject(
+            ticket,
+            reason,
+            capacity=self.capacity(now),
             in_flight=self.in_flight(),
-            usual_ms=round(self.usual_s(ticket) * 1000),
-            left_ms=round((ticket.deadline - now) * 1000),
+            opens_at=opens_at,
+            now=now,
         )
-        return Reject(ticket=ticket, reason=reason, retry_after_s=bounded, step=step)
 
     def _take_end(self, ended: Ended, now: float) -> None:
         upstream = self.upstreams_by_name.get(ended.upstream)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -20,6 +20,7 @@
 from plankspindle_daemon.dispatch.place import Query
 from plankspindle_daemon.dispatch.region_limiter import RegionLimiter
 from plankspindle_daemon.dispatch.region_plan import RegionPlan
+from plankspindle_daemon.dispatch.withheld_upstreams import opening_of
 from plankspindle_daemon.upstreams.limit_gate import ASK_S
 
 if TYPE_CHECKING:
@@ -235,6 +236,38 @@
                 return NeedsToken(upstream)
         return None
 
+    def opens_at(
+        self, ticket: Ticket, by_name: Mapping[str, UpstreamState], now: float
+    ) -> float:
+        """Give when limits and rests leave an upstream for a request.
+
+        Returns
+        -------
+        float
+            Monotonic seconds; now if there may be one.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The request.
+        by_name : mapping of str to UpstreamState
+            All upstreams of the service.
+        now : float
+            Monotonic seconds.
+
+        Notes
+        -----
+        Tokens are asked for at the upstream planned for a key; any other that the key
+        knows takes the request only if a token lies ready.
+        """
+        if ticket.affinity is None:
+            return opening_of(by_name.values(), now) or now
+        names = self._present_order(ticket, by_name, now)
+        known = [by_name[name] for name in names]
+        if not known or not all(each.lacks_token(now) for each in known[1:]):
+            return now
+        return known[0].opens_at(now)
+
     def has_seen(self, key: str, upstream: str, now: float) -> bool:
         """Tell whether an upstream answered this VM for a key a while ago."""
         seen_at = self._seen_at_by_place.get((key, upstream))
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/rejections.py
@@ -0,0 +1,97 @@
+"""Rejections of requests, with the time to come back."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+
+from plankspindle_core.classes import define
+from plankspindle_daemon.admission.class_queue import ClassQueue
+from plankspindle_daemon.dispatch.duration_averages import DurationAverages
+from plankspindle_daemon.dispatch.messages import Reject
+from plankspindle_daemon.dispatch.messages import RejectReason
+from plankspindle_daemon.stories.steps import Rejected
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.admission.ticket import Ticket
+
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 30.0
+BUSY_RETRY_AFTER_S = 0.3
+"""Least time to come back for a request that found every fitting upstream busy."""
+
+
+@define(kw_only=True)
+class Rejections:
+    """Reject requests of one service, and count them.
+
+    Parameters
+    ----------
+    queue : ClassQueue
+        Requests that wait.
+    durations : DurationAverages
+        Averages of the service.
+    random : Random
+        Source of jitter, so that not all come back at once.
+
+    Attributes
+    ----------
+    count_by_reason : dict of RejectReason to int
+        Rejections so far.
+    """
+
+    queue: ClassQueue
+    durations: DurationAverages
+    random: Random
+    count_by_reason: dict[RejectReason, int] = Factory(dict)
+
+    def reject(
+        self,
+        ticket: Ticket,
+        reason: RejectReason,
+        *,
+        capacity: int,
+        in_flight: int,
+        opens_at: float | None,
+        now: float,
+    ) -> Reject:
+        """Reject a request.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The request.
+        reason : RejectReason
+            Why.
+        capacity, in_flight : int
+            Requests that may run at once, and that run.
+        opens_at : float, optional
+            When an upstream wants a request again, monotonic seconds.
+        now : float
+            Monotonic seconds.
+        """
+        self.count_by_reason[reason] = self.count_by_reason.get(reason, 0) + 1
+        wait = self.durations.wait_s(
+            ahead=self.queue.count_ahead(ticket.rank), capacity=capacity
+        )
+        wait *= self.random.uniform(1.0, 1.5)
+        if reason is RejectReason.BUSY:
+            wait = max(wait, BUSY_RETRY_AFTER_S * self.random.uniform(1.0, 2.0))
+        if opens_at is not None:
+            wait = max(wait, (opens_at - now) * self.random.uniform(1.0, 1.5))
+        bounded = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait))
+        usual_s = self.durations.expected_total(
+            operation=ticket.operation, declared_s=ticket.expected_s
+        )
+        step = Rejected(
+            reason=reason.value,
+            retry_after_ms=round(bounded * 1000),
+            queued=len(self.queue),
+            capacity=capacity,
+            in_flight=in_flight,
+            usual_ms=round(usual_s * 1000),
+            left_ms=round((ticket.deadline - now) * 1000),
+        )
+        return Reject(ticket=ticket, reason=reason, retry_after_s=bounded, step=step)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/service_book.py
@@ -282,6 +282,7 @@
             queue=ClassQueue(limit=service.queue_limit),
             probe_s=self.probe_s,
             shares_slots=not reported,
+            gate_by_life=self.gate_by_life,
         )
 
     def _use_upstreams(
--- a/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
@@ -27,6 +27,7 @@
 from plankspindle_daemon.node.effects import OfService
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+from plankspindle_daemon.stories.steps import Queued
 from plankspindle_daemon.upstreams.load_report import parse_load_report
 
 if TYPE_CHECKING:
@@ -112,7 +113,9 @@
     def _note_queued(self, service: str, ticket: Ticket, story: Story) -> None:
         dispatcher = self.node.dispatchers_by_service.get(service)
         if dispatcher is not None:
-            story.note(dispatcher.queued_step(ticket), monotonic())
+            queue = dispatcher.queue
+            ahead = queue.count_ahead(ticket.rank)
+            story.note(Queued(ahead=ahead, limit=queue.limit), monotonic())
 
     async def _give_back(self, service: str, decision: Assign | Reject | None) -> None:
         """Return a slot whose request was interrupted before it learned of it."""
--- a/packages/daemon/src/plankspindle_daemon/observability/instruments.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/instruments.py
@@ -86,7 +86,7 @@
         return [
             Observation(count, {"service": service, "reason": reason.value})
             for service, each in self._measures.node.dispatchers_by_service.items()
-            for reason, count in each.rejected_by_reason.items()
+            for reason, count in each.rejections.count_by_reason.items()
         ]
 
     def _retries(self) -> Iterable[Observation]:
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -148,7 +148,7 @@
         "assigned": dispatcher.assigned,
         "rejected": {
             reason.value: count
-            for reason, count in dispatcher.rejected_by_reason.items()
+            for reason, count in dispatcher.rejections.count_by_reason.items()
         },
         "upstreams": {
             name: _dump_upstream(upstream, now)
