Soak: upstreams that name limits, leave and ask for rest in their answers

At any moment, several at a time or a whole service, beside all other faults, with statements that can't be read as well. What they get is checked by the entry VM that relayed such an answer; a process that started again or stood still since is excused.

Seen while it was written: an entry VM that had left a silent upstream never saw the answer that said it leaves; the check takes answers that a caller got.

--- a/tests/fleet/soak/faults.py
+++ b/tests/fleet/soak/faults.py
@@ -11,6 +11,7 @@
 OF_VMS = ("kill", "stop", "term", "hup", "rolling", "herd-kill", "herd-stop", "hup-all")
 OF_LAPSES = ("lapse-away", "lapse-refused", "lapse-resets")
 OF_CRASHERS = ("crashing",)
+OF_STATEMENTS = ("limit", "rest", "say-leave", "misspeak")
 OF_SUSPENDS = ("suspend", "herd-suspend")
 OF_OPERATORS = ("change", "storm", "evacuate", "leave", "vanish")
 STORE_S = (0.2, 12.0)
@@ -27,6 +28,9 @@
 CRASHING_GAP_S = 20.0
 CRASHING_S = (4.0, 14.0)
 """Time for which a request under which upstreams crash comes again, in seconds."""
+STATEMENT_GAP_S = 5.0
+STATEMENT_S = (1.0, 12.0)
+"""Time for which upstreams say something of themselves, in seconds."""
 LAPSE_S = (3.0, 7.0)
 """Length of an outage in which entries lapse, in seconds."""
 
@@ -58,6 +62,7 @@
     faults += _draw_lapses(seed, seconds)
     faults += _draw_crashing(seed, seconds)
     faults += _draw_suspends(seed, seconds, vms)
+    faults += _draw_statements(seed, seconds)
     return sorted(faults, key=lambda each: each.at)
 
 
@@ -90,6 +95,15 @@
     return faults
 
 
+def _draw_statements(seed: int, seconds: float) -> list[SoakFault]:
+    """Draw what upstreams say of themselves from a source of its own, too."""
+    random = Random(f"statements of fleet soak {seed}")
+    return [
+        _fault(at, random.uniform(*STATEMENT_S), random.choice(OF_STATEMENTS), "")
+        for at in _times(random, STATEMENT_GAP_S, seconds)
+    ]
+
+
 def _times(random: Random, gap_s: float, seconds: float) -> list[float]:
     times = [random.expovariate(1 / gap_s)]
     while times[-1] < seconds:
--- a/tests/fleet/soak/fleet_soak.py
+++ b/tests/fleet/soak/fleet_soak.py
@@ -34,6 +34,8 @@
 from soak.lapses import LapseChecks
 from soak.layout import Bounds
 from soak.layout import Layout
+from soak.standstills import Standstills
+from soak.statements import Statements
 from soak.store import SoakStore
 from soak.striker import MODULE
 from soak.striker import Striker
@@ -138,6 +140,14 @@
             drain_s=bounds.drain,
             of_each_place=OF_EACH_PLACE[plan.seed % len(OF_EACH_PLACE)],
         )
+        crashers = Crashers(
+            checks=self.checks,
+            upstreams=upstreams,
+            front=self.layout.front,
+            vms=self.layout.names(),
+            seed=plan.seed,
+        )
+        standstills = Standstills()
         self.striker = Striker(
             layout=self.layout,
             processes=Processes(folder=Path(tempfile.mkdtemp(prefix="fleet-soak-"))),
@@ -151,13 +161,14 @@
                 vms=self.layout.names(),
                 seed=plan.seed,
             ),
-            crashers=Crashers(
+            crashers=crashers,
+            statements=Statements(
                 checks=self.checks,
                 upstreams=upstreams,
-                front=self.layout.front,
-                vms=self.layout.names(),
+                standstills=standstills,
                 seed=plan.seed,
             ),
+            standstills=standstills,
             proxies_by_vm={
                 vm: LinkProxy(
                     listens=self.layout.at(vm, 30), target=self.layout.at(vm, 31)
@@ -193,6 +204,7 @@
         self.checks.judge()
         striker.lapser.lapses.check(striker.upstreams.lives, ended_at)
         striker.crashers.check()
+        striker.statements.check()
         held_s = self.checks.disturbed.held_s(0.0, monotonic())
         self.checks.counts["seconds held up by the machine"] += round(held_s)
         self._write_history(wall)
--- /dev/null
+++ b/tests/fleet/soak/statements.py
@@ -0,0 +1,224 @@
+"""What upstreams of a soak say of themselves, and whether entry VMs go by it."""
+
+from __future__ import annotations
+
+from math import inf
+from random import Random
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import frozen
+from curio import sleep
+from curio import spawn
+
+from plankspindle_testkit.lab.statement_record import KNOWN_S
+from plankspindle_testkit.lab.statement_record import WINDOW_S
+from plankspindle_testkit.lab.statement_record import most_allowed
+from plankspindle_testkit.quota_fleet import most_in_window
+from soak.checks import Checks
+from soak.standstills import Standstills
+from soak.upstreams import Arrival
+from soak.upstreams import Upstream
+from soak.upstreams import Upstreams
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from plankspindle_testkit.soak.soak_fault import SoakFault
+
+MOST_IN_REST = 2
+MOST_STRUCK = 3
+WHOLE_SERVICE_PART = 0.2
+"""Part of the faults that strike all upstreams of a service."""
+LIMITS_PER_S = (0.0, 0.5, 1.0, 2.0, 4.0)
+RESTS_S = (0.3, 1.0, 2.0, 4.0)
+MISSPOKEN = (
+    (b"server-limit", b""),
+    (b"server-limit", b"-3"),
+    (b"server-limit", b"nan"),
+    (b"server-limit", b"9" * 60),
+    (b"server-limit", b"1, 2"),
+    (b"server-leaving", b""),
+    (b"server-leaving", b"maybe"),
+    (b"retry-after", b"-1"),
+    (b"retry-after", b"1e9"),
+)
+
+
+@frozen(kw_only=True)
+class Sender:
+    """One process of an entry VM."""
+
+    vm: str
+    life: int
+
+
+@frozen(kw_only=True)
+class Passed:
+    """A request at an upstream, with the process that it came from.
+
+    Parameters
+    ----------
+    sender : Sender
+        The process.
+    sent_at : float
+        When its caller sent it, monotonic seconds.
+    arrival : Arrival
+        Where and when it arrived, and what was said in the answer.
+    relayed_at : float
+        When its caller had the whole answer, monotonic seconds; infinite if it did not
+        get that one, since the process had left the upstream before.
+    """
+
+    sender: Sender
+    sent_at: float
+    arrival: Arrival
+    relayed_at: float
+
+
+@define(kw_only=True)
+class Statements:
+    """Let upstreams say things of themselves, and check what they get.
+
+    Parameters
+    ----------
+    checks : Checks
+        Where findings go.
+    upstreams : Upstreams
+        The upstreams.
+    standstills : Standstills
+        When processes stood still, which excuses them.
+    seed : int
+        Source of choices, with the time of the fault: a replay makes the same.
+    """
+
+    checks: Checks
+    upstreams: Upstreams
+    standstills: Standstills
+    seed: int
+
+    async def strike(self, fault: SoakFault) -> None:
+        """Let some upstreams say something for a while."""
+        random = Random(f"statements of {self.seed} at {fault.at}")
+        struck = self._draw(random)
+        if fault.kind == "say-leave":
+            for number in struck:
+                await spawn(self.upstreams.leave_unlisted, number, daemon=True)
+            return
+        lives = [self.upstreams.lives[number] for number in struck]
+        for upstream in lives:
+            match fault.kind:
+                case "limit":
+                    upstream.limit_per_s = random.choice(LIMITS_PER_S)
+                case "rest":
+                    upstream.rest_s = random.choice(RESTS_S)
+                case _:
+                    upstream.misspoken = random.choice(MISSPOKEN)
+        await sleep(fault.for_s)
+        for upstream in lives:
+            match fault.kind:
+                case "limit":
+                    upstream.limit_per_s = None
+                case "rest":
+                    upstream.rest_s = None
+                case _:
+                    upstream.misspoken = None
+
+    def _draw(self, random: Random) -> list[int]:
+        numbers = range(len(self.upstreams.lives))
+        if random.random() < WHOLE_SERVICE_PART:
+            service = self.upstreams.lives[random.choice(numbers)].service
+            return [n for n in numbers if self.upstreams.lives[n].service == service]
+        return random.sample(numbers, random.randint(1, MOST_STRUCK))
+
+    def check(self) -> None:
+        """Check all that was said, at the end."""
+        passed_by_upstream: dict[str, list[Passed]] = {}
+        for each in self._passed():
+            name = each.arrival.at.name
+            passed_by_upstream.setdefault(name, []).append(each)
+        for passed in passed_by_upstream.values():
+            upstream = passed[0].arrival.at
+            self._check_limits(upstream, passed)
+            self._check_leaving(upstream, passed)
+            self._check_rests(upstream, passed)
+
+    def _passed(self) -> Iterator[Passed]:
+        """Give the requests of which it is known what process sent them on."""
+        told_by_request = {each.request: each for each in self.checks.told}
+        last_by_request = {each.request: each for each in self.upstreams.arrivals}
+        for arrival in self.upstreams.arrivals:
+            told = told_by_request.get(arrival.request)
+            if told is None or told.life is None:
+                continue
+            is_last = last_by_request[arrival.request] is arrival
+            is_relayed = is_last and told.status is not None
+            yield Passed(
+                sender=Sender(vm=told.vm, life=told.life),
+                sent_at=told.sent_at,
+                arrival=arrival,
+                relayed_at=told.ended_at if is_relayed else inf,
+            )
+
+    def _goes_by(self, sender: Sender, told_at: float, at: float) -> bool:
+        """Tell whether a process must go by what it was told, at a later moment."""
+        due = self.checks.disturbed.later(told_at, KNOWN_S, at)
+        return at > due and not self.standstills.lasted_s(sender.vm, told_at, at)
+
+    def _check_limits(self, upstream: Upstream, passed: list[Passed]) -> None:
+        by_limit: dict[float, list[float]] = {}
+        told_at: dict[Sender, float] = {}
+        named: float | None = None
+        for each in passed:
+            limit = each.arrival.limit_per_s
+            if limit != named:
+                named, told_at = limit, {}
+            if limit is None:
+                continue
+            at = each.arrival.arrived_at
+            if self._goes_by(each.sender, told_at.get(each.sender, inf), at):
+                by_limit.setdefault(limit, []).append(at)
+            _note_told(told_at, each)
+        for limit, times in by_limit.items():
+            self.checks.counts["judged for limits"] += len(times)
+            most = most_in_window(times, WINDOW_S)
+            if most > most_allowed(limit):
+                detail = f"{upstream.name} got {most} in {WINDOW_S} s, limit {limit}"
+                self.checks.fail("limit", detail, times[-1])
+
+    def _check_leaving(self, upstream: Upstream, passed: list[Passed]) -> None:
+        told_at: dict[Sender, float] = {}
+        for each in passed:
+            at, sender = each.arrival.arrived_at, each.sender
+            since = told_at.get(sender, inf)
+            if at > since:
+                self.checks.counts["judged for leavings that were said"] += 1
+            due = self.checks.disturbed.later(since, self.checks.bounds.drain, at)
+            if each.sent_at > due and self._goes_by(sender, since, at):
+                detail = f"{upstream.name} had told {sender} {at - since:.3f} s before"
+                self.checks.fail("said leaving", detail, at)
+            if each.arrival.is_leaving:
+                _note_told(told_at, each)
+
+    def _check_rests(self, upstream: Upstream, passed: list[Passed]) -> None:
+        for asked in passed:
+            rest_s, since = asked.arrival.rest_s, asked.arrival.answered_at
+            if rest_s is None:
+                continue
+            self.checks.counts["judged for rests"] += 1
+            came = [
+                each.arrival.arrived_at
+                for each in passed
+                if each.sender == asked.sender
+                and each.arrival.arrived_at < since + rest_s
+                and self._goes_by(each.sender, since, each.arrival.arrived_at)
+            ]
+            if len(came) > MOST_IN_REST:
+                detail = f"{upstream.name} got {len(came)} from {asked.sender} in rest"
+                self.checks.fail("rest", detail, came[-1])
+
+
+def _note_told(told_at: dict[Sender, float], passed: Passed) -> None:
+    """Note from when a process knows what an answer said that it relayed."""
+    if passed.relayed_at < told_at.get(passed.sender, inf):
+        told_at[passed.sender] = passed.relayed_at
--- a/tests/fleet/soak/striker.py
+++ b/tests/fleet/soak/striker.py
@@ -26,6 +26,7 @@
 from soak.faults import OF_CRASHERS
 from soak.faults import OF_LAPSES
 from soak.faults import OF_OPERATORS
+from soak.faults import OF_STATEMENTS
 from soak.faults import OF_STORE
 from soak.history import Evacuation
 from soak.lapser import Lapser
@@ -33,6 +34,7 @@
 from soak.layout import ZONES
 from soak.layout import Layout
 from soak.standstills import Standstills
+from soak.statements import Statements
 from soak.store import SoakStore
 from soak.store import Trouble
 from soak.suspendable import SECONDS
@@ -70,6 +72,10 @@
         What lets entries lapse.
     crashers : Crashers
         What sends requests under which upstreams crash.
+    statements : Statements
+        What lets upstreams say things of themselves.
+    standstills : Standstills
+        When processes stood still.
     proxies_by_vm : dict of str to LinkProxy
         Links to the store.
     random : Random
@@ -85,6 +91,8 @@
     checks: Checks
     lapser: Lapser
     crashers: Crashers
+    statements: Statements
+    standstills: Standstills
     proxies_by_vm: dict[str, LinkProxy]
     random: Random
     module: str = MODULE
@@ -92,7 +100,6 @@
     lives_by_vm: Counter[str] = field(factory=Counter)
     started_at_by_vm: dict[str, float] = field(factory=dict)
     stopped: set[str] = field(factory=set)
-    standstills: Standstills = field(factory=Standstills)
     _is_evacuating: bool = False
     _operator: Lock = field(factory=Lock)
 
@@ -107,6 +114,8 @@
                 await self.lapser.strike(fault)
             case kind if kind in OF_CRASHERS:
                 await self.crashers.strike(fault.at, fault.for_s)
+            case kind if kind in OF_STATEMENTS:
+                await self.statements.strike(fault)
             case "forget":
                 self.checks.disturbed.begin(self._all(), monotonic()).end = monotonic()
                 self.store.forget()
--- a/tests/fleet/soak/upstreams.py
+++ b/tests/fleet/soak/upstreams.py
@@ -41,6 +41,9 @@
 LONG_PART = 0.1
 CUT_PART = 0.01
 TABLE = "servers"
+LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 CRASHING = "crashing-"
 """Begins the last part of the path of a request under which upstreams crash."""
 CRASH_AFTER_S = (0.02, 0.15)
@@ -66,6 +69,13 @@
         When the store acknowledged that it leaves or is gone, monotonic seconds.
     crashed_at : float
         When it ended under a request, monotonic seconds.
+    limit_per_s, rest_s : float, optional
+        Limit that it names, in requests a second, and rest that it asks for as it turns
+        requests away, in seconds.
+    is_saying_so : bool
+        Whether it says in answers that it leaves.
+    misspoken : tuple of (bytes, bytes), optional
+        A statement in its answers that cannot be read.
     """
 
     name: str
@@ -79,6 +89,10 @@
     has_vanished: bool = False
     crashed_at: float = inf
     sequence: int = 0
+    limit_per_s: float | None = None
+    rest_s: float | None = None
+    is_saying_so: bool = False
+    misspoken: tuple[bytes, bytes] | None = None
 
     @property
     def has_crashed(self) -> bool:
@@ -91,6 +105,17 @@
         goes = self.is_draining or self.is_lapsed or self.has_crashed
         return self.is_listed and not goes
 
+    def statements(self) -> HeaderList:
+        """Give what its answers say of it."""
+        said: HeaderList = []
+        if self.limit_per_s is not None:
+            said.append((LIMIT, str(self.limit_per_s).encode()))
+        if self.is_saying_so or self.is_draining:
+            said.append((LEAVING, b"1"))
+        if self.misspoken is not None:
+            said.append(self.misspoken)
+        return said
+
     def row(self) -> dict[str, Any] | None:
         """Give its entry in the store, or None if it is gone or has lapsed."""
         if not self.is_listed or self.is_lapsed:
@@ -140,6 +165,39 @@
     keeps_key: bool = True
 
 
+@define(kw_only=True)
+class Arrival:
+    """A request that reached an upstream, and what was said in the answer.
+
+    Parameters
+    ----------
+    at : Upstream
+        Where.
+    request : str
+        Its id.
+    arrived_at, answered_at : float
+        Monotonic seconds.
+    limit_per_s, rest_s : float, optional
+        Limit that was named, in requests a second, and rest asked for, in seconds.
+    is_leaving : bool
+        Whether the answer said that the upstream leaves.
+    """
+
+    at: Upstream
+    request: str
+    arrived_at: float
+    answered_at: float = inf
+    limit_per_s: float | None = None
+    rest_s: float | None = None
+    is_leaving: bool = False
+
+    def note_answer(self, now: float) -> None:
+        """Note what the upstream says of itself as it answers."""
+        self.answered_at = now
+        self.limit_per_s = self.at.limit_per_s
+        self.is_leaving = self.at.is_saying_so or self.at.is_draining
+
+
 @define(kw_only=True)
 class Upstreams:
     """All upstreams: as many of each service in each zone.
@@ -165,6 +223,7 @@
     of_each_place: int
     lives: list[Upstream] = Factory(list)
     runs_by_id: dict[str, list[Run]] = Factory(dict)
+    arrivals: list[Arrival] = Factory(list)
     crashed_at_by_path: dict[str, list[float]] = Factory(dict)
     crashed: list[Upstream] = Factory(list)
     _servers: list[HttpServer] = Factory(list)
@@ -227,6 +286,16 @@
         upstream.left_at = min(upstream.left_at, gone_at)
         await self.replace(number)
 
+    async def leave_unlisted(self, number: int) -> None:
+        """Let an upstream say only in answers that it leaves, then let it go."""
+        upstream = self.lives[number]
+        if not upstream.is_staying or upstream.is_saying_so:
+            return
+        upstream.is_saying_so = True
+        await sleep(self.drain_s + LINGER_S)
+        if self.lives[number] is upstream and upstream.is_staying:
+            await self.leave(number, says_so=False)
+
     def drop(self, number: int, *, is_gone: bool) -> None:
         """Drop an entry while the store is away, of one that lives on or is gone."""
         upstream = self.lives[number]
@@ -287,13 +356,18 @@
         arrived_at = monotonic()
         await source.read_body(max_bytes=100_000)
         request = find_header(source.headers, ID) or b""
-        own = [(ID, request), (INSTANCE, upstream.name.encode())]
+        own: HeaderList = [(ID, request), (INSTANCE, upstream.name.encode())]
         wanted = find_header(source.headers, DIALECT.wanted_upstream or b"")
         if wanted is not None and wanted.decode() != upstream.name:
             await source.answer(status=421, headers=own)
             return
         if not request:
-            await source.answer(status=200, headers=own)
+            await source.answer(status=200, headers=[*own, *upstream.statements()])
+            return
+        arrival = Arrival(at=upstream, request=request.decode(), arrived_at=arrived_at)
+        self.arrivals.append(arrival)
+        if upstream.rest_s is not None:
+            await self._turn_away(upstream, arrival, source, own)
             return
         left = [
             each
@@ -321,7 +395,23 @@
             source.abort()
             return
         signed = (b"x-plankspindle-response-signature", upstream.name.encode())
-        await source.answer(status=200, headers=[*own, signed], body=b"done")
+        arrival.note_answer(monotonic())
+        headers = [*own, signed, *upstream.statements()]
+        await source.answer(status=200, headers=headers, body=b"done")
+
+    async def _turn_away(
+        self,
+        upstream: Upstream,
+        arrival: Arrival,
+        source: ServerExchange,
+        own: HeaderList,
+    ) -> None:
+        """Answer that a request was not run, and ask for rest."""
+        arrival.note_answer(monotonic())
+        arrival.rest_s = upstream.rest_s
+        rest = [(DIALECT.not_run, b"1"), (RETRY_AFTER, str(upstream.rest_s).encode())]
+        headers = [*own, *rest, *upstream.statements()]
+        await source.answer(status=503, headers=headers)
 
 
 def _keeps_key(headers: HeaderList) -> bool:
