--- a/tests/fleet/soak/mutant.py
+++ b/tests/fleet/soak/mutant.py
@@ -13,6 +13,8 @@
 
 from curio import sleep
 
+from plankspindle_daemon.upstreams.upstream_statement import SAYS_NOTHING
+from plankspindle_platform import dialect
 from plankspindle_platform import operator_reader
 from plankspindle_platform import store_platform
 
@@ -113,6 +115,12 @@
     timer.start()
 
 
+def hear_nothing() -> None:
+    """Pass over all that upstreams say of themselves."""
+    nothing = lambda _status, _headers: SAYS_NOTHING  # noqa: E731
+    object.__setattr__(dialect.DIALECT, "read_statement", nothing)
+
+
 if __name__ == "__main__":
     deeds = (
         be_late,
@@ -123,6 +131,7 @@
         stay,
         cut,
         end,
+        hear_nothing,
     )
     {each.__name__: each for each in deeds}[os.environ["PLANKSPINDLE_MUTANT"]]()
     runpy.run_module("plankspindle_platform", run_name="__main__")
--- a/tests/fleet/soak/statements.py
+++ b/tests/fleet/soak/statements.py
@@ -178,7 +178,8 @@
             at = each.arrival.arrived_at
             if self._goes_by(each.sender, told_at.get(each.sender, inf), at):
                 by_limit.setdefault(limit, []).append(at)
-            _note_told(told_at, each)
+            if each.arrival.names_limit:
+                _note_told(told_at, each)
         for limit, times in by_limit.items():
             self.checks.counts["judged for limits"] += len(times)
             most = most_in_window(times, WINDOW_S)
--- a/tests/fleet/soak/upstreams.py
+++ b/tests/fleet/soak/upstreams.py
@@ -44,6 +44,8 @@
 LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+LEFT_OUT_PART = 0.05
+"""Part of the answers that leave the limit out, as answers to failed requests may."""
 CRASHING = "crashing-"
 """Begins the last part of the path of a request under which upstreams crash."""
 CRASH_AFTER_S = (0.02, 0.15)
@@ -105,10 +107,10 @@
         goes = self.is_draining or self.is_lapsed or self.has_crashed
         return self.is_listed and not goes
 
-    def statements(self) -> HeaderList:
-        """Give what its answers say of it."""
+    def statements(self, *, names_limit: bool = True) -> HeaderList:
+        """Give what its answers say of it; some leave the limit out."""
         said: HeaderList = []
-        if self.limit_per_s is not None:
+        if self.limit_per_s is not None and names_limit:
             said.append((LIMIT, str(self.limit_per_s).encode()))
         if self.is_saying_so or self.is_draining:
             said.append((LEAVING, b"1"))
@@ -178,7 +180,9 @@
     arrived_at, answered_at : float
         Monotonic seconds.
     limit_per_s, rest_s : float, optional
-        Limit that was named, in requests a second, and rest asked for, in seconds.
+        Limit of that moment, in requests a second, and rest asked for, in seconds.
+    names_limit : bool
+        Whether the answer names the limit.
     is_leaving : bool
         Whether the answer said that the upstream leaves.
     """
@@ -188,6 +192,7 @@
     arrived_at: float
     answered_at: float = inf
     limit_per_s: float | None = None
+    names_limit: bool = True
     rest_s: float | None = None
     is_leaving: bool = False
 
@@ -227,6 +232,7 @@
     crashed_at_by_path: dict[str, list[float]] = Factory(dict)
     crashed: list[Upstream] = Factory(list)
     _servers: list[HttpServer] = Factory(list)
+    _left_out: Random = Factory(lambda: Random("limits left out"))
 
     async def start(self) -> None:
         """Listen and enter all of them."""
@@ -364,7 +370,12 @@
         if not request:
             await source.answer(status=200, headers=[*own, *upstream.statements()])
             return
-        arrival = Arrival(at=upstream, request=request.decode(), arrived_at=arrived_at)
+        arrival = Arrival(
+            at=upstream,
+            request=request.decode(),
+            arrived_at=arrived_at,
+            names_limit=self._left_out.random() >= LEFT_OUT_PART,
+        )
         self.arrivals.append(arrival)
         if upstream.rest_s is not None:
             await self._turn_away(upstream, arrival, source, own)
@@ -396,7 +407,8 @@
             return
         signed = (b"x-plankspindle-response-signature", upstream.name.encode())
         arrival.note_answer(monotonic())
-        headers = [*own, signed, *upstream.statements()]
+        said = upstream.statements(names_limit=arrival.names_limit)
+        headers = [*own, signed, *said]
         await source.answer(status=200, headers=headers, body=b"done")
 
     async def _turn_away(
@@ -410,7 +422,8 @@
         arrival.note_answer(monotonic())
         arrival.rest_s = upstream.rest_s
         rest = [(DIALECT.not_run, b"1"), (RETRY_AFTER, str(upstream.rest_s).encode())]
-        headers = [*own, *rest, *upstream.statements()]
+        said = upstream.statements(names_limit=arrival.names_limit)
+        headers = [*own, *rest, *said]
         await source.answer(status=503, headers=headers)
 
 
--- a/tests/fleet/test_fleet_soak.py
+++ b/tests/fleet/test_fleet_soak.py
@@ -49,6 +49,7 @@
 SUSPEND = SHORT.with_name("suspend.jsonl")
 PAUSED = re.compile(r"event=paused .*seconds=([0-9.]+)")
 CRASHING = SHORT.with_name("crashing.jsonl")
+STATEMENTS = SHORT.with_name("statements.jsonl")
 DESK, VAULT = (
     Upstream(
         name=f"i-{service}",
@@ -126,6 +127,19 @@
         assert max(paused_s, default=0.0) >= least_s
 
 
+def test_entry_vms_go_by_what_upstreams_say_of_themselves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Upstreams that name limits, leave and ask for rest, beside a kill and a freeze.
+
+    Seen: upstreams that had named a limit went on getting four times that; one that had
+    said it leaves, and ones that had asked for rest, went on getting requests.
+    """
+    verdict = soak(monkeypatch, STATEMENTS, seed=4, first_port=28_700)
+    assert verdict.broken == []
+    assert verdict.counts["judged for rests"] > 10
+
+
 def test_faults_of_a_seed_are_the_same_each_time() -> None:
     vms = ["edge-0", "edge-1"]
     assert draw(7, seconds=60, vms=vms) == draw(7, seconds=60, vms=vms)
--- /dev/null
+++ b/tests/fleet/test_statement_checks.py
@@ -0,0 +1,135 @@
+"""The soak's checks of what upstreams say of themselves can fail."""
+
+from __future__ import annotations
+
+from random import Random
+
+from soak.checks import Checks
+from soak.checks import Told
+from soak.history import Disturbances
+from soak.history import History
+from soak.layout import Bounds
+from soak.layout import Layout
+from soak.standstills import Standstills
+from soak.statements import Statements
+from soak.store import SoakStore
+from soak.upstreams import Arrival
+from soak.upstreams import Upstream
+from soak.upstreams import Upstreams
+
+from plankspindle_core.endpoint import Endpoint
+
+VM = "edge-0"
+NOW = 100.0
+
+
+class Run:
+    """Requests of one entry VM to one upstream, as a soak has noted them."""
+
+    def __init__(self) -> None:
+        bounds = Bounds.of_seed(0)
+        self.checks = Checks(
+            bounds=bounds,
+            history=History(random=Random(1)),
+            disturbed=Disturbances(contact_s=bounds.contact),
+        )
+        self.upstreams = Upstreams(
+            layout=Layout(vms=1, first_port=28_900),
+            store=SoakStore(Random(1)),
+            random=Random(1),
+            drain_s=bounds.drain,
+            of_each_place=1,
+        )
+        self.statements = Statements(
+            checks=self.checks,
+            upstreams=self.upstreams,
+            standstills=Standstills(),
+            seed=1,
+        )
+        self.at = Upstream(
+            name="i-1", service="desk", zone="", endpoint=Endpoint("127.0.0.9", 9)
+        )
+
+    def send(self, after_s: float, life: int = 1) -> Arrival:
+        """Note a request and its answer, with what the upstream says now."""
+        number, at = str(len(self.checks.told)), NOW + after_s
+        arrival = Arrival(at=self.at, request=number, arrived_at=at + 0.01)
+        arrival.note_answer(at + 0.02)
+        arrival.rest_s = self.at.rest_s
+        self.upstreams.arrivals.append(arrival)
+        told = Told(
+            request=number,
+            vm=VM,
+            prefix="/m0/",
+            life=life,
+            sent_at=at,
+            ended_at=at + 0.03,
+            status=200,
+        )
+        self.checks.told.append(told)
+        return arrival
+
+    def broken(self) -> list[str]:
+        self.statements.check()
+        return [each.check for each in self.checks.broken]
+
+
+def test_more_than_a_limit_allows_is_found() -> None:
+    run = Run()
+    run.at.limit_per_s = 2.0
+    for number in range(30):
+        run.send(number * 0.1)
+    assert run.broken() == ["limit"]
+
+
+def test_what_a_limit_allows_is_not_a_finding() -> None:
+    run = Run()
+    run.at.limit_per_s = 2.0
+    for number in range(30):
+        run.send(number * 0.5)
+    assert run.broken() == []
+
+
+def test_requests_of_a_process_that_was_not_told_are_not_judged() -> None:
+    run = Run()
+    run.at.limit_per_s = 2.0
+    for number in range(30):
+        run.send(number * 0.1, life=number)
+    assert run.broken() == []
+
+
+def test_a_request_to_an_upstream_that_said_it_leaves_is_found() -> None:
+    run = Run()
+    run.at.is_saying_so = True
+    run.send(0.0)
+    run.send(run.checks.bounds.drain + 0.1)
+    assert run.broken() == ["said leaving"]
+
+
+def test_a_process_that_stood_still_since_is_excused() -> None:
+    run = Run()
+    run.at.is_saying_so = True
+    run.send(0.0)
+    run.send(run.checks.bounds.drain + 0.1)
+    run.statements.standstills.begin(VM, NOW + 1.0).end = NOW + 1.5
+    assert run.broken() == []
+
+
+def test_three_requests_in_a_rest_are_found() -> None:
+    run = Run()
+    run.at.rest_s = 3.0
+    run.send(0.0)
+    run.at.rest_s = None
+    for after_s in (0.4, 0.6, 1.0, 2.0, 3.5):
+        run.send(after_s)
+    assert run.broken() == ["rest"]
+
+
+def test_two_requests_in_a_rest_are_allowed() -> None:
+    run = Run()
+    run.at.rest_s = 3.0
+    run.send(0.0)
+    run.at.rest_s = None
+    for after_s in (0.4, 0.6, 1.0, 3.5):
+        run.send(after_s)
+    assert run.broken() == []
