--- a/packages/testkit/src/plankspindle_testkit/bench/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/__main__.py
@@ -8,6 +8,7 @@
 from plankspindle_testkit.bench.detection_bench import run_detection_bench
 from plankspindle_testkit.bench.drain_bench import run_drain_bench
 from plankspindle_testkit.bench.headroom_bench import run_headroom_bench
+from plankspindle_testkit.bench.limit_bench import run_limit_bench
 from plankspindle_testkit.bench.log_bench import run_log_bench
 from plankspindle_testkit.bench.lookup_bench import run_lookup_bench
 from plankspindle_testkit.bench.policy_bench import run_balancing_bench
@@ -33,6 +34,7 @@
     "log": run_log_bench,
     "lookup": run_lookup_bench,
     "proxy": run_proxy_bench,
+    "limit": run_limit_bench,
     "quota": run_quota_bench,
 }
 
