--- a/packages/client/src/plankspindle_client/explaining/cause.py
+++ b/packages/client/src/plankspindle_client/explaining/cause.py
@@ -11,6 +11,7 @@
 
 
 KEY_REVOKED = "key-revoked"
+WITHHELD = "withheld"
 
 
 def cause_of(story: RequestStory) -> str:
@@ -61,6 +62,11 @@
         f" {rejected.number('left_ms')} ms were left; it was told to come back after"
         f" {rejected.number('retry_after_ms')} ms."
     )
+    if rejected.fields.get("reason") == WITHHELD:
+        text += (
+            " Every upstream that may take it rests, or names a limit over all entry"
+            " VMs that is used up: look for upstream_stated above."
+        )
     if attempted is None:
         return text
     return f"{text} Before that, an attempt ended: {attempted.fields.get('came')}."
--- a/packages/client/tests/console/test_explain.py
+++ b/packages/client/tests/console/test_explain.py
@@ -63,6 +63,13 @@
     )
 
 
+def test_a_rejection_for_limits_or_rests_says_where_to_look() -> None:
+    rejected = line("request_rejected", 10.2, request="r", step=2, reason="withheld")
+    told = explain("r", log=[rejected, *REJECTED[1:]]).output.splitlines()[-1]
+    assert "rests, or names a limit" in told
+    assert "upstream_stated" in told
+
+
 def test_a_lost_answer_is_told_with_why_there_was_no_retry() -> None:
     log = [
         line("attempt_sent", 1.0, request="r", step=1),
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -158,6 +158,7 @@
 
 
 def _dump_upstream(upstream: UpstreamState, now: float) -> dict[str, Any]:
+    gate = upstream.limit_gate()
     return {
         "standing": upstream.standing(now).value,
         "evidence": upstream.evidence,
@@ -167,6 +168,9 @@
         "in_flight": upstream.ledger.in_flight,
         "health": type(upstream.health.state).__name__,
         "leaving": upstream.leaving,
+        "fleet_limit_per_s": None if gate is None else gate.limit_per_s,
+        "fleet_limit_used": 0 if gate is None else gate.used,
+        "rests_ms": round(1000 * (upstream.health.rests_until(now) - now)),
         "relative_latency": round(upstream.relative_latency, 3),
     }
 
