A limit that nobody wants tokens of costs no messages

What was seen (by reading): a VM that had been told of a limit went on claiming shares for as long as it knew of it, also where the upstream had gone: 9 to 19 messages a VM and second for good. Cause: limits counted as needed as long as any was known. Change: claims, leases and looks at who is there are needed while tokens are wanted, given in the last minute, or news waits to be sent again. The limit itself stays known. The test failed before.

--- a/packages/daemon/src/plankspindle_daemon/quotas/upstream_limits.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/upstream_limits.py
@@ -110,8 +110,12 @@
 
     @property
     def is_needed(self) -> bool:
-        """Whether this VM has limits to keep, or tokens to give."""
-        return bool(self.gate_by_life) or len(self.holder) > 0
+        """Whether there are tokens to give or get, or news to send again.
+
+        A limit that nobody wants tokens of costs no messages.
+        """
+        has_tokens = len(self.holder) > 0 or bool(self._asks_by_ticket)
+        return has_tokens or len(self._outbox) > 0
 
     def limit_of(self, life: str) -> NamedLimit | None:
         """Give the limit of an upstream, as far as this VM knows."""
--- a/packages/daemon/tests/quotas/test_limit_loads.py
+++ b/packages/daemon/tests/quotas/test_limit_loads.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from plankspindle_daemon.quotas.limit_holder import KEEP_S
 from plankspindle_testkit.lab.statement_record import WINDOW_S
 from plankspindle_testkit.lab.statement_record import most_allowed
 from plankspindle_testkit.quota_fleet import QuotaFleet
@@ -181,6 +182,19 @@
         assert not vm.quotas.limits.gate_by_life
 
 
+def test_a_limit_that_nobody_wants_tokens_of_costs_no_messages() -> None:
+    fleet = build_fleet(9)
+    name_limit(fleet, 4.6)
+    fleet.run(5.0, load(fleet))
+    fleet.run(KEEP_S + 10.0)
+    sent = fleet.sent_by_kind.total()
+    fleet.run(10.0)
+    assert fleet.sent_by_kind.total() == sent
+    fleet.run(6.0, load(fleet))
+    assert_bound(fleet)
+    assert used(fleet, LIFE, 4.0) > 0.5
+
+
 def test_several_limits_are_kept_each() -> None:
     fleet = build_fleet(67)
     name_limit(fleet, 4.6)
