--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -10,9 +10,7 @@
 from plankspindle_core.configuration.upstream import Upstream
 from plankspindle_daemon.upstreams.cold_gate import ColdGate
 from plankspindle_daemon.upstreams.health import BackedOff
-from plankspindle_daemon.upstreams.health import Ramping
 from plankspindle_daemon.upstreams.health import UpstreamHealth
-from plankspindle_daemon.upstreams.health import Warm
 from plankspindle_daemon.upstreams.heard_statements import HeardStatements
 from plankspindle_daemon.upstreams.limit_gate import LimitGate
 from plankspindle_daemon.upstreams.limit_gate import life_of
@@ -23,6 +21,7 @@
 from plankspindle_daemon.upstreams.silence import Silence
 from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
 from plankspindle_daemon.upstreams.standing import Standing
+from plankspindle_daemon.upstreams.standing import standing_of
 from plankspindle_daemon.upstreams.upstream_statement import SAYS_NOTHING
 from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
 
@@ -214,22 +213,7 @@
 
     def standing(self, now: float) -> Standing:
         """Say what is believed of it, the gravest first."""
-        if self.is_misplaced:
-            return Standing.MISPLACED
-        if self.leaving:
-            return Standing.LEAVING
-        if self.drained_at is not None and now >= self.drained_at:
-            return Standing.DRAINED
-        if self.is_unconfirmed:
-            return Standing.UNCONFIRMED
-        match self.health.state:
-            case Warm():
-                is_cold = self.cold is not None and now < self.cold.until
-                return Standing.COLD if is_cold else Standing.WELL
-            case BackedOff():
-                return Standing.BACKED_OFF
-            case Ramping():
-                return Standing.WARMING_UP
+        return standing_of(self, now)
 
     def report_age_ms(self, now: float) -> int | None:
         """Give the age of the load that its answers told; None if there is none."""
--- a/packages/testkit/src/plankspindle_testkit/lab/ends.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/ends.py
@@ -5,9 +5,11 @@
 from typing import TYPE_CHECKING
 
 from plankspindle_daemon.dispatch.messages import Ended
+from plankspindle_daemon.dispatch.messages import Stated
 from plankspindle_daemon.dispatch.messages import Verdict
 
 if TYPE_CHECKING:
+    from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
     from plankspindle_testkit.lab.requests import AnswerTold
     from plankspindle_testkit.lab.requests import Handled
 
@@ -81,3 +83,13 @@
         verdict=Verdict.CANCELLED,
         incarnation=incarnation,
     )
+
+
+def stated_of(handled: Handled, upstream: str, statement: UpstreamStatement) -> Stated:
+    """Give what an upstream said of itself in its answer to a request."""
+    return Stated(
+        upstream=upstream,
+        incarnation=handled.incarnation,
+        statement=statement,
+        sent_at=handled.sent_at,
+    )
--- a/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/exchanges.py
@@ -15,7 +15,6 @@
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import Ended
 from plankspindle_daemon.dispatch.messages import Reject
-from plankspindle_daemon.dispatch.messages import Stated
 from plankspindle_daemon.dispatch.messages import Verdict
 from plankspindle_daemon.dispatch.messages import Withdrawn
 from plankspindle_daemon.exchange import patience
@@ -28,6 +27,7 @@
 from plankspindle_testkit.lab.ends import answered_of
 from plankspindle_testkit.lab.ends import ended_of
 from plankspindle_testkit.lab.ends import given_back
+from plankspindle_testkit.lab.ends import stated_of
 from plankspindle_testkit.lab.modelled_upstream import Work
 from plankspindle_testkit.lab.oracle import Oracle
 from plankspindle_testkit.lab.outcomes import Outcome
@@ -369,13 +369,7 @@
         upstream, vm = handled.upstream, handled.vm
         if upstream is None or self.oracle is not None:
             return
-        stated = Stated(
-            upstream=upstream,
-            incarnation=handled.incarnation,
-            statement=statement,
-            sent_at=handled.sent_at,
-        )
-        self.handle(vm, handled.service, stated)
+        self.handle(vm, handled.service, stated_of(handled, upstream, statement))
         self.statements.note_told(upstream, vm.name, statement, self.clock.now)
 
     def _report_crash(self, handled: Handled) -> None:
