Ask for no token where a request may not run

What was seen (by reading): a request without a key that may run in named regions only asked for tokens of limited upstreams elsewhere when nothing else had room, and waited for them in vain. Cause: the upstream to wait for was sought among all of the service. Change: one place tells where a request is permitted, for choosing and for waiting.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -230,10 +230,7 @@
     def _may_run_at(self, ticket: Ticket, upstream: UpstreamState) -> bool:
         if upstream.name in ticket.excluded:
             return False
-        if not ticket.regions or self.placement is None:
-            return True
-        domain = upstream.upstream.failure_domain
-        return self.placement.distances.region_of(domain) in ticket.regions
+        return self.placement is None or self.placement.is_permitted(upstream, ticket)
 
     def _serve(self, now: float) -> list[DispatchEffect]:
         effects: list[DispatchEffect] = []
--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -231,21 +231,23 @@
             gate = upstream.limit_gate()
             if gate is None or gate.has_token(query.now):
                 continue
+            if not self.is_permitted(upstream, query.ticket):
+                continue
             is_open = gate.is_asking(query.now) or gate.may_ask(query.now)
             if is_open and upstream.is_usable(query.now):
                 return NeedsToken(upstream)
         return None
 
+    def is_permitted(self, upstream: UpstreamState, ticket: Ticket) -> bool:
+        """Tell whether a request may run in the region of an upstream."""
+        domain = upstream.upstream.failure_domain
+        return not ticket.regions or self.distances.region_of(domain) in ticket.regions
+
     def opens_at(
         self, ticket: Ticket, by_name: Mapping[str, UpstreamState], now: float
     ) -> float:
         """Give when limits and rests leave an upstream for a request.
 
-        Returns
-        -------
-        float
-            Monotonic seconds; now if there may be one.
-
         Parameters
         ----------
         ticket : Ticket
@@ -255,6 +257,11 @@
         now : float
             Monotonic seconds.
 
+        Returns
+        -------
+        float
+            Monotonic seconds; now if there may be one.
+
         Notes
         -----
         Tokens are asked for at the upstream planned for a key; any other that the key
--- a/packages/daemon/tests/dispatch/test_limited_upstreams.py
+++ b/packages/daemon/tests/dispatch/test_limited_upstreams.py
@@ -81,3 +81,25 @@
     assert gate.is_asking(NOW + ASK_S / 2)
     assert not gate.may_ask(NOW + ASK_S / 2)
     assert gate.may_ask(NOW + ASK_S)
+
+
+def test_no_token_is_asked_for_where_a_request_may_not_run() -> None:
+    dispatcher = build_reporting_dispatcher("u")
+    limit(dispatcher, "u")
+    ticket = build_ticket(
+        1, deadline=NOW + 5, hold_until=HOLD_UNTIL, regions=frozenset({"elsewhere"})
+    )
+    (rejected,) = dispatcher.handle(Arrived(ticket), NOW)
+    assert isinstance(rejected, Reject)
+    assert rejected.reason is RejectReason.NO_UPSTREAM
+
+
+def test_a_retry_waits_for_no_token() -> None:
+    dispatcher = build_reporting_dispatcher("u", "v")
+    limit(dispatcher, "u")
+    ticket = build_ticket(
+        1, deadline=NOW + 5, hold_until=HOLD_UNTIL, excluded=frozenset({"v"})
+    )
+    assert not any(
+        isinstance(each, WantToken) for each in dispatcher.handle(Arrived(ticket), NOW)
+    )
