Soak: an upstream that keeps requests away by what it says need not be used

Traced by the logs: i-22-0 and i-8-0 had said that they leave, in answers only, and were listed again after a lapse; entry VMs kept from them, as they must. Change: those checks pass over a time in which upstreams limit, rest or say that they leave, and contact after it. Nothing else is narrowed. A whole service names limits of 2 or 4 a second only, so that they end before its calm end is judged.

--- a/tests/fleet/soak/fleet_soak.py
+++ b/tests/fleet/soak/fleet_soak.py
@@ -157,7 +157,11 @@
             lapser=Lapser(
                 store=store,
                 upstreams=upstreams,
-                lapses=LapseChecks(checks=self.checks, crashed=upstreams.crashed),
+                lapses=LapseChecks(
+                    checks=self.checks,
+                    crashed=upstreams.crashed,
+                    spoken=upstreams.spoken,
+                ),
                 vms=self.layout.names(),
                 seed=plan.seed,
             ),
--- a/tests/fleet/soak/lapses.py
+++ b/tests/fleet/soak/lapses.py
@@ -76,6 +76,8 @@
     crashed : list of Upstream
         Upstreams that ended under requests. Their services may have none left for a
         while, where one crashes beside others that leave or are evacuated.
+    spoken : list of Upstream
+        Those that said something which keeps requests away.
 
     Attributes
     ----------
@@ -85,6 +87,7 @@
 
     checks: Checks
     crashed: list[Upstream] = Factory(list)
+    spoken: list[Upstream] = Factory(list)
     lapses: list[Lapse] = Factory(list)
     uses: list[str] = Factory(list)
 
@@ -150,6 +153,8 @@
         services = {each.service_by_prefix.get(told.prefix) for each in possible}
         if None in services or self._has_crashed(services, told.sent_at):
             return False
+        if self._is_withheld(services, told.sent_at, told.ended_at):
+            return False
         return self.checks.disturbed.is_calm(told.vm, told.sent_at, told.ended_at)
 
     def _has_crashed(self, services: set[str | None], now: float) -> bool:
@@ -161,6 +166,14 @@
             for each in self.crashed
         )
 
+    def _is_withheld(self, services: set[str | None], begin: float, end: float) -> bool:
+        """Tell whether upstreams of services keep requests away, or did just before."""
+        contact_s = self.checks.bounds.contact
+        return any(
+            each.service in services and each.is_withheld(begin - contact_s, end)
+            for each in self.spoken
+        )
+
     def _check_used_again(
         self,
         lapse: Lapse,
@@ -171,7 +184,8 @@
     ) -> None:
         """Check that an upstream gets its part of what its service and region get."""
         begin = back_at + self.checks.bounds.contact
-        ends = (upstream.left_at, upstream.crashed_at, end)
+        spoke_at = (each.begin for each in upstream.withheld if each.end > begin)
+        ends = (upstream.left_at, upstream.crashed_at, *spoke_at, end)
         until = min([*ends, *self._later_lapses(lapse, upstream)])
         rivals = sum(_is_rival(each, upstream) for each in upstreams)
         expected: Counter[str] = Counter()
--- a/tests/fleet/soak/statements.py
+++ b/tests/fleet/soak/statements.py
@@ -11,6 +11,7 @@
 from curio import sleep
 from curio import spawn
 
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_testkit.lab.statement_record import KNOWN_S
 from plankspindle_testkit.lab.statement_record import WINDOW_S
 from plankspindle_testkit.lab.statement_record import most_allowed
@@ -31,6 +32,8 @@
 WHOLE_SERVICE_PART = 0.2
 """Part of the faults that strike all upstreams of a service."""
 LIMITS_PER_S = (0.0, 0.5, 1.0, 2.0, 4.0)
+WHOLE_LIMITS_PER_S = (2.0, 4.0)
+"""Limits of a whole service, which end soon enough for its calm end to be judged."""
 RESTS_S = (0.3, 1.0, 2.0, 4.0)
 MISSPOKEN = (
     (b"server-limit", b""),
@@ -106,23 +109,16 @@
                 await spawn(self.upstreams.leave_unlisted, number, daemon=True)
             return
         lives = [self.upstreams.lives[number] for number in struck]
+        spans = []
         for upstream in lives:
-            match fault.kind:
-                case "limit":
-                    upstream.limit_per_s = random.choice(LIMITS_PER_S)
-                case "rest":
-                    upstream.rest_s = random.choice(RESTS_S)
-                case _:
-                    upstream.misspoken = random.choice(MISSPOKEN)
+            if fault.kind != "misspeak":
+                spans.append(self.upstreams.note_withheld(upstream))
+            _speak(upstream, fault.kind, random, is_whole=len(lives) > MOST_STRUCK)
         await sleep(fault.for_s)
         for upstream in lives:
-            match fault.kind:
-                case "limit":
-                    upstream.limit_per_s = None
-                case "rest":
-                    upstream.rest_s = None
-                case _:
-                    upstream.misspoken = None
+            _fall_silent(upstream, fault.kind)
+        for span in spans:
+            span.end = monotonic()
 
     def _draw(self, random: Random) -> list[int]:
         numbers = range(len(self.upstreams.lives))
@@ -223,3 +219,24 @@
     """Note from when a process knows what an answer said that it relayed."""
     if passed.relayed_at < told_at.get(passed.sender, inf):
         told_at[passed.sender] = passed.relayed_at
+
+
+def _speak(upstream: Upstream, kind: str, random: Random, *, is_whole: bool) -> None:
+    match kind:
+        case "limit":
+            limits = WHOLE_LIMITS_PER_S if is_whole else LIMITS_PER_S
+            upstream.limit_per_s = random.choice(limits)
+        case "rest":
+            upstream.rest_s = random.choice(RESTS_S)
+        case _:
+            upstream.misspoken = random.choice(MISSPOKEN)
+
+
+def _fall_silent(upstream: Upstream, kind: str) -> None:
+    match kind:
+        case "limit":
+            upstream.limit_per_s = None
+        case "rest":
+            upstream.rest_s = None
+        case _:
+            upstream.misspoken = None
--- a/tests/fleet/soak/upstreams.py
+++ b/tests/fleet/soak/upstreams.py
@@ -21,6 +21,7 @@
 from plankspindle_platform.dialect import DIALECT
 from soak.history import CREDENTIALS
 from soak.history import WORKSPACE
+from soak.history import Span
 from soak.layout import SERVICES
 from soak.layout import SLOTS
 from soak.layout import ZONES
@@ -78,6 +79,8 @@
         Whether it says in answers that it leaves.
     misspoken : tuple of (bytes, bytes), optional
         A statement in its answers that cannot be read.
+    withheld : list of Span
+        When it said something that keeps requests away.
     """
 
     name: str
@@ -95,6 +98,7 @@
     rest_s: float | None = None
     is_saying_so: bool = False
     misspoken: tuple[bytes, bytes] | None = None
+    withheld: list[Span] = Factory(list)
 
     @property
     def has_crashed(self) -> bool:
@@ -107,6 +111,10 @@
         goes = self.is_draining or self.is_lapsed or self.has_crashed
         return self.is_listed and not goes
 
+    def is_withheld(self, begin: float, end: float) -> bool:
+        """Tell whether it kept requests away between two moments."""
+        return any(each.begin <= end and begin <= each.end for each in self.withheld)
+
     def statements(self, *, names_limit: bool = True) -> HeaderList:
         """Give what its answers say of it; some leave the limit out."""
         said: HeaderList = []
@@ -231,6 +239,7 @@
     arrivals: list[Arrival] = Factory(list)
     crashed_at_by_path: dict[str, list[float]] = Factory(dict)
     crashed: list[Upstream] = Factory(list)
+    spoken: list[Upstream] = Factory(list)
     _servers: list[HttpServer] = Factory(list)
     _left_out: Random = Factory(lambda: Random("limits left out"))
 
@@ -298,10 +307,18 @@
         if not upstream.is_staying or upstream.is_saying_so:
             return
         upstream.is_saying_so = True
+        self.note_withheld(upstream)
         await sleep(self.drain_s + LINGER_S)
         if self.lives[number] is upstream and upstream.is_staying:
             await self.leave(number, says_so=False)
 
+    def note_withheld(self, upstream: Upstream) -> Span:
+        """Note that an upstream keeps requests away by what it says from now on."""
+        span = Span(begin=monotonic())
+        upstream.withheld.append(span)
+        self.spoken.append(upstream)
+        return span
+
     def drop(self, number: int, *, is_gone: bool) -> None:
         """Drop an entry while the store is away, of one that lives on or is gone."""
         upstream = self.lives[number]
--- a/tests/fleet/test_statement_checks.py
+++ b/tests/fleet/test_statement_checks.py
@@ -8,6 +8,7 @@
 from soak.checks import Told
 from soak.history import Disturbances
 from soak.history import History
+from soak.history import Span
 from soak.layout import Bounds
 from soak.layout import Layout
 from soak.standstills import Standstills
@@ -133,3 +134,10 @@
     for after_s in (0.4, 0.6, 1.0, 3.5):
         run.send(after_s)
     assert run.broken() == []
+
+
+def test_an_upstream_keeps_requests_away_while_it_says_something() -> None:
+    at = Run().at
+    at.withheld.append(Span(begin=NOW, end=NOW + 2.0))
+    assert at.is_withheld(NOW + 1.0, NOW + 1.5)
+    assert not at.is_withheld(NOW + 2.1, NOW + 3.0)
