--- a/tests/fleet/soak/upstreams.py
+++ b/tests/fleet/soak/upstreams.py
@@ -205,10 +205,17 @@
     is_leaving: bool = False
 
     def note_answer(self, now: float) -> None:
-        """Note what the upstream says of itself as it answers."""
+        """Note what the upstream says of itself as it answers.
+
+        What is said twice, once so that it cannot be read, counts as not said.
+        """
+        spoilt = self.at.misspoken[0] if self.at.misspoken else None
         self.answered_at = now
         self.limit_per_s = self.at.limit_per_s
-        self.is_leaving = self.at.is_saying_so or self.at.is_draining
+        self.names_limit = self.names_limit and spoilt != LIMIT
+        is_leaving = self.at.is_saying_so or self.at.is_draining
+        self.is_leaving = is_leaving and spoilt != LEAVING
+        self.rest_s = None if spoilt == RETRY_AFTER else self.at.rest_s
 
 
 @define(kw_only=True)
@@ -423,8 +430,9 @@
             source.abort()
             return
         signed = (b"x-plankspindle-response-signature", upstream.name.encode())
-        arrival.note_answer(monotonic())
         said = upstream.statements(names_limit=arrival.names_limit)
+        arrival.note_answer(monotonic())
+        arrival.rest_s = None
         headers = [*own, signed, *said]
         await source.answer(status=200, headers=headers, body=b"done")
 
@@ -436,10 +444,9 @@
         own: HeaderList,
     ) -> None:
         """Answer that a request was not run, and ask for rest."""
+        said = upstream.statements(names_limit=arrival.names_limit)
         arrival.note_answer(monotonic())
-        arrival.rest_s = upstream.rest_s
         rest = [(DIALECT.not_run, b"1"), (RETRY_AFTER, str(upstream.rest_s).encode())]
-        said = upstream.statements(names_limit=arrival.names_limit)
         headers = [*own, *rest, *said]
         await source.answer(status=503, headers=headers)
 
--- a/tests/fleet/test_statement_checks.py
+++ b/tests/fleet/test_statement_checks.py
@@ -56,7 +56,6 @@
         number, at = str(len(self.checks.told)), NOW + after_s
         arrival = Arrival(at=self.at, request=number, arrived_at=at + 0.01)
         arrival.note_answer(at + 0.02)
-        arrival.rest_s = self.at.rest_s
         self.upstreams.arrivals.append(arrival)
         told = Told(
             request=number,
@@ -141,3 +140,13 @@
     at.withheld.append(Span(begin=NOW, end=NOW + 2.0))
     assert at.is_withheld(NOW + 1.0, NOW + 1.5)
     assert not at.is_withheld(NOW + 2.1, NOW + 3.0)
+
+
+def test_what_is_said_twice_and_spoilt_once_counts_as_not_said() -> None:
+    run = Run()
+    run.at.rest_s, run.at.is_saying_so, run.at.limit_per_s = 3.0, True, 0.0
+    for name in (b"retry-after", b"server-leaving", b"server-limit"):
+        run.at.misspoken = (name, b"-1")
+        arrival = run.send(0.0)
+        said = (arrival.rest_s, arrival.is_leaving, arrival.names_limit)
+        assert said.count(None) + said.count(False) == 1
