A leaving that is said while the entry is gone from the list is kept

What was seen (by reading): an upstream whose entry the list had dropped with requests in flight counts as leaving already, and what its answer said was then not remembered; listed again, it would have been used. Change: the statement is remembered in any case. The test failed before.

--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -150,9 +150,10 @@
     def note_statement(self, statement: UpstreamStatement, now: float) -> None:
         """Take what it said of itself in an answer."""
         self.stated = statement
-        if statement.is_leaving and not self.leaving:
-            self.note_evidence("it says that it leaves", now)
+        if statement.is_leaving:
             self.heard.note_leaving(self.life)
+            if not self.leaving:
+                self.note_evidence("it says that it leaves", now)
             self.leaving = True
         if statement.rest_s is not None:
             until = self.heard.note_rest(self.life, now + statement.rest_s)
--- a/packages/daemon/tests/node/test_upstream_statements.py
+++ b/packages/daemon/tests/node/test_upstream_statements.py
@@ -186,3 +186,14 @@
     state(node, 1.2, RESTS)
     read_list(node, 2.0, SECOND)
     assert isinstance(send(node, 2.1), Assign)
+
+
+def test_a_leaving_said_while_the_entry_has_lapsed_is_kept() -> None:
+    node = build_node()
+    read_list(node, 1.0, FIRST)
+    send(node, 1.0)
+    # What the list does to an upstream whose entry is gone while requests run there.
+    node.dispatchers_by_service["registry"].upstreams_by_name["u"].leaving = True
+    state(node, 1.5, LEAVES)
+    read_list(node, 2.0, FIRST)
+    assert_refused(send(node, 2.1))
