--- a/packages/daemon/src/plankspindle_daemon/listeners/runtime_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/runtime_dump.py
@@ -47,6 +47,8 @@
         "platform": {
             "available": platform.calls.available,
             "failure": platform.calls.last_failure,
+            "era": platform.calls.era.number,
+            "returns_from_copy": platform.calls.era.returns,
             "reads": platform.calls.calls_by_kind[CallKind.READ],
             "writes": platform.calls.calls_by_kind[CallKind.WRITE],
             "refused_by_budget": platform.calls.refused_by_budget,
--- a/packages/daemon/src/plankspindle_daemon/observability/instruments.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/instruments.py
@@ -53,6 +53,7 @@
         self._add_gauge("upstreams_limited", self._upstreams_limited)
         self._add_gauge("quarantined_requests", self._quarantined_requests)
         self._add_gauge("platform_available", self._platform_available)
+        self._add_gauge("platform_era", self._platform_era)
         self._add_gauge("queued", self._queued)
         self._add_gauge("in_flight", self._in_flight)
         self._add_gauge("configuration_version", self._configuration_version)
@@ -179,6 +180,9 @@
     def _platform_available(self) -> Iterable[Observation]:
         return [Observation(int(self._sources.calls.available))]
 
+    def _platform_era(self) -> Iterable[Observation]:
+        return [Observation(self._sources.calls.era.number)]
+
     def _queued(self) -> Iterable[Observation]:
         return [
             Observation(len(each.queue), {"service": service})
--- a/packages/daemon/src/plankspindle_daemon/platform/bounded_calls.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/bounded_calls.py
@@ -19,6 +19,7 @@
 from plankspindle_core.token_bucket import TokenBucket
 from plankspindle_daemon.platform.circuit_breaker import CircuitBreaker
 from plankspindle_daemon.platform.errors import PlatformUnavailable
+from plankspindle_daemon.platform.store_era import StoreEra
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -70,6 +71,8 @@
         Calls not made, since the circuit breaker was open.
     last_failure : str or None
         Detail of the last failed call.
+    era : StoreEra
+        Era of the store, as the answers name it.
     durations_by_kind_and_outcome : dict of (str, str) to Histogram
         Durations in seconds by kind and outcome (``answered`` or ``failed``).
         Answered long polls are left out, since the platform delays them on purpose.
@@ -85,6 +88,7 @@
     )
     refused_by_breaker: int = 0
     last_failure: str | None = None
+    era: StoreEra = field(factory=StoreEra)
     durations_by_kind_and_outcome: dict[tuple[str, str], Histogram] = field(
         factory=dict
     )
