--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/configuration/configuration_in_force.py
@@ -0,0 +1,59 @@
+"""The version of the configuration in force on a VM."""
+
+from __future__ import annotations
+
+from attrs import Factory
+
+from plankspindle_core.classes import define
+from plankspindle_core.configuration.configuration import Configuration
+from plankspindle_core.invariants import check_invariant
+from plankspindle_daemon.configuration.retained_drains import RetainedDrains
+from plankspindle_daemon.versions.configuration_version import NO_VERSION
+from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
+from plankspindle_daemon.versions.store_era import UNKNOWN_ERA
+
+
+@define(kw_only=True)
+class ConfigurationInForce:
+    """The newest version that this VM knows, which never reverts.
+
+    Attributes
+    ----------
+    version : ConfigurationVersion
+        The version; ``NO_VERSION`` before the first.
+    content : Configuration or None
+        The version as applied, with drains that are retained after a return from a copy
+        of the platform's store.
+    adopted_at : float or None
+        When the version was adopted, monotonic seconds.
+    retained_drains : RetainedDrains
+        Drains that the store lost.
+    """
+
+    version: ConfigurationVersion = NO_VERSION
+    content: Configuration | None = None
+    adopted_at: float | None = None
+    retained_drains: RetainedDrains = Factory(RetainedDrains)
+    _accepted: Configuration | None = None
+
+    def adopt(
+        self, accepted: Configuration, version: ConfigurationVersion, now: float
+    ) -> Configuration | None:
+        """Adopt a version; return the content to apply, or None if it is not newer."""
+        if version <= self.version:
+            return None
+        before, self.version = self.version, version
+        check_invariant("configuration-never-reverts", self.version > before)
+        if version.era > before.era > UNKNOWN_ERA:
+            self.retained_drains.begin(self.content, now)
+        self.adopted_at = now
+        self._accepted = accepted
+        self.content = self.retained_drains.apply(accepted, now)
+        return self.content
+
+    def end_retention_if_due(self, now: float) -> Configuration | None:
+        """Return the content to apply if retained drains end now."""
+        if not self.retained_drains.end_if_due(now) or self.content == self._accepted:
+            return None
+        self.content = self._accepted
+        return self.content
--- a/packages/daemon/src/plankspindle_daemon/configuration/configuration_reader.py
+++ b/packages/daemon/src/plankspindle_daemon/configuration/configuration_reader.py
@@ -14,11 +14,11 @@
 from plankspindle_core.configuration.codec import decode_configuration
 from plankspindle_core.configuration.configuration import Configuration
 from plankspindle_daemon.configuration.head_row import HEAD_KEY
-from plankspindle_daemon.configuration.head_row import HeadRow
 from plankspindle_daemon.configuration.head_row import head_row_from_mapping
 from plankspindle_daemon.configuration.head_row import object_name
 from plankspindle_daemon.platform.platform_client import PlatformClient
 from plankspindle_daemon.platform.table import ABSENT
+from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
 
 @frozen
@@ -36,9 +36,20 @@
 
 @frozen(kw_only=True)
 class AcceptedVersion:
-    """An accepted version: its head row and its valid content."""
+    """An accepted version of the configuration.
 
-    head: HeadRow
+    Parameters
+    ----------
+    version : ConfigurationVersion
+        The version.
+    plan : str
+        Identifier of the plan that created it.
+    configuration : Configuration
+        Its valid content.
+    """
+
+    version: ConfigurationVersion
+    plan: str
     configuration: Configuration
 
 
@@ -46,13 +57,13 @@
     """Interface for reading accepted versions of the configuration."""
 
     async def read_newer(
-        self, version: int, wait_s: float | None = None
+        self, version: ConfigurationVersion, wait_s: float | None = None
     ) -> Result[AcceptedVersion | None, ConfigurationReadFailed]:
         """Return the newest version if it is higher than a given one.
 
         Parameters
         ----------
-        version : int
+        version : ConfigurationVersion
             Version in force.
         wait_s : float, optional
             Maximum time to wait for a newer version in seconds, on platforms that
@@ -73,13 +84,13 @@
     platform: PlatformClient
 
     async def read_newer(
-        self, version: int, wait_s: float | None = None
+        self, version: ConfigurationVersion, wait_s: float | None = None
     ) -> Result[AcceptedVersion | None, ConfigurationReadFailed]:
         """Return the newest version if it is higher than a given one.
 
         Parameters
         ----------
-        version : int
+        version : ConfigurationVersion
             Version in force.
         wait_s : float, optional
             Ignored: the product's own platform does not announce changes.
@@ -98,11 +109,16 @@
         head = head_row_from_mapping(row.unwrap().value)
         if head.is_err():
             return Err(ConfigurationReadFailed(head.unwrap_err().detail))
-        if head.unwrap().version <= version:
+        accepted = ConfigurationVersion(
+            revision=head.unwrap().version, era=self.platform.calls.era.number
+        )
+        if accepted <= version:
             return Ok(None)
         content = await self.read_content(head.unwrap().digest)
         return content.map(
-            lambda found: AcceptedVersion(head=head.unwrap(), configuration=found)
+            lambda found: AcceptedVersion(
+                version=accepted, plan=head.unwrap().plan, configuration=found
+            )
         )
 
     async def read_content(
--- a/packages/daemon/src/plankspindle_daemon/configuration/version_exchange.py
+++ b/packages/daemon/src/plankspindle_daemon/configuration/version_exchange.py
@@ -16,6 +16,8 @@
 from plankspindle_core.configuration.codec import content_digest
 from plankspindle_daemon.peer_messages.content_messages import ContentChunk
 from plankspindle_daemon.peer_messages.content_messages import ContentRequest
+from plankspindle_daemon.versions.configuration_version import NO_VERSION
+from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -45,7 +47,7 @@
 class FetchedContent:
     """Complete content fetched from a member, which matches its digest."""
 
-    version: int
+    version: ConfigurationVersion
     content: bytes
 
 
@@ -62,7 +64,7 @@
 @define(kw_only=True)
 class _Fetch:
     source: str
-    version: int
+    version: ConfigurationVersion
     started_at: float
     requested_at: float
     received_at: float
@@ -111,20 +113,22 @@
     """
 
     vm: str
-    version: int = 0
+    version: ConfigurationVersion = NO_VERSION
     fetched_count: int = 0
     damaged_count: int = 0
     _make_content: Callable[[], bytes] = bytes
     _offer: _Offer | None = None
     _fetch: _Fetch | None = None
 
-    def serve_version(self, version: int, make_content: Callable[[], bytes]) -> None:
+    def serve_version(
+        self, version: ConfigurationVersion, make_content: Callable[[], bytes]
+    ) -> None:
         """Serve a version that is in force.
 
         Parameters
         ----------
-        version : int
-            Number of the version.
+        version : ConfigurationVersion
+            The version.
         make_content : callable
             Encodes the content. It is called at the first request, since most members
             read the version themselves or request it from another member.
@@ -157,7 +161,7 @@
         return self.vm in members[:READER_COUNT] or now - reported_at > READER_TIMEOUT_S
 
     def handle_announcement(
-        self, sender: str, version: int, now: float
+        self, sender: str, version: ConfigurationVersion, now: float
     ) -> list[ContentRequest]:
         """Handle the version that a member announces; request it if it is higher."""
         if version <= self.version:
@@ -188,7 +192,7 @@
     def chunk_for(self, request: ContentRequest) -> ContentChunk | None:
         """Return a chunk of the version in force; None if the request is invalid."""
         is_misaligned = request.offset % CHUNK_BYTES
-        if request.version != self.version or is_misaligned or self.version == 0:
+        if is_misaligned or not self._is_in_force(request.version):
             return None
         if self._offer is None:
             self._offer = _Offer.of(self._make_content())
@@ -205,6 +209,18 @@
             data=compressed[request.offset : end],
         )
 
+    def _is_in_force(self, requested: ConfigurationVersion) -> bool:
+        """Return whether a member requests the version in force.
+
+        A member that knows no eras and revisions requests a version by its number.
+        """
+        if self.version.is_none:
+            return False
+        return requested in (
+            self.version,
+            ConfigurationVersion(number=self.version.number),
+        )
+
     def handle_chunk(self, chunk: ContentChunk, now: float) -> ChunkResult:
         """Handle a received chunk.
 
--- a/packages/daemon/src/plankspindle_daemon/digests/digest_exchange.py
+++ b/packages/daemon/src/plankspindle_daemon/digests/digest_exchange.py
@@ -25,6 +25,7 @@
     from plankspindle_core.configuration.configuration import Configuration
     from plankspindle_core.configuration.shift import Shift
     from plankspindle_daemon.dispatch.dispatcher import Dispatcher
+    from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
 DIGEST_PERIOD_S = 1.0
 """Period of load digests, on which forecasts of shift plans are based, in seconds."""
@@ -67,7 +68,10 @@
     _next_digest_at: float = 0.0
 
     def own_digest(
-        self, dispatchers_by_service: Mapping[str, Dispatcher], version: int, now: float
+        self,
+        dispatchers_by_service: Mapping[str, Dispatcher],
+        version: ConfigurationVersion,
+        now: float,
     ) -> LoadDigest:
         """Return the load digest of this VM.
 
@@ -75,7 +79,7 @@
         ----------
         dispatchers_by_service : mapping of str to Dispatcher
             Dispatchers of this VM.
-        version : int
+        version : ConfigurationVersion
             Version of the configuration in force.
         now : float
             Monotonic seconds.
@@ -91,7 +95,7 @@
         self,
         dispatchers_by_service: Mapping[str, Dispatcher],
         *,
-        version: int,
+        version: ConfigurationVersion,
         shifts: Iterable[Shift],
         configuration: Configuration | None,
         drained: AbstractSet[str],
@@ -104,7 +108,10 @@
         ]
 
     def _send_digests(
-        self, dispatchers_by_service: Mapping[str, Dispatcher], version: int, now: float
+        self,
+        dispatchers_by_service: Mapping[str, Dispatcher],
+        version: ConfigurationVersion,
+        now: float,
     ) -> list[SendToPeer]:
         """Return digests for one VM of each failure domain, once a period."""
         if now < self._next_digest_at:
--- a/packages/daemon/src/plankspindle_daemon/dispatch/service_registry.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/service_registry.py
@@ -32,6 +32,8 @@
 from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
 from plankspindle_daemon.upstreams.statement_store import StatementStore
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
+from plankspindle_daemon.versions.configuration_version import NO_VERSION
+from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -99,7 +101,7 @@
     dispatchers_by_service: dict[str, Dispatcher] = Factory(dict)
     budgets_by_service: dict[str, RetryBudget] = Factory(dict)
     _configuration: Configuration | None = None
-    _version: int = 0
+    _version: ConfigurationVersion = NO_VERSION
     _had_drains: bool = False
     _cold_limits: ColdRateLimits = field(init=False)
 
@@ -115,7 +117,12 @@
         )
 
     def apply_configuration(
-        self, configuration: Configuration, *, version: int, now: float, wall: float
+        self,
+        configuration: Configuration,
+        *,
+        version: ConfigurationVersion,
+        now: float,
+        wall: float,
     ) -> None:
         """Apply the services and upstreams of a new configuration version.
 
@@ -123,8 +130,8 @@
         ----------
         configuration : Configuration
             The configuration.
-        version : int
-            Its version number.
+        version : ConfigurationVersion
+            The version.
         now : float
             Monotonic time in seconds.
         wall : float
@@ -321,7 +328,7 @@
         upstream: Upstream,
         now: float,
     ) -> UpstreamState:
-        is_new = self._version > 1 and now > self.ramping_from
+        is_new = self._version.revision > 1 and now > self.ramping_from
         reported = service.slot_sharing is SlotSharing.REPORTED
         dispatcher.shares_slots |= not reported
         ledger = (
--- a/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
@@ -147,7 +147,7 @@
             )
             return
         content = configuration_to_mapping(configuration)
-        shown = {"version": self.node.version, "configuration": content}
+        shown = {"version": self.node.version.number, "configuration": content}
         await answer_json(source, 200, shown)
 
     async def _lift_quarantine(self, source: ServerExchange, body: bytes) -> None:
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -180,7 +180,7 @@
         self, trace: RequestTrace, resolved: ResolvedRequest, deadline: RequestDeadline
     ) -> None:
         now = monotonic()
-        adopted_at = self.node.adopted_at
+        adopted_at = self.node.in_force.adopted_at
         trace.service = resolved.request.service
         trace.rank = resolved.identity.rank
         trace.target_s = resolved.target_s
@@ -192,7 +192,9 @@
             max_attempts=resolved.max_attempts,
             timeout_ms=resolved.operation.timeout_ms,
             left_ms=round((deadline.monotonic_s - now) * 1000),
-            version=self.node.version,
+            version=self.node.version.number,
+            revision=self.node.version.revision,
+            era=self.node.version.era,
             version_age_ms=(
                 None if adopted_at is None else round((now - adopted_at) * 1000)
             ),
--- a/packages/daemon/src/plankspindle_daemon/membership/member.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/member.py
@@ -9,6 +9,8 @@
 from plankspindle_core.classes import define
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.peer_messages.readiness import Readiness
+from plankspindle_daemon.versions.configuration_version import NO_VERSION
+from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
 if TYPE_CHECKING:
     from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
@@ -68,7 +70,7 @@
     last_heartbeat_at: float | None = None
     view_digest: int = 0
     over_share: frozenset[str] = frozenset()
-    configuration_version: int = 0
+    configuration_version: ConfigurationVersion = NO_VERSION
     listed_leaving: bool = False
     suspected_by: set[str] = Factory(set)
 
--- a/packages/daemon/src/plankspindle_daemon/node/configuration_follower.py
+++ b/packages/daemon/src/plankspindle_daemon/node/configuration_follower.py
@@ -85,7 +85,7 @@
         wait_s = self._wait_s(started_at)
         read = await self.reader.read_newer(self.node.version, wait_s)
         if read.is_err():
-            detail, version = read.unwrap_err().detail, self.node.version
+            detail, version = read.unwrap_err().detail, self.node.version.number
             self._read_monitor.record_failure(
                 detail, started_at=started_at, now=monotonic(), version=version
             )
--- a/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
@@ -44,6 +44,7 @@
     from plankspindle_daemon.membership.messages import MembershipEvent
     from plankspindle_daemon.node.effects import NodeEffect
     from plankspindle_daemon.peer_messages.peer_message import PeerMessage
+    from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
 FINAL_HEARTBEAT_COUNT = 3
 
@@ -179,17 +180,21 @@
         """Put a version in force that was read from the platform."""
         before = self.node.version
         effects = self.node.adopt(
-            newer.configuration, version=newer.head.version, now=monotonic()
+            newer.configuration, version=newer.version, now=monotonic()
         )
-        self._log_adopted(before=before, plan=newer.head.plan, source="platform")
+        self._log_adopted(before=before, plan=newer.plan, source="platform")
         await self.perform(effects)
 
-    def _log_adopted(self, *, before: int, plan: str | None, source: str) -> None:
+    def _log_adopted(
+        self, *, before: ConfigurationVersion, plan: str | None, source: str
+    ) -> None:
         configuration = self.node.configuration
         log_event(
             "configuration_adopted",
-            version=self.node.version,
-            before=before,
+            version=self.node.version.number,
+            before=before.number,
+            revision=self.node.version.revision,
+            era=self.node.version.era,
             plan=plan or None,
             source=source,
             routes=None if configuration is None else len(configuration.routes_by_name),
--- a/packages/daemon/src/plankspindle_daemon/node/effects.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effects.py
@@ -4,7 +4,10 @@
 
 from plankspindle_core.classes import frozen
 from plankspindle_daemon.dispatch.messages import DispatchEffect
+from plankspindle_daemon.membership.messages import LeaveRequested
+from plankspindle_daemon.membership.messages import MembershipEffect
 from plankspindle_daemon.membership.messages import SendHeartbeat
+from plankspindle_daemon.membership.messages import ViewChanged
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.quotas.messages import TokenRefused
 from plankspindle_daemon.quotas.messages import TokenTaken
@@ -33,3 +36,16 @@
     | TokenTaken
     | TokenRefused
 )
+
+
+def convert_effect(effect: MembershipEffect) -> list[NodeEffect]:
+    """Convert an effect of the membership into effects of the node."""
+    match effect:
+        case LeaveRequested(reason=reason):
+            return [BeginLeaving(reason)]
+        case ViewChanged():
+            # Lookups are refreshed in the node's tick. Refreshed here, each of 194
+            # first heartbeats at a start cost 4 ms.
+            return []
+        case _:
+            return [effect]
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -12,10 +12,11 @@
 from plankspindle_core.classes import define
 from plankspindle_core.configuration.codec import decode_configuration
 from plankspindle_core.configuration.codec import encode_configuration
-from plankspindle_core.configuration.configuration import Configuration
 from plankspindle_core.endpoint import Endpoint
-from plankspindle_core.invariants import check_invariant
 from plankspindle_daemon.admission.caller_directory import CallerDirectory
+from plankspindle_daemon.configuration.configuration_in_force import (
+    ConfigurationInForce,
+)
 from plankspindle_daemon.configuration.version_exchange import FetchedContent
 from plankspindle_daemon.digests.digest_exchange import DigestExchange
 from plankspindle_daemon.dispatch import messages as dispatch
@@ -27,8 +28,8 @@
 from plankspindle_daemon.leaving.leave import Leave
 from plankspindle_daemon.membership import messages as membership
 from plankspindle_daemon.membership.membership import Membership
-from plankspindle_daemon.node.effects import BeginLeaving
 from plankspindle_daemon.node.effects import NodeEffect
+from plankspindle_daemon.node.effects import convert_effect
 from plankspindle_daemon.node.limited_dispatch import LimitedDispatch
 from plankspindle_daemon.node.self_report import SelfReport
 from plankspindle_daemon.node.shared_slots import SharedSlots
@@ -45,15 +46,16 @@
 from plankspindle_daemon.shifts.shift_meter import ShiftMeter
 
 if TYPE_CHECKING:
+    from plankspindle_core.configuration.configuration import Configuration
     from plankspindle_daemon.dispatch.dispatcher import Dispatcher
     from plankspindle_daemon.dispatch.messages import DispatchEvent
-    from plankspindle_daemon.membership.messages import MembershipEffect
     from plankspindle_daemon.membership.messages import MembershipEvent
     from plankspindle_daemon.peer_messages.content_messages import ContentChunk
     from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
     from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
     from plankspindle_daemon.peer_messages.readiness import Readiness
     from plankspindle_daemon.steering.steering import Steering
+    from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
 REFRESH_PERIOD_S = 0.25
 
@@ -95,10 +97,8 @@
 
     Attributes
     ----------
-    configuration : Configuration or None
-        The version in force.
-    version : int
-        Number of that version, which never decreases; zero before the first.
+    in_force : ConfigurationInForce
+        The version of the configuration in force.
     """
 
     vm: str
@@ -117,9 +117,7 @@
     shared_read_period_s: float = 0.0
     recovery_s: float = RECOVERY_S
     quota_options: QuotaOptions = Factory(QuotaOptions)
-    configuration: Configuration | None = None
-    version: int = 0
-    adopted_at: float | None = None
+    in_force: ConfigurationInForce = Factory(ConfigurationInForce)
     directory: CallerDirectory | None = None
     routes: RouteTable = Factory(lambda: RouteTable(routes_by_name={}))
     services: ServiceRegistry = field(init=False)
@@ -221,6 +219,16 @@
             self_report=self.self_report,
         )
 
+    @property
+    def configuration(self) -> Configuration | None:
+        """Content of the configuration in force."""
+        return self.in_force.content
+
+    @property
+    def version(self) -> ConfigurationVersion:
+        """Version of the configuration in force, which never decreases."""
+        return self.in_force.version
+
     @property
     def dispatchers_by_service(self) -> dict[str, Dispatcher]:
         """Queues and upstreams of each service."""
@@ -232,7 +240,7 @@
         return self.steering_updater.steering
 
     def adopt(
-        self, configuration: Configuration, *, version: int, now: float
+        self, configuration: Configuration, *, version: ConfigurationVersion, now: float
     ) -> list[NodeEffect]:
         """Put a version of the configuration in force as a whole.
 
@@ -240,8 +248,8 @@
         ----------
         configuration : Configuration
             A valid version.
-        version : int
-            Its number; the call has no effect unless it is higher than the present one.
+        version : ConfigurationVersion
+            The version; without effect unless it is higher than the present one.
         now : float
             Monotonic seconds.
 
@@ -250,15 +258,17 @@
         list of NodeEffect
             Messages on the new version, and effects for waiting requests.
         """
-        if version <= self.version:
+        content = self.in_force.adopt(configuration, version, now)
+        if content is None:
             return []
-        before, self.configuration = self.version, configuration
-        self.version = version
         self.versions.exchange.serve_version(
             version, partial(encode_configuration, configuration)
         )
-        self.adopted_at = now
-        check_invariant("configuration-never-reverts", self.version > before)
+        return [*self.versions.announce(), *self._apply_configuration(content, now)]
+
+    def _apply_configuration(
+        self, configuration: Configuration, now: float
+    ) -> list[NodeEffect]:
         self.directory = CallerDirectory(configuration=configuration)
         self.steering_updater.use_configuration(configuration)
         region = configuration.region_of(self.failure_domain)
@@ -269,13 +279,10 @@
         self.quotas.update_configuration(configuration)
         wall = now + self._wall_offset_s
         self.services.apply_configuration(
-            configuration, version=version, now=now, wall=wall
+            configuration, version=self.version, now=now, wall=wall
         )
         self.steering_updater.refresh(self.version, now)
-        return [
-            *self.versions.announce(),
-            *self.shared_slots.update_shares(self.configuration, now),
-        ]
+        return [*self.shared_slots.update_shares(configuration, now)]
 
     def receive_content_chunk(
         self, chunk: ContentChunk, now: float
@@ -300,7 +307,7 @@
             Monotonic seconds; seconds since the Unix epoch, for planned leaving.
         """
         changes = self.membership.handle(event, now)
-        effects = [each for effect in changes for each in self._convert_effect(effect)]
+        effects = [each for effect in changes for each in convert_effect(effect)]
         if isinstance(event, membership.HeartbeatReceived):
             effects += self.versions.receive_heartbeat(event.heartbeat, now)
             UnresponsiveHintRelay(services=self.services).apply(event.heartbeat, now)
@@ -313,17 +320,6 @@
             self.steering_updater.refresh(self.version, now)
         return [*effects, *self.shared_slots.update_shares(self.configuration, now)]
 
-    def _convert_effect(self, effect: MembershipEffect) -> list[NodeEffect]:
-        match effect:
-            case membership.LeaveRequested(reason=reason):
-                return [BeginLeaving(reason)]
-            case membership.ViewChanged():
-                # Lookups are refreshed in tick. Refreshed here, each of 194 first
-                # heartbeats at a start cost 4 ms.
-                return []
-            case _:
-                return [effect]
-
     def handle_dispatch(
         self, service: str, event: DispatchEvent, now: float
     ) -> list[NodeEffect]:
@@ -333,6 +329,9 @@
     def tick(self, *, now: float, wall: float) -> list[NodeEffect]:
         """Do all work that is due by now."""
         effects = self.handle_membership(membership.TimePassed(), now=now, wall=wall)
+        without_retained = self.in_force.end_retention_if_due(now)
+        if without_retained is not None:
+            effects += self._apply_configuration(without_retained, now)
         for service in self.dispatchers_by_service:
             effects += self.handle_dispatch(service, dispatch.TimePassed(), now)
         if now >= self._next_refresh_at:
--- a/packages/daemon/src/plankspindle_daemon/node/self_report.py
+++ b/packages/daemon/src/plankspindle_daemon/node/self_report.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
+
 from plankspindle_core.classes import define
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.configuration.head_freshness import HeadFreshness
@@ -75,17 +80,17 @@
         """Return whether this VM accepts new requests."""
         return self.leave.accepts and not self.vm_drains.refuses(now)
 
-    def readiness(self, version: int) -> Readiness:
+    def readiness(self, version: ConfigurationVersion) -> Readiness:
         """Return the readiness of this VM.
 
         Parameters
         ----------
-        version : int
-            Configuration in force; zero if there is none.
+        version : ConfigurationVersion
+            Configuration in force.
         """
         if self.leave.is_leaving or self.vm in self.vm_drains.drained_vms:
             return Readiness.LEAVING
-        if version == 0 or self._is_list_missing():
+        if version.is_none or self._is_list_missing():
             return Readiness.STARTING
         overloaded = self.services.is_overloaded()
         return Readiness.OVERLOADED if overloaded else Readiness.READY
@@ -94,13 +99,13 @@
         """Return whether upstreams come from a list that was never read."""
         return self.needs_list and self.list_read_at is None
 
-    def entry_vm(self, version: int) -> EntryVm:
+    def entry_vm(self, version: ConfigurationVersion) -> EntryVm:
         """Return this VM as an entry for lookups.
 
         Parameters
         ----------
-        version : int
-            Configuration in force; zero if there is none.
+        version : ConfigurationVersion
+            Configuration in force.
         """
         return EntryVm(
             name=self.vm,
@@ -110,14 +115,14 @@
         )
 
     def heartbeat(
-        self, version: int, *, now: float, left: bool, is_watched: bool
+        self, version: ConfigurationVersion, *, now: float, left: bool, is_watched: bool
     ) -> Heartbeat:
         """Create the next heartbeat.
 
         Parameters
         ----------
-        version : int
-            Configuration in force; zero if there is none.
+        version : ConfigurationVersion
+            Configuration in force.
         now : float
             Monotonic seconds.
         left : bool
--- a/packages/daemon/src/plankspindle_daemon/node/steering_updater.py
+++ b/packages/daemon/src/plankspindle_daemon/node/steering_updater.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from plankspindle_core.configuration.configuration import Configuration
+    from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 UNRESPONSIVE_CHECK_PERIOD_S = 1.0
 """Period of checking for members that have become unresponsive, in seconds.
 
@@ -65,13 +66,13 @@
         )
         self._applied_state = ()
 
-    def refresh(self, version: int, now: float) -> None:
+    def refresh(self, version: ConfigurationVersion, now: float) -> None:
         """Update the entry VMs that lookups return, if they may have changed.
 
         Parameters
         ----------
-        version : int
-            Configuration in force; zero if there is none.
+        version : ConfigurationVersion
+            Configuration in force.
         now : float
             Monotonic seconds.
         """
@@ -88,13 +89,13 @@
         entries[own.name] = own
         self.steering.update_vms(entries.values())
 
-    def announce_readiness(self, version: int, now: float) -> None:
+    def announce_readiness(self, version: ConfigurationVersion, now: float) -> None:
         """Announce to all members that this VM starts or stops taking requests.
 
         Parameters
         ----------
-        version : int
-            Configuration in force; zero if there is none.
+        version : ConfigurationVersion
+            Configuration in force.
         now : float
             Monotonic seconds.
 
--- a/packages/daemon/src/plankspindle_daemon/node/version_gossip.py
+++ b/packages/daemon/src/plankspindle_daemon/node/version_gossip.py
@@ -24,6 +24,7 @@
     from plankspindle_daemon.peer_messages.content_messages import ContentChunk
     from plankspindle_daemon.peer_messages.content_messages import ContentRequest
     from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
+    from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
 
 @define(kw_only=True)
@@ -82,7 +83,7 @@
         )
 
     def receive_version(
-        self, sender: str, version: int, now: float
+        self, sender: str, version: ConfigurationVersion, now: float
     ) -> list[SendToPeer]:
         """Record the version that another entry VM has in force.
 
--- a/packages/daemon/src/plankspindle_daemon/observability/instruments.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/instruments.py
@@ -57,6 +57,7 @@
         self._add_gauge("queued", self._queued)
         self._add_gauge("in_flight", self._in_flight)
         self._add_gauge("configuration_version", self._configuration_version)
+        self._add_gauge("configuration_revision", self._configuration_revision)
         self._add_gauge("keys_leaving_region", self._keys_leaving_region)
 
     def close(self) -> None:
@@ -199,7 +200,10 @@
         ]
 
     def _configuration_version(self) -> Iterable[Observation]:
-        return [Observation(self._sources.node.version)]
+        return [Observation(self._sources.node.version.number)]
+
+    def _configuration_revision(self) -> Iterable[Observation]:
+        return [Observation(self._sources.node.version.revision)]
 
 
 def _callback(observe: Observe) -> Callable[[CallbackOptions], Iterable[Observation]]:
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -102,10 +102,16 @@
 
 
 def _dump_configuration(node: Node, now: float) -> dict[str, Any]:
-    age = None if node.adopted_at is None else round(now - node.adopted_at, 3)
+    age = (
+        None
+        if node.in_force.adopted_at is None
+        else round(now - node.in_force.adopted_at, 3)
+    )
     checked = node.versions.head.age_s(now)
     return {
-        "version": node.version,
+        "version": node.version.number,
+        "revision": node.version.revision,
+        "era": node.version.era,
         "in_force_for_s": age,
         "head_read_s_ago": None if checked is None else round(checked, 3),
         "reads_platform": node.versions.is_reader(now),
@@ -133,7 +139,9 @@
                 "suspected_by": sorted(member.suspected_by),
                 "agrees": member.view_digest == membership.view_digest(),
                 "over_share": sorted(member.over_share),
-                "configuration_version": member.configuration_version,
+                "configuration_version": member.configuration_version.number,
+                "configuration_revision": member.configuration_version.revision,
+                "configuration_era": member.configuration_version.era,
             }
             for name, member in membership.members_by_name.items()
         },
@@ -211,13 +219,15 @@
             )
             for service in node.configuration.services_by_name
         }
+        lowest = min(versions, default=None)
         dumped[domain] = {
             "region": declared.region,
             "heard_vms": len(digests),
             "heard_s_ago": min(
                 (round(now - e.received_at, 3) for e in digests), default=None
             ),
-            "lowest_version": min(versions, default=None),
+            "lowest_version": None if lowest is None else lowest.number,
+            "lowest_revision": None if lowest is None else lowest.revision,
             "services": {
                 service: {
                     "capacity": load.capacity,
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/content_messages.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/content_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from plankspindle_core.classes import frozen
+from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
 
 @frozen(kw_only=True)
@@ -13,14 +14,14 @@
     ----------
     sender : str
         Name of the requesting VM.
-    version : int
+    version : ConfigurationVersion
         Version announced in the receiver's heartbeat.
     offset : int
         Offset of the chunk in the compressed content, in bytes.
     """
 
     sender: str
-    version: int
+    version: ConfigurationVersion
     offset: int
 
 
@@ -32,7 +33,7 @@
     ----------
     sender : str
         Name of the VM that has the content.
-    version : int
+    version : ConfigurationVersion
         Configuration version.
     digest : str
         SHA-256 of the complete uncompressed content.
@@ -43,7 +44,7 @@
     """
 
     sender: str
-    version: int
+    version: ConfigurationVersion
     digest: str
     offset: int
     total: int
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/heartbeat.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/heartbeat.py
@@ -5,6 +5,7 @@
 from plankspindle_core.classes import frozen
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.peer_messages.readiness import Readiness
+from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
 ALL_UPSTREAMS = "*"
 """Wildcard in ``over_share`` for more upstreams than fit in a heartbeat."""
@@ -32,7 +33,7 @@
         Digest of the members that it counts for slot shares, 64 bits.
     over_share : tuple of str
         Upstreams on which it still runs more requests than its share.
-    configuration_version : int
+    configuration_version : ConfigurationVersion
         Configuration version in force.
     head_read_ago_ms : int
         Time since the last read of the configuration head by any member, as far
@@ -58,7 +59,7 @@
     readiness: Readiness
     view_digest: int
     over_share: tuple[str, ...]
-    configuration_version: int
+    configuration_version: ConfigurationVersion
     head_read_ago_ms: int = 0xFFFFFFFF
     silent_upstreams: tuple[str, ...] = ()
     silent_incarnations: tuple[int, ...] = ()
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/list_news.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/list_news.py
@@ -4,6 +4,8 @@
 
 from plankspindle_core.classes import frozen
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
+from plankspindle_daemon.versions.store_version import StoreVersion
 
 
 @frozen(kw_only=True)
@@ -45,13 +47,13 @@
     sender : str
         Name of the reader.
     bases : tuple of int
-        Spans of list versions that the changes can be applied to, as first and last
-        version of each span in turn.
-    version : int
+        Spans of list versions that the changes can be applied to, as numbers of the
+        first and last version of each span in turn; all in the era of ``version``.
+    version : StoreVersion
         Version of the list that the reader has.
     list_age_ms, configuration_age_ms : int
         Time since the reader read the list and the configuration.
-    configuration_version : int
+    configuration_version : ConfigurationVersion
         Configuration version that the reader has in force.
     after_gap : bool
         Whether entries may be missing because the platform was unavailable.
@@ -68,10 +70,10 @@
 
     sender: str
     bases: tuple[int, ...]
-    version: int
+    version: StoreVersion
     list_age_ms: int
     configuration_age_ms: int
-    configuration_version: int
+    configuration_version: ConfigurationVersion
     after_gap: bool = False
     keep_ms: int = 0
     changed: tuple[ToldUpstream, ...] = ()
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/load_digest.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/load_digest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from plankspindle_core.classes import frozen
+from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
 
 @frozen(kw_only=True)
@@ -35,7 +36,7 @@
         Name of the sending VM.
     failure_domain : str
         Failure domain that the VM is located in.
-    configuration_version : int
+    configuration_version : ConfigurationVersion
         Configuration version in force.
     loads : tuple of ServiceLoad
         One entry per service.
@@ -43,5 +44,5 @@
 
     sender: str
     failure_domain: str
-    configuration_version: int
+    configuration_version: ConfigurationVersion
     loads: tuple[ServiceLoad, ...]
--- a/packages/daemon/src/plankspindle_daemon/platform/bounded_calls.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/bounded_calls.py
@@ -19,7 +19,7 @@
 from plankspindle_core.token_bucket import TokenBucket
 from plankspindle_daemon.platform.circuit_breaker import CircuitBreaker
 from plankspindle_daemon.platform.errors import PlatformUnavailable
-from plankspindle_daemon.platform.store_era import StoreEra
+from plankspindle_daemon.versions.store_era import StoreEra
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/platform_client.py
@@ -33,6 +33,7 @@
     from plankspindle_core.endpoint import Endpoint
     from plankspindle_core.http.errors import HttpError
     from plankspindle_daemon.platform.table import Transaction
+    from plankspindle_daemon.versions.store_version import StoreVersion
 
 Parsed = TypeVar("Parsed")
 _COMMIT_TARGET = "/table/commit"
@@ -198,18 +199,18 @@
         return frozenset()
 
     @property
-    def list_version(self) -> int | None:
+    def list_version(self) -> StoreVersion | None:
         """Version of the last read list; None if the platform has no versions."""
         return None
 
     def apply_list_change(
-        self, *, version: int, changed: Iterable[ListedVm], gone: Iterable[str]
+        self, *, version: StoreVersion, changed: Iterable[ListedVm], gone: Iterable[str]
     ) -> list[ListedVm]:
         """Apply a change of the list received from another VM; return the new list.
 
         Parameters
         ----------
-        version : int
+        version : StoreVersion
             Version of the list after the change.
         changed : iterable of ListedVm
             Upstreams that are new or have changed.
--- a/packages/daemon/src/plankspindle_daemon/sharing/list_history.py
+++ b/packages/daemon/src/plankspindle_daemon/sharing/list_history.py
@@ -11,6 +11,7 @@
 from plankspindle_core.classes import define
 from plankspindle_core.classes import frozen
 from plankspindle_daemon.platform.live_list import ListedVm
+from plankspindle_daemon.versions.store_version import StoreVersion
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -41,9 +42,10 @@
     Parameters
     ----------
     base_spans : tuple of (int, int)
-        Spans of versions that it can be applied to, as first and last version of each.
-        A list of a version between two spans may hold entries that this VM never saw.
-    version : int
+        Spans of versions that it can be applied to, as numbers of the first and last
+        version of each, in the era of ``version``. A list of a version between two
+        spans may hold entries that this VM never saw.
+    version : StoreVersion
         Version of the list after the change.
     changed : tuple of ListedVm
         Upstreams that are new or have changed.
@@ -52,13 +54,15 @@
     """
 
     base_spans: tuple[tuple[int, int], ...]
-    version: int
+    version: StoreVersion
     changed: tuple[ListedVm, ...] = ()
     gone: tuple[str, ...] = ()
 
-    def applies_to(self, version: int) -> bool:
+    def applies_to(self, version: StoreVersion) -> bool:
         """Return whether the change can be applied to a version of the list."""
-        return any(first <= version <= last for first, last in self.base_spans)
+        return version.era == self.version.era and any(
+            first <= version.number <= last for first, last in self.base_spans
+        )
 
     def merged_with(self, later: ListChange) -> ListChange:
         """Return this change and a following one combined."""
@@ -113,18 +117,21 @@
     _by_name: dict[str, ListedVm] = Factory(dict)
     _changes: deque[ListChange] = Factory(lambda: deque(maxlen=MAX_RECENT_CHANGES))
     _unchanged_since: int | None = None
-    _version: int = 0
+    _version: StoreVersion = StoreVersion()
 
     def record(
-        self, vms: Iterable[ListedVm], *, version: int, now: float
+        self, vms: Iterable[ListedVm], *, version: StoreVersion, now: float
     ) -> ListChange | None:
         """Record a complete list and its changes since the list before.
 
         Returns
         -------
         ListChange or None
-            The changes, or None if there are none or this is the first list.
+            The changes, or None if there are none or this is the first list of an era.
         """
+        if version.era != self._version.era:
+            self._changes.clear()
+            self._unchanged_since = None
         by_name = {each.name: each for each in vms if each.upstream is not None}
         before, self._by_name = self._by_name, by_name
         changed = tuple(
@@ -135,16 +142,16 @@
         gone = tuple(sorted(before.keys() - by_name.keys()))
         change = None
         if self._unchanged_since is None:
-            self._unchanged_since = version
+            self._unchanged_since = version.number
         elif changed or gone:
             change = ListChange(
-                base_spans=((self._unchanged_since, self._version),),
+                base_spans=((self._unchanged_since, self._version.number),),
                 version=version,
                 changed=changed,
                 gone=gone,
             )
             self._changes.append(change)
-            self._unchanged_since = version
+            self._unchanged_since = version.number
         self._version = version
         return change
 
@@ -154,7 +161,8 @@
             self._by_name.pop(name, None)
         self._by_name |= {each.name: each for each in change.changed}
         self._changes.append(change)
-        self._unchanged_since = self._version = change.version
+        self._version = change.version
+        self._unchanged_since = change.version.number
 
     def merge_recent(self) -> ListChange:
         """Return the most recent changes combined, as many as fit into one message.
@@ -167,7 +175,8 @@
         if self._unchanged_since is None:
             raise ValueError("no list was recorded yet")
         recent = ListChange(
-            base_spans=((self._unchanged_since, self._version),), version=self._version
+            base_spans=((self._unchanged_since, self._version.number),),
+            version=self._version,
         )
         for change in reversed(self._changes):
             merged = change.merged_with(recent)
--- a/packages/daemon/src/plankspindle_daemon/sharing/shared_reads.py
+++ b/packages/daemon/src/plankspindle_daemon/sharing/shared_reads.py
@@ -5,6 +5,9 @@
 import math
 from enum import Enum
 from typing import TYPE_CHECKING
+from typing import Any
+from typing import Generic
+from typing import TypeVar
 
 from attrs import Factory
 from attrs import field
@@ -19,6 +22,10 @@
 from plankspindle_daemon.sharing.update_assembler import UpdateAssembler
 from plankspindle_daemon.sharing.upstream_codec import decode_upstream
 from plankspindle_daemon.sharing.upstream_codec import encode_upstream
+from plankspindle_daemon.versions.configuration_version import NO_VERSION
+from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
+from plankspindle_daemon.versions.store_era import UNKNOWN_ERA
+from plankspindle_daemon.versions.store_version import StoreVersion
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -77,23 +84,26 @@
     FOLLOWER = "follower"
 
 
+Version = TypeVar("Version", StoreVersion, ConfigurationVersion)
+
+
 @define(kw_only=True)
-class _ReadStatus:
+class _ReadStatus(Generic[Version]):
     """When this VM, and readers that precede it, last read list or configuration."""
 
+    reported_version: Version
     own_read_at: float = -math.inf
     reported_at: float = -math.inf
-    reported_version: int = 0
     behind_since: float = math.inf
 
-    def record_report(self, version: int, *, read_at: float) -> None:
+    def record_report(self, version: Version, *, read_at: float) -> None:
         self.reported_at = max(self.reported_at, read_at)
         self.reported_version = max(self.reported_version, version)
 
     def age_ms(self, now: float) -> int:
         return int(min(MAX_AGE_MS, 1000 * (now - self.own_read_at)))
 
-    def is_behind(self, held: int, now: float, grace_s: float) -> bool:
+    def is_behind(self, held: Version, now: float, grace_s: float) -> bool:
         if self.reported_version <= held:
             self.behind_since = math.inf
             return False
@@ -115,7 +125,7 @@
 
     Attributes
     ----------
-    list_version : int or None
+    list_version : StoreVersion or None
         Version of the list that this VM holds.
     is_reading : bool
         Whether a read of the list is in progress. Changes received meanwhile are not
@@ -132,10 +142,14 @@
 
     group: ReaderGroup
     period_s: float
-    list_version: int | None = None
+    list_version: StoreVersion | None = None
     is_reading: bool = False
-    _list: _ReadStatus = Factory(_ReadStatus)
-    _configuration: _ReadStatus = Factory(_ReadStatus)
+    _list: _ReadStatus[StoreVersion] = Factory(
+        lambda: _ReadStatus(reported_version=StoreVersion())
+    )
+    _configuration: _ReadStatus[ConfigurationVersion] = Factory(
+        lambda: _ReadStatus(reported_version=NO_VERSION)
+    )
     _history: ListHistory = Factory(ListHistory)
     _assembler: UpdateAssembler = Factory(UpdateAssembler)
     _settled_at: float = field(default=math.inf)
@@ -148,12 +162,12 @@
             self._list, self._held_list_version(), now, grace_s=grace_s
         )
 
-    def should_read_configuration(self, held: int, now: float) -> bool:
+    def should_read_configuration(self, held: ConfigurationVersion, now: float) -> bool:
         """Return whether this VM must read the configuration.
 
         Parameters
         ----------
-        held : int
+        held : ConfigurationVersion
             Version in force.
         now : float
             Monotonic seconds.
@@ -163,7 +177,7 @@
         )
 
     def _should_read(
-        self, status: _ReadStatus, held: int, now: float, *, grace_s: float
+        self, status: _ReadStatus[Version], held: Version, now: float, *, grace_s: float
     ) -> bool:
         if not self.is_shared(now) or now - status.own_read_at > MAX_OWN_READ_AGE_S:
             return True
@@ -182,28 +196,34 @@
         """
         return self._check_delay_s(self._list, self._held_list_version(), now)
 
-    def configuration_check_delay_s(self, held: int, now: float) -> float:
+    def configuration_check_delay_s(
+        self, held: ConfigurationVersion, now: float
+    ) -> float:
         """Return the time until the next check of the configuration, in seconds.
 
         Parameters
         ----------
-        held : int
+        held : ConfigurationVersion
             Version in force.
         now : float
             Monotonic seconds.
         """
         return self._check_delay_s(self._configuration, held, now)
 
-    def _check_delay_s(self, status: _ReadStatus, held: int, now: float) -> float:
+    def _check_delay_s(
+        self, status: _ReadStatus[Version], held: Version, now: float
+    ) -> float:
         if status.reported_version > held:
             return MIN_CHECK_DELAY_S
         due_at = min(self._stale_at(status), status.own_read_at + MAX_OWN_READ_AGE_S)
         return min(MAX_CHECK_DELAY_S, max(MIN_CHECK_DELAY_S, due_at - now))
 
-    def _held_list_version(self) -> int:
-        return -1 if self.list_version is None else self.list_version
+    def _held_list_version(self) -> StoreVersion:
+        return (
+            StoreVersion(number=-1) if self.list_version is None else self.list_version
+        )
 
-    def _stale_at(self, status: _ReadStatus) -> float:
+    def _stale_at(self, status: _ReadStatus[Any]) -> float:
         """Return when this VM reads for itself if it receives no further update."""
         delay = min(MAX_RANK_DELAY_PERIODS, RANK_DELAY_PERIODS * self.group.rank())
         return status.reported_at + self._stale_after_s() + delay * self.period_s
@@ -251,8 +271,8 @@
         self,
         vms: Iterable[ListedVm],
         *,
-        version: int | None,
-        configuration_version: int,
+        version: StoreVersion | None,
+        configuration_version: ConfigurationVersion,
         retained_until: float,
         now: float,
     ) -> list[SendToPeer]:
@@ -262,9 +282,9 @@
         ----------
         vms : iterable of ListedVm
             The complete list.
-        version : int, optional
+        version : ConfigurationVersion, optional
             Its version; a list without version cannot be shared.
-        configuration_version : int
+        configuration_version : ConfigurationVersion
             Version of the configuration in force.
         retained_until : float
             Until when entries are retained that are missing since the platform was
@@ -282,13 +302,18 @@
         self._settled_at = min(self._settled_at, now + SETTLE_S)
         return self._broadcast(configuration_version, now, change=change)
 
-    def record_configuration_read(self, version: int, now: float) -> list[SendToPeer]:
+    def record_configuration_read(
+        self, version: ConfigurationVersion, now: float
+    ) -> list[SendToPeer]:
         """Record that this VM has read the configuration, and broadcast the time."""
         self._configuration.own_read_at = now
         return self._broadcast(version, now)
 
     def _broadcast(
-        self, configuration_version: int, now: float, change: ListChange | None = None
+        self,
+        configuration_version: ConfigurationVersion,
+        now: float,
+        change: ListChange | None = None,
     ) -> list[SendToPeer]:
         """Broadcast the age of this VM's data and the recent changes of the list.
 
@@ -315,7 +340,7 @@
     def _update_of(
         self,
         change: ListChange,
-        configuration_version: int,
+        configuration_version: ConfigurationVersion,
         now: float,
         part: int,
         parts: int,
@@ -362,6 +387,10 @@
         """
         if not self.is_in_group(update.sender) or self.list_version is None:
             return None
+        if update.version.era == UNKNOWN_ERA < self.list_version.era:
+            # The sender knows no eras: its numbers cannot be ordered, and this VM must
+            # not rely on its reads.
+            return None
         if self.group.is_before(update.sender):
             list_at = now - update.list_age_ms / 1000
             self._list.record_report(update.version, read_at=list_at)
--- a/packages/daemon/src/plankspindle_daemon/sharing/update_assembler.py
+++ b/packages/daemon/src/plankspindle_daemon/sharing/update_assembler.py
@@ -9,6 +9,7 @@
 
 from plankspindle_core.classes import define
 from plankspindle_daemon.peer_messages.list_news import ListNews
+from plankspindle_daemon.versions.store_version import StoreVersion
 
 PARTS_TIMEOUT_S = 0.4
 """Time to wait for missing parts before this VM reads the list itself, in seconds."""
@@ -19,7 +20,7 @@
     """Collects the parts of the newest update that needs several messages."""
 
     _updates_by_part: dict[int, ListNews] = Factory(dict)
-    _update_key: tuple[str, int, int] | None = None
+    _update_key: tuple[str, StoreVersion, int] | None = None
     _started_at: float = -math.inf
 
     def add(self, update: ListNews, now: float) -> ListNews | None:
--- a/packages/daemon/src/plankspindle_daemon/traces/steps.py
+++ b/packages/daemon/src/plankspindle_daemon/traces/steps.py
@@ -35,8 +35,9 @@
         Maximum number of attempts.
     timeout_ms, left_ms : int
         Timeout of the operation, and time until the deadline, in ms.
-    version : int
-        Version of the configuration used.
+    version, revision, era : int
+        Version of the configuration used: number of the store's transaction, revision
+        of the content, and era of the store.
     version_age_ms : int, optional
         Time for which that version has been in force on this VM, in ms.
     """
@@ -50,6 +51,8 @@
     timeout_ms: int
     left_ms: int
     version: int
+    revision: int = 0
+    era: int = 0
     version_age_ms: int | None = None
 
 
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -38,6 +38,8 @@
 from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 from plankspindle_daemon.peer_messages.suspicion import Suspect
 from plankspindle_daemon.peer_messages.suspicion import Suspicion
+from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
+from plankspindle_daemon.versions.store_version import StoreVersion
 from plankspindle_daemon.wire.frame import BadFrame
 
 if TYPE_CHECKING:
@@ -102,6 +104,51 @@
     "shards": _Conversion(write=list, read=tuple),
     "idle_ms": _Conversion(write=list, read=tuple),
 }
+
+
+@frozen(kw_only=True)
+class _Parts:
+    """Conversion of one field that several fields of the schema hold.
+
+    The number of a version keeps the schema field that it had before versions had an
+    era, so that daemons which know no eras still read it.
+    """
+
+    cls: type[Any]
+    key_by_part: dict[str, str]
+
+    def write(self, value: Any) -> dict[str, Any]:
+        return {key: getattr(value, part) for part, key in self.key_by_part.items()}
+
+    def read(self, reader: Any) -> Any:
+        return self.cls(
+            **{part: getattr(reader, key) for part, key in self.key_by_part.items()}
+        )
+
+
+_CONFIGURATION_VERSION = _Parts(
+    cls=ConfigurationVersion,
+    key_by_part={
+        "number": "configurationVersion",
+        "revision": "configurationRevision",
+        "era": "configurationEra",
+    },
+)
+_CONTENT_VERSION = _Parts(
+    cls=ConfigurationVersion,
+    key_by_part={"number": "version", "revision": "revision", "era": "era"},
+)
+_LIST_VERSION = _Parts(
+    cls=StoreVersion, key_by_part={"number": "version", "era": "listEra"}
+)
+_PARTS_BY_FIELD: dict[tuple[type[Any], str], _Parts] = {
+    (Heartbeat, "configuration_version"): _CONFIGURATION_VERSION,
+    (LoadDigest, "configuration_version"): _CONFIGURATION_VERSION,
+    (ListNews, "configuration_version"): _CONFIGURATION_VERSION,
+    (ContentRequest, "version"): _CONTENT_VERSION,
+    (ContentChunk, "version"): _CONTENT_VERSION,
+    (ListNews, "version"): _LIST_VERSION,
+}
 _CLASS_BY_UNION_MEMBER: dict[str, type[Any]] = {
     "heartbeat": Heartbeat,
     "slotRequest": SlotRequest,
@@ -168,11 +215,15 @@
 
 
 def _to_mapping(message: Any) -> dict[str, Any]:
-    mapping = {}
+    mapping: dict[str, Any] = {}
     for name, key in _KEYS_BY_CLASS[type(message)]:
         if name == _SENDER:
             continue
         value = getattr(message, name)
+        parts = _PARTS_BY_FIELD.get((type(message), name))
+        if parts is not None:
+            mapping |= parts.write(value)
+            continue
         conversion = _CONVERSION_BY_FIELD.get(name)
         mapping[key] = value if conversion is None else conversion.write(value)
     return mapping
@@ -195,6 +246,10 @@
     for name, key in _KEYS_BY_CLASS[cls]:
         if name in given:
             continue
+        parts = _PARTS_BY_FIELD.get((cls, name))
+        if parts is not None:
+            values[name] = parts.read(part)
+            continue
         value = getattr(part, key)
         conversion = _CONVERSION_BY_FIELD.get(name)
         values[name] = value if conversion is None else conversion.read(value)
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -26,6 +26,8 @@
   silentIncarnations @11 :List(UInt64);
   isWatched @12 :Bool;
   quarantineDigest @13 :UInt64;
+  configurationRevision @14 :UInt64;
+  configurationEra @15 :UInt32;
 }
 
 struct SlotRequest {
@@ -71,11 +73,15 @@
   failureDomain @0 :Text;
   configurationVersion @1 :UInt64;
   loads @2 :List(ServiceLoad);
+  configurationRevision @3 :UInt64;
+  configurationEra @4 :UInt32;
 }
 
 struct ContentRequest {
   version @0 :UInt64;
   offset @1 :UInt32;
+  revision @2 :UInt64;
+  era @3 :UInt32;
 }
 
 struct ContentChunk {
@@ -84,6 +90,8 @@
   offset @2 :UInt32;
   total @3 :UInt32;
   data @4 :Data;
+  revision @5 :UInt64;
+  era @6 :UInt32;
 }
 
 struct ToldUpstream {
@@ -95,6 +103,7 @@
   leaving @5 :Bool;
   coldMs @6 :UInt32;
   incarnation @7 :UInt64;
+  sequence @8 :UInt64;
 }
 
 struct ListNews {
@@ -109,6 +118,9 @@
   keepMs @8 :UInt32;
   part @9 :UInt16;
   parts @10 :UInt16 = 1;
+  listEra @11 :UInt32;
+  configurationRevision @12 :UInt64;
+  configurationEra @13 :UInt32;
 }
 
 struct Suspect {
--- a/packages/daemon/tests/configuration/test_version_exchange.py
+++ b/packages/daemon/tests/configuration/test_version_exchange.py
@@ -17,13 +17,15 @@
 from plankspindle_daemon.configuration.version_exchange import VersionExchange
 from plankspindle_daemon.peer_messages.content_messages import ContentChunk
 from plankspindle_daemon.peer_messages.content_messages import ContentRequest
+from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
+from plankspindle_testkit.versions import build_version
 
 MEMBERS = ("a", "b", "c", "d")
 
 
 def build_source(content: bytes, version: int = 5) -> VersionExchange:
     source = VersionExchange(vm="source")
-    source.serve_version(version, lambda: content)
+    source.serve_version(build_version(version), lambda: content)
     return source
 
 
@@ -44,7 +46,7 @@
     source = build_source(content)
     fetcher = VersionExchange(vm="learner")
     now = 0.0
-    pending = fetcher.handle_announcement("source", 5, now)
+    pending = fetcher.handle_announcement("source", build_version(5), now)
     while pending:
         random.shuffle(pending)
         next_requests: list[ContentRequest] = []
@@ -56,7 +58,9 @@
                     continue
                 result = fetcher.handle_chunk(chunk, now).unwrap()
                 if isinstance(result, FetchedContent):
-                    assert result == FetchedContent(version=5, content=content)
+                    assert result == FetchedContent(
+                        version=build_version(5), content=content
+                    )
                     return
                 next_requests += result
         pending = next_requests
@@ -68,31 +72,31 @@
 
 def test_lower_or_current_version_is_not_requested() -> None:
     fetcher = VersionExchange(vm="learner")
-    fetcher.serve_version(5, lambda: b"mine")
-    assert fetcher.handle_announcement("source", 5, 0.0) == []
-    assert fetcher.handle_announcement("source", 4, 0.0) == []
-    assert fetcher.handle_announcement("source", 6, 0.0)
-    assert fetcher.handle_announcement("other", 6, 0.0) == []
+    fetcher.serve_version(build_version(5), lambda: b"mine")
+    assert fetcher.handle_announcement("source", build_version(5), 0.0) == []
+    assert fetcher.handle_announcement("source", build_version(4), 0.0) == []
+    assert fetcher.handle_announcement("source", build_version(6), 0.0)
+    assert fetcher.handle_announcement("other", build_version(6), 0.0) == []
 
 
 def test_damaged_content_is_rejected_and_requested_again() -> None:
     source = build_source(build_content(500))
     fetcher = VersionExchange(vm="learner")
-    request = fetcher.handle_announcement("source", 5, 0.0)[0]
+    request = fetcher.handle_announcement("source", build_version(5), 0.0)[0]
     chunk = source.chunk_for(request)
     assert chunk is not None
     damaged = evolve(chunk, digest="0" * 64)
     assert fetcher.handle_chunk(damaged, 0.0).is_err()
     assert fetcher.damaged_count == 1
-    assert fetcher.handle_announcement("source", 5, 0.1)
+    assert fetcher.handle_announcement("source", build_version(5), 0.1)
 
 
 def test_chunk_of_oversized_content_is_ignored() -> None:
     fetcher = VersionExchange(vm="learner")
-    fetcher.handle_announcement("source", 5, 0.0)
+    fetcher.handle_announcement("source", build_version(5), 0.0)
     huge = ContentChunk(
         sender="source",
-        version=5,
+        version=build_version(5),
         digest="",
         offset=0,
         total=2**31,
@@ -104,7 +108,9 @@
 def test_request_for_other_version_or_invalid_offset_gets_no_chunk() -> None:
     source = build_source(build_content(5_000))
     for version, offset in ((4, 0), (5, 7), (5, 1_000_000)):
-        request = ContentRequest(sender="x", version=version, offset=offset)
+        request = ContentRequest(
+            sender="x", version=build_version(version), offset=offset
+        )
         assert source.chunk_for(request) is None
 
 
@@ -131,10 +137,44 @@
 
 def test_unresponsive_source_is_replaced() -> None:
     fetcher = VersionExchange(vm="learner")
-    assert fetcher.handle_announcement("dead", 5, 0.0)
-    assert fetcher.handle_announcement("source", 5, SOURCE_TIMEOUT_S - 0.1) == []
-    (request,) = fetcher.handle_announcement("source", 5, SOURCE_TIMEOUT_S)
+    assert fetcher.handle_announcement("dead", build_version(5), 0.0)
+    assert (
+        fetcher.handle_announcement("source", build_version(5), SOURCE_TIMEOUT_S - 0.1)
+        == []
+    )
+    (request,) = fetcher.handle_announcement(
+        "source", build_version(5), SOURCE_TIMEOUT_S
+    )
     chunk = build_source(b"content").chunk_for(request)
     assert chunk is not None
     result = fetcher.handle_chunk(chunk, SOURCE_TIMEOUT_S + 0.1).unwrap()
-    assert result == FetchedContent(version=5, content=b"content")
+    assert result == FetchedContent(version=build_version(5), content=b"content")
+
+
+# During a release, processes that know no eras name versions by their numbers only.
+def test_versions_are_exchanged_with_vms_that_know_no_eras() -> None:
+    in_force, of_earlier_release = build_version(2, era=1, number=5), build_number(9)
+    source = VersionExchange(vm="source")
+    source.serve_version(in_force, lambda: b"content")
+    assert source.handle_announcement("earlier", of_earlier_release, 0.0) == []
+    request = ContentRequest(sender="earlier", version=build_number(5), offset=0)
+    chunk = source.chunk_for(request)
+    assert chunk is not None
+    assert chunk.version == in_force
+    starting = VersionExchange(vm="starting")
+    (first,) = starting.handle_announcement("earlier", of_earlier_release, 0.0)
+    assert first.version == of_earlier_release
+
+
+def test_lower_number_of_later_era_is_higher_version() -> None:
+    fetcher = VersionExchange(vm="learner")
+    fetcher.serve_version(build_version(2, era=1, number=50), lambda: b"content")
+    lower = build_version(1, era=2, number=60)
+    assert fetcher.handle_announcement("source", lower, 0.0) == []
+    higher = build_version(2, era=2, number=40)
+    (request,) = fetcher.handle_announcement("source", higher, 0.0)
+    assert request.version == higher
+
+
+def build_number(number: int) -> ConfigurationVersion:
+    return ConfigurationVersion(number=number)
--- a/packages/daemon/tests/control/test_forecast.py
+++ b/packages/daemon/tests/control/test_forecast.py
@@ -21,6 +21,7 @@
 from plankspindle_daemon.peer_messages.load_digest import ServiceLoad
 from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from plankspindle_core.configuration.configuration import Configuration
@@ -51,7 +52,7 @@
         digest = LoadDigest(
             sender=f"vm-{domain}",
             failure_domain=domain,
-            configuration_version=1,
+            configuration_version=build_version(1),
             loads=(load,),
         )
         table.record(digest, NOW)
--- a/packages/daemon/tests/listeners/test_request_resolver.py
+++ b/packages/daemon/tests/listeners/test_request_resolver.py
@@ -21,6 +21,7 @@
 from plankspindle_testkit.builders import build_route
 from plankspindle_testkit.builders import build_workspace
 from plankspindle_testkit.trial.trial_vm import TrialVm
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from result import Result
@@ -49,7 +50,7 @@
         configuration = build_configuration(
             routes_by_name=routes, workspaces_by_name=workspaces
         )
-        node.adopt(configuration, version=1, now=0.0)
+        node.adopt(configuration, version=build_version(1), now=0.0)
     return RequestResolver(
         node=node, dialect=Dialect(key_scheme="Token"), signer=SIGNER, **fields
     )
--- a/packages/daemon/tests/membership/test_failure_detector.py
+++ b/packages/daemon/tests/membership/test_failure_detector.py
@@ -15,6 +15,7 @@
 from plankspindle_testkit.fleet_node import Fleet
 from plankspindle_testkit.fleet_node import build_empty_node
 from plankspindle_testkit.fleet_node import build_fleet_node
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from plankspindle_daemon.node.node import Node
@@ -147,7 +148,7 @@
         if step == 6:
             node.handle_membership(listed, now=now, wall=WALL_TIME_S)
         if step == 14:
-            node.adopt(FLEET.configuration(), version=1, now=now)
+            node.adopt(FLEET.configuration(), version=build_version(1), now=now)
         effects = node.tick(now=now, wall=WALL_TIME_S)
         sent += sum(isinstance(each, m.SendHeartbeat) for each in effects)
     watcher_heartbeats = 3 * WATCHERS_PER_VM
--- a/packages/daemon/tests/membership/test_membership.py
+++ b/packages/daemon/tests/membership/test_membership.py
@@ -10,6 +10,7 @@
 from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_daemon.platform.live_list import ListedVm
 from plankspindle_daemon.platform.live_list import VmKind
+from plankspindle_testkit.versions import build_version
 
 SEED = Endpoint("127.0.0.9", 9)
 LONGEST_S = 5.0
@@ -38,7 +39,7 @@
         "readiness": Readiness.READY,
         "view_digest": 0,
         "over_share": (),
-        "configuration_version": 1,
+        "configuration_version": build_version(1),
     }
     heartbeat = m.Heartbeat(sender=sender, **{**defaults, **fields})  # type: ignore[arg-type]
     return m.HeartbeatReceived(heartbeat)
--- a/packages/daemon/tests/membership/test_peer_link.py
+++ b/packages/daemon/tests/membership/test_peer_link.py
@@ -18,6 +18,8 @@
 from plankspindle_daemon.wire.frame import FrameSealer
 from plankspindle_testkit.builders import build_membership
 from plankspindle_testkit.loopback_network import loopback_host
+from plankspindle_testkit.versions import build_list_version
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from plankspindle_daemon.peer_messages.peer_message import PeerMessage
@@ -48,10 +50,10 @@
     return ListNews(
         sender="a",
         bases=(),
-        version=1,
+        version=build_list_version(1),
         list_age_ms=0,
         configuration_age_ms=0,
-        configuration_version=0,
+        configuration_version=build_version(0),
         after_gap=False,
         changed=(upstream,),
         gone=(),
--- a/packages/daemon/tests/node/test_list_follower.py
+++ b/packages/daemon/tests/node/test_list_follower.py
@@ -25,11 +25,14 @@
 from plankspindle_daemon.sharing.shared_reads import SETTLE_S
 from plankspindle_daemon.sharing.shared_reads import SharedReads
 from plankspindle_daemon.sharing.upstream_codec import encode_upstream
+from plankspindle_daemon.versions.store_version import StoreVersion
 from plankspindle_testkit.builders import VmAddresses
 from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.builders import build_service
 from plankspindle_testkit.builders import build_upstream
 from plankspindle_testkit.trial.trial_vm import TrialVm
+from plankspindle_testkit.versions import build_list_version
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -65,11 +68,11 @@
     """A list in memory."""
 
     by_name: dict[str, ListedVm] = Factory(dict)
-    list_version: int = 1
+    list_version: StoreVersion = build_list_version(1)
     unreadable_names: frozenset[str] = frozenset()
 
     def apply_list_change(
-        self, *, version: int, changed: Iterable[ListedVm], gone: Iterable[str]
+        self, *, version: StoreVersion, changed: Iterable[ListedVm], gone: Iterable[str]
     ) -> list[ListedVm]:
         self.by_name |= {each.name: each for each in changed}
         for name in gone:
@@ -105,7 +108,7 @@
             },
             upstreams_by_name={},
         ),
-        version=1,
+        version=build_version(1),
         now=0.0,
     )
     vms = [listed(name) for name in upstreams]
@@ -123,10 +126,10 @@
     defaults: dict[str, Any] = {
         "sender": "vm-0",
         "bases": (1, 1),
-        "version": 2,
+        "version": build_list_version(2),
         "list_age_ms": 0,
         "configuration_age_ms": 0,
-        "configuration_version": 1,
+        "configuration_version": build_version(1),
     }
     return ListNews(**{**defaults, **fields})
 
@@ -141,13 +144,15 @@
     encoded = encode_upstream(listed("c"), 0.0)
     curio.run(follower.apply_update, build_update(changed=(encoded,), gone=("a",)))
     assert upstreams_of(follower) == {"b", "c"}
-    assert follower.platform.list_version == 2
-    assert follower.node.shared_reads.list_version == 2
+    assert follower.platform.list_version == build_list_version(2)
+    assert follower.node.shared_reads.list_version == build_list_version(2)
 
 
 def test_update_from_vm_outside_group_is_ignored() -> None:
     follower = build_follower("a")
-    update = build_update(sender="stranger", gone=("a",), configuration_version=9)
+    update = build_update(
+        sender="stranger", gone=("a",), configuration_version=build_version(9)
+    )
     follower.effects.performed.clear()
     curio.run(follower.apply_update, update)
     assert upstreams_of(follower) == {"a"}
@@ -166,14 +171,16 @@
 
 def test_higher_configuration_version_is_requested_from_reader() -> None:
     follower = build_follower("a")
-    curio.run(follower.apply_update, build_update(configuration_version=2))
+    curio.run(
+        follower.apply_update, build_update(configuration_version=build_version(2))
+    )
     requests = [
         each.message
         for each in follower.effects.performed
         if isinstance(each, SendToPeer)
     ]
     assert [each.version for each in requests if isinstance(each, ContentRequest)] == [
-        2
+        build_version(2)
     ]
 
 
@@ -192,8 +199,10 @@
     reads = follower.node.shared_reads
     reads._settled_at -= SETTLE_S
     now = monotonic()
-    reads.record_configuration_read(1, now)
-    curio.run(follower.apply_update, build_update(bases=(1, 1), version=1))
+    reads.record_configuration_read(build_version(1), now)
+    curio.run(
+        follower.apply_update, build_update(bases=(1, 1), version=build_list_version(1))
+    )
     assert not reads.should_read_list(now)
     follower.node.recover_from_pause(now=now, wall=now)
     assert reads.should_read_list(now)
@@ -205,7 +214,9 @@
     follower = build_follower("a")
     follower.node.services.listed._read_at -= 1.0
     read_at = follower.node.services.listed._read_at
-    update = build_update(bases=(1, 1), version=1, list_age_ms=60_000)
+    update = build_update(
+        bases=(1, 1), version=build_list_version(1), list_age_ms=60_000
+    )
     curio.run(follower.apply_update, update)
     assert follower.node.services.listed._read_at == read_at
     curio.run(follower.apply_update, evolve(update, list_age_ms=100))
--- a/packages/daemon/tests/node/test_node.py
+++ b/packages/daemon/tests/node/test_node.py
@@ -19,6 +19,7 @@
 from plankspindle_testkit.builders import build_ticket
 from plankspindle_testkit.builders import build_upstream
 from plankspindle_testkit.trial.trial_vm import TrialVm
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     import pytest
@@ -41,7 +42,7 @@
     node = TrialVm.start(PLACES[name], seeds=[], random=Random(name), now=now).node
     upstreams = {"u": build_upstream(slots=SLOTS)}
     configuration = build_configuration(upstreams_by_name=upstreams)
-    node.adopt(configuration, version=1, now=now)
+    node.adopt(configuration, version=build_version(1), now=now)
     return node
 
 
@@ -259,9 +260,11 @@
 
 def test_version_is_never_replaced_by_lower_one() -> None:
     node = build_node("a")
-    node.adopt(build_configuration(upstreams_by_name={}), version=3, now=1.0)
-    node.adopt(build_configuration(), version=2, now=2.0)
-    assert node.version == 3
+    node.adopt(
+        build_configuration(upstreams_by_name={}), version=build_version(3), now=1.0
+    )
+    node.adopt(build_configuration(), version=build_version(2), now=2.0)
+    assert node.version == build_version(3)
 
 
 def test_undeclared_upstream_gets_no_new_request() -> None:
@@ -269,11 +272,19 @@
     node.tick(now=3.0, wall=WALL)
     node.handle_dispatch("registry", d.RequestArrived(build_ticket(1)), 3.0)
     declared = {"v": build_upstream(slots=1, endpoint=Endpoint("127.0.0.2", 1))}
-    node.adopt(build_configuration(upstreams_by_name=declared), version=2, now=3.1)
+    node.adopt(
+        build_configuration(upstreams_by_name=declared),
+        version=build_version(2),
+        now=3.1,
+    )
     assert upstream_of(node).leaving
     completed = d.AttemptCompleted(
         ticket=build_ticket(1), upstream="u", outcome=d.AttemptOutcome.ANSWERED
     )
     node.handle_dispatch("registry", completed, 3.2)
-    node.adopt(build_configuration(upstreams_by_name=declared), version=3, now=3.3)
+    node.adopt(
+        build_configuration(upstreams_by_name=declared),
+        version=build_version(3),
+        now=3.3,
+    )
     assert set(node.dispatchers_by_service["registry"].upstreams_by_name) == {"v"}
--- a/packages/daemon/tests/node/test_node_cost_at_fleet_size.py
+++ b/packages/daemon/tests/node/test_node_cost_at_fleet_size.py
@@ -16,6 +16,7 @@
 from plankspindle_testkit.fleet_node import Fleet
 from plankspindle_testkit.fleet_node import build_empty_node
 from plankspindle_testkit.fleet_node import build_fleet_node
+from plankspindle_testkit.versions import build_version
 
 SMALL = Fleet(vms=30, upstreams=100)
 LARGE = Fleet(vms=195, upstreams=900)
@@ -33,7 +34,7 @@
 def _first_heartbeats(fleet: Fleet) -> int:
     """Count the function calls for the first heartbeats of the last ten members."""
     node = build_empty_node(fleet)
-    node.adopt(fleet.configuration(), version=1, now=NOW)
+    node.adopt(fleet.configuration(), version=build_version(1), now=NOW)
     node.handle_membership(
         LiveListRead(tuple(fleet.live_list())), now=NOW, wall=WALL_TIME_S
     )
--- a/packages/daemon/tests/node/test_node_with_listed_upstreams.py
+++ b/packages/daemon/tests/node/test_node_with_listed_upstreams.py
@@ -22,6 +22,7 @@
 from plankspindle_testkit.builders import build_ticket
 from plankspindle_testkit.builders import build_upstream
 from plankspindle_testkit.trial.trial_vm import TrialVm
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from plankspindle_core.configuration.configuration import Configuration
@@ -36,7 +37,7 @@
     return TrialVm.start(PLACE, seeds=[], random=Random(1), now=0.0).node
 
 
-def build_version(**fields: object) -> Configuration:
+def build_content(**fields: object) -> Configuration:
     service = build_service(
         slot_sharing=SlotSharing.REPORTED, cold_requests_per_s=8.0, cold_ms=3_000
     )
@@ -71,7 +72,7 @@
 
 def test_upstream_in_another_region_is_used() -> None:
     node = build_node()
-    node.adopt(build_version(), version=1, now=0.0)
+    node.adopt(build_content(), version=build_version(1), now=0.0)
     read_list(node, 1.0, listed("u"))
     assert send(node, 1, 1.0) == ["u"]
 
@@ -79,7 +80,7 @@
 def test_list_read_before_configuration_is_applied_with_it() -> None:
     node = build_node()
     read_list(node, 1.0, listed("u", leaving=True), listed("v", cold_until=9.0))
-    node.adopt(build_version(), version=1, now=1.1)
+    node.adopt(build_content(), version=build_version(1), now=1.1)
     assert upstream_of(node, "u").leaving
     assert upstream_of(node, "v").cold_limiter is not None
     assert send(node, 1, 1.2) == ["v"]
@@ -88,7 +89,7 @@
 
 def test_upstream_missing_from_list_only_completes_running_requests() -> None:
     node = build_node()
-    node.adopt(build_version(), version=1, now=0.0)
+    node.adopt(build_content(), version=build_version(1), now=0.0)
     read_list(node, 1.0, listed("u"))
     assert send(node, 1, 1.0) == ["u"]
     read_list(node, 2.0)
@@ -106,8 +107,8 @@
     node = build_node()
     drain = Drain(kind=DrainKind.UPSTREAMS_OF_DOMAIN, name="ba-1")
     node.adopt(
-        build_version(drains_by_id={"d": drain}),
-        version=1,
+        build_content(drains_by_id={"d": drain}),
+        version=build_version(1),
         now=0.0,
     )
     read_list(node, 1.0, listed("near", "ba-1"), listed("far"))
@@ -118,11 +119,11 @@
 def test_upstreams_are_cold_after_drain_is_undone() -> None:
     node = build_node()
     drain = Drain(kind=DrainKind.UPSTREAMS_OF_DOMAIN, name="ke-1")
-    drained = build_version(drains_by_id={"d": drain})
-    node.adopt(drained, version=1, now=0.0)
+    drained = build_content(drains_by_id={"d": drain})
+    node.adopt(drained, version=build_version(1), now=0.0)
     read_list(node, 1.0, listed("u"))
     assert send(node, 1, 1.0) == []
-    node.adopt(build_version(), version=2, now=2.0)
+    node.adopt(build_content(), version=build_version(2), now=2.0)
     node.tick(now=2.1, wall=WALL)
     assert send(node, 2, 2.2) == ["u"]
     assert send(node, 3, 2.2) == []
@@ -137,7 +138,7 @@
 
 def test_keys_leave_region_when_upstreams_leave_not_when_backed_off() -> None:
     node = build_node()
-    node.adopt(build_version(), version=1, now=0.0)
+    node.adopt(build_content(), version=build_version(1), now=0.0)
     entry_vm = ListedVm(
         name="other",
         kind=VmKind.ENTRY,
--- a/packages/daemon/tests/node/test_unresponsive_hints.py
+++ b/packages/daemon/tests/node/test_unresponsive_hints.py
@@ -18,6 +18,7 @@
 from plankspindle_testkit.builders import build_ticket
 from plankspindle_testkit.builders import build_upstream
 from plankspindle_testkit.trial.trial_vm import TrialVm
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from plankspindle_core.configuration.configuration import Configuration
@@ -32,7 +33,9 @@
 
 def build_node(place: VmAddresses) -> Node:
     node = TrialVm.start(place, seeds=PLACES, random=Random(1), now=NOW).node
-    node.adopt(build_configuration_with_load_reports(), version=1, now=NOW)
+    node.adopt(
+        build_configuration_with_load_reports(), version=build_version(1), now=NOW
+    )
     return node
 
 
@@ -77,7 +80,7 @@
     configuration = evolve(
         build_configuration_with_load_reports(), upstreams_by_name=upstreams
     )
-    node.adopt(configuration, version=2, now=NOW)
+    node.adopt(configuration, version=build_version(2), now=NOW)
     for number in range(100):
         send(node, number, NOW)
     assert len(node.heartbeat(now=NOW + 5.0).silent_upstreams) == 8
--- a/packages/daemon/tests/node/test_upstream_incarnations.py
+++ b/packages/daemon/tests/node/test_upstream_incarnations.py
@@ -24,6 +24,7 @@
 from plankspindle_testkit.builders import build_ticket
 from plankspindle_testkit.builders import build_upstream
 from plankspindle_testkit.trial.trial_vm import TrialVm
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from plankspindle_daemon.node.node import Node
@@ -44,7 +45,7 @@
     configuration = build_configuration(
         services_by_name={"registry": service}, upstreams_by_name={}
     )
-    node.adopt(configuration, version=1, now=0.0)
+    node.adopt(configuration, version=build_version(1), now=0.0)
     return node
 
 
--- a/packages/daemon/tests/observability/test_metrics.py
+++ b/packages/daemon/tests/observability/test_metrics.py
@@ -27,6 +27,7 @@
 from plankspindle_daemon.traces.steps import Queued
 from plankspindle_daemon.traces.steps import RetryDecided
 from plankspindle_testkit.builders import build_membership
+from plankspindle_testkit.versions import build_version
 
 PLACED = Placed(upstream="u", own_load=0, others_load=0.0, slots=4, latency=1.0)
 
@@ -35,7 +36,7 @@
     """The parts of a node that metrics read, without a configuration."""
 
     dispatchers_by_service: dict[str, Any] = {}
-    version = 7
+    version = build_version(7)
 
     def __init__(self) -> None:
         self.quarantine = Quarantine.create("a", "ba-1", build_membership("a"))
--- a/packages/daemon/tests/sharing/test_follower_checks.py
+++ b/packages/daemon/tests/sharing/test_follower_checks.py
@@ -16,6 +16,8 @@
 from plankspindle_daemon.sharing.shared_reads import SharedReads
 from plankspindle_testkit.builders import build_reader_group
 from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.versions import build_list_version
+from plankspindle_testkit.versions import build_version
 
 NAMES = tuple(f"vm-{number:02}" for number in range(8))
 PERIOD_S = 1.33
@@ -39,8 +41,8 @@
     )
     sent = reads.record_list_read(
         [listed],
-        version=version,
-        configuration_version=1,
+        version=build_list_version(version),
+        configuration_version=build_version(1),
         retained_until=-math.inf,
         now=now,
     )
--- a/packages/daemon/tests/sharing/test_platform_calls_at_start.py
+++ b/packages/daemon/tests/sharing/test_platform_calls_at_start.py
@@ -18,6 +18,8 @@
 from plankspindle_daemon.sharing.shared_reads import SharedReads
 from plankspindle_testkit.builders import build_reader_group
 from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.versions import build_list_version
+from plankspindle_testkit.versions import build_version
 
 NAMES = tuple(f"vm-{number:02}" for number in range(21))
 DURATION_S = 42.0
@@ -71,13 +73,13 @@
         if subject == "list":
             messages = reads.record_list_read(
                 [LISTED],
-                version=1,
-                configuration_version=1,
+                version=build_list_version(1),
+                configuration_version=build_version(1),
                 retained_until=-math.inf,
                 now=now,
             )
         else:
-            messages = reads.record_configuration_read(1, now)
+            messages = reads.record_configuration_read(build_version(1), now)
         for each in messages[:1]:
             for other in NAMES:
                 if other != name:
@@ -86,7 +88,7 @@
     def _should_read(self, reads: SharedReads, subject: str, now: float) -> bool:
         if subject == "list":
             return reads.should_read_list(now)
-        return reads.should_read_configuration(1, now)
+        return reads.should_read_configuration(build_version(1), now)
 
     def _wait_s(self, reads: SharedReads, subject: str, now: float) -> float:
         if subject == "list":
--- a/packages/daemon/tests/sharing/test_shared_reads.py
+++ b/packages/daemon/tests/sharing/test_shared_reads.py
@@ -28,6 +28,8 @@
 from plankspindle_daemon.wire.frame import MAX_FRAME_BYTES
 from plankspindle_testkit.builders import build_reader_group
 from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.versions import build_list_version
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from plankspindle_daemon.peer_messages.list_news import ListNews
@@ -56,12 +58,12 @@
     """Read list and configuration, and return the last message to a member."""
     sent = reads.record_list_read(
         vms,
-        version=version,
-        configuration_version=configuration,
+        version=build_list_version(version),
+        configuration_version=build_version(configuration),
         retained_until=-math.inf,
         now=now,
     )
-    broadcast = reads.record_configuration_read(configuration, now)
+    broadcast = reads.record_configuration_read(build_version(configuration), now)
     messages = [each.message for each in (broadcast or sent)]
     return messages[0] if messages else None
 
@@ -86,7 +88,11 @@
     reads = SharedReads(group=build_reader_group(NAMES[1], NAMES), period_s=0.0)
     assert (
         reads.record_list_read(
-            [], version=1, configuration_version=1, retained_until=-math.inf, now=0.0
+            [],
+            version=build_list_version(1),
+            configuration_version=build_version(1),
+            retained_until=-math.inf,
+            now=0.0,
         )
         == []
     )
@@ -97,7 +103,11 @@
     reads = build_reads(NAMES[1])
     assert (
         reads.record_list_read(
-            [], version=None, configuration_version=1, retained_until=-math.inf, now=0.0
+            [],
+            version=None,
+            configuration_version=build_version(1),
+            retained_until=-math.inf,
+            now=0.0,
         )
         == []
     )
@@ -116,8 +126,8 @@
     second.apply_update(update, 0.1)
     assert first.should_read_list(0.2)
     assert not second.should_read_list(0.2)
-    assert not second.should_read_configuration(1, 0.2)
-    assert second.record_configuration_read(1, 0.2) == []
+    assert not second.should_read_configuration(build_version(1), 0.2)
+    assert second.record_configuration_read(build_version(1), 0.2) == []
 
 
 def test_vm_reads_despite_reader_of_higher_rank() -> None:
@@ -137,7 +147,7 @@
         ("v", False),
     ]
     assert change.changed[1].cold_until == pytest.approx(3.1, abs=0.01)
-    assert second.list_version == 5
+    assert second.list_version == build_list_version(5)
     gone = second.apply_update(read(first, new, version=7, now=0.5), 0.6)
     assert gone.gone == ("u",)
 
@@ -157,8 +167,8 @@
     """Read the list, and return all messages to one member."""
     sent = reads.record_list_read(
         vms,
-        version=version,
-        configuration_version=1,
+        version=build_list_version(version),
+        configuration_version=build_version(1),
         retained_until=-math.inf,
         now=now,
     )
@@ -216,7 +226,7 @@
     first, second = settled(*NAMES[:2])
     read(second, listed("u"), version=8, now=0.0)
     assert second.apply_update(read(first, version=5, now=0.0), 0.1) is None
-    assert second.list_version == 8
+    assert second.list_version == build_list_version(8)
 
 
 def test_update_during_own_read_is_not_applied_and_causes_another_read() -> None:
@@ -251,10 +261,10 @@
 def test_stale_list_read_is_not_refreshed_by_configuration_read() -> None:
     first, second = settled(*NAMES[:2])
     read(first, listed("u"), version=1, now=0.0)
-    broadcast = first.record_configuration_read(1, 3.0)
+    broadcast = first.record_configuration_read(build_version(1), 3.0)
     second.apply_update(broadcast[0].message, 3.0)
     assert second.should_read_list(3.0)
-    assert not second.should_read_configuration(1, 3.0)
+    assert not second.should_read_configuration(build_version(1), 3.0)
 
 
 def test_every_vm_reads_for_itself_once_own_read_is_too_old() -> None:
@@ -268,9 +278,9 @@
     first, second = settled(*NAMES[:2])
     update = read(first, listed("u"), version=1, now=0.0, configuration=2)
     second.apply_update(update, 0.0)
-    assert not second.should_read_configuration(1, 0.0)
-    assert second.should_read_configuration(1, FETCH_TIMEOUT_S)
-    assert not second.should_read_configuration(2, FETCH_TIMEOUT_S)
+    assert not second.should_read_configuration(build_version(1), 0.0)
+    assert second.should_read_configuration(build_version(1), FETCH_TIMEOUT_S)
+    assert not second.should_read_configuration(build_version(2), FETCH_TIMEOUT_S)
 
 
 def test_longest_update_fits_into_frame() -> None:
@@ -328,15 +338,17 @@
                 if update is not None and other != vm and random.random() < 0.9:
                     theirs.apply_update(update, now)
         for vm, reads in alive.items():
-            assert reads.list_version in lists
+            assert reads.list_version.number in lists
             due = [
                 version
                 for version, at in changed_at.items()
                 if now - at > 1.8 * PERIOD_S + 0.1 + 0.4 * PERIOD_S + 2 * step_s
             ]
-            assert reads.list_version >= max(due, default=1), vm
+            assert reads.list_version.number >= max(due, default=1), vm
             held_names = reads._history._by_name
-            assert set(held_names) == {each.name for each in lists[reads.list_version]}
+            assert set(held_names) == {
+                each.name for each in lists[reads.list_version.number]
+            }
 
 
 def test_role_follows_received_updates() -> None:
@@ -352,16 +364,24 @@
     """Updates of later reads carry it too, since the first message may be lost."""
     reads = build_reads("vm-0")
     reads.record_list_read(
-        [], version=1, configuration_version=1, retained_until=-math.inf, now=0.0
+        [],
+        version=build_list_version(1),
+        configuration_version=build_version(1),
+        retained_until=-math.inf,
+        now=0.0,
     )
     now = SETTLE_S + 1.0
     broadcast = reads.record_list_read(
-        [], version=2, configuration_version=1, retained_until=now + 2.0, now=now
+        [],
+        version=build_list_version(2),
+        configuration_version=build_version(1),
+        retained_until=now + 2.0,
+        now=now,
     )
     assert all(each.message.after_gap for each in broadcast)
     assert {each.message.keep_ms for each in broadcast} == {2_000}
-    later = reads.record_configuration_read(2, now + 1.5)
+    later = reads.record_configuration_read(build_version(2), now + 1.5)
     assert {each.message.keep_ms for each in later} == {500}
-    last = reads.record_configuration_read(2, now + 2.0)
+    last = reads.record_configuration_read(build_version(2), now + 2.0)
     assert last
     assert not any(each.message.after_gap for each in last)
--- a/packages/daemon/tests/wire/test_wire.py
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -31,6 +31,8 @@
 from plankspindle_daemon.wire.codec import decode
 from plankspindle_daemon.wire.codec import encode
 from plankspindle_daemon.wire.frame import FrameSealer
+from plankspindle_testkit.versions import build_list_version
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from plankspindle_daemon.peer_messages.peer_message import PeerMessage
@@ -48,7 +50,7 @@
         readiness=Readiness.OVERLOADED,
         view_digest=2**63,
         over_share=("u1", "u2"),
-        configuration_version=9,
+        configuration_version=build_version(9, era=2, number=71),
         silent_upstreams=("u3",),
         silent_incarnations=(1_790_000_000_123,),
         is_watched=True,
@@ -112,10 +114,10 @@
     ListNews(
         sender="a",
         bases=(3, 5, 9, 2**63),
-        version=2**63,
+        version=build_list_version(2**63, era=3),
         list_age_ms=0,
         configuration_age_ms=2**32 - 1,
-        configuration_version=7,
+        configuration_version=build_version(7),
         after_gap=True,
         keep_ms=2_500,
         changed=(
--- a/packages/testkit/src/plankspindle_testkit/bench/sharing_slopes.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/sharing_slopes.py
@@ -14,6 +14,8 @@
 from plankspindle_testkit.bench.median_time import median_ms
 from plankspindle_testkit.builders import build_reader_group
 from plankspindle_testkit.builders import build_upstream
+from plankspindle_testkit.versions import build_list_version
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from plankspindle_daemon.peer_messages.peer_message import SendToPeer
@@ -71,8 +73,8 @@
 def _read_list(reads: SharedReads, *, version: int) -> list[SendToPeer]:
     return reads.record_list_read(
         UPSTREAMS,
-        version=version,
-        configuration_version=1,
+        version=build_list_version(version),
+        configuration_version=build_version(1),
         retained_until=0.0,
         now=READ_INTERVAL_S * version,
     )
--- a/packages/testkit/src/plankspindle_testkit/bench/size_bench.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/size_bench.py
@@ -20,6 +20,7 @@
 from plankspindle_testkit.fleet_node import Fleet
 from plankspindle_testkit.fleet_node import build_empty_node
 from plankspindle_testkit.fleet_node import build_fleet_node
+from plankspindle_testkit.versions import build_version
 
 FLEETS = (
     Fleet(vms=9, upstreams=36),
@@ -140,7 +141,7 @@
     heartbeats = [fleet.heartbeat(each, sequence=1) for each in range(1, fleet.vms)]
     began = time.process_time()
     node = build_empty_node(fleet)
-    node.adopt(fleet.configuration(), version=1, now=START_S)
+    node.adopt(fleet.configuration(), version=build_version(1), now=START_S)
     for heartbeat in heartbeats:
         node.handle_membership(
             HeartbeatReceived(heartbeat), now=START_S, wall=WALL_TIME_S
--- a/packages/testkit/src/plankspindle_testkit/bench/slopes_bench.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/slopes_bench.py
@@ -37,6 +37,7 @@
 from plankspindle_testkit.builders import build_ticket
 from plankspindle_testkit.builders import build_upstream
 from plankspindle_testkit.trial.trial_vm import TrialVm
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from plankspindle_daemon.admission.ticket import Ticket
@@ -88,7 +89,7 @@
             for number in range(upstreams)
         },
     )
-    node.adopt(configuration, version=1, now=0.0)
+    node.adopt(configuration, version=build_version(1), now=0.0)
     return node
 
 
@@ -148,7 +149,7 @@
             f"u{number}": build_upstream(slots=9) for number in range(upstreams)
         }
     )
-    node.adopt(configuration, version=1, now=0.0)
+    node.adopt(configuration, version=build_version(1), now=0.0)
     for place in places[1:]:
         other = TrialVm.start(place, seeds=[], random=Random(place.name), now=0.0)
         heartbeat = other.node.heartbeat(now=0.1)
@@ -231,7 +232,7 @@
 
     def adopt() -> None:
         decoded = decode_configuration(content).unwrap()
-        node.adopt(decoded, version=node.version + next(versions), now=5.0)
+        node.adopt(decoded, version=build_version(1 + next(versions)), now=5.0)
 
     return median_ms(adopt)
 
--- a/packages/testkit/src/plankspindle_testkit/fleet_node.py
+++ b/packages/testkit/src/plankspindle_testkit/fleet_node.py
@@ -24,6 +24,7 @@
 from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_daemon.platform.live_list import ListedVm
 from plankspindle_daemon.platform.live_list import VmKind
+from plankspindle_testkit.versions import build_version
 
 REGIONS = ("bratislava", "kosice", "zilina")
 FAILURE_DOMAINS_PER_REGION = 3
@@ -105,7 +106,7 @@
             readiness=Readiness.READY,
             view_digest=0,
             over_share=(),
-            configuration_version=1,
+            configuration_version=build_version(1),
             is_watched=is_watched,
         )
 
@@ -185,7 +186,7 @@
         Monotonic seconds.
     """
     node = build_empty_node(fleet)
-    node.adopt(fleet.configuration(), version=1, now=now)
+    node.adopt(fleet.configuration(), version=build_version(1), now=now)
     node.handle_membership(
         LiveListRead(tuple(fleet.live_list())), now=now, wall=WALL_TIME_S
     )
--- a/packages/testkit/src/plankspindle_testkit/lab/lab_vm.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_vm.py
@@ -27,6 +27,7 @@
 from plankspindle_daemon.quotas.quota_options import QuotaOptions
 from plankspindle_daemon.quotas.quotas import Quotas
 from plankspindle_testkit.builders import build_member
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -132,7 +133,7 @@
         version = int(now * 1000) + 2
         self.limited.quotas.update_configuration(configuration)
         self.registry.apply_configuration(
-            configuration, version=version, now=now, wall=now
+            configuration, version=build_version(version), now=now, wall=now
         )
         self.registry.apply_drains(now=now, wall=now)
 
--- a/packages/testkit/src/plankspindle_testkit/trial/trial.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial.py
@@ -236,7 +236,7 @@
         read = answer.unwrap_or(None)
         if read is not None:
             effects = vm.node.adopt(
-                read.configuration, version=read.head.version, now=self.world.now
+                read.configuration, version=read.version, now=self.world.now
             )
             self._perform(vm, effects)
 
--- a/packages/testkit/src/plankspindle_testkit/trial/trial_operators.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial_operators.py
@@ -23,6 +23,7 @@
 from plankspindle_testkit.trial.ground_truth import GuaranteeViolatedError
 from plankspindle_testkit.trial.world import SERVICE
 from plankspindle_testkit.trial.world import World
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from plankspindle_daemon.platform.platform_client import PlatformClient
@@ -60,7 +61,8 @@
         row = self.world.platform.table.read(HEAD_KEY)
         accepted = head_row_from_mapping(row.value).unwrap().version
         return all(
-            vm.node.version == accepted for vm in self.world.vms_by_name.values()
+            vm.node.version.revision == accepted
+            for vm in self.world.vms_by_name.values()
         )
 
     def _plan_store(self) -> PlanStore:
@@ -81,7 +83,7 @@
             digest = LoadDigest(
                 sender=domain,
                 failure_domain=domain,
-                configuration_version=1,
+                configuration_version=build_version(1),
                 loads=(load,),
             )
             digests.record(digest, monotonic())
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from plankspindle_daemon.versions.store_version import StoreVersion
 from plankspindle_platform.boot_settings import BootSettings
 from plankspindle_platform.boot_settings import read_boot_settings
 from plankspindle_platform.row_store import RowSnapshot
@@ -65,9 +66,9 @@
     return StoredRow(key=key, version=version, value=value)
 
 
-def build_rows(*rows: StoredRow, version: int) -> RowSnapshot:
+def build_rows(*rows: StoredRow, version: int, era: int = 0) -> RowSnapshot:
     """Build a parsed answer of the store."""
-    return RowSnapshot(rows=rows, version=version)
+    return RowSnapshot(rows=rows, version=StoreVersion(era=era, number=version))
 
 
 def wire_row(row: StoredRow) -> dict[str, Any]:
--- a/tests/fleet/fleet_vm.py
+++ b/tests/fleet/fleet_vm.py
@@ -74,6 +74,10 @@
         by_name = dispatcher.upstreams_by_name
         return {name for name, each in by_name.items() if not each.leaving}
 
+    def is_drained(self) -> bool:
+        configuration = self.node.configuration
+        return configuration is not None and bool(configuration.drains_by_id)
+
     def routes(self) -> int:
         configuration = self.node.configuration
         return 0 if configuration is None else len(configuration.routes_by_name)
--- a/tests/fleet/test_operator_reader.py
+++ b/tests/fleet/test_operator_reader.py
@@ -20,16 +20,20 @@
 from plankspindle_core.configuration.service import SlotSharing
 from plankspindle_core.configuration.workspace import Workspace
 from plankspindle_daemon.platform.errors import PlatformUnavailable
+from plankspindle_daemon.versions.configuration_version import NO_VERSION
 from plankspindle_platform.operator_reader import OperatorReader
 from plankspindle_platform.operator_reader import translate_document
 from plankspindle_platform.row_store import HistoryExpired
 from plankspindle_platform.row_store import RowStore
 from plankspindle_testkit.trial.fake_platform import run_to_completion
+from plankspindle_testkit.versions import build_version
 
 
 class FakeStore:
     """Returns prepared answers in order."""
 
+    era = 0
+
     def __init__(self, *answers: Any) -> None:
         self.answers = list(answers)
         self.calls: list[str] = []
@@ -48,8 +52,14 @@
     return OperatorReader(store=cast("RowStore", FakeStore(*answers)), boot=boot)
 
 
-def read(reader: OperatorReader, version: int) -> Any:
-    return run_to_completion(reader.read_newer(version))
+REVISION = 7
+"""Number of the operator's document that the builders build."""
+
+
+def read(reader: OperatorReader, number: int) -> Any:
+    """Read what is newer than the operator's document as of a transaction."""
+    known = build_version(REVISION, number=number) if number else NO_VERSION
+    return run_to_completion(reader.read_newer(known))
 
 
 def test_document_is_translated_to_valid_configuration(
@@ -114,14 +124,17 @@
         Ok(build_rows(build_row("evacuate/zone-b", 20, None), version=20)),
     )
     first = read(reader, 0).unwrap()
-    assert (first.head.version, first.head.plan) == (9, "00000007")
+    assert (first.version, first.plan) == (
+        build_version(REVISION, number=9),
+        "00000007",
+    )
     second = read(reader, 9).unwrap()
-    assert second.head.version == 12
+    assert second.version == build_version(REVISION, number=12)
     drain = second.configuration.drains_by_id["evacuate-zone-b"]
     assert (drain.kind, drain.name) == (DrainKind.UPSTREAMS_OF_DOMAIN, "zone-b")
     assert read(reader, 12).unwrap() is None
     third = read(reader, 12).unwrap()
-    assert third.head.version == 20
+    assert third.version == build_version(REVISION, number=20)
     assert not third.configuration.drains_by_id
 
 
@@ -133,8 +146,50 @@
         Err(HistoryExpired()),
         Ok(build_rows(build_row("config", 30, document), version=31)),
     )
-    assert read(reader, 0).unwrap().head.version == 5
-    assert read(reader, 5).unwrap().head.version == 31
+    assert read(reader, 0).unwrap().version == build_version(REVISION, number=5)
+    assert read(reader, 5).unwrap().version == build_version(REVISION, number=31)
+
+
+def build_document(revision: int) -> dict[str, Any]:
+    return build_operator_document(config_version=f"{revision:08x}")
+
+
+# A read after a return from a copy put an older document in force.
+def test_document_of_copy_does_not_replace_newer_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    reader = build_reader(
+        monkeypatch,
+        Ok(build_rows(build_row("config", 50, build_document(18)), version=52, era=1)),
+        Err(HistoryExpired()),
+        Ok(build_rows(build_row("config", 30, build_document(17)), version=31, era=2)),
+        Ok(build_rows(build_row("config", 32, build_document(18)), version=32, era=2)),
+        Ok(build_rows(build_row("config", 33, build_document(19)), version=33, era=2)),
+    )
+    known = read(reader, 0).unwrap().version
+    assert known == build_version(18, era=1, number=52)
+    for number in (31, 32):
+        found = run_to_completion(reader.read_newer(known)).unwrap()
+        known = found.version
+        assert known == build_version(18, era=2, number=number)
+        assert found.plan == "00000012"
+    found = run_to_completion(reader.read_newer(known)).unwrap()
+    assert found.version == build_version(19, era=2, number=33)
+
+
+# The numbers may have passed the old ones when a VM first reads after a return.
+def test_changes_of_another_era_lead_to_full_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    reader = build_reader(
+        monkeypatch,
+        Ok(build_rows(build_row("config", 5, build_document(1)), version=5, era=1)),
+        Ok(build_rows(version=9, era=2)),
+        Ok(build_rows(build_row("config", 4, build_document(2)), version=9, era=2)),
+    )
+    known = read(reader, 0).unwrap().version
+    found = run_to_completion(reader.read_newer(known)).unwrap()
+    assert found.version == build_version(2, era=2, number=9)
 
 
 def test_version_known_from_other_vms_is_not_returned_again(
--- a/tests/fleet/test_values_from_store.py
+++ b/tests/fleet/test_values_from_store.py
@@ -25,6 +25,8 @@
 from plankspindle_daemon.wire.codec import encode
 from plankspindle_platform.row_translator import RowTranslator
 from plankspindle_platform.row_translator import parse_server_row
+from plankspindle_testkit.versions import build_list_version
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from plankspindle_daemon.platform.live_list import ListedVm
@@ -167,10 +169,10 @@
     update = ListNews(
         sender="a",
         bases=(1, 1),
-        version=2,
+        version=build_list_version(2),
         list_age_ms=0,
         configuration_age_ms=0,
-        configuration_version=1,
+        configuration_version=build_version(1),
         changed=(encode_upstream(listed, monotonic()),),
     )
     stable_hash(listed.name)
