Keep upstreams apart from entries that a returned store has wrong

After a return from a copy the store lists upstreams as ready that have left since, and lacks those that came since. Callers' requests would reach an upstream that had said it leaves, and an upstream that the store had lost was dropped, unless more than a quarter was.

Upstreams that are leaving or gone are remembered for 60 s; an entry of one counts again once its sequence number is above the last one seen, or 6 s after the return, when the store has dropped what nobody writes. What the store lacks is kept for 2.5 s, and no longer than the bound after a disturbance allows, whatever its share. Entry VMs tell one another sequence numbers.

--- a/packages/daemon/src/plankspindle_daemon/configuration/retained_drains.py
+++ b/packages/daemon/src/plankspindle_daemon/configuration/retained_drains.py
@@ -10,16 +10,11 @@
 
 from plankspindle_core.classes import define
 from plankspindle_core.configuration.drain import Drain
+from plankspindle_daemon.versions.store_era import RESTORE_S
 
 if TYPE_CHECKING:
     from plankspindle_core.configuration.configuration import Configuration
 
-RESTORE_S = 2.5
-"""Time after a return from a copy for lost writes to be restored, in seconds.
-
-Upstreams restore theirs within 2 s; the remaining 0.5 s allow for a read.
-"""
-
 
 @define(kw_only=True)
 class RetainedDrains:
--- a/packages/daemon/src/plankspindle_daemon/dispatch/service_registry.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/service_registry.py
@@ -167,7 +167,7 @@
         wall : float
             Seconds since the Unix epoch.
         """
-        listed = tuple(map(self.listed.newest_of, vms))
+        listed = self.listed.current_of(vms, now)
         self.listed.apply(listed, now)
         if self._configuration is not None:
             self._apply_services(self._configuration, now)
--- a/packages/daemon/src/plankspindle_daemon/node/list_follower.py
+++ b/packages/daemon/src/plankspindle_daemon/node/list_follower.py
@@ -174,11 +174,13 @@
     async def _apply_read(self, vms: list[ListedVm]) -> None:
         listed = self.node.services.listed
         listed.set_unreadable(self.platform.unreadable_names)
+        now, version = monotonic(), self.platform.list_version
+        if version is not None:
+            listed.record_era(version.era, now)
         await self._apply(vms)
-        now = monotonic()
         messages = self.node.shared_reads.record_list_read(
             vms,
-            version=self.platform.list_version,
+            version=version,
             configuration_version=self.node.version,
             retained_until=listed.grace_until,
             now=now,
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/list_news.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/list_news.py
@@ -26,6 +26,8 @@
         Time for which it stays cold, from the sending of the message.
     incarnation : int
         Incarnation number; zero if the platform does not report it.
+    sequence : int
+        Sequence number of the entry; zero if it is not known.
     """
 
     name: str
@@ -36,6 +38,7 @@
     leaving: bool
     cold_ms: int
     incarnation: int = 0
+    sequence: int = 0
 
 
 @frozen(kw_only=True)
--- a/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/listed_upstreams.py
@@ -9,6 +9,8 @@
 
 from plankspindle_core.classes import define
 from plankspindle_daemon.platform.live_list import ListedVm
+from plankspindle_daemon.platform.recent_departures import RecentDepartures
+from plankspindle_daemon.versions.store_era import UNKNOWN_ERA
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -68,6 +70,9 @@
     _grace_until: float = 0.0
     _retains_missing: bool = False
     _unreadable: frozenset[str] = frozenset()
+    _era: int = UNKNOWN_ERA
+    _restoring_until: float = -math.inf
+    _departures: RecentDepartures = Factory(RecentDepartures)
 
     @property
     def read_at(self) -> float | None:
@@ -96,6 +101,18 @@
         latest = max((each for each in known if each is not None), default=-math.inf)
         self._last_disturbed_at = latest
 
+    def record_era(self, era: int, now: float) -> None:
+        """Record the era of the store in which the next list to apply was read.
+
+        In a new era entries may be missing that were written after the copy from which
+        the store returned, and entries may be listed that were removed after it.
+        """
+        if era > self._era > UNKNOWN_ERA:
+            self.record_read_failure()
+            self._restoring_until = now + REENTRY_GRACE_S
+            self._departures.begin_outdated(now)
+        self._era = max(era, self._era)
+
     def set_grace_until(self, until: float) -> None:
         """Set the end of the grace period to that of the VM that has read the list."""
         self._grace_until = until
@@ -124,6 +141,7 @@
 
     def apply(self, listed: Iterable[ListedVm], now: float) -> None:
         """Apply a list that was read just now."""
+        is_restoring = now < self._restoring_until
         disturbed_at = self._last_disturbance_at(now)
         if disturbed_at is not None:
             latest = disturbed_at + self.recovery_s - REMOVAL_MARGIN_S
@@ -134,9 +152,14 @@
         self._retains_missing = False
         if self.is_in_grace_period(now):
             held = self._readable()
-            self._retains_missing = _suggests_outage(held, present)
+            self._retains_missing = (
+                not held.keys() <= present.keys()
+                if is_restoring
+                else _suggests_outage(held, present)
+            )
             if self._retains_missing:
                 present = {**held, **present}
+        self._departures.record(self.by_name, present, now)
         self.by_name = present
 
     def _readable(self) -> dict[str, ListedVm]:
@@ -147,7 +170,13 @@
             if name not in self._unreadable
         }
 
-    def newest_of(self, listed: ListedVm) -> ListedVm:
+    def current_of(
+        self, listed: Iterable[ListedVm], now: float
+    ) -> tuple[ListedVm, ...]:
+        """Return the entries of a list, corrected where they are outdated."""
+        return self._departures.correct(map(self._newest_of, listed), now)
+
+    def _newest_of(self, listed: ListedVm) -> ListedVm:
         """Return the known entry if the listed one lags behind its incarnation."""
         known = self.by_name.get(listed.name)
         if known is not None and 0 < listed.incarnation < known.incarnation:
--- a/packages/daemon/src/plankspindle_daemon/platform/live_list.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/live_list.py
@@ -48,6 +48,9 @@
     incarnation : int
         Incarnation number of an upstream, which rises with each start; zero if the
         platform does not report it.
+    sequence : int
+        Sequence number of the entry's writes by this incarnation; zero if the platform
+        does not report it.
     """
 
     name: str
@@ -60,6 +63,7 @@
     upstream: Upstream | None = None
     cold_until: float = 0.0
     incarnation: int = 0
+    sequence: int = 0
 
 
 def parse_live_list(document: Any) -> Result[list[ListedVm], PlatformUnavailable]:
--- a/packages/daemon/src/plankspindle_daemon/sharing/list_history.py
+++ b/packages/daemon/src/plankspindle_daemon/sharing/list_history.py
@@ -187,10 +187,18 @@
 
 
 def _is_same(before: ListedVm | None, after: ListedVm, now: float) -> bool:
-    """Return whether two readings of an entry are equal, within the tolerance."""
+    """Return whether two readings of an entry are equal, within the tolerance.
+
+    The sequence number rises with each write, also of the same content.
+    """
     if before is after:
         return True
-    if before is None or evolve(after, cold_until=before.cold_until) != before:
+    if before is None:
+        return False
+    written_before = evolve(
+        after, cold_until=before.cold_until, sequence=before.sequence
+    )
+    if written_before != before:
         return False
     ends = (max(now, before.cold_until), max(now, after.cold_until))
     return abs(ends[0] - ends[1]) < COLD_END_TOLERANCE_S
--- a/packages/daemon/src/plankspindle_daemon/sharing/upstream_codec.py
+++ b/packages/daemon/src/plankspindle_daemon/sharing/upstream_codec.py
@@ -24,6 +24,7 @@
         leaving=listed.leaving,
         cold_ms=max(0, round(1000 * (listed.cold_until - now))),
         incarnation=listed.incarnation,
+        sequence=listed.sequence,
     )
 
 
@@ -42,4 +43,5 @@
         ),
         cold_until=now + encoded.cold_ms / 1000,
         incarnation=encoded.incarnation,
+        sequence=encoded.sequence,
     )
--- a/packages/daemon/src/plankspindle_daemon/versions/store_era.py
+++ b/packages/daemon/src/plankspindle_daemon/versions/store_era.py
@@ -13,6 +13,17 @@
 
 UNKNOWN_ERA = 0
 """Era of a store that does not report one, or was not heard of yet."""
+RESTORE_S = 2.5
+"""Time after a return from a copy for lost writes to be restored, in seconds.
+
+Upstreams restore theirs within 2 s; the remaining 0.5 s allow for a read.
+"""
+MAX_COPY_AGE_S = 60.0
+"""Highest age of a copy from which the store returns, in seconds.
+
+Writes that were acknowledged longer before a return are in the copy. The platform says
+that a copy is some seconds old.
+"""
 
 
 @define(kw_only=True)
--- a/tests/fleet/test_store_return.py
+++ b/tests/fleet/test_store_return.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import curio
+import pytest
 from builders import CONTACT_S
 from builders import build_boot
 from builders import build_operator_document
@@ -21,17 +22,18 @@
 from store_stand_in import run_with_store
 
 from plankspindle_core.steady_clock import monotonic
-from plankspindle_daemon.configuration.retained_drains import RESTORE_S
+from plankspindle_daemon.versions.store_era import RESTORE_S
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    import pytest
     from fleet_vm import FleetVm
 
     from plankspindle_core.endpoint import Endpoint
 
+RESTORED_AFTER_S = 1.9
+"""Time after a return in which upstreams are listed again, just below 2 s."""
 LOST_WRITES = 20
 """Writes after the copy, more than any test makes after the return."""
 
@@ -191,3 +193,72 @@
         return monotonic() - returned_at
 
     assert run_vm(monkeypatch, scenario) < RESTORE_S + CONTACT_S
+
+
+def server_document(sequence: int, state: str = "ready") -> dict[str, Any]:
+    status = {**SERVER_DOCUMENT["status"], "state": state, "sequence": sequence}
+    return {**SERVER_DOCUMENT, "status": status}
+
+
+# A store that lost the word of a leaving upstream listed it as ready, and it was used.
+@pytest.mark.parametrize("is_gone", [False, True])
+def test_upstream_that_left_is_not_used_again(
+    monkeypatch: pytest.MonkeyPatch, is_gone: bool
+) -> None:
+    async def scenario(store: StoreStandIn, vm: FleetVm) -> None:
+        store.put("servers", "i-2", server_document(sequence=5))
+        await wait_until(lambda: "i-2" in vm.upstreams())
+        copy = store.copy()
+        store.put("servers", "i-2", server_document(sequence=9, state="draining"))
+        await wait_until(lambda: "i-2" not in vm.upstreams())
+        if is_gone:
+            store.remove("servers", "i-2")
+            await curio.sleep(0.3)
+        store.return_from(copy)
+        await never(lambda: "i-2" in vm.upstreams(), seconds=2.0)
+        store.put("servers", "i-2", server_document(sequence=12, state="draining"))
+        await never(lambda: "i-2" in vm.upstreams(), seconds=1.0)
+        store.remove("servers", "i-2")
+        await never(lambda: "i-2" in vm.upstreams(), seconds=1.0)
+
+    run_vm(monkeypatch, scenario)
+
+
+def test_upstream_that_is_back_is_used_once_it_has_written_its_entry(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(store: StoreStandIn, vm: FleetVm) -> float:
+        store.put("servers", "i-2", server_document(sequence=5))
+        await wait_until(lambda: "i-2" in vm.upstreams())
+        copy = store.copy()
+        store.remove("servers", "i-2")
+        await wait_until(lambda: "i-2" not in vm.upstreams())
+        store.return_from(copy)
+        await never(lambda: "i-2" in vm.upstreams(), seconds=0.5)
+        store.put("servers", "i-2", server_document(sequence=6))
+        written_at = monotonic()
+        await wait_until(lambda: "i-2" in vm.upstreams())
+        return monotonic() - written_at
+
+    assert run_vm(monkeypatch, scenario) < CONTACT_S
+
+
+# An upstream that the store had lost was dropped until it was listed again.
+def test_upstreams_that_the_store_lost_are_used_until_they_are_restored(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(store: StoreStandIn, vm: FleetVm) -> float:
+        names = {f"i-{number}" for number in range(1, 7)}
+        for name in names - {"i-1"}:
+            store.put("servers", name, SERVER_DOCUMENT)
+        await wait_until(lambda: vm.upstreams() == names)
+        copy = store.copy()
+        store.put("servers", "i-7", SERVER_DOCUMENT)
+        await wait_until(lambda: "i-7" in vm.upstreams())
+        store.return_from(copy)
+        returned_at = monotonic()
+        await never(lambda: "i-7" not in vm.upstreams(), seconds=RESTORED_AFTER_S)
+        await wait_until(lambda: vm.upstreams() == names)
+        return monotonic() - returned_at
+
+    assert run_vm(monkeypatch, scenario) < CONTACT_S
