Run no key twice after the store lost its claim

A caller that repeats an idempotency key after the store has returned from a copy could have its request run a second time: the claim that the store had acknowledged is gone, and another VM claims the key anew. A write on condition of a number read before the return could overwrite another write that got the number again.

For 2.5 s after a VM learns of an era it runs no new key and answers 503, not run, with the time left; that holds for a claim whose own acknowledgement tells of the return.

--- a/packages/daemon/src/plankspindle_daemon/control/plan_store.py
+++ b/packages/daemon/src/plankspindle_daemon/control/plan_store.py
@@ -295,12 +295,9 @@
                 key=HEAD_KEY,
                 expected_version=plan.base_row_version,
                 value=head.to_mapping(),
+                era=plan_row.era,
             ),
-            RowWrite(
-                key=plan_row.key,
-                expected_version=plan_row.version,
-                value=plan.as_accepted().to_mapping(),
-            ),
+            plan_row.replaced_by(plan.as_accepted().to_mapping()),
             RowWrite(
                 key=log_key(plan.version),
                 expected_version=ABSENT,
--- a/packages/daemon/src/plankspindle_daemon/idempotency/claim_attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/claim_attempt.py
@@ -97,7 +97,7 @@
 
     key: str
     claim_row: ClaimRow
-    expected_version: int = ABSENT
+    replaced_row: Row | None = None
     done: bool = False
 
     def begin(self) -> list[ClaimEffect]:
@@ -119,17 +119,12 @@
                 return self._settle(StoreUnavailable())
 
     def _write(self) -> ClaimEffect:
-        return WriteRow(
-            RowWrite(
-                key=self.key,
-                expected_version=self.expected_version,
-                value=self.claim_row.to_mapping(),
-            )
-        )
+        replaced = self.replaced_row or Row(key=self.key, version=ABSENT)
+        return WriteRow(replaced.replaced_by(self.claim_row.to_mapping()))
 
     def _handle_row(self, row: Row) -> list[ClaimEffect]:
         if row.version == ABSENT:
-            self.expected_version = ABSENT
+            self.replaced_row = None
             return [self._write()]
         decoded = claim_row_from_mapping(row.value)
         if decoded.is_err():
@@ -146,7 +141,7 @@
             case ClaimState.CLAIMED:
                 return self._settle(InProgress())
             case ClaimState.RELEASED:
-                self.expected_version = row.version
+                self.replaced_row = row
                 return [self._write()]
             case ClaimState.FINISHED if found.answer is None:
                 return self._settle(AnsweredUnrecorded())
--- a/packages/daemon/src/plankspindle_daemon/idempotency/claim_store.py
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/claim_store.py
@@ -26,9 +26,13 @@
 from plankspindle_daemon.idempotency.claim_attempt import WriteAnswered
 from plankspindle_daemon.idempotency.claim_attempt import WriteRow
 from plankspindle_daemon.idempotency.claim_attempt import WriteUnanswered
+from plankspindle_daemon.idempotency.claim_restorer import ClaimRestorer
 from plankspindle_daemon.idempotency.claim_row import ClaimRow
 from plankspindle_daemon.idempotency.claim_row import ClaimState
 from plankspindle_daemon.idempotency.claim_row import claim_row_from_mapping
+from plankspindle_daemon.idempotency.recent_claims import RecentClaims
+from plankspindle_daemon.idempotency.verdicts import RunIt
+from plankspindle_daemon.idempotency.verdicts import StoreRestoring
 from plankspindle_daemon.platform.errors import ConditionFailed
 from plankspindle_daemon.platform.platform_client import PlatformClient
 from plankspindle_daemon.platform.table import ABSENT
@@ -87,6 +91,10 @@
         Claims that are still to be closed.
     dropped_closings : int
         Claims that were left open because too many were waiting to be closed.
+    recent : RecentClaims
+        Claims that the store loses if it returns from a copy.
+    restorer : ClaimRestorer
+        Writes them again.
     """
 
     platform: PlatformClient
@@ -94,10 +102,15 @@
     supervisor: Supervisor
     unclosed_by_nonce: dict[str, UnclosedClaim] = field(factory=dict)
     dropped_closings: int = 0
+    recent: RecentClaims = field(factory=RecentClaims)
+    restorer: ClaimRestorer = field(init=False)
     _pending: list[_PendingWrite] = field(factory=list)
     _wake: Any = field(factory=Event)
     _tasks: list[Any] = field(factory=list)
 
+    def __attrs_post_init__(self) -> None:
+        self.restorer = ClaimRestorer(platform=self.platform)
+
     async def start(self) -> None:
         """Start the tasks that write batches and close claims."""
         self._tasks = [
@@ -129,7 +142,16 @@
         -------
         ClaimVerdict
             ``RunIt`` if this attempt provably made the claim.
+
+        Notes
+        -----
+        After a return of the store no new key runs until other VMs have had the time to
+        write again what the store lost, also if the answer to the claim itself is what
+        tells of the return.
         """
+        era = self.platform.calls.era
+        if era.restoring_left_s(monotonic()) > 0:
+            return StoreRestoring(era.restoring_left_s(monotonic()))
         attempt = ClaimAttempt(key=key, claim_row=claim_row)
         effects = attempt.begin()
         try:
@@ -141,6 +163,13 @@
             effects = attempt.handle(DeadlineExceeded())
         settled = effects[-1]
         assert isinstance(settled, Settled)
+        if not isinstance(settled.verdict, RunIt):
+            return settled.verdict
+        left_s = era.restoring_left_s(monotonic())
+        if left_s > 0:
+            self.close_claim(key, claim_row.released())
+            return StoreRestoring(left_s)
+        self.recent.record(key, claim_row, monotonic())
         return settled.verdict
 
     async def _perform(self, effect: WriteRow | ReadRow | Settled) -> ClaimEvent:
@@ -220,14 +249,21 @@
         if len(self.unclosed_by_nonce) >= MAX_UNCLOSED:
             self.dropped_closings += 1
             return
+        self.recent.record(key, row, monotonic())
         # Two attempts on one key may both be queued: each closes only its own claim.
         self.unclosed_by_nonce[row.nonce] = UnclosedClaim(key=key, row=row)
 
     async def _close_claims(self) -> None:
         while True:
             await sleep(CLOSE_PERIOD_S * self.random.uniform(0.8, 1.2))
+            await self.restore_lost_claims()
             await self.close_ended_claims()
 
+    async def restore_lost_claims(self) -> None:
+        """Write claims again that the store has lost, as far as that is due."""
+        self.restorer.begin_if_returned(self.recent, monotonic())
+        await self.restorer.step(self.recent, monotonic())
+
     async def close_ended_claims(self) -> None:
         """Try once to close a batch of queued claims."""
         claims_by_key: dict[str, UnclosedClaim] = {}
@@ -247,8 +283,7 @@
             if not needs_closing_write(row, claim.row):
                 self._discard(claim)
                 continue
-            value = claim.row.to_mapping()
-            writes.append(RowWrite(key=key, expected_version=row.version, value=value))
+            writes.append(row.replaced_by(claim.row.to_mapping()))
         if writes:
             await self.platform.commit(Transaction(writes=writes))
 
--- a/packages/daemon/src/plankspindle_daemon/idempotency/claim_sweeper.py
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/claim_sweeper.py
@@ -15,7 +15,6 @@
 from plankspindle_daemon.membership.membership import Membership
 from plankspindle_daemon.platform.platform_client import PlatformClient
 from plankspindle_daemon.platform.table import Row
-from plankspindle_daemon.platform.table import RowWrite
 from plankspindle_daemon.platform.table import Transaction
 
 SWEEP_PERIOD_S = 10.0
@@ -86,10 +85,7 @@
         expired = [row for row in page.unwrap() if _has_expired(row, wall)]
         if not expired:
             return
-        writes = [
-            RowWrite(key=row.key, expected_version=row.version, value=None)
-            for row in expired
-        ]
+        writes = [row.replaced_by(None) for row in expired]
         committed = await self.platform.commit(Transaction(writes=writes))
         if committed.is_ok():
             self.removed += len(writes)
--- a/packages/daemon/src/plankspindle_daemon/idempotency/verdicts.py
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/verdicts.py
@@ -64,6 +64,19 @@
     """The platform cannot confirm the claim, so the request was not run."""
 
 
+@frozen
+class StoreRestoring:
+    """The store has returned from a copy and may lack claims, so nothing was run.
+
+    Parameters
+    ----------
+    left_s : float
+        Time until claims are restored, in seconds.
+    """
+
+    left_s: float
+
+
 IdVerdict = (
     RunIt
     | Replay
@@ -75,5 +88,11 @@
     | NoMemory
 )
 ClaimVerdict = (
-    RunIt | Replay | AnsweredUnrecorded | InProgress | Mismatch | StoreUnavailable
+    RunIt
+    | Replay
+    | AnsweredUnrecorded
+    | InProgress
+    | Mismatch
+    | StoreUnavailable
+    | StoreRestoring
 )
--- a/packages/daemon/src/plankspindle_daemon/listeners/idempotency_checker.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/idempotency_checker.py
@@ -28,6 +28,7 @@
 from plankspindle_daemon.idempotency.verdicts import NoMemory
 from plankspindle_daemon.idempotency.verdicts import Replay
 from plankspindle_daemon.idempotency.verdicts import RunIt
+from plankspindle_daemon.idempotency.verdicts import StoreRestoring
 from plankspindle_daemon.idempotency.verdicts import StoreUnavailable
 from plankspindle_daemon.node.node import Node
 
@@ -186,6 +187,13 @@
             return AnswerCaller(
                 status=503, outcome=Outcome.NOT_RUN, reason="too-many-ids-in-use"
             )
+        case StoreRestoring(left_s=left_s):
+            return AnswerCaller(
+                status=503,
+                outcome=Outcome.NOT_RUN,
+                reason="store-restoring",
+                retry_after_s=left_s,
+            )
         case StoreUnavailable():
             return AnswerCaller(
                 status=503, outcome=Outcome.NOT_RUN, reason="claim-not-confirmed"
--- a/packages/daemon/src/plankspindle_daemon/versions/store_era.py
+++ b/packages/daemon/src/plankspindle_daemon/versions/store_era.py
@@ -44,6 +44,14 @@
     known_since: float = -math.inf
     returns: int = 0
 
+    def restoring_left_s(self, now: float) -> float:
+        """Return the time until lost writes are restored, in seconds; zero if passed.
+
+        It counts from when this VM learned of the era, also of the first one that it
+        learned: the store may have returned just before.
+        """
+        return max(0.0, self.known_since + RESTORE_S - now)
+
     def observe(self, number: int, now: float, *, source: str = "platform") -> bool:
         """Record the era of an answer of the store, or of a message of another VM.
 
--- a/packages/testkit/src/plankspindle_testkit/platform_stand_in/table_store.py
+++ b/packages/testkit/src/plankspindle_testkit/platform_stand_in/table_store.py
@@ -32,6 +32,10 @@
     rows_by_key: dict[str, StoredRow] = field(factory=dict)
     commits: int = 0
 
+    def copy(self) -> TableStore:
+        """Return a copy of all rows, to return from later."""
+        return TableStore(rows_by_key=dict(self.rows_by_key), commits=self.commits)
+
     def read(self, key: str) -> StoredRow:
         """Read a row; an absent one has version zero."""
         return self.rows_by_key.get(key, StoredRow())
--- a/packages/testkit/src/plankspindle_testkit/trial/fake_platform.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/fake_platform.py
@@ -13,6 +13,7 @@
 from result import Ok
 from result import Result
 
+from plankspindle_daemon.platform.bounded_calls import BoundedCalls
 from plankspindle_daemon.platform.errors import ConditionFailed
 from plankspindle_daemon.platform.errors import PlatformUnavailable
 from plankspindle_daemon.platform.table import Row
@@ -65,6 +66,7 @@
     forced_write_fault: str = ""
     table: TableStore = field(factory=TableStore)
     objects_by_name: dict[str, bytes] = field(factory=dict)
+    calls: BoundedCalls = field(factory=lambda: BoundedCalls(timeout_s=1.0))
     _delayed_writes: list[Transaction] = field(factory=list)
 
     def _fails(self) -> bool:
@@ -89,12 +91,25 @@
 
     def _row(self, key: str) -> Row:
         stored = self.table.read(key)
-        return Row(key=key, version=stored.version, value=stored.value)
+        return Row(
+            key=key,
+            version=stored.version,
+            value=stored.value,
+            era=self.calls.era.number,
+        )
+
+    def return_from(self, copy: TableStore, now: float) -> None:
+        """Lose all that was written since a copy of the table, and begin a new era."""
+        self.table = copy
+        self.calls.era.observe(self.calls.era.number + 1, now)
 
     async def commit(
         self, transaction: Transaction
     ) -> Result[None, ConditionFailed | PlatformUnavailable]:
         """Commit, possibly without effect, delayed, or with a lost answer."""
+        outdated = transaction.keys_of_earlier_eras(self.calls.era.number)
+        if outdated:
+            return Err(ConditionFailed(outdated))
         if self._fails():
             kind = self.random.choice(["nothing", "late", "answer-lost"])
             kind = self.forced_write_fault or kind
