--- a/packages/daemon/src/plankspindle_daemon/platform/presence_port.py
+++ b/packages/daemon/src/plankspindle_daemon/platform/presence_port.py
@@ -12,15 +12,11 @@
 
 
 class PresencePort(Protocol):
-    """Adds this VM to the platform's list and removes entries from it.
+    """Adds this VM to the platform's list and removes entries from it."""
 
-    Attributes
-    ----------
-    is_present : bool
-        Whether the list contains this VM, as of the last write or read.
-    """
-
-    is_present: bool
+    @property
+    def is_present(self) -> bool:
+        """Whether the list contains this VM, as of the last write or read."""
 
     async def announce(self) -> Result[None, PlatformUnavailable]:
         """Add the entry of this VM to the list."""
--- a/packages/daemon/src/plankspindle_daemon/quarantine/quarantine_store.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/quarantine_store.py
@@ -21,12 +21,12 @@
 from plankspindle_daemon.platform.errors import PlatformUnavailable
 from plankspindle_daemon.platform.platform_client import PlatformClient
 from plankspindle_daemon.platform.table import Row
-from plankspindle_daemon.platform.table import RowWrite
 from plankspindle_daemon.platform.table import Transaction
 from plankspindle_daemon.quarantine.quarantine import Quarantine
 from plankspindle_daemon.quarantine.quarantine_list import ENTRY_RETENTION_S
 from plankspindle_daemon.quarantine.quarantine_list import QuarantineEntry
 from plankspindle_daemon.quarantine.request_identity import identity_text
+from plankspindle_daemon.versions.acknowledged_write import AcknowledgedWrite
 
 ROW_KEY = "quarantine"
 MIN_REREAD_INTERVAL_S = 2.0
@@ -63,6 +63,7 @@
     random: Random
     _wake_event: Any = Factory(Event)
     _read_at: float = -math.inf
+    _saved: AcknowledgedWrite | None = None
 
     async def run(self) -> None:
         """Read and write the row until the task is cancelled."""
@@ -79,6 +80,9 @@
 
     async def wake_if_needed(self) -> None:
         """Wake the task if the row must be written or read again."""
+        if self._saved is not None and self._saved.may_be_lost(self.platform.calls.era):
+            self._saved = None
+            self.quarantine.is_unsaved = True
         may_read = monotonic() - self._read_at >= MIN_REREAD_INTERVAL_S
         if self.quarantine.is_unsaved or (self.quarantine.needs_reread and may_read):
             await self._wake_event.set()
@@ -105,9 +109,12 @@
         value = self._value()
         if value == (row.value or {"entries": []}):
             return True
-        write = RowWrite(key=ROW_KEY, expected_version=row.version, value=value)
-        committed = await self.platform.commit(Transaction(writes=[write]))
+        writes = [row.replaced_by(value)]
+        committed = await self.platform.commit(Transaction(writes=writes))
         if committed.is_ok():
+            era = self.platform.calls.era.number
+            self._saved = AcknowledgedWrite(era=era, at=monotonic())
+            log_event("quarantine_saved", entries=len(value["entries"]), era=era)
             return True
         self.quarantine.is_unsaved = True
         if not isinstance(committed.unwrap_err(), ConditionFailed):
--- a/packages/daemon/tests/quarantine/test_quarantine_store.py
+++ b/packages/daemon/tests/quarantine/test_quarantine_store.py
@@ -13,6 +13,7 @@
 from result import Err
 from result import Ok
 
+from plankspindle_daemon.platform.bounded_calls import BoundedCalls
 from plankspindle_daemon.platform.errors import ConditionFailed
 from plankspindle_daemon.platform.errors import PlatformUnavailable
 from plankspindle_daemon.platform.table import Row
@@ -31,6 +32,7 @@
 class FakePlatform:
     """One row, preceded by a number of failures."""
 
+    calls: BoundedCalls = field(factory=lambda: BoundedCalls(timeout_s=1.0))
     row: Row = field(factory=lambda: Row(key=ROW_KEY, version=0))
     failing_reads: int = 0
     refused_writes: int = 0
@@ -161,3 +163,37 @@
     found = curio.run(partial(run_store, platform, quarantines=True))
     assert list(found.quarantine_list.entries_by_identity) == [REQUEST]
     assert platform.writes == 1
+
+
+async def run_until_returned(platform: FakePlatform) -> None:
+    """Quarantine a request, lose its row by a return from a copy, and wait."""
+    quarantine = Quarantine.create("a", "ba-1", build_membership("a"))
+    store = QuarantineStore(
+        quarantine=quarantine,
+        platform=platform,  # type: ignore[arg-type]
+        random=Random(1),
+    )
+    platform.calls.era.observe(1, quarantine_store.monotonic())
+    task = await curio.spawn(store.run, daemon=True)
+    await curio.sleep(SETTLED_S)
+    now = quarantine_store.monotonic()
+    for incarnation_id in "abc":
+        quarantine.record_crash(REQUEST, incarnation_id, at=now, now=now)
+    quarantine.tick(now + CLEARANCE_WINDOW_S)
+    await store.wake_if_needed()
+    await curio.sleep(SETTLED_S)
+    platform.row = Row(key=ROW_KEY, version=0)
+    platform.calls.era.observe(2, quarantine_store.monotonic())
+    for _ in range(2):
+        await store.wake_if_needed()
+        await curio.sleep(SETTLED_S)
+    await task.cancel()
+
+
+# A fleet that starts anew after the store lost the row would run the request again.
+def test_row_lost_by_a_return_of_the_store_is_written_again() -> None:
+    platform = FakePlatform()
+    curio.run(run_until_returned, platform)
+    assert platform.row.value is not None
+    assert [each[0] for each in platform.row.value["entries"]] == [f"{REQUEST:016x}"]
+    assert platform.writes == 2
