Learn of an era of the store from other entry VMs, too

A VM that is cut off from the store, or starts, takes the era from the versions that other VMs announce, and refuses late answers of earlier eras from then on. The tests cover its own entry, conditions of an earlier era, late acknowledgements, and invalid headers.

--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -102,6 +102,7 @@
             random,
             all_domains=self._ports.heartbeats_across_domains,
             lists_upstreams=self._ports.lists_upstreams,
+            store_era=self._ports.platform.calls.era,
         )
         self._platform = self._ports.platform
         self._make_outbound_links(random)
--- a/packages/daemon/src/plankspindle_daemon/node/make_node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/make_node.py
@@ -18,6 +18,7 @@
     from random import Random
 
     from plankspindle_daemon.settings.daemon_settings import DaemonSettings
+    from plankspindle_daemon.versions.store_era import StoreEra
 
 ID_RETENTION_S = 3_600.0
 
@@ -28,6 +29,7 @@
     *,
     all_domains: bool,
     lists_upstreams: bool,
+    store_era: StoreEra,
 ) -> Node:
     """Create a node without a configuration or a list of VMs.
 
@@ -41,10 +43,12 @@
         Whether entry VMs of all failure domains exchange heartbeats.
     lists_upstreams : bool
         Whether upstreams are declared by the platform's list of VMs.
+    store_era : StoreEra
+        Era of the platform's store, shared with the client of the platform.
     """
     incarnation = random.getrandbits(64) or 1
     timing = settings.timing
-    return Node(
+    node = Node(
         vm=settings.vm,
         failure_domain=settings.failure_domain,
         caller_endpoint=settings.listen.caller,
@@ -82,3 +86,5 @@
         started_at=monotonic(),
         settle_s=timing.suspect_after_ms / 1000,
     )
+    node.versions.store_era = store_era
+    return node
--- a/packages/daemon/src/plankspindle_daemon/node/version_gossip.py
+++ b/packages/daemon/src/plankspindle_daemon/node/version_gossip.py
@@ -16,6 +16,7 @@
 from plankspindle_daemon.membership.membership import Membership
 from plankspindle_daemon.membership.messages import SendHeartbeat
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
+from plankspindle_daemon.versions.store_era import StoreEra
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -39,6 +40,8 @@
         Known entry VMs.
     random : Random
         Chooses the members that a new version is announced to first.
+    store_era : StoreEra
+        Era of the platform's store, which members may know before this VM.
 
     Attributes
     ----------
@@ -51,6 +54,7 @@
     vm: str
     membership: Membership
     random: Random
+    store_era: StoreEra = Factory(StoreEra)
     head: HeadFreshness = Factory(HeadFreshness)
     exchange: VersionExchange = field(init=False)
 
@@ -92,6 +96,7 @@
         list of SendToPeer
             Requests for its content, if it is higher than this VM's.
         """
+        self.store_era.observe(version.era, now, source=sender)
         return self._request(
             sender, self.exchange.handle_announcement(sender, version, now)
         )
--- a/tests/fleet/fleet_vm.py
+++ b/tests/fleet/fleet_vm.py
@@ -102,8 +102,14 @@
     )
     boot = evolve(boot, daemon=settings)
     random, supervisor = Random(number), Supervisor()
-    node = make_node(settings, random, all_domains=True, lists_upstreams=True)
     platform = StorePlatform(settings=settings)
+    node = make_node(
+        settings,
+        random,
+        all_domains=True,
+        lists_upstreams=True,
+        store_era=platform.calls.era,
+    )
     operator_store = RowStore(endpoint=store, calls=platform.calls)
     peers = PeerLink(
         endpoint=settings.listen.peer,
--- a/tests/fleet/test_store_return.py
+++ b/tests/fleet/test_store_return.py
@@ -22,7 +22,15 @@
 from store_stand_in import run_with_store
 
 from plankspindle_core.steady_clock import monotonic
+from plankspindle_daemon.node.presence_maintainer import PresenceMaintainer
+from plankspindle_daemon.platform.errors import ConditionFailed
+from plankspindle_daemon.platform.errors import PlatformUnavailable
+from plankspindle_daemon.platform.table import ABSENT
+from plankspindle_daemon.platform.table import RowWrite
+from plankspindle_daemon.platform.table import Transaction
 from plankspindle_daemon.versions.store_era import RESTORE_S
+from plankspindle_platform.store_era_header import read_era
+from plankspindle_testkit.versions import build_version
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -262,3 +270,71 @@
         return monotonic() - returned_at
 
     assert run_vm(monkeypatch, scenario) < CONTACT_S
+
+
+def test_entry_vm_announces_itself_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario(store: StoreStandIn, vm: FleetVm) -> float:
+        own_row = ("plankspindle-vms", vm.node.vm)
+        copy = store.copy()
+        del copy.rows_by_key[own_row]
+        maintainer = PresenceMaintainer(node=vm.node, presence=vm.platform.entry_vms)
+        task = await curio.spawn(maintainer.run)
+        store.return_from(copy)
+        returned_at = monotonic()
+        await wait_until(lambda: own_row in store.rows_by_key)
+        await task.cancel()
+        return monotonic() - returned_at
+
+    assert run_vm(monkeypatch, scenario) < CONTACT_S
+
+
+# The number of a row that was read may be given to another write of the row.
+def test_condition_of_earlier_era_does_not_hold(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(store: StoreStandIn, vm: FleetVm) -> tuple[Any, Any, Any]:
+        copy = store.copy()
+        store.put("plankspindle", "k", {"by": "before"})
+        row = (await vm.platform.read_row("k")).unwrap()
+        store.return_from(copy)
+        store.put("plankspindle", "k", {"by": "another"})
+        assert store.rows_by_key["plankspindle", "k"][0] == row.version
+        change = Transaction(writes=[row.replaced_by({"by": "mine"})])
+        unaware = await vm.platform.commit(change)
+        store.put("plankspindle", "k", {"by": "another"})
+        aware = await vm.platform.commit(change)
+        found = (await vm.platform.read_row("k")).unwrap()
+        return unaware.unwrap_err(), aware.unwrap_err(), found.value
+
+    unaware, aware, value = run_vm(monkeypatch, scenario)
+    assert isinstance(unaware, PlatformUnavailable)
+    assert aware == ConditionFailed(("k",))
+    assert value == {"by": "another"}
+
+
+# An acknowledgement that arrives after the return is known may be of a lost write.
+def test_answer_of_earlier_era_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario(store: StoreStandIn, vm: FleetVm) -> Any:
+        vm.platform.calls.era.observe(2, monotonic())
+        write = RowWrite(key="k", expected_version=ABSENT, value={})
+        return await vm.platform.commit(Transaction(writes=[write]))
+
+    assert isinstance(run_vm(monkeypatch, scenario).unwrap_err(), PlatformUnavailable)
+
+
+def test_vm_that_is_cut_off_learns_of_the_era_from_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(store: StoreStandIn, vm: FleetVm) -> tuple[int, int]:
+        later = build_version(2, era=2, number=3)
+        vm.node.versions.receive_version("edge-a-1", later, monotonic())
+        era = vm.platform.calls.era
+        return era.number, era.returns
+
+    assert run_vm(monkeypatch, scenario) == (2, 1)
+
+
+@pytest.mark.parametrize("value", [b"-1", b"two", b"", b"99999999999"])
+def test_invalid_era_counts_as_none(value: bytes) -> None:
+    assert read_era([(b"store-era", value)]) is None
+    assert read_era([(b"store-era", b" 7 ")]) == 7
