Tell operators of a return of the store and of what was lost

The state dump shows era, returns, drains that are retained and claims written again; status adds a return to the platform's line; explain shows the events of a return beside a request and names the reason store-restoring. A plan that is gone is answered with what to do. On the product's own platform a version keeps the number of its head row in dumps and messages.

--- a/packages/client/src/plankspindle_client/console/commands/status.py
+++ b/packages/client/src/plankspindle_client/console/commands/status.py
@@ -38,7 +38,7 @@
         f" version {configuration['version']}"
         f" in force for {configuration['in_force_for_s']} s",
         f"members: {' '.join(found['membership']['view'])}",
-        f"platform: {'answers' if found['platform']['available'] else 'away'}",
+        f"platform: {_platform_state(found['platform'])}",
         *_suspected_lines(found["membership"]["members"]),
     ]
     for name, service in sorted(found["services"].items()):
@@ -82,3 +82,12 @@
         by = f", suspected by {watchers}" if watchers else ""
         lines.append(f"member {name}: {heard}{by}")
     return lines
+
+
+def _platform_state(platform: dict[str, Any]) -> str:
+    """Describe whether the platform answers, and whether it has lost writes."""
+    state = "answers" if platform["available"] else "away"
+    returns = platform.get("returns_from_copy", 0)
+    if not returns:
+        return state
+    return f"{state}, returned from a copy {returns} times, era {platform['era']}"
--- a/packages/client/src/plankspindle_client/explaining/cause.py
+++ b/packages/client/src/plankspindle_client/explaining/cause.py
@@ -10,8 +10,14 @@
     from plankspindle_client.explaining.request_trace import RequestTrace
 
 
-KEY_REVOKED = "key-revoked"
 WITHHELD = "withheld"
+_CAUSES_BY_REASON = {
+    "key-revoked": "Its API key was revoked while it waited, and it was not run.",
+    "store-restoring": (
+        "Its key was not claimed, and it was not run: the platform's store had returned"
+        " from a copy and lacked claims until they were written again."
+    ),
+}
 
 
 def describe_cause(trace: RequestTrace) -> str:
@@ -28,8 +34,9 @@
     ending = end.fields.get("ending")
     if ending == "refused":
         return f"It was refused ({end.fields.get('status')}): {_reason(end)}."
-    if ending == "not-run" and end.fields.get("reason") == KEY_REVOKED:
-        return "Its API key was revoked while it waited, and it was not run."
+    cause = _CAUSES_BY_REASON.get(_reason(end))
+    if ending == "not-run" and cause is not None:
+        return cause
     if ending == "caller-gone":
         return f"Its caller went away after {end.int_field('took_ms')} ms."
     blocked = trace.last_event("request_held_back")
--- a/packages/daemon/src/plankspindle_daemon/configuration/configuration_reader.py
+++ b/packages/daemon/src/plankspindle_daemon/configuration/configuration_reader.py
@@ -109,8 +109,9 @@
         head = head_row_from_mapping(row.unwrap().value)
         if head.is_err():
             return Err(ConfigurationReadFailed(head.unwrap_err().detail))
+        number = head.unwrap().version
         accepted = ConfigurationVersion(
-            revision=head.unwrap().version, era=self.platform.calls.era.number
+            revision=number, era=row.unwrap().era, number=number
         )
         if accepted <= version:
             return Ok(None)
--- a/packages/daemon/src/plankspindle_daemon/configuration/retained_drains.py
+++ b/packages/daemon/src/plankspindle_daemon/configuration/retained_drains.py
@@ -10,6 +10,7 @@
 
 from plankspindle_core.classes import define
 from plankspindle_core.configuration.drain import Drain
+from plankspindle_core.logs.key_value_destination import log_event
 from plankspindle_daemon.versions.store_era import RESTORE_S
 
 if TYPE_CHECKING:
@@ -28,11 +29,17 @@
     _drains_by_id: dict[str, Drain] = Factory(dict)
     _until: float = -math.inf
 
+    def ids(self) -> list[str]:
+        """Return the ids of the drains that are retained, for the state dump."""
+        return sorted(self._drains_by_id)
+
     def begin(self, in_force: Configuration | None, now: float) -> None:
         """Retain the drains in force from now on, for ``RESTORE_S``."""
         if in_force is not None:
             self._drains_by_id = dict(in_force.drains_by_id)
             self._until = now + RESTORE_S
+        if self._drains_by_id:
+            log_event("drains_retained", drains=",".join(self.ids()))
 
     def apply(self, configuration: Configuration, now: float) -> Configuration:
         """Return the configuration with the retained drains that it lacks."""
--- a/packages/daemon/src/plankspindle_daemon/listeners/plan_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/plan_service.py
@@ -126,6 +126,12 @@
         await answer_json(source, 200, plan.to_mapping())
 
 
+NO_SUCH_PLAN = (
+    "no such plan; if the platform has returned from a copy since it was made, it is"
+    " lost: make it again"
+)
+
+
 async def _answer_error(
     source: ServerExchange, error: PlanError | ConfirmError
 ) -> None:
@@ -133,7 +139,7 @@
         case InvalidDocument(problems=problems):
             await answer_json(source, 422, {"error": "refused", "problems": problems})
         case NoSuchPlan():
-            await answer_json(source, 404, {"error": "no such plan"})
+            await answer_json(source, 404, {"error": NO_SUCH_PLAN})
         case PlanExpired():
             await answer_json(
                 source, 410, {"error": "the plan has expired; make it again"}
--- a/packages/daemon/src/plankspindle_daemon/listeners/runtime_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/runtime_dump.py
@@ -57,5 +57,8 @@
         "claims": {
             "unclosed": len(claims.unclosed_by_nonce),
             "dropped_closings": claims.dropped_closings,
+            "written_again": claims.restorer.written,
+            "run_elsewhere": claims.restorer.run_elsewhere,
+            "forgotten": claims.recent.forgotten,
         },
     }
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -113,6 +113,7 @@
         "revision": node.version.revision,
         "era": node.version.era,
         "in_force_for_s": age,
+        "retained_drains": node.in_force.retained_drains.ids(),
         "head_read_s_ago": None if checked is None else round(checked, 3),
         "reads_platform": node.versions.is_reader(now),
         "learned_from_members": node.versions.exchange.fetched_count,
