Lab and fleet soak: a store that returns from a copy

In the fleet's soak the store returns from copies of 0.2 to 12 s, after an outage of up to 3 s or while it answers, at times twice within 2 s, beside all other faults; late answers name the era in which they were made, the operator restores his rows within 1.9 s, upstreams with their heartbeats, and entries that nobody writes expire after three of them.

--- a/packages/testkit/src/plankspindle_testkit/lab/deployment.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/deployment.py
@@ -36,6 +36,8 @@
         The entry VMs.
     drained_domains : set of str
         Failure domains whose upstreams get no requests.
+    store_era : int
+        Era of the platform's store, which lists the upstreams.
     """
 
     pattern: Pattern
@@ -43,6 +45,7 @@
     upstreams_by_name: dict[str, ModelledUpstream] = field(init=False)
     vms_by_name: dict[str, LabVm] = field(init=False)
     drained_domains: set[str] = Factory(set)
+    store_era: int = 1
     _configuration: Configuration = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -79,7 +82,7 @@
                 now=now,
                 drained=self.drained_domains,
             )
-            vm.read_list(self.upstreams_by_name.values(), now)
+            vm.read_list(self.upstreams_by_name.values(), now, era=self.store_era)
             self.vms_by_name[name] = vm
 
     def running_vms(self) -> list[LabVm]:
--- a/packages/testkit/src/plankspindle_testkit/lab/event_scheduler.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/event_scheduler.py
@@ -25,6 +25,7 @@
     EventKind.LIMIT,
     EventKind.LEAVE,
     EventKind.REST,
+    EventKind.STORE_RETURN,
 )
 
 
@@ -67,6 +68,8 @@
             case EventKind.DRAIN:
                 self.deployment.drained_domains.add(event.domain or "")
                 self._apply_pattern()
+            case EventKind.STORE_RETURN:
+                self.deployment.store_era += 1
             case EventKind.RESTART:
                 for vm in self.deployment.vms_by_name.values():
                     vm.is_up = False
@@ -79,6 +82,7 @@
             if upstream.is_dead:
                 upstream.restart(self.clock.now)
             upstream.duration_factor, upstream.shed_share = 1.0, 0.0
+            upstream.is_listed = True
             upstream.limit_per_s = upstream.retry_after_s = None
             self._record_limit(upstream)
         match event.kind:
@@ -124,6 +128,8 @@
             upstream.limit_per_s = event.factor
         case EventKind.LEAVE:
             upstream.is_leaving = True
+        case EventKind.STORE_RETURN:
+            upstream.is_listed = False
         case EventKind.REST:
             upstream.retry_after_s = event.factor
         case _:
--- a/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
@@ -231,7 +231,7 @@
         self._clock.schedule(LIST_PERIOD_S, self._read_lists)
         upstreams = self._deployment.upstreams_by_name.values()
         for vm in self._deployment.running_vms():
-            vm.read_list(upstreams, self._clock.now)
+            vm.read_list(upstreams, self._clock.now, era=self._deployment.store_era)
 
     def _sample(self) -> None:
         self._clock.schedule(SAMPLE_PERIOD_S, self._sample)
--- a/packages/testkit/src/plankspindle_testkit/lab/lab_vm.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_vm.py
@@ -137,9 +137,15 @@
         )
         self.registry.apply_drains(now=now, wall=now)
 
-    def read_list(self, upstreams: Iterable[ModelledUpstream], now: float) -> None:
-        """Read the list of upstreams; unresponsive ones stay listed for a while."""
-        listed = [_listed(each) for each in upstreams]
+    def read_list(
+        self, upstreams: Iterable[ModelledUpstream], now: float, *, era: int
+    ) -> None:
+        """Read the list of upstreams in an era of the platform's store.
+
+        Unresponsive ones stay listed for a while.
+        """
+        listed = [_listed(each) for each in upstreams if each.is_listed]
+        self.registry.listed.record_era(era, now)
         self.registry.apply_list(listed, now=now, wall=now)
 
 
--- a/packages/testkit/src/plankspindle_testkit/lab/modelled_upstream.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/modelled_upstream.py
@@ -96,6 +96,8 @@
         Whether its answers state that it is leaving; it continues to serve.
     retry_after_s : float or None
         Retry-After delay in seconds; if given, it sheds all requests with it.
+    is_listed : bool
+        Whether the platform's list has its entry.
     omitted_statement_share : float
         Share of its answers that omit the statement, from 0 to 1.
     """
@@ -115,6 +117,7 @@
     limit_per_s: float | None = None
     is_leaving: bool = False
     retry_after_s: float | None = None
+    is_listed: bool = True
     omitted_statement_share: float = 0.0
     _running: dict[int, Work] = Factory(dict)
     _waiting: deque[Work] = Factory(deque)
--- a/packages/testkit/src/plankspindle_testkit/lab/pattern.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/pattern.py
@@ -41,6 +41,7 @@
     LIMIT = "limit"
     LEAVE = "leave"
     REST = "rest"
+    STORE_RETURN = "store-return"
 
 
 @frozen(kw_only=True)
@@ -56,7 +57,8 @@
     share : float
         Share of the upstreams that are affected, chosen by the seed. With ``crash``
         they become unresponsive; with ``end`` they abort running requests and refuse
-        connections.
+        connections; with ``store-return`` the platform's store has returned from a copy
+        without their entries, which are back at the end of the event.
     factor : float
         Factor on the load or on the processing time; for ``shed`` the share of requests
         that is shed, for ``limit`` the rate limit that each upstream states in requests
--- a/packages/testkit/tests/lab/test_decisions.py
+++ b/packages/testkit/tests/lab/test_decisions.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import pytest
+from attrs import evolve
 
 from plankspindle_testkit.lab.lab_run import LabRun
 from plankspindle_testkit.lab.pattern import PATTERNS_FOLDER
@@ -49,3 +50,10 @@
 def test_callers_concentrated_in_one_region_are_served(name: str, least: float) -> None:
     """This also holds for a plan of slots and entry VMs without caller locations."""
     assert worth_of(name) > least
+
+
+# Requests were refused or left their upstreams while the store lacked their entries.
+def test_upstreams_that_a_returned_store_lacks_are_used() -> None:
+    pattern = read_pattern(PATTERNS_FOLDER / "store-returns-from-copy.yaml").unwrap()
+    without = LabRun(pattern=evolve(pattern, events=()), seed=SEED).run().worth
+    assert worth_of("store-returns-from-copy") == without
--- a/tests/fleet/soak/fault_injector.py
+++ b/tests/fleet/soak/fault_injector.py
@@ -26,6 +26,7 @@
 from soak.faults import CRASHING_REQUEST_KINDS
 from soak.faults import LAPSE_KINDS
 from soak.faults import OPERATOR_KINDS
+from soak.faults import RETURN_KINDS
 from soak.faults import STATEMENT_KINDS
 from soak.faults import STORE_KINDS
 from soak.history import Evacuation
@@ -34,6 +35,7 @@
 from soak.layout import ZONES
 from soak.layout import Layout
 from soak.process_pauses import ProcessPauses
+from soak.return_injector import ReturnInjector
 from soak.soak_store import SoakStore
 from soak.soak_store import StoreFault
 from soak.statements import Statements
@@ -73,6 +75,8 @@
         The stand-ins, and the checks that record disturbances.
     lapse_injector : LapseInjector
         Makes entries lapse.
+    return_injector : ReturnInjector
+        Lets the store return from a copy.
     crashing_requests : CrashingRequests
         Sends requests under which upstreams crash.
     statements : Statements
@@ -98,6 +102,7 @@
     upstreams: Upstreams
     checks: Checks
     lapse_injector: LapseInjector
+    return_injector: ReturnInjector
     crashing_requests: CrashingRequests
     statements: Statements
     process_pauses: ProcessPauses
@@ -120,6 +125,8 @@
                 await self._inject_store_fault(kind, vms, fault.for_s)
             case kind if kind in LAPSE_KINDS:
                 await self.lapse_injector.inject(fault)
+            case kind if kind in RETURN_KINDS:
+                await self.return_injector.inject(fault)
             case kind if kind in CRASHING_REQUEST_KINDS:
                 await self.crashing_requests.inject(fault.at, fault.for_s)
             case kind if kind in STATEMENT_KINDS:
--- a/tests/fleet/soak/faults.py
+++ b/tests/fleet/soak/faults.py
@@ -21,6 +21,7 @@
 LAPSE_KINDS = ("lapse-away", "lapse-refused", "lapse-resets")
 CRASHING_REQUEST_KINDS = ("crashing",)
 STATEMENT_KINDS = ("limit", "rest", "say-leave", "misspeak")
+RETURN_KINDS = ("return",)
 SUSPEND_KINDS = ("suspend", "herd-suspend")
 OPERATOR_KINDS = ("change", "storm", "evacuate", "leave", "vanish")
 STORE_S = (0.2, 12.0)
@@ -37,6 +38,9 @@
 CRASHING_GAP_S = 20.0
 CRASHING_S = (4.0, 14.0)
 """Time for which a request under which upstreams crash is repeated, in seconds."""
+RETURN_GAP_S = 15.0
+RETURN_S = (0.0, 3.0)
+"""Time for which the store is unavailable before it returns from a copy, in seconds."""
 STATEMENT_GAP_S = 5.0
 STATEMENT_S = (1.0, 12.0)
 """Duration of upstream statements, in seconds."""
@@ -72,6 +76,7 @@
     faults += _draw_crashing(seed, seconds)
     faults += _draw_suspends(seed, seconds, vms)
     faults += _draw_statements(seed, seconds)
+    faults += _draw_returns(seed, seconds)
     return sorted(faults, key=lambda each: each.at)
 
 
@@ -108,6 +113,21 @@
     return faults
 
 
+def _draw_returns(seed: int, seconds: float) -> list[SoakFault]:
+    """Draw returns of the store from a copy, with changes around them."""
+    random = Random(f"returns of fleet soak {seed}")
+    faults = []
+    for at in _times(random, RETURN_GAP_S, seconds):
+        for_s = random.uniform(*RETURN_S)
+        faults.append(_fault(at, for_s, "return", ""))
+        faults += [
+            _draw_operator_action(random, max(0.0, end + offset))
+            for end in (at, at + for_s)
+            for offset in random.sample(CHANGE_OFFSETS_S, 2)
+        ]
+    return faults
+
+
 def _draw_statements(seed: int, seconds: float) -> list[SoakFault]:
     """Draw statements of upstreams."""
     random = Random(f"statements of fleet soak {seed}")
--- a/tests/fleet/soak/fleet_soak.py
+++ b/tests/fleet/soak/fleet_soak.py
@@ -37,6 +37,7 @@
 from soak.layout import Bounds
 from soak.layout import Layout
 from soak.process_pauses import ProcessPauses
+from soak.return_injector import ReturnInjector
 from soak.soak_store import SoakStore
 from soak.statements import Statements
 from soak.upstreams import Upstreams
@@ -167,6 +168,13 @@
                 vms=self.layout.names(),
                 seed=plan.seed,
             ),
+            return_injector=ReturnInjector(
+                store=store,
+                upstreams=upstreams,
+                checks=self.checks,
+                vms=self.layout.names(),
+                seed=plan.seed,
+            ),
             crashing_requests=crashing_requests,
             statements=Statements(
                 checks=self.checks,
@@ -242,6 +250,7 @@
             self._all_serve, timeout_s=START_TIMEOUT_S, poll_s=POLL_S, message=message
         )
         starting.end = monotonic()
+        injector.store.keep_copy()
         self._tasks.append(await spawn(self._monitor, daemon=True))
 
     async def _all_serve(self) -> bool:
@@ -292,6 +301,7 @@
                 monotonic(), stalled_s + max(0.0, *increases)
             )
             self.checks.evaluate(before=before)
+            self.fault_injector.store.keep_copy()
             self.fault_injector.restart_ended()
 
     async def _check_end(self) -> None:
--- a/tests/fleet/soak/soak_store.py
+++ b/tests/fleet/soak/soak_store.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import base64
 import json
+from collections import deque
 from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
@@ -10,11 +12,13 @@
 
 from attrs import frozen
 from curio import sleep
+from store_stand_in import StoreCopy
 from store_stand_in import StoreStandIn
 
 from plankspindle_core.http.limits import HttpLimits
 from plankspindle_core.http.server import HttpServer
 from plankspindle_core.steady_clock import monotonic
+from plankspindle_platform.operator_reader import OPERATOR_TABLE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,6 +31,8 @@
 SLOW_S = (0.2, 1.5)
 LOST_CALL_S = 30.0
 """Time after which the connection of a lost call is closed, above any wait, in s."""
+MAX_COPIES = 64
+"""Copies that are kept; taken each 0.25 s, they are up to 16 s old."""
 ANSWER_S = 0.004
 """Duration of a call, as at the fleet's store, in seconds."""
 WRITE_BLOCKING_KINDS = ("away", "held", "refused", "resets")
@@ -62,6 +68,8 @@
     def __init__(self, random: Random) -> None:
         super().__init__()
         self.faults: list[StoreFault] = []
+        self.operator_writes_by_key: dict[str, Callable[[], Any]] = {}
+        self._copies: deque[tuple[float, StoreCopy]] = deque(maxlen=MAX_COPIES)
         self._random = random
         self._servers: list[HttpServer] = []
 
@@ -87,6 +95,23 @@
             for each in self.faults
         )
 
+    def keep_copy(self) -> None:
+        """Keep a copy that the store may return from."""
+        self._copies.append((monotonic(), self.copy()))
+
+    def copy_of_age(self, age_s: float) -> StoreCopy:
+        """Return the newest copy of at least an age, or the oldest one."""
+        taken_before = monotonic() - age_s
+        old_enough = [copy for at, copy in self._copies if at <= taken_before]
+        return old_enough[-1] if old_enough else self._copies[0][1]
+
+    def differs(self, table: str, key: str, document: Any) -> bool:
+        """Return whether a row differs from a document; None stands for no row."""
+        found = self.rows_by_key.get((table, key))
+        if document is None or found is None:
+            return (found is None) != (document is None)
+        return bool(json.loads(base64.b64decode(found[1])) != document)
+
     def truncate_history(self) -> None:
         """Discard the history of changes so far."""
         self.oldest_version = self.version
@@ -109,6 +134,7 @@
             exchange.abort()
             return
         result = await self._answer_for(vm, exchange.target, body)
+        headers = self.era_headers()
         if result is None and self.has_fault("resets", vm):
             exchange.abort()
             return
@@ -122,7 +148,9 @@
         while self.has_fault("held", vm):
             await sleep(POLL_S)
         status, answer = result
-        await exchange.answer(status=status, body=json.dumps(answer).encode())
+        await exchange.answer(
+            status=status, headers=headers, body=json.dumps(answer).encode()
+        )
 
     async def _answer_for(
         self, vm: str, target: str, body: bytes
@@ -166,7 +194,7 @@
     async def _refuse(self, exchange: ServerExchange) -> None:
         status = self._random.choice((503, 429, 0))
         if status:
-            await exchange.answer(status=status, body=b"{}")
+            await exchange.answer(status=status, headers=self.era_headers(), body=b"{}")
         else:
             exchange.abort()
 
@@ -185,6 +213,14 @@
         while any(self.has_fault(kind, "") for kind in WRITE_BLOCKING_KINDS):
             await sleep(POLL_S)
 
+    def _newest(
+        self, table: str, key: str, make: Callable[[], Any]
+    ) -> Callable[[], Any]:
+        """Return what makes a row now: the operator may have written it since."""
+        if table != OPERATOR_TABLE:
+            return make
+        return self.operator_writes_by_key[key]
+
     async def write(self, table: str, key: str, make: Callable[[], Any]) -> float:
         """Write a row for the operator or an upstream, and retry until acknowledged.
 
@@ -200,10 +236,12 @@
         float
             Time of the acknowledgement, monotonic seconds.
         """
+        if table == OPERATOR_TABLE:
+            self.operator_writes_by_key[key] = make
         while True:
             await sleep(ANSWER_S)
             await self.wait_until_back()
-            document = make()
+            document = self._newest(table, key, make)()
             if document is not None:
                 self.put(table, key, document)
             elif (table, key) in self.rows_by_key:
