Pass the list on across eras, so that a return costs no read of each entry VM

When the store returns from a copy, each entry VM of a sharing domain read the whole list for itself, since a change could not be applied to a list of an earlier era: at 4,500 VMs two pages each, 9,000 calls within a period, where the store takes 2,000 a second. A change now names the era of its bases, and a reader sends the change from the last list of the old era to the first of the new one, once; a VM that misses it reads for itself, as before. Followers keep what the store lacks and correct what it has wrong as their reader does.

The random play of the shared reads has returns now: every VM that runs holds a list that the store had, the newest within 1.8 periods and a read.

--- a/packages/daemon/src/plankspindle_daemon/node/list_follower.py
+++ b/packages/daemon/src/plankspindle_daemon/node/list_follower.py
@@ -205,6 +205,7 @@
             if update.after_gap:
                 keep_s = update.keep_ms / 1000 or REENTRY_GRACE_S
                 listed.set_grace_until(now + min(keep_s, REENTRY_GRACE_S))
+            listed.record_era(change.version.era, now)
             vms = self.platform.apply_list_change(
                 version=change.version, changed=change.changed, gone=change.gone
             )
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/list_news.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/list_news.py
@@ -51,7 +51,9 @@
         Name of the reader.
     bases : tuple of int
         Spans of list versions that the changes can be applied to, as numbers of the
-        first and last version of each span in turn; all in the era of ``version``.
+        first and last version of each span in turn.
+    base_era : int
+        Era of the store that those numbers belong to.
     version : StoreVersion
         Version of the list that the reader has.
     list_age_ms, configuration_age_ms : int
@@ -73,6 +75,7 @@
 
     sender: str
     bases: tuple[int, ...]
+    base_era: int
     version: StoreVersion
     list_age_ms: int
     configuration_age_ms: int
--- a/packages/daemon/src/plankspindle_daemon/sharing/list_history.py
+++ b/packages/daemon/src/plankspindle_daemon/sharing/list_history.py
@@ -43,10 +43,13 @@
     ----------
     base_spans : tuple of (int, int)
         Spans of versions that it can be applied to, as numbers of the first and last
-        version of each, in the era of ``version``. A list of a version between two
-        spans may hold entries that this VM never saw.
+        version of each. A list of a version between two spans may hold entries that
+        this VM never saw.
+    base_era : int
+        Era of the store that those numbers belong to.
     version : StoreVersion
-        Version of the list after the change.
+        Version of the list after the change, in a later era if the store returned from
+        a copy between the two lists.
     changed : tuple of ListedVm
         Upstreams that are new or have changed.
     gone : tuple of str
@@ -54,23 +57,30 @@
     """
 
     base_spans: tuple[tuple[int, int], ...]
+    base_era: int
     version: StoreVersion
     changed: tuple[ListedVm, ...] = ()
     gone: tuple[str, ...] = ()
 
     def applies_to(self, version: StoreVersion) -> bool:
         """Return whether the change can be applied to a version of the list."""
-        return version.era == self.version.era and any(
+        return version.era == self.base_era and any(
             first <= version.number <= last for first, last in self.base_spans
         )
 
+    @property
+    def crosses_eras(self) -> bool:
+        """Whether the store returned from a copy between the two lists."""
+        return self.base_era != self.version.era
+
     def merged_with(self, later: ListChange) -> ListChange:
-        """Return this change and a following one combined."""
+        """Return this change and a following one of the same era combined."""
         latest = {each.name: each for each in (*self.changed, *later.changed)}
         listed_again = {each.name for each in later.changed}
         gone = (set(self.gone) - listed_again) | set(later.gone)
         return ListChange(
             base_spans=(*self.base_spans, *later.base_spans),
+            base_era=later.base_era,
             version=later.version,
             changed=tuple(each for name, each in latest.items() if name not in gone),
             gone=tuple(sorted(gone)),
@@ -127,11 +137,10 @@
         Returns
         -------
         ListChange or None
-            The changes, or None if there are none or this is the first list of an era.
+            The changes, or None if this is the first list or there are none; the first
+            list of another era always counts as changed.
         """
-        if version.era != self._version.era:
-            self._changes.clear()
-            self._unchanged_since = None
+        crosses_eras = version.era != self._version.era
         by_name = {each.name: each for each in vms if each.upstream is not None}
         before, self._by_name = self._by_name, by_name
         changed = tuple(
@@ -143,9 +152,10 @@
         change = None
         if self._unchanged_since is None:
             self._unchanged_since = version.number
-        elif changed or gone:
+        elif changed or gone or crosses_eras:
             change = ListChange(
                 base_spans=((self._unchanged_since, self._version.number),),
+                base_era=self._version.era,
                 version=version,
                 changed=changed,
                 gone=gone,
@@ -176,9 +186,12 @@
             raise ValueError("no list was recorded yet")
         recent = ListChange(
             base_spans=((self._unchanged_since, self._version.number),),
+            base_era=self._version.era,
             version=self._version,
         )
         for change in reversed(self._changes):
+            if change.base_era != recent.base_era:
+                break
             merged = change.merged_with(recent)
             if not merged.fits_message():
                 break
--- a/packages/daemon/src/plankspindle_daemon/sharing/shared_reads.py
+++ b/packages/daemon/src/plankspindle_daemon/sharing/shared_reads.py
@@ -6,8 +6,6 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import Generic
-from typing import TypeVar
 
 from attrs import Factory
 from attrs import field
@@ -17,6 +15,8 @@
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.sharing.list_history import ListChange
 from plankspindle_daemon.sharing.list_history import ListHistory
+from plankspindle_daemon.sharing.read_status import ReadStatus
+from plankspindle_daemon.sharing.read_status import Version
 from plankspindle_daemon.sharing.reader_group import ReaderGroup
 from plankspindle_daemon.sharing.update_assembler import PARTS_TIMEOUT_S
 from plankspindle_daemon.sharing.update_assembler import UpdateAssembler
@@ -73,7 +73,6 @@
 This bounds how long a fault of the sharing can last, and finds VMs from which no
 heartbeat was received yet.
 """
-MAX_AGE_MS = 0xFFFFFFFF
 
 
 class ReadRole(Enum):
@@ -84,33 +83,6 @@
     FOLLOWER = "follower"
 
 
-Version = TypeVar("Version", StoreVersion, ConfigurationVersion)
-
-
-@define(kw_only=True)
-class _ReadStatus(Generic[Version]):
-    """When this VM, and readers that precede it, last read list or configuration."""
-
-    reported_version: Version
-    own_read_at: float = -math.inf
-    reported_at: float = -math.inf
-    behind_since: float = math.inf
-
-    def record_report(self, version: Version, *, read_at: float) -> None:
-        self.reported_at = max(self.reported_at, read_at)
-        self.reported_version = max(self.reported_version, version)
-
-    def age_ms(self, now: float) -> int:
-        return int(min(MAX_AGE_MS, 1000 * (now - self.own_read_at)))
-
-    def is_behind(self, held: Version, now: float, grace_s: float) -> bool:
-        if self.reported_version <= held:
-            self.behind_since = math.inf
-            return False
-        self.behind_since = min(self.behind_since, now)
-        return now - self.behind_since >= grace_s
-
-
 @define(kw_only=True)
 class SharedReads:
     """Decide which entry VMs read the platform's list and configuration.
@@ -144,11 +116,11 @@
     period_s: float
     list_version: StoreVersion | None = None
     is_reading: bool = False
-    _list: _ReadStatus[StoreVersion] = Factory(
-        lambda: _ReadStatus(reported_version=StoreVersion())
+    _list: ReadStatus[StoreVersion] = Factory(
+        lambda: ReadStatus(reported_version=StoreVersion())
     )
-    _configuration: _ReadStatus[ConfigurationVersion] = Factory(
-        lambda: _ReadStatus(reported_version=NO_VERSION)
+    _configuration: ReadStatus[ConfigurationVersion] = Factory(
+        lambda: ReadStatus(reported_version=NO_VERSION)
     )
     _history: ListHistory = Factory(ListHistory)
     _assembler: UpdateAssembler = Factory(UpdateAssembler)
@@ -177,7 +149,7 @@
         )
 
     def _should_read(
-        self, status: _ReadStatus[Version], held: Version, now: float, *, grace_s: float
+        self, status: ReadStatus[Version], held: Version, now: float, *, grace_s: float
     ) -> bool:
         if not self.is_shared(now) or now - status.own_read_at > MAX_OWN_READ_AGE_S:
             return True
@@ -211,7 +183,7 @@
         return self._check_delay_s(self._configuration, held, now)
 
     def _check_delay_s(
-        self, status: _ReadStatus[Version], held: Version, now: float
+        self, status: ReadStatus[Version], held: Version, now: float
     ) -> float:
         if status.reported_version > held:
             return MIN_CHECK_DELAY_S
@@ -223,7 +195,7 @@
             StoreVersion(number=-1) if self.list_version is None else self.list_version
         )
 
-    def _stale_at(self, status: _ReadStatus[Any]) -> float:
+    def _stale_at(self, status: ReadStatus[Any]) -> float:
         """Return when this VM reads for itself if it receives no further update."""
         delay = min(MAX_RANK_DELAY_PERIODS, RANK_DELAY_PERIODS * self.group.rank())
         return status.reported_at + self._stale_after_s() + delay * self.period_s
@@ -317,16 +289,18 @@
     ) -> list[SendToPeer]:
         """Broadcast the age of this VM's data and the recent changes of the list.
 
-        A change that needs several messages is sent once, when it is new; smaller ones
-        are sent again. A release of 900 upstreams changes 30 of them per period: if a
-        change had to fit into one message, each VM of the domain would read for itself.
+        A change that needs several messages, or that crosses eras of the store, is sent
+        once, when it is new; others are sent again. A release of 900 upstreams changes
+        30 of them per period: if a change had to fit into one message, each VM of the
+        domain would read for itself. So would each VM at a return of the store.
         """
         is_follower = now - self._list.reported_at <= self._stale_after_s()
         if self.list_version is None or is_follower or not self.is_shared(now):
             return []
-        parts = (
-            change.split() if change is not None and not change.fits_message() else []
+        is_sent_once = change is not None and (
+            change.crosses_eras or not change.fits_message()
         )
+        parts = change.split() if change is not None and is_sent_once else []
         updates = [
             self._update_of(piece, configuration_version, now, part, max(1, len(parts)))
             for part, piece in enumerate(parts or [self._history.merge_recent()])
@@ -348,6 +322,7 @@
         return ListNews(
             sender=self.group.vm,
             bases=tuple(end for span in change.base_spans for end in span),
+            base_era=change.base_era,
             version=change.version,
             list_age_ms=self._list.age_ms(now),
             configuration_age_ms=self._configuration.age_ms(now),
@@ -406,6 +381,7 @@
     def _apply_change(self, update: ListNews, now: float) -> ListChange | None:
         change = ListChange(
             base_spans=tuple(zip(update.bases[::2], update.bases[1::2], strict=False)),
+            base_era=update.base_era,
             version=update.version,
             changed=tuple(decode_upstream(each, now) for each in update.changed),
             gone=update.gone,
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -121,6 +121,7 @@
   listEra @11 :UInt32;
   configurationRevision @12 :UInt64;
   configurationEra @13 :UInt32;
+  baseEra @14 :UInt32;
 }
 
 struct Suspect {
--- a/packages/daemon/tests/membership/test_peer_link.py
+++ b/packages/daemon/tests/membership/test_peer_link.py
@@ -50,6 +50,7 @@
     return ListNews(
         sender="a",
         bases=(),
+        base_era=0,
         version=build_list_version(1),
         list_age_ms=0,
         configuration_age_ms=0,
--- a/packages/daemon/tests/node/test_list_follower.py
+++ b/packages/daemon/tests/node/test_list_follower.py
@@ -126,6 +126,7 @@
     defaults: dict[str, Any] = {
         "sender": "vm-0",
         "bases": (1, 1),
+        "base_era": 0,
         "version": build_list_version(2),
         "list_age_ms": 0,
         "configuration_age_ms": 0,
--- a/packages/daemon/tests/sharing/test_shared_reads.py
+++ b/packages/daemon/tests/sharing/test_shared_reads.py
@@ -33,6 +33,7 @@
 
 if TYPE_CHECKING:
     from plankspindle_daemon.peer_messages.list_news import ListNews
+    from plankspindle_daemon.versions.store_version import StoreVersion
 
 PERIOD_S = 1.0
 NAMES = tuple(f"vm-{number:02}" for number in range(8))
@@ -53,18 +54,25 @@
 
 
 def read(
-    reads: SharedReads, *vms: ListedVm, version: int, now: float, configuration: int = 1
+    reads: SharedReads,
+    *vms: ListedVm,
+    version: int,
+    now: float,
+    configuration: int = 1,
+    era: int = 0,
 ) -> ListNews | None:
     """Read list and configuration, and return the last message to a member."""
     sent = reads.record_list_read(
         vms,
-        version=build_list_version(version),
+        version=build_list_version(version, era=era),
         configuration_version=build_version(configuration),
         retained_until=-math.inf,
         now=now,
     )
     broadcast = reads.record_configuration_read(build_version(configuration), now)
-    messages = [each.message for each in (broadcast or sent)]
+    # A change that crosses eras is sent only once.
+    crosses_eras = bool(sent) and sent[0].message.base_era != era
+    messages = [each.message for each in (sent if crosses_eras else broadcast or sent)]
     return messages[0] if messages else None
 
 
@@ -310,22 +318,31 @@
 ) -> None:
     """Simulate VMs that read a changing list, some of which stop for good.
 
+    At times the store returns from a copy: the list is an earlier one, and its numbers
+    are given out again.
+
     Each running VM must hold a change within the longest takeover time, plus a read and
     the step of the simulation.
     """
     random = Random(seed)
     alive = {vm: reads for vm, reads in zip(NAMES, settled(*NAMES), strict=True)}
-    lists: dict[int, tuple[ListedVm, ...]] = {1: (listed("u"),)}
-    changed_at = {1: 0.0}
+    first = build_list_version(1)
+    lists: dict[StoreVersion, tuple[ListedVm, ...]] = {first: (listed("u"),)}
+    changed_at = {first: 0.0}
     next_read_at = dict.fromkeys(NAMES, 0.0)
-    newest, step_s = 1, 0.05
+    newest, step_s = first, 0.05
     for step in range(400):
         now = step * step_s
         if random.random() < 0.05:
-            newest += random.randint(1, 3)
-            kept = [each for each in lists[max(lists)] if random.random() < 0.9]
+            kept = [each for each in lists[newest] if random.random() < 0.9]
+            newest = evolve(newest, number=newest.number + random.randint(1, 3))
             lists[newest] = (*kept, listed(f"u{newest}"))
             changed_at[newest] = now
+        if random.random() < 0.02:
+            copied = random.choice([each for each in lists if each.era == newest.era])
+            newest = evolve(copied, era=newest.era + 1)
+            lists[newest] = lists[copied]
+            changed_at[newest] = now
         if random.random() < 0.01 and len(alive) > 2:
             del alive[random.choice(sorted(alive))]
         for vm, reads in alive.items():
@@ -333,22 +350,26 @@
             if not should_read:
                 continue
             next_read_at[vm] = now + 0.4 * PERIOD_S
-            update = read(reads, *lists[newest], version=newest, now=now)
+            update = read(
+                reads,
+                *lists[newest],
+                version=newest.number,
+                era=newest.era,
+                now=now,
+            )
             for other, theirs in alive.items():
                 if update is not None and other != vm and random.random() < 0.9:
                     theirs.apply_update(update, now)
         for vm, reads in alive.items():
-            assert reads.list_version.number in lists
+            assert reads.list_version in lists
             due = [
                 version
                 for version, at in changed_at.items()
                 if now - at > 1.8 * PERIOD_S + 0.1 + 0.4 * PERIOD_S + 2 * step_s
             ]
-            assert reads.list_version.number >= max(due, default=1), vm
+            assert reads.list_version >= max(due, default=first), vm
             held_names = reads._history._by_name
-            assert set(held_names) == {
-                each.name for each in lists[reads.list_version.number]
-            }
+            assert set(held_names) == {each.name for each in lists[reads.list_version]}
 
 
 def test_role_follows_received_updates() -> None:
@@ -385,3 +406,34 @@
     last = reads.record_configuration_read(build_version(2), now + 2.0)
     assert last
     assert not any(each.message.after_gap for each in last)
+
+
+def test_followers_do_not_read_when_the_store_returns() -> None:
+    first, second, *_ = settled(*NAMES)
+    read(first, listed("u"), listed("v"), version=5, now=0.0)
+    read(second, listed("u"), listed("v"), version=5, now=0.0)
+    update = read(first, listed("u"), version=3, era=1, now=0.5)
+    change = second.apply_update(update, 0.6)
+    assert change is not None
+    assert change.gone == ("v",)
+    assert second.list_version == build_list_version(3, era=1)
+    assert not second.should_read_list(0.6)
+
+
+def test_follower_that_missed_the_change_of_era_reads_the_list() -> None:
+    first, second, *_ = settled(*NAMES)
+    read(first, listed("u"), version=5, now=0.0)
+    read(second, listed("u"), version=5, now=0.0)
+    read(first, listed("u"), version=3, era=1, now=0.5)
+    update = read(first, listed("u"), version=4, era=1, now=1.0)
+    assert second.apply_update(update, 1.1) is None
+    assert second.should_read_list(1.1)
+
+
+# The numbers of a process that knows no eras may be those of an earlier era.
+def test_vm_does_not_rely_on_reader_that_knows_no_eras() -> None:
+    first, second, *_ = settled(*NAMES)
+    read(second, listed("u"), version=5, era=1, now=0.0)
+    update = read(first, listed("u"), version=9, now=0.5)
+    assert second.apply_update(update, 0.6) is None
+    assert second.should_read_list(2.0 * PERIOD_S)
--- a/packages/daemon/tests/wire/test_wire.py
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -114,6 +114,7 @@
     ListNews(
         sender="a",
         bases=(3, 5, 9, 2**63),
+        base_era=2,
         version=build_list_version(2**63, era=3),
         list_age_ms=0,
         configuration_age_ms=2**32 - 1,
--- a/tests/fleet/test_values_from_store.py
+++ b/tests/fleet/test_values_from_store.py
@@ -169,6 +169,7 @@
     update = ListNews(
         sender="a",
         bases=(1, 1),
+        base_era=0,
         version=build_list_version(2),
         list_age_ms=0,
         configuration_age_ms=0,
