--- a/tests/fleet/soak/history.py
+++ b/tests/fleet/soak/history.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+CHECK_STEP_S = 0.1
 PROBE_ROUTE_VERSIONS = 4
 """Number of versions for which a route that was added stays."""
 MAIN_PREFIXES = ("/m0/", "/m1/", "/m2/", "/m3/")
@@ -195,6 +196,14 @@
             return since + bound_s
         return since + bound_s + self.stalled_s(since, now)
 
+    def has_been_undisturbed(self, vm: str, begin: float, end: float) -> bool:
+        """Return whether the bounds applied to a VM at some time between two times."""
+        times = [
+            begin + step * CHECK_STEP_S
+            for step in range(int((end - begin) / CHECK_STEP_S))
+        ]
+        return any(self.is_undisturbed(vm, each, each) for each in [*times, end])
+
     def is_undisturbed(
         self, vm: str, begin: float, end: float, *, include_planned: bool = True
     ) -> bool:
--- a/tests/fleet/soak/return_injector.py
+++ b/tests/fleet/soak/return_injector.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -71,6 +72,7 @@
             self.store.faults.append(away)
             await sleep(for_s)
         self.store.return_from(self.store.copy_of_age(age_s))
+        self._record_relisted()
         if not is_silent:
             self.store.faults.remove(away)
         span.end = monotonic()
@@ -78,6 +80,18 @@
         await spawn(self._restore_operator_rows, random.random(), daemon=True)
         await spawn(self._expire_entries, daemon=True)
 
+    def _record_relisted(self) -> None:
+        """Record entries that are back, for VMs that could not know they were gone."""
+        now = monotonic()
+        for upstream in self.upstreams.gone:
+            if (SERVER_TABLE, upstream.name) not in self.store.rows_by_key:
+                continue
+            for vm in self.vms:
+                if not self.checks.disturbances.has_been_undisturbed(
+                    vm, upstream.left_at, now
+                ):
+                    upstream.relisted_until_by_vm[vm] = inf
+
     async def _restore_operator_rows(self, share: float) -> None:
         """Write the rows of the operator again that differ from what he wrote last."""
         await sleep(share * MAX_RESTORE_S)
@@ -92,3 +106,10 @@
         for table, key in list(self.store.rows_by_key):
             if table == SERVER_TABLE and key not in written:
                 self.store.remove(table, key)
+                self._record_expired(key)
+
+    def _record_expired(self, name: str) -> None:
+        for upstream in self.upstreams.gone:
+            if upstream.name == name:
+                relisted = upstream.relisted_until_by_vm
+                relisted |= dict.fromkeys(relisted, monotonic())
--- a/tests/fleet/test_fleet_soak.py
+++ b/tests/fleet/test_fleet_soak.py
@@ -50,6 +50,7 @@
 PAUSED = re.compile(r"event=paused .*seconds=([0-9.]+)")
 CRASHING_SCHEDULE = SHORT_SCHEDULE.with_name("crashing.jsonl")
 STATEMENTS_SCHEDULE = SHORT_SCHEDULE.with_name("statements.jsonl")
+RETURNS_SCHEDULE = SHORT_SCHEDULE.with_name("returns.jsonl")
 DESK, VAULT = (
     Upstream(
         name=f"i-{service}",
@@ -137,6 +138,16 @@
     assert result.counts["judged for rests"] > 10
 
 
+# Configurations were never in force again once the store's numbers had fallen.
+def test_newest_configuration_is_in_force_after_returns_of_the_store(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    result = run_soak(monkeypatch, RETURNS_SCHEDULE, seed=3, first_port=28_800)
+    assert result.violations == []
+    assert result.counts["returns of the store"] >= 3
+    assert result.counts["judged for lateness"] > 100
+
+
 def test_seed_determines_faults() -> None:
     vms = ["edge-0", "edge-1"]
     assert draw(7, seconds=60, vms=vms) == draw(7, seconds=60, vms=vms)
