Soak: the operator restores what he wrote last

Traced: the stand-in's operator, restoring his rows after a return, wrote an evacuation again that he had ended while the row before it was being written, and every VM kept to it. Each row is now looked at when its turn comes.

--- a/tests/fleet/soak/return_injector.py
+++ b/tests/fleet/soak/return_injector.py
@@ -95,9 +95,10 @@
     async def _restore_operator_rows(self, share: float) -> None:
         """Write the rows of the operator again that differ from what he wrote last."""
         await sleep(share * MAX_RESTORE_S)
-        for key, make in list(self.store.operator_writes_by_key.items()):
-            if self.store.differs(OPERATOR_TABLE, key, make()):
-                await self.store.write(OPERATOR_TABLE, key, make)
+        for key in list(self.store.operator_writes_by_key):
+            newest = self.store.operator_writes_by_key[key]
+            if self.store.differs(OPERATOR_TABLE, key, newest()):
+                await self.store.write_until_acknowledged(OPERATOR_TABLE, key, newest)
 
     async def _expire_entries(self) -> None:
         """Remove entries of the copy that no upstream writes any more."""
--- a/tests/fleet/soak/soak_store.py
+++ b/tests/fleet/soak/soak_store.py
@@ -238,6 +238,12 @@
         """
         if table == OPERATOR_TABLE:
             self.operator_writes_by_key[key] = make
+        return await self.write_until_acknowledged(table, key, make)
+
+    async def write_until_acknowledged(
+        self, table: str, key: str, make: Callable[[], Any]
+    ) -> float:
+        """Write a row, or what the operator wrote there since; see :meth:`write`."""
         while True:
             await sleep(ANSWER_S)
             await self.wait_until_back()
