--- a/packages/daemon/tests/control/test_plan_store.py
+++ b/packages/daemon/tests/control/test_plan_store.py
@@ -186,20 +186,20 @@
 
     crashes_at: int = 0
     after_effect: bool = False
-    calls: int = 0
+    call_count: int = 0
 
     async def commit(self, transaction: Transaction) -> Result[None, Any]:
-        self.calls += 1
-        if self.calls == self.crashes_at and not self.after_effect:
+        self.call_count += 1
+        if self.call_count == self.crashes_at and not self.after_effect:
             raise ProcessCrashError
         answer = await super().commit(transaction)
-        if self.calls == self.crashes_at:
+        if self.call_count == self.crashes_at:
             raise ProcessCrashError
         return answer
 
     async def read_rows(self, keys: list[str]) -> Result[dict[str, Row], Any]:
-        self.calls += 1
-        if self.calls == self.crashes_at:
+        self.call_count += 1
+        if self.call_count == self.crashes_at:
             raise ProcessCrashError
         return await super().read_rows(keys)
 
