--- a/packages/daemon/src/plankspindle_daemon/configuration/configuration_in_force.py
+++ b/packages/daemon/src/plankspindle_daemon/configuration/configuration_in_force.py
@@ -51,6 +51,12 @@
         self.content = self.retained_drains.apply(accepted, now)
         return self.content
 
+    def age_ms(self, now: float) -> int | None:
+        """Return for how long the version has been in force; None if there is none."""
+        return (
+            None if self.adopted_at is None else round((now - self.adopted_at) * 1000)
+        )
+
     def end_retention_if_due(self, now: float) -> Configuration | None:
         """Return the content to apply if retained drains end now."""
         if not self.retained_drains.end_if_due(now) or self.content == self._accepted:
--- a/packages/daemon/src/plankspindle_daemon/idempotency/claim_store.py
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/claim_store.py
@@ -150,8 +150,9 @@
         tells of the return.
         """
         era = self.platform.calls.era
-        if era.restoring_left_s(monotonic()) > 0:
-            return StoreRestoring(era.restoring_left_s(monotonic()))
+        left_s = era.restoring_left_s(monotonic())
+        if left_s > 0:
+            return StoreRestoring(left_s)
         attempt = ClaimAttempt(key=key, claim_row=claim_row)
         effects = attempt.begin()
         try:
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -179,8 +179,7 @@
     def _record_routing(
         self, trace: RequestTrace, resolved: ResolvedRequest, deadline: RequestDeadline
     ) -> None:
-        now = monotonic()
-        adopted_at = self.node.in_force.adopted_at
+        now, in_force = monotonic(), self.node.in_force
         trace.service = resolved.request.service
         trace.rank = resolved.identity.rank
         trace.target_s = resolved.target_s
@@ -192,12 +191,10 @@
             max_attempts=resolved.max_attempts,
             timeout_ms=resolved.operation.timeout_ms,
             left_ms=round((deadline.monotonic_s - now) * 1000),
-            version=self.node.version.number,
-            revision=self.node.version.revision,
-            era=self.node.version.era,
-            version_age_ms=(
-                None if adopted_at is None else round((now - adopted_at) * 1000)
-            ),
+            version=in_force.version.number,
+            revision=in_force.version.revision,
+            era=in_force.version.era,
+            version_age_ms=in_force.age_ms(now),
         )
         trace.record(step, now)
 
