--- a/tests/fleet/soak/return_injector.py
+++ b/tests/fleet/soak/return_injector.py
@@ -84,7 +84,8 @@
         """Record entries that are back, for VMs that could not know they were gone."""
         now = monotonic()
         for upstream in self.upstreams.gone:
-            if (SERVER_TABLE, upstream.name) not in self.store.rows_by_key:
+            is_back = (SERVER_TABLE, upstream.name) in self.store.rows_by_key
+            if upstream.has_crashed or not is_back:
                 continue
             for vm in self.vms:
                 if not self.checks.disturbances.has_been_undisturbed(
