--- a/tests/fleet/soak/return_injector.py
+++ b/tests/fleet/soak/return_injector.py
@@ -85,7 +85,7 @@
         now = monotonic()
         for upstream in self.upstreams.gone:
             is_back = (SERVER_TABLE, upstream.name) in self.store.rows_by_key
-            if upstream.has_crashed or not is_back:
+            if upstream.left_at > now or not is_back:
                 continue
             for vm in self.vms:
                 if not self.checks.disturbances.has_been_undisturbed(
