Tests of a returned store and of the quarantine's store set up in one place

The adopted version that the store loses was written out in three tests, the quarantine's store in three.

--- a/packages/daemon/tests/quarantine/test_quarantine_store.py
+++ b/packages/daemon/tests/quarantine/test_quarantine_store.py
@@ -56,14 +56,18 @@
         return Ok(None)
 
 
+def build_store(quarantine: Quarantine, platform: FakePlatform) -> QuarantineStore:
+    return QuarantineStore(
+        quarantine=quarantine,
+        platform=platform,  # type: ignore[arg-type]
+        random=Random(1),
+    )
+
+
 async def run_store(platform: FakePlatform, *, quarantines: bool) -> Quarantine:
     """Start an entry VM, and optionally quarantine a request."""
     quarantine = Quarantine.create("a", "ba-1", build_membership("a"))
-    store = QuarantineStore(
-        quarantine=quarantine,
-        platform=platform,
-        random=Random(1),  # type: ignore[arg-type]
-    )
+    store = build_store(quarantine, platform)
     task = await curio.spawn(store.run, daemon=True)
     await curio.sleep(SETTLED_S)
     if quarantines:
@@ -124,11 +128,7 @@
 async def run_partitioned(platform: FakePlatform) -> None:
     """Let other VMs quarantine a request while this one gets no messages."""
     quarantine = Quarantine.create("a", "ba-1", build_membership("a"))
-    store = QuarantineStore(
-        quarantine=quarantine,
-        platform=platform,  # type: ignore[arg-type]
-        random=Random(1),
-    )
+    store = build_store(quarantine, platform)
     task = await curio.spawn(store.run, daemon=True)
     await curio.sleep(SETTLED_S)
     await run_store(platform, quarantines=True)
@@ -168,11 +168,7 @@
 async def run_until_returned(platform: FakePlatform) -> None:
     """Quarantine a request, lose its row by a return from a copy, and wait."""
     quarantine = Quarantine.create("a", "ba-1", build_membership("a"))
-    store = QuarantineStore(
-        quarantine=quarantine,
-        platform=platform,  # type: ignore[arg-type]
-        random=Random(1),
-    )
+    store = build_store(quarantine, platform)
     platform.calls.era.observe(1, quarantine_store.monotonic())
     task = await curio.spawn(store.run, daemon=True)
     await curio.sleep(SETTLED_S)
--- a/tests/fleet/test_store_return.py
+++ b/tests/fleet/test_store_return.py
@@ -18,6 +18,7 @@
 from fleet_vm import build_vm
 from fleet_vm import wait_until
 from store_stand_in import SERVER_DOCUMENT
+from store_stand_in import StoreCopy
 from store_stand_in import StoreStandIn
 from store_stand_in import run_with_store
 
@@ -88,15 +89,21 @@
         store.put("other", f"row-{number}", {})
 
 
+async def adopt_version_that_is_lost(store: StoreStandIn, vm: FleetVm) -> StoreCopy:
+    """Return a copy of the store from before a version that a VM has adopted."""
+    copy = store.copy()
+    write_unrelated_rows(store)
+    write_configuration(store, revision=2, routes=2)
+    await wait_until(lambda: vm.routes() == 2)
+    return copy
+
+
 # A changed route went to its old service for good once the store's numbers had fallen.
 def test_configuration_changed_after_return_from_copy_takes_effect_in_time(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario(store: StoreStandIn, vm: FleetVm) -> float:
-        copy = store.copy()
-        write_unrelated_rows(store)
-        write_configuration(store, revision=2, routes=2)
-        await wait_until(lambda: vm.routes() == 2)
+        copy = await adopt_version_that_is_lost(store, vm)
         store.return_from(copy)
         write_configuration(store, revision=2, routes=2)
         await curio.sleep(0.5)
@@ -137,10 +144,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario(store: StoreStandIn, vm: FleetVm) -> float:
-        copy = store.copy()
-        write_unrelated_rows(store)
-        write_configuration(store, revision=2, routes=2)
-        await wait_until(lambda: vm.routes() == 2)
+        copy = await adopt_version_that_is_lost(store, vm)
         store.return_from(copy)
         write_configuration(store, revision=3, routes=3)
         store.put("servers", "i-2", SERVER_DOCUMENT)
@@ -156,10 +160,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario(store: StoreStandIn, vm: FleetVm) -> float:
-        copy = store.copy()
-        write_unrelated_rows(store)
-        write_configuration(store, revision=2, routes=2)
-        await wait_until(lambda: vm.routes() == 2)
+        copy = await adopt_version_that_is_lost(store, vm)
         store.return_from(copy)
         await curio.sleep(0.3)
         store.return_from(copy)
