Roll-outs: design note and the interfaces of the parts

Cause: nothing reads an operator's order to move a service to another software version, and upstreams of any version get requests once they are listed.

Change: the design note with the ways weighed and the list of what is missing; types that the parts share (order, stage, record, split of requests, counts, peer messages with their encoding) and the sequential judgement. Nothing uses them yet: no deployment changes.

Measured: formatter, linter and type check clean; 130 tests of core, wire, sharing and package dependencies passed.

--- a/packages/core/src/plankspindle_core/configuration/configuration.py
+++ b/packages/core/src/plankspindle_core/configuration/configuration.py
@@ -11,6 +11,7 @@
 from plankspindle_core.configuration.distances import Distances
 from plankspindle_core.configuration.drain import Drain
 from plankspindle_core.configuration.drain import DrainKind
+from plankspindle_core.configuration.rollout import Rollout
 from plankspindle_core.configuration.route import Route
 from plankspindle_core.configuration.service import Service
 from plankspindle_core.configuration.shift import Shift
@@ -77,6 +78,8 @@
         Declared one-way delays.
     routes_by_name : dict of str to Route
         Services that answer the requests for a host and path.
+    rollouts_by_service : dict of str to Rollout
+        Orders to move a service to another software version.
     """
 
     failure_domains_by_name: dict[str, FailureDomain]
@@ -91,6 +94,7 @@
     distances: Distances = Factory(Distances)
     routes_by_name: dict[str, Route] = Factory(dict)
     workspaces_by_name: dict[str, Workspace] = Factory(dict)
+    rollouts_by_service: dict[str, Rollout] = Factory(dict)
 
     def region_of(self, failure_domain: str) -> str | None:
         """Return the region of a failure domain, or None if it is not declared."""
--- a/packages/core/src/plankspindle_core/configuration/upstream.py
+++ b/packages/core/src/plankspindle_core/configuration/upstream.py
@@ -23,9 +23,12 @@
         Address that it listens on.
     slots : int
         Requests that it may run at once.
+    software_version : str
+        Version of the program that it runs; empty if it is not known.
     """
 
     service: str
     failure_domain: str
     endpoint: Endpoint
     slots: int = field(validator=validators.gt(0))
+    software_version: str = ""
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/list_news.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/list_news.py
@@ -28,6 +28,8 @@
         Incarnation number; zero if the platform does not report it.
     sequence : int
         Sequence number of the entry; zero if it is not known.
+    software_version : str
+        Version of the program that it runs; empty if it is not known.
     """
 
     name: str
@@ -39,6 +41,7 @@
     cold_ms: int
     incarnation: int = 0
     sequence: int = 0
+    software_version: str = ""
 
 
 @frozen(kw_only=True)
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/peer_message.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/peer_message.py
@@ -17,6 +17,8 @@
 from plankspindle_daemon.peer_messages.quota_messages import ShareLease
 from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
 from plankspindle_daemon.peer_messages.quota_messages import TokenRequest
+from plankspindle_daemon.peer_messages.rollout_messages import RolloutDirective
+from plankspindle_daemon.peer_messages.rollout_messages import RolloutReport
 from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
 from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 from plankspindle_daemon.peer_messages.suspicion import Suspicion
@@ -38,6 +40,8 @@
     | TokenRequest
     | TokenGrant
     | LimitNews
+    | RolloutReport
+    | RolloutDirective
 )
 
 
--- a/packages/daemon/src/plankspindle_daemon/settings/daemon_settings.py
+++ b/packages/daemon/src/plankspindle_daemon/settings/daemon_settings.py
@@ -158,6 +158,30 @@
     max_key_age_ms: int = field(default=0, validator=validators.ge(0))
 
 
+@frozen(kw_only=True)
+class RolloutSettings:
+    """Bounds on roll-outs of software versions.
+
+    Parameters
+    ----------
+    enabled : bool
+        Whether upstreams get requests by their software version. If not, all upstreams
+        of a service do, whatever version they run.
+    exposure_share, exposure_slack : float
+        Requests that a bad version may get between its order and the deadline, summed
+        over all entry VMs: this share of all requests of the service, and this many.
+    rollback_ms : int
+        Time after a bad version's fiftieth bad answer from which it must get nothing.
+    """
+
+    enabled: bool = False
+    exposure_share: float = field(
+        default=0.1, validator=[validators.gt(0), validators.le(1)]
+    )
+    exposure_slack: float = field(default=50.0, validator=validators.ge(0))
+    rollback_ms: int = field(default=5_000, validator=validators.gt(0))
+
+
 @frozen(kw_only=True)
 class DaemonSettings:
     """All settings of one daemon.
@@ -184,6 +208,8 @@
         Limits of the caller listener.
     quotas : QuotaSettings
         Limits on quotas of workspaces.
+    rollouts : RolloutSettings
+        Bounds on roll-outs of software versions.
     """
 
     vm: str
@@ -196,6 +222,7 @@
     requests: RequestSettings = Factory(RequestSettings)
     http: HttpLimits = Factory(HttpLimits)
     quotas: QuotaSettings = Factory(QuotaSettings)
+    rollouts: RolloutSettings = Factory(RolloutSettings)
 
     def problems(self) -> list[str]:
         """Return the problems that the types of single keys do not rule out.
--- a/packages/daemon/src/plankspindle_daemon/sharing/upstream_codec.py
+++ b/packages/daemon/src/plankspindle_daemon/sharing/upstream_codec.py
@@ -25,6 +25,7 @@
         cold_ms=max(0, round(1000 * (listed.cold_until - now))),
         incarnation=listed.incarnation,
         sequence=listed.sequence,
+        software_version=declared.software_version,
     )
 
 
@@ -40,6 +41,7 @@
             failure_domain=encoded.failure_domain,
             endpoint=encoded.endpoint,
             slots=encoded.slots,
+            software_version=encoded.software_version,
         ),
         cold_until=now + encoded.cold_ms / 1000,
         incarnation=encoded.incarnation,
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -34,6 +34,10 @@
 from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
 from plankspindle_daemon.peer_messages.quota_messages import TokenRequest
 from plankspindle_daemon.peer_messages.readiness import Readiness
+from plankspindle_daemon.peer_messages.rollout_messages import RolloutDirective
+from plankspindle_daemon.peer_messages.rollout_messages import RolloutReport
+from plankspindle_daemon.peer_messages.rollout_messages import UpstreamOutcomes
+from plankspindle_daemon.peer_messages.rollout_messages import VersionOutcomes
 from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
 from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 from plankspindle_daemon.peer_messages.suspicion import Suspect
@@ -103,6 +107,8 @@
     "cleared": _list_of(Clearance),
     "shards": _Conversion(write=list, read=tuple),
     "idle_ms": _Conversion(write=list, read=tuple),
+    "outcomes": _list_of(VersionOutcomes),
+    "bad_upstreams": _list_of(UpstreamOutcomes),
 }
 
 
@@ -166,6 +172,8 @@
     "tokenRequest": TokenRequest,
     "tokenGrant": TokenGrant,
     "limitNews": LimitNews,
+    "rolloutReport": RolloutReport,
+    "rolloutDirective": RolloutDirective,
 }
 _ELEMENT_CLASSES = (
     ServiceLoad,
@@ -174,6 +182,8 @@
     CrashReport,
     Quarantined,
     Clearance,
+    VersionOutcomes,
+    UpstreamOutcomes,
 )
 """Element classes of the lists in messages."""
 _UNION_MEMBER_BY_CLASS = {cls: name for name, cls in _CLASS_BY_UNION_MEMBER.items()}
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -104,6 +104,7 @@
   coldMs @6 :UInt32;
   incarnation @7 :UInt64;
   sequence @8 :UInt64;
+  softwareVersion @9 :Text;
 }
 
 struct ListNews {
@@ -200,6 +201,48 @@
   agoMs @4 :UInt64;
 }
 
+struct VersionOutcomes {
+  operation @0 :Text;
+  failureDomain @1 :Text;
+  baselineAnswers @2 :UInt64;
+  baselineBad @3 :UInt64;
+  targetAnswers @4 :UInt64;
+  targetBad @5 :UInt64;
+}
+
+struct UpstreamOutcomes {
+  operation @0 :Text;
+  upstream @1 :Text;
+  answers @2 :UInt64;
+  bad @3 :UInt64;
+}
+
+struct RolloutReport {
+  incarnation @0 :UInt64;
+  failureDomain @1 :Text;
+  isOfDomain @2 :Bool;
+  service @3 :Text;
+  order @4 :UInt64;
+  stage @5 :Text;
+  vms @6 :UInt32;
+  emptiedVms @7 :UInt32;
+  requests @8 :UInt64;
+  exposed @9 :UInt64;
+  outcomes @10 :List(VersionOutcomes);
+  badUpstreams @11 :List(UpstreamOutcomes);
+}
+
+struct RolloutDirective {
+  service @0 :Text;
+  order @1 :UInt64;
+  stage @2 :Text;
+  baselineVersion @3 :Text;
+  targetVersion @4 :Text;
+  movingMs @5 :UInt32;
+  endsInMs @6 :Int32;
+  reason @7 :Text;
+}
+
 struct PeerMessage {
   sender @0 :Text;
   union {
@@ -219,5 +262,7 @@
     tokenRequest @14 :TokenRequest;
     tokenGrant @15 :TokenGrant;
     limitNews @16 :LimitNews;
+    rolloutReport @17 :RolloutReport;
+    rolloutDirective @18 :RolloutDirective;
   }
 }
--- a/packages/daemon/tests/wire/test_wire.py
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -23,6 +23,10 @@
 from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
 from plankspindle_daemon.peer_messages.quota_messages import TokenRequest
 from plankspindle_daemon.peer_messages.readiness import Readiness
+from plankspindle_daemon.peer_messages.rollout_messages import RolloutDirective
+from plankspindle_daemon.peer_messages.rollout_messages import RolloutReport
+from plankspindle_daemon.peer_messages.rollout_messages import UpstreamOutcomes
+from plankspindle_daemon.peer_messages.rollout_messages import VersionOutcomes
 from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
 from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 from plankspindle_daemon.peer_messages.suspicion import Suspect
@@ -87,6 +91,43 @@
         has_share=True,
         is_of_limit=True,
     ),
+    RolloutReport(
+        sender="a",
+        incarnation=2**63,
+        failure_domain="ba-1",
+        is_of_domain=True,
+        service="registry",
+        order=2**63,
+        stage="canary",
+        vms=15,
+        emptied_vms=3,
+        requests=2**40,
+        exposed=9,
+        outcomes=(
+            VersionOutcomes(
+                operation="search",
+                failure_domain="ba-1",
+                baseline_answers=2**40,
+                baseline_bad=4,
+                target_answers=3,
+                target_bad=1,
+            ),
+        ),
+        bad_upstreams=(
+            UpstreamOutcomes(operation="search", upstream="u", answers=3, bad=1),
+        ),
+    ),
+    RolloutDirective(
+        sender="a",
+        service="registry",
+        order=7,
+        stage="moving",
+        baseline_version="v1",
+        target_version="v2",
+        moving_ms=800,
+        ends_in_ms=-300,
+        reason="canary passed",
+    ),
     LimitNews(
         sender="a",
         life="u#5",
