Roll-outs: operating characteristics of the judgement, and more power at low rates

Cause: the judgement estimated the baseline of each failure domain from its own answers alone, which are few at 100 requests a second; its upper bound hid versions of which a tenth of the answers fail.

--- a/packages/daemon/src/plankspindle_daemon/rollouts/judgement.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/judgement.py
@@ -17,21 +17,24 @@
 
     from plankspindle_daemon.peer_messages.rollout_messages import UpstreamOutcomes
 
-BAD_SHARES = (0.1, 0.2, 0.4, 0.8)
+BAD_SHARES = (0.05, 0.1, 0.2, 0.4, 0.8)
 """Shares of bad answers, above those of the baseline, that are tested for."""
-MIN_BASELINE_SHARE = 0.03
+MIN_BASELINE_SHARE = 0.02
 """Least share of bad answers that the baseline is assumed to have.
 
 Baselines of few answers without a bad one say little; this bounds what they claim.
 """
 MAX_BASELINE_SHARE = 0.95
-FALSE_ALARM_PROBABILITY = 1e-5
+FALSE_ALARM_PROBABILITY = 1e-3
 """Probability of a false alarm for one operation at any one time."""
 BASELINE_MEMORY_S = 3.0
 """Time constant with which earlier answers of the baseline lose weight, in seconds."""
-PRIOR_ANSWERS = 4.0
-"""Answers with ``MIN_BASELINE_SHARE`` of bad ones that a baseline begins with."""
-STANDARD_ERRORS = 1.5
+PRIOR_ANSWERS = 20.0
+"""Answers of the operation in all failure domains that count in each of them.
+
+A failure domain alone has too few answers where traffic is low.
+"""
+STANDARD_ERRORS = 1.0
 """Standard errors by which the baseline's share may be underestimated."""
 MIN_UPSTREAMS_TO_EXCLUDE_ONE = 3
 """Upstreams of the target that must have answered for the worst not to count."""
@@ -65,20 +68,24 @@
 
 
 @define(kw_only=True)
-class _BaselineShare:
-    """Recent share of bad answers of the baseline, in one group."""
+class _RecentAnswers:
+    """Answers of the baseline that lose weight with time."""
 
-    answers: float = PRIOR_ANSWERS
-    bad: float = PRIOR_ANSWERS * MIN_BASELINE_SHARE
+    answers: float = 0.0
+    bad: float = 0.0
 
     def record(self, *, answers: int, bad: int, decay: float) -> None:
-        self.answers = max(PRIOR_ANSWERS, self.answers * decay) + answers
-        self.bad = max(PRIOR_ANSWERS * MIN_BASELINE_SHARE, self.bad * decay) + bad
+        self.answers = self.answers * decay + answers
+        self.bad = self.bad * decay + bad
 
-    def upper_bound(self) -> float:
+    def share(self, *, prior: float) -> float:
+        """Return the share of bad answers, given that of all failure domains."""
+        return (self.bad + PRIOR_ANSWERS * prior) / (self.answers + PRIOR_ANSWERS)
+
+    def upper_bound(self, *, prior: float) -> float:
         """Return the highest share that the recent answers make plausible."""
-        share = min(1.0, self.bad / self.answers)
-        error = math.sqrt(max(share * (1 - share), 1e-4) / self.answers)
+        share = min(1.0, self.share(prior=prior))
+        error = math.sqrt(share * (1 - share) / (self.answers + PRIOR_ANSWERS))
         bound = share + STANDARD_ERRORS * error
         return min(MAX_BASELINE_SHARE, max(MIN_BASELINE_SHARE, bound))
 
@@ -102,7 +109,8 @@
 
     _previous_by_group: dict[tuple[str, str], VersionOutcomes] = Factory(dict)
     _previous_by_upstream: dict[tuple[str, str], tuple[int, int]] = Factory(dict)
-    _baseline_by_group: dict[tuple[str, str], _BaselineShare] = Factory(dict)
+    _baseline_by_group: dict[tuple[str, str], _RecentAnswers] = Factory(dict)
+    _baseline_by_operation: dict[str, _RecentAnswers] = Factory(dict)
     _log_ratios_by_operation: dict[str, list[float]] = Factory(dict)
     _updated_at: float | None = None
 
@@ -160,12 +168,12 @@
             VersionOutcomes(operation=group[0], failure_domain=group[1]),
         )
         self._previous_by_group[group] = outcomes
-        baseline = self._baseline_by_group.setdefault(group, _BaselineShare())
-        baseline.record(
-            answers=max(0, outcomes.baseline_answers - before.baseline_answers),
-            bad=max(0, outcomes.baseline_bad - before.baseline_bad),
-            decay=decay,
-        )
+        answers = max(0, outcomes.baseline_answers - before.baseline_answers)
+        bad = max(0, outcomes.baseline_bad - before.baseline_bad)
+        in_domain = self._baseline_by_group.setdefault(group, _RecentAnswers())
+        in_domain.record(answers=answers, bad=bad, decay=decay)
+        in_all = self._baseline_by_operation.setdefault(group[0], _RecentAnswers())
+        in_all.record(answers=answers, bad=bad, decay=1.0)
         return (
             max(0, outcomes.target_answers - before.target_answers),
             max(0, outcomes.target_bad - before.target_bad),
@@ -197,7 +205,9 @@
     ) -> list[float]:
         """Return what new answers of one group add to each log-likelihood ratio."""
         group = (outcomes.operation, outcomes.failure_domain)
-        usual = self._baseline_by_group[group].upper_bound()
+        in_all = self._baseline_by_operation[outcomes.operation]
+        prior = in_all.share(prior=MIN_BASELINE_SHARE)
+        usual = self._baseline_by_group[group].upper_bound(prior=prior)
         steps = []
         for above in BAD_SHARES:
             tested = usual + (1 - usual) * above
--- a/packages/testkit/src/plankspindle_testkit/bench/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/__main__.py
@@ -15,6 +15,7 @@
 from plankspindle_testkit.bench.policy_bench import run_priority_bench
 from plankspindle_testkit.bench.proxy_bench import run_proxy_bench
 from plankspindle_testkit.bench.quota_bench import run_quota_bench
+from plankspindle_testkit.bench.rollout_bench import run_rollout_bench
 from plankspindle_testkit.bench.shift_bench import run_shift_bench
 from plankspindle_testkit.bench.size_bench import run_size_bench
 from plankspindle_testkit.bench.slopes_bench import run_slopes_bench
@@ -36,6 +37,7 @@
     "proxy": run_proxy_bench,
     "limit": run_limit_bench,
     "quota": run_quota_bench,
+    "rollout": run_rollout_bench,
 }
 
 
