Dispatch: requests divided by the software version of upstreams

Cause: upstreams of any software version got requests as soon as they were listed; nothing could keep a share of the keys at one version.

Change: a gate for each dispatcher says which versions a request may use, in order of preference: canary within a share of the requests sent, a moving range of the keys, requests that would outlast the baseline, the target only, and any version if none of the named ones is left. Each set of upstreams has rankings and a region plan of its own, updated in place; capacity figures count the sets in use. An invariant checks each assignment. Without a split the same code chooses among all upstreams. The choice of upstreams, limits by time, seen keys and creation of upstream states moved to modules of their own.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/completion_recorder.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/completion_recorder.py
@@ -143,7 +143,7 @@
     ) -> None:
         key = completed.ticket.affinity
         if key is not None and self.placement is not None:
-            self.placement.record_seen(key, upstream.name, now)
+            self.placement.seen_keys.record_seen(key, upstream.name, now)
 
     def _rtt_s(self, upstream: UpstreamState) -> float:
         """Return the round-trip time within a measured duration, in seconds."""
--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -14,7 +14,6 @@
 from plankspindle_daemon.admission.priority_queue import Queued
 from plankspindle_daemon.dispatch.cached_capacity import CachedCapacity
 from plankspindle_daemon.dispatch.completion_recorder import CompletionRecorder
-from plankspindle_daemon.dispatch.completion_recorder import miss_operation
 from plankspindle_daemon.dispatch.duration_averages import DurationAverages
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import AttemptCompleted
@@ -33,28 +32,23 @@
 from plankspindle_daemon.dispatch.messages import TimePassed
 from plankspindle_daemon.dispatch.placement import Placement
 from plankspindle_daemon.dispatch.placement_choice import NeedsToken
-from plankspindle_daemon.dispatch.placement_choice import PlacementChoice
 from plankspindle_daemon.dispatch.placement_explanation import explain_choice
 from plankspindle_daemon.dispatch.probe_schedule import ProbeSchedule
 from plankspindle_daemon.dispatch.rejections import Rejections
 from plankspindle_daemon.dispatch.slot_lending import SlotLending
-from plankspindle_daemon.dispatch.upstream_availability import earliest_available_at
+from plankspindle_daemon.dispatch.time_limits import TimeLimits
 from plankspindle_daemon.dispatch.upstream_availability import request_token
+from plankspindle_daemon.dispatch.upstream_chooser import UpstreamChooser
+from plankspindle_daemon.dispatch.version_pools import UpstreamPool
+from plankspindle_daemon.dispatch.version_routing import VersionRouting
 from plankspindle_daemon.upstreams.average_use import AverageUse
 from plankspindle_daemon.upstreams.fleet_limiter import FleetLimiter
 from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from plankspindle_daemon.admission.ticket import Ticket
+    from plankspindle_daemon.dispatch.version_split import VersionSplit
 
-MIN_TIME_LEFT_FACTOR = 1.5
-"""Expected durations that a waiting request must have left before its deadline.
-
-At 1.5 times the capacity, a factor of 0.5 wastes 8 percent of the slots on requests
-that complete too late, 1.5 wastes none (docs/MEASUREMENTS.md).
-"""
 MAX_SCANNED_REQUESTS = 16
 """Waiting requests that are matched against free upstreams in one pass."""
 
@@ -86,6 +80,8 @@
         Whether entry VMs divide the slots of any upstream that was ever in use.
     fleet_limiter_by_incarnation : dict of str to FleetLimiter
         Rate limits over all entry VMs that upstreams of any service stated.
+    versions : VersionRouting
+        Software versions that requests may use.
     """
 
     vm: str
@@ -104,6 +100,9 @@
     statements_unreadable: int = 0
     _probe_schedule: ProbeSchedule = field(init=False)
     lending: SlotLending = field(init=False)
+    versions: VersionRouting = Factory(VersionRouting)
+    _limits: TimeLimits = field(init=False)
+    _cached_chooser: UpstreamChooser | None = field(init=False, default=None)
     _miss_ids: set[int] = field(factory=set)
     _capacity: CachedCapacity = Factory(CachedCapacity)
 
@@ -111,6 +110,7 @@
         self.rejections = Rejections(
             queue=self.queue, durations=self.durations, random=self.random
         )
+        self._limits = TimeLimits(durations=self.durations)
         self._probe_schedule = ProbeSchedule(
             random=self.random, probe_period_s=self.probe_period_s
         )
@@ -168,26 +168,58 @@
         """Return the number of requests that could start now."""
         return sum(
             max(0, each.usable_slots(now) - each.ledger.in_flight)
-            for each in self.upstreams_by_name.values()
+            for each in self._chooser().usable_upstreams(now).values()
         )
 
     def capacity(self, now: float) -> int:
         """Return the number of requests that may run at once, from a cache."""
-        return self._capacity.get(self.upstreams_by_name, now)
+        return self._capacity.get(self._chooser().usable_upstreams(now), now)
+
+    def set_version_split(self, split: VersionSplit | None) -> None:
+        """Set the shares of the software versions; None if they do not matter."""
+        self._capacity.invalidate()
+        self.versions.set_split(split, self.upstreams_by_name, self.placement)
+
+    def update_rankings(self) -> None:
+        """Rank the upstreams that are to stay, after a change of the upstreams."""
+        if self.placement is not None:
+            self.placement.rankings.set_upstreams(
+                {
+                    name: each.upstream.failure_domain
+                    for name, each in self.upstreams_by_name.items()
+                    if not each.leaving and each.drained_at is None
+                }
+            )
+        self.versions.update_upstreams(self.upstreams_by_name, self.placement)
+
+    def rebuild_rankings(self) -> None:
+        """Rank all upstreams again, as domains may have moved to another region."""
+        if self.placement is not None:
+            self.placement.rankings.rebuild()
+        self.versions.rebuild_rankings()
+
+    def pools(self, now: float) -> list[tuple[UpstreamPool, bool]]:
+        """Return pools with a region plan each, and whether they get requests now."""
+        if not self.versions.is_active:
+            everything = UpstreamPool(
+                upstreams_by_name=self.upstreams_by_name, placement=self.placement
+            )
+            return [(everything, True)]
+        in_use = self.versions.pools_in_use(now)
+        pools = self.versions.pools.pools_by_set.values()
+        return [(each, any(each is used for used in in_use)) for each in pools]
 
     def handle_upstream_restart(self, name: str) -> None:
         """Discard the affinity keys recorded for an upstream that restarted."""
         if self.placement is not None:
-            self.placement.discard_seen(name)
+            self.placement.seen_keys.discard(name)
 
     def in_flight(self) -> int:
         """Return the number of requests that run on upstreams."""
         return sum(each.ledger.in_flight for each in self.upstreams_by_name.values())
 
     def _admit(self, ticket: Ticket, now: float) -> list[DispatchEffect]:
-        by_name = self.upstreams_by_name
-        allowed = (each for each in by_name.values() if self._may_run_at(ticket, each))
-        available_at = earliest_available_at(allowed, now)
+        available_at = self._chooser().first_available_at(ticket, now)
         if available_at is None:
             return [self._reject(ticket, RejectReason.NO_UPSTREAM, now)]
         assigned = None if self.queue else self._assign(ticket, now)
@@ -196,7 +228,12 @@
         withheld = self._check_limits(ticket, available_at, now)
         if withheld is not None:
             return [withheld]
-        if self._would_be_late(ticket, now):
+        if self._limits.would_be_late(
+            ticket,
+            ahead=self.queue.count_ahead(ticket.rank),
+            capacity=self.capacity(now),
+            now=now,
+        ):
             return [self._reject(ticket, RejectReason.TOO_LATE, now)]
         offered = self.queue.offer(ticket)
         if not isinstance(offered, Queued):
@@ -208,26 +245,21 @@
 
     def could_place_elsewhere(self, ticket: Ticket, upstream: str, now: float) -> bool:
         """Return whether another upstream could accept a request now."""
-        excluding = ticket.excluding(ticket.excluded_upstreams | {upstream})
-        fits = self._can_start(excluding, now)
-        if self.placement is None:
-            return any(map(fits, self.upstreams_by_name.values()))
-        return self.placement.has_candidate(
-            excluding, self.upstreams_by_name, fits=fits, now=now
-        )
-
-    def _can_start(self, ticket: Ticket, now: float) -> Callable[[UpstreamState], bool]:
-        """Return a check whether an upstream may accept a request now."""
-        end = now + max(ticket.expected_s, self.expected_duration_s(ticket))
-        return lambda each: (
-            self._may_run_at(ticket, each)
-            and each.can_start(now=now, deadline=ticket.deadline, expected_end=end)
-        )
-
-    def _may_run_at(self, ticket: Ticket, upstream: UpstreamState) -> bool:
-        if upstream.name in ticket.excluded_upstreams:
-            return False
-        return self.placement is None or self.placement.is_permitted(upstream, ticket)
+        return self._chooser().could_place_elsewhere(ticket, upstream, now)
+
+    def _chooser(self) -> UpstreamChooser:
+        if (
+            self._cached_chooser is None
+            or self._cached_chooser.placement is not self.placement
+        ):
+            self._cached_chooser = UpstreamChooser(
+                upstreams_by_name=self.upstreams_by_name,
+                placement=self.placement,
+                versions=self.versions,
+                durations=self.durations,
+                random=self.random,
+            )
+        return self._cached_chooser
 
     def _assign_all(self, now: float) -> list[DispatchEffect]:
         effects: list[DispatchEffect] = []
@@ -235,7 +267,7 @@
         for ticket in self.queue:
             if scanned >= MAX_SCANNED_REQUESTS:
                 break
-            reason = self._give_up_reason(ticket, now)
+            reason = self._limits.give_up_reason(ticket, now)
             if reason is not None:
                 self.queue.remove(ticket.id)
                 effects.append(self._reject(ticket, reason, now))
@@ -248,7 +280,7 @@
             if effect is not None:
                 effects.append(effect)
         if self.queue and self.placement is None:
-            effects += self.lending.request(self.upstreams_by_name, now)
+            effects += self.lending.request(self._chooser().usable_upstreams(now), now)
         return effects
 
     def _check_limits(
@@ -256,31 +288,38 @@
     ) -> Reject | None:
         """Reject a request if limits or retry-after periods block all upstreams."""
         if self.placement is not None and self.fleet_limiter_by_incarnation:
-            choice_at = self.placement.available_at(ticket, self.upstreams_by_name, now)
+            choice_at = self._chooser().placeable_at(ticket, now)
             available_at = max(available_at, choice_at)
         if available_at <= now:
             return None
         return self._reject(ticket, RejectReason.WITHHELD, now, retry_at=available_at)
 
     def _assign(self, ticket: Ticket, now: float) -> Assign | RequestToken | None:
-        chosen = self._choose(ticket, now)
-        if chosen is None:
+        choice = self._chooser().choose(ticket, now)
+        if choice is None:
             return None
-        if isinstance(chosen, NeedsToken):
-            return request_token(chosen.upstream, now)
+        if isinstance(choice, NeedsToken):
+            return request_token(choice.upstream, now)
+        if not choice.is_hit:
+            self._miss_ids.add(ticket.id)
+        chosen, pool = choice.upstream, choice.pool
         check_invariant(
             "leaving-gets-nothing-new",
             not chosen.rejects_new_work(now),
             chosen.name,
         )
         step = explain_choice(
-            self.placement,
+            pool.placement,
             ticket,
-            self.upstreams_by_name,
+            pool.upstreams_by_name,
             chosen,
             is_hit=ticket.id not in self._miss_ids,
             now=now,
         )
+        if choice.option is not None:
+            step = self.versions.record_assigned(
+                ticket, choice, choice.option, step=step, now=now
+            )
         chosen.start(ticket=ticket.id, now=now, deadline=ticket.deadline)
         self.assigned += 1
         return Assign(
@@ -291,58 +330,14 @@
             step=step,
         )
 
-    def _choose(self, ticket: Ticket, now: float) -> UpstreamState | NeedsToken | None:
-        hit_s = self.expected_duration_s(ticket)
-        fits = self._can_start(ticket, now)
-        if self.placement is None:
-            accepting = [each for each in self.upstreams_by_name.values() if fits(each)]
-            scored = [(each.score(now), self.random.random()) for each in accepting]
-            return accepting[scored.index(min(scored))] if accepting else None
-        choice = self.placement.choose(
-            ticket,
-            self.upstreams_by_name,
-            fits=fits,
-            hit_s=hit_s,
-            miss_s=self.durations.total_s_by_operation.get(miss_operation(ticket)),
-            now=now,
-        )
-        if not isinstance(choice, PlacementChoice):
-            return choice
-        if not choice.is_hit:
-            self._miss_ids.add(ticket.id)
-        self.placement.limiter.record_sent(spills=choice.spills)
-        return choice.upstream
-
     def expected_duration_s(self, ticket: Ticket) -> float:
         """Return the expected duration of a request, in seconds."""
-        return self.durations.expected_total_s(
-            operation=ticket.operation, declared_s=ticket.expected_s
-        )
-
-    def _is_late(self, ticket: Ticket, now: float) -> bool:
-        return (
-            now + MIN_TIME_LEFT_FACTOR * self.expected_duration_s(ticket)
-            > ticket.deadline
-        )
-
-    def _give_up_reason(self, ticket: Ticket, now: float) -> RejectReason | None:
-        if self._is_late(ticket, now):
-            return RejectReason.TOO_LATE
-        return RejectReason.BUSY if now >= ticket.queue_deadline else None
-
-    def _would_be_late(self, ticket: Ticket, now: float) -> bool:
-        wait = self.durations.estimated_wait_s(
-            ahead=self.queue.count_ahead(ticket.rank), capacity=self.capacity(now)
-        )
-        return (
-            now + wait + MIN_TIME_LEFT_FACTOR * self.expected_duration_s(ticket)
-            > ticket.deadline
-        )
+        return self._limits.expected_duration_s(ticket)
 
     def _expire(self, now: float) -> list[DispatchEffect]:
         rejected: list[DispatchEffect] = []
         for ticket in self.queue:
-            reason = self._give_up_reason(ticket, now)
+            reason = self._limits.give_up_reason(ticket, now)
             if reason is not None:
                 self.queue.remove(ticket.id)
                 rejected.append(self._reject(ticket, reason, now))
@@ -366,6 +361,7 @@
         )
 
     def _record_completion(self, completed: AttemptCompleted, now: float) -> None:
+        self.versions.record_completed(completed)
         upstream = self.upstreams_by_name.get(completed.upstream)
         if upstream is not None and completed.incarnation in (0, upstream.incarnation):
             upstream.ledger.finish(ticket=completed.ticket.id)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
@@ -67,6 +67,8 @@
         Time spent waiting for the head of a response that never arrived, in seconds.
     incarnation : int
         Incarnation of the upstream that the attempt ran on; zero if unknown.
+    status : int, optional
+        Status of the answer; None if no head of an answer arrived.
     cause : str
         Observed failure of the upstream, for the log.
     """
@@ -80,6 +82,7 @@
     reported_load: int | None = None
     waited_s: float | None = None
     incarnation: int = 0
+    status: int | None = None
     cause: str = field(default="", eq=False)
 
 
--- a/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/placement.py
@@ -16,9 +16,9 @@
 from plankspindle_daemon.dispatch.placement_choice import PlacementChoice
 from plankspindle_daemon.dispatch.placement_choice import PlacementQuery
 from plankspindle_daemon.dispatch.region_plan import RegionPlan
+from plankspindle_daemon.dispatch.seen_keys import SeenKeys
 from plankspindle_daemon.dispatch.spillover_limiter import SpilloverLimiter
 from plankspindle_daemon.dispatch.upstream_availability import earliest_available_at
-from plankspindle_daemon.dispatch.upstream_rankings import MAX_CACHED_KEYS
 from plankspindle_daemon.dispatch.upstream_rankings import UpstreamRanking
 from plankspindle_daemon.dispatch.upstream_rankings import UpstreamRankings
 from plankspindle_daemon.upstreams.fleet_limiter import TOKEN_WAIT_S
@@ -52,13 +52,6 @@
 """Expected durations without an answer after which an upstream costs more."""
 CANDIDATES_PER_SIDE = 2
 """Upstreams considered per key in the local region, and as many in the remote ones."""
-SEEN_KEY_TTL_S = 15.0
-"""Time for which an upstream is assumed to cache a key that it answered, in seconds.
-
-A hot key overflows to its second upstream every few seconds, which renews the entry.
-"""
-MAX_SEEN_KEYS = 2 * MAX_CACHED_KEYS
-"""Limit on the recorded pairs of a key and an upstream that has seen it."""
 
 
 @define(kw_only=True)
@@ -75,6 +68,8 @@
         Source of tie-breaks.
     plan : RegionPlan
         Which keys of this service are planned for a remote region.
+    seen_keys : SeenKeys
+        Keys that upstreams answered lately.
 
     Notes
     -----
@@ -90,7 +85,7 @@
     random: Random
     plan: RegionPlan = Factory(RegionPlan)
     rankings: UpstreamRankings = field(init=False)
-    _seen_at: dict[tuple[str, str], float] = field(factory=dict)
+    seen_keys: SeenKeys = Factory(SeenKeys)
 
     def __attrs_post_init__(self) -> None:
         self.rankings = UpstreamRankings(distances=self.distances)
@@ -282,25 +277,23 @@
 
     def has_seen(self, key: str, upstream: str, now: float) -> bool:
         """Return whether an upstream answered this VM for a key within the TTL."""
-        seen_at = self._seen_at.get((key, upstream))
-        return seen_at is not None and now - seen_at < SEEN_KEY_TTL_S
-
-    def record_seen(self, key: str, upstream: str, now: float) -> None:
-        """Record that an upstream answered for a key."""
-        if len(self._seen_at) >= MAX_SEEN_KEYS:
-            self._seen_at = {
-                pair: at
-                for pair, at in self._seen_at.items()
-                if now - at < SEEN_KEY_TTL_S
-            }
-        if len(self._seen_at) < MAX_SEEN_KEYS:
-            self._seen_at[key, upstream] = now
-
-    def discard_seen(self, upstream: str) -> None:
-        """Discard the keys recorded for an upstream."""
-        self._seen_at = {
-            pair: at for pair, at in self._seen_at.items() if pair[1] != upstream
-        }
+        return self.seen_keys.has_seen(key, upstream, now)
+
+    def for_subset(self) -> Placement:
+        """Return a placement among some of the upstreams of the same service.
+
+        Notes
+        -----
+        It shares the limiter and the seen keys, and has rankings and a plan of its own;
+        the plan begins like this one.
+        """
+        return Placement(
+            distances=self.distances,
+            limiter=self.limiter,
+            random=self.random,
+            plan=RegionPlan(remote_share=self.plan.remote_share),
+            seen_keys=self.seen_keys,
+        )
 
     def is_local(self, upstream: UpstreamState) -> bool:
         """Return whether an upstream is in the region of this VM."""
--- a/packages/daemon/src/plankspindle_daemon/dispatch/region_capacity.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/region_capacity.py
@@ -17,6 +17,8 @@
     from collections.abc import Iterable
 
     from plankspindle_daemon.dispatch.dispatcher import Dispatcher
+    from plankspindle_daemon.dispatch.version_pools import UpstreamPool
+
 MAX_COUNTED_UPSTREAMS_PER_S = 2_000
 """Upstreams whose slots are counted per second; at 2 us each, 0.4 percent of a core."""
 
@@ -76,16 +78,19 @@
         max_change = self._max_change(now)
         usable_local = upstreams = 0
         for dispatcher in dispatchers:
-            upstreams += len(dispatcher.upstreams_by_name)
-            if dispatcher.placement is not None:
-                slots = self._count_slots(dispatcher, now)
-                dispatcher.placement.plan.update(
+            for pool, is_in_use in dispatcher.pools(now):
+                upstreams += len(pool.upstreams_by_name)
+                if pool.placement is None:
+                    continue
+                slots = self._count_slots(pool, now)
+                pool.placement.plan.update(
                     local_slots=slots.local,
                     remote_slots=slots.remote,
                     vm_share=vm_share,
-                    max_change=max_change,
+                    max_change=1.0 if pool.has_new_plan else max_change,
                 )
-                usable_local += slots.usable_local
+                pool.has_new_plan = False
+                usable_local += slots.usable_local if is_in_use else 0
         self._next_update_at = now + upstreams / MAX_COUNTED_UPSTREAMS_PER_S
         self.limiter.set_capacity(usable_local, now)
 
@@ -101,15 +106,15 @@
             return 1.0
         return MAX_SHARE_CHANGE_PER_S * (now - before)
 
-    def _count_slots(self, dispatcher: Dispatcher, now: float) -> _SlotCounts:
-        """Count the slots of a service's upstreams that are to stay.
+    def _count_slots(self, pool: UpstreamPool, now: float) -> _SlotCounts:
+        """Count the slots of the upstreams of a pool that are to stay.
 
         Upstreams that are backed off are included: they return, and a plan without
         them would move their keys.
         """
         local = remote = usable_local = 0
         is_local = self.distances.is_local
-        for upstream in dispatcher.upstreams_by_name.values():
+        for upstream in pool.upstreams_by_name.values():
             if not upstream.accepts_keys(now):
                 continue
             declared = upstream.upstream
--- a/packages/daemon/src/plankspindle_daemon/dispatch/service_registry.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/service_registry.py
@@ -19,19 +19,17 @@
 from plankspindle_daemon.dispatch.placement import Placement
 from plankspindle_daemon.dispatch.region_capacity import RegionCapacity
 from plankspindle_daemon.dispatch.spillover_limiter import SpilloverLimiter
+from plankspindle_daemon.dispatch.upstream_factory import UpstreamFactory
+from plankspindle_daemon.dispatch.version_counts import ListedVersion
+from plankspindle_daemon.dispatch.version_counts import VersionCounts
+from plankspindle_daemon.dispatch.version_routing import count_listed
 from plankspindle_daemon.drains.drain_schedule import DrainSchedule
 from plankspindle_daemon.membership.membership import Membership
 from plankspindle_daemon.platform.listed_upstreams import ListedUpstreams
 from plankspindle_daemon.platform.live_list import VmKind
 from plankspindle_daemon.retries.retry_budget import RetryBudget
 from plankspindle_daemon.upstreams.fleet_limiter import FleetLimiter
-from plankspindle_daemon.upstreams.health import Ramping
-from plankspindle_daemon.upstreams.health import UpstreamHealth
-from plankspindle_daemon.upstreams.health import Warm
-from plankspindle_daemon.upstreams.reported_slots import ReportedSlots
-from plankspindle_daemon.upstreams.slot_ledger import SlotLedger
 from plankspindle_daemon.upstreams.statement_store import StatementStore
-from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 from plankspindle_daemon.versions.configuration_version import NO_VERSION
 from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
@@ -42,6 +40,7 @@
     from plankspindle_core.configuration.upstream import Upstream
     from plankspindle_daemon.dispatch.messages import DispatchEffect
     from plankspindle_daemon.dispatch.messages import DispatchEvent
+    from plankspindle_daemon.dispatch.version_split import VersionSplit
     from plankspindle_daemon.platform.live_list import ListedVm
 
 OVERLOADED_QUEUE_SHARE = 0.5
@@ -103,6 +102,7 @@
     _configuration: Configuration | None = None
     _version: ConfigurationVersion = NO_VERSION
     _had_drains: bool = False
+    _updated_at: float = 0.0
     _cold_limits: ColdRateLimits = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -152,8 +152,7 @@
     def _invalidate_regions(self) -> None:
         self.region_capacity.invalidate()
         for dispatcher in self.dispatchers_by_service.values():
-            if dispatcher.placement is not None:
-                dispatcher.placement.rankings.rebuild()
+            dispatcher.rebuild_rankings()
 
     def apply_list(self, vms: Iterable[ListedVm], *, now: float, wall: float) -> None:
         """Apply the platform's list to the upstreams.
@@ -167,6 +166,7 @@
         wall : float
             Seconds since the Unix epoch.
         """
+        self._updated_at = now
         listed = self.listed.current_of(vms, now)
         self.listed.apply(listed, now)
         if self._configuration is not None:
@@ -185,6 +185,40 @@
         dispatcher = self.dispatchers_by_service.get(service)
         return [] if dispatcher is None else dispatcher.handle(event, now)
 
+    def set_version_split(
+        self, service: str, split: VersionSplit | None, now: float
+    ) -> None:
+        """Set the shares of a service's requests by software version.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service; nothing changes if it is not declared.
+        split : VersionSplit, optional
+            The shares; None if the software versions of upstreams do not matter.
+        now : float
+            Monotonic time in seconds.
+        """
+        self._updated_at = now
+        dispatcher = self.dispatchers_by_service.get(service)
+        if dispatcher is not None:
+            dispatcher.set_version_split(split)
+
+    def version_counts(self, service: str) -> VersionCounts:
+        """Return the requests and answers of a service by software version."""
+        dispatcher = self.dispatchers_by_service.get(service)
+        if dispatcher is None:
+            return VersionCounts()
+        return dispatcher.versions.counts(dispatcher.upstreams_by_name.values())
+
+    def listed_versions(self, service: str) -> dict[str, ListedVersion]:
+        """Count the upstreams of a service by software version, at the last tick."""
+        dispatcher = self.dispatchers_by_service.get(service)
+        if dispatcher is None:
+            return {}
+        upstreams = dispatcher.upstreams_by_name.values()
+        return count_listed(upstreams, self._updated_at)
+
     def service_of(self, upstream: str) -> str:
         """Return the service of a declared upstream; empty if it is not declared."""
         if self._configuration is None:
@@ -233,6 +267,7 @@
 
     def update_region_capacity(self, now: float) -> None:
         """Update the capacity of the local region and of the others."""
+        self._updated_at = now
         self.region_capacity.update(self.dispatchers_by_service.values(), now)
 
     def upstream_count(self) -> int:
@@ -300,6 +335,10 @@
         declared: dict[str, Upstream],
         now: float,
     ) -> None:
+        factory = UpstreamFactory(
+            limiter_by_incarnation=self.fleet_limiter_by_incarnation,
+            statements=self.statements,
+        )
         by_name = dispatcher.upstreams_by_name
         for name in set(by_name) - set(declared):
             by_name[name].leaving = True
@@ -314,43 +353,19 @@
                 known.ledger.slots = upstream.slots
                 known.ledger.shrink_share(upstream.slots)
                 continue
-            by_name[name] = self._new_upstream(dispatcher, service, name, upstream, now)
+            by_name[name] = factory.create(
+                dispatcher,
+                service,
+                name=name,
+                upstream=upstream,
+                incarnation=incarnation,
+                is_new=self._version.revision > 1 and now > self.ramping_from,
+                now=now,
+            )
             if known is not None:
                 dispatcher.handle_upstream_restart(name)
                 self._cold_limits.mark_cold(by_name[name], service, now)
-        _update_rankings(dispatcher, declared)
-
-    def _new_upstream(
-        self,
-        dispatcher: Dispatcher,
-        service: Service,
-        name: str,
-        upstream: Upstream,
-        now: float,
-    ) -> UpstreamState:
-        is_new = self._version.revision > 1 and now > self.ramping_from
-        reported = service.slot_sharing is SlotSharing.REPORTED
-        dispatcher.shares_slots |= not reported
-        ledger = (
-            ReportedSlots(slots=upstream.slots, average_use=dispatcher.average_use)
-            if reported
-            else SlotLedger(slots=upstream.slots)
-        )
-        state = UpstreamState(
-            name=name,
-            upstream=upstream,
-            health=UpstreamHealth(
-                random=dispatcher.random,
-                state=Ramping(now) if is_new and not reported else Warm(),
-                needs_probe=not reported,
-            ),
-            ledger=ledger,
-            incarnation=self.listed.incarnation_of(name),
-            limiter_by_incarnation=self.fleet_limiter_by_incarnation,
-            statements=self.statements,
-        )
-        state.apply_earlier_statements(now)
-        return state
+        dispatcher.update_rankings()
 
     def _apply_listed_state(
         self, vms: Iterable[ListedVm], *, now: float, wall: float
@@ -379,16 +394,3 @@
         if self._configuration is None:
             return None
         return self._configuration.services_by_name.get(name)
-
-
-def _update_rankings(dispatcher: Dispatcher, declared: dict[str, Upstream]) -> None:
-    """Rank the upstreams that are to stay for affinity keys."""
-    if dispatcher.placement is None:
-        return
-    by_name = dispatcher.upstreams_by_name
-    domain_by_name = {
-        name: upstream.failure_domain
-        for name, upstream in declared.items()
-        if not by_name[name].leaving and by_name[name].drained_at is None
-    }
-    dispatcher.placement.rankings.set_upstreams(domain_by_name)
--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
@@ -356,6 +356,7 @@
             reported_load=self._reported_load,
             waited_s=now - self.sent_at if self.head is None else None,
             incarnation=self.assigned.incarnation,
+            status=None if self.head is None else self.head.status_code,
             cause=self._observed,
         )
 
--- a/packages/daemon/src/plankspindle_daemon/traces/steps.py
+++ b/packages/daemon/src/plankspindle_daemon/traces/steps.py
@@ -116,6 +116,10 @@
         Upstream preferred by the affinity key, if it is another one.
     not_preferred : str, optional
         Why the preferred upstream was not chosen.
+    software_version : str, optional
+        Software version of the upstream, if versions share the service's requests.
+    software_version_reason : str, optional
+        Why the request may use that version, as one token.
     """
 
     EVENT: ClassVar[str] = "request_placed"
@@ -130,6 +134,8 @@
     leaves_region: bool | None = None
     preferred: str | None = None
     not_preferred: str | None = None
+    software_version: str | None = None
+    software_version_reason: str | None = None
 
 
 @frozen(kw_only=True)
--- a/packages/daemon/tests/dispatch/test_placement.py
+++ b/packages/daemon/tests/dispatch/test_placement.py
@@ -8,9 +8,9 @@
 from attrs import evolve
 
 from plankspindle_daemon.dispatch.domain_distances import DomainDistances
-from plankspindle_daemon.dispatch.placement import MAX_SEEN_KEYS
-from plankspindle_daemon.dispatch.placement import SEEN_KEY_TTL_S
 from plankspindle_daemon.dispatch.placement import Placement
+from plankspindle_daemon.dispatch.seen_keys import MAX_SEEN_KEYS
+from plankspindle_daemon.dispatch.seen_keys import SEEN_KEY_TTL_S
 from plankspindle_daemon.dispatch.spillover_limiter import SpilloverLimiter
 from plankspindle_daemon.upstreams.health import BackedOff
 from plankspindle_testkit.builders import build_configuration
@@ -145,9 +145,9 @@
     (second,) = (each for each in upstreams.values() if each is not first)
     load(first, 4)
     assert choose(placement, upstreams, "k").upstream is first
-    placement.record_seen("k", second.name, -SEEN_KEY_TTL_S - 1)
+    placement.seen_keys.record_seen("k", second.name, -SEEN_KEY_TTL_S - 1)
     assert choose(placement, upstreams, "k").upstream is first
-    placement.record_seen("k", second.name, -SEEN_KEY_TTL_S + 1)
+    placement.seen_keys.record_seen("k", second.name, -SEEN_KEY_TTL_S + 1)
     chosen = choose(placement, upstreams, "k")
     assert chosen.upstream is second
     assert chosen.is_hit
@@ -156,10 +156,10 @@
 def test_recorded_seen_keys_are_bounded() -> None:
     placement = build_placement(build_upstreams(a="ba_1"))
     for number in range(MAX_SEEN_KEYS + 100):
-        placement.record_seen(f"k{number}", "a", 0.001 * number)
-    assert len(placement._seen_at) <= MAX_SEEN_KEYS
-    placement.record_seen("late", "a", 1_000.0)
-    assert list(placement._seen_at) == [("late", "a")]
+        placement.seen_keys.record_seen(f"k{number}", "a", 0.001 * number)
+    assert len(placement.seen_keys.seen_at) <= MAX_SEEN_KEYS
+    placement.seen_keys.record_seen("late", "a", 1_000.0)
+    assert list(placement.seen_keys.seen_at) == [("late", "a")]
 
 
 def test_entry_vms_agree_on_the_upstream_of_a_remote_key() -> None:
--- a/packages/testkit/src/plankspindle_testkit/lab/mechanisms.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/mechanisms.py
@@ -57,7 +57,7 @@
     ),
     Mechanism(
         name="upstreams that saw a key lately count",
-        module="dispatch.placement",
+        module="dispatch.seen_keys",
         constant="SEEN_KEY_TTL_S",
         disabled_value=0.0,
     ),
@@ -93,7 +93,7 @@
     ),
     Mechanism(
         name="late requests are given up while they wait",
-        module="dispatch.dispatcher",
+        module="dispatch.time_limits",
         constant="MIN_TIME_LEFT_FACTOR",
         disabled_value=0.0,
     ),
