Dispatch: counts of judged answers by software version, shown to operators

Cause: roll-outs are judged by the answers of both software versions, and an operator has to see which version ran a request and why.

Region plans are kept per version. The request trace and explain name the software version and the reason, the state dump the split and the counts, two counters the requests and bad answers by role; all only where a split is set.

Measured: formatter, linter and type check clean; tests of dispatch, observability, status changes, exchange, the client's console and package dependencies passed.

--- a/packages/client/src/plankspindle_client/explaining/cause.py
+++ b/packages/client/src/plankspindle_client/explaining/cause.py
@@ -20,14 +20,42 @@
 }
 
 
+_VERSION_REASONS = {
+    "baseline": "the version in force",
+    "canary": "as one of the few requests of a roll-out that try the new version",
+    "moving": "as a roll-out moves requests to the new version",
+    "complete": "the version that a complete roll-out put in force",
+    "fallback": "as no upstream of a version that should be used was listed",
+}
+
+
 def describe_cause(trace: RequestTrace) -> str:
-    """Return a sentence or two on the cause of a request's outcome.
+    """Return a few sentences on the cause of a request's outcome.
 
     Parameters
     ----------
     trace : RequestTrace
         Trace with at least one event of the request.
     """
+    return _describe_outcome(trace) + _describe_software_version(trace)
+
+
+def _describe_software_version(trace: RequestTrace) -> str:
+    """Return the software version of the last attempt, if versions share requests."""
+    placed = trace.last_event("request_placed")
+    if placed is None:
+        return ""
+    reason = placed.fields.get("software_version_reason")
+    if reason is None:
+        return ""
+    software_version = placed.fields.get("software_version") or "unknown"
+    return (
+        f" It was sent to software version {software_version},"
+        f" {_VERSION_REASONS.get(reason, reason)}."
+    )
+
+
+def _describe_outcome(trace: RequestTrace) -> str:
     end = trace.completion()
     if end is None:
         return "Its end is not in these logs: read those of all entry VMs."
--- a/packages/client/tests/console/test_explain.py
+++ b/packages/client/tests/console/test_explain.py
@@ -188,3 +188,25 @@
 def test_missing_completion_event_is_explained() -> None:
     log = [line("request_routed", 1.0, request="r", step=1)]
     assert "read those of all entry VMs" in explain("r", log=log).output
+
+
+def test_software_version_is_explained_if_versions_share_requests() -> None:
+    placed = line("request_placed", 10.1, request="r", step=2, upstream="u")
+    served = line(
+        "request_served", 10.3, request="r", step=3, ending="served", took_ms=3
+    )
+    assert "software version" not in explain("r", log=[placed, served]).output
+    versioned = line(
+        "request_placed",
+        10.1,
+        request="r",
+        step=2,
+        upstream="u",
+        software_version="v2",
+        software_version_reason="canary",
+    )
+    printed = explain("r", log=[versioned, served]).output.splitlines()[-1]
+    assert printed.endswith(
+        "It was sent to software version v2, as one of the few requests of a roll-out"
+        " that try the new version."
+    )
--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -39,7 +39,6 @@
 from plankspindle_daemon.dispatch.time_limits import TimeLimits
 from plankspindle_daemon.dispatch.upstream_availability import request_token
 from plankspindle_daemon.dispatch.upstream_chooser import UpstreamChooser
-from plankspindle_daemon.dispatch.version_pools import UpstreamPool
 from plankspindle_daemon.dispatch.version_routing import VersionRouting
 from plankspindle_daemon.upstreams.average_use import AverageUse
 from plankspindle_daemon.upstreams.fleet_limiter import FleetLimiter
@@ -47,6 +46,8 @@
 
 if TYPE_CHECKING:
     from plankspindle_daemon.admission.ticket import Ticket
+    from plankspindle_daemon.dispatch.region_plan import RegionPlan
+    from plankspindle_daemon.dispatch.version_pools import UpstreamPool
     from plankspindle_daemon.dispatch.version_split import VersionSplit
 
 MAX_SCANNED_REQUESTS = 16
@@ -200,14 +201,11 @@
 
     def pools(self, now: float) -> list[tuple[UpstreamPool, bool]]:
         """Return pools with a region plan each, and whether they get requests now."""
-        if not self.versions.is_active:
-            everything = UpstreamPool(
-                upstreams_by_name=self.upstreams_by_name, placement=self.placement
-            )
-            return [(everything, True)]
-        in_use = self.versions.pools_in_use(now)
-        pools = self.versions.pools.pools_by_set.values()
-        return [(each, any(each is used for used in in_use)) for each in pools]
+        return self._chooser().pools(now)
+
+    def region_plan(self) -> RegionPlan | None:
+        """Return the region plan in force; None if the service has none."""
+        return self._chooser().region_plan()
 
     def handle_upstream_restart(self, name: str) -> None:
         """Discard the affinity keys recorded for an upstream that restarted."""
--- a/packages/daemon/src/plankspindle_daemon/dispatch/upstream_chooser.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/upstream_chooser.py
@@ -27,6 +27,7 @@
     from collections.abc import Mapping
 
     from plankspindle_daemon.admission.ticket import Ticket
+    from plankspindle_daemon.dispatch.region_plan import RegionPlan
 
 
 @frozen(kw_only=True)
@@ -227,6 +228,21 @@
             return self.upstreams_by_name
         return self.versions.usable_upstreams(now)
 
+    def region_plan(self) -> RegionPlan | None:
+        """Return the plan of the keys at the version in force; None without plans."""
+        pool = self.versions.pool_in_force() or self._everything[0][1]
+        return None if pool.placement is None else pool.placement.plan
+
+    def pools(self, now: float) -> list[tuple[UpstreamPool, bool]]:
+        """Return all pools, and whether each gets requests now."""
+        if not self.versions.is_active:
+            return [(self._everything[0][1], True)]
+        in_use = self.versions.pools_in_use(now)
+        return [
+            (pool, any(pool is used for used in in_use))
+            for pool in self.versions.pools.pools_by_set.values()
+        ]
+
     def _expected_s(self, ticket: Ticket) -> float:
         return self.durations.expected_total_s(
             operation=ticket.operation, declared_s=ticket.expected_s
--- a/packages/daemon/src/plankspindle_daemon/dispatch/version_routing.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/version_routing.py
@@ -87,6 +87,9 @@
         before = self.gate.split
         if self.gate.set_split(split):
             self.tally.begin_order()
+        if split is None:
+            self.sent_by_role.clear()
+            self.tally.bad_by_role.clear()
         if before is None or split is None or before.baseline != split.baseline:
             self.tally.discard_usual_times()
         if self.pools.set_split(split):
@@ -133,6 +136,14 @@
             return in_use
         return [by_set[UpstreamSet.ANY]]
 
+    def pool_in_force(self) -> UpstreamPool | None:
+        """Return the upstreams of the version in force; None without a split."""
+        split = self.gate.split
+        if split is None:
+            return None
+        in_force = UpstreamSet.TARGET if split.is_complete else UpstreamSet.BASELINE
+        return self.pools.pools_by_set[in_force]
+
     def usable_upstreams(self, now: float) -> dict[str, UpstreamState]:
         """Return the upstreams that get requests now, by name."""
         parts = [each.upstreams_by_name for each in self.pools_in_use(now)]
--- a/packages/daemon/src/plankspindle_daemon/observability/instruments.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/instruments.py
@@ -50,6 +50,8 @@
         self._add_counter("requests_held_back", self._requests_refused)
         self._add_counter("quota_requests", self._quota_requests)
         self._add_counter("upstream_statements_unreadable", self._statements_unreadable)
+        self._add_counter("software_version_requests", self._version_requests)
+        self._add_counter("software_version_bad_answers", self._version_bad_answers)
         self._add_gauge("upstreams_limited", self._upstreams_limited)
         self._add_gauge("quarantined_requests", self._quarantined_requests)
         self._add_gauge("platform_available", self._platform_available)
@@ -102,9 +104,23 @@
 
     def _keys_leaving_region(self) -> Iterable[Observation]:
         return [
-            Observation(each.placement.plan.remote_share, {"service": service})
+            Observation(plan.remote_share, {"service": service})
             for service, each in self._sources.node.dispatchers_by_service.items()
-            if each.placement is not None
+            if (plan := each.region_plan()) is not None
+        ]
+
+    def _version_requests(self) -> Iterable[Observation]:
+        return [
+            Observation(count, {"service": service, "role": role})
+            for service, each in self._sources.node.dispatchers_by_service.items()
+            for role, count in each.versions.sent_by_role.items()
+        ]
+
+    def _version_bad_answers(self) -> Iterable[Observation]:
+        return [
+            Observation(count, {"service": service, "role": role})
+            for service, each in self._sources.node.dispatchers_by_service.items()
+            for role, count in each.versions.tally.bad_by_role.items()
         ]
 
     def _ejections(self) -> Iterable[Observation]:
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from plankspindle_core.invariants import checks_by_name
+from plankspindle_daemon.observability.version_dump import dump_versions
 from plankspindle_daemon.quarantine.request_identity import identity_text
 from plankspindle_daemon.quotas.quota_holder import shard_of
 
@@ -150,11 +151,10 @@
 
 
 def _dump_dispatcher(dispatcher: Dispatcher, now: float) -> dict[str, Any]:
-    placement = dispatcher.placement
+    plan = dispatcher.region_plan()
     return {
-        "keys_leaving_region": None
-        if placement is None
-        else placement.plan.remote_share,
+        "keys_leaving_region": None if plan is None else plan.remote_share,
+        **dump_versions(dispatcher),
         "queued": len(dispatcher.queue),
         "assigned": dispatcher.assigned,
         "rejected": {
--- a/packages/daemon/src/plankspindle_daemon/status_changes/plan_monitor.py
+++ b/packages/daemon/src/plankspindle_daemon/status_changes/plan_monitor.py
@@ -36,9 +36,9 @@
             Dispatchers, which have the plans.
         """
         for service, dispatcher in dispatchers_by_service.items():
-            if dispatcher.placement is None:
+            plan = dispatcher.region_plan()
+            if plan is None:
                 continue
-            plan = dispatcher.placement.plan
             previous = self._remote_share_by_service.get(service, 0.0)
             if abs(plan.remote_share - previous) < MIN_SHARE_CHANGE:
                 continue
--- a/packages/daemon/tests/observability/test_metrics.py
+++ b/packages/daemon/tests/observability/test_metrics.py
@@ -12,6 +12,9 @@
 from hypothesis import strategies as st
 
 from plankspindle_core.histogram import Histogram
+from plankspindle_daemon.dispatch.messages import AttemptCompleted
+from plankspindle_daemon.dispatch.messages import AttemptOutcome
+from plankspindle_daemon.dispatch.messages import RequestArrived
 from plankspindle_daemon.observability.metric_sources import MetricSources
 from plankspindle_daemon.observability.metrics_reader import MetricsReader
 from plankspindle_daemon.observability.request_metrics import RequestMetrics
@@ -27,6 +30,9 @@
 from plankspindle_daemon.traces.steps import Queued
 from plankspindle_daemon.traces.steps import RetryDecided
 from plankspindle_testkit.builders import build_membership
+from plankspindle_testkit.builders import build_ticket
+from plankspindle_testkit.version_builders import build_split
+from plankspindle_testkit.version_builders import build_versioned_dispatcher
 from plankspindle_testkit.versions import build_version
 
 PLACED = Placed(upstream="u", own_load=0, others_load=0.0, slots=4, latency=1.0)
@@ -166,3 +172,24 @@
         assert count == sum(value <= float(bound) for value in values)
     assert histogram.observations == len(values)
     assert histogram.total == pytest.approx(sum(values))
+
+
+def test_software_versions_are_counted_only_with_a_split(
+    sources: MetricSources, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    dispatcher = build_versioned_dispatcher(v1=1)
+    dispatchers = {"registry": dispatcher}
+    monkeypatch.setattr(sources.node, "dispatchers_by_service", dispatchers)
+    reader = MetricsReader(sources=sources)
+    assert "software_version" not in reader.render().decode()
+    dispatcher.set_version_split(build_split())
+    dispatcher.handle(RequestArrived(build_ticket(1)), 0.0)
+    failed = AttemptCompleted(
+        ticket=build_ticket(1), upstream="v1-0", outcome=AttemptOutcome.FAILED
+    )
+    dispatcher.handle(failed, 0.1)
+    values = samples(reader.render().decode())
+    reader.close()
+    of_baseline = "_total role=baseline service=registry"
+    assert values[f"plankspindle_software_version_requests{of_baseline}"] == 1
+    assert values[f"plankspindle_software_version_bad_answers{of_baseline}"] == 1
