Dispatch: requests that wait for one version do not block the other

Cause: the queue matches 16 waiting requests in a pass. While a roll-out moves requests, 16 that wait for a busy target would have blocked all for the baseline.

Change: as many are matched for each set of upstreams.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -47,11 +48,16 @@
 if TYPE_CHECKING:
     from plankspindle_daemon.admission.ticket import Ticket
     from plankspindle_daemon.dispatch.region_plan import RegionPlan
+    from plankspindle_daemon.dispatch.version_gate import UpstreamSet
     from plankspindle_daemon.dispatch.version_pools import UpstreamPool
     from plankspindle_daemon.dispatch.version_split import VersionSplit
 
 MAX_SCANNED_REQUESTS = 16
-"""Waiting requests that are matched against free upstreams in one pass."""
+"""Waiting requests that are matched against free upstreams in one pass.
+
+As many are matched for each set of upstreams, so that requests that wait for a busy
+software version do not block those for another one.
+"""
 
 
 @define(kw_only=True)
@@ -183,21 +189,11 @@
 
     def update_rankings(self) -> None:
         """Rank the upstreams that are to stay, after a change of the upstreams."""
-        if self.placement is not None:
-            self.placement.rankings.set_upstreams(
-                {
-                    name: each.upstream.failure_domain
-                    for name, each in self.upstreams_by_name.items()
-                    if not each.leaving and each.drained_at is None
-                }
-            )
-        self.versions.update_upstreams(self.upstreams_by_name, self.placement)
+        self.versions.update_rankings(self.upstreams_by_name, self.placement)
 
     def rebuild_rankings(self) -> None:
         """Rank all upstreams again, as domains may have moved to another region."""
-        if self.placement is not None:
-            self.placement.rankings.rebuild()
-        self.versions.rebuild_rankings()
+        self.versions.rebuild_rankings(self.placement)
 
     def pools(self, now: float) -> list[tuple[UpstreamPool, bool]]:
         """Return pools with a region plan each, and whether they get requests now."""
@@ -261,16 +257,19 @@
 
     def _assign_all(self, now: float) -> list[DispatchEffect]:
         effects: list[DispatchEffect] = []
-        scanned = 0
+        scanned: Counter[UpstreamSet | None] = Counter()
         for ticket in self.queue:
-            if scanned >= MAX_SCANNED_REQUESTS:
-                break
+            waits_for = self._chooser().waits_for(ticket, now)
+            if scanned[waits_for] >= MAX_SCANNED_REQUESTS:
+                if waits_for is None:
+                    break
+                continue
             reason = self._limits.give_up_reason(ticket, now)
             if reason is not None:
                 self.queue.remove(ticket.id)
                 effects.append(self._reject(ticket, reason, now))
                 continue
-            scanned += 1
+            scanned[waits_for] += 1
             assigned = self._assign(ticket, now)
             effect = assigned or self._check_limits(ticket, now, now)
             if isinstance(effect, Assign | Reject):
--- a/packages/daemon/src/plankspindle_daemon/dispatch/upstream_chooser.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/upstream_chooser.py
@@ -147,6 +147,11 @@
             upstream=choice.upstream, is_hit=choice.is_hit, pool=pool, option=option
         )
 
+    def waits_for(self, ticket: Ticket, now: float) -> UpstreamSet | None:
+        """Return the upstreams that a request waits for; None without a split."""
+        option = self._pools(ticket, now)[-1][0]
+        return None if option is None else option.upstreams
+
     def could_place_elsewhere(self, ticket: Ticket, upstream: str, now: float) -> bool:
         """Return whether another upstream could accept a request now."""
         excluding = ticket.excluding(ticket.excluded_upstreams | {upstream})
--- a/packages/daemon/src/plankspindle_daemon/dispatch/version_gate.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/version_gate.py
@@ -129,7 +129,7 @@
         else:
             expected_end = now + EXPECTED_END_FACTOR * expected_s
             moves = expected_end > split.baseline_ends_at or (
-                not failed_at_target and _is_in_share(split, ticket)
+                not failed_at_target and is_in_share(split, ticket)
             )
             wanted = (_MOVING,) if moves else (_BASELINE,)
         return self._available(split, wanted, stays)
@@ -154,7 +154,7 @@
         assert split.max_exposure_share is not None
         return (
             self.exposed + 1 <= split.max_exposure_share * self.requests
-            and _is_in_share(split, ticket)
+            and is_in_share(split, ticket)
         )
 
     def sets_in_use(self, now: float) -> tuple[UpstreamSet, ...]:
@@ -227,7 +227,7 @@
     )
 
 
-def _is_in_share(split: VersionSplit, ticket: Ticket) -> bool:
+def is_in_share(split: VersionSplit, ticket: Ticket) -> bool:
     """Return whether a request is in the target version's range of the hash."""
     if split.target_share <= 0:
         return False
--- a/packages/daemon/src/plankspindle_daemon/dispatch/version_routing.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/version_routing.py
@@ -95,10 +95,18 @@
         if self.pools.set_split(split):
             self.pools.update(upstreams_by_name, placement)
 
-    def update_upstreams(
+    def update_rankings(
         self, upstreams_by_name: dict[str, UpstreamState], placement: Placement | None
     ) -> None:
-        """Apply a change of the upstreams, if a split is set."""
+        """Rank the upstreams that are to stay, after a change of the upstreams."""
+        if placement is not None:
+            placement.rankings.set_upstreams(
+                {
+                    name: each.upstream.failure_domain
+                    for name, each in upstreams_by_name.items()
+                    if not each.leaving and each.drained_at is None
+                }
+            )
         if self.is_active:
             self.pools.update(upstreams_by_name, placement)
 
@@ -157,8 +165,10 @@
             self._merged = {key: each for part in parts for key, each in part.items()}
         return self._merged
 
-    def rebuild_rankings(self) -> None:
+    def rebuild_rankings(self, placement: Placement | None) -> None:
         """Rank all upstreams again, as domains may have moved to another region."""
+        if placement is not None:
+            placement.rankings.rebuild()
         self.pools.rebuild_rankings()
 
     def record_assigned(
--- a/packages/daemon/tests/dispatch/test_dispatch_by_version.py
+++ b/packages/daemon/tests/dispatch/test_dispatch_by_version.py
@@ -10,7 +10,9 @@
 
 from plankspindle_core.invariants import InvariantError
 from plankspindle_daemon.dispatch import messages as d
+from plankspindle_daemon.dispatch.dispatcher import MAX_SCANNED_REQUESTS
 from plankspindle_daemon.dispatch.version_gate import UpstreamSet
+from plankspindle_daemon.dispatch.version_gate import is_in_share
 from plankspindle_daemon.upstreams.cold_limiter import ColdLimiter
 from plankspindle_testkit.builders import build_dispatcher
 from plankspindle_testkit.builders import build_ticket
@@ -21,6 +23,7 @@
 
 if TYPE_CHECKING:
     from plankspindle_daemon.dispatch.dispatcher import Dispatcher
+    from plankspindle_daemon.dispatch.version_split import VersionSplit
 
 
 def arrive(
@@ -155,6 +158,18 @@
     assert assigned(dispatcher.handle(d.TimePassed(), 0.9)) == ["v2-0"]
 
 
+def test_requests_that_wait_for_one_version_do_not_block_the_other() -> None:
+    dispatcher = build_versioned_dispatcher(slots=1, v1=40, v2=1)
+    dispatcher.set_version_split(build_split(target_share=0.5))
+    sent = [assigned(arrive(dispatcher, number)) for number in range(80)]
+    assert len(dispatcher.queue) > MAX_SCANNED_REQUESTS
+    assert not any(each.startswith("v2") for (each,) in filter(None, sent[40:]))
+    waiting = {ticket.id for ticket in dispatcher.queue}
+    split = dispatcher.versions.gate.split
+    assert split is not None
+    assert all(is_in_share(split, build_ticket(number)) for number in waiting)
+
+
 def test_retry_of_a_request_that_failed_at_the_target_goes_to_the_baseline() -> None:
     dispatcher = build_versioned_dispatcher(v1=2, v2=2)
     dispatcher.set_version_split(build_split(target_share=1.0))
@@ -273,3 +288,60 @@
                 affinity=done.ticket.affinity,
             )
     return effects
+
+
+STAGES = [
+    None,
+    build_split(),
+    build_split(target=None),
+    build_canary_split(),
+    build_canary_split(target_share=1.0, max_exposure_share=0.1),
+    build_split(target_share=0.4),
+    build_split(target_share=1.0, baseline_ends_at=5.0),
+    build_split(is_complete=True),
+    build_canary_split(order=2),
+]
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_any_order_of_stages_keeps_to_the_allowed_versions(seed: int) -> None:
+    random = Random(seed)
+    dispatcher = build_versioned_dispatcher(slots=2, v1=5, v2=5, v3=2)
+    running: list[d.Assign] = []
+    since: Counter[str] = Counter()
+    split = None
+    for number in range(600):
+        now = 0.02 * number
+        if random.random() < 0.02:
+            before, split = split, random.choice(STAGES)
+            dispatcher.set_version_split(split)
+            if None in (before, split) or before.order != split.order:
+                since.clear()
+        key = random.choice([None, f"k{random.randrange(20)}"])
+        effects = arrive(dispatcher, number, now, affinity=key)
+        while running and random.random() < 0.6:
+            done = running.pop(random.randrange(len(running)))
+            effects += finish(dispatcher, done.ticket.id, done.upstream, now)
+        for each in effects:
+            if not isinstance(each, d.Assign):
+                continue
+            running.append(each)
+            software_version = each.upstream.partition("-")[0]
+            if split is not None:
+                assert software_version in allowed(split, now)
+                limit = split.max_exposure_share
+                if software_version == "v2" and limit is not None:
+                    assert since["v2"] + 1 <= limit * since.total()
+            since[software_version] += 1
+    assert dispatcher.in_flight() == len(running)
+
+
+def allowed(split: VersionSplit, now: float) -> set[str]:
+    """Return the versions that requests may use, all of whose upstreams stay."""
+    if split.is_complete:
+        return {"v2"}
+    if split.max_exposure_share is None and now >= split.baseline_ends_at:
+        return {"v2"}
+    if split.target is None or split.target_share == 0:
+        return {"v1"}
+    return {"v1", "v2"}
