--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -118,6 +118,7 @@
             queue=self.queue, durations=self.durations, random=self.random
         )
         self._limits = TimeLimits(durations=self.durations)
+        self.versions.gate.vm = self.vm
         self._probe_schedule = ProbeSchedule(
             random=self.random, probe_period_s=self.probe_period_s
         )
