--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -10,8 +10,8 @@
 from plankspindle_daemon.versions.store_version import StoreVersion
 from plankspindle_platform.boot_settings import BootSettings
 from plankspindle_platform.boot_settings import read_boot_settings
-from plankspindle_platform.row_store import RowSnapshot
-from plankspindle_platform.row_store import StoredRow
+from plankspindle_platform.stored_rows import RowSnapshot
+from plankspindle_platform.stored_rows import StoredRow
 
 BOOT = Path(__file__).with_name("boot.yaml")
 CONTACT_S = 4.0
--- a/tests/fleet/test_configuration_after_return.py
+++ b/tests/fleet/test_configuration_after_return.py
@@ -31,9 +31,9 @@
 from plankspindle_daemon.versions.store_era import StoreEra
 from plankspindle_platform.operator_reader import OperatorReader
 from plankspindle_platform.row_store import HistoryExpired
-from plankspindle_platform.row_store import RowSnapshot
 from plankspindle_platform.row_store import RowStore
-from plankspindle_platform.row_store import StoredRow
+from plankspindle_platform.stored_rows import RowSnapshot
+from plankspindle_platform.stored_rows import StoredRow
 from plankspindle_testkit.trial.fake_platform import run_to_completion
 
 if TYPE_CHECKING:
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -31,7 +31,6 @@
 from plankspindle_platform.entry_vm_table import EntryVmTable
 from plankspindle_platform.row_store import HistoryExpired
 from plankspindle_platform.row_store import RowStore
-from plankspindle_platform.row_store import StoredRow
 from plankspindle_platform.store_platform import StorePlatform
 
 if TYPE_CHECKING:
@@ -39,6 +38,7 @@
     from collections.abc import Callable
 
     from plankspindle_core.endpoint import Endpoint
+    from plankspindle_platform.stored_rows import StoredRow
 
 
 def run_with_platform(
