Roll-outs: orders in encoded configurations, left out where there are none

Cause: daemons of the earlier release refuse configurations with keys that they do not know, and a declared upstream's software version would be such a key too.

Change: the key rollouts, and software_version of an upstream, are written only if they have a value; an order for an undeclared service or without a target is a problem of the configuration.

--- a/packages/core/src/plankspindle_core/configuration/codec.py
+++ b/packages/core/src/plankspindle_core/configuration/codec.py
@@ -13,6 +13,7 @@
 from result import Result
 
 from plankspindle_core.configuration.configuration import Configuration
+from plankspindle_core.configuration.upstream import Upstream
 from plankspindle_core.errors import InvalidDocument
 from plankspindle_core.read_json import read_json
 from plankspindle_core.settings.yaml_document import load_yaml
@@ -31,7 +32,10 @@
     "drains_by_id": "drains",
     "routes_by_name": "routes",
     "workspaces_by_name": "workspaces",
+    "rollouts_by_service": "rollouts",
 }
+_OMITTED_IF_EMPTY = {"rollouts_by_service"}
+"""Fields that earlier releases refuse; without a value they are not written."""
 
 
 @cache
@@ -48,7 +52,17 @@
     from plankspindle_core.settings.structure import make_converter
 
     converter = make_converter()
-    renamed = {field: override(rename=key) for field, key in KEY_BY_FIELD.items()}
+    # Earlier releases refuse upstreams that have this key as well.
+    converter.register_unstructure_hook(
+        Upstream,
+        make_dict_unstructure_fn(
+            Upstream, converter, software_version=override(omit_if_default=True)
+        ),
+    )
+    renamed = {
+        field: override(rename=key, omit_if_default=field in _OMITTED_IF_EMPTY)
+        for field, key in KEY_BY_FIELD.items()
+    }
     converter.register_structure_hook(
         Configuration,
         make_dict_structure_fn(
--- a/packages/core/src/plankspindle_core/configuration/configuration.py
+++ b/packages/core/src/plankspindle_core/configuration/configuration.py
@@ -171,6 +171,7 @@
             *self._drain_problems(),
             *self._route_problems(),
             *self._workspace_problems(),
+            *self._rollout_problems(),
         ]
 
     def _class_problems(self) -> list[str]:
@@ -307,3 +308,12 @@
                         f"workspaces.{name}.key_sha256s: one key is that of {holder}"
                     )
         return found
+
+    def _rollout_problems(self) -> list[str]:
+        found = []
+        for service, rollout in self.rollouts_by_service.items():
+            if service not in self.services_by_name:
+                found.append(f"rollouts.{service}: the service is not declared")
+            if not rollout.target_version:
+                found.append(f"rollouts.{service}.target_version: must not be empty")
+        return found
