--- a/tests/fleet/soak/soak_store.py
+++ b/tests/fleet/soak/soak_store.py
@@ -149,7 +149,7 @@
             await sleep(POLL_S)
         status, answer = result
         await exchange.answer(
-            status=status, headers=headers, body=json.dumps(answer).encode()
+            status=status, headers=headers, body=self.encode_answer(answer)
         )
 
     async def _answer_for(
--- a/tests/fleet/store_stand_in.py
+++ b/tests/fleet/store_stand_in.py
@@ -70,6 +70,9 @@
         Entry VM whose row changes just before each transaction.
     era : int or None
         Era that all answers name; None if they name none.
+    told_time : object
+        Time that answers about rows tell instead of the steady clock; ``...`` for the
+        clock, None if they tell none.
     """
 
     def __init__(self) -> None:
@@ -88,6 +91,7 @@
         self._connections: set[Any] = set()
         self.vm_replaced_before_write: str | None = None
         self.era: int | None = 1
+        self.told_time: Any = ...
 
     def copy(self) -> StoreCopy:
         """Return a copy of all rows, to return from later."""
@@ -130,9 +134,17 @@
             exchange.abort()
             return
         await exchange.answer(
-            status=status, headers=headers, body=json.dumps(answer).encode()
+            status=status, headers=headers, body=self.encode_answer(answer)
         )
 
+    def encode_answer(self, answer: Any) -> bytes:
+        """Encode an answer; those about rows tell the time as text with a unit."""
+        if isinstance(answer, dict) and self.told_time is not None:
+            is_told = self.told_time is not ...
+            now = self.told_time if is_told else f"{int(monotonic() * 1000)}ms"
+            answer = {**answer, "now": now}
+        return json.dumps(answer).encode()
+
     def silence_connections(self) -> None:
         """Stop answering on all present connections; new ones work."""
         self._silenced |= self._connections
