Roll-outs: plans that order and withdraw them, and commands

Cause: the product's own interface had no order to move a service to another software version, and no view of one that runs.

A new order is numbered by the version that puts it in force; a file that repeats an order keeps its number, so that it does not begin anew. Orders are refused where the settings disable roll-outs. GET /v1/rollouts shows what the node tells; a node without roll-outs tells nothing. Commands rollout, rollout abort and rollouts.

--- a/packages/client/src/plankspindle_client/console/application.py
+++ b/packages/client/src/plankspindle_client/console/application.py
@@ -12,6 +12,8 @@
 from plankspindle_client.console.commands.history import history
 from plankspindle_client.console.commands.plan import plan
 from plankspindle_client.console.commands.quarantine import quarantine
+from plankspindle_client.console.commands.rollout import rollout
+from plankspindle_client.console.commands.rollouts import rollouts
 from plankspindle_client.console.commands.routes import routes
 from plankspindle_client.console.commands.state import state
 from plankspindle_client.console.commands.status import status
@@ -55,6 +57,8 @@
     history,
     plan,
     quarantine,
+    rollout,
+    rollouts,
     routes,
     state,
     status,
--- a/packages/core/src/plankspindle_core/configuration/rollout.py
+++ b/packages/core/src/plankspindle_core/configuration/rollout.py
@@ -7,6 +7,10 @@
 
 from plankspindle_core.classes import frozen
 
+MAX_DURATION_MS = 86_400_000
+"""Longest duration of an order, in milliseconds: a day."""
+_MAX_UINT64 = (1 << 64) - 1
+
 
 @frozen(kw_only=True)
 class Rollout:
@@ -21,6 +25,7 @@
     number : int
         Number of the write that gave the order. It differs between two orders of the
         same content, and changes when an order is restored to the platform's store.
+        Zero in files of operators; the plan that puts the file in force numbers it.
 
     Notes
     -----
@@ -29,5 +34,9 @@
     """
 
     target_version: str
-    duration_ms: int = field(validator=validators.ge(0))
-    number: int = 0
+    duration_ms: int = field(
+        validator=[validators.ge(0), validators.le(MAX_DURATION_MS)]
+    )
+    number: int = field(
+        default=0, validator=[validators.ge(0), validators.le(_MAX_UINT64)]
+    )
--- a/packages/daemon/src/plankspindle_daemon/control/forecast.py
+++ b/packages/daemon/src/plankspindle_daemon/control/forecast.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -13,10 +14,12 @@
 from plankspindle_core.configuration.configuration import Configuration
 from plankspindle_core.configuration.drain import DrainKind
 from plankspindle_core.errors import InvalidDocument
+from plankspindle_daemon.control.intents import AbortRolloutIntent
 from plankspindle_daemon.control.intents import ApplyIntent
 from plankspindle_daemon.control.intents import DrainIntent
 from plankspindle_daemon.control.intents import Intent
 from plankspindle_daemon.control.intents import PriorityClassIntent
+from plankspindle_daemon.control.intents import RolloutIntent
 from plankspindle_daemon.control.intents import ShiftIntent
 from plankspindle_daemon.control.intents import UndoDrainIntent
 from plankspindle_daemon.control.intents import UndoIntent
@@ -30,6 +33,8 @@
 
 RESERVED_CAPACITY_SHARE = 0.1
 """Share of a target's capacity that a plan must leave free, from 0 to 1."""
+SHORT_ROLLOUT_MS = 5_000
+"""Duration of an order below which operators are warned, in milliseconds."""
 
 Effects = Result[tuple[str, ...], InvalidDocument]
 
@@ -76,6 +81,15 @@
                 return Ok((f"drain {drain_id} ends; its place gets work again",))
             case PriorityClassIntent(caller=caller, priority_class=priority_class):
                 return Ok(self._of_class(caller, priority_class))
+            case RolloutIntent():
+                return Ok(self._of_rollout(intent))
+            case AbortRolloutIntent(service=service):
+                return Ok(
+                    (
+                        f"the order to roll out {service} is withdrawn; if it runs, its"
+                        " requests go back to the software version in force",
+                    )
+                )
             case ApplyIntent() | UndoIntent():
                 return Ok(tuple(self._differences()) or ("nothing changes",))
 
@@ -237,6 +251,33 @@
             f"requests of {caller} are served as {priority_class} (was {previous})",
         )
 
+    def _of_rollout(self, intent: RolloutIntent) -> tuple[str, ...]:
+        before = (
+            self.base.rollouts_by_service.get(intent.service) if self.base else None
+        )
+        lines = [
+            f"requests of {intent.service} move to upstreams of software version"
+            f" {intent.target_version} within {intent.duration_ms / 1000:g} s",
+            "they go back by themselves if its answers are bad, or if it has no"
+            " upstreams by then",
+        ]
+        if before is not None:
+            lines.append(f"it replaces the order for {before.target_version}")
+        lines += self._software_version_lines(intent.service)
+        if intent.duration_ms < SHORT_ROLLOUT_MS:
+            lines.append("so short an order leaves little time to judge the version")
+        return tuple(lines)
+
+    def _software_version_lines(self, service: str) -> list[str]:
+        """Return the declared upstreams by software version, as a line."""
+        found = Counter(
+            upstream.software_version or "unknown"
+            for upstream in self.proposed.upstreams_by_name.values()
+            if upstream.service == service
+        )
+        counts = ", ".join(f"{found[each]} of {each}" for each in sorted(found))
+        return [f"declared upstreams by software version: {counts}"] if found else []
+
     def _load(self, service: str, domains: set[str]) -> ServiceLoad:
         return self.digests.load_of(service=service, domains=domains, now=self.now)
 
@@ -256,6 +297,7 @@
             "client blocks": "site_by_prefix",
             "shifts": "shifts_by_id",
             "drains": "drains_by_id",
+            "roll-outs": "rollouts_by_service",
             "failure domains": "failure_domains_by_name",
         }
         lines = []
--- a/packages/daemon/src/plankspindle_daemon/control/intents.py
+++ b/packages/daemon/src/plankspindle_daemon/control/intents.py
@@ -6,6 +6,8 @@
 from typing import TypeVar
 
 from attrs import evolve
+from attrs import field
+from attrs import validators
 from result import Err
 from result import Ok
 from result import Result
@@ -14,10 +16,13 @@
 from plankspindle_core.configuration.codec import configuration_from_mapping
 from plankspindle_core.configuration.configuration import Configuration
 from plankspindle_core.configuration.drain import Drain
+from plankspindle_core.configuration.rollout import MAX_DURATION_MS
+from plankspindle_core.configuration.rollout import Rollout
 from plankspindle_core.configuration.shift import Shift
 from plankspindle_core.errors import InvalidDocument
 from plankspindle_core.settings.structure import make_converter
 from plankspindle_core.settings.structure import structure
+from plankspindle_daemon.control.order_numbers import with_known_order_numbers
 
 
 @frozen(kw_only=True)
@@ -89,6 +94,34 @@
     priority_class: str
 
 
+@frozen(kw_only=True)
+class RolloutIntent:
+    """Order to move a service to another software version; replaces its last order.
+
+    Parameters
+    ----------
+    service : str
+        The service.
+    target_version : str
+        Software version that its requests are to move to.
+    duration_ms : int
+        Time until the deadline, from when the order is in force, in milliseconds.
+    """
+
+    service: str
+    target_version: str
+    duration_ms: int = field(
+        validator=[validators.ge(0), validators.le(MAX_DURATION_MS)]
+    )
+
+
+@frozen(kw_only=True)
+class AbortRolloutIntent:
+    """Withdraw the order of a service, which moves its requests back."""
+
+    service: str
+
+
 @frozen(kw_only=True)
 class UndoIntent:
     """Restore the version before the newest one.
@@ -111,6 +144,8 @@
     | DrainIntent
     | UndoDrainIntent
     | PriorityClassIntent
+    | RolloutIntent
+    | AbortRolloutIntent
 )
 _CLASS_BY_KIND: dict[str, type[Any]] = {
     "shift": ShiftIntent,
@@ -118,6 +153,8 @@
     "drain": DrainIntent,
     "undo-drain": UndoDrainIntent,
     "class": PriorityClassIntent,
+    "rollout": RolloutIntent,
+    "abort-rollout": AbortRolloutIntent,
     "undo": UndoIntent,
 }
 _APPLY = "apply"
@@ -172,7 +209,9 @@
         The valid configuration, or why the intent is refused.
     """
     if isinstance(intent, ApplyIntent):
-        result: Result[Configuration, InvalidDocument] = Ok(intent.configuration)
+        result: Result[Configuration, InvalidDocument] = Ok(
+            with_known_order_numbers(intent.configuration, base)
+        )
     elif base is None:
         result = _refuse("no configuration is in force yet; apply one first")
     else:
@@ -204,15 +243,43 @@
             drains = {**base.drains_by_id, drain_id: drain}
             return Ok(evolve(base, drains_by_id=drains))
         case UndoShiftIntent(shift_id=shift_id):
-            if shift_id not in base.shifts_by_id:
-                return _refuse(f"shift_id: no shift {shift_id!r}")
-            return Ok(evolve(base, shifts_by_id=_without(base.shifts_by_id, shift_id)))
+            return _end_shift(base, shift_id)
         case UndoDrainIntent(drain_id=drain_id):
-            if drain_id not in base.drains_by_id:
-                return _refuse(f"drain_id: no drain {drain_id!r}")
-            return Ok(evolve(base, drains_by_id=_without(base.drains_by_id, drain_id)))
+            return _end_drain(base, drain_id)
         case PriorityClassIntent(caller=name, priority_class=priority_class):
             return _change_priority_class(base, name, priority_class)
+        case RolloutIntent() | AbortRolloutIntent():
+            return _change_rollouts(intent, base)
+
+
+def _end_shift(
+    base: Configuration, shift_id: str
+) -> Result[Configuration, InvalidDocument]:
+    if shift_id not in base.shifts_by_id:
+        return _refuse(f"shift_id: no shift {shift_id!r}")
+    return Ok(evolve(base, shifts_by_id=_without(base.shifts_by_id, shift_id)))
+
+
+def _end_drain(
+    base: Configuration, drain_id: str
+) -> Result[Configuration, InvalidDocument]:
+    if drain_id not in base.drains_by_id:
+        return _refuse(f"drain_id: no drain {drain_id!r}")
+    return Ok(evolve(base, drains_by_id=_without(base.drains_by_id, drain_id)))
+
+
+def _change_rollouts(
+    intent: RolloutIntent | AbortRolloutIntent, base: Configuration
+) -> Result[Configuration, InvalidDocument]:
+    orders = base.rollouts_by_service
+    if isinstance(intent, RolloutIntent):
+        order = Rollout(
+            target_version=intent.target_version, duration_ms=intent.duration_ms
+        )
+        return Ok(evolve(base, rollouts_by_service={**orders, intent.service: order}))
+    if intent.service not in orders:
+        return _refuse(f"service: no roll-out of {intent.service!r} is ordered")
+    return Ok(evolve(base, rollouts_by_service=_without(orders, intent.service)))
 
 
 def _change_priority_class(
--- a/packages/daemon/src/plankspindle_daemon/control/plan_store.py
+++ b/packages/daemon/src/plankspindle_daemon/control/plan_store.py
@@ -25,8 +25,10 @@
 from plankspindle_daemon.configuration.head_row import object_name
 from plankspindle_daemon.control.forecast import Forecast
 from plankspindle_daemon.control.intents import ApplyIntent
+from plankspindle_daemon.control.intents import RolloutIntent
 from plankspindle_daemon.control.intents import UndoIntent
 from plankspindle_daemon.control.intents import apply_intent
+from plankspindle_daemon.control.order_numbers import with_new_order_numbers
 from plankspindle_daemon.control.plan import PLAN_VALIDITY_S
 from plankspindle_daemon.control.plan import PLANS_PREFIX
 from plankspindle_daemon.control.plan import Plan
@@ -48,6 +50,10 @@
 MAX_CONFIRM_ATTEMPTS = 3
 MAX_LISTED_PLANS = 200
 MAX_HISTORY_VERSIONS = 50
+ROLLOUTS_DISABLED = (
+    "rollouts.enabled: roll-outs are disabled in the settings of this entry VM; enable"
+    " them at all entry VMs and restart these"
+)
 
 
 @frozen
@@ -111,12 +117,16 @@
         Source of plan ids.
     digests : DigestTable
         Reported load of all failure domains.
+    allows_rollouts : bool
+        Whether roll-outs are enabled in the settings. If not, they are refused, since
+        an order would be accepted and have no effect.
     """
 
     platform: PlatformClient
     reader: ConfigurationReader
     random: Random
     digests: DigestTable
+    allows_rollouts: bool = True
 
     async def list_all(self) -> Result[list[Plan], NotPossible]:
         """Return the stored plans, at most ``MAX_LISTED_PLANS``."""
@@ -143,6 +153,8 @@
         Result
             The open plan, or why it could not be created.
         """
+        if isinstance(intent, RolloutIntent) and not self.allows_rollouts:
+            return Err(InvalidDocument((ROLLOUTS_DISABLED,)))
         row = await self.platform.read_row(HEAD_KEY)
         if row.is_err():
             return Err(NotPossible(row.unwrap_err().detail))
@@ -155,22 +167,26 @@
             if before.is_err():
                 return Err(before.unwrap_err())
             intent = ApplyIntent(configuration=before.unwrap())
-        proposed = apply_intent(intent, configuration)
-        if proposed.is_err():
-            return Err(proposed.unwrap_err())
+        applied = apply_intent(intent, configuration)
+        if applied.is_err():
+            return Err(applied.unwrap_err())
+        base_version = head.version if head else 0
+        proposed = with_new_order_numbers(
+            applied.unwrap(), configuration, base_version + 1
+        )
         effects = Forecast(
             base=configuration,
-            proposed=proposed.unwrap(),
+            proposed=proposed,
             digests=self.digests,
             now=monotonic(),
         ).effects_of(intent)
         if effects.is_err():
             return Err(effects.unwrap_err())
-        content = encode_configuration(proposed.unwrap())
+        content = encode_configuration(proposed)
         plan = Plan(
             id=f"{self.random.getrandbits(48):012x}",
             operator=operator,
-            base_version=head.version if head else 0,
+            base_version=base_version,
             base_row_version=row.unwrap().version,
             digest=content_digest(content),
             effects=effects.unwrap(),
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -261,6 +261,7 @@
                 reader=ConfigurationReader(platform=self._platform),
                 random=random,
                 digests=self.node.digest_exchange.digests,
+                allows_rollouts=self.settings.rollouts.enabled,
             )
         )
 
--- a/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/operator_listener.py
@@ -1,4 +1,4 @@
-"""HTTP listener for operators: state, metrics, plans and quarantine."""
+"""HTTP listener for operators: state, metrics, plans, roll-outs and quarantine."""
 
 from __future__ import annotations
 
@@ -26,6 +26,7 @@
 from plankspindle_daemon.listeners.metrics_listener import METRICS_HEADERS
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.observability.metrics_reader import MetricsReader
+from plankspindle_daemon.observability.rollout_dump import dump_rollouts
 from plankspindle_daemon.observability.state_dump import dump_node
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.quarantine.request_identity import identity_text
@@ -122,6 +123,9 @@
                 await source.answer(status=200, headers=METRICS_HEADERS, body=rendered)
             case "GET", "/v1/configuration":
                 await self._show_configuration(source)
+            case "GET", "/v1/rollouts":
+                rollouts = dump_rollouts(self.node, monotonic())
+                await answer_json(source, 200, {"rollouts": rollouts})
             case "GET", "/v1/history":
                 await self._plan_handler().show_history(source)
             case "POST", path if path == _LIFT_PATH:
