--- a/packages/client/tests/test_operations_page.py
+++ b/packages/client/tests/test_operations_page.py
@@ -57,7 +57,9 @@
         processes.start_module(
             "upstream", "plankspindle_testkit.upstream_stand_in", f"u={UPSTREAM}=4"
         )
-        processes.start_daemon(VM_ADDRESSES, platform=PLATFORM)
+        processes.start_daemon(
+            VM_ADDRESSES, platform=PLATFORM, rollouts={"enabled": True}
+        )
         wait_for_operator_listener(VM_ADDRESSES)
         upstreams = {
             "u": build_upstream(endpoint=UPSTREAM, slots=4, failure_domain="ke-1"),
@@ -144,6 +146,11 @@
     assert "accepted" in step(f"plan show {undone}")
     assert drain in step("plan list")
     assert len(step("history").splitlines()) == 4
+    ordered = plan_id_in(step("rollout registry v2 --within 12s"))
+    step(f"confirm {ordered}")
+    wait_for_version(5)
+    step("rollout abort registry")
+    step("rollouts")
     refused = send_refused_request()
     wait_for_line(folder, refused)
     assert VM_ADDRESSES.name in step(f"explain {refused} {log_path(folder)}")
@@ -332,6 +339,12 @@
     assert "k-nobody" not in log_path(depot).read_text()
 
 
+def test_commands_on_a_rolled_back_version_work(serving: Path) -> None:
+    heading = "A software version was rolled back"
+    printed = run_documented_commands(serving, heading, send_refused_request())
+    assert VM_ADDRESSES.name in printed
+
+
 def quarantined_identities() -> list[str]:
     return list(read_state(VM_ADDRESSES)["quarantine"]["requests"])
 
--- a/packages/daemon/src/plankspindle_daemon/platform_ports.py
+++ b/packages/daemon/src/plankspindle_daemon/platform_ports.py
@@ -56,7 +56,7 @@
     heartbeats_across_domains : bool
         Whether entry VMs of all failure domains send heartbeats to one another.
     rollout_records : RolloutRecordPort, optional
-        Keeps the records of roll-outs; None if the platform cannot.
+        Keeps the records of roll-outs; None if there are no roll-outs.
     """
 
     platform: PlatformClient
