Roll-outs: usual bounds where the platform's settings name the contract only

Cause: a settings file with the contract and without one of its bounds kept the process from starting.

Change: a bound that is absent has the default of RolloutSettings; one that is invalid is an error as before.

--- a/tests/fleet/test_rollout_orders.py
+++ b/tests/fleet/test_rollout_orders.py
@@ -8,6 +8,7 @@
 from typing import cast
 
 import pytest
+from builders import BOOT
 from builders import build_boot
 from builders import build_operator_document
 from builders import build_row
@@ -245,6 +246,27 @@
     )
 
 
+def test_contract_without_bounds_has_the_usual_ones(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    path = tmp_path / "boot.yaml"
+    path.write_text(
+        BOOT.read_text().replace("terms:", "terms:\n  contracts: [rollout]")
+    )
+    boot = build_boot(monkeypatch, path)
+    assert boot.daemon.rollouts == RolloutSettings(enabled=True)
+
+
+@pytest.mark.parametrize(
+    "bounds", [{"exposure_share": 0}, {"rollback": 5}, {"exposure_slack": "many"}]
+)
+def test_invalid_bound_of_rollouts_is_an_error(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, bounds: dict[str, Any]
+) -> None:
+    with pytest.raises(ValueError, match="missing or invalid"):
+        build_boot_with_rollouts(monkeypatch, tmp_path, **bounds)
+
+
 @pytest.mark.parametrize(
     ("info", "software_version"),
     [({}, "v1"), ({"config_version": None}, ""), ({"config_version": "\ud800"}, "")],
