Configuration: a restarted entry VM no longer sends the whole fleet what it has

Cause: a VM that starts reads the operator's table as of the newest transaction, so that its version has the highest number of all with the content of all. Each VM that heard of it fetched the whole content from it: 2,015 routes in some 40 chunks for each of 79 VMs, asked for again each 0.25 s while they stood in the queue of a 10 Mbit/s link. For 5 to 8 s after a start nothing else left that VM: no heartbeat, no connection to the store or to an upstream.

Change: a member asks for the first chunk, which names the digest. If the revision and the digest are those of its own content, it adopts the number and transfers, decodes and applies nothing. A VM sends at most 600 chunks a second, so that half of such a link is left. What was fetched is served as it came.

Ruled out: a cut (the VM hears the others all the time), the store (only the VMs that had just started lost it).

Measured: 79 members and a content of 90,000 incompressible bytes, chunks sent by the restarted VM: 7,189 before, 79 now. Tests of configuration, node, trials and sharing passed.

--- a/packages/daemon/src/plankspindle_daemon/configuration/configuration_in_force.py
+++ b/packages/daemon/src/plankspindle_daemon/configuration/configuration_in_force.py
@@ -51,6 +51,16 @@
         self.content = self.retained_drains.apply(accepted, now)
         return self.content
 
+    def adopt_same(self, version: ConfigurationVersion, now: float) -> bool:
+        """Adopt a version of the present content; return whether it must be applied.
+
+        That is so only if drains are retained anew.
+        """
+        before, accepted = self.content, self._accepted
+        if accepted is None or self.adopt(accepted, version, now) is None:
+            return False
+        return self.content != before
+
     def age_ms(self, now: float) -> int | None:
         """Return for how long the version has been in force; None if there is none."""
         return (
--- a/packages/daemon/src/plankspindle_daemon/configuration/version_exchange.py
+++ b/packages/daemon/src/plankspindle_daemon/configuration/version_exchange.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from attrs import Factory
 from attrs import field
 from result import Err
 from result import Ok
@@ -14,6 +15,7 @@
 from plankspindle_core.classes import define
 from plankspindle_core.classes import frozen
 from plankspindle_core.configuration.codec import content_digest
+from plankspindle_core.token_bucket import TokenBucket
 from plankspindle_daemon.peer_messages.content_messages import ContentChunk
 from plankspindle_daemon.peer_messages.content_messages import ContentRequest
 from plankspindle_daemon.versions.configuration_version import NO_VERSION
@@ -27,6 +29,13 @@
 MAX_CONTENT_BYTES = 64 * 1024 * 1024
 WINDOW_CHUNKS = 16
 """Chunks that are requested at a time."""
+SENT_CHUNKS_PER_S = 600.0
+SENT_CHUNKS_BURST = 200.0
+"""Chunks that a VM sends, so that they leave half of a link of 10 Mbit/s to the rest.
+
+Without a limit a version that many members request at once fills the link of its
+source for seconds, and they request again what is still in its queue.
+"""
 CHUNK_RETRY_S = 0.25
 """Time after which missing chunks are requested again, in seconds."""
 FETCH_TIMEOUT_S = 5.0
@@ -51,6 +60,13 @@
     content: bytes
 
 
+@frozen(kw_only=True)
+class SameContent:
+    """A higher version has the content that this VM has in force."""
+
+    version: ConfigurationVersion
+
+
 @frozen
 class DamagedContent:
     """The content does not match its digest and must be fetched from another member."""
@@ -58,7 +74,9 @@
     detail: str
 
 
-ChunkResult = Result[FetchedContent | list[ContentRequest], DamagedContent]
+ChunkResult = Result[
+    FetchedContent | SameContent | list[ContentRequest], DamagedContent
+]
 
 
 @define(kw_only=True)
@@ -107,9 +125,11 @@
     Notes
     -----
     Heartbeats announce the version in force. A member that receives a higher one than
-    its own requests its content in chunks from the sender. Content is accepted only if
-    it matches its digest. The digest is trusted because the sender is authenticated;
-    the member that first read the version got it from the table service.
+    its own requests its content in chunks from the sender. Only the first one is
+    transferred if its digest shows that the content is the same, as after a restart of
+    a VM, which reads the same documents as of a later transaction. Content is accepted
+    only if it matches its digest. The digest is trusted because the sender is
+    authenticated; the member that first read the version got it from the table service.
     """
 
     vm: str
@@ -119,6 +139,10 @@
     _make_content: Callable[[], bytes] = bytes
     _offer: _Offer | None = None
     _fetch: _Fetch | None = None
+    _fetched: tuple[ConfigurationVersion, _Offer] | None = None
+    _sent_chunks: TokenBucket = Factory(
+        lambda: TokenBucket(per_s=SENT_CHUNKS_PER_S, burst=SENT_CHUNKS_BURST)
+    )
 
     def serve_version(
         self, version: ConfigurationVersion, make_content: Callable[[], bytes]
@@ -133,9 +157,18 @@
             Encodes the content. It is called at the first request, since most members
             read the version themselves or request it from another member.
         """
-        self.version = version
+        fetched, self._fetched = self._fetched, None
+        is_fetched = fetched is not None and fetched[0] == version
         self._make_content = make_content
-        self._offer = None
+        self._offer = fetched[1] if fetched is not None and is_fetched else None
+        self._set_version(version)
+
+    def serve_same_content(self, version: ConfigurationVersion) -> None:
+        """Serve the present content under a higher version."""
+        self._set_version(version)
+
+    def _set_version(self, version: ConfigurationVersion) -> None:
+        self.version = version
         if self._fetch is not None and self._fetch.version <= version:
             self._fetch = None
 
@@ -189,26 +222,43 @@
             for offset in fetch.missing_offsets()[:WINDOW_CHUNKS]
         ]
 
-    def chunk_for(self, request: ContentRequest) -> ContentChunk | None:
-        """Return a chunk of the version in force; None if the request is invalid."""
+    def chunk_for(self, request: ContentRequest, now: float) -> ContentChunk | None:
+        """Return a chunk of the version in force.
+
+        Parameters
+        ----------
+        request : ContentRequest
+            Request of a member.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        ContentChunk or None
+            None if the request is invalid, or too many chunks were sent just before.
+        """
         is_misaligned = request.offset % CHUNK_BYTES
         if is_misaligned or not self._is_in_force(request.version):
             return None
-        if self._offer is None:
-            self._offer = _Offer.of(self._make_content())
-        compressed = self._offer.compressed
-        if request.offset >= len(compressed):
+        offer = self._current_offer()
+        compressed = offer.compressed
+        if request.offset >= len(compressed) or not self._sent_chunks.take(now):
             return None
         end = request.offset + CHUNK_BYTES
         return ContentChunk(
             sender=self.vm,
             version=self.version,
-            digest=self._offer.digest,
+            digest=offer.digest,
             offset=request.offset,
             total=len(compressed),
             data=compressed[request.offset : end],
         )
 
+    def _current_offer(self) -> _Offer:
+        if self._offer is None:
+            self._offer = _Offer.of(self._make_content())
+        return self._offer
+
     def _is_in_force(self, requested: ConfigurationVersion) -> bool:
         """Return whether a member requests the version in force.
 
@@ -227,8 +277,8 @@
         Returns
         -------
         Result
-            The complete content, the next requests, or the reason why the content is
-            damaged.
+            The complete content, that it is the one in force, the next requests, or the
+            reason why the content is damaged.
         """
         fetch = self._fetch
         if fetch is None or chunk.version != fetch.version:
@@ -236,6 +286,9 @@
         if not 0 < chunk.total <= MAX_CONTENT_BYTES:
             return Ok([])
         if fetch.total is None:
+            if self._is_same_content(chunk):
+                self._fetch = None
+                return Ok(SameContent(version=fetch.version))
             fetch.total = chunk.total
             fetch.digest = chunk.digest
         if (chunk.total, chunk.digest) != (fetch.total, fetch.digest):
@@ -253,10 +306,20 @@
             else []
         )
 
+    def _is_same_content(self, chunk: ContentChunk) -> bool:
+        """Return whether a higher version has the present content.
+
+        Versions of different revisions differ, which spares encoding the present one.
+        """
+        if self.version.is_none or chunk.version.revision != self.version.revision:
+            return False
+        return chunk.digest == self._current_offer().digest
+
     def _finish(self, fetch: _Fetch) -> ChunkResult:
         ordered = sorted(fetch.chunks_by_offset.items())
+        compressed = b"".join(part for _, part in ordered)
         try:
-            content = _decompress(b"".join(part for _, part in ordered))
+            content = _decompress(compressed)
         except zlib.error as error:
             self.damaged_count += 1
             return Err(DamagedContent(str(error)))
@@ -264,6 +327,10 @@
             self.damaged_count += 1
             return Err(DamagedContent("content does not match its digest"))
         self.fetched_count += 1
+        self._fetched = (
+            fetch.version,
+            _Offer(digest=fetch.digest, compressed=compressed),
+        )
         return Ok(FetchedContent(version=fetch.version, content=content))
 
     def tick(self, now: float) -> tuple[str, list[ContentRequest]]:
--- a/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
@@ -167,7 +167,8 @@
         if isinstance(message, ContentChunk):
             await self._receive_chunk(message)
         else:
-            await self.perform([*self.node.versions.answer(message, sender)])
+            answers = self.node.versions.answer(message, sender, monotonic())
+            await self.perform([*answers])
 
     async def _receive_chunk(self, chunk: ContentChunk) -> None:
         before = self.node.version
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -18,6 +18,7 @@
     ConfigurationInForce,
 )
 from plankspindle_daemon.configuration.version_exchange import FetchedContent
+from plankspindle_daemon.configuration.version_exchange import SameContent
 from plankspindle_daemon.digests.digest_exchange import DigestExchange
 from plankspindle_daemon.dispatch import messages as dispatch
 from plankspindle_daemon.dispatch.service_registry import ServiceRegistry
@@ -289,6 +290,8 @@
     ) -> list[NodeEffect]:
         """Apply a chunk of a higher version, and adopt the version once complete."""
         received = self.versions.receive_chunk(chunk, now)
+        if isinstance(received, SameContent):
+            return self._adopt_same(received.version, now)
         if not isinstance(received, FetchedContent):
             return [*received]
         decoded = decode_configuration(received.content)
@@ -296,6 +299,19 @@
             return []
         return self.adopt(decoded.unwrap(), version=received.version, now=now)
 
+    def _adopt_same(
+        self, version: ConfigurationVersion, now: float
+    ) -> list[NodeEffect]:
+        """Adopt a higher version of the present content."""
+        must_apply = self.in_force.adopt_same(version, now)
+        if self.version != version:
+            return []
+        self.versions.exchange.serve_same_content(version)
+        effects: list[NodeEffect] = [*self.versions.announce()]
+        if must_apply and self.configuration is not None:
+            effects += self._apply_configuration(self.configuration, now)
+        return effects
+
     def handle_membership(
         self, event: MembershipEvent, *, now: float, wall: float
     ) -> list[NodeEffect]:
--- a/packages/daemon/src/plankspindle_daemon/node/version_gossip.py
+++ b/packages/daemon/src/plankspindle_daemon/node/version_gossip.py
@@ -12,6 +12,7 @@
 from plankspindle_daemon.configuration.broadcast_targets import broadcast_targets
 from plankspindle_daemon.configuration.head_freshness import HeadFreshness
 from plankspindle_daemon.configuration.version_exchange import FetchedContent
+from plankspindle_daemon.configuration.version_exchange import SameContent
 from plankspindle_daemon.configuration.version_exchange import VersionExchange
 from plankspindle_daemon.membership.membership import Membership
 from plankspindle_daemon.membership.messages import SendHeartbeat
@@ -101,23 +102,26 @@
             sender, self.exchange.handle_announcement(sender, version, now)
         )
 
-    def answer(self, request: ContentRequest, reply_to: Endpoint) -> list[SendToPeer]:
+    def answer(
+        self, request: ContentRequest, reply_to: Endpoint, now: float
+    ) -> list[SendToPeer]:
         """Answer a request with a chunk of the version in force."""
-        chunk = self.exchange.chunk_for(request)
+        chunk = self.exchange.chunk_for(request, now)
         return [] if chunk is None else [SendToPeer(message=chunk, to=reply_to)]
 
     def receive_chunk(
         self, chunk: ContentChunk, now: float
-    ) -> FetchedContent | list[SendToPeer]:
+    ) -> FetchedContent | SameContent | list[SendToPeer]:
         """Apply a chunk of a higher version.
 
         Returns
         -------
-        FetchedContent or list of SendToPeer
-            The content once complete, otherwise requests for further chunks.
+        FetchedContent, SameContent or list of SendToPeer
+            The content once complete, or that it is the one in force; otherwise
+            requests for further chunks.
         """
         result = self.exchange.handle_chunk(chunk, now).unwrap_or([])
-        if isinstance(result, FetchedContent):
+        if isinstance(result, FetchedContent | SameContent):
             return result
         return self._request(chunk.sender, result)
 
--- a/packages/daemon/tests/configuration/test_version_exchange.py
+++ b/packages/daemon/tests/configuration/test_version_exchange.py
@@ -12,8 +12,11 @@
 from plankspindle_daemon.configuration.version_exchange import CHUNK_RETRY_S
 from plankspindle_daemon.configuration.version_exchange import FETCH_TIMEOUT_S
 from plankspindle_daemon.configuration.version_exchange import READER_TIMEOUT_S
+from plankspindle_daemon.configuration.version_exchange import SENT_CHUNKS_BURST
+from plankspindle_daemon.configuration.version_exchange import SENT_CHUNKS_PER_S
 from plankspindle_daemon.configuration.version_exchange import SOURCE_TIMEOUT_S
 from plankspindle_daemon.configuration.version_exchange import FetchedContent
+from plankspindle_daemon.configuration.version_exchange import SameContent
 from plankspindle_daemon.configuration.version_exchange import VersionExchange
 from plankspindle_daemon.peer_messages.content_messages import ContentChunk
 from plankspindle_daemon.peer_messages.content_messages import ContentRequest
@@ -51,7 +54,7 @@
         random.shuffle(pending)
         next_requests: list[ContentRequest] = []
         for request in pending:
-            chunk = source.chunk_for(request)
+            chunk = source.chunk_for(request, now)
             assert chunk is not None
             for _ in range(random.choice([1, 1, 2])):
                 if random.random() < loss:
@@ -83,7 +86,7 @@
     source = build_source(build_content(500))
     fetcher = VersionExchange(vm="learner")
     request = fetcher.handle_announcement("source", build_version(5), 0.0)[0]
-    chunk = source.chunk_for(request)
+    chunk = source.chunk_for(request, 0.0)
     assert chunk is not None
     damaged = evolve(chunk, digest="0" * 64)
     assert fetcher.handle_chunk(damaged, 0.0).is_err()
@@ -111,7 +114,7 @@
         request = ContentRequest(
             sender="x", version=build_version(version), offset=offset
         )
-        assert source.chunk_for(request) is None
+        assert source.chunk_for(request, 0.0) is None
 
 
 def test_first_members_poll_and_all_members_poll_after_reader_timeout() -> None:
@@ -145,12 +148,72 @@
     (request,) = fetcher.handle_announcement(
         "source", build_version(5), SOURCE_TIMEOUT_S
     )
-    chunk = build_source(b"content").chunk_for(request)
+    chunk = build_source(b"content").chunk_for(request, 0.0)
     assert chunk is not None
     result = fetcher.handle_chunk(chunk, SOURCE_TIMEOUT_S + 0.1).unwrap()
     assert result == FetchedContent(version=build_version(5), content=b"content")
 
 
+# A VM that restarts reads the same documents as of a later transaction. Its number is
+# the highest, and all members fetched the whole content from it, which filled its link.
+def test_same_content_under_higher_number_is_not_transferred() -> None:
+    content = build_content(90_000)
+    restarted = VersionExchange(vm="restarted")
+    restarted.serve_version(build_version(3, number=60), lambda: content)
+    members = [VersionExchange(vm=f"member-{number}") for number in range(79)]
+    sent = 0
+    for member in members:
+        member.serve_version(build_version(3, number=50), lambda: content)
+        requests = member.handle_announcement("restarted", restarted.version, 0.0)
+        while requests:
+            chunk = restarted.chunk_for(requests.pop(), 0.0)
+            assert chunk is not None
+            sent += 1
+            result = member.handle_chunk(chunk, 0.0).unwrap()
+            assert result == SameContent(version=restarted.version)
+        member.serve_same_content(restarted.version)
+        assert member.handle_announcement("restarted", restarted.version, 1.0) == []
+    assert sent == len(members)
+
+
+def test_other_content_under_higher_number_is_fetched() -> None:
+    source = VersionExchange(vm="source")
+    source.serve_version(build_version(3, number=60), lambda: b"drained")
+    member = VersionExchange(vm="member")
+    member.serve_version(build_version(3, number=50), lambda: b"not drained")
+    (request,) = member.handle_announcement("source", source.version, 0.0)
+    chunk = source.chunk_for(request, 0.0)
+    assert chunk is not None
+    result = member.handle_chunk(chunk, 0.0).unwrap()
+    assert result == FetchedContent(version=source.version, content=b"drained")
+
+
+def test_chunks_sent_are_limited() -> None:
+    source = build_source(build_content(90_000))
+    request = ContentRequest(sender="x", version=build_version(5), offset=0)
+    asked = [source.chunk_for(request, number / 10_000) for number in range(10_000)]
+    sent = sum(each is not None for each in asked)
+    assert sent == SENT_CHUNKS_BURST + SENT_CHUNKS_PER_S - 1
+
+
+def test_fetched_content_is_served_without_encoding_it_again() -> None:
+    source = build_source(build_content(500))
+    member = VersionExchange(vm="member")
+    (request,) = member.handle_announcement("source", build_version(5), 0.0)
+    chunk = source.chunk_for(request, 0.0)
+    assert chunk is not None
+    fetched = member.handle_chunk(chunk, 0.0).unwrap()
+    assert isinstance(fetched, FetchedContent)
+
+    def encode() -> bytes:
+        raise AssertionError("encoded again")
+
+    member.serve_version(fetched.version, encode)
+    served = member.chunk_for(request, 0.0)
+    assert served is not None
+    assert (served.digest, served.data) == (chunk.digest, chunk.data)
+
+
 # During a release, processes that know no eras name versions by their numbers only.
 def test_versions_are_exchanged_with_vms_that_know_no_eras() -> None:
     in_force, of_earlier_release = build_version(2, era=1, number=5), build_number(9)
@@ -158,7 +221,7 @@
     source.serve_version(in_force, lambda: b"content")
     assert source.handle_announcement("earlier", of_earlier_release, 0.0) == []
     request = ContentRequest(sender="earlier", version=build_number(5), offset=0)
-    chunk = source.chunk_for(request)
+    chunk = source.chunk_for(request, 0.0)
     assert chunk is not None
     assert chunk.version == in_force
     starting = VersionExchange(vm="starting")
--- a/packages/testkit/src/plankspindle_testkit/trial/trial.py
+++ b/packages/testkit/src/plankspindle_testkit/trial/trial.py
@@ -148,7 +148,9 @@
                 event = membership.HeartbeatReceived(message)
                 self._handle_membership(vm, event)
             case ContentRequest():
-                self._perform(vm, [*vm.node.versions.answer(message, sender)])
+                self._perform(
+                    vm, [*vm.node.versions.answer(message, sender, self.world.now)]
+                )
             case ContentChunk():
                 self._perform(
                     vm, vm.node.receive_content_chunk(message, self.world.now)
