--- a/packages/testkit/src/plankspindle_testkit/bench/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/__main__.py
@@ -13,6 +13,7 @@
 from plankspindle_testkit.bench.lookup_bench import run_lookup_bench
 from plankspindle_testkit.bench.policy_bench import run_balancing_bench
 from plankspindle_testkit.bench.policy_bench import run_priority_bench
+from plankspindle_testkit.bench.processor_bench import run_processor_bench
 from plankspindle_testkit.bench.proxy_bench import run_proxy_bench
 from plankspindle_testkit.bench.quota_bench import run_quota_bench
 from plankspindle_testkit.bench.shift_bench import run_shift_bench
@@ -33,6 +34,7 @@
     "headroom": run_headroom_bench,
     "log": run_log_bench,
     "lookup": run_lookup_bench,
+    "processor": run_processor_bench,
     "proxy": run_proxy_bench,
     "limit": run_limit_bench,
     "quota": run_quota_bench,
