--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -10,7 +10,6 @@
 from attrs import field
 
 from plankspindle_core.classes import define
-from plankspindle_core.configuration.codec import decode_configuration
 from plankspindle_core.configuration.codec import encode_configuration
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.admission.caller_directory import CallerDirectory
@@ -294,7 +293,7 @@
             return self._adopt_same(received.version, now)
         if not isinstance(received, FetchedContent):
             return [*received]
-        decoded = decode_configuration(received.content)
+        decoded = self.in_force.decode(received.content)
         if decoded.is_err():
             return []
         return self.adopt(decoded.unwrap(), version=received.version, now=now)
