Roll-outs: participants, collectors and the coordinator as state machines

Cause: nothing moves the requests of a service to an ordered software version.

Change: each entry VM follows directives under a lease and reports its counts; collectors of failure domains sum them; a coordinator chosen by rendezvous hashing decides the stages and has the record written before it tells an end.

--- a/packages/daemon/src/plankspindle_daemon/quarantine/aggregator_selector.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/aggregator_selector.py
@@ -58,7 +58,7 @@
         same at any fleet size.
         """
         ranked = sorted(
-            [self._own_candidate(), *self._live_candidates(now)],
+            self.candidates(now),
             key=lambda each: stable_hash(f"{identity} {each.name}"),
         )
         first_by_domain: dict[str, CandidateVm] = {}
@@ -68,6 +68,10 @@
         rest = [each for each in ranked if each not in first]
         return [*first, *rest][:AGGREGATORS_PER_REQUEST]
 
+    def candidates(self, now: float) -> list[CandidateVm]:
+        """Return this VM and all others that are not known to have failed."""
+        return [self._own_candidate(), *self._live_candidates(now)]
+
     def peer_endpoints(self) -> list[Endpoint]:
         """Return the addresses of all other entry VMs, in all failure domains."""
         endpoints = set(self.membership.peer_endpoints())
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/rollout_coordinator.py
@@ -0,0 +1,376 @@
+"""State machine that decides the stages of a roll-out."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import field
+
+from plankspindle_core.classes import define
+from plankspindle_daemon.dispatch.version_counts import ListedVersion
+from plankspindle_daemon.peer_messages.rollout_messages import RolloutDirective
+from plankspindle_daemon.rollouts.judgement import Verdict
+from plankspindle_daemon.rollouts.rollout_evidence import RolloutEvidence
+from plankspindle_daemon.rollouts.rollout_order import RolloutOrder
+from plankspindle_daemon.rollouts.rollout_participant import CANARY_SHARE
+from plankspindle_daemon.rollouts.rollout_participant import later_stage
+from plankspindle_daemon.rollouts.rollout_record import RolloutRecord
+from plankspindle_daemon.rollouts.stage import Stage
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from plankspindle_core.endpoint import Endpoint
+    from plankspindle_daemon.peer_messages.rollout_messages import RolloutReport
+    from plankspindle_daemon.rollouts.rollout_participant import RolloutParticipant
+
+MIN_WARM_SHARE = 0.5
+"""Part of the target's listed upstreams that must be warm for the canary."""
+MIN_UPSTREAM_RATIO = 0.25
+"""Least number of the target's upstreams, as a share of the baseline's."""
+PATIENCE_SHARE = 1 / 3
+"""Part of the duration after which any warm upstream is enough for the canary."""
+SUPERSEDED_WAIT_S = 5.0
+"""Time for the configuration to name the order of a later record, in seconds."""
+
+
+@define(kw_only=True)
+class RolloutCoordinator:
+    """Decide the stage of one order, from the reports of all entry VMs.
+
+    Parameters
+    ----------
+    vm : str
+        Name of this VM.
+    service : str
+        The service.
+    order : RolloutOrder
+        The order.
+    baseline : str or None
+        Software version in force before the order.
+    started_at : float
+        Monotonic seconds.
+    canary_share : float
+        Share of the requests that the canary gets.
+    stage : Stage
+        Stage that this VM knows as it begins.
+    reason : str
+        What decided it.
+    moving_at, ends_at : float
+        Start and planned end of the stage ``MOVING``, in monotonic seconds.
+
+    Attributes
+    ----------
+    is_withdrawn : bool
+        Whether the operator has withdrawn the order.
+    needs_read : bool
+        Whether the record must be read.
+    recorded : Stage or None
+        Stage of this order in the record, as acknowledged; None if there is none or it
+        is not known.
+
+    Notes
+    -----
+    Nothing is decided on an order before the record was read, except that a bad or
+    withdrawn one is halted: the order may have been settled before.
+    """
+
+    vm: str
+    service: str
+    order: RolloutOrder
+    baseline: str | None
+    started_at: float
+    canary_share: float = CANARY_SHARE
+    stage: Stage = Stage.PREPARING
+    reason: str = ""
+    moving_at: float = math.inf
+    ends_at: float = math.inf
+    is_withdrawn: bool = False
+    needs_read: bool = True
+    recorded: Stage | None = None
+    evidence: RolloutEvidence = field(init=False)
+    _has_read: bool = False
+    _has_asked_for_move: bool = False
+    _wanted: Stage | None = None
+    _wanted_reason: str = ""
+    _canary_at: float = math.inf
+    _superseded_since: float | None = None
+    _listed: dict[str, ListedVersion] = Factory(dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.evidence = RolloutEvidence(
+            canary_share=self.canary_share, started_at=self.started_at
+        )
+        if self.stage is not Stage.PREPARING:
+            self._canary_at = self.started_at
+
+    @classmethod
+    def taking_over(
+        cls, participant: RolloutParticipant, order: RolloutOrder, now: float
+    ) -> RolloutCoordinator:
+        """Return a coordinator that begins with what this VM was told."""
+        return cls(
+            vm=participant.vm,
+            service=participant.service,
+            order=order,
+            baseline=participant.baseline,
+            started_at=now,
+            canary_share=participant.canary_share,
+            stage=participant.stage,
+            reason=participant.reason,
+            moving_at=participant.moving_at,
+            ends_at=participant.ends_at,
+            is_withdrawn=participant.is_withdrawn,
+        )
+
+    def handle_report(
+        self, report: RolloutReport, sender: Endpoint | None, now: float
+    ) -> None:
+        """Take the report of a collector, and learn of a halt or an end from it."""
+        self.evidence.take(report, sender, now)
+        stage = later_stage(self.stage, self.evidence.latest_stage())
+        if stage is self.stage:
+            return
+        if stage is Stage.MOVING and math.isinf(self.moving_at):
+            self._learn_of_move(now)
+        elif stage is Stage.CANARY:
+            self._begin_canary("reports", now)
+        else:
+            self._enter(stage, "reports")
+
+    def _learn_of_move(self, now: float) -> None:
+        """Read the times of a move that another VM began, or replace lost ones.
+
+        The entry VMs keep the earlier ones that they were told.
+        """
+        if not self._has_asked_for_move:
+            self._has_asked_for_move = True
+            self.needs_read = True
+            self._has_read = False
+        elif self._has_read:
+            self.moving_at, self.ends_at = now, self.order.move_ends_at(now)
+            self._enter(Stage.MOVING, "reports")
+
+    def learn_stage(self, stage: Stage, participant: RolloutParticipant) -> None:
+        """Take a later stage that another coordinator told, as this VM follows it."""
+        self.needs_read = True
+        if later_stage(self.stage, stage) is self.stage:
+            return
+        self.moving_at, self.ends_at = participant.moving_at, participant.ends_at
+        self._enter(stage, participant.reason)
+
+    def handle_record(
+        self, record: RolloutRecord | None, *, store_ahead_s: float, now: float
+    ) -> None:
+        """Follow the record as read; it wins over what was not acknowledged."""
+        self.needs_read = False
+        self._has_read = True
+        self.recorded = None
+        if record is None:
+            return
+        if record.order not in self.order.aliases:
+            self._note_other_order(record, now)
+            return
+        self._superseded_since = None
+        # A record under an earlier number is written again under the restored one.
+        self.recorded = record.stage if record.order == self.order.number else None
+        self.order = self.order.given_at(record.ordered_at_s - store_ahead_s)
+        self.baseline = record.baseline_version
+        if record.stage is not Stage.CANARY:
+            self._follow(record, store_ahead_s)
+
+    def _note_other_order(self, record: RolloutRecord, now: float) -> None:
+        if record.order < self.order.number:
+            self._superseded_since = None
+        elif self._superseded_since is None:
+            self._superseded_since = now
+        if self.stage is Stage.PREPARING:
+            self.baseline = record.version_in_force
+
+    def handle_written(self, record: RolloutRecord, *, store_ahead_s: float) -> None:
+        """Take the acknowledgement of a write of this VM."""
+        if record.order in self.order.aliases:
+            self.recorded = record.stage
+            if record.stage is not Stage.CANARY:
+                self._follow(record, store_ahead_s)
+
+    def _follow(self, record: RolloutRecord, store_ahead_s: float) -> None:
+        """Enter the stage of the record, unless a later one is known."""
+        if later_stage(self.stage, record.stage) is self.stage:
+            return
+        if record.stage is Stage.MOVING:
+            self.moving_at = record.moving_at_s - store_ahead_s
+            self.ends_at = record.ends_at_s - store_ahead_s
+        is_own = record.stage is self._wanted
+        self._enter(record.stage, self._wanted_reason if is_own else "record")
+
+    def expect_lost_record(self) -> None:
+        """Read the record, and write it again if the store has lost it."""
+        self.needs_read = True
+        self.recorded = None
+        self._has_read = False
+
+    def is_superseded(self, now: float) -> bool:
+        """Return whether the record is of a later order that is not configured yet."""
+        since = self._superseded_since
+        return since is not None and now - since < SUPERSEDED_WAIT_S
+
+    def tick(
+        self,
+        listed: dict[str, ListedVersion],
+        vms_by_domain: Mapping[str, int],
+        now: float,
+    ) -> None:
+        """Decide whether another stage is due.
+
+        Parameters
+        ----------
+        listed : dict of str to ListedVersion
+            Upstreams of the service by software version.
+        vms_by_domain : mapping of str to int
+            Entry VMs that are not known to have failed.
+        now : float
+            Monotonic seconds.
+        """
+        self._listed = listed
+        self._wanted = None
+        match self.stage:
+            case Stage.PREPARING | Stage.CANARY | Stage.MOVING if self.is_withdrawn:
+                self._enter(Stage.HALTED, "withdrawn")
+            case Stage.PREPARING:
+                self._prepare(now)
+            case Stage.CANARY:
+                self._watch_canary(now)
+            case Stage.MOVING:
+                self._watch_move(vms_by_domain, now)
+            case _:
+                pass
+        if self.stage is Stage.HALTED:
+            self._want(Stage.ROLLED_BACK, self.reason)
+
+    def _prepare(self, now: float) -> None:
+        if not self._has_read or self.baseline is None or self.is_superseded(now):
+            return
+        if self.baseline == self.order.target_version:
+            self._want(Stage.COMPLETE, "in-force-already")
+        elif self._is_ready(now):
+            self._begin_canary("upstreams-warm", now)
+        elif now >= self.order.planned_end:
+            self._enter(Stage.HALTED, "no-upstreams")
+
+    def _is_ready(self, now: float) -> bool:
+        target = self._target()
+        waited_s = now - self.order.ordered_at
+        if waited_s >= PATIENCE_SHARE * self.order.duration_ms / 1000:
+            return target.warm > 0
+        return (
+            target.warm > 0
+            and target.warm >= MIN_WARM_SHARE * target.listed
+            and self._has_enough_upstreams()
+        )
+
+    def _target(self) -> ListedVersion:
+        return self._listed.get(self.order.target_version, ListedVersion())
+
+    def _has_enough_upstreams(self) -> bool:
+        baseline = self._listed.get(self.baseline or "", ListedVersion())
+        target = self._target()
+        return target.listed >= max(1, MIN_UPSTREAM_RATIO * baseline.listed)
+
+    def _begin_canary(self, reason: str, now: float) -> None:
+        self._canary_at = now
+        self.evidence.begin_canary()
+        self._enter(Stage.CANARY, reason)
+
+    def _watch_canary(self, now: float) -> None:
+        share = self.canary_share * self._target().listed
+        if self._is_bad(math.ceil(share), now):
+            return
+        if now < self.order.move_begins_at(self._canary_at):
+            return
+        if self.evidence.is_enough() and self._has_enough_upstreams():
+            self._want(Stage.MOVING, "canary-good")
+        elif now >= self.order.planned_end:
+            self._enter(Stage.HALTED, "no-evidence")
+
+    def _watch_move(self, vms_by_domain: Mapping[str, int], now: float) -> None:
+        if self._is_bad(self._target().listed, now):
+            return
+        if self.evidence.is_emptied(vms_by_domain, now):
+            self._want(Stage.COMPLETE, "baseline-emptied")
+
+    def _is_bad(self, upstreams: int, now: float) -> bool:
+        found = self.evidence.judge(upstreams, now)
+        if found.verdict is not Verdict.BAD:
+            return False
+        operation = found.operation or "all"
+        self._enter(Stage.HALTED, f"bad-answers:{operation}")
+        return True
+
+    def _want(self, stage: Stage, reason: str) -> None:
+        """Enter a stage once its record is acknowledged."""
+        self._wanted, self._wanted_reason = stage, reason
+
+    def _enter(self, stage: Stage, reason: str) -> None:
+        self.stage, self.reason = stage, reason
+        self._wanted = None
+
+    def record_to_write(
+        self, *, store_ahead_s: float, now: float
+    ) -> RolloutRecord | None:
+        """Return the record that is to be written; None if there is none.
+
+        Parameters
+        ----------
+        store_ahead_s : float
+            Time by which the store's clock is ahead of the monotonic one, in seconds.
+        now : float
+            Monotonic seconds.
+        """
+        stage = self._stage_to_record(now)
+        if stage is None or self.baseline is None:
+            return None
+        moving_at, ends_at = self.moving_at, self.ends_at
+        if stage is Stage.MOVING and math.isinf(moving_at):
+            moving_at, ends_at = now, self.order.move_ends_at(now)
+        has_moved = not math.isinf(moving_at)
+        return RolloutRecord(
+            service=self.service,
+            baseline_version=self.baseline,
+            order=self.order.number,
+            target_version=self.order.target_version,
+            duration_ms=self.order.duration_ms,
+            stage=stage,
+            ordered_at_s=self.order.ordered_at + store_ahead_s,
+            moving_at_s=moving_at + store_ahead_s if has_moved else 0.0,
+            ends_at_s=ends_at + store_ahead_s if has_moved else 0.0,
+        )
+
+    def _stage_to_record(self, now: float) -> Stage | None:
+        if self.is_superseded(now):
+            return None
+        stage = self._wanted or self.stage
+        if stage is Stage.HALTED:
+            stage = Stage.ROLLED_BACK
+        if stage is Stage.PREPARING:
+            stage = Stage.CANARY
+        recorded = self.recorded
+        is_recorded = recorded is not None and later_stage(recorded, stage) is recorded
+        return None if is_recorded else stage
+
+    def directive(self, now: float) -> RolloutDirective:
+        """Return what the entry VMs are to do."""
+        is_moving = self.stage is Stage.MOVING
+        return RolloutDirective(
+            sender=self.vm,
+            service=self.service,
+            order=self.order.number,
+            stage=self.stage.value,
+            baseline_version=self.baseline or "",
+            target_version=self.order.target_version,
+            moving_ms=round(1000 * (now - self.moving_at)) if is_moving else 0,
+            ends_in_ms=round(1000 * (self.ends_at - now)) if is_moving else 0,
+            reason=self.reason,
+        )
