Roll-outs: the node and the daemon take part in them

Cause: the coordination of roll-outs was driven by nothing.

Change: the node passes configuration, list, time and messages on; the ticker wakes the task that keeps the records; orders that a returned store lacks are retained as drains are. Nothing happens unless roll-outs are enabled.

--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -44,6 +44,7 @@
 from plankspindle_daemon.platform_ports import default_ports
 from plankspindle_daemon.quarantine.crash_detector import CrashDetector
 from plankspindle_daemon.quarantine.quarantine_store import QuarantineStore
+from plankspindle_daemon.rollouts.record_keeper import make_record_keeper
 from plankspindle_daemon.settings.settings_file import RELOADABLE_SECTIONS
 from plankspindle_daemon.settings.settings_file import SettingsChange
 from plankspindle_daemon.status_changes.status_monitor import StatusMonitor
@@ -60,8 +61,6 @@
     from plankspindle_daemon.settings.daemon_settings import DaemonSettings
     from plankspindle_daemon.settings.settings_file import SettingsFile
 
-STALE_CONNECTION_CHECK_PERIOD_S = 5.0
-"""Period of closing pooled connections that are stale, in seconds."""
 SETTINGS_CHECK_PERIOD_S = 5.0
 """Period of checking whether the settings file has changed, in seconds."""
 
@@ -166,6 +165,9 @@
         self._quarantine = QuarantineStore(
             quarantine=self.node.quarantine, platform=self._platform, random=random
         )
+        self._records = make_record_keeper(
+            self.node.rollouts, self._ports.rollout_records, random
+        )
 
     def _make_followers(self) -> None:
         """Create what reads the platform periodically."""
@@ -204,6 +206,7 @@
             status_monitor=self._status_monitor,
             calls=self._platform.calls,
             supervisor=self._supervisor,
+            records=self._records,
             running=lambda: self._caller_listener.running,
             log=self._log,
         )
@@ -365,9 +368,11 @@
             await group.spawn(self._ticker.run)
             await group.spawn(self._list_follower.run)
             await group.spawn(self._configuration_follower.run)
-            await group.spawn(self._discard_stale_connections)
+            await group.spawn(self._pool.run)
             await group.spawn(self._presence.run)
             await group.spawn(self._quarantine.run)
+            if self._records is not None:
+                await group.spawn(self._records.run)
             await group.spawn(self._follow_settings)
         _ = group.result
 
@@ -375,11 +380,6 @@
         """Send messages to other entry VMs."""
         await self._effects.perform([*messages])
 
-    async def _discard_stale_connections(self) -> None:
-        while True:
-            await sleep(STALE_CONNECTION_CHECK_PERIOD_S)
-            await self._pool.discard_stale()
-
     def _dump_runtime(self) -> dict[str, Any]:
         dumped = dump_runtime(
             listener=self._caller_listener,
--- a/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
@@ -32,6 +32,8 @@
 from plankspindle_daemon.peer_messages.quota_messages import ShareLease
 from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
 from plankspindle_daemon.peer_messages.quota_messages import TokenRequest
+from plankspindle_daemon.peer_messages.rollout_messages import RolloutDirective
+from plankspindle_daemon.peer_messages.rollout_messages import RolloutReport
 from plankspindle_daemon.peer_messages.slot_messages import SlotGrant
 from plankspindle_daemon.peer_messages.slot_messages import SlotRequest
 from plankspindle_daemon.peer_messages.suspicion import Suspicion
@@ -44,6 +46,7 @@
     from plankspindle_daemon.membership.messages import MembershipEvent
     from plankspindle_daemon.node.effects import NodeEffect
     from plankspindle_daemon.peer_messages.peer_message import PeerMessage
+    from plankspindle_daemon.peer_messages.peer_message import SendToPeer
     from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
 FINAL_HEARTBEAT_COUNT = 3
@@ -116,11 +119,8 @@
             case ListNews():
                 if self.on_list_update is not None:
                     await self.on_list_update(message)
-            case CrashNews():
-                messages = self.node.quarantine.handle_update(
-                    message, sender, monotonic()
-                )
-                await self.perform([*messages])
+            case CrashNews() | RolloutReport() | RolloutDirective():
+                await self.perform([*self._handle_decision(message, sender)])
             case LoadDigest():
                 self.node.digest_exchange.digests.record(message, monotonic())
             case (
@@ -137,6 +137,14 @@
             case SlotRequest() | SlotGrant() | HeadroomRequest() | HeadroomGrant():
                 await self._receive_lending(message, sender)
 
+    def _handle_decision(
+        self, message: CrashNews | RolloutReport | RolloutDirective, sender: Endpoint
+    ) -> list[SendToPeer]:
+        """Handle what other VMs have decided, or need for their decisions."""
+        if isinstance(message, CrashNews):
+            return self.node.quarantine.handle_update(message, sender, monotonic())
+        return self.node.rollouts.handle(message, sender, monotonic())
+
     async def _handle_membership(self, event: MembershipEvent) -> None:
         effects = self.node.handle_membership(event, now=monotonic(), wall=time.time())
         await self.perform(effects)
--- a/packages/daemon/src/plankspindle_daemon/node/make_node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/make_node.py
@@ -85,6 +85,8 @@
         probe_period_s=timing.probe_ms / 1000,
         started_at=monotonic(),
         settle_s=timing.suspect_after_ms / 1000,
+        rollout_settings=settings.rollouts,
     )
     node.versions.store_era = store_era
+    node.rollouts.store_era = store_era
     return node
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -5,6 +5,7 @@
 from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
+from typing import cast
 
 from attrs import Factory
 from attrs import field
@@ -31,6 +32,8 @@
 from plankspindle_daemon.node.effects import NodeEffect
 from plankspindle_daemon.node.effects import convert_effect
 from plankspindle_daemon.node.limited_dispatch import LimitedDispatch
+from plankspindle_daemon.node.node_reporting import make_self_report
+from plankspindle_daemon.node.node_reporting import make_steering_updater
 from plankspindle_daemon.node.self_report import SelfReport
 from plankspindle_daemon.node.shared_slots import SharedSlots
 from plankspindle_daemon.node.steering_updater import SteeringUpdater
@@ -40,7 +43,9 @@
 from plankspindle_daemon.quarantine.quarantine import Quarantine
 from plankspindle_daemon.quotas.quota_options import QuotaOptions
 from plankspindle_daemon.quotas.quotas import Quotas
+from plankspindle_daemon.rollouts.rollouts import Rollouts
 from plankspindle_daemon.routes.route_table import RouteTable
+from plankspindle_daemon.settings.daemon_settings import RolloutSettings
 from plankspindle_daemon.sharing.reader_group import ReaderGroup
 from plankspindle_daemon.sharing.shared_reads import SharedReads
 from plankspindle_daemon.shifts.shift_meter import ShiftMeter
@@ -54,6 +59,7 @@
     from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
     from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
     from plankspindle_daemon.peer_messages.readiness import Readiness
+    from plankspindle_daemon.rollouts.version_dispatch import VersionDispatch
     from plankspindle_daemon.steering.steering import Steering
     from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
@@ -94,6 +100,8 @@
         Time after a disturbance by which missing upstreams must be removed, in seconds.
     quota_options : QuotaOptions
         Bounds of the quotas of workspaces.
+    rollout_settings : RolloutSettings
+        Bounds on roll-outs of software versions.
 
     Attributes
     ----------
@@ -117,6 +125,7 @@
     shared_read_period_s: float = 0.0
     recovery_s: float = RECOVERY_S
     quota_options: QuotaOptions = Factory(QuotaOptions)
+    rollout_settings: RolloutSettings = Factory(RolloutSettings)
     in_force: ConfigurationInForce = Factory(ConfigurationInForce)
     directory: CallerDirectory | None = None
     routes: RouteTable = Factory(lambda: RouteTable(routes_by_name={}))
@@ -131,6 +140,7 @@
     quotas: Quotas = field(init=False)
     limited_dispatch: LimitedDispatch = field(init=False)
     shared_reads: SharedReads = field(init=False)
+    rollouts: Rollouts = field(init=False)
     self_report: SelfReport = field(init=False)
     steering_updater: SteeringUpdater = field(init=False)
     _next_refresh_at: float = 0.0
@@ -198,26 +208,14 @@
             started_at=self.started_at,
             settle_s=self.settle_s,
         )
-        self.self_report = SelfReport(
-            vm=self.vm,
-            failure_domain=self.failure_domain,
-            caller_endpoint=self.caller_endpoint,
-            peer_endpoint=self.peer_endpoint,
+        self.rollouts = Rollouts(
+            selector=self.quarantine.aggregators,
             incarnation=self.incarnation,
-            needs_list=self.needs_list,
-            membership=self.membership,
-            leave=self.leave,
-            services=self.services,
-            vm_drains=self.vm_drains,
-            head=self.versions.head,
-            quarantine=self.quarantine,
-        )
-        self.steering_updater = SteeringUpdater(
-            failure_domain=self.failure_domain,
-            membership=self.membership,
-            vm_drains=self.vm_drains,
-            self_report=self.self_report,
+            dispatch=cast("VersionDispatch", self.services),
+            settings=self.rollout_settings,
         )
+        self.self_report = make_self_report(self)
+        self.steering_updater = make_steering_updater(self)
 
     @property
     def configuration(self) -> Configuration | None:
@@ -277,10 +275,10 @@
         self.shift_meter.apply_shifts(configuration.shifts_by_id, now)
         self.routes = self.routes.with_routes(configuration.routes_by_name)
         self.quotas.update_configuration(configuration)
-        wall = now + self._wall_offset_s
         self.services.apply_configuration(
-            configuration, version=self.version, now=now, wall=wall
+            configuration, version=self.version, now=now, wall=now + self._wall_offset_s
         )
+        self.rollouts.update_configuration(configuration, self.version, now)
         self.steering_updater.refresh(self.version, now)
         return [*self.shared_slots.update_shares(configuration, now)]
 
@@ -316,6 +314,7 @@
             self.self_report.list_read_at = now
             self._wall_offset_s = wall - now
             self.services.apply_list(event.vms, now=now, wall=wall)
+            self.rollouts.observe_versions(now)
             self._apply_drains(now=now, wall=wall)
             self.steering_updater.refresh(self.version, now)
         return [*effects, *self.shared_slots.update_shares(self.configuration, now)]
@@ -344,6 +343,7 @@
             self.shared_slots.expire_removals(self.configuration, now)
         effects += self.versions.tick(now)
         effects += self.quarantine.tick(now)
+        effects += self.rollouts.tick(now)
         effects += self.limited_dispatch.tick(
             readiness=self.readiness(),
             has_list=self.self_report.list_read_at is not None,
@@ -381,6 +381,7 @@
         self.shared_slots.invalidate(now)
         self.shared_reads.invalidate()
         self.headroom.grants.discard_all()
+        self.rollouts.recover_from_pause(now)
         effects = self.handle_membership(membership.ProcessPaused(), now=now, wall=wall)
         for service in self.dispatchers_by_service:
             effects += self.handle_dispatch(service, dispatch.ProcessPaused(), now)
--- a/packages/daemon/src/plankspindle_daemon/platform_ports.py
+++ b/packages/daemon/src/plankspindle_daemon/platform_ports.py
@@ -16,6 +16,7 @@
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.platform.platform_client import PlatformClient
 from plankspindle_daemon.platform.presence_port import PresencePort
+from plankspindle_daemon.rollouts.rollout_record import RolloutRecordPort
 
 if TYPE_CHECKING:
     from plankspindle_daemon.settings.daemon_settings import DaemonSettings
@@ -53,6 +54,8 @@
         Whether every entry VM reads the configuration itself, not only a few of them.
     heartbeats_across_domains : bool
         Whether entry VMs of all failure domains send heartbeats to one another.
+    rollout_records : RolloutRecordPort, optional
+        Keeps the records of roll-outs; None if there are no roll-outs.
     """
 
     platform: PlatformClient
@@ -63,6 +66,7 @@
     lists_upstreams: bool = False
     all_vms_read_configuration: bool = False
     heartbeats_across_domains: bool = False
+    rollout_records: RolloutRecordPort | None = None
 
 
 def default_ports(settings: DaemonSettings) -> PlatformPorts:
--- a/packages/daemon/src/plankspindle_daemon/ticker.py
+++ b/packages/daemon/src/plankspindle_daemon/ticker.py
@@ -22,6 +22,7 @@
 from plankspindle_daemon.node.pause_monitor import PauseMonitor
 from plankspindle_daemon.platform.bounded_calls import BoundedCalls
 from plankspindle_daemon.quarantine.quarantine_store import QuarantineStore
+from plankspindle_daemon.rollouts.record_keeper import RecordKeeper
 from plankspindle_daemon.status_changes.status_monitor import StatusMonitor
 
 TICK_PERIOD_S = 0.05
@@ -62,6 +63,8 @@
         Reports tasks that failed.
     running : callable
         Returns the number of requests that run on this VM.
+    records : RecordKeeper, optional
+        Keeps the records of roll-outs; None if there are no roll-outs.
     log : KeyValueDestination, optional
         Destination of the log, flushed at every tick.
     """
@@ -75,6 +78,7 @@
     calls: BoundedCalls
     supervisor: Supervisor
     running: Callable[[], int]
+    records: RecordKeeper | None = None
     log: KeyValueDestination | None = None
     _next_status_check_at: float = 0.0
 
@@ -87,6 +91,8 @@
             now = monotonic()
             await self.effects.perform(self.node.tick(now=now, wall=time.time()))
             await self.quarantine.wake_if_needed()
+            if self.records is not None:
+                await self.records.wake_if_needed()
             self._log_status_changes(now)
             state = self.node.leave.advance(running=self.running(), now=now)
             if isinstance(state, Left):
--- a/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from attrs import field
+from curio import sleep
 from result import Err
 from result import Ok
 from result import Result
@@ -13,6 +14,8 @@
 from plankspindle_core.http.errors import ConnectFailed
 from plankspindle_core.steady_clock import monotonic
 
+STALE_CHECK_PERIOD_S = 5.0
+"""Period of closing stale connections, in seconds."""
 MAX_IDLE_PER_ENDPOINT = 32
 """Idle connections kept per endpoint; one entry VM does not use more at once.
 
@@ -115,6 +118,12 @@
         idle = self._idle_by_endpoint.get(endpoint, [])
         return any(connection.is_idle() for connection in idle)
 
+    async def run(self) -> None:
+        """Close stale connections until the task is cancelled."""
+        while True:
+            await sleep(STALE_CHECK_PERIOD_S)
+            await self.discard_stale()
+
     async def discard_stale(self) -> None:
         """Close idle connections that the peer has closed or written to."""
         for endpoint, idle in list(self._idle_by_endpoint.items()):
