Roll-outs: a coordinator that few VMs report to leaves it to the record

Cause: a VM that was cut off took all others for failed, chose itself and went on with the canary; a coordinator whose own collector still reported to a VM that had failed heard too few. Found by a simulated fleet and by randomised trials of it.

Change: a coordinator directs canary and move only while most VMs report, or the record was read within a lease, and begins or ends no move without most VMs. Its own sums always reach it. Reports come each 0.1 s while requests move.

--- a/packages/daemon/src/plankspindle_daemon/quarantine/aggregator_selector.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/aggregator_selector.py
@@ -72,6 +72,24 @@
         """Return this VM and all others that are not known to have failed."""
         return [self._own_candidate(), *self._live_candidates(now)]
 
+    def known_count(self, now: float, *, max_silence_s: float) -> int:
+        """Return the number of VMs with those that are silent for less than a time.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        max_silence_s : float
+            Time without heartbeats, in seconds.
+        """
+        members = self.membership.members_by_name
+        heard = sum(
+            now - (each.last_heartbeat_at or each.known_since) <= max_silence_s
+            for each in members.values()
+        )
+        listed = sum(each.name not in members for each in self._listed_candidates())
+        return 1 + heard + listed
+
     def peer_endpoints(self) -> list[Endpoint]:
         """Return the addresses of all other entry VMs, in all failure domains."""
         endpoints = set(self.membership.peer_endpoints())
--- a/packages/daemon/src/plankspindle_daemon/rollouts/rollout_coordinator.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/rollout_coordinator.py
@@ -9,12 +9,13 @@
 from attrs import field
 
 from plankspindle_core.classes import define
-from plankspindle_daemon.dispatch.version_counts import ListedVersion
 from plankspindle_daemon.peer_messages.rollout_messages import RolloutDirective
 from plankspindle_daemon.rollouts.judgement import Verdict
+from plankspindle_daemon.rollouts.listed_sides import ListedSides
 from plankspindle_daemon.rollouts.rollout_evidence import RolloutEvidence
 from plankspindle_daemon.rollouts.rollout_order import RolloutOrder
 from plankspindle_daemon.rollouts.rollout_participant import CANARY_SHARE
+from plankspindle_daemon.rollouts.rollout_participant import LEASE_S
 from plankspindle_daemon.rollouts.rollout_participant import later_stage
 from plankspindle_daemon.rollouts.rollout_record import RolloutRecord
 from plankspindle_daemon.rollouts.stage import Stage
@@ -23,15 +24,16 @@
     from collections.abc import Mapping
 
     from plankspindle_core.endpoint import Endpoint
+    from plankspindle_daemon.dispatch.version_counts import ListedVersion
     from plankspindle_daemon.peer_messages.rollout_messages import RolloutReport
     from plankspindle_daemon.rollouts.rollout_participant import RolloutParticipant
 
-MIN_WARM_SHARE = 0.5
-"""Part of the target's listed upstreams that must be warm for the canary."""
-MIN_UPSTREAM_RATIO = 0.25
-"""Least number of the target's upstreams, as a share of the baseline's."""
 PATIENCE_SHARE = 1 / 3
 """Part of the duration after which any warm upstream is enough for the canary."""
+MEMORY_S = 5.0
+"""Time for which a coordinator goes on that nobody reports to, in seconds."""
+READ_PERIOD_S = 1.0
+"""Period of reading the record if few VMs report, in seconds."""
 SUPERSEDED_WAIT_S = 5.0
 """Time for the configuration to name the order of a later record, in seconds."""
 
@@ -92,12 +94,14 @@
     recorded: Stage | None = None
     evidence: RolloutEvidence = field(init=False)
     _has_read: bool = False
+    _read_at: float = -math.inf
+    _is_heard_by_most: bool = False
     _has_asked_for_move: bool = False
     _wanted: Stage | None = None
     _wanted_reason: str = ""
     _canary_at: float = math.inf
     _superseded_since: float | None = None
-    _listed: dict[str, ListedVersion] = Factory(dict)
+    _sides: ListedSides = Factory(lambda: ListedSides.of({}, baseline=None, target=""))
 
     def __attrs_post_init__(self) -> None:
         self.evidence = RolloutEvidence(
@@ -162,16 +166,27 @@
         self._enter(stage, participant.reason)
 
     def handle_record(
-        self, record: RolloutRecord | None, *, store_ahead_s: float, now: float
+        self, record: RolloutRecord | None, *, store_ahead_s: float, read_at: float
     ) -> None:
-        """Follow the record as read; it wins over what was not acknowledged."""
+        """Follow the record as read; it wins over what was not acknowledged.
+
+        Parameters
+        ----------
+        record : RolloutRecord, optional
+            The record; None if there is none.
+        store_ahead_s : float
+            Time by which the store's clock is ahead of the monotonic one, in seconds.
+        read_at : float
+            Monotonic time before the read, in seconds.
+        """
+        self._read_at = read_at
         self.needs_read = False
         self._has_read = True
         self.recorded = None
         if record is None:
             return
         if record.order not in self.order.aliases:
-            self._note_other_order(record, now)
+            self._note_other_order(record, read_at)
             return
         self._superseded_since = None
         # A record under an earlier number is written again under the restored one.
@@ -221,6 +236,8 @@
         self,
         listed: dict[str, ListedVersion],
         vms_by_domain: Mapping[str, int],
+        *,
+        known_vms: int,
         now: float,
     ) -> None:
         """Decide whether another stage is due.
@@ -231,11 +248,18 @@
             Upstreams of the service by software version.
         vms_by_domain : mapping of str to int
             Entry VMs that are not known to have failed.
+        known_vms : int
+            Number of all entry VMs, with those that failed just before.
         now : float
             Monotonic seconds.
         """
-        self._listed = listed
+        self._sides = ListedSides.of(
+            listed, baseline=self.baseline, target=self.order.target_version
+        )
         self._wanted = None
+        self._is_heard_by_most = 2 * self.evidence.heard_vms(now) > known_vms
+        if not self._is_heard_by_most and now - self._read_at >= READ_PERIOD_S:
+            self.needs_read = self.needs_read or not self.stage.is_final
         match self.stage:
             case Stage.PREPARING | Stage.CANARY | Stage.MOVING if self.is_withdrawn:
                 self._enter(Stage.HALTED, "withdrawn")
@@ -261,23 +285,10 @@
             self._enter(Stage.HALTED, "no-upstreams")
 
     def _is_ready(self, now: float) -> bool:
-        target = self._target()
         waited_s = now - self.order.ordered_at
         if waited_s >= PATIENCE_SHARE * self.order.duration_ms / 1000:
-            return target.warm > 0
-        return (
-            target.warm > 0
-            and target.warm >= MIN_WARM_SHARE * target.listed
-            and self._has_enough_upstreams()
-        )
-
-    def _target(self) -> ListedVersion:
-        return self._listed.get(self.order.target_version, ListedVersion())
-
-    def _has_enough_upstreams(self) -> bool:
-        baseline = self._listed.get(self.baseline or "", ListedVersion())
-        target = self._target()
-        return target.listed >= max(1, MIN_UPSTREAM_RATIO * baseline.listed)
+            return self._sides.target.warm > 0
+        return self._sides.suffice_for_canary()
 
     def _begin_canary(self, reason: str, now: float) -> None:
         self._canary_at = now
@@ -285,20 +296,21 @@
         self._enter(Stage.CANARY, reason)
 
     def _watch_canary(self, now: float) -> None:
-        share = self.canary_share * self._target().listed
-        if self._is_bad(math.ceil(share), now):
+        upstreams = math.ceil(self.canary_share * self._sides.target.listed)
+        if self._is_bad(upstreams, now):
             return
         if now < self.order.move_begins_at(self._canary_at):
             return
-        if self.evidence.is_enough() and self._has_enough_upstreams():
-            self._want(Stage.MOVING, "canary-good")
+        if self.evidence.is_enough() and self._sides.suffice_for_all():
+            if self._is_heard_by_most:
+                self._want(Stage.MOVING, "canary-good")
         elif now >= self.order.planned_end:
             self._enter(Stage.HALTED, "no-evidence")
 
     def _watch_move(self, vms_by_domain: Mapping[str, int], now: float) -> None:
-        if self._is_bad(self._target().listed, now):
+        if self._is_bad(self._sides.target.listed, now):
             return
-        if self.evidence.is_emptied(vms_by_domain, now):
+        if self._is_heard_by_most and self.evidence.is_emptied(vms_by_domain, now):
             self._want(Stage.COMPLETE, "baseline-emptied")
 
     def _is_bad(self, upstreams: int, now: float) -> bool:
@@ -317,6 +329,27 @@
         self.stage, self.reason = stage, reason
         self._wanted = None
 
+    def is_unneeded(self, *, is_chosen: bool, now: float) -> bool:
+        """Return whether another VM coordinates, or all know the recorded end."""
+        last_at = max(self.evidence.heard_at, self.started_at)
+        if now - last_at <= MEMORY_S:
+            return False
+        if self.stage.is_final:
+            return self.recorded is self.stage
+        return not is_chosen
+
+    def may_direct(self, now: float) -> bool:
+        """Return whether the VMs may follow this one, in monotonic seconds.
+
+        One that hears few VMs may be cut off from those that halt the order; the record
+        tells it.
+        """
+        if self.is_superseded(now):
+            return False
+        if self.stage not in (Stage.CANARY, Stage.MOVING):
+            return True
+        return self._is_heard_by_most or now - self._read_at <= LEASE_S
+
     def record_to_write(
         self, *, store_ahead_s: float, now: float
     ) -> RolloutRecord | None:
--- a/packages/daemon/src/plankspindle_daemon/rollouts/rollout_evidence.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/rollout_evidence.py
@@ -146,6 +146,17 @@
         )
         return self.latest
 
+    def heard_vms(self, now: float) -> int:
+        """Return the number of entry VMs whose reports come."""
+        return sum(each.vms for each in self._recent(now))
+
+    def _recent(self, now: float) -> list[RolloutReport]:
+        return [
+            self._newest_by_process[process]
+            for process, at in self._heard_at_by_process.items()
+            if now - at <= MAX_SILENCE_S
+        ]
+
     def is_emptied(self, vms_by_domain: Mapping[str, int], now: float) -> bool:
         """Return whether no entry VM in touch uses the baseline any more.
 
@@ -159,20 +170,12 @@
         Notes
         -----
         A failure domain that is not heard for ``MAX_DOMAIN_SILENCE_S`` does not count.
-        Reports of most VMs are needed, since another VM may coordinate the rest.
         """
-        heard = [
-            self._newest_by_process[process]
-            for process, at in self._heard_at_by_process.items()
-            if now - at <= MAX_SILENCE_S
-        ]
+        heard = self._recent(now)
         silent = vms_by_domain.keys() - {each.failure_domain for each in heard}
         if any(self._is_awaited(domain, now) for domain in silent):
             return False
-        vms = sum(each.vms for each in heard)
-        return 2 * vms > sum(vms_by_domain.values()) and all(
-            each.emptied_vms >= each.vms for each in heard
-        )
+        return bool(heard) and all(each.emptied_vms >= each.vms for each in heard)
 
     def _is_awaited(self, failure_domain: str, now: float) -> bool:
         """Return whether a silent failure domain may have another collector soon."""
--- a/packages/daemon/src/plankspindle_daemon/rollouts/rollout_roles.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/rollout_roles.py
@@ -17,6 +17,11 @@
 
 REFRESH_PERIOD_S = 0.5
 """Period of ranking the VMs anew, in seconds."""
+FAILURE_MEMORY_S = 30.0
+"""Time for which silent VMs count as known, in seconds.
+
+They may be on the other side of a partition.
+"""
 AVOIDANCE_S = 10.0
 """Time for which a VM that does not answer is passed over, in seconds."""
 
@@ -120,6 +125,10 @@
             counts[each.failure_domain] = counts.get(each.failure_domain, 0) + 1
         return counts
 
+    def known_vms(self, now: float) -> int:
+        """Return the number of VMs, with those that failed just before."""
+        return self.selector.known_count(now, max_silence_s=FAILURE_MEMORY_S)
+
     def endpoint_of(self, name: str) -> Endpoint | None:
         """Return the address of another VM; None if it is not known."""
         found = self._vm_by_name.get(name)
--- a/packages/daemon/src/plankspindle_daemon/rollouts/service_rollout.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/service_rollout.py
@@ -34,6 +34,8 @@
     from plankspindle_daemon.rollouts.rollout_record import StoredRollout
 
 REPORT_PERIOD_S = 0.25
+MOVING_REPORT_PERIOD_S = 0.1
+"""Period of reports in the stage ``MOVING``, whose end waits for them, in seconds."""
 DIRECTIVE_PERIOD_S = 0.5
 COORDINATOR_PATIENCE_S = 1.6
 """Time without a directive after which a collector passes over the coordinator, in s.
@@ -42,8 +44,6 @@
 """
 COLLECTOR_PATIENCE_S = 2.6
 """Time without a directive after which a VM passes over its collector, in seconds."""
-ROLE_MEMORY_S = 5.0
-"""Time for which a coordinator goes on that nobody reports to, in seconds."""
 
 
 @define(kw_only=True)
@@ -140,7 +140,9 @@
                 self.needs_read = True
             is_due = now >= self._next_report_at
             if is_due:
-                self._next_report_at = now + REPORT_PERIOD_S
+                is_moving = self.participant.stage is Stage.MOVING
+                period_s = MOVING_REPORT_PERIOD_S if is_moving else REPORT_PERIOD_S
+                self._next_report_at = now + period_s
                 effects += self._report(now)
             effects += self._coordinate(now, is_due=is_due)
         self.apply_split(now)
@@ -181,10 +183,10 @@
         if report is None and not self._collects_for_others(now):
             return effects
         sums = self.collector.report(self._own_members(), now)
-        if coordinator.endpoint is None:
-            self._ensure_coordinator(order, now).handle_report(sums, None, now)
-        else:
+        if coordinator.endpoint is not None:
             effects.append(SendToPeer(message=sums, to=coordinator.endpoint))
+        if coordinator.endpoint is None or self.coordinator is not None:
+            self._ensure_coordinator(order, now).handle_report(sums, None, now)
         return effects
 
     def _own_members(self) -> list[str]:
@@ -224,15 +226,20 @@
         coordinator = self.coordinator
         if coordinator is None:
             return []
-        if self._is_unneeded(coordinator, now):
+        if coordinator.is_unneeded(is_chosen=self._is_chosen(), now=now):
             self.coordinator = None
             return []
         if is_due:
             listed = self.dispatch.listed_versions(self.service)
-            coordinator.tick(listed, self.roles.vms_by_domain(), now)
+            coordinator.tick(
+                listed,
+                self.roles.vms_by_domain(),
+                known_vms=self.roles.known_vms(now),
+                now=now,
+            )
         if coordinator.stage is self._told_stage and now < self._next_directive_at:
             return []
-        if coordinator.is_superseded(now):
+        if not coordinator.may_direct(now):
             return []
         if coordinator.stage is not self._told_stage:
             self._told_stage = coordinator.stage
@@ -240,15 +247,10 @@
         self._next_directive_at = now + DIRECTIVE_PERIOD_S
         return self._direct(coordinator, now)
 
-    def _is_unneeded(self, coordinator: RolloutCoordinator, now: float) -> bool:
-        """Return whether another VM coordinates, or all know the recorded end."""
-        last_at = max(coordinator.evidence.heard_at, coordinator.started_at)
-        if now - last_at <= ROLE_MEMORY_S:
-            return False
-        if coordinator.stage.is_final:
-            return coordinator.recorded is coordinator.stage
+    def _is_chosen(self) -> bool:
+        """Return whether this VM should coordinate as far as it knows."""
         chosen = self.roles.coordinator()
-        return chosen is not None and chosen.endpoint is not None
+        return chosen is not None and chosen.endpoint is None
 
     def _direct(self, coordinator: RolloutCoordinator, now: float) -> list[SendToPeer]:
         directive = coordinator.directive(now)
@@ -362,7 +364,7 @@
             )
         if self.coordinator is not None:
             self.coordinator.handle_record(
-                record, store_ahead_s=self._store_ahead_s, now=now
+                record, store_ahead_s=self._store_ahead_s, read_at=read_at
             )
         self.apply_split(now)
 
@@ -392,8 +394,7 @@
         if not self._confirmed.may_be_lost(self.store_era):
             return
         self.roles.refresh(now)
-        chosen = self.roles.coordinator()
-        if self.coordinator is None and (chosen is None or chosen.endpoint is not None):
+        if self.coordinator is None and not self._is_chosen():
             return
         self._confirmed = None
         self._ensure_coordinator(order, now).expect_lost_record()
--- /dev/null
+++ b/packages/daemon/tests/rollouts/test_rollout_state_machine.py
@@ -0,0 +1,176 @@
+"""Randomised roll-outs of several entry VMs while parts fail."""
+
+from __future__ import annotations
+
+from attrs import evolve
+from hypothesis import Phase
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from plankspindle_daemon.rollouts.stage import Stage
+from plankspindle_testkit.rollout_fleet import NEW
+from plankspindle_testkit.rollout_fleet import OLD
+from plankspindle_testkit.rollout_fleet import RolloutFleet
+from plankspindle_testkit.rollout_fleet import RolloutVm
+
+DURATION_S = 15.0
+TOLD_S = 7.0
+"""Time for the end to reach VMs in touch, also when the coordinator dies, in seconds.
+
+In it fall the failure of the coordinator, of a collector and of a directive.
+"""
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+
+
+class RolloutMachine(RuleBasedStateMachine):
+    """Roll-outs hold their bounds whatever fails, and end once nothing fails."""
+
+    @initialize(
+        seed=st.integers(0, 1000),
+        bad_share=st.sampled_from([0.0, 0.0, 0.3, 1.0]),
+    )
+    def order(self, seed: int, bad_share: float) -> None:
+        self.fleet = RolloutFleet(seed=seed)
+        self.fleet.run(1.0)
+        self.bad_share = bad_share
+        self.fleet.bad_share_by_version[NEW] = bad_share
+        self.fleet.give_order(duration_s=DURATION_S)
+        self.is_withdrawn = False
+        self.has_returned = False
+        self.copies = [dict(self.fleet.store.rows_by_service)]
+        self.told: set[Stage] = set()
+        self.complete_at: float | None = None
+        self.sent_before: dict[str, int] = {}
+
+    @rule(ticks=st.integers(1, 24))
+    def let_time_pass(self, ticks: int) -> None:
+        for _ in range(ticks):
+            self.fleet.run(0.1)
+            self._check_step()
+
+    @rule(loss=st.sampled_from([0.0, 0.1, 0.4]))
+    def lose_messages(self, loss: float) -> None:
+        self.fleet.loss = loss
+
+    @rule(repeat=st.sampled_from([0.0, 0.3]), delay_s=st.sampled_from([0.02, 0.5, 2.0]))
+    def delay_messages(self, repeat: float, delay_s: float) -> None:
+        self.fleet.repeat, self.fleet.max_delay_s = repeat, delay_s
+
+    @rule()
+    def kill_coordinator(self) -> None:
+        for vm in self.fleet.coordinators()[:1]:
+            if len(self.fleet.running()) > 2:
+                vm.is_running = False
+
+    @rule(number=st.integers(0, 3))
+    def restart(self, number: int) -> None:
+        vm = list(self.fleet.vms_by_name.values())[number]
+        self.sent_before[vm.name] = self.sent_before.get(vm.name, 0) + len(
+            vm.dispatch.sent
+        )
+        self.fleet.start_vm(vm.name, vm.failure_domain)
+
+    @rule(number=st.integers(0, 3), is_cut=st.booleans(), with_store=st.booleans())
+    def cut(self, number: int, is_cut: bool, with_store: bool) -> None:
+        vm = list(self.fleet.vms_by_name.values())[number]
+        self.fleet.cut(vm, is_cut=is_cut, with_store=with_store)
+
+    @rule(is_down=st.booleans(), loses_answers=st.booleans())
+    def disturb_store(self, is_down: bool, loses_answers: bool) -> None:
+        self.fleet.store.is_down = is_down
+        self.fleet.store.loses_answers = loses_answers
+
+    @precondition(lambda self: not self.is_withdrawn)
+    @rule()
+    def withdraw(self) -> None:
+        self.is_withdrawn = True
+        self.fleet.configure()
+
+    @rule()
+    def copy_store(self) -> None:
+        self.copies = [dict(self.fleet.store.rows_by_service)]
+
+    @precondition(lambda self: self.fleet.order is not None and not self.has_returned)
+    @rule(number=st.sampled_from([5, 9]))
+    def return_store(self, number: int) -> None:
+        """Return the store from a copy; the operator restores the order."""
+        order = self.fleet.order
+        assert order is not None
+        self.has_returned = True
+        self.fleet.return_store(self.copies[-1])
+        self.let_time_pass(8)
+        self.fleet.configure(evolve(order, number=number))
+
+    @invariant()
+    def one_verdict(self) -> None:
+        assert not {Stage.COMPLETE, Stage.ROLLED_BACK} <= self.told, self.told
+
+    def _check_step(self) -> None:
+        fleet = self.fleet
+        ends = {vm.stage for vm in fleet.running() if vm.stage.is_final}
+        self.told |= ends
+        if Stage.COMPLETE in ends and self.complete_at is None:
+            self.complete_at = fleet.now
+        self._check_exposure()
+        if self.complete_at is not None and fleet.now - self.complete_at > TOLD_S:
+            self._check_baseline()
+
+    def _check_exposure(self) -> None:
+        if self.bad_share < 0.3:
+            return
+        sent = [
+            version
+            for vm in self.fleet.vms_by_name.values()
+            for _, version in vm.dispatch.sent
+        ]
+        requests = len(sent) + sum(self.sent_before.values())
+        assert sent.count(NEW) <= EXPOSURE_SHARE * requests + EXPOSURE_SLACK
+
+    def _check_baseline(self) -> None:
+        """VMs in touch with the others send nothing to the old version any more."""
+        if self.fleet.loss > 0.1 or self.fleet.max_delay_s > 0.5:
+            self.complete_at = self.fleet.now
+        for vm in self.fleet.in_touch(for_s=TOLD_S):
+            assert not self._sent_recently(vm, OLD), (vm.name, vm.stage)
+
+    def _sent_recently(self, vm: RolloutVm, version: str) -> bool:
+        recent = [each for at, each in vm.dispatch.sent if at > self.fleet.now - 0.1]
+        return version in recent
+
+    def teardown(self) -> None:
+        """End all faults: the roll-out ends, and all VMs know how."""
+        if not hasattr(self, "fleet"):
+            return
+        fleet = self.fleet
+        fleet.loss = fleet.repeat = 0.0
+        fleet.max_delay_s = 0.02
+        fleet.store.is_down = fleet.store.loses_answers = False
+        for vm in fleet.vms_by_name.values():
+            fleet.cut(vm, is_cut=False)
+        for _ in range(round(10 * (DURATION_S + 40))):
+            fleet.run(0.1)
+            self._check_step()
+        self.one_verdict()
+        # A process that started after the order was withdrawn knows of none.
+        ends = {vm.stage for vm in fleet.running() if vm.has_order}
+        assert len(ends) <= 1, ends
+        assert ends <= {Stage.COMPLETE, Stage.ROLLED_BACK}, ends
+        if self.bad_share >= 0.3:
+            assert ends <= {Stage.ROLLED_BACK}
+
+
+RolloutMachine.TestCase.settings = settings(
+    max_examples=25,
+    stateful_step_count=20,
+    deadline=None,
+    derandomize=True,
+    # A fleet takes too long for a search of smaller examples.
+    phases=[Phase.explicit, Phase.reuse, Phase.generate],
+)
+TestRollouts = RolloutMachine.TestCase
--- a/packages/testkit/src/plankspindle_testkit/rollout_fleet.py
+++ b/packages/testkit/src/plankspindle_testkit/rollout_fleet.py
@@ -56,6 +56,8 @@
     ----------
     sent : list of (float, str)
         When requests were sent, and to which software version.
+    answers_of_target : bool
+        Whether the target answers.
     """
 
     failure_domain: str
@@ -64,6 +66,7 @@
     listed: dict[str, ListedVersion] = Factory(dict)
     bad_share_by_version: dict[str, float] = Factory(dict)
     sent: list[tuple[float, str]] = Factory(list)
+    answers_of_target: bool = True
     now: float = 0.0
     _counted: VersionOutcomes = field(init=False)
     _requests: int = 0
@@ -117,7 +120,7 @@
             self._exposed += 1
             self._counted = evolve(
                 counted,
-                target_answers=counted.target_answers + 1,
+                target_answers=counted.target_answers + self.answers_of_target,
                 target_bad=counted.target_bad + is_bad,
             )
         else:
@@ -178,6 +181,7 @@
     keeper_at: float = 0.0
     is_running: bool = True
     is_cut: bool = False
+    is_cut_from_store: bool = False
     reachable_since: float = 0.0
     stages: list[tuple[float, Stage]] = Factory(list)
 
@@ -186,6 +190,11 @@
         """Stage that the VM knows."""
         return self.rollouts.rollouts_by_service[SERVICE].participant.stage
 
+    @property
+    def has_order(self) -> bool:
+        """Whether the VM knows an order."""
+        return self.rollouts.rollouts_by_service[SERVICE].participant.order is not None
+
     @property
     def coordinates(self) -> bool:
         """Whether the VM coordinates."""
@@ -210,6 +219,7 @@
     )
     bad_share_by_version: dict[str, float] = Factory(dict)
     order: Rollout | None = None
+    messages: int = 0
     random: Random = field(init=False)
     _revision: int = 0
     _numbers: Iterator[int] = Factory(count)
@@ -309,7 +319,7 @@
         self._deliver()
         for vm in self.running():
             self._send(vm, vm.rollouts.tick(self.now))
-            while vm.keeper_at <= self.now:
+            while vm.keeper_at <= self.now and not vm.is_cut_from_store:
                 vm.keeper_at += next(vm.keeper)
             self._note_stage(vm)
             vm.dispatch.send_requests(REQUESTS_PER_TICK, self.now)
@@ -330,9 +340,11 @@
             if not vm.is_cut and self.now - vm.reachable_since >= for_s
         ]
 
-    def cut(self, vm: RolloutVm, *, is_cut: bool) -> None:
-        """Cut a VM off from the others, or connect it again."""
+    def cut(self, vm: RolloutVm, *, is_cut: bool, with_store: bool = False) -> None:
+        """Cut a VM off from the others, also from the store, or connect it again."""
         vm.is_cut = is_cut
+        vm.is_cut_from_store = is_cut and with_store
+        vm.keeper_at = max(vm.keeper_at, self.now)
         vm.reachable_since = self.now
 
     def _exchange_heartbeats(self) -> None:
@@ -348,10 +360,12 @@
                 other.name, failure_domain=other.failure_domain
             )
             members[other.name].peer_endpoint = other.endpoint
+            members[other.name].known_since = self.now
         if other.is_running and not (vm.is_cut or other.is_cut):
             members[other.name].last_heartbeat_at = self.now
 
     def _send(self, sender: RolloutVm, effects: list[SendToPeer]) -> None:
+        self.messages += len(effects)
         for effect in effects:
             copies = 1 + (self.random.random() < self.repeat)
             for _ in range(copies):
