Roll-outs: randomised trials check leases, acknowledged ends and the baseline

Change: the trials check that an end is told only after the store knows it, that a VM without contact exposes nothing, and that nothing runs at the baseline at VMs in touch once the end is told. A coordinator needs reports or the record of the last 1.5 s. Records and directives are built in modules of their own.

--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -165,9 +165,8 @@
         self._quarantine = QuarantineStore(
             quarantine=self.node.quarantine, platform=self._platform, random=random
         )
-        self._records = make_record_keeper(
-            self.node.rollouts, self._ports.rollout_records, random
-        )
+        records, rollouts = self._ports.rollout_records, self.node.rollouts
+        self._records = make_record_keeper(rollouts, records, random)
 
     def _make_followers(self) -> None:
         """Create what reads the platform periodically."""
--- a/packages/daemon/src/plankspindle_daemon/rollouts/rollout_coordinator.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/rollout_coordinator.py
@@ -6,16 +6,15 @@
 from typing import TYPE_CHECKING
 
 from attrs import Factory
+from attrs import evolve
 from attrs import field
 
 from plankspindle_core.classes import define
-from plankspindle_daemon.peer_messages.rollout_messages import RolloutDirective
 from plankspindle_daemon.rollouts.judgement import Verdict
 from plankspindle_daemon.rollouts.listed_sides import ListedSides
 from plankspindle_daemon.rollouts.rollout_evidence import RolloutEvidence
 from plankspindle_daemon.rollouts.rollout_order import RolloutOrder
 from plankspindle_daemon.rollouts.rollout_participant import CANARY_SHARE
-from plankspindle_daemon.rollouts.rollout_participant import LEASE_S
 from plankspindle_daemon.rollouts.rollout_participant import later_stage
 from plankspindle_daemon.rollouts.rollout_record import RolloutRecord
 from plankspindle_daemon.rollouts.stage import Stage
@@ -32,7 +31,12 @@
 """Part of the duration after which any warm upstream is enough for the canary."""
 MEMORY_S = 5.0
 """Time for which a coordinator goes on that nobody reports to, in seconds."""
-READ_PERIOD_S = 1.0
+CONTACT_S = 1.5
+"""Time for which reports of most VMs, or the record, entitle to direct, in seconds.
+
+A VM that is cut off follows itself for this time and a lease.
+"""
+READ_PERIOD_S = 0.75
 """Period of reading the record if few VMs report, in seconds."""
 SUPERSEDED_WAIT_S = 5.0
 """Time for the configuration to name the order of a later record, in seconds."""
@@ -159,9 +163,9 @@
 
     def learn_stage(self, stage: Stage, participant: RolloutParticipant) -> None:
         """Take a later stage that another coordinator told, as this VM follows it."""
-        self.needs_read = True
         if later_stage(self.stage, stage) is self.stage:
             return
+        self.needs_read = True
         self.moving_at, self.ends_at = participant.moving_at, participant.ends_at
         self._enter(stage, participant.reason)
 
@@ -257,7 +261,9 @@
             listed, baseline=self.baseline, target=self.order.target_version
         )
         self._wanted = None
-        self._is_heard_by_most = 2 * self.evidence.heard_vms(now) > known_vms
+        self._is_heard_by_most = (
+            2 * self.evidence.heard_vms(now, for_s=CONTACT_S) > known_vms
+        )
         if not self._is_heard_by_most and now - self._read_at >= READ_PERIOD_S:
             self.needs_read = self.needs_read or not self.stage.is_final
         match self.stage:
@@ -348,7 +354,7 @@
             return False
         if self.stage not in (Stage.CANARY, Stage.MOVING):
             return True
-        return self._is_heard_by_most or now - self._read_at <= LEASE_S
+        return self._is_heard_by_most or now - self._read_at <= CONTACT_S
 
     def record_to_write(
         self, *, store_ahead_s: float, now: float
@@ -368,17 +374,16 @@
         moving_at, ends_at = self.moving_at, self.ends_at
         if stage is Stage.MOVING and math.isinf(moving_at):
             moving_at, ends_at = now, self.order.move_ends_at(now)
-        has_moved = not math.isinf(moving_at)
-        return RolloutRecord(
-            service=self.service,
-            baseline_version=self.baseline,
-            order=self.order.number,
-            target_version=self.order.target_version,
-            duration_ms=self.order.duration_ms,
-            stage=stage,
-            ordered_at_s=self.order.ordered_at + store_ahead_s,
-            moving_at_s=moving_at + store_ahead_s if has_moved else 0.0,
-            ends_at_s=ends_at + store_ahead_s if has_moved else 0.0,
+        blank = RolloutRecord(
+            service=self.service, baseline_version=self.baseline, stage=stage
+        )
+        record = self.order.filled_in(blank, store_ahead_s=store_ahead_s)
+        if math.isinf(moving_at):
+            return record
+        return evolve(
+            record,
+            moving_at_s=moving_at + store_ahead_s,
+            ends_at_s=ends_at + store_ahead_s,
         )
 
     def _stage_to_record(self, now: float) -> Stage | None:
@@ -392,18 +397,3 @@
         recorded = self.recorded
         is_recorded = recorded is not None and later_stage(recorded, stage) is recorded
         return None if is_recorded else stage
-
-    def directive(self, now: float) -> RolloutDirective:
-        """Return what the entry VMs are to do."""
-        is_moving = self.stage is Stage.MOVING
-        return RolloutDirective(
-            sender=self.vm,
-            service=self.service,
-            order=self.order.number,
-            stage=self.stage.value,
-            baseline_version=self.baseline or "",
-            target_version=self.order.target_version,
-            moving_ms=round(1000 * (now - self.moving_at)) if is_moving else 0,
-            ends_in_ms=round(1000 * (self.ends_at - now)) if is_moving else 0,
-            reason=self.reason,
-        )
--- a/packages/daemon/src/plankspindle_daemon/rollouts/rollout_evidence.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/rollout_evidence.py
@@ -146,15 +146,15 @@
         )
         return self.latest
 
-    def heard_vms(self, now: float) -> int:
-        """Return the number of entry VMs whose reports come."""
-        return sum(each.vms for each in self._recent(now))
+    def heard_vms(self, now: float, *, for_s: float) -> int:
+        """Return the number of entry VMs whose reports came in a time, in seconds."""
+        return sum(each.vms for each in self._recent(now, for_s))
 
-    def _recent(self, now: float) -> list[RolloutReport]:
+    def _recent(self, now: float, for_s: float) -> list[RolloutReport]:
         return [
             self._newest_by_process[process]
             for process, at in self._heard_at_by_process.items()
-            if now - at <= MAX_SILENCE_S
+            if now - at <= for_s
         ]
 
     def is_emptied(self, vms_by_domain: Mapping[str, int], now: float) -> bool:
@@ -171,7 +171,7 @@
         -----
         A failure domain that is not heard for ``MAX_DOMAIN_SILENCE_S`` does not count.
         """
-        heard = self._recent(now)
+        heard = self._recent(now, MAX_SILENCE_S)
         silent = vms_by_domain.keys() - {each.failure_domain for each in heard}
         if any(self._is_awaited(domain, now) for domain in silent):
             return False
--- a/packages/daemon/src/plankspindle_daemon/rollouts/rollout_order.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/rollout_order.py
@@ -104,6 +104,26 @@
             and self.duration_ms == other.duration_ms
         )
 
+    def filled_in(
+        self, record: RolloutRecord, *, store_ahead_s: float
+    ) -> RolloutRecord:
+        """Return a record with the content and time of the order.
+
+        Parameters
+        ----------
+        record : RolloutRecord
+            Service, baseline and stage.
+        store_ahead_s : float
+            Time by which the store's clock is ahead of the monotonic one, in seconds.
+        """
+        return evolve(
+            record,
+            order=self.number,
+            target_version=self.target_version,
+            duration_ms=self.duration_ms,
+            ordered_at_s=self.ordered_at + store_ahead_s,
+        )
+
     def renumbered(self, number: int) -> RolloutOrder:
         """Return the order under a number that it was restored with."""
         return evolve(self, number=number, aliases=self.aliases | {number})
--- a/packages/daemon/src/plankspindle_daemon/rollouts/service_rollout.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/service_rollout.py
@@ -17,10 +17,10 @@
 from plankspindle_daemon.rollouts.rollout_log import VersionLog
 from plankspindle_daemon.rollouts.rollout_log import log_stage
 from plankspindle_daemon.rollouts.rollout_participant import RolloutParticipant
-from plankspindle_daemon.rollouts.rollout_participant import later_stage
 from plankspindle_daemon.rollouts.rollout_participant import parse_stage
 from plankspindle_daemon.rollouts.rollout_roles import RolloutRoles
 from plankspindle_daemon.rollouts.stage import Stage
+from plankspindle_daemon.rollouts.stage_directive import directive_of
 from plankspindle_daemon.rollouts.version_dispatch import VersionDispatch
 from plankspindle_daemon.versions.acknowledged_write import AcknowledgedWrite
 from plankspindle_daemon.versions.store_era import StoreEra
@@ -253,7 +253,7 @@
         return chosen is not None and chosen.endpoint is None
 
     def _direct(self, coordinator: RolloutCoordinator, now: float) -> list[SendToPeer]:
-        directive = coordinator.directive(now)
+        directive = directive_of(coordinator, now)
         self._follow(directive, now)
         endpoints = coordinator.evidence.collectors(now)
         endpoints |= self.roles.collector_endpoints()
@@ -289,8 +289,7 @@
     ) -> list[SendToPeer]:
         """Follow a directive, and relay it if it comes from the coordinator itself."""
         self._follow(directive, now)
-        if self.coordinator is not None:
-            self._learn_from(directive)
+        self._learn_from(directive)
         self.roles.refresh(now)
         if sender != self.roles.endpoint_of(directive.sender):
             return []
@@ -303,8 +302,7 @@
         stage = parse_stage(directive.stage)
         if coordinator is None or order is None or stage is None:
             return
-        is_later = later_stage(coordinator.stage, stage) is not coordinator.stage
-        if directive.order in order.aliases and is_later:
+        if directive.order in order.aliases:
             coordinator.learn_stage(stage, self.participant)
 
     def _handle_report(
--- a/packages/daemon/tests/rollouts/test_rollout_state_machine.py
+++ b/packages/daemon/tests/rollouts/test_rollout_state_machine.py
@@ -12,9 +12,14 @@
 from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
 
+from plankspindle_daemon.rollouts.rollout_coordinator import CONTACT_S
+from plankspindle_daemon.rollouts.rollout_participant import LEASE_S
 from plankspindle_daemon.rollouts.stage import Stage
+from plankspindle_testkit.rollout_fleet import DELAY_S
 from plankspindle_testkit.rollout_fleet import NEW
 from plankspindle_testkit.rollout_fleet import OLD
+from plankspindle_testkit.rollout_fleet import REQUEST_S
+from plankspindle_testkit.rollout_fleet import TICK_S
 from plankspindle_testkit.rollout_fleet import RolloutFleet
 from plankspindle_testkit.rollout_fleet import RolloutVm
 
@@ -46,9 +51,10 @@
         self.copies = [dict(self.fleet.store.rows_by_service)]
         self.told: set[Stage] = set()
         self.complete_at: float | None = None
+        self.calm_since = self.fleet.now
         self.sent_before: dict[str, int] = {}
 
-    @rule(ticks=st.integers(1, 24))
+    @rule(ticks=st.integers(1, 60))
     def let_time_pass(self, ticks: int) -> None:
         for _ in range(ticks):
             self.fleet.run(0.1)
@@ -57,16 +63,19 @@
     @rule(loss=st.sampled_from([0.0, 0.1, 0.4]))
     def lose_messages(self, loss: float) -> None:
         self.fleet.loss = loss
+        self._disturb()
 
     @rule(repeat=st.sampled_from([0.0, 0.3]), delay_s=st.sampled_from([0.02, 0.5, 2.0]))
     def delay_messages(self, repeat: float, delay_s: float) -> None:
         self.fleet.repeat, self.fleet.max_delay_s = repeat, delay_s
+        self._disturb()
 
     @rule()
     def kill_coordinator(self) -> None:
         for vm in self.fleet.coordinators()[:1]:
             if len(self.fleet.running()) > 2:
                 vm.is_running = False
+                self._disturb()
 
     @rule(number=st.integers(0, 3))
     def restart(self, number: int) -> None:
@@ -75,11 +84,13 @@
             vm.dispatch.sent
         )
         self.fleet.start_vm(vm.name, vm.failure_domain)
+        self._disturb()
 
     @rule(number=st.integers(0, 3), is_cut=st.booleans(), with_store=st.booleans())
     def cut(self, number: int, is_cut: bool, with_store: bool) -> None:
         vm = list(self.fleet.vms_by_name.values())[number]
         self.fleet.cut(vm, is_cut=is_cut, with_store=with_store)
+        self._disturb()
 
     @rule(is_down=st.booleans(), loses_answers=st.booleans())
     def disturb_store(self, is_down: bool, loses_answers: bool) -> None:
@@ -115,11 +126,13 @@
         fleet = self.fleet
         ends = {vm.stage for vm in fleet.running() if vm.stage.is_final}
         self.told |= ends
+        acknowledged = {each.stage for each in fleet.store.written}
+        assert ends <= acknowledged, "an end is told that the store does not know"
         if Stage.COMPLETE in ends and self.complete_at is None:
             self.complete_at = fleet.now
         self._check_exposure()
-        if self.complete_at is not None and fleet.now - self.complete_at > TOLD_S:
-            self._check_baseline()
+        self._check_lease()
+        self._check_baseline()
 
     def _check_exposure(self) -> None:
         if self.bad_share < 0.3:
@@ -132,17 +145,35 @@
         requests = len(sent) + sum(self.sent_before.values())
         assert sent.count(NEW) <= EXPOSURE_SHARE * requests + EXPOSURE_SLACK
 
+    def _check_lease(self) -> None:
+        """A VM that hears neither VMs nor the store exposes no requests."""
+        for vm in self.fleet.running():
+            cut_s = self.fleet.now - vm.reachable_since
+            if vm.is_cut_from_store and cut_s > CONTACT_S + LEASE_S + 4 * TICK_S:
+                is_told = vm.stage is Stage.COMPLETE
+                assert is_told or not self._sends(vm, NEW, for_s=0.1), vm.name
+
     def _check_baseline(self) -> None:
-        """VMs in touch with the others send nothing to the old version any more."""
-        if self.fleet.loss > 0.1 or self.fleet.max_delay_s > 0.5:
-            self.complete_at = self.fleet.now
+        """Once the end is told, nothing runs at the old version at VMs in touch."""
+        told_at, now = self.complete_at, self.fleet.now
+        is_calm = now - self.calm_since > TOLD_S and not self.is_network_bad()
+        if told_at is None or not is_calm:
+            return
+        # A request that was sent just before may still run.
+        for_s = REQUEST_S if now - told_at <= 2 * TICK_S else 2 * TICK_S
         for vm in self.fleet.in_touch(for_s=TOLD_S):
-            assert not self._sent_recently(vm, OLD), (vm.name, vm.stage)
+            assert not self._sends(vm, OLD, for_s=for_s), (vm.name, vm.stage)
 
-    def _sent_recently(self, vm: RolloutVm, version: str) -> bool:
-        recent = [each for at, each in vm.dispatch.sent if at > self.fleet.now - 0.1]
+    def is_network_bad(self) -> bool:
+        return self.fleet.loss > 0.0 or self.fleet.max_delay_s > DELAY_S
+
+    def _sends(self, vm: RolloutVm, version: str, *, for_s: float) -> bool:
+        recent = [each for at, each in vm.dispatch.sent if at > self.fleet.now - for_s]
         return version in recent
 
+    def _disturb(self) -> None:
+        self.calm_since = self.fleet.now
+
     def teardown(self) -> None:
         """End all faults: the roll-out ends, and all VMs know how."""
         if not hasattr(self, "fleet"):
@@ -153,6 +184,7 @@
         fleet.store.is_down = fleet.store.loses_answers = False
         for vm in fleet.vms_by_name.values():
             fleet.cut(vm, is_cut=False)
+        self._disturb()
         for _ in range(round(10 * (DURATION_S + 40))):
             fleet.run(0.1)
             self._check_step()
@@ -166,7 +198,7 @@
 
 
 RolloutMachine.TestCase.settings = settings(
-    max_examples=25,
+    max_examples=60,
     stateful_step_count=20,
     deadline=None,
     derandomize=True,
