Roll-outs: a coordinator whose failure nobody detects is passed over

Cause: collectors went on reporting to a failed VM of another failure domain as long as any other VM directed them, and that one heard too few to begin the move. Found in a trial of eight simulated VMs whose membership detects no failure.

Change: a collector reports to the VMs that direct it as well, measures the silence of the one that it has chosen, and a coordinator gives way to the one that it would choose.

--- a/packages/daemon/src/plankspindle_daemon/rollouts/rollout_roles.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/rollout_roles.py
@@ -24,6 +24,13 @@
 """
 AVOIDANCE_S = 10.0
 """Time for which a VM that does not answer is passed over, in seconds."""
+COORDINATOR_PATIENCE_S = 1.6
+"""Time without a directive after which a collector passes over the coordinator, in s.
+
+Less than a lease, so that the next one can renew it in time.
+"""
+COLLECTOR_PATIENCE_S = 2.6
+"""Time without a directive after which a VM passes over its collector, in seconds."""
 
 
 @define(kw_only=True)
@@ -51,6 +58,8 @@
     _rank_by_name: dict[str, int] = Factory(dict)
     _avoided_until_by_name: dict[str, float] = Factory(dict)
     _refreshed_at: float = -math.inf
+    _patient_since: float = -math.inf
+    _directed_at_by_name: dict[str, float] = Factory(dict)
 
     @property
     def vm(self) -> str:
@@ -81,13 +90,67 @@
             self._rank_by_name[vm.name] = rank
         return rank, vm.name
 
-    def avoid(self, vm: CandidateVm, now: float) -> None:
-        """Pass over a VM that does not answer, other than this one, for a while."""
+    def begin_order(self, now: float) -> None:
+        """Wait for directives on a new order from now on, in monotonic seconds."""
+        self._patient_since = now
+        self._directed_at_by_name = {}
+
+    def note_directive(self, sender: str, now: float) -> None:
+        """Note that a VM directs, in monotonic seconds."""
+        self._directed_at_by_name[sender] = now
+
+    def avoid_silent(self, directed_at: float, now: float) -> None:
+        """Pass over the VM whose directives should have come.
+
+        Parameters
+        ----------
+        directed_at : float
+            When the last directive of any VM came, in monotonic seconds.
+        now : float
+            Monotonic seconds.
+
+        Notes
+        -----
+        A failed VM of another failure domain may be unknown for half a minute.
+        """
+        collector, coordinator = self.collector(), self._coordinator
+        if collector is None or coordinator is None:
+            return
+        if collector.name != self.vm:
+            last_at, patience_s = directed_at, COLLECTOR_PATIENCE_S
+            suspected = collector
+        else:
+            last_at = self._directed_at_by_name.get(coordinator.name, -math.inf)
+            patience_s, suspected = COORDINATOR_PATIENCE_S, coordinator
+        if now - max(last_at, self._patient_since) >= patience_s:
+            self._patient_since = now
+            self._avoid(suspected, now)
+
+    def _avoid(self, vm: CandidateVm, now: float) -> None:
         if vm.name != self.vm:
             self._avoided_until_by_name[vm.name] = now + AVOIDANCE_S
             self._refreshed_at = -math.inf
             self.refresh(now)
 
+    def coordinator_endpoints(self, now: float) -> set[Endpoint]:
+        """Return the addresses of the chosen coordinator and of those that direct."""
+        found = {
+            self.endpoint_of(name)
+            for name, at in self._directed_at_by_name.items()
+            if now - at <= COORDINATOR_PATIENCE_S
+        }
+        if self._coordinator is not None:
+            found.add(self._coordinator.endpoint)
+        return {each for each in found if each is not None}
+
+    def is_led_by_another(self, now: float) -> bool:
+        """Return whether the coordinator that this VM would choose directs it."""
+        chosen = self._coordinator
+        if chosen is None or chosen.name == self.vm:
+            return False
+        directed_at = self._directed_at_by_name.get(chosen.name, -math.inf)
+        return now - directed_at <= COORDINATOR_PATIENCE_S
+
     def coordinator(self) -> CandidateVm | None:
         """Return the VM that coordinates; None before the first refresh."""
         return self._coordinator
--- a/packages/daemon/src/plankspindle_daemon/rollouts/service_rollout.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/service_rollout.py
@@ -37,13 +37,6 @@
 MOVING_REPORT_PERIOD_S = 0.1
 """Period of reports in the stage ``MOVING``, whose end waits for them, in seconds."""
 DIRECTIVE_PERIOD_S = 0.5
-COORDINATOR_PATIENCE_S = 1.6
-"""Time without a directive after which a collector passes over the coordinator, in s.
-
-Less than a lease, so that the next one can renew it in time.
-"""
-COLLECTOR_PATIENCE_S = 2.6
-"""Time without a directive after which a VM passes over its collector, in seconds."""
 
 
 @define(kw_only=True)
@@ -81,7 +74,6 @@
     _next_report_at: float = -math.inf
     _next_directive_at: float = -math.inf
     _told_stage: Stage | None = None
-    _patient_since: float = -math.inf
     _split: VersionSplit | None = None
     _has_read_baseline: bool = False
     _log: VersionLog = Factory(VersionLog)
@@ -105,7 +97,7 @@
             self.collector = self.coordinator = None
             self._told_stage = None
             self._confirmed = None
-            self._patient_since = now
+            self.roles.begin_order(now)
         if self.coordinator is not None:
             self.coordinator.is_withdrawn = participant.is_withdrawn
         self._share_numbers()
@@ -135,7 +127,8 @@
         effects: list[SendToPeer] = []
         if self.is_active or self.collector is not None:
             self.roles.refresh(now)
-            self._avoid_silent(now)
+            if self.participant.is_running:
+                self.roles.avoid_silent(self.participant.directed_at, now)
             if self.participant.take_due_read(now):
                 self.needs_read = True
             is_due = now >= self._next_report_at
@@ -148,20 +141,6 @@
         self.apply_split(now)
         return effects
 
-    def _avoid_silent(self, now: float) -> None:
-        """Pass over the VM whose directives should have come."""
-        if not self.participant.is_running:
-            return
-        silent_s = now - max(self.participant.directed_at, self._patient_since)
-        collector, coordinator = self.roles.collector(), self.roles.coordinator()
-        if collector is None or coordinator is None:
-            return
-        is_collector = collector.name == self.roles.vm
-        patience_s = COORDINATOR_PATIENCE_S if is_collector else COLLECTOR_PATIENCE_S
-        if silent_s >= patience_s:
-            self._patient_since = now
-            self.roles.avoid(coordinator if is_collector else collector, now)
-
     def _report(self, now: float) -> list[SendToPeer]:
         """Report to the collector, and as a collector to the coordinator."""
         effects: list[SendToPeer] = []
@@ -183,8 +162,8 @@
         if report is None and not self._collects_for_others(now):
             return effects
         sums = self.collector.report(self._own_members(), now)
-        if coordinator.endpoint is not None:
-            effects.append(SendToPeer(message=sums, to=coordinator.endpoint))
+        for endpoint in sorted(self.roles.coordinator_endpoints(now)):
+            effects.append(SendToPeer(message=sums, to=endpoint))
         if coordinator.endpoint is None or self.coordinator is not None:
             self._ensure_coordinator(order, now).handle_report(sums, None, now)
         return effects
@@ -226,7 +205,8 @@
         coordinator = self.coordinator
         if coordinator is None:
             return []
-        if coordinator.is_unneeded(is_chosen=self._is_chosen(), now=now):
+        is_unneeded = coordinator.is_unneeded(is_chosen=self._is_chosen(), now=now)
+        if is_unneeded or self.roles.is_led_by_another(now):
             self.coordinator = None
             return []
         if is_due:
@@ -291,6 +271,7 @@
         self._follow(directive, now)
         self._learn_from(directive)
         self.roles.refresh(now)
+        self.roles.note_directive(directive.sender, now)
         if sender != self.roles.endpoint_of(directive.sender):
             return []
         endpoints = self._relay_endpoints(now) - {sender}
--- a/packages/daemon/tests/rollouts/test_rollout_fleet.py
+++ b/packages/daemon/tests/rollouts/test_rollout_fleet.py
@@ -162,6 +162,21 @@
     assert versions_used(fleet) == {NEW}
 
 
+@pytest.mark.parametrize("role", ["coordinator", "collector"])
+def test_another_vm_goes_on_when_a_failure_is_not_detected(role: str) -> None:
+    fleet = RolloutFleet(vms_per_domain=4, detects_failures=False)
+    fleet.run(1.0)
+    fleet.give_order(duration_s=40.0)
+    fleet.run(5.0)
+    (coordinator,) = fleet.coordinators()
+    failed = coordinator
+    if role == "collector":
+        failed = next(vm for vm in fleet.running() if vm.collects and vm is not failed)
+    failed.is_running = False
+    fleet.run(36.0)
+    assert stages(fleet) == {Stage.COMPLETE}
+
+
 def test_exposure_ends_with_the_lease_of_a_vm_that_is_cut_off() -> None:
     fleet = start()
     run_to(fleet, Stage.CANARY)
--- a/packages/testkit/src/plankspindle_testkit/rollout_fleet.py
+++ b/packages/testkit/src/plankspindle_testkit/rollout_fleet.py
@@ -195,6 +195,12 @@
         """Whether the VM knows an order."""
         return self.rollouts.rollouts_by_service[SERVICE].participant.order is not None
 
+    @property
+    def collects(self) -> bool:
+        """Whether the VM collects reports."""
+        rollout = self.rollouts.rollouts_by_service[SERVICE]
+        return self.is_running and rollout.collector is not None
+
     @property
     def coordinates(self) -> bool:
         """Whether the VM coordinates."""
@@ -220,6 +226,7 @@
     bad_share_by_version: dict[str, float] = Factory(dict)
     order: Rollout | None = None
     messages: int = 0
+    detects_failures: bool = True
     random: Random = field(init=False)
     _revision: int = 0
     _numbers: Iterator[int] = Factory(count)
@@ -361,7 +368,8 @@
             )
             members[other.name].peer_endpoint = other.endpoint
             members[other.name].known_since = self.now
-        if other.is_running and not (vm.is_cut or other.is_cut):
+        is_heard = other.is_running and not (vm.is_cut or other.is_cut)
+        if is_heard or not self.detects_failures:
             members[other.name].last_heartbeat_at = self.now
 
     def _send(self, sender: RolloutVm, effects: list[SendToPeer]) -> None:
