--- a/packages/daemon/src/plankspindle_daemon/quarantine/aggregator_selector.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/aggregator_selector.py
@@ -58,7 +58,7 @@
         same at any fleet size.
         """
         ranked = sorted(
-            [self._own_candidate(), *self._live_candidates(now)],
+            self.candidates(now),
             key=lambda each: stable_hash(f"{identity} {each.name}"),
         )
         first_by_domain: dict[str, CandidateVm] = {}
@@ -68,6 +68,28 @@
         rest = [each for each in ranked if each not in first]
         return [*first, *rest][:AGGREGATORS_PER_REQUEST]
 
+    def candidates(self, now: float) -> list[CandidateVm]:
+        """Return this VM and all others that are not known to have failed."""
+        return [self._own_candidate(), *self._live_candidates(now)]
+
+    def known_count(self, now: float, *, max_silence_s: float) -> int:
+        """Return the number of VMs with those that are silent for less than a time.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        max_silence_s : float
+            Time without heartbeats, in seconds.
+        """
+        members = self.membership.members_by_name
+        heard = sum(
+            now - (each.last_heartbeat_at or each.known_since) <= max_silence_s
+            for each in members.values()
+        )
+        listed = sum(each.name not in members for each in self._listed_candidates())
+        return 1 + heard + listed
+
     def peer_endpoints(self) -> list[Endpoint]:
         """Return the addresses of all other entry VMs, in all failure domains."""
         endpoints = set(self.membership.peer_endpoints())
