Fleet soak: roll-outs of good and bad software versions beside its faults

Cause: the soak's upstreams all ran one software version, and its operator never ordered a roll-out.

Half of the seeds have roll-outs, from a random source of their own: the other faults of all seeds are as before. Classes of single upstreams move to upstream.py.

--- a/tests/fleet/soak/checks.py
+++ b/tests/fleet/soak/checks.py
@@ -15,7 +15,7 @@
 from soak.history import Disturbances
 from soak.history import History
 from soak.layout import Bounds
-from soak.upstreams import Run
+from soak.upstream import Run
 
 ALLOWED_ROLLBACK_S = 0.25
 """Time in which an older version may still be observed after a newer one, in s."""
--- a/tests/fleet/soak/faults.py
+++ b/tests/fleet/soak/faults.py
@@ -22,6 +22,7 @@
 CRASHING_REQUEST_KINDS = ("crashing",)
 STATEMENT_KINDS = ("limit", "rest", "say-leave", "misspeak")
 RETURN_KINDS = ("return",)
+ROLLOUT_KINDS = ("rollout",)
 SUSPEND_KINDS = ("suspend", "herd-suspend")
 OPERATOR_KINDS = ("change", "storm", "evacuate", "leave", "vanish")
 STORE_S = (0.2, 12.0)
@@ -41,6 +42,9 @@
 RETURN_GAP_S = 15.0
 RETURN_S = (0.0, 3.0)
 """Time for which the store is unavailable before it returns from a copy, in seconds."""
+ROLLOUT_SEED_SHARE = 0.5
+"""Share of the seeds with roll-outs."""
+ROLLOUT_GAP_S = 20.0
 STATEMENT_GAP_S = 5.0
 STATEMENT_S = (1.0, 12.0)
 """Duration of upstream statements, in seconds."""
@@ -77,6 +81,7 @@
     faults += _draw_suspends(seed, seconds, vms)
     faults += _draw_statements(seed, seconds)
     faults += _draw_returns(seed, seconds)
+    faults += _draw_rollouts(seed, seconds)
     return sorted(faults, key=lambda each: each.at)
 
 
@@ -128,6 +133,15 @@
     return faults
 
 
+def _draw_rollouts(seed: int, seconds: float) -> list[SoakFault]:
+    """Draw orders of roll-outs, for some seeds, with one near the beginning."""
+    random = Random(f"roll-out orders of fleet soak {seed}")
+    if random.random() >= ROLLOUT_SEED_SHARE:
+        return []
+    times = [random.uniform(0.0, seconds / 3), *_times(random, ROLLOUT_GAP_S, seconds)]
+    return [_fault(at, 0.0, "rollout", "") for at in times]
+
+
 def _draw_statements(seed: int, seconds: float) -> list[SoakFault]:
     """Draw statements of upstreams."""
     random = Random(f"statements of fleet soak {seed}")
--- a/tests/fleet/soak/statements.py
+++ b/tests/fleet/soak/statements.py
@@ -18,8 +18,8 @@
 from plankspindle_testkit.quota_fleet import max_in_window
 from soak.checks import Checks
 from soak.process_pauses import ProcessPauses
-from soak.upstreams import Arrival
-from soak.upstreams import Upstream
+from soak.upstream import Arrival
+from soak.upstream import Upstream
 from soak.upstreams import Upstreams
 
 if TYPE_CHECKING:
--- a/tests/fleet/test_crashing_requests.py
+++ b/tests/fleet/test_crashing_requests.py
@@ -14,8 +14,8 @@
 from soak.layout import Bounds
 from soak.layout import Layout
 from soak.soak_store import SoakStore
-from soak.upstreams import Run
-from soak.upstreams import Upstream
+from soak.upstream import Run
+from soak.upstream import Upstream
 from soak.upstreams import Upstreams
 
 PATH = "/m0/crashing-0"
--- a/tests/fleet/test_fleet_soak.py
+++ b/tests/fleet/test_fleet_soak.py
@@ -33,9 +33,9 @@
 from soak.layout import Bounds
 from soak.layout import Layout
 from soak.soak_store import SoakStore
+from soak.upstream import Run
+from soak.upstream import Upstream
 from soak.upstreams import SERVER_TABLE
-from soak.upstreams import Run
-from soak.upstreams import Upstream
 from soak.upstreams import Upstreams
 
 from plankspindle_core.endpoint import Endpoint
--- a/tests/fleet/test_statement_checks.py
+++ b/tests/fleet/test_statement_checks.py
@@ -14,8 +14,8 @@
 from soak.process_pauses import ProcessPauses
 from soak.soak_store import SoakStore
 from soak.statements import Statements
-from soak.upstreams import Arrival
-from soak.upstreams import Upstream
+from soak.upstream import Arrival
+from soak.upstream import Upstream
 from soak.upstreams import Upstreams
 
 from plankspindle_core.endpoint import Endpoint
