Soak: a statement in an answer after the caller's is not relayed

Cause: the check "said leaving" took the answer to a caller for the one of the upstream that ran its request last.

Change: an answer is relayed only if the upstream gave it before the caller had its own. All that an entry VM could relay is judged as before.

--- a/tests/fleet/soak/statements.py
+++ b/tests/fleet/soak/statements.py
@@ -153,7 +153,11 @@
             if observed is None or observed.incarnation is None:
                 continue
             is_last = last_by_request[arrival.request] is arrival
-            is_relayed = is_last and observed.status is not None
+            has_answer = observed.status is not None
+            # The caller may have got another answer before, such as for a time-out.
+            is_relayed = (
+                is_last and has_answer and arrival.answered_at <= observed.ended_at
+            )
             yield ForwardedRequest(
                 sender=Sender(vm=observed.vm, incarnation=observed.incarnation),
                 sent_at=observed.sent_at,
--- a/tests/fleet/test_statement_checks.py
+++ b/tests/fleet/test_statement_checks.py
@@ -51,11 +51,13 @@
             name="i-1", service="desk", zone="", endpoint=Endpoint("127.0.0.9", 9)
         )
 
-    def send(self, after_s: float, incarnation: int = 1) -> Arrival:
+    def send(
+        self, after_s: float, incarnation: int = 1, answered_after_s: float = 0.02
+    ) -> Arrival:
         """Record a request and its answer, with the upstream's present statement."""
         number, at = str(len(self.checks.requests)), NOW + after_s
         arrival = Arrival(at=self.at, request=number, arrived_at=at + 0.01)
-        arrival.record_answer(at + 0.02)
+        arrival.record_answer(at + answered_after_s)
         self.upstreams.arrivals.append(arrival)
         observed = ObservedRequest(
             request=number,
@@ -106,6 +108,14 @@
     assert run.violations() == ["said leaving"]
 
 
+def test_statement_in_answer_after_the_callers_is_not_relayed() -> None:
+    run = RecordedRun()
+    run.at.announces_leaving = True
+    run.send(0.0, answered_after_s=1.0)
+    run.send(run.checks.bounds.drain + 0.1)
+    assert run.violations() == []
+
+
 def test_paused_process_is_excused() -> None:
     run = RecordedRun()
     run.at.announces_leaving = True
