Fleet soak: answers of a slow version can be told from slow answers

Cause: durations in the soak vary by a factor of 100, so an answer that took 4 to 10 times its own duration was mostly shorter than a usual long one; and three requests in four had a key that no upstream had seen, whose durations entry VMs don't compare.

Change: a slow answer takes a multiple of the usual duration at least. The four callers a VM that soaks with roll-outs have in addition use 20 keys a VM. How often keys change their version is counted. Only keys that no other request has count as evenly spread ("used again"), as before.

--- a/tests/fleet/soak/callers.py
+++ b/tests/fleet/soak/callers.py
@@ -59,7 +59,9 @@
     pause_factor : float
         Factor on the pauses between requests.
     keyed_share : float
-        Share of the requests that have an affinity key, a new one each.
+        Share of the requests that have an affinity key.
+    keys : int
+        Number of affinity keys of its VM; 0 for a new one for each request.
     """
 
     vm: str
@@ -70,6 +72,7 @@
     random: Random
     pause_factor: float = 1.0
     keyed_share: float = KEYED_SHARE
+    keys: int = 0
     _connection: Any = field(default=None)
     _surplus: str = ""
 
@@ -101,11 +104,14 @@
         request = f"{self.random.getrandbits(64):016x}"
         prefix = self.checks.history.draw_prefix(self.random)
         has_key = self.random.random() < self.keyed_share
+        key = request if has_key else ""
+        if has_key and self.keys:
+            key = f"{self.vm}-{self.random.randrange(self.keys)}"
         incarnation, sent_at = self.incarnation(), monotonic()
         status, surplus, self._surplus = None, self._surplus, ""
         with suppress(TaskTimeout):
             status = await timeout_after(
-                ANSWER_TIMEOUT_S, self._exchange, request, prefix, has_key
+                ANSWER_TIMEOUT_S, self._exchange, request, prefix, key
             )
         ended_at = monotonic()
         if status is None or not self._connection.prepare_reuse():
@@ -121,7 +127,7 @@
             ended_at=ended_at,
             status=status,
             is_lost=status is None,
-            has_key=has_key,
+            key=key,
             surplus=surplus or self._surplus,
         )
         self._surplus = ""
@@ -129,7 +135,7 @@
             observed, self.upstreams.runs_by_id.setdefault(request, [])
         )
 
-    async def _exchange(self, request: str, prefix: str, has_key: bool) -> int | None:
+    async def _exchange(self, request: str, prefix: str, key: str) -> int | None:
         connection = self._connection
         headers = [
             (b"host", HOST.encode()),
@@ -138,8 +144,8 @@
             (DIALECT.workspace, b"forged"),
             (b"x-plankspindle-deadline-ms", str(DEADLINE_MS).encode()),
         ]
-        if has_key:
-            headers.append((b"cookie", f"{KEY_COOKIE}={request}".encode()))
+        if key:
+            headers.append((b"cookie", f"{KEY_COOKIE}={key}".encode()))
         if prefix in RUN_ONCE_PREFIXES:
             headers.append((b"content-length", b"0"))
         await connection.send_request(
--- a/tests/fleet/soak/checks.py
+++ b/tests/fleet/soak/checks.py
@@ -50,8 +50,8 @@
         Status of the answer if that was complete.
     is_lost : bool
         Whether its connection was established, but closed or timed out without answer.
-    has_key : bool
-        Whether it had an affinity key.
+    key : str
+        Its affinity key; empty without one.
     surplus : str
         Description of received data that is no answer to it; empty if there was none.
     """
@@ -64,9 +64,14 @@
     ended_at: float
     status: int | None
     is_lost: bool = False
-    has_key: bool = False
+    key: str = ""
     surplus: str = ""
 
+    @property
+    def has_own_key(self) -> bool:
+        """Whether it had an affinity key that no other request has."""
+        return self.key == self.request
+
 
 @frozen(kw_only=True)
 class Violation:
--- a/tests/fleet/soak/fleet_soak.py
+++ b/tests/fleet/soak/fleet_soak.py
@@ -61,6 +61,8 @@
 CALLERS_PER_VM = 2
 ROLLOUT_CALLERS_PER_VM = 4
 """Additional callers in soaks with roll-outs, which few requests tell little about."""
+KEYS_PER_VM = 20
+"""Their keys, which repeat: only answers to a known key have comparable durations."""
 UPSTREAMS_PER_SERVICE_AND_ZONE = (3, 3, 2, 1)
 """Upstreams of a service in a zone, by seed; the real fleet has 2 to 4."""
 LATE_CALLERS_PER_VM = 1
@@ -271,9 +273,11 @@
         starting = self.checks.disturbances.begin(self.layout.names(), 0.0)
         for vm in self.layout.names():
             injector.start(vm)
-        callers_per_vm = CALLERS_PER_VM
-        callers_per_vm += ROLLOUT_CALLERS_PER_VM * self.layout.has_rollouts
-        await self._start_callers("caller", callers_per_vm)
+        await self._start_callers("caller", CALLERS_PER_VM)
+        if self.layout.has_rollouts:
+            await self._start_callers(
+                "caller with few keys", ROLLOUT_CALLERS_PER_VM, keys=KEYS_PER_VM
+            )
         message = f"not all serve: {injector.processes.folder}"
         await wait_for_start(
             self._all_serve, timeout_s=START_TIMEOUT_S, poll_s=POLL_S, message=message
@@ -293,6 +297,7 @@
         *,
         pause_factor: float = 1.0,
         keyed_share: float = KEYED_SHARE,
+        keys: int = 0,
     ) -> None:
         callers = callers_per_vm * self.plan.vms
         pause_factor *= max(1.0, callers / MEAN_GAP_S / MAX_REQUESTS_PER_S)
@@ -307,6 +312,7 @@
                 random=Random(f"{name} {number} of {self.plan.seed}"),
                 pause_factor=pause_factor,
                 keyed_share=keyed_share,
+                keys=keys,
             )
             self._tasks.append(await spawn(caller.run, daemon=True))
 
--- a/tests/fleet/soak/lapse_checks.py
+++ b/tests/fleet/soak/lapse_checks.py
@@ -224,7 +224,7 @@
         for request, runs in self.checks.requests_with_runs:
             for run in runs:
                 if (
-                    request.has_key
+                    request.has_own_key
                     and begin < run.arrived_at < until
                     and _is_equivalent(run.at, upstream)
                     and not self._is_evacuated(upstream.zone, run.arrived_at)
--- a/tests/fleet/soak/rollout_checks.py
+++ b/tests/fleet/soak/rollout_checks.py
@@ -10,6 +10,7 @@
 from plankspindle_testkit.rollouts.exposure_checks import measure_exposure
 from plankspindle_testkit.rollouts.rollout_checker import check_rollouts
 from plankspindle_testkit.rollouts.rollout_checker import find_missed_duties
+from plankspindle_testkit.rollouts.rollout_checker import measure_keys
 from plankspindle_testkit.rollouts.rollout_records import Arrival
 from plankspindle_testkit.rollouts.rollout_records import RolloutHistory
 from plankspindle_testkit.rollouts.rollout_records import Span
@@ -66,6 +67,10 @@
             counts["requests judged for exposure"] += exposure.exposed * order.is_bad
             for change in records.published(order):
                 counts[f"roll-outs that were {change.state.value}"] += 1
+        for service in {each.service for each in records.orders}:
+            keys = measure_keys(records, service)
+            counts["keys that changed their version"] += keys.switched_keys
+            counts["changes of a key's version"] += keys.switches
 
     def _records(self, clock: UnstalledClock) -> RolloutHistory:
         disturbances = self.checks.disturbances
@@ -131,6 +136,7 @@
                     arrived_at=clock.at(run.arrived_at),
                     ended_at=clock.at(min(run.ended_at, request.ended_at)),
                     is_bad=run.is_flawed,
+                    key=request.key,
                 )
 
 
--- a/tests/fleet/soak/software_version.py
+++ b/tests/fleet/soak/software_version.py
@@ -31,7 +31,8 @@
     flawed_share : float
         Share of the answers that are bad where its flaw shows.
     slow_factor : float
-        Factor on the duration of a bad answer; if 1, it is a failure instead.
+        Factor on the duration of a bad answer, which is at least the usual one; if 1,
+        it is a failure instead.
     flawed_from : float
         When its flaw begins to show, monotonic seconds.
     min_in_flight : int
--- a/tests/fleet/soak/upstreams.py
+++ b/tests/fleet/soak/upstreams.py
@@ -42,6 +42,7 @@
 SHORT_S = (0.002, 0.03)
 LONG_S = (0.3, 0.9)
 LONG_SHARE = 0.1
+MEAN_WORK_S = LONG_SHARE * sum(LONG_S) / 2 + (1 - LONG_SHARE) * sum(SHORT_S) / 2
 ABORTED_SHARE = 0.01
 SERVER_TABLE = "servers"
 OMITTED_LIMIT_SHARE = 0.05
@@ -358,7 +359,9 @@
             in_flight=upstream.in_flight,
             now=run.arrived_at,
         )
-        await sleep(work_s * (software.slow_factor if run.is_flawed else 1.0))
+        if run.is_flawed:
+            work_s = software.slow_factor * max(work_s, MEAN_WORK_S)
+        await sleep(work_s)
         if run.is_aborted:
             exchange.abort()
             return
--- a/tests/fleet/test_fleet_soak.py
+++ b/tests/fleet/test_fleet_soak.py
@@ -295,7 +295,7 @@
         sent_at = 25.2 + number / 10
         at = used[number % len(used)]
         times = {"sent_at": sent_at, "ended_at": sent_at + 0.05}
-        record(checks, at, has_key=True, **times, **fields)
+        record(checks, at, key="1", **times, **fields)
     lapse = Lapse(ended_at=20.0, relisted_at=[(VAULT, 21.0)])
     lapses = LapseChecks(checks=checks, lapses=[lapse])
     lapses.check([VAULT, SECOND_VAULT], 40.0)
@@ -341,7 +341,7 @@
         sent_at = 25.2 + number / 10
         at = (VAULT, SECOND_VAULT)[number % 2]
         times = {"sent_at": sent_at, "ended_at": sent_at + 0.05}
-        record(checks, at, has_key=True, status=504, **times)
+        record(checks, at, key="1", status=504, **times)
     lapse = Lapse(ended_at=20.0, relisted_at=[(VAULT, 21.0)])
     lapses = LapseChecks(checks=checks, crashed=[crashed], lapses=[lapse])
     lapses.check([VAULT, SECOND_VAULT], 40.0)
