--- a/tests/fleet/soak/statements.py
+++ b/tests/fleet/soak/statements.py
@@ -18,8 +18,8 @@
 from plankspindle_testkit.quota_fleet import max_in_window
 from soak.checks import Checks
 from soak.process_pauses import ProcessPauses
-from soak.upstreams import Arrival
-from soak.upstreams import Upstream
+from soak.upstream import Arrival
+from soak.upstream import Upstream
 from soak.upstreams import Upstreams
 
 if TYPE_CHECKING:
@@ -153,7 +153,11 @@
             if observed is None or observed.incarnation is None:
                 continue
             is_last = last_by_request[arrival.request] is arrival
-            is_relayed = is_last and observed.status is not None
+            has_answer = observed.status is not None
+            # The caller may have got another answer before, such as for a time-out.
+            is_relayed = (
+                is_last and has_answer and arrival.answered_at <= observed.ended_at
+            )
             yield ForwardedRequest(
                 sender=Sender(vm=observed.vm, incarnation=observed.incarnation),
                 sent_at=observed.sent_at,
