Roll-outs: slow answers judged among those that can be compared; sudden disturbances

Cause: answers whose time cannot be compared, since the VM had not seen the key at that upstream, counted as good ones.

Change: failures are counted by operation among all answers, slow answers under a name of their own among those that were compared. The baseline's share is at least that of its answers of the last half second, if there are five. The tests of counts ask for both rows now, where they asked for their sum.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/version_outcomes.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/version_outcomes.py
@@ -12,6 +12,7 @@
 from plankspindle_core.classes import frozen
 from plankspindle_daemon.dispatch.messages import AttemptOutcome
 from plankspindle_daemon.dispatch.version_counts import MAX_BAD_UPSTREAMS
+from plankspindle_daemon.peer_messages.rollout_messages import TIMING_SUFFIX
 from plankspindle_daemon.peer_messages.rollout_messages import UpstreamOutcomes
 from plankspindle_daemon.peer_messages.rollout_messages import VersionOutcomes
 
@@ -77,7 +78,7 @@
         """Record the time to the head of a baseline answer, in seconds."""
         self._samples.append(head_s)
 
-    def is_slow(self, head_s: float, factor: float) -> bool:
+    def is_slow(self, head_s: float, factor: float) -> bool | None:
         """Return whether an answer took more than a multiple of the usual time.
 
         Parameters
@@ -89,11 +90,11 @@
 
         Returns
         -------
-        bool
-            False while there are fewer than ``MIN_SAMPLES``.
+        bool or None
+            None while there are fewer than ``MIN_SAMPLES``.
         """
         if len(self._samples) < MIN_SAMPLES:
-            return False
+            return None
         ordered = sorted(self._samples)
         return head_s > factor * ordered[int(USUAL_QUANTILE * len(ordered))]
 
@@ -104,9 +105,12 @@
 
     Notes
     -----
-    Times are compared with those of the baseline at this VM, so that the distance to a
-    caller or the load of a day makes no answer slow. The baseline's answers are judged
-    in the same way: only a difference between the versions tells.
+    Failures are counted among all answers, slow ones among those that can be compared:
+    where many VMs share the keys, that is a small part, and counting the others as fast
+    would hide a slow version. Times are compared with those of the baseline at this VM,
+    so that the distance to a caller or the load of a day makes no answer slow. The
+    baseline's answers are judged in the same way: only a difference between the
+    versions tells.
     """
 
     _started_by_ticket: dict[int, StartedAttempt] = Factory(dict)
@@ -144,10 +148,18 @@
         started = self._started_by_ticket.pop(completed.ticket.id, None)
         if started is None or started.upstream != completed.upstream:
             return
-        is_bad = self._is_bad(completed, started, is_capped=is_capped)
-        if is_bad is None:
+        has_failed = _has_failed(completed)
+        if has_failed is None:
             return
         operation = completed.ticket.operation
+        self._count(started, operation, is_bad=has_failed)
+        if has_failed:
+            return
+        is_slow = self._is_slow(completed, started, is_capped=is_capped)
+        if is_slow is not None:
+            self._count(started, operation + TIMING_SUFFIX, is_bad=is_slow)
+
+    def _count(self, started: StartedAttempt, operation: str, *, is_bad: bool) -> None:
         by_key = self._target_by_key if started.is_target else self._baseline_by_key
         _add(by_key, (operation, started.failure_domain), is_bad=is_bad)
         if started.is_target:
@@ -155,26 +167,12 @@
             _add(self._target_by_upstream, key, is_bad=is_bad)
         self.bad_by_role["target" if started.is_target else "baseline"] += is_bad
 
-    def _is_bad(
-        self, completed: AttemptCompleted, started: StartedAttempt, *, is_capped: bool
-    ) -> bool | None:
-        """Return whether an answer is bad; None if the outcome is not judged."""
-        match completed.outcome:
-            case AttemptOutcome.FAILED | AttemptOutcome.TIMED_OUT:
-                return True
-            case AttemptOutcome.ANSWERED:
-                status = completed.status
-                if status is not None and status >= MIN_ERROR_STATUS:
-                    return True
-                return self._is_slow(completed, started, is_capped=is_capped)
-            case _:
-                return None
-
     def _is_slow(
         self, completed: AttemptCompleted, started: StartedAttempt, *, is_capped: bool
-    ) -> bool:
+    ) -> bool | None:
+        """Return whether an answer is slow; None if its time cannot be compared."""
         if completed.head_s is None or not started.is_comparable:
-            return False
+            return None
         operation = completed.ticket.operation
         usual = self._usual_by_operation.setdefault(operation, UsualTimes())
         factor = SLOW_FACTOR if is_capped else UNCAPPED_SLOW_FACTOR
@@ -217,6 +215,18 @@
         )
 
 
+def _has_failed(completed: AttemptCompleted) -> bool | None:
+    """Return whether an attempt failed; None if its outcome is not judged."""
+    match completed.outcome:
+        case AttemptOutcome.FAILED | AttemptOutcome.TIMED_OUT:
+            return True
+        case AttemptOutcome.ANSWERED:
+            status = completed.status
+            return status is not None and status >= MIN_ERROR_STATUS
+        case _:
+            return None
+
+
 def _add(
     counts_by_key: dict[tuple[str, str], AnswerCounts],
     key: tuple[str, str],
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/rollout_messages.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/rollout_messages.py
@@ -4,6 +4,9 @@
 
 from plankspindle_core.classes import frozen
 
+TIMING_SUFFIX = " (time)"
+"""Suffix of an operation whose answers are judged by their time alone."""
+
 
 @frozen(kw_only=True)
 class VersionOutcomes:
@@ -12,11 +15,13 @@
     Parameters
     ----------
     operation : str
-        Name of the operation, as in a ticket.
+        Name of the operation, as in a ticket. Failures are counted under it, among all
+        answers; slow answers under the name with ``TIMING_SUFFIX``, among those whose
+        times can be compared, which may be few.
     failure_domain : str
         Failure domain of the upstreams.
     baseline_answers, baseline_bad : int
-        Judged answers of the baseline version, and those of them that failed or were
+        Judged answers of the baseline version, and those of them that failed, or were
         several times slower than usual.
     target_answers, target_bad : int
         The same of the target version.
@@ -29,6 +34,11 @@
     target_answers: int = 0
     target_bad: int = 0
 
+    @property
+    def is_of_timing(self) -> bool:
+        """Whether answers are judged by their time, and counted elsewhere as well."""
+        return self.operation.endswith(TIMING_SUFFIX)
+
 
 @frozen(kw_only=True)
 class UpstreamOutcomes:
--- a/packages/daemon/src/plankspindle_daemon/rollouts/judgement.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/judgement.py
@@ -29,6 +29,10 @@
 """Probability of a false alarm for one operation at any one time."""
 BASELINE_MEMORY_S = 3.0
 """Time constant with which earlier answers of the baseline lose weight, in seconds."""
+LATEST_MEMORY_S = 0.5
+"""The same of the latest answers, which show a disturbance of both versions first."""
+MIN_LATEST_ANSWERS = 5.0
+"""Latest answers of the baseline in one failure domain that tell its share."""
 PRIOR_ANSWERS = 20.0
 """Answers of the operation in all failure domains that count in each of them.
 
@@ -110,6 +114,7 @@
     _previous_by_group: dict[tuple[str, str], VersionOutcomes] = Factory(dict)
     _previous_by_upstream: dict[tuple[str, str], tuple[int, int]] = Factory(dict)
     _baseline_by_group: dict[tuple[str, str], _RecentAnswers] = Factory(dict)
+    _latest_by_group: dict[tuple[str, str], _RecentAnswers] = Factory(dict)
     _baseline_by_operation: dict[str, _RecentAnswers] = Factory(dict)
     _log_ratios_by_operation: dict[str, list[float]] = Factory(dict)
     _updated_at: float | None = None
@@ -137,7 +142,6 @@
         """
         elapsed_s = 0.0 if self._updated_at is None else now - self._updated_at
         self._updated_at = now
-        decay = math.exp(-elapsed_s / BASELINE_MEMORY_S)
         excluded = (
             self._worst_upstream_increments(bad_upstreams)
             if target_upstreams >= MIN_UPSTREAMS_TO_EXCLUDE_ONE
@@ -145,7 +149,7 @@
         )
         steps_by_operation: dict[str, list[float]] = {}
         for each in outcomes:
-            answers, bad = self._take_increments(each, decay)
+            answers, bad = self._take_increments(each, elapsed_s)
             out_answers, out_bad = excluded.pop(each.operation, (0, 0))
             used = min(answers, out_answers), min(bad, out_bad)
             excluded[each.operation] = (out_answers - used[0], out_bad - used[1])
@@ -159,7 +163,7 @@
         return self._evidence(steps_by_operation)
 
     def _take_increments(
-        self, outcomes: VersionOutcomes, decay: float
+        self, outcomes: VersionOutcomes, elapsed_s: float
     ) -> tuple[int, int]:
         """Record the baseline's new answers; return the target's, and the bad ones."""
         group = (outcomes.operation, outcomes.failure_domain)
@@ -170,8 +174,13 @@
         self._previous_by_group[group] = outcomes
         answers = max(0, outcomes.baseline_answers - before.baseline_answers)
         bad = max(0, outcomes.baseline_bad - before.baseline_bad)
-        in_domain = self._baseline_by_group.setdefault(group, _RecentAnswers())
-        in_domain.record(answers=answers, bad=bad, decay=decay)
+        for recent, memory_s in (
+            (self._baseline_by_group, BASELINE_MEMORY_S),
+            (self._latest_by_group, LATEST_MEMORY_S),
+        ):
+            decay = math.exp(-elapsed_s / memory_s)
+            in_domain = recent.setdefault(group, _RecentAnswers())
+            in_domain.record(answers=answers, bad=bad, decay=decay)
         in_all = self._baseline_by_operation.setdefault(group[0], _RecentAnswers())
         in_all.record(answers=answers, bad=bad, decay=1.0)
         return (
@@ -205,9 +214,7 @@
     ) -> list[float]:
         """Return what new answers of one group add to each log-likelihood ratio."""
         group = (outcomes.operation, outcomes.failure_domain)
-        in_all = self._baseline_by_operation[outcomes.operation]
-        prior = in_all.share(prior=MIN_BASELINE_SHARE)
-        usual = self._baseline_by_group[group].upper_bound(prior=prior)
+        usual = self._usual_share(group)
         steps = []
         for above in BAD_SHARES:
             tested = usual + (1 - usual) * above
@@ -217,6 +224,16 @@
             )
         return steps
 
+    def _usual_share(self, group: tuple[str, str]) -> float:
+        """Return the share of bad answers that the baseline has at most."""
+        in_all = self._baseline_by_operation[group[0]]
+        prior = in_all.share(prior=MIN_BASELINE_SHARE)
+        usual = self._baseline_by_group[group].upper_bound(prior=prior)
+        latest = self._latest_by_group[group]
+        if latest.answers >= MIN_LATEST_ANSWERS:
+            usual = max(usual, latest.bad / latest.answers)
+        return min(MAX_BASELINE_SHARE, usual)
+
     def _evidence(self, steps_by_operation: dict[str, list[float]]) -> Evidence:
         strongest = Evidence(verdict=Verdict.UNDECIDED)
         tests = max(1, len(self._log_ratios_by_operation)) * len(BAD_SHARES)
--- a/packages/daemon/src/plankspindle_daemon/rollouts/rollout_evidence.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/rollout_evidence.py
@@ -99,7 +99,9 @@
 
     def answers(self) -> int:
         """Return the number of judged answers of the target."""
-        return sum(each.target_answers for each in self.outcomes())
+        return sum(
+            each.target_answers for each in self.outcomes() if not each.is_of_timing
+        )
 
     def latest_stage(self) -> Stage:
         """Return the latest stage that any VM knows."""
--- a/packages/daemon/src/plankspindle_daemon/rollouts/rollout_log.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/rollout_log.py
@@ -57,6 +57,7 @@
     """Log a new stage with the inputs that decided it; ``now`` in monotonic seconds."""
     evidence = coordinator.evidence
     outcomes = evidence.outcomes()
+    answered = [each for each in outcomes if not each.is_of_timing]
     log_event(
         "rollout_stage",
         service=coordinator.service,
@@ -67,9 +68,9 @@
         target=coordinator.order.target_version,
         requests=evidence.requests,
         exposed=evidence.exposed,
-        target_answers=sum(each.target_answers for each in outcomes),
+        target_answers=sum(each.target_answers for each in answered),
         target_bad=sum(each.target_bad for each in outcomes),
-        baseline_answers=sum(each.baseline_answers for each in outcomes),
+        baseline_answers=sum(each.baseline_answers for each in answered),
         baseline_bad=sum(each.baseline_bad for each in outcomes),
         log_ratio=round(evidence.latest.log_ratio, 2),
         threshold=round(evidence.latest.threshold, 2),
--- a/packages/daemon/tests/dispatch/test_version_outcomes.py
+++ b/packages/daemon/tests/dispatch/test_version_outcomes.py
@@ -17,6 +17,7 @@
 from plankspindle_daemon.dispatch.version_outcomes import StartedAttempt
 from plankspindle_daemon.dispatch.version_outcomes import VersionTally
 from plankspindle_daemon.observability.version_dump import dump_versions
+from plankspindle_daemon.peer_messages.rollout_messages import TIMING_SUFFIX
 from plankspindle_daemon.platform.live_list import ListedVm
 from plankspindle_daemon.platform.live_list import VmKind
 from plankspindle_daemon.upstreams.cold_limiter import ColdLimiter
@@ -64,12 +65,14 @@
     tally.record_completed(completed, is_capped=is_capped)
 
 
-def judged(tally: VersionTally) -> tuple[int, int, int, int]:
+def judged(tally: VersionTally, suffix: str = "") -> tuple[int, int, int, int]:
     """Return answers and bad ones of the baseline, then those of the target."""
-    if not tally.outcomes():
+    rows = {each.operation: each for each in tally.outcomes()}
+    assert rows.keys() <= {"GET /", "GET /" + TIMING_SUFFIX}
+    if "GET /" + suffix not in rows:
         return (0, 0, 0, 0)
-    (each,) = tally.outcomes()
-    assert (each.operation, each.failure_domain) == ("GET /", "ba-1")
+    each = rows["GET /" + suffix]
+    assert each.failure_domain == "ba-1"
     return (
         each.baseline_answers,
         each.baseline_bad,
@@ -106,23 +109,25 @@
 
 
 @pytest.mark.parametrize(
-    ("change", "target_bad"),
+    ("change", "timed"),
     [
-        ({"head_s": 0.19}, 0),
-        ({"head_s": 0.21}, 1),
-        ({"head_s": 0.21, "is_comparable": False}, 0),
-        ({"head_s": 0.39, "is_capped": False}, 0),
-        ({"head_s": 0.41, "is_capped": False}, 1),
+        ({"head_s": 0.19}, (1, 0)),
+        ({"head_s": 0.21}, (1, 1)),
+        ({"head_s": 0.21, "is_comparable": False}, (0, 0)),
+        ({"head_s": 0.21, "status": 500}, (0, 0)),
+        ({"head_s": 0.39, "is_capped": False}, (1, 0)),
+        ({"head_s": 0.41, "is_capped": False}, (1, 1)),
     ],
 )
 def test_answer_is_slow_beside_the_baseline(
-    change: dict[str, Any], target_bad: int
+    change: dict[str, Any], timed: tuple[int, int]
 ) -> None:
     tally = VersionTally()
     for _ in range(8):
         answer(tally)
     answer(tally, is_target=True, **change)
-    assert judged(tally) == (8, 0, 1, target_bad)
+    assert judged(tally) == (8, 0, 1, int(change.get("status") == 500))
+    assert judged(tally, TIMING_SUFFIX) == (0, 0, *timed)
 
 
 def test_nothing_is_slow_before_enough_baseline_answers() -> None:
@@ -132,15 +137,17 @@
         answer(tally, is_comparable=False)
     answer(tally, is_target=True, head_s=9.0)
     assert judged(tally) == (14, 0, 1, 0)
+    assert judged(tally, TIMING_SUFFIX) == (0, 0, 0, 0)
 
 
 def test_usual_time_follows_the_latest_baseline_answers() -> None:
     tally = VersionTally()
     for head_s in [0.1] * 64 + [1.0] * 64:
         answer(tally, head_s=head_s)
-    assert 16 <= judged(tally)[1] < 64
+    assert 16 <= judged(tally, TIMING_SUFFIX)[1] < 64
     answer(tally, is_target=True, head_s=1.9)
-    assert judged(tally)[3] == 0
+    assert judged(tally, TIMING_SUFFIX)[2:] == (1, 0)
+    assert judged(tally)[1::2] == (0, 0)
 
 
 def test_worst_upstreams_of_the_target_are_named() -> None:
