Roll-outs: record the version in force of a service without an order

A fleet that started anew beside two versions, of which none was ever ordered, took the most listed one, since nothing had kept which one was in force.

The VM that would coordinate reads the record once, and writes one of order 0 if there is none and the version in force has been the only listed one. It is written again after a return of the store.

--- a/packages/daemon/src/plankspindle_daemon/rollouts/rollout_participant.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/rollout_participant.py
@@ -58,6 +58,8 @@
         Software version in force before the order; None while no upstream is listed.
     is_baseline_confirmed : bool
         Whether a record or a directive named the baseline.
+    was_baseline_alone : bool
+        Whether the baseline has ever been the only listed version.
     order : RolloutOrder or None
         The last order.
     is_withdrawn : bool
@@ -79,6 +81,7 @@
     canary_share: float = CANARY_SHARE
     baseline: str | None = None
     is_baseline_confirmed: bool = False
+    was_baseline_alone: bool = False
     order: RolloutOrder | None = None
     is_withdrawn: bool = False
     stage: Stage = Stage.PREPARING
@@ -108,12 +111,13 @@
         Without a record, the version of most upstreams that no order names as its
         target is the likeliest. It is never replaced because others are listed.
         """
-        if self.baseline is not None or not listed:
-            return
-        target = self.order.target_version if self.order is not None else None
-        self.baseline = min(
-            listed, key=lambda name: (name == target, -listed[name].listed, name)
-        )
+        if self.baseline is None and listed:
+            target = self.order.target_version if self.order is not None else None
+            self.baseline = min(
+                listed, key=lambda name: (name == target, -listed[name].listed, name)
+            )
+        if listed.keys() == {self.baseline}:
+            self.was_baseline_alone = True
 
     def take_order(
         self, rollout: Rollout | None, *, is_restoring: bool, now: float
--- a/packages/daemon/src/plankspindle_daemon/rollouts/rollout_roles.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/rollout_roles.py
@@ -155,6 +155,10 @@
         """Return the VM that coordinates; None before the first refresh."""
         return self._coordinator
 
+    def is_coordinator(self) -> bool:
+        """Return whether this VM should coordinate as far as it knows."""
+        return self._coordinator is not None and self._coordinator.name == self.vm
+
     def collector(self) -> CandidateVm | None:
         """Return the collector of this failure domain."""
         return self._collector_by_domain.get(self.selector.failure_domain)
--- a/packages/daemon/src/plankspindle_daemon/rollouts/rollouts.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/rollouts.py
@@ -31,6 +31,8 @@
     from plankspindle_daemon.rollouts.rollout_record import StoredRollout
     from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
+CHECK_PERIOD_S = 1.0
+"""Period of looking for services whose record must be checked, in seconds."""
 RECORD_RESTORE_S = 10.0
 """Time after a return of the store in which records are written again, in seconds."""
 
@@ -64,6 +66,7 @@
     _restoring_until: float = -math.inf
     _known_era: int = UNKNOWN_ERA
     _records_restored_until: float = -math.inf
+    _next_check_at: float = -math.inf
 
     def update_configuration(
         self, configuration: Configuration, version: ConfigurationVersion, now: float
@@ -124,6 +127,10 @@
             for rollout in self.rollouts_by_service.values():
                 rollout.restore_record(now)
             self._update_activity()
+        if now >= self._next_check_at:
+            self._next_check_at = now + CHECK_PERIOD_S
+            for rollout in self.rollouts_by_service.values():
+                rollout.unordered.check(now)
         if not self.is_active:
             return []
         effects = [
--- a/packages/daemon/src/plankspindle_daemon/rollouts/service_rollout.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/service_rollout.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import Factory
+from attrs import field
 
 from plankspindle_core.classes import define
 from plankspindle_daemon.dispatch.version_split import VersionSplit
@@ -21,6 +22,7 @@
 from plankspindle_daemon.rollouts.rollout_roles import RolloutRoles
 from plankspindle_daemon.rollouts.stage import Stage
 from plankspindle_daemon.rollouts.stage_directive import directive_of
+from plankspindle_daemon.rollouts.unordered_record import UnorderedRecord
 from plankspindle_daemon.rollouts.version_dispatch import VersionDispatch
 from plankspindle_daemon.versions.acknowledged_write import AcknowledgedWrite
 from plankspindle_daemon.versions.store_era import StoreEra
@@ -60,6 +62,8 @@
         The roles that this VM has.
     needs_read : bool
         Whether this VM must read the record, whatever its role.
+    unordered : UnorderedRecord
+        Keeps the record while there is no order.
     """
 
     participant: RolloutParticipant
@@ -69,6 +73,7 @@
     collector: RolloutCollector | None = None
     coordinator: RolloutCoordinator | None = None
     needs_read: bool = False
+    unordered: UnorderedRecord = field(init=False)
     _store_ahead_s: float = 0.0
     _confirmed: AcknowledgedWrite | None = None
     _next_report_at: float = -math.inf
@@ -78,6 +83,9 @@
     _has_read_baseline: bool = False
     _log: VersionLog = Factory(VersionLog)
 
+    def __attrs_post_init__(self) -> None:
+        self.unordered = UnorderedRecord(participant=self.participant, roles=self.roles)
+
     @property
     def service(self) -> str:
         """The service."""
@@ -205,7 +213,8 @@
         coordinator = self.coordinator
         if coordinator is None:
             return []
-        is_unneeded = coordinator.is_unneeded(is_chosen=self._is_chosen(), now=now)
+        is_chosen = self.roles.is_coordinator()
+        is_unneeded = coordinator.is_unneeded(is_chosen=is_chosen, now=now)
         if is_unneeded or self.roles.is_led_by_another(now):
             self.coordinator = None
             return []
@@ -227,11 +236,6 @@
         self._next_directive_at = now + DIRECTIVE_PERIOD_S
         return self._direct(coordinator, now)
 
-    def _is_chosen(self) -> bool:
-        """Return whether this VM should coordinate as far as it knows."""
-        chosen = self.roles.coordinator()
-        return chosen is not None and chosen.endpoint is None
-
     def _direct(self, coordinator: RolloutCoordinator, now: float) -> list[SendToPeer]:
         directive = directive_of(coordinator, now)
         self._follow(directive, now)
@@ -308,7 +312,7 @@
 
     def has_record_work(self, now: float) -> bool:
         """Return whether the record must be read or written."""
-        if self.needs_read:
+        if self.needs_read or self.unordered.has_work():
             return True
         coordinator = self.coordinator
         return coordinator is not None and (
@@ -331,6 +335,7 @@
         """
         self.needs_read = False
         self._store_ahead_s = stored.store_now_s - read_at
+        self.unordered.handle_record(stored, is_restoring=is_restoring, now=now)
         record, participant = stored.record, self.participant
         if record is not None:
             self._confirm(read_at)
@@ -350,7 +355,7 @@
     def record_to_write(self, now: float) -> RolloutRecord | None:
         """Return the record that must be written, if this VM coordinates."""
         if self.coordinator is None:
-            return None
+            return self.unordered.record_to_write()
         return self.coordinator.record_to_write(
             store_ahead_s=self._store_ahead_s, now=now
         )
@@ -360,6 +365,8 @@
         self._confirm(now)
         if self.coordinator is not None:
             self.coordinator.handle_written(record, store_ahead_s=self._store_ahead_s)
+        else:
+            self.unordered.handle_written(record)
 
     def _confirm(self, now: float) -> None:
         """Note that the record of the present stage is in the store."""
@@ -367,13 +374,14 @@
 
     def restore_record(self, now: float) -> None:
         """Write the record again if the store may have lost it, as the coordinator."""
-        order = self.participant.order
-        if order is None or self._confirmed is None:
-            return
-        if not self._confirmed.may_be_lost(self.store_era):
+        order, confirmed = self.participant.order, self._confirmed
+        if confirmed is None or not confirmed.may_be_lost(self.store_era):
             return
         self.roles.refresh(now)
-        if self.coordinator is None and not self._is_chosen():
+        if self.coordinator is None and not self.roles.is_coordinator():
             return
         self._confirmed = None
+        if order is None:
+            self.unordered.expect_lost_record()
+            return
         self._ensure_coordinator(order, now).expect_lost_record()
--- a/packages/testkit/src/plankspindle_testkit/rollout_fleet.py
+++ b/packages/testkit/src/plankspindle_testkit/rollout_fleet.py
@@ -147,10 +147,12 @@
     is_down: bool = False
     loses_answers: bool = False
     era: int = 1
+    reads: int = 0
     written: list[RolloutRecord] = Factory(list)
 
     def read(self, service: str, now: float) -> StoredRollout | None:
         """Return a record as read; None if there is no answer."""
+        self.reads += 1
         if self.is_down:
             return None
         number, record = self.rows_by_service.get(service, (0, None))
@@ -314,6 +316,14 @@
         for vm in self.vms_by_name.values():
             vm.rollouts.store_era.observe(self.store.era, self.now)
 
+    def restart_all(self, order: Rollout | None = None) -> None:
+        """Stop all processes, and start them anew with an order or without one."""
+        for vm in self.running():
+            vm.is_running = False
+        self.configure(order)
+        for vm in list(self.vms_by_name.values()):
+            self.start_vm(vm.name, vm.failure_domain)
+
     def run(self, seconds: float) -> None:
         """Let time pass."""
         until = self.now + seconds
