Roll-outs: settle an order that was withdrawn while all VMs restarted

No VM knew such an order any more, so its record stayed at canary or moving and the operator read "running" for ever.

The VM that would coordinate records it as rolled back, once it has read the unfinished record twice, 5 s apart, without finding its order in the configuration, and no return of the store is being restored.

--- a/packages/daemon/src/plankspindle_daemon/rollouts/rollout_record.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/rollout_record.py
@@ -55,6 +55,11 @@
     moving_at_s: float = 0.0
     ends_at_s: float = 0.0
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether there was no order, or the last one has reached its end."""
+        return self.order == 0 or self.stage.is_final
+
     @property
     def version_in_force(self) -> str:
         """Software version in force."""
--- a/packages/daemon/src/plankspindle_daemon/rollouts/unordered_record.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/unordered_record.py
@@ -5,10 +5,13 @@
 import math
 from typing import TYPE_CHECKING
 
+from attrs import evolve
+
 from plankspindle_core.classes import define
 from plankspindle_daemon.rollouts.rollout_participant import RolloutParticipant
 from plankspindle_daemon.rollouts.rollout_record import RolloutRecord
 from plankspindle_daemon.rollouts.rollout_roles import RolloutRoles
+from plankspindle_daemon.rollouts.stage import Stage
 from plankspindle_daemon.versions.store_era import RESTORE_S
 
 if TYPE_CHECKING:
@@ -22,12 +25,16 @@
 A check ranks all VMs; with a long period it costs little in a large fleet.
 """
 
+WITHDRAWAL_WAIT_S = 5.0
+"""Time for the configuration to name the order of an unfinished record, in seconds."""
+
 
 @define(kw_only=True)
 class UnorderedRecord:
     """Record the software version in force, as the VM that would coordinate.
 
     A fleet that starts anew beside several versions then knows which one is in force.
+    An order that was withdrawn while all VMs restarted is recorded as rolled back.
 
     Parameters
     ----------
@@ -44,6 +51,7 @@
     _is_missing: bool = False
     _must_read: bool = False
     _to_write: RolloutRecord | None = None
+    _unfinished: int | None = None
     _next_check_at: float = math.inf
 
     def check(self, now: float) -> None:
@@ -87,8 +95,11 @@
         """
         is_asked = self.has_work()
         self._must_read, self._to_write = False, None
-        if stored.record is not None:
-            self._settle(stored.record)
+        record = stored.record
+        if record is not None and record.is_finished:
+            self._settle(record)
+        elif record is not None and is_asked:
+            self._note_unfinished(record, is_restoring=is_restoring, now=now)
         elif is_asked:
             self._note_missing(stored, is_restoring=is_restoring, now=now)
 
@@ -110,6 +121,19 @@
         else:
             self._is_missing = True
 
+    def _note_unfinished(
+        self, record: RolloutRecord, *, is_restoring: bool, now: float
+    ) -> None:
+        """Roll back an order that was withdrawn while no VM ran that knew it.
+
+        The configuration may be about to name it, so it is looked for twice.
+        """
+        if is_restoring or self._unfinished != record.order:
+            self._unfinished = record.order
+            self._next_check_at = now + WITHDRAWAL_WAIT_S
+        else:
+            self._to_write = evolve(record, stage=Stage.ROLLED_BACK)
+
     def _settle(self, record: RolloutRecord) -> None:
         self._known, self._is_settled = record, True
 
--- a/packages/daemon/tests/rollouts/test_unordered_record.py
+++ b/packages/daemon/tests/rollouts/test_unordered_record.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import pytest
 
 from plankspindle_daemon.dispatch.version_counts import ListedVersion
 from plankspindle_daemon.platform.table import Row
 from plankspindle_daemon.rollouts.rollout_record import RolloutRecord
 from plankspindle_daemon.rollouts.rollout_record import StoredRollout
+from plankspindle_daemon.rollouts.stage import Stage
 from plankspindle_daemon.settings.daemon_settings import RolloutSettings
 from plankspindle_testkit.builders import build_configuration
 from plankspindle_testkit.rollout_fleet import NEW
@@ -17,9 +18,6 @@
 from plankspindle_testkit.rollout_fleet import RolloutFleet
 from plankspindle_testkit.versions import build_version
 
-if TYPE_CHECKING:
-    import pytest
-
 BASELINE_RECORD = RolloutRecord(service=SERVICE, baseline_version=OLD)
 RECORDED_S = 8.0
 
@@ -28,6 +26,13 @@
     return {vm.rollouts.status(fleet.now)[0].version_in_force for vm in fleet.running()}
 
 
+def run_to(fleet: RolloutFleet, stage: Stage) -> None:
+    until = fleet.now + 30.0
+    while {vm.stage for vm in fleet.running()} != {stage}:
+        assert fleet.now < until
+        fleet.run(0.1)
+
+
 def test_only_listed_version_is_recorded_by_one_vm_once() -> None:
     fleet = RolloutFleet()
     fleet.run(60.0)
@@ -134,3 +139,44 @@
     assert fleet.store.written == []
     fleet.run(4.0)
     assert fleet.store.written == [BASELINE_RECORD]
+
+
+@pytest.mark.parametrize("stage", [Stage.CANARY, Stage.MOVING])
+def test_order_withdrawn_while_all_vms_restart_is_rolled_back(stage: Stage) -> None:
+    fleet = RolloutFleet()
+    fleet.run(1.0)
+    fleet.give_order(duration_s=20.0)
+    run_to(fleet, stage)
+    fleet.restart_all()
+    fleet.run(25.0)
+    record = fleet.store.rows_by_service[SERVICE][1]
+    assert (record.order, record.stage) == (7, Stage.ROLLED_BACK)
+    assert versions_in_force(fleet) == {OLD}
+
+
+def test_order_that_is_configured_late_is_not_withdrawn() -> None:
+    fleet = RolloutFleet()
+    fleet.run(1.0)
+    fleet.give_order(duration_s=30.0)
+    run_to(fleet, Stage.CANARY)
+    order = fleet.order
+    fleet.restart_all()
+    fleet.run(8.0)
+    fleet.configure(order)
+    fleet.run(30.0)
+    assert {vm.stage for vm in fleet.running()} == {Stage.COMPLETE}
+
+
+def test_order_is_not_withdrawn_before_a_store_that_returns_is_restored() -> None:
+    fleet = RolloutFleet()
+    fleet.run(1.0)
+    fleet.give_order(duration_s=20.0)
+    run_to(fleet, Stage.CANARY)
+    rows = dict(fleet.store.rows_by_service)
+    fleet.restart_all()
+    fleet.run(9.5)
+    fleet.return_store(rows)
+    fleet.run(2.0)
+    assert fleet.store.rows_by_service[SERVICE][1].stage is Stage.CANARY
+    fleet.run(20.0)
+    assert fleet.store.rows_by_service[SERVICE][1].stage is Stage.ROLLED_BACK
