Adopt versions of the configuration in a module of its own

Adopting versions, whole or from chunks of other VMs, and ending the retention of drains move to VersionAdoption; the node keeps applying their content.

--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -10,14 +9,11 @@
 from attrs import field
 
 from plankspindle_core.classes import define
-from plankspindle_core.configuration.codec import encode_configuration
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.admission.caller_directory import CallerDirectory
 from plankspindle_daemon.configuration.configuration_in_force import (
     ConfigurationInForce,
 )
-from plankspindle_daemon.configuration.version_exchange import FetchedContent
-from plankspindle_daemon.configuration.version_exchange import SameContent
 from plankspindle_daemon.digests.digest_exchange import DigestExchange
 from plankspindle_daemon.dispatch import messages as dispatch
 from plankspindle_daemon.dispatch.service_registry import ServiceRegistry
@@ -36,6 +32,7 @@
 from plankspindle_daemon.node.self_report import SelfReport
 from plankspindle_daemon.node.shared_slots import SharedSlots
 from plankspindle_daemon.node.steering_updater import SteeringUpdater
+from plankspindle_daemon.node.version_adoption import VersionAdoption
 from plankspindle_daemon.node.version_gossip import VersionGossip
 from plankspindle_daemon.platform.listed_upstreams import RECOVERY_S
 from plankspindle_daemon.platform.listed_upstreams import ListedUpstreams
@@ -134,6 +131,7 @@
     shared_slots: SharedSlots = field(init=False)
     digest_exchange: DigestExchange = field(init=False)
     versions: VersionGossip = field(init=False)
+    adoption: VersionAdoption = field(init=False)
     quarantine: Quarantine = field(init=False)
     quotas: Quotas = field(init=False)
     limited_dispatch: LimitedDispatch = field(init=False)
@@ -171,6 +169,11 @@
         self.versions = VersionGossip(
             vm=self.vm, membership=self.membership, random=self.random
         )
+        self.adoption = VersionAdoption(
+            in_force=self.in_force,
+            versions=self.versions,
+            apply=self._apply_configuration,
+        )
         self.shared_reads = SharedReads(
             group=ReaderGroup(
                 vm=self.vm,
@@ -238,29 +241,8 @@
     def adopt(
         self, configuration: Configuration, *, version: ConfigurationVersion, now: float
     ) -> list[NodeEffect]:
-        """Put a version of the configuration in force as a whole.
-
-        Parameters
-        ----------
-        configuration : Configuration
-            A valid version.
-        version : ConfigurationVersion
-            The version; without effect unless it is higher than the present one.
-        now : float
-            Monotonic seconds.
-
-        Returns
-        -------
-        list of NodeEffect
-            Messages on the new version, and effects for waiting requests.
-        """
-        content = self.in_force.adopt(configuration, version, now)
-        if content is None:
-            return []
-        self.versions.exchange.serve_version(
-            version, partial(encode_configuration, configuration)
-        )
-        return [*self.versions.announce(), *self._apply_configuration(content, now)]
+        """Put a version in force as a whole; see :meth:`VersionAdoption.adopt`."""
+        return self.adoption.adopt(configuration, version=version, now=now)
 
     def _apply_configuration(
         self, configuration: Configuration, now: float
@@ -284,28 +266,7 @@
         self, chunk: ContentChunk, now: float
     ) -> list[NodeEffect]:
         """Apply a chunk of a higher version, and adopt the version once complete."""
-        received = self.versions.receive_chunk(chunk, now)
-        if isinstance(received, SameContent):
-            return self._adopt_same(received.version, now)
-        if not isinstance(received, FetchedContent):
-            return [*received]
-        decoded = self.in_force.decode(received.content)
-        if decoded.is_err():
-            return []
-        return self.adopt(decoded.unwrap(), version=received.version, now=now)
-
-    def _adopt_same(
-        self, version: ConfigurationVersion, now: float
-    ) -> list[NodeEffect]:
-        """Adopt a higher version of the present content."""
-        must_apply = self.in_force.adopt_same(version, now)
-        if self.version != version:
-            return []
-        self.versions.exchange.serve_same_content(version)
-        effects: list[NodeEffect] = [*self.versions.announce()]
-        if must_apply and self.configuration is not None:
-            effects += self._apply_configuration(self.configuration, now)
-        return effects
+        return self.adoption.receive_content_chunk(chunk, now)
 
     def handle_membership(
         self, event: MembershipEvent, *, now: float, wall: float
@@ -341,9 +302,7 @@
     def tick(self, *, now: float, wall: float) -> list[NodeEffect]:
         """Do all work that is due by now."""
         effects = self.handle_membership(membership.TimePassed(), now=now, wall=wall)
-        without_retained = self.in_force.end_retention_if_due(now)
-        if without_retained is not None:
-            effects += self._apply_configuration(without_retained, now)
+        effects += self.adoption.end_retention_if_due(now)
         for service in self.dispatchers_by_service:
             effects += self.handle_dispatch(service, dispatch.TimePassed(), now)
         if now >= self._next_refresh_at:
