Roll-outs: randomised restarts of all VMs, with and without a withdrawal

The randomised test restarted VMs one by one only, so it never met an order that no VM knew any more, and didn't check that a record is finished in the end.

--- a/packages/daemon/tests/rollouts/test_rollout_state_machine.py
+++ b/packages/daemon/tests/rollouts/test_rollout_state_machine.py
@@ -15,10 +15,11 @@
 from plankspindle_daemon.rollouts.rollout_coordinator import CONTACT_S
 from plankspindle_daemon.rollouts.rollout_participant import LEASE_S
 from plankspindle_daemon.rollouts.stage import Stage
+from plankspindle_testkit.fake_version_dispatch import REQUEST_S
 from plankspindle_testkit.rollout_fleet import DELAY_S
 from plankspindle_testkit.rollout_fleet import NEW
 from plankspindle_testkit.rollout_fleet import OLD
-from plankspindle_testkit.rollout_fleet import REQUEST_S
+from plankspindle_testkit.rollout_fleet import SERVICE
 from plankspindle_testkit.rollout_fleet import TICK_S
 from plankspindle_testkit.rollout_fleet import RolloutFleet
 from plankspindle_testkit.rollout_fleet import RolloutVm
@@ -80,12 +81,22 @@
     @rule(number=st.integers(0, 3))
     def restart(self, number: int) -> None:
         vm = list(self.fleet.vms_by_name.values())[number]
-        self.sent_before[vm.name] = self.sent_before.get(vm.name, 0) + len(
-            vm.dispatch.sent
-        )
+        self._note_sent(vm)
         self.fleet.start_vm(vm.name, vm.failure_domain)
         self._disturb()
 
+    @rule(withdraws=st.booleans())
+    def restart_all(self, withdraws: bool) -> None:
+        self.is_withdrawn = self.is_withdrawn or withdraws
+        for vm in self.fleet.vms_by_name.values():
+            self._note_sent(vm)
+        self.fleet.restart_all(None if withdraws else self.fleet.order)
+        self._disturb()
+
+    def _note_sent(self, vm: RolloutVm) -> None:
+        before = self.sent_before.get(vm.name, 0)
+        self.sent_before[vm.name] = before + len(vm.dispatch.sent)
+
     @rule(number=st.integers(0, 3), is_cut=st.booleans(), with_store=st.booleans())
     def cut(self, number: int, is_cut: bool, with_store: bool) -> None:
         vm = list(self.fleet.vms_by_name.values())[number]
@@ -189,6 +200,8 @@
             fleet.run(0.1)
             self._check_step()
         self.one_verdict()
+        recorded = fleet.store.rows_by_service.get(SERVICE)
+        assert recorded is None or recorded[1].is_finished, recorded
         # A process that started after the order was withdrawn knows of none.
         ends = {vm.stage for vm in fleet.running() if vm.has_order}
         assert len(ends) <= 1, ends
--- a/packages/daemon/tests/rollouts/test_unordered_record.py
+++ b/packages/daemon/tests/rollouts/test_unordered_record.py
@@ -53,6 +53,19 @@
     assert fleet.store.written == [BASELINE_RECORD]
 
 
+def test_recorded_version_replaces_the_likeliest_once_the_store_answers() -> None:
+    fleet = RolloutFleet()
+    fleet.run(RECORDED_S)
+    fleet.list_target(listed=100, warm=100)
+    fleet.store.is_down = True
+    fleet.restart_all()
+    fleet.run(20.0)
+    assert versions_in_force(fleet) == {NEW}
+    fleet.store.is_down = False
+    fleet.run(1.0)
+    assert versions_in_force(fleet) == {OLD}
+
+
 def test_next_coordinator_reads_the_record_once() -> None:
     fleet = RolloutFleet()
     fleet.run(RECORDED_S)
