Demo: a bad software version is rolled back

The demo showed nothing of roll-outs. Upstreams of a second software version start, a third of whose answers are status 500; it is ordered, confirmed and rolled back by itself, while requests flow; the roll-out is printed as the coordinating VM knows it.

The shift of the demo was refused in 2 of 5 starts, one of them with roll-outs disabled, since it waited for any word of the other failure domain, also one without slots; it waits for slots now.

--- a/packages/testkit/src/plankspindle_testkit/demo.py
+++ b/packages/testkit/src/plankspindle_testkit/demo.py
@@ -1,4 +1,4 @@
-"""Demo of a small deployment on loopback, from a lookup to a confirmed shift."""
+"""Demo of a small deployment on loopback, from a lookup to a roll-out and a drain."""
 
 from __future__ import annotations
 
@@ -23,6 +23,9 @@
 from plankspindle_testkit.processes import read_state
 from plankspindle_testkit.processes import wait_for_operator_listener
 from plankspindle_testkit.processes import wait_until
+from plankspindle_testkit.rollout_demo import BASELINE
+from plankspindle_testkit.rollout_demo import ROLLOUTS_SECTION
+from plankspindle_testkit.rollout_demo import show_rollout
 
 if TYPE_CHECKING:
     from plankspindle_core.configuration.configuration import Configuration
@@ -40,10 +43,17 @@
     ),
 ]
 UPSTREAMS = {
-    "registry-ba-1": build_upstream(endpoint=Endpoint("127.0.0.21", 17200), slots=9),
-    "registry-ba-2": build_upstream(endpoint=Endpoint("127.0.0.22", 17200), slots=9),
+    "registry-ba-1": build_upstream(
+        endpoint=Endpoint("127.0.0.21", 17200), slots=9, software_version=BASELINE
+    ),
+    "registry-ba-2": build_upstream(
+        endpoint=Endpoint("127.0.0.22", 17200), slots=9, software_version=BASELINE
+    ),
     "registry-ke-1": build_upstream(
-        endpoint=Endpoint("127.0.0.23", 17200), slots=9, failure_domain="ke-1"
+        endpoint=Endpoint("127.0.0.23", 17200),
+        slots=9,
+        failure_domain="ke-1",
+        software_version=BASELINE,
     ),
 }
 REQUESTS = 200
@@ -64,6 +74,7 @@
             _show_requests("after the shift")
             _show_shift_progress()
             _show_conflicting_plans()
+            show_rollout(processes, VMS, [_dealer_key(n) for n in range(DEALERS)])
             _show_drain()
         finally:
             processes.close()
@@ -79,7 +90,7 @@
         "upstreams", "plankspindle_testkit.upstream_stand_in", *upstreams
     )
     for addresses in VMS:
-        processes.start_daemon(addresses, platform=PLATFORM)
+        processes.start_daemon(addresses, platform=PLATFORM, rollouts=ROLLOUTS_SECTION)
         wait_for_operator_listener(addresses)
     version = apply_configuration(VMS[0], _configuration())
     for addresses in VMS:
@@ -160,7 +171,7 @@
 
 
 def _show_shift() -> None:
-    wait_until(_all_domains_are_reachable, what="digests of every failure domain")
+    wait_until(_all_domains_have_slots, what="slots of every failure domain")
     intent = {
         "kind": "shift",
         "shift_id": "relief",
@@ -211,9 +222,13 @@
     print("look-ups at every entry VM name Košice only")
 
 
-def _all_domains_are_reachable() -> bool:
+def _all_domains_have_slots() -> bool:
     domains = read_state(VMS[0])["failure_domains"]
-    return all(domains[name]["heard_vms"] for name in ("ba-1", "ke-1"))
+    heard = [domains[name] for name in ("ba-1", "ke-1")]
+    return all(
+        each["heard_vms"] and each["services"]["registry"]["capacity"] > 0
+        for each in heard
+    )
 
 
 def _only_kosice_is_resolved() -> bool:
--- a/packages/testkit/src/plankspindle_testkit/upstream_stand_in/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/upstream_stand_in/__main__.py
@@ -13,20 +13,24 @@
 
 @click.command()
 @click.option("--service-ms", default=5.0, help="Time that a request takes.")
+@click.option("--fail-every", default=0, help="Fail every so many-th request.")
 @click.argument("upstreams", nargs=-1, required=True)
-def main(service_ms: float, upstreams: tuple[str, ...]) -> None:
+def main(service_ms: float, fail_every: int, upstreams: tuple[str, ...]) -> None:
     """Serve UPSTREAMS, each NAME=IP:PORT=SLOTS."""
-    servers = [_make(each, service_ms) for each in upstreams]
+    servers = [
+        _make(each, Behaviour(service_ms=service_ms, fail_every=fail_every))
+        for each in upstreams
+    ]
     curio.run(serve_until_killed, servers)
 
 
-def _make(text: str, service_ms: float) -> UpstreamStandIn:
+def _make(text: str, behaviour: Behaviour) -> UpstreamStandIn:
     name, endpoint, slots = text.split("=")
     return UpstreamStandIn(
         endpoint=Endpoint.parse(endpoint),
         name=name,
         slots=int(slots),
-        behaviour=Behaviour(service_ms=service_ms),
+        behaviour=behaviour,
     )
 
 
--- a/packages/testkit/src/plankspindle_testkit/upstream_stand_in/behaviour.py
+++ b/packages/testkit/src/plankspindle_testkit/upstream_stand_in/behaviour.py
@@ -37,6 +37,8 @@
         Planned time of leaving, seconds since the Unix epoch.
     crash_path : str, optional
         Path whose requests end the process.
+    fail_every : int
+        Answer every so many-th request with status 500; zero for none.
     """
 
     mode: Mode = Mode.SERVE
@@ -45,3 +47,4 @@
     leaving: bool = False
     leaves_at: float | None = None
     crash_path: str | None = None
+    fail_every: int = 0
--- a/packages/testkit/src/plankspindle_testkit/upstream_stand_in/upstream_stand_in.py
+++ b/packages/testkit/src/plankspindle_testkit/upstream_stand_in/upstream_stand_in.py
@@ -67,6 +67,7 @@
     shed: int = 0
     cancelled: int = 0
     refused_late: int = 0
+    served: int = 0
     _server: HttpServer = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -142,7 +143,12 @@
             await watcher.cancel()
 
     async def _answer(self, source: ServerExchange, path: str, body: bytes) -> None:
-        match self.behaviour.mode:
+        self.served += 1
+        mode = self.behaviour.mode
+        fail_every = self.behaviour.fail_every
+        if fail_every and self.served % fail_every == 0:
+            mode = Mode.FAIL
+        match mode:
             case Mode.FAIL:
                 await source.answer(status=500, body=b"failed\n")
             case Mode.HANG:
