--- a/packages/daemon/src/plankspindle_daemon/rollouts/rollout_collector.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/rollout_collector.py
@@ -59,12 +59,14 @@
     _endpoint_by_vm: dict[str, Endpoint] = Factory(dict)
 
     def take(self, report: RolloutReport, sender: Endpoint | None, now: float) -> None:
-        """Record the report of a VM; the endpoint is None for this VM."""
+        """Record a report of a VM, or a part; the endpoint is None for this VM."""
         process = (report.sender, report.incarnation)
         before = self._reports_by_process.get(process)
         if before is not None and report.requests < before.requests:
             return
-        self._reports_by_process[process] = report
+        self._reports_by_process[process] = (
+            report if before is None else report_sums.without_decreases(before, report)
+        )
         self._incarnation_by_vm[report.sender] = report.incarnation
         self._heard_at_by_vm[report.sender] = now
         if sender is not None:
