Capacity of roll-outs, with the bench rollout-cost

Sizes of reports and directives as encoded, processor time of splitting, receiving, summing and judging, and from them messages, bytes and shares of a core of participant, collector and coordinator at 88, 300 and 4,500 VMs; store calls from the model.

--- a/packages/testkit/src/plankspindle_testkit/bench/__main__.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/__main__.py
@@ -17,6 +17,7 @@
 from plankspindle_testkit.bench.proxy_bench import run_proxy_bench
 from plankspindle_testkit.bench.quota_bench import run_quota_bench
 from plankspindle_testkit.bench.rollout_bench import run_rollout_bench
+from plankspindle_testkit.bench.rollout_cost_bench import run_rollout_cost_bench
 from plankspindle_testkit.bench.shift_bench import run_shift_bench
 from plankspindle_testkit.bench.size_bench import run_size_bench
 from plankspindle_testkit.bench.slopes_bench import run_slopes_bench
@@ -40,6 +41,7 @@
     "limit": run_limit_bench,
     "quota": run_quota_bench,
     "rollout": run_rollout_bench,
+    "rollout-cost": run_rollout_cost_bench,
 }
 
 
