Roll-outs: the record is not read by all VMs when another version is listed

Cause: each VM read the record once as soon as two versions were listed, which all see at the same moment: 4,500 reads, where the store takes 2,000 a second.

Change: a VM that saw one version listed alone knows that it is in force, and reads nothing. One that starts beside several still does.

--- a/packages/daemon/src/plankspindle_daemon/rollouts/service_rollout.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/service_rollout.py
@@ -128,7 +128,10 @@
         listed = self.dispatch.listed_versions(self.service)
         participant = self.participant
         participant.observe_versions(listed)
-        if len(listed) > 1 and not self._has_read_baseline:
+        # Where one version was listed alone before, it is the one in force, and the
+        # whole fleet need not read the record at the moment when another is listed.
+        is_guessed = len(listed) > 1 and not participant.was_baseline_alone
+        if is_guessed and not self._has_read_baseline:
             self._has_read_baseline = self.needs_read = True
         self._log.log_unnamed(participant, listed)
         self.apply_split(now)
--- a/packages/daemon/tests/rollouts/test_unordered_record.py
+++ b/packages/daemon/tests/rollouts/test_unordered_record.py
@@ -98,6 +98,16 @@
     assert fleet.store.reads == reads
 
 
+# All VMs of a fleet see another version listed at the same moment.
+def test_record_is_not_read_by_vms_that_saw_the_baseline_alone() -> None:
+    fleet = RolloutFleet()
+    fleet.run(RECORDED_S)
+    reads = fleet.store.reads
+    fleet.list_target(listed=100, warm=100)
+    fleet.run(1.0)
+    assert fleet.store.reads == reads
+
+
 def test_version_that_was_alone_is_recorded_beside_another() -> None:
     fleet = RolloutFleet()
     fleet.run(1.0)
