Roll-outs: slow answers of all operations have a sum of their own

Cause: failures and slow answers were summed over all operations together. A slow version never fails, so its many good answers among the failures hid the few slow ones of those whose times were compared; each operation alone has too few of them where traffic is low.

Change: the sums over all operations are kept apart for failures and times.

Measured: the new test fails on the code before (log-likelihood ratio 5.78 of 8.52) and passes; tests of roll-outs, of counts and of the operating characteristics passed.

--- a/packages/daemon/src/plankspindle_daemon/rollouts/judgement.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/judgement.py
@@ -10,6 +10,7 @@
 
 from plankspindle_core.classes import define
 from plankspindle_core.classes import frozen
+from plankspindle_daemon.peer_messages.rollout_messages import TIMING_SUFFIX
 from plankspindle_daemon.peer_messages.rollout_messages import VersionOutcomes
 
 if TYPE_CHECKING:
@@ -60,7 +61,8 @@
     verdict : Verdict
         The verdict.
     operation : str
-        Operation with the strongest evidence against the target; empty for all.
+        Operation with the strongest evidence against the target; empty for all, and
+        ``TIMING_SUFFIX`` for the times of all.
     log_ratio, threshold : float
         Its log-likelihood ratio, and the one from which the target is bad.
     """
@@ -103,12 +105,13 @@
     For each operation, and for all together, one cumulative sum per share of bad
     answers that is tested for: the log-likelihood ratio of the target's answers under
     that share against the baseline's, summed over failure domains and reset to zero
-    when it falls below (CUSUM). Earlier good answers therefore do not hide that a
-    version turns bad later. The baseline's share is that of the last seconds in the
-    same failure domain, so that a slow failure domain or a burst, which both versions
-    bear, is no evidence. The target's worst upstream does not count if at least
-    ``MIN_UPSTREAMS_TO_EXCLUDE_ONE`` have answered, as one failing upstream is no bad
-    version.
+    when it falls below (CUSUM). Slow answers of all operations have a sum of their own,
+    as the good answers of a slow version that never fails would hide them. Earlier good
+    answers do not hide that a version turns bad later. The baseline's share
+    is that of the last seconds in the same failure domain, so that a slow failure
+    domain or a burst, which both versions bear, is no evidence. The target's worst
+    upstream does not count if at least ``MIN_UPSTREAMS_TO_EXCLUDE_ONE`` have answered,
+    as one failing upstream is no bad version.
     """
 
     _previous_by_group: dict[tuple[str, str], VersionOutcomes] = Factory(dict)
@@ -155,7 +158,7 @@
             excluded[each.operation] = (out_answers - used[0], out_bad - used[1])
             answers, bad = answers - used[0], bad - used[1]
             steps = self._steps(each, answers=answers, bad=min(bad, answers))
-            for name in (each.operation, ""):
+            for name in (each.operation, TIMING_SUFFIX if each.is_of_timing else ""):
                 sums = steps_by_operation.setdefault(name, [0.0] * len(BAD_SHARES))
                 steps_by_operation[name] = [
                     total + step for total, step in zip(sums, steps, strict=True)
--- a/packages/daemon/tests/rollouts/test_judgement.py
+++ b/packages/daemon/tests/rollouts/test_judgement.py
@@ -9,6 +9,7 @@
 from attrs import define
 from attrs import field
 
+from plankspindle_daemon.peer_messages.rollout_messages import TIMING_SUFFIX
 from plankspindle_daemon.peer_messages.rollout_messages import UpstreamOutcomes
 from plankspindle_daemon.peer_messages.rollout_messages import VersionOutcomes
 from plankspindle_daemon.rollouts.judgement import Evidence
@@ -161,3 +162,23 @@
     answers.run(10)
     answers._counts.clear()
     assert answers.run(30).verdict is Verdict.UNDECIDED
+
+
+def test_slow_version_is_bad_though_it_never_fails() -> None:
+    """Each operation alone has too few answers whose times were compared."""
+    outcomes = [
+        VersionOutcomes(
+            operation=operation + suffix,
+            failure_domain="ba-1",
+            baseline_answers=200,
+            target_answers=3 if suffix else 30,
+            target_bad=2 if suffix else 0,
+        )
+        for operation in ("a", "b", "c", "d", "e", "f")
+        for suffix in ("", TIMING_SUFFIX)
+    ]
+    judgement = Judgement()
+    judgement.update([], [], target_upstreams=1, now=0.0)
+    evidence = judgement.update(outcomes, [], target_upstreams=1, now=PERIOD_S)
+    assert evidence.verdict is Verdict.BAD
+    assert evidence.operation == TIMING_SUFFIX
