Soak: seeded run of a good and a bad version among the tests

The schedule rollouts-short.jsonl with seed 3: a good version comes into force, and one that fails later is rolled back, while an entry VM is killed.

--- a/tests/fleet/test_fleet_soak.py
+++ b/tests/fleet/test_fleet_soak.py
@@ -51,6 +51,7 @@
 CRASHING_SCHEDULE = SHORT_SCHEDULE.with_name("crashing.jsonl")
 STATEMENTS_SCHEDULE = SHORT_SCHEDULE.with_name("statements.jsonl")
 RETURNS_SCHEDULE = SHORT_SCHEDULE.with_name("returns.jsonl")
+ROLLOUTS_SCHEDULE = SHORT_SCHEDULE.with_name("rollouts-short.jsonl")
 DESK, VAULT = (
     Upstream(
         name=f"i-{service}",
@@ -148,6 +149,23 @@
     assert result.counts["judged for lateness"] > 100
 
 
+def test_rollouts_of_a_good_and_a_bad_version_keep_their_bounds(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A good version comes into force, and a failing one does not.
+
+    Guards against upstreams of a version that nobody had ordered, which got requests as
+    soon as they were listed, and against a bad version that keeps them.
+    """
+    result = run_soak(monkeypatch, ROLLOUTS_SCHEDULE, seed=3, first_port=28_900)
+    assert result.violations == []
+    counts = result.counts
+    assert counts["roll-outs that were complete"] == 1
+    assert counts["roll-outs that were rolled_back"] == 1
+    assert counts["missed duties of roll-outs"] == 0
+    assert counts["requests judged for exposure"] > 0
+
+
 def test_seed_determines_faults() -> None:
     vms = ["edge-0", "edge-1"]
     assert draw(7, seconds=60, vms=vms) == draw(7, seconds=60, vms=vms)
