Metrics of roll-outs: stage, exposed requests, time to the deadline

Cause: an operator saw requests and bad answers by software version, but neither the stage nor how much of the exposure is used.

Change: three gauges from the state that the node's roll-outs tell; the dump reads it without a guard, since each node has roll-outs. A test of a node without them asks one whose settings enable none instead.

--- a/packages/daemon/src/plankspindle_daemon/observability/instruments.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/instruments.py
@@ -11,6 +11,7 @@
 from prometheus_client import REGISTRY
 from prometheus_client import generate_latest
 
+from plankspindle_core.steady_clock import monotonic
 from plankspindle_daemon.observability.histogram_collector import HistogramCollector
 
 MAX_LABELLED_WORKSPACES = 20
@@ -21,6 +22,7 @@
     from collections.abc import Iterable
 
     from plankspindle_daemon.observability.metric_sources import MetricSources
+    from plankspindle_daemon.rollouts.rollout_status import RolloutStatus
 
     Observe = Callable[[], Iterable[Observation]]
 
@@ -52,6 +54,9 @@
         self._add_counter("upstream_statements_unreadable", self._statements_unreadable)
         self._add_counter("software_version_requests", self._version_requests)
         self._add_counter("software_version_bad_answers", self._version_bad_answers)
+        self._add_gauge("rollout_stage", self._rollout_stages)
+        self._add_gauge("rollout_exposed_requests", self._rollout_exposed)
+        self._add_gauge("rollout_seconds_to_deadline", self._rollout_deadlines)
         self._add_gauge("upstreams_limited", self._upstreams_limited)
         self._add_gauge("quarantined_requests", self._quarantined_requests)
         self._add_gauge("platform_available", self._platform_available)
@@ -123,6 +128,33 @@
             for role, count in each.versions.tally.bad_by_role.items()
         ]
 
+    def _rollout_stages(self) -> Iterable[Observation]:
+        return [
+            Observation(1, {"service": each.service, "stage": each.stage})
+            for each in self._ordered_rollouts()
+        ]
+
+    def _rollout_exposed(self) -> Iterable[Observation]:
+        return [
+            Observation(
+                each.exposed,
+                {"service": each.service, "of": "all" if each.is_of_all_vms else "vm"},
+            )
+            for each in self._ordered_rollouts()
+        ]
+
+    def _rollout_deadlines(self) -> Iterable[Observation]:
+        return [
+            Observation(each.to_deadline_s, {"service": each.service})
+            for each in self._ordered_rollouts()
+            if each.to_deadline_s is not None
+        ]
+
+    def _ordered_rollouts(self) -> list[RolloutStatus]:
+        """Return the states of the services that had an order."""
+        statuses = self._sources.node.rollouts.status(monotonic())
+        return [each for each in statuses if each.stage is not None]
+
     def _ejections(self) -> Iterable[Observation]:
         return [
             Observation(count, {"service": service})
--- a/packages/daemon/tests/observability/test_metrics.py
+++ b/packages/daemon/tests/observability/test_metrics.py
@@ -5,6 +5,7 @@
 import re
 from collections import Counter
 from typing import Any
+from typing import cast
 
 import pytest
 from hypothesis import given
@@ -22,6 +23,7 @@
 from plankspindle_daemon.platform.bounded_calls import BoundedCalls
 from plankspindle_daemon.platform.bounded_calls import CallKind
 from plankspindle_daemon.quarantine.quarantine import Quarantine
+from plankspindle_daemon.rollouts.rollout_status import RolloutStatus
 from plankspindle_daemon.traces.request_trace import Completion
 from plankspindle_daemon.traces.request_trace import RequestTrace
 from plankspindle_daemon.traces.steps import AttemptEnded
@@ -46,6 +48,17 @@
 
     def __init__(self) -> None:
         self.quarantine = Quarantine.create("a", "ba-1", build_membership("a"))
+        self.rollouts = StubRollouts()
+
+
+class StubRollouts:
+    """The state of no roll-outs, unless a test sets some."""
+
+    def __init__(self) -> None:
+        self.statuses: list[RolloutStatus] = []
+
+    def status(self, now: float) -> list[RolloutStatus]:
+        return self.statuses
 
 
 def build_trace() -> RequestTrace:
@@ -193,3 +206,25 @@
     of_baseline = "_total role=baseline service=registry"
     assert values[f"plankspindle_software_version_requests{of_baseline}"] == 1
     assert values[f"plankspindle_software_version_bad_answers{of_baseline}"] == 1
+
+
+def test_state_of_a_rollout_is_told_only_with_an_order(
+    sources: MetricSources,
+) -> None:
+    reader = MetricsReader(sources=sources)
+    assert "rollout" not in reader.render().decode()
+    status = RolloutStatus(
+        service="registry",
+        version_in_force="v1",
+        stage="canary",
+        exposed=7,
+        is_of_all_vms=True,
+        to_deadline_s=8.5,
+    )
+    cast("StubRollouts", sources.node.rollouts).statuses.append(status)
+    values = samples(reader.render().decode())
+    reader.close()
+    assert values["plankspindle_rollout_stage service=registry stage=canary"] == 1
+    assert values["plankspindle_rollout_exposed_requests of=all service=registry"] == 7
+    deadline = "plankspindle_rollout_seconds_to_deadline service=registry"
+    assert values[deadline] == 8.5
