Roll-outs: the first answers are judged against the threshold of all operations

Cause: the threshold counted the operations that had been judged before, which is none at the first answers, so that these were judged as if there were one operation.

Change: it counts those of the present answers as well.

--- a/packages/daemon/src/plankspindle_daemon/rollouts/judgement.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/judgement.py
@@ -239,7 +239,8 @@
 
     def _evidence(self, steps_by_operation: dict[str, list[float]]) -> Evidence:
         strongest = Evidence(verdict=Verdict.UNDECIDED)
-        tests = max(1, len(self._log_ratios_by_operation)) * len(BAD_SHARES)
+        operations = self._log_ratios_by_operation.keys() | steps_by_operation.keys()
+        tests = max(1, len(operations)) * len(BAD_SHARES)
         threshold = math.log(tests / FALSE_ALARM_PROBABILITY)
         for operation, steps in steps_by_operation.items():
             sums = self._log_ratios_by_operation.setdefault(
--- a/packages/daemon/tests/rollouts/test_judgement.py
+++ b/packages/daemon/tests/rollouts/test_judgement.py
@@ -182,3 +182,16 @@
     evidence = judgement.update(outcomes, [], target_upstreams=1, now=PERIOD_S)
     assert evidence.verdict is Verdict.BAD
     assert evidence.operation == TIMING_SUFFIX
+
+
+def test_first_answers_are_judged_for_as_many_operations_as_later_ones() -> None:
+    outcomes = [
+        VersionOutcomes(operation=operation, failure_domain="ba-1", target_answers=1)
+        for operation in OPERATIONS
+    ]
+    judgement = Judgement()
+    first, later = (
+        judgement.update(outcomes, [], target_upstreams=1, now=now)
+        for now in (0.0, PERIOD_S)
+    )
+    assert first.threshold == later.threshold > 0
