--- a/packages/daemon/src/plankspindle_daemon/rollouts/report_parts.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/report_parts.py
@@ -7,6 +7,7 @@
 from attrs import evolve
 
 from plankspindle_core.classes import define
+from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.peer_messages.rollout_messages import TIMING_SUFFIX
 from plankspindle_daemon.peer_messages.rollout_messages import RolloutReport
 from plankspindle_daemon.peer_messages.rollout_messages import UpstreamOutcomes
@@ -15,6 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from plankspindle_core.endpoint import Endpoint
+
 _Row = VersionOutcomes | UpstreamOutcomes
 MAX_PART_BYTES = 1_350
 """Longest payload of a part in bytes; a frame adds 20 bytes, and holds 1,400."""
@@ -38,6 +41,17 @@
         self.size += other.size
 
 
+def messages_of_report(
+    report: RolloutReport, endpoints: Iterable[Endpoint]
+) -> list[SendToPeer]:
+    """Return the messages by which a report is sent to some VMs."""
+    return [
+        SendToPeer(message=part, to=endpoint)
+        for part in split_report(report)
+        for endpoint in endpoints
+    ]
+
+
 def split_report(report: RolloutReport) -> list[RolloutReport]:
     """Return reports of which each fits in a message, with all rows among them.
 
--- a/packages/daemon/src/plankspindle_daemon/rollouts/service_rollout.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/service_rollout.py
@@ -12,7 +12,7 @@
 from plankspindle_daemon.dispatch.version_split import VersionSplit
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.peer_messages.rollout_messages import RolloutDirective
-from plankspindle_daemon.rollouts.report_parts import split_report
+from plankspindle_daemon.rollouts.report_parts import messages_of_report
 from plankspindle_daemon.rollouts.rollout_collector import MAX_SILENCE_S
 from plankspindle_daemon.rollouts.rollout_collector import RolloutCollector
 from plankspindle_daemon.rollouts.rollout_coordinator import RolloutCoordinator
@@ -29,8 +29,6 @@
 from plankspindle_daemon.versions.store_era import StoreEra
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from plankspindle_core.configuration.rollout import Rollout
     from plankspindle_core.endpoint import Endpoint
     from plankspindle_daemon.peer_messages.rollout_messages import RolloutReport
@@ -165,7 +163,7 @@
         if order is None or collector is None or coordinator is None:
             return effects
         if report is not None and collector.endpoint is not None:
-            effects += _send_parts(report, [collector.endpoint])
+            effects += messages_of_report(report, [collector.endpoint])
         elif report is not None:
             self._ensure_collector(order, now).take(report, None, now)
         if self.collector is None:
@@ -176,7 +174,9 @@
         if report is None and not self._collects_for_others(now):
             return effects
         sums = self.collector.report(self._own_members(), now)
-        effects += _send_parts(sums, sorted(self.roles.coordinator_endpoints(now)))
+        effects += messages_of_report(
+            sums, sorted(self.roles.coordinator_endpoints(now))
+        )
         if coordinator.endpoint is None or self.coordinator is not None:
             self._ensure_coordinator(order, now).handle_report(sums, None, now)
         return effects
@@ -390,14 +390,3 @@
             self.unordered.expect_lost_record()
             return
         self._ensure_coordinator(order, now).expect_lost_record()
-
-
-def _send_parts(
-    report: RolloutReport, endpoints: Iterable[Endpoint]
-) -> list[SendToPeer]:
-    """Return the messages of a report to some VMs."""
-    return [
-        SendToPeer(message=part, to=endpoint)
-        for part in split_report(report)
-        for endpoint in endpoints
-    ]
