Roll-outs: what hits both versions at once is held against neither

Change: the share is at least that of the new answers of the same time: of the failure domain, else of the operation, else of all operations. Without new answers the last share stays, with a margin. In a module of its own.

--- a/packages/daemon/src/plankspindle_daemon/rollouts/judgement.py
+++ b/packages/daemon/src/plankspindle_daemon/rollouts/judgement.py
@@ -12,35 +12,19 @@
 from plankspindle_core.classes import frozen
 from plankspindle_daemon.peer_messages.rollout_messages import TIMING_SUFFIX
 from plankspindle_daemon.peer_messages.rollout_messages import VersionOutcomes
+from plankspindle_daemon.rollouts.baseline_shares import BaselineShares
+from plankspindle_daemon.rollouts.baseline_shares import NewAnswers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from plankspindle_daemon.peer_messages.rollout_messages import UpstreamOutcomes
+    from plankspindle_daemon.rollouts.baseline_shares import Group
 
 BAD_SHARES = (0.05, 0.1, 0.2, 0.4, 0.8)
 """Shares of bad answers, above those of the baseline, that are tested for."""
-MIN_BASELINE_SHARE = 0.02
-"""Least share of bad answers that the baseline is assumed to have.
-
-Baselines of few answers without a bad one say little; this bounds what they claim.
-"""
-MAX_BASELINE_SHARE = 0.95
 FALSE_ALARM_PROBABILITY = 1e-3
 """Probability of a false alarm for one operation at any one time."""
-BASELINE_MEMORY_S = 3.0
-"""Time constant with which earlier answers of the baseline lose weight, in seconds."""
-LATEST_MEMORY_S = 0.5
-"""The same of the latest answers, which show a disturbance of both versions first."""
-MIN_LATEST_ANSWERS = 5.0
-"""Latest answers of the baseline in one failure domain that tell its share."""
-PRIOR_ANSWERS = 20.0
-"""Answers of the operation in all failure domains that count in each of them.
-
-A failure domain alone has too few answers where traffic is low.
-"""
-STANDARD_ERRORS = 1.0
-"""Standard errors by which the baseline's share may be underestimated."""
 MIN_UPSTREAMS_TO_EXCLUDE_ONE = 3
 """Upstreams of the target that must have answered for the worst not to count."""
 
@@ -73,29 +57,6 @@
     threshold: float = 0.0
 
 
-@define(kw_only=True)
-class _RecentAnswers:
-    """Answers of the baseline that lose weight with time."""
-
-    answers: float = 0.0
-    bad: float = 0.0
-
-    def record(self, *, answers: int, bad: int, decay: float) -> None:
-        self.answers = self.answers * decay + answers
-        self.bad = self.bad * decay + bad
-
-    def share(self, *, prior: float) -> float:
-        """Return the share of bad answers, given that of all failure domains."""
-        return (self.bad + PRIOR_ANSWERS * prior) / (self.answers + PRIOR_ANSWERS)
-
-    def upper_bound(self, *, prior: float) -> float:
-        """Return the highest share that the recent answers make plausible."""
-        share = min(1.0, self.share(prior=prior))
-        error = math.sqrt(share * (1 - share) / (self.answers + PRIOR_ANSWERS))
-        bound = share + STANDARD_ERRORS * error
-        return min(MAX_BASELINE_SHARE, max(MIN_BASELINE_SHARE, bound))
-
-
 @define(kw_only=True)
 class Judgement:
     """Compare the target's answers with the baseline's of the same time and place.
@@ -107,8 +68,8 @@
     that share against the baseline's, summed over failure domains and reset to zero
     when it falls below (CUSUM). Slow answers of all operations have a sum of their own,
     as the good answers of a slow version that never fails would hide them. Earlier good
-    answers do not hide that a version turns bad later. The baseline's share
-    is that of the last seconds in the same failure domain, so that a slow failure
+    answers do not hide that a version turns bad later. The baseline's share is that of
+    the same time and failure domain (:class:`BaselineShares`), so that a slow failure
     domain or a burst, which both versions bear, is no evidence. The target's worst
     upstream does not count if at least ``MIN_UPSTREAMS_TO_EXCLUDE_ONE`` have answered,
     as one failing upstream is no bad version.
@@ -116,9 +77,7 @@
 
     _previous_by_group: dict[tuple[str, str], VersionOutcomes] = Factory(dict)
     _previous_by_upstream: dict[tuple[str, str], tuple[int, int]] = Factory(dict)
-    _baseline_by_group: dict[tuple[str, str], _RecentAnswers] = Factory(dict)
-    _latest_by_group: dict[tuple[str, str], _RecentAnswers] = Factory(dict)
-    _baseline_by_operation: dict[str, _RecentAnswers] = Factory(dict)
+    _baseline: BaselineShares = Factory(BaselineShares)
     _log_ratios_by_operation: dict[str, list[float]] = Factory(dict)
     _updated_at: float | None = None
 
@@ -151,8 +110,11 @@
             else {}
         )
         steps_by_operation: dict[str, list[float]] = {}
-        for each in outcomes:
-            answers, bad = self._take_increments(each, elapsed_s)
+        found = list(outcomes)
+        target_by_group = self._take_increments(found, elapsed_s)
+        for each in found:
+            new = target_by_group[each.operation, each.failure_domain]
+            answers, bad = new.answers, new.bad
             out_answers, out_bad = excluded.pop(each.operation, (0, 0))
             used = min(answers, out_answers), min(bad, out_bad)
             excluded[each.operation] = (out_answers - used[0], out_bad - used[1])
@@ -166,30 +128,27 @@
         return self._evidence(steps_by_operation)
 
     def _take_increments(
-        self, outcomes: VersionOutcomes, elapsed_s: float
-    ) -> tuple[int, int]:
-        """Record the baseline's new answers; return the target's, and the bad ones."""
-        group = (outcomes.operation, outcomes.failure_domain)
-        before = self._previous_by_group.get(
-            group,
-            VersionOutcomes(operation=group[0], failure_domain=group[1]),
-        )
-        self._previous_by_group[group] = outcomes
-        answers = max(0, outcomes.baseline_answers - before.baseline_answers)
-        bad = max(0, outcomes.baseline_bad - before.baseline_bad)
-        for recent, memory_s in (
-            (self._baseline_by_group, BASELINE_MEMORY_S),
-            (self._latest_by_group, LATEST_MEMORY_S),
-        ):
-            decay = math.exp(-elapsed_s / memory_s)
-            in_domain = recent.setdefault(group, _RecentAnswers())
-            in_domain.record(answers=answers, bad=bad, decay=decay)
-        in_all = self._baseline_by_operation.setdefault(group[0], _RecentAnswers())
-        in_all.record(answers=answers, bad=bad, decay=1.0)
-        return (
-            max(0, outcomes.target_answers - before.target_answers),
-            max(0, outcomes.target_bad - before.target_bad),
-        )
+        self, outcomes: list[VersionOutcomes], elapsed_s: float
+    ) -> dict[Group, NewAnswers]:
+        """Record the baseline's new answers, and return the target's."""
+        baseline: dict[Group, NewAnswers] = {}
+        target: dict[Group, NewAnswers] = {}
+        for each in outcomes:
+            group = (each.operation, each.failure_domain)
+            before = self._previous_by_group.get(
+                group, VersionOutcomes(operation=group[0], failure_domain=group[1])
+            )
+            self._previous_by_group[group] = each
+            baseline[group] = NewAnswers(
+                answers=max(0, each.baseline_answers - before.baseline_answers),
+                bad=max(0, each.baseline_bad - before.baseline_bad),
+            )
+            target[group] = NewAnswers(
+                answers=max(0, each.target_answers - before.target_answers),
+                bad=max(0, each.target_bad - before.target_bad),
+            )
+        self._baseline.record(baseline, elapsed_s)
+        return target
 
     def _worst_upstream_increments(
         self, bad_upstreams: Iterable[UpstreamOutcomes]
@@ -217,7 +176,7 @@
     ) -> list[float]:
         """Return what new answers of one group add to each log-likelihood ratio."""
         group = (outcomes.operation, outcomes.failure_domain)
-        usual = self._usual_share(group)
+        usual = self._baseline.usual_share(group)
         steps = []
         for above in BAD_SHARES:
             tested = usual + (1 - usual) * above
@@ -227,16 +186,6 @@
             )
         return steps
 
-    def _usual_share(self, group: tuple[str, str]) -> float:
-        """Return the share of bad answers that the baseline has at most."""
-        in_all = self._baseline_by_operation[group[0]]
-        prior = in_all.share(prior=MIN_BASELINE_SHARE)
-        usual = self._baseline_by_group[group].upper_bound(prior=prior)
-        latest = self._latest_by_group[group]
-        if latest.answers >= MIN_LATEST_ANSWERS:
-            usual = max(usual, latest.bad / latest.answers)
-        return min(MAX_BASELINE_SHARE, usual)
-
     def _evidence(self, steps_by_operation: dict[str, list[float]]) -> Evidence:
         strongest = Evidence(verdict=Verdict.UNDECIDED)
         operations = self._log_ratios_by_operation.keys() | steps_by_operation.keys()
--- a/packages/testkit/src/plankspindle_testkit/bench/rollout_bench.py
+++ b/packages/testkit/src/plankspindle_testkit/bench/rollout_bench.py
@@ -28,6 +28,18 @@
         name="good, a failure domain slow at both", slowness=4, hits_baseline=True
     ),
     ModelFault(name="good, both fail 5 %", failing=0.05, hits_baseline=True),
+    ModelFault(
+        name="good, both fail 40 % from second 5 on",
+        failing=0.4,
+        from_s=5.0,
+        hits_baseline=True,
+    ),
+    ModelFault(
+        name="good, both 4 times slower from second 9 on",
+        slowness=4,
+        from_s=9.0,
+        hits_baseline=True,
+    ),
     ModelFault(name="1 % fail", failing=0.01),
     ModelFault(name="5 % fail", failing=0.05),
     ModelFault(name="10 % fail", failing=0.1),
--- a/packages/testkit/tests/rollout_model/test_operating_characteristics.py
+++ b/packages/testkit/tests/rollout_model/test_operating_characteristics.py
@@ -33,6 +33,14 @@
             name="one domain slow at both", slowness=4, hits_baseline=True, domain=2
         ),
         ModelFault(name="both fail", failing=0.05, hits_baseline=True),
+        ModelFault(name="both fail later", failing=0.4, from_s=5, hits_baseline=True),
+        ModelFault(name="both slow later", slowness=4, from_s=5, hits_baseline=True),
+        ModelFault(
+            name="both fail while moving", failing=0.4, from_s=9, hits_baseline=True
+        ),
+        ModelFault(
+            name="both slow while moving", slowness=4, from_s=9, hits_baseline=True
+        ),
     ],
     ids=lambda fault: fault.name,
 )
