Limits: a refused token is not asked for again at the same moment

Cause: a refusal lets the waiting requests of its service ask again. If the holder is this VM and the next token is due at once as far as a number can tell (a wait of 0, or one too small to change the time), they ask again at the same moment and are refused again, without end. That the wait was 0 is inferred: the trace shows request and refusal in turn at one time of the clock, and no other path between the two is unbounded.

Change: 10 ms at least between a refusal and the next request of a token.

--- a/packages/daemon/src/plankspindle_daemon/quotas/upstream_limits.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/upstream_limits.py
@@ -41,6 +41,12 @@
 """Numbers of updates that are stored, since each update is sent repeatedly."""
 MAX_BROADCAST_RECIPIENTS = 512
 """Maximum of recipients; a larger fleet broadcasts within the failure domain only."""
+MIN_TOKEN_RETRY_S = 0.01
+"""Shortest time between a refused token and the next request for one, in seconds.
+
+A refusal lets waiting requests ask again. If the next token is due at once, as far as a
+number can tell, they would ask without end at the same moment.
+"""
 
 
 @frozen(kw_only=True)
@@ -309,7 +315,8 @@
                     pending = self._pending_by_ticket.pop(ticket)
                     limiter = self.limiter_by_incarnation.get(pending.incarnation_id)
                     if limiter is not None:
-                        limiter.block(now + retry_after_s)
+                        wait_s = max(MIN_TOKEN_RETRY_S, retry_after_s)
+                        limiter.block(now + wait_s)
                     applied.append(FleetLimiterChanged(service=pending.service))
         return applied
 
