Test of a refused token builds a whole refusal

Now it fails on the code before the mend (the token may be requested again at the same moment) and passes with it.

--- a/packages/daemon/tests/quotas/test_refused_token.py
+++ b/packages/daemon/tests/quotas/test_refused_token.py
@@ -28,7 +28,9 @@
     monkeypatch.setattr(
         TokenRequester,
         "request_token",
-        lambda _, ticket, *args: [TokenRefused(ticket=ticket, retry_after_s=0.0)],
+        lambda _, ticket, *args: [
+            TokenRefused(ticket=ticket, retry_after_s=0.0, is_over_quota=True)
+        ],
     )
     assert limiter.may_request_token(NOW)
     limits.request_token("u#1", "registry", NOW)
