Log when connections to all upstreams fail

The connections of a VM to upstreams are now recorded together: event upstream_contact, entry upstream_contact of the state, metric plankspindle_upstream_connects. No decision uses the record yet.

--- a/packages/core/src/plankspindle_core/http/errors.py
+++ b/packages/core/src/plankspindle_core/http/errors.py
@@ -15,10 +15,13 @@
         Error of the operating system.
     is_refused : bool
         Whether the host refused the connection, since nothing listens on the port.
+    was_attempted : bool
+        Whether a connection was attempted at all.
     """
 
     detail: str
     is_refused: bool = False
+    was_attempted: bool = True
 
 
 @frozen
--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
@@ -13,6 +13,7 @@
 from plankspindle_core import header_names
 from plankspindle_core.classes import define
 from plankspindle_core.classes import frozen
+from plankspindle_core.http import errors as http_errors
 from plankspindle_core.http.client_connection import ClientConnection
 from plankspindle_core.http.headers import HeaderList
 from plankspindle_core.http.headers import as_header_list
@@ -124,6 +125,8 @@
     connection_was_lost : bool
         Whether the other side closed or reset the connection while the request was in
         flight there.
+    connect_failure : ConnectFailed or None
+        Why no connection was established.
     """
 
     number: int
@@ -138,6 +141,7 @@
     statement: UpstreamStatement = NO_STATEMENT
     sent_at: float = 0.0
     connection_was_lost: bool = False
+    connect_failure: http_errors.ConnectFailed | None = None
     _connection: ClientConnection | None = None
     _buffered_body: bytes | None = None
     _connect_s: float | None = None
@@ -146,6 +150,11 @@
     _observed: str = _NOTHING_SENT
     _executed: Executed = Executed.NO
 
+    @property
+    def opened_connection(self) -> bool:
+        """Whether a new connection was established for this attempt."""
+        return self._connect_s is not None
+
     @property
     def may_have_run(self) -> bool:
         """Whether the other side may have run the request."""
@@ -160,6 +169,7 @@
         acquired = await self.pool.acquire(effect.endpoint, max_idle_s=max_idle_s)
         if acquired.is_err():
             self._observed = f"no connection: {acquired.unwrap_err()}"
+            self.connect_failure = acquired.unwrap_err()
             return ConnectFailed()
         self._connection = acquired.unwrap()
         is_new = self._connection.exchanges == 0
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -5,6 +5,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from attrs import Factory
 from curio import TaskTimeout
 
 from plankspindle_core import header_names
@@ -49,6 +50,7 @@
 from plankspindle_daemon.node.dispatch_runner import DispatchRunner
 from plankspindle_daemon.quarantine.crash_detector import CrashDetector
 from plankspindle_daemon.quarantine.request_identity import RequestIdentity
+from plankspindle_daemon.reachability.contact_record import ContactRecord
 from plankspindle_daemon.traces.request_trace import Completion
 from plankspindle_daemon.traces.request_trace import RequestTrace
 from plankspindle_daemon.traces.steps import Forwarded
@@ -98,6 +100,8 @@
         Counts upstreams that crash while they run a request.
     admission : RequestAdmission
         Checks API key and quota before each sending.
+    contact : ContactRecord
+        Record of the connections of this VM to upstreams.
     """
 
     vm: str
@@ -113,6 +117,7 @@
     identity: RequestIdentity
     crash_detector: CrashDetector
     admission: RequestAdmission
+    contact: ContactRecord = Factory(ContactRecord)
     _assigned: Assign | None = None
     _attempt: Attempt | None = None
     _caller_gone: bool = False
@@ -201,6 +206,7 @@
         if not self._attempt.may_have_run:
             self.admission.record_not_run()
         if self._assigned is not None and self._attempt.head is not None:
+            self.contact.record_answered(monotonic())
             await self._apply_statement(self._attempt, self._assigned)
         return event
 
@@ -283,7 +289,20 @@
             record=self.record,
             trace=self.trace,
         )
-        return await self._attempt.open(effect)
+        event = await self._attempt.open(effect)
+        if self._assigned is not None:
+            self._record_contact(self._attempt, self._assigned)
+        return event
+
+    def _record_contact(self, attempt: Attempt, assigned: Assign) -> None:
+        """Record whether a new connection to an upstream was established."""
+        contact, failure = self.contact, attempt.connect_failure
+        if attempt.opened_connection:
+            contact.record_connected(monotonic())
+        elif failure is not None and failure.was_attempted:
+            contact.record_connect_failed(
+                assigned.upstream, failure.detail, monotonic()
+            )
 
     async def _end_attempt(self, outcome: AttemptOutcome) -> None:
         if self._attempt is None:
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -328,6 +328,7 @@
                 body=body.content,
             ),
             crash_detector=self.crash_detector,
+            contact=self.node.contact,
             admission=RequestAdmission(
                 identity=resolved.identity,
                 node=self.node,
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -39,6 +39,7 @@
 from plankspindle_daemon.quarantine.quarantine import Quarantine
 from plankspindle_daemon.quotas.quota_options import QuotaOptions
 from plankspindle_daemon.quotas.quotas import Quotas
+from plankspindle_daemon.reachability.contact_record import ContactRecord
 from plankspindle_daemon.rollouts.rollouts import Rollouts
 from plankspindle_daemon.routes.route_table import RouteTable
 from plankspindle_daemon.settings.daemon_settings import RolloutSettings
@@ -102,6 +103,8 @@
     ----------
     in_force : ConfigurationInForce
         The version of the configuration in force.
+    contact : ContactRecord
+        Connections of this VM to upstreams.
     """
 
     vm: str
@@ -122,6 +125,7 @@
     quota_options: QuotaOptions = Factory(QuotaOptions)
     rollout_settings: RolloutSettings = Factory(RolloutSettings)
     in_force: ConfigurationInForce = Factory(ConfigurationInForce)
+    contact: ContactRecord = Factory(ContactRecord)
     directory: CallerDirectory | None = None
     routes: RouteTable = Factory(lambda: RouteTable(routes_by_name={}))
     services: ServiceRegistry = field(init=False)
--- a/packages/daemon/src/plankspindle_daemon/observability/instruments.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/instruments.py
@@ -54,6 +54,7 @@
         self._add_counter("upstream_statements_unreadable", self._statements_unreadable)
         self._add_counter("software_version_requests", self._version_requests)
         self._add_counter("software_version_bad_answers", self._version_bad_answers)
+        self._add_counter("upstream_connects", self._upstream_connects)
         self._add_gauge("rollout_stage", self._rollout_stages)
         self._add_gauge("rollout_exposed_requests", self._rollout_exposed)
         self._add_gauge("rollout_seconds_to_deadline", self._rollout_deadlines)
@@ -210,6 +211,13 @@
         quarantine_list = self._sources.node.quarantine.quarantine_list
         return [Observation(len(quarantine_list.entries_by_identity))]
 
+    def _upstream_connects(self) -> Iterable[Observation]:
+        contact = self._sources.node.contact
+        return [
+            Observation(contact.connects, {"outcome": "established"}),
+            Observation(contact.failed_connects, {"outcome": "failed"}),
+        ]
+
     def _log_lines_dropped(self) -> Iterable[Observation]:
         return [Observation(self._sources.log_lines_dropped)]
 
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -41,6 +42,7 @@
         "uptime_s": round(now - node.started_at, 3),
         "configuration": _dump_configuration(node, now),
         "membership": _dump_membership(node, now),
+        "upstream_contact": _dump_contact(node, now),
         "services": {
             name: _dump_dispatcher(dispatcher, now)
             for name, dispatcher in node.dispatchers_by_service.items()
@@ -78,6 +80,23 @@
     }
 
 
+def _dump_contact(node: Node, now: float) -> dict[str, Any]:
+    """Dump the connections of this VM to all upstreams together."""
+    contact = node.contact
+    return {
+        "answered_s_ago": _age_s(contact.answered_at, now),
+        "connected_s_ago": _age_s(contact.connected_at, now),
+        "connects": contact.connects,
+        "failed_connects": contact.failed_connects,
+        "failed_since": sorted(contact.failed_at_by_upstream),
+        "last_failure": contact.last_failure,
+    }
+
+
+def _age_s(at: float, now: float) -> float | None:
+    return None if math.isinf(at) else round(now - at, 3)
+
+
 def _dump_workspaces(node: Node, now: float) -> dict[str, Any]:
     """Dump quotas and which VMs grant their tokens, without digests of API keys."""
     configuration = node.configuration
--- /dev/null
+++ b/packages/daemon/src/plankspindle_daemon/reachability/contact_record.py
@@ -0,0 +1,63 @@
+"""Record of the connections of this VM to upstreams."""
+
+from __future__ import annotations
+
+import math
+
+from attrs import Factory
+
+from plankspindle_core.classes import define
+
+
+@define(kw_only=True)
+class ContactRecord:
+    """When upstreams answered or accepted connections, and which did not since.
+
+    An upstream is counted once, however many connections to it failed.
+
+    Attributes
+    ----------
+    answered_at, connected_at : float
+        When any upstream last answered a request, and when a new connection to one was
+        last established, monotonic seconds; minus infinity if never.
+    failed_at_by_upstream : dict of str to float
+        When the first connection to each upstream failed since then.
+    connects, failed_connects : int
+        Number of new connections that were established, and that were not.
+    last_failure : str, optional
+        How the last one failed.
+    """
+
+    answered_at: float = -math.inf
+    connected_at: float = -math.inf
+    failed_at_by_upstream: dict[str, float] = Factory(dict)
+    connects: int = 0
+    failed_connects: int = 0
+    last_failure: str | None = None
+
+    def record_answered(self, now: float) -> None:
+        """Record that an upstream answered a request.
+
+        Notes
+        -----
+        Connections that are open may live on while new ones fail, so an answer does not
+        clear the failures.
+        """
+        self.answered_at = now
+
+    def record_connected(self, now: float) -> None:
+        """Record that a new connection to an upstream was established."""
+        self.connects += 1
+        self.connected_at = now
+        self.failed_at_by_upstream.clear()
+
+    def record_connect_failed(self, upstream: str, detail: str, now: float) -> None:
+        """Record that a new connection to an upstream was not established."""
+        self.failed_connects += 1
+        self.last_failure = detail
+        self.failed_at_by_upstream.setdefault(upstream, now)
+
+    def failing_for_s(self, now: float) -> float:
+        """Return the time since the first of the failures, in seconds; zero if none."""
+        first = min(self.failed_at_by_upstream.values(), default=now)
+        return now - first
--- a/packages/daemon/src/plankspindle_daemon/status_changes/status_monitor.py
+++ b/packages/daemon/src/plankspindle_daemon/status_changes/status_monitor.py
@@ -7,6 +7,7 @@
 from attrs import field
 
 from plankspindle_core.classes import define
+from plankspindle_daemon.status_changes.contact_monitor import ContactMonitor
 from plankspindle_daemon.status_changes.member_monitor import MemberMonitor
 from plankspindle_daemon.status_changes.plan_monitor import PlanMonitor
 from plankspindle_daemon.status_changes.quarantine_changes import pop_changes
@@ -35,11 +36,14 @@
         Monitor of the entry VMs.
     plans : PlanMonitor
         Monitor of the affinity keys that leave the region.
+    contact : ContactMonitor
+        Monitor of the connections to all upstreams together.
     """
 
     upstreams: UpstreamMonitor = field(factory=UpstreamMonitor)
     members: MemberMonitor = field(factory=MemberMonitor)
     plans: PlanMonitor = field(factory=PlanMonitor)
+    contact: ContactMonitor = field(factory=ContactMonitor)
     _readiness: str | None = None
     _reader_role: str | None = None
     _remote_share: float = 0.0
@@ -64,6 +68,7 @@
             *self.upstreams.observe(node.dispatchers_by_service, now),
             *self.members.observe(node.membership, now),
             *self.plans.observe(node.dispatchers_by_service),
+            *self.contact.observe(node.contact, now),
             *self._platform_changes(calls, now),
             *self._drain_changes(node),
             *self._own_changes(node),
--- a/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/connection_pool.py
@@ -82,7 +82,12 @@
     ) -> Result[ClientConnection, ConnectFailed]:
         if self._open_by_endpoint.get(endpoint, 0) >= self.max_per_endpoint:
             if not idle:
-                return Err(ConnectFailed("connection limit of the endpoint is reached"))
+                return Err(
+                    ConnectFailed(
+                        "connection limit of the endpoint is reached",
+                        was_attempted=False,
+                    )
+                )
             await self.discard(idle.pop(0))
         connection = ClientConnection(endpoint=endpoint)
         self._change_open_count(endpoint, 1)
