Soak: entry VMs that are partitioned from all upstreams, as a test that fails

Connections of a daemon's process to upstreams hang, are reset, or live on while new ones are refused; those to callers, the store and other VMs go on. The soak compares the share of requests that such VMs serve with that of the others, from contact after the partition began.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 soak: setup
 	$(BIN)/python -m plankspindle_testkit.soak --minutes 5
 
-SOAK_FLEET ?= --minutes 5
+SOAK_FLEET ?= --minutes 5 --cuts
 
 soak-fleet: setup
 	PYTHONPATH=platform:tests/fleet $(BIN)/python -m soak $(SOAK_FLEET)
--- a/tests/fleet/soak/__main__.py
+++ b/tests/fleet/soak/__main__.py
@@ -37,6 +37,7 @@
 @click.option("--first-port", default=21_000, help="Where its ports begin.")
 @click.option("--schedule", type=click.File("r"), help="Replay faults of a file.")
 @click.option("--module", default=MODULE, help="What runs on the entry VMs.")
+@click.option("--cuts", is_flag=True, help="Cut VMs off from all upstreams, too.")
 @click.option("--shrink", is_flag=True, help="Leave out faults that aren't needed.")
 @click.option("--keep-going", is_flag=True, help="Go on after a seed that failed.")
 def main(
@@ -47,6 +48,7 @@
     first_port: int,
     schedule: TextIO | None,
     module: str,
+    cuts: bool,
     shrink: bool,
     keep_going: bool,
 ) -> None:
@@ -65,6 +67,7 @@
             seconds=seconds,
             faults=faults,
             module=module,
+            draws_cuts=cuts,
         )
         result = _run(plan)
         counts += result.counts
--- a/tests/fleet/soak/fault_injector.py
+++ b/tests/fleet/soak/fault_injector.py
@@ -23,7 +23,9 @@
 from plankspindle_testkit.soak.link_proxy import LinkProxy
 from soak.checks import Checks
 from soak.crashing_requests import CrashingRequests
+from soak.cuts import Cuts
 from soak.faults import CRASHING_REQUEST_KINDS
+from soak.faults import CUT_KINDS
 from soak.faults import LAPSE_KINDS
 from soak.faults import OPERATOR_KINDS
 from soak.faults import RETURN_KINDS
@@ -46,6 +48,9 @@
 from soak.upstreams import Upstreams
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from plankspindle_testkit.soak.soak_fault import SoakFault
 
 MODULE = "soak.suspendable"
@@ -87,6 +92,8 @@
         Makes upstreams send statements.
     process_pauses : ProcessPauses
         Pauses of processes.
+    cuts : Cuts
+        Partitions VMs from all upstreams.
     proxies_by_vm : dict of str to LinkProxy
         Links to the store.
     random : Random
@@ -111,6 +118,7 @@
     crashing_requests: CrashingRequests
     statements: Statements
     process_pauses: ProcessPauses
+    cuts: Cuts
     proxies_by_vm: dict[str, LinkProxy]
     random: Random
     module: str = MODULE
@@ -125,24 +133,15 @@
         """Inject one fault, wait for its duration, and end it."""
         self.injected_by_kind[fault.kind] += 1
         vms = fault.target.split(",") if fault.target else []
+        inject = self._inject_by_kind().get(fault.kind)
+        if inject is not None:
+            await inject(fault)
+            return
         match fault.kind:
             case kind if kind in STORE_KINDS:
                 await self._inject_store_fault(kind, vms, fault.for_s)
-            case kind if kind in LAPSE_KINDS:
-                await self.lapse_injector.inject(fault)
-            case kind if kind in RETURN_KINDS:
-                await self.return_injector.inject(fault)
-            case kind if kind in ROLLOUT_KINDS:
-                await self.rollout_injector.inject(fault)
-            case kind if kind in CRASHING_REQUEST_KINDS:
-                await self.crashing_requests.inject(fault.at, fault.for_s)
-            case kind if kind in STATEMENT_KINDS:
-                await self.statements.inject(fault)
             case "forget":
-                self.checks.disturbances.begin(
-                    self._all_vms(), monotonic(), is_of_store=True
-                ).end = monotonic()
-                self.store.truncate_history()
+                self._truncate_history()
             case "silence" | "reset-links":
                 self._inject_link_fault(fault.kind, vms or self._all_vms())
             case kind if kind in OPERATOR_KINDS:
@@ -152,6 +151,26 @@
                     fault.kind, vms or self._all_vms(), fault.for_s
                 )
 
+    def _inject_by_kind(self) -> dict[str, Callable[[SoakFault], Awaitable[None]]]:
+        """Return what injects the faults that have an injector of their own."""
+        return {
+            **dict.fromkeys(LAPSE_KINDS, self.lapse_injector.inject),
+            **dict.fromkeys(RETURN_KINDS, self.return_injector.inject),
+            **dict.fromkeys(ROLLOUT_KINDS, self.rollout_injector.inject),
+            **dict.fromkeys(CRASHING_REQUEST_KINDS, self._repeat_crashing_requests),
+            **dict.fromkeys(STATEMENT_KINDS, self.statements.inject),
+            **dict.fromkeys(CUT_KINDS, self.cuts.inject),
+        }
+
+    async def _repeat_crashing_requests(self, fault: SoakFault) -> None:
+        await self.crashing_requests.inject(fault.at, fault.for_s)
+
+    def _truncate_history(self) -> None:
+        self.checks.disturbances.begin(
+            self._all_vms(), monotonic(), is_of_store=True
+        ).end = monotonic()
+        self.store.truncate_history()
+
     async def _run_operator_fault(self, fault: SoakFault) -> None:
         """Act as the platform's operator."""
         match fault.kind:
@@ -290,6 +309,7 @@
         path.write_text(yaml.safe_dump(document), encoding="utf-8")
         self._suspended_file(vm).write_bytes(SECONDS.pack(0.0))
         os.environ[SUSPENDED] = str(self._suspended_file(vm))
+        os.environ.update(self.cuts.environment(vm))
         os.environ["PLANKSPINDLE_BOOT"] = str(path)
         os.environ["PLANKSPINDLE_PEER_KEY"] = PEER_KEY
         self.incarnation_by_vm[vm] += 1
--- a/tests/fleet/soak/faults.py
+++ b/tests/fleet/soak/faults.py
@@ -24,6 +24,7 @@
 RETURN_KINDS = ("return",)
 ROLLOUT_KINDS = ("rollout",)
 SUSPEND_KINDS = ("suspend", "herd-suspend")
+CUT_KINDS = ("cut-hang", "cut-reset", "cut-refuse")
 OPERATOR_KINDS = ("change", "storm", "evacuate", "leave", "vanish")
 STORE_S = (0.2, 12.0)
 STOP_S = (0.2, 5.0)
@@ -42,6 +43,9 @@
 RETURN_GAP_S = 15.0
 RETURN_S = (0.0, 3.0)
 """Time for which the store is unavailable before it returns from a copy, in seconds."""
+CUT_GAP_S = 10.0
+CUT_S = (1.0, 12.0)
+"""Time for which entry VMs are partitioned from all upstreams, in seconds."""
 ROLLOUT_SEED_SHARE = 0.5
 """Share of the seeds with roll-outs."""
 ROLLOUT_GAP_S = 20.0
@@ -133,6 +137,22 @@
     return faults
 
 
+def draw_cuts(seed: int, *, seconds: float, vms: list[str]) -> list[SoakFault]:
+    """Draw partitions of entry VMs from all upstreams: one, some, all but one, all.
+
+    They are not part of :func:`draw`, so that recorded seeds keep their faults.
+    """
+    random = Random(f"cuts of fleet soak {seed}")
+    faults = []
+    for at in _times(random, CUT_GAP_S, seconds):
+        count = random.choice((1, 1, len(vms) // 2, len(vms) - 1, len(vms)))
+        target = ",".join(random.sample(vms, max(1, count)))
+        faults.append(
+            _fault(at, random.uniform(*CUT_S), random.choice(CUT_KINDS), target)
+        )
+    return faults
+
+
 def _draw_rollouts(seed: int, seconds: float) -> list[SoakFault]:
     """Draw orders of roll-outs, for some seeds, with one near the beginning."""
     random = Random(f"roll-out orders of fleet soak {seed}")
--- a/tests/fleet/soak/fleet_soak.py
+++ b/tests/fleet/soak/fleet_soak.py
@@ -28,10 +28,13 @@
 from soak.checks import Checks
 from soak.checks import Violation
 from soak.crashing_requests import CrashingRequests
+from soak.cuts import Cuts
 from soak.fault_injector import MODULE
 from soak.fault_injector import FaultInjector
+from soak.faults import CUT_KINDS
 from soak.faults import ROLLOUT_KINDS
 from soak.faults import draw
+from soak.faults import draw_cuts
 from soak.history import Disturbances
 from soak.history import History
 from soak.lapse_checks import LapseChecks
@@ -61,6 +64,8 @@
 CALLERS_PER_VM = 2
 ROLLOUT_CALLERS_PER_VM = 4
 """Additional callers in soaks with roll-outs, which few requests tell little about."""
+CUT_CALLERS_PER_VM = 6
+"""Additional callers in soaks with cuts: each waits seconds for a VM that hangs."""
 KEYS_PER_VM = 20
 """Their keys, which repeat: only answers to a known key have comparable durations."""
 UPSTREAMS_PER_SERVICE_AND_ZONE = (3, 3, 2, 1)
@@ -87,6 +92,8 @@
         Faults to replay instead of those drawn from the seed.
     module : str
         Python module that runs on the entry VMs.
+    draws_cuts : bool
+        Whether entry VMs are also partitioned from all upstreams.
     """
 
     seed: int
@@ -95,6 +102,7 @@
     seconds: float
     faults: tuple[SoakFault, ...] | None = None
     module: str = MODULE
+    draws_cuts: bool = False
 
 
 @frozen(kw_only=True)
@@ -164,9 +172,11 @@
             seed=plan.seed,
         )
         process_pauses = ProcessPauses()
+        folder = Path(tempfile.mkdtemp(prefix="fleet-soak-"))
         self.fault_injector = FaultInjector(
             layout=self.layout,
-            processes=Processes(folder=Path(tempfile.mkdtemp(prefix="fleet-soak-"))),
+            processes=Processes(folder=folder),
+            cuts=Cuts(checks=self.checks, layout=self.layout, folder=folder),
             store=store,
             upstreams=upstreams,
             checks=self.checks,
@@ -216,7 +226,14 @@
         if plan.faults is not None:
             return plan.faults
         vms = [f"edge-{number}" for number in range(plan.vms)]
-        return draw(plan.seed, seconds=plan.seconds, vms=vms)
+        faults = draw(plan.seed, seconds=plan.seconds, vms=vms)
+        if plan.draws_cuts:
+            faults += draw_cuts(plan.seed, seconds=plan.seconds, vms=vms)
+        return sorted(faults, key=lambda each: each.at)
+
+    @property
+    def _has_cuts(self) -> bool:
+        return any(each.kind in CUT_KINDS for each in self._faults)
 
     @property
     def _has_rollouts(self) -> bool:
@@ -251,6 +268,7 @@
         injector.lapse_injector.lapses.check(injector.upstreams.current, ended_at)
         injector.crashing_requests.check()
         injector.statements.check()
+        injector.cuts.check()
         RolloutChecks(checks=self.checks, injector=injector.rollout_injector).check()
         stalled_s = self.checks.disturbances.stalled_s(0.0, monotonic())
         self.checks.counts["seconds held up by the machine"] += round(stalled_s)
@@ -278,6 +296,8 @@
             await self._start_callers(
                 "caller with few keys", ROLLOUT_CALLERS_PER_VM, keys=KEYS_PER_VM
             )
+        if self._has_cuts:
+            await self._start_callers("caller beside cuts", CUT_CALLERS_PER_VM)
         message = f"not all serve: {injector.processes.folder}"
         await wait_for_start(
             self._all_serve, timeout_s=START_TIMEOUT_S, poll_s=POLL_S, message=message
--- a/tests/fleet/soak/layout.py
+++ b/tests/fleet/soak/layout.py
@@ -106,6 +106,10 @@
         host = self._host(FIRST_UPSTREAM + number % UPSTREAM_HOSTS)
         return Endpoint(host, self.first_port + number // UPSTREAM_HOSTS)
 
+    def upstream_hosts(self) -> list[str]:
+        """Return the hosts of all upstreams."""
+        return [self._host(FIRST_UPSTREAM + n) for n in range(UPSTREAM_HOSTS)]
+
     def _host(self, last: int) -> str:
         return loopback_host(_OCTETS + self.first_port // 100 % _OCTETS, last)
 
--- a/tests/fleet/soak/suspendable.py
+++ b/tests/fleet/soak/suspendable.py
@@ -1,4 +1,4 @@
-"""Run the daemon as on a machine that may be suspended.
+"""Run the daemon as on a machine that may be suspended or partitioned.
 
 The monotonic clock stops while a machine is suspended; ``CLOCK_BOOTTIME`` does not. For
 a process that is only stopped both go on, so the time for which it was stopped is
@@ -34,4 +34,7 @@
 
 if __name__ == "__main__":
     exclude_suspended_time()
+    from plankspindle_testkit.upstream_partition import install_from_environment
+
+    install_from_environment()
     runpy.run_module(DAEMON, run_name="__main__", alter_sys=True)
