--- a/packages/client/src/plankspindle_client/console/commands/status.py
+++ b/packages/client/src/plankspindle_client/console/commands/status.py
@@ -40,6 +40,7 @@
         f"members: {' '.join(found['membership']['view'])}",
         f"platform: {_platform_state(found['platform'])}",
         *_suspected_lines(found["membership"]["members"]),
+        *_cut_off_lines(found),
     ]
     for name, service in sorted(found["services"].items()):
         upstreams = service["upstreams"].values()
@@ -84,6 +85,19 @@
     return lines
 
 
+def _cut_off_lines(found: dict[str, Any]) -> list[str]:
+    """Render the VMs that reach no upstream, and who serves for this one."""
+    lines = []
+    contact = found.get("upstream_contact", {})
+    if contact.get("state") == "CutOff":
+        servers = ", ".join(sorted(contact["relayed_to"])) or "no VM now"
+        lines.append(f"{found['vm']} reaches no upstream; served for by {servers}")
+    for name, member in sorted(found["membership"]["members"].items()):
+        if member.get("cut_off"):
+            lines.append(f"member {name}: reaches no upstream")
+    return lines
+
+
 def _platform_state(platform: dict[str, Any]) -> str:
     """Describe whether the platform answers, and whether it has lost writes."""
     state = "answers" if platform["available"] else "away"
--- a/packages/client/src/plankspindle_client/explaining/cause.py
+++ b/packages/client/src/plankspindle_client/explaining/cause.py
@@ -13,6 +13,10 @@
 WITHHELD = "withheld"
 _CAUSES_BY_REASON = {
     "key-revoked": "Its API key was revoked while it waited, and it was not run.",
+    "cut-off": (
+        "The entry VM reached no upstream, no other one took the request, and it was"
+        " not run: look for upstream_contact."
+    ),
     "store-restoring": (
         "Its key was not claimed, and it was not run: the platform's store had returned"
         " from a copy and lacked claims until they were written again."
@@ -37,7 +41,22 @@
     trace : RequestTrace
         Trace with at least one event of the request.
     """
-    return _describe_outcome(trace) + _describe_software_version(trace)
+    return (
+        _describe_outcome(trace)
+        + _describe_relay(trace)
+        + _describe_software_version(trace)
+    )
+
+
+def _describe_relay(trace: RequestTrace) -> str:
+    """Return which entry VM served for one that reached no upstream, if any."""
+    relayed = trace.last_event("request_relayed")
+    if relayed is None:
+        return ""
+    return (
+        f" {relayed.vm} reached no upstream and relayed it to"
+        f" {relayed.fields.get('to')}."
+    )
 
 
 def _describe_software_version(trace: RequestTrace) -> str:
--- a/packages/client/tests/console/test_explain.py
+++ b/packages/client/tests/console/test_explain.py
@@ -210,3 +210,38 @@
         "It was sent to software version v2, as one of the few requests of a roll-out"
         " that try the new version."
     )
+
+
+def test_vm_that_served_for_another_is_named() -> None:
+    log = [
+        line("request_routed", 10.0, request="r", step=1, service="registry"),
+        line("request_relayed", 10.1, request="r", step=2, to="b", asked_before=0),
+        line("relay_accepted", 10.1, vm="b", request="r", step=2, sender="a"),
+        line(
+            "request_served",
+            10.3,
+            request="r",
+            step=3,
+            ending="served",
+            status=200,
+            took_ms=300,
+        ),
+    ]
+    printed = explain("r", log=log).output.splitlines()[-1]
+    assert printed.endswith("a reached no upstream and relayed it to b.")
+
+
+def test_request_that_no_vm_took_is_explained() -> None:
+    log = [
+        line("request_routed", 10.0, request="r", step=1, service="registry"),
+        line(
+            "request_failed",
+            10.1,
+            request="r",
+            step=2,
+            ending="not-run",
+            status=503,
+            reason="cut-off",
+        ),
+    ]
+    assert "reached no upstream" in explain("r", log=log).output.splitlines()[-1]
--- a/packages/core/src/plankspindle_core/http/client_connection.py
+++ b/packages/core/src/plankspindle_core/http/client_connection.py
@@ -90,8 +90,13 @@
             )
         except (OSError, TaskTimeout) as error:
             await self.close()
-            is_refused = isinstance(error, ConnectionRefusedError)
-            return Err(ConnectFailed(f"{type(error).__name__}: {error}", is_refused))
+            return Err(
+                ConnectFailed(
+                    f"{type(error).__name__}: {error}",
+                    is_refused=isinstance(error, ConnectionRefusedError),
+                    is_timeout=isinstance(error, TaskTimeout),
+                )
+            )
         return Ok(None)
 
     async def send_request(
--- a/packages/core/src/plankspindle_core/http/errors.py
+++ b/packages/core/src/plankspindle_core/http/errors.py
@@ -17,11 +17,14 @@
         Whether the host refused the connection, since nothing listens on the port.
     was_attempted : bool
         Whether a connection was attempted at all.
+    is_timeout : bool
+        Whether nothing came back within the connect timeout.
     """
 
     detail: str
     is_refused: bool = False
     was_attempted: bool = True
+    is_timeout: bool = False
 
 
 @frozen
--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
@@ -20,11 +19,11 @@
 from plankspindle_daemon.idempotency.claim_store import ClaimStore
 from plankspindle_daemon.idempotency.claim_sweeper import ClaimSweeper
 from plankspindle_daemon.listeners.caller_listener import CallerListener
-from plankspindle_daemon.listeners.idempotency_checker import IdempotencyChecker
+from plankspindle_daemon.listeners.make_request_service import make_request_service
+from plankspindle_daemon.listeners.make_request_service import max_key_age_s
+from plankspindle_daemon.listeners.make_request_service import peer_keys
 from plankspindle_daemon.listeners.metrics_listener import MetricsListener
 from plankspindle_daemon.listeners.operator_listener import OperatorListener
-from plankspindle_daemon.listeners.request_resolver import RequestResolver
-from plankspindle_daemon.listeners.request_service import RequestService
 from plankspindle_daemon.listeners.runtime_dump import dump_runtime
 from plankspindle_daemon.membership.peer_link import PeerLink
 from plankspindle_daemon.node.configuration_follower import ConfigurationFollower
@@ -49,7 +48,6 @@
 from plankspindle_daemon.settings.settings_file import SettingsChange
 from plankspindle_daemon.status_changes.status_monitor import StatusMonitor
 from plankspindle_daemon.ticker import Ticker
-from plankspindle_daemon.traces.request_trace_log import RequestTraceLog
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
 from plankspindle_daemon.wire.frame import FrameSealer
 
@@ -133,7 +131,7 @@
     def _make_outbound_links(self, random: Random) -> None:
         """Create what sends to other entry VMs and to upstreams."""
         settings = self.settings
-        self._sealer = FrameSealer(keys=_peer_keys(settings))
+        self._sealer = FrameSealer(keys=peer_keys(settings))
         self._peers = PeerLink(
             endpoint=settings.listen.peer,
             sealer=self._sealer,
@@ -213,31 +211,22 @@
     def _make_caller_listener(
         self, requests: RequestMetrics, random: Random
     ) -> CallerListener:
-        dialect = self._ports.dialect
         return CallerListener(
             settings=self.settings,
             supervisor=self._supervisor,
             node=self.node,
-            requests=RequestService(
-                settings=self.settings,
+            requests=make_request_service(
+                self.settings,
                 node=self.node,
                 dispatch=self._dispatch,
                 quotas=self._quotas,
                 pool=self._pool,
-                idempotency_checker=IdempotencyChecker(
-                    node=self.node, claims=self._claims, random=random
-                ),
-                metrics=requests,
-                resolver=RequestResolver(
-                    node=self.node,
-                    dialect=dialect,
-                    signer=IdentitySigner(keys=_peer_keys(self.settings)),
-                    max_key_age_s=_max_key_age_s(self.settings),
-                ),
-                dialect=dialect,
-                trace_log=RequestTraceLog(vm=self.settings.vm),
+                claims=self._claims,
                 crash_detector=self._crashes,
                 pause_monitor=self._pauses,
+                dialect=self._ports.dialect,
+                metrics=requests,
+                random=random,
             ),
             metrics=requests,
         )
@@ -348,10 +337,10 @@
         self._caller_listener.settings = self.settings
         self._caller_listener.requests.settings = self.settings
         self._operator_listener.settings = self.settings
-        self._sealer.set_keys(_peer_keys(new))
+        self._sealer.set_keys(peer_keys(new))
         resolver = self._caller_listener.requests.resolver
-        resolver.signer = IdentitySigner(keys=_peer_keys(new))
-        resolver.max_key_age_s = _max_key_age_s(new)
+        resolver.signer = IdentitySigner(keys=peer_keys(new))
+        resolver.max_key_age_s = max_key_age_s(new)
         membership = self.node.membership
         membership.options = evolve(membership.options, seeds=tuple(new.peers))
 
@@ -390,11 +379,3 @@
             supervisor=self._supervisor,
         )
         return {**dumped, **dump_metrics(self._metric_sources)}
-
-
-def _max_key_age_s(settings: DaemonSettings) -> float:
-    return settings.quotas.max_key_age_ms / 1000 or math.inf
-
-
-def _peer_keys(settings: DaemonSettings) -> list[bytes]:
-    return [bytes.fromhex(key) for key in settings.secrets.peer_keys]
--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -31,6 +31,7 @@
 from plankspindle_daemon.dispatch.messages import SlotsRequested
 from plankspindle_daemon.dispatch.messages import StatementReceived
 from plankspindle_daemon.dispatch.messages import TimePassed
+from plankspindle_daemon.dispatch.messages import UpstreamsUnreachable
 from plankspindle_daemon.dispatch.placement import Placement
 from plankspindle_daemon.dispatch.placement_choice import NeedsToken
 from plankspindle_daemon.dispatch.placement_explanation import explain_choice
@@ -159,10 +160,17 @@
             case SlotsGranted(grant=grant):
                 self.lending.borrow(grant, self.upstreams_by_name, now)
                 return self._assign_all(now)
-            case TimePassed():
-                return [*self._expire(now), *self._assign_all(now), *self._probes(now)]
-            case ProcessPaused():
-                return self._resume_after_pause(now)
+            case TimePassed() | ProcessPaused() | UpstreamsUnreachable():
+                return self._handle_time(event, now)
+
+    def _handle_time(
+        self, event: TimePassed | ProcessPaused | UpstreamsUnreachable, now: float
+    ) -> list[DispatchEffect]:
+        if isinstance(event, ProcessPaused):
+            return self._resume_after_pause(now)
+        if isinstance(event, UpstreamsUnreachable):
+            return self._expire(now, is_cut_off=True)
+        return [*self._expire(now), *self._assign_all(now), *self._probes(now)]
 
     def _resume_after_pause(self, now: float) -> list[DispatchEffect]:
         """Mark the status of all upstreams as unconfirmed after a pause."""
@@ -332,10 +340,12 @@
         """Return the expected duration of a request, in seconds."""
         return self._limits.expected_duration_s(ticket)
 
-    def _expire(self, now: float) -> list[DispatchEffect]:
+    def _expire(self, now: float, *, is_cut_off: bool = False) -> list[DispatchEffect]:
         rejected: list[DispatchEffect] = []
         for ticket in self.queue:
             reason = self._limits.give_up_reason(ticket, now)
+            if is_cut_off:
+                reason = RejectReason.CUT_OFF
             if reason is not None:
                 self.queue.remove(ticket.id)
                 rejected.append(self._reject(ticket, reason, now))
--- a/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
@@ -155,6 +155,11 @@
     """The process detected that it had not run for a while."""
 
 
+@frozen
+class UpstreamsUnreachable:
+    """This VM reaches no upstream, so nothing is worth waiting for."""
+
+
 DispatchEvent = (
     RequestArrived
     | RequestWithdrawn
@@ -165,6 +170,7 @@
     | SlotsGranted
     | TimePassed
     | ProcessPaused
+    | UpstreamsUnreachable
 )
 
 
@@ -178,6 +184,7 @@
     NO_UPSTREAM = "no-upstream"
     LEAVING = "leaving"
     WITHHELD = "withheld"
+    CUT_OFF = "cut-off"
 
 
 @frozen(kw_only=True)
--- a/packages/daemon/src/plankspindle_daemon/exchange/answers.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/answers.py
@@ -58,7 +58,7 @@
         )
         headers.append((header_names.RETRY_AFTER, seconds))
         exact_ms = str(math.ceil(retry_after_s * 1000)).encode()
-        headers.append((b"plankspindle-retry-after-ms", exact_ms))
+        headers.append((header_names.RETRY_AFTER_MS, exact_ms))
     trace.complete(
         _COMPLETION_BY_OUTCOME[answer.outcome],
         status=answer.status,
--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
@@ -12,13 +12,11 @@
 
 from plankspindle_core import header_names
 from plankspindle_core.classes import define
-from plankspindle_core.classes import frozen
 from plankspindle_core.http import errors as http_errors
 from plankspindle_core.http.client_connection import ClientConnection
 from plankspindle_core.http.headers import HeaderList
 from plankspindle_core.http.headers import as_header_list
 from plankspindle_core.http.headers import find_header
-from plankspindle_core.http.server_exchange import ServerExchange
 from plankspindle_core.outcome import Outcome
 from plankspindle_core.steady_clock import monotonic
 from plankspindle_core.time_limit import within
@@ -26,16 +24,19 @@
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import AttemptCompleted
 from plankspindle_daemon.dispatch.messages import AttemptOutcome
+from plankspindle_daemon.exchange.attempt_headers import AttemptHeaders
 from plankspindle_daemon.exchange.attempt_timeout import AttemptTimeout
-from plankspindle_daemon.exchange.dialect import Dialect
 from plankspindle_daemon.exchange.messages import Connected
 from plankspindle_daemon.exchange.messages import ConnectFailed
 from plankspindle_daemon.exchange.messages import ConnectionBroken
 from plankspindle_daemon.exchange.messages import ExchangeEvent
 from plankspindle_daemon.exchange.messages import HeadReceived
 from plankspindle_daemon.exchange.messages import OpenConnection
+from plankspindle_daemon.exchange.messages import Refused
 from plankspindle_daemon.exchange.messages import UpstreamUnresponsive
-from plankspindle_daemon.exchange.request_body import RequestBody
+from plankspindle_daemon.exchange.outgoing_request import OutgoingRequest
+from plankspindle_daemon.exchange.relaying import Relaying
+from plankspindle_daemon.exchange.relaying import is_declined
 from plankspindle_daemon.idempotency.request_records import RequestRecord
 from plankspindle_daemon.traces.request_trace import RequestTrace
 from plankspindle_daemon.traces.steps import AttemptEnded
@@ -51,46 +52,6 @@
 _NOTHING_SENT = "nothing was sent"
 
 
-@frozen(kw_only=True)
-class OutgoingRequest:
-    """What is forwarded of a caller's request.
-
-    Parameters
-    ----------
-    source : ServerExchange
-        HTTP exchange with the caller.
-    path : str
-        Path and query below the service.
-    upstream_headers, peer_headers : list of (bytes, bytes)
-        Headers for an upstream and for another entry VM, without framing and deadline.
-    body : RequestBody
-        Request body.
-    deadline : float
-        Deadline of the request, monotonic seconds.
-    deadline_ms : int
-        The same deadline, milliseconds since the Unix epoch.
-    dialect : Dialect
-        Names of headers.
-    max_idle_non_idempotent_s : float
-        Longest idle time, in seconds, of a reused connection for a request that must
-        not run twice.
-    max_buffered_answer_bytes : int
-        Answers of up to this many bytes are buffered until they are complete, so that
-        another attempt can be made if one is truncated.
-    """
-
-    source: ServerExchange
-    path: str
-    upstream_headers: HeaderList
-    peer_headers: HeaderList
-    body: RequestBody
-    deadline: float
-    deadline_ms: int
-    dialect: Dialect
-    max_idle_non_idempotent_s: float = 0.0
-    max_buffered_answer_bytes: int = 0
-
-
 @define(kw_only=True)
 class Attempt:
     """Send a request once, and read the answer.
@@ -113,6 +74,10 @@
         Idempotency record, updated with whether the request may have run.
     trace : RequestTrace
         Trace of the request.
+    relay : Relaying, optional
+        Relays of the request, if this attempt is one.
+    attempts_left : int
+        Attempts that may still be made, this one included.
 
     Attributes
     ----------
@@ -137,6 +102,8 @@
     pool: ConnectionPool
     record: RequestRecord
     trace: RequestTrace
+    relay: Relaying | None = None
+    attempts_left: int = 1
     head: h11.Response | None = None
     statement: UpstreamStatement = NO_STATEMENT
     sent_at: float = 0.0
@@ -249,7 +216,12 @@
         self._head_s = monotonic() - self.sent_at
         self._observed = f"status {head.status_code}"
         headers = as_header_list(head.headers)
-        if self.assigned is None:
+        if self.relay is not None:
+            refused = self.relay.read_refusal(head.status_code, headers)
+            if refused is not None:
+                return self._handle_refusal(refused)
+            proves_not_run = False
+        elif self.assigned is None:
             proves_not_run = _peer_proves_not_run(headers)
         else:
             dialect = self.outgoing.dialect
@@ -281,6 +253,15 @@
             self._buffered_body = body.unwrap()
         return HeadReceived()
 
+    def _handle_refusal(self, refused: Refused) -> HeadReceived:
+        """Handle that the VM which the request was relayed to has not run it."""
+        self._executed = Executed.NO
+        self._observed = f"relay refused: {refused.reason}"
+        self.record.record_not_run()
+        if is_declined(refused):
+            return HeadReceived(proves_not_run=True)
+        return HeadReceived(proves_not_run=True, refused=refused)
+
     def _can_buffer(self, headers: HeaderList) -> bool:
         """Return whether the answer is short enough to be buffered until complete."""
         length = find_header(headers, b"content-length")
@@ -312,27 +293,19 @@
         return Ok(buffered or None)
 
     def _headers(self, connection: ClientConnection) -> HeaderList:
-        outgoing = self.outgoing
-        to_peer = self.assigned is None
-        return [
-            *self._own_headers(connection),
-            *(outgoing.peer_headers if to_peer else outgoing.upstream_headers),
-            *outgoing.body.framing,
-        ]
-
-    def _own_headers(self, connection: ClientConnection) -> HeaderList:
-        dialect = self.outgoing.dialect
-        host = (b"host", str(connection.endpoint).encode())
-        deadline = str(self.outgoing.deadline_ms).encode()
-        if self.assigned is None:
-            return [host, (header_names.DEADLINE, deadline)]
-        own = [] if dialect.passes_headers_through else [host]
-        if dialect.deadline_is_time_left:
-            deadline = str(self._left_ms()).encode()
-        own.append((dialect.deadline, deadline))
-        if dialect.target_upstream is not None:
-            own.append((dialect.target_upstream, self.assigned.upstream.encode()))
-        return own
+        headers = AttemptHeaders(
+            outgoing=self.outgoing,
+            endpoint=connection.endpoint,
+            left_ms=self._left_ms(),
+        )
+        if self.assigned is not None:
+            return headers.for_upstream(self.assigned.upstream)
+        if self.relay is None:
+            return headers.for_peer()
+        target = self.outgoing.source.target
+        return headers.for_relay(
+            self.relay.headers(target=target, attempts=self.attempts_left)
+        )
 
     def _left_ms(self) -> int:
         return max(1, int((self.outgoing.deadline - monotonic()) * 1000))
--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt_timeout.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt_timeout.py
@@ -66,5 +66,11 @@
             not self.dispatch.node.leave.is_leaving
             and self.dispatch.answered_at(self.service, upstream) < sent_at
             and self.exchange.can_retry()
-            and self.dispatch.could_place_elsewhere(self.service, ticket, upstream)
+            and self._could_go_elsewhere(ticket, upstream)
         )
+
+    def _could_go_elsewhere(self, ticket: Ticket, upstream: str) -> bool:
+        """Return whether another upstream or entry VM could take a request."""
+        if self.dispatch.node.reach.is_cut_off:
+            return True
+        return self.dispatch.could_place_elsewhere(self.service, ticket, upstream)
--- a/packages/daemon/src/plankspindle_daemon/exchange/caller_request.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/caller_request.py
@@ -25,6 +25,7 @@
 )
 _FRAMING = frozenset({b"expect", b"content-length", b"transfer-encoding"})
 _OWN_PREFIX = b"plankspindle-"
+FORWARDED_FOR = b"x-forwarded-for"
 
 
 @frozen
@@ -143,7 +144,7 @@
     *,
     caller: str | None,
     workspace: str | None,
-    peer_host: str,
+    peer_host: str | None,
 ) -> HeaderList:
     """Return the headers to forward to an upstream, without framing and deadline.
 
@@ -155,15 +156,16 @@
         Name of the caller, if it has an API key. The key itself is not forwarded.
     workspace : str, optional
         Name of the caller's workspace.
-    peer_host : str
-        IP address of the caller.
+    peer_host : str, optional
+        IP address of the caller; None if the headers name it already.
     """
     kept = [
         (key, value)
         for key, value in without_hop_by_hop(headers)
         if key not in _REPLACED and not key.startswith(_OWN_PREFIX)
     ]
-    kept.append((b"x-forwarded-for", peer_host.encode()))
+    if peer_host is not None:
+        kept.append((FORWARDED_FOR, peer_host.encode()))
     if caller is not None:
         kept.append((b"plankspindle-caller", caller.encode()))
     if workspace is not None:
@@ -190,7 +192,7 @@
         which could be forged. The API key is not forwarded.
     """
     replaced = {*_FRAMING, dialect.deadline, dialect.target_upstream}
-    replaced |= {header_names.AUTHORIZATION, dialect.workspace}
+    replaced |= {header_names.AUTHORIZATION, dialect.workspace, header_names.RELAY}
     kept = [each for each in without_hop_by_hop(headers) if each[0] not in replaced]
     if workspace is not None:
         kept.append((dialect.workspace, workspace.encode()))
@@ -221,3 +223,28 @@
     if grant is not None:
         kept.append((header_names.GRANT, str(grant).encode()))
     return kept
+
+
+def headers_for_relay(
+    headers: HeaderList, *, dialect: Dialect, peer_host: str
+) -> HeaderList:
+    """Return the headers for an entry VM that serves for this one.
+
+    They are the caller's, ``Host`` included, without framing, timeout and API key.
+
+    Parameters
+    ----------
+    headers : list of (bytes, bytes)
+        Headers of the caller.
+    dialect : Dialect
+        Names of headers.
+    peer_host : str
+        IP address of the caller.
+    """
+    replaced = {*_FRAMING, dialect.timeout, dialect.deadline, header_names.TIMEOUT}
+    replaced |= {header_names.DEADLINE, header_names.FORWARDED, header_names.GRANT}
+    replaced |= {header_names.AUTHORIZATION, header_names.IDENTITY, header_names.RELAY}
+    kept = [each for each in without_hop_by_hop(headers) if each[0] not in replaced]
+    if not dialect.passes_headers_through:
+        kept.append((FORWARDED_FOR, peer_host.encode()))
+    return kept
--- a/packages/daemon/src/plankspindle_daemon/exchange/exchange.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/exchange.py
@@ -27,6 +27,7 @@
 from plankspindle_daemon.exchange.messages import OpenConnection
 from plankspindle_daemon.exchange.messages import Refused
 from plankspindle_daemon.exchange.messages import RelayAnswer
+from plankspindle_daemon.exchange.messages import RelayAssigned
 from plankspindle_daemon.exchange.messages import ReleaseUpstream
 from plankspindle_daemon.exchange.messages import Route
 from plankspindle_daemon.exchange.messages import SendRequest
@@ -90,11 +91,17 @@
         Destination of the first attempt.
     budget : RetryBudget
         Retry budget of the service.
+    counts_as_fresh : bool
+        Whether the request adds to the budget; not if it did so at another entry VM.
 
     Attributes
     ----------
     retry_decisions : list of RetryDecided
         Retries that were allowed or denied, for the request trace.
+    relay : str or None
+        Entry VM that the request is relayed to.
+    excluded_relays : frozenset of str
+        Entry VMs that did not serve it.
 
     Notes
     -----
@@ -107,16 +114,22 @@
     policy: ExecutionPolicy
     route: Route
     budget: RetryBudget
+    counts_as_fresh: bool = True
     state: ExchangeState = Waiting()
     may_have_run: bool = False
     attempts: int = 0
     excluded: frozenset[str] = frozenset()
     retry_decisions: list[RetryDecided] = field(factory=list)
+    relay: str | None = None
+    excluded_relays: frozenset[str] = frozenset()
     _may_have_run_before: bool = False
+    _attempts_before: int = 0
+    _was_sent: bool = False
 
     def begin(self) -> list[ExchangeEffect]:
         """Return the first step."""
-        self.budget.record_fresh()
+        if self.counts_as_fresh:
+            self.budget.record_fresh()
         match self.route:
             case ToUpstream():
                 return [FindUpstream(self.excluded)]
@@ -138,16 +151,10 @@
             Steps to perform; only the last one can lead to a further event.
         """
         match event:
-            case Assigned(upstream=upstream, endpoint=endpoint):
-                self.state = Connecting(upstream)
-                fresh = not self.policy.idempotent
-                return [OpenConnection(endpoint=endpoint, fresh=fresh)]
+            case Assigned() | RelayAssigned():
+                return self._connect(event)
             case Refused():
-                return self._give_up(
-                    event.reason,
-                    retry_after_s=event.retry_after_s,
-                    status=event.status,
-                )
+                return self._refuse(event)
             case Connected():
                 return self._send()
             case ConnectFailed() | UpstreamUnresponsive():
@@ -163,13 +170,27 @@
             case DeadlineExceeded():
                 return self._handle_deadline()
 
+    def _connect(self, assigned: Assigned | RelayAssigned) -> list[ExchangeEffect]:
+        upstream = None
+        if isinstance(assigned, RelayAssigned):
+            self.relay = assigned.vm
+        else:
+            upstream = assigned.upstream
+        self.state = Connecting(upstream)
+        fresh = not self.policy.idempotent
+        return [OpenConnection(endpoint=assigned.endpoint, fresh=fresh)]
+
     def _send(self) -> list[ExchangeEffect]:
         check_invariant(
             "non-idempotent-sent-once",
             self.policy.idempotent or not self.may_have_run,
         )
-        self.attempts += 1
+        self._attempts_before = self.attempts
         self._may_have_run_before = self.may_have_run
+        # All attempts that are left go with a relay.
+        is_relay = self.relay is not None
+        self.attempts = self.policy.max_attempts if is_relay else self.attempts + 1
+        self._was_sent = True
         self.may_have_run = True
         self.state = AwaitingAnswer(self._upstream())
         return [SendRequest()]
@@ -178,11 +199,27 @@
         if not head.proves_not_run:
             self.state = Relaying(self._upstream())
             return [RelayAnswer()]
-        self.may_have_run = self._may_have_run_before
+        self._record_not_run()
+        if head.refused is not None:
+            effects = self._release(AttemptOutcome.CANCELLED, Waiting())
+            return [*effects, *self._refuse(head.refused)]
         if head.is_misdirected:
             return self._handle_failure("upstream-gone", AttemptOutcome.MISDIRECTED)
         return self._handle_failure("upstream-shed", AttemptOutcome.SHED)
 
+    def _record_not_run(self) -> None:
+        """Undo the last sending, which provably had no effect."""
+        self.may_have_run = self._may_have_run_before
+        if self.relay is not None:
+            self.attempts = self._attempts_before
+
+    def _refuse(self, refused: Refused) -> list[ExchangeEffect]:
+        return self._give_up(
+            refused.reason,
+            retry_after_s=refused.retry_after_s,
+            status=refused.status,
+        )
+
     def _handle_no_answer(
         self, event: ConnectFailed | UpstreamUnresponsive
     ) -> list[ExchangeEffect]:
@@ -197,7 +234,7 @@
                 AbortCaller(),
             ]
         if not handed_over:
-            self.may_have_run = self._may_have_run_before
+            self._record_not_run()
         return self._handle_failure("upstream-lost", AttemptOutcome.FAILED)
 
     def _handle_failure(
@@ -207,8 +244,11 @@
         effects = self._release(outcome, Waiting())
         if upstream is not None:
             self.excluded |= {upstream}
+        if self.relay is not None:
+            self.excluded_relays |= {self.relay}
         if not self._decide_retry(reason):
             return [*effects, *self._give_up(reason)]
+        self.relay = None
         self.route = ToUpstream()
         return [*effects, FindUpstream(self.excluded)]
 
@@ -246,7 +286,7 @@
             return "only the other entry VM may run it"
         if self.may_have_run and not self.policy.idempotent:
             return "it may have run and must not run twice"
-        if self.attempts > 0 and not self.policy.resendable:
+        if self._was_sent and not self.policy.resendable:
             return "its body is not at hand any more"
         return None
 
@@ -304,9 +344,9 @@
         self.state = state
         if has_no_upstream:
             return []
-        return (
-            [ClosePeerConnection()] if upstream is None else [ReleaseUpstream(outcome)]
-        )
+        if upstream is None and self.relay is None:
+            return [ClosePeerConnection()]
+        return [ReleaseUpstream(outcome)]
 
     def _upstream(self) -> str | None:
         match self.state:
--- a/packages/daemon/src/plankspindle_daemon/exchange/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/messages.py
@@ -70,6 +70,22 @@
     endpoint: Endpoint
 
 
+@frozen(kw_only=True)
+class RelayAssigned:
+    """Another entry VM is to serve the request, as this one reaches no upstream.
+
+    Parameters
+    ----------
+    vm : str
+        Name of that VM.
+    endpoint : Endpoint
+        Its listener for callers.
+    """
+
+    vm: str
+    endpoint: Endpoint
+
+
 @frozen(kw_only=True)
 class Refused:
     """No upstream was assigned, or the request may not be sent to one.
@@ -109,10 +125,13 @@
         Whether the other side states explicitly that it did not run the request.
     is_misdirected : bool
         Whether another upstream than the assigned one answered.
+    refused : Refused, optional
+        How another entry VM, to which the request was relayed, refused it for good.
     """
 
     proves_not_run: bool = False
     is_misdirected: bool = False
+    refused: Refused | None = None
 
 
 @frozen(kw_only=True)
@@ -150,6 +169,7 @@
 
 ExchangeEvent = (
     Assigned
+    | RelayAssigned
     | Refused
     | Connected
     | ConnectFailed
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -5,7 +5,6 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from attrs import Factory
 from curio import TaskTimeout
 
 from plankspindle_core import header_names
@@ -21,10 +20,10 @@
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.dispatch.messages import Assign
 from plankspindle_daemon.dispatch.messages import AttemptOutcome
+from plankspindle_daemon.dispatch.messages import RejectReason
 from plankspindle_daemon.dispatch.messages import StatementReceived
 from plankspindle_daemon.exchange.answers import answer_with_outcome
 from plankspindle_daemon.exchange.attempt import Attempt
-from plankspindle_daemon.exchange.attempt import OutgoingRequest
 from plankspindle_daemon.exchange.attempt_timeout import AttemptTimeout
 from plankspindle_daemon.exchange.exchange import Exchange
 from plankspindle_daemon.exchange.messages import AbortCaller
@@ -41,34 +40,29 @@
 from plankspindle_daemon.exchange.messages import OpenConnection
 from plankspindle_daemon.exchange.messages import Refused
 from plankspindle_daemon.exchange.messages import RelayAnswer
+from plankspindle_daemon.exchange.messages import RelayAssigned
 from plankspindle_daemon.exchange.messages import ReleaseUpstream
 from plankspindle_daemon.exchange.messages import SendRequest
 from plankspindle_daemon.exchange.messages import WithdrawTicket
+from plankspindle_daemon.exchange.outgoing_request import OutgoingRequest
+from plankspindle_daemon.exchange.quarantine_check import QuarantineCheck
+from plankspindle_daemon.exchange.relaying import Relaying
+from plankspindle_daemon.exchange.relaying import format_version
 from plankspindle_daemon.exchange.request_admission import RequestAdmission
 from plankspindle_daemon.idempotency.recorded_answer import RecordedAnswer
 from plankspindle_daemon.idempotency.request_records import RequestRecord
 from plankspindle_daemon.node.dispatch_runner import DispatchRunner
 from plankspindle_daemon.quarantine.crash_detector import CrashDetector
 from plankspindle_daemon.quarantine.request_identity import RequestIdentity
-from plankspindle_daemon.reachability.contact_record import ContactRecord
 from plankspindle_daemon.traces.request_trace import Completion
 from plankspindle_daemon.traces.request_trace import RequestTrace
 from plankspindle_daemon.traces.steps import Forwarded
-from plankspindle_daemon.traces.steps import RequestQuarantined
-from plankspindle_daemon.traces.steps import Suspected
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from plankspindle_daemon.quarantine.quarantine_list import QuarantineEntry
-
-QUARANTINED = "quarantined"
-SUSPECTED = "suspected"
-MIN_QUARANTINE_RETRY_AFTER_S = 1.0
-"""Minimum ``Retry-After`` of a quarantined request, in seconds."""
-
 
 @define(kw_only=True)
 class RequestRunner:
@@ -100,8 +94,12 @@
         Counts upstreams that crash while they run a request.
     admission : RequestAdmission
         Checks API key and quota before each sending.
-    contact : ContactRecord
-        Record of the connections of this VM to upstreams.
+    quarantine : QuarantineCheck
+        Checks the request against the quarantine before each sending.
+    relaying : Relaying
+        Decides on relays to other entry VMs.
+    is_relayed : bool
+        Whether another entry VM relayed the request to this one.
     """
 
     vm: str
@@ -117,7 +115,9 @@
     identity: RequestIdentity
     crash_detector: CrashDetector
     admission: RequestAdmission
-    contact: ContactRecord = Factory(ContactRecord)
+    quarantine: QuarantineCheck
+    relaying: Relaying
+    is_relayed: bool = False
     _assigned: Assign | None = None
     _attempt: Attempt | None = None
     _caller_gone: bool = False
@@ -146,6 +146,7 @@
     async def _release(self) -> None:
         """Release what an unexpected error or a disconnected caller left acquired."""
         self.admission.close()
+        self.relaying.end()
         if self._attempt is not None:
             await self._attempt.close()
         assigned, self._assigned = self._assigned, None
@@ -201,12 +202,14 @@
 
     async def _send(self) -> ExchangeEvent:
         assert self._attempt is not None
-        self.admission.record_sent()
+        if self._assigned is not None:
+            self.admission.record_sent()
+            self.relaying.node.reach.record_sent(monotonic())
         event = await self._attempt.send()
         if not self._attempt.may_have_run:
             self.admission.record_not_run()
         if self._assigned is not None and self._attempt.head is not None:
-            self.contact.record_answered(monotonic())
+            self.relaying.node.reach.record_answered(monotonic())
             await self._apply_statement(self._attempt, self._assigned)
         return event
 
@@ -220,10 +223,16 @@
         await self.dispatch.apply_statement(self.service, stated)
 
     async def _find_upstream(self, excluded: frozenset[str]) -> ExchangeEvent:
-        quarantined = self._refuse_quarantined(
-            self.crash_detector.quarantine.blocking_entry
-        )
-        refused = quarantined or await self.admission.admit()
+        may_have_run = self.exchange.may_have_run
+        quarantined = self.quarantine.refuse(may_have_run=may_have_run)
+        if quarantined is not None:
+            return quarantined
+        relay = self.relaying.choose(self.ticket, self.exchange.excluded_relays)
+        if isinstance(relay, RelayAssigned):
+            self.relaying.start(relay.vm)
+        if relay is not None:
+            return relay
+        refused = await self.admission.admit()
         if refused is not None:
             return refused
         self.ticket = self.ticket.excluding(excluded)
@@ -232,49 +241,21 @@
         )
         if isinstance(decision, Assign):
             self._assigned = decision
-            # It may have been quarantined while it waited for an upstream.
-            quarantined = self._refuse_quarantined(
-                self.crash_detector.quarantine.blocking_entry_on_send
-            )
+            quarantined = self.quarantine.refuse_on_send(may_have_run=may_have_run)
             refused = quarantined or self.admission.refuse_if_revoked()
             if refused is not None:
                 await self._release()
                 return refused
             return Assigned(upstream=decision.upstream, endpoint=decision.endpoint)
+        if decision.reason is RejectReason.CUT_OFF:
+            return await self._find_upstream(excluded)
         return Refused(
             reason=decision.reason.value, retry_after_s=decision.retry_after_s
         )
 
-    def _refuse_quarantined(
-        self, find_entry: Callable[[int, float], QuarantineEntry | None]
-    ) -> Refused | None:
-        """Refuse a quarantined request; return None if it may be sent.
-
-        A request that may have run is refused as soon as it is suspected of crashing
-        upstreams.
-        """
-        quarantine = self.crash_detector.quarantine
-        if not quarantine.is_active:
-            return None
-        now = monotonic()
-        if self.exchange.may_have_run and quarantine.is_suspected(self.identity.value):
-            self.trace.record(Suspected(identity=self.identity.text), now)
-            return Refused(reason=SUSPECTED, retry_after_s=MIN_QUARANTINE_RETRY_AFTER_S)
-        entry = find_entry(self.identity.value, now)
-        if entry is None:
-            return None
-        retry_after_s = max(MIN_QUARANTINE_RETRY_AFTER_S, entry.next_probe_at - now)
-        step = RequestQuarantined(
-            identity=self.identity.text,
-            for_ms=round(1000 * (now - entry.quarantined_at)),
-            trials=entry.probe_attempts,
-            retry_after_ms=round(1000 * retry_after_s),
-        )
-        self.trace.record(step, now)
-        return Refused(reason=QUARANTINED, retry_after_s=retry_after_s)
-
     async def _open(self, effect: OpenConnection) -> ExchangeEvent:
-        if self._assigned is None:
+        is_relay = self.exchange.relay is not None
+        if self._assigned is None and not is_relay:
             self.trace.record(Forwarded(to=str(effect.endpoint)), monotonic())
         self.trace.attempts += 1
         self._attempt = Attempt(
@@ -288,20 +269,24 @@
             pool=self.pool,
             record=self.record,
             trace=self.trace,
+            relay=self.relaying if is_relay else None,
+            attempts_left=self.exchange.policy.max_attempts - self.exchange.attempts,
         )
         event = await self._attempt.open(effect)
-        if self._assigned is not None:
-            self._record_contact(self._attempt, self._assigned)
+        self._record_contact(self._attempt)
         return event
 
-    def _record_contact(self, attempt: Attempt, assigned: Assign) -> None:
-        """Record whether a new connection to an upstream was established."""
-        contact, failure = self.contact, attempt.connect_failure
-        if attempt.opened_connection:
-            contact.record_connected(monotonic())
+    def _record_contact(self, attempt: Attempt) -> None:
+        """Record whether a new connection was established."""
+        failure, assigned, now = attempt.connect_failure, self._assigned, monotonic()
+        if assigned is None:
+            if failure is not None:
+                self.relaying.record_unreachable()
+        elif attempt.opened_connection:
+            self.relaying.node.reach.record_connected(assigned.upstream, now)
         elif failure is not None and failure.was_attempted:
-            contact.record_connect_failed(
-                assigned.upstream, failure.detail, monotonic()
+            self.relaying.node.reach.record_connect_failed(
+                assigned.upstream, failure, now
             )
 
     async def _end_attempt(self, outcome: AttemptOutcome) -> None:
@@ -312,6 +297,7 @@
         attempt, assigned = self._attempt, self._assigned
         completed = await attempt.end(outcome)
         self._attempt = self._assigned = None
+        self.relaying.end()
         if completed is not None:
             await self.dispatch.handle(self.service, completed)
         if assigned is not None and outcome is AttemptOutcome.ANSWERED:
@@ -361,7 +347,7 @@
         headers = [
             each
             for each in as_header_list(without_hop_by_hop(attempt.head.headers))
-            if each[0] != header_names.OUTCOME
+            if each[0] not in (header_names.OUTCOME, header_names.RELAY_VERSION)
         ]
         outcome = find_header(attempt.head.headers, header_names.OUTCOME)
         if attempt.assigned is not None or outcome is None:
@@ -370,6 +356,9 @@
         if attempt.assigned is not None:
             served_by = f"{self.vm}/{attempt.assigned.upstream}"
             headers.append((header_names.SERVED_BY, served_by.encode()))
+        if self.is_relayed:
+            version = format_version(self.relaying.node.version)
+            headers.append((header_names.RELAY_VERSION, version))
         return headers
 
     async def _answer(self, answer: AnswerCaller) -> None:
--- a/packages/daemon/src/plankspindle_daemon/listeners/outgoing_headers.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/outgoing_headers.py
@@ -10,6 +10,7 @@
 from plankspindle_daemon.admission.caller_directory import Identity
 from plankspindle_daemon.admission.identity_signer import IdentitySigner
 from plankspindle_daemon.exchange.caller_request import headers_for_peer
+from plankspindle_daemon.exchange.caller_request import headers_for_relay
 from plankspindle_daemon.exchange.caller_request import headers_for_upstream
 from plankspindle_daemon.exchange.caller_request import passthrough_headers
 from plankspindle_daemon.exchange.dialect import Dialect
@@ -34,12 +35,15 @@
         Header names.
     signer : IdentitySigner
         Signs the identity for other entry VMs.
+    is_relayed : bool
+        Whether another entry VM relayed the request to this one.
     """
 
     source: ServerExchange
     identity: Identity
     dialect: Dialect
     signer: IdentitySigner
+    is_relayed: bool = False
 
     def for_upstream(self) -> HeaderList:
         """Return the headers for an upstream, without framing and deadline."""
@@ -52,7 +56,13 @@
             headers,
             caller=identity.caller,
             workspace=identity.workspace,
-            peer_host=self.source.peer_host,
+            peer_host=None if self.is_relayed else self.source.peer_host,
+        )
+
+    def for_relay(self) -> HeaderList:
+        """Return the headers for a VM that serves for this one, without its ticket."""
+        return headers_for_relay(
+            self.source.headers, dialect=self.dialect, peer_host=self.source.peer_host
         )
 
     def for_peer(self, route: Route, *, grant: int | None) -> HeaderList:
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_resolver.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_resolver.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from attrs import evolve
 from result import Err
 from result import Ok
 from result import Result
@@ -29,6 +30,7 @@
 from plankspindle_daemon.exchange.dialect import Dialect
 from plankspindle_daemon.exchange.messages import MAX_ATTEMPTS
 from plankspindle_daemon.node.node import Node
+from plankspindle_daemon.reachability.relay_ticket import RelayTicket
 
 if TYPE_CHECKING:
     from plankspindle_core.configuration.configuration import Configuration
@@ -71,6 +73,8 @@
         Latest time to wait for an upstream, monotonic seconds.
     target_s : float, optional
         Target time of the answer, in seconds.
+    relay : RelayTicket, optional
+        Ticket of the entry VM that relayed it to this one.
     """
 
     request: CallerRequest
@@ -83,6 +87,29 @@
     allowed_regions: frozenset[str] = frozenset()
     queue_deadline: float = float("inf")
     target_s: float | None = None
+    relay: RelayTicket | None = None
+
+    @property
+    def is_recorded(self) -> bool:
+        """Whether it has an id or key by which its answer is kept here."""
+        if self.relay is not None:
+            return False
+        request = self.request
+        return request.idempotency_key is not None or request.request_id is not None
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether it may run more than once."""
+        if self.relay is not None and not self.relay.is_idempotent:
+            return False
+        return self.operation.idempotent and not self.is_recorded
+
+    @property
+    def attempts_allowed(self) -> int:
+        """Maximum number of attempts of this VM."""
+        if self.relay is None:
+            return self.max_attempts
+        return min(self.max_attempts, self.relay.attempts)
 
 
 @define(kw_only=True)
@@ -113,9 +140,18 @@
             return True
         return self.node.routes.has_host(_host_of(source))
 
-    def resolve(self, source: ServerExchange) -> Result[ResolvedRequest, BadRequest]:
+    def resolve(
+        self, source: ServerExchange, relay: RelayTicket | None = None
+    ) -> Result[ResolvedRequest, BadRequest]:
         """Resolve a request.
 
+        Parameters
+        ----------
+        source : ServerExchange
+            HTTP exchange with the caller.
+        relay : RelayTicket, optional
+            Ticket of the entry VM that relayed it, which has checked the API key.
+
         Returns
         -------
         Result
@@ -125,11 +161,16 @@
         if configuration is None:
             return Err(BadRequest(503, NO_CONFIGURATION))
         if source.target.startswith(SERVICES_PREFIX):
-            return self._resolve_service_request(source, configuration)
-        return self._resolve_routed_request(source)
+            resolved = self._resolve_service_request(source, configuration, relay)
+        else:
+            resolved = self._resolve_routed_request(source, relay)
+        return resolved.map(lambda each: evolve(each, relay=relay))
 
     def _resolve_service_request(
-        self, source: ServerExchange, configuration: Configuration
+        self,
+        source: ServerExchange,
+        configuration: Configuration,
+        relay: RelayTicket | None,
     ) -> Result[ResolvedRequest, BadRequest]:
         parsed = parse_caller_request(source.target, source.headers)
         if parsed.is_err():
@@ -137,7 +178,7 @@
         request = parsed.unwrap()
         if request.service not in configuration.services_by_name:
             return Err(BadRequest(404, f"no service {request.service!r}"))
-        identified = self._identify(source, request)
+        identified = self._identify(source, request, relay)
         if identified.is_err():
             return Err(identified.unwrap_err())
         service = configuration.services_by_name[request.service]
@@ -153,12 +194,12 @@
         )
 
     def _identify(
-        self, source: ServerExchange, request: CallerRequest
+        self, source: ServerExchange, request: CallerRequest, relay: RelayTicket | None
     ) -> Result[Identity, BadRequest]:
         signed = self._signed_identity(source, request)
         if signed is not None:
             return Ok(signed)
-        digest = read_key_digest(source.headers, scheme=self.dialect.key_scheme)
+        digest = self._read_key_digest(source, relay)
         if digest.is_ok() and digest.unwrap() is not None and self._keys_are_stale():
             return Err(BadRequest(503, KEYS_STALE))
         identified = digest.and_then(
@@ -173,6 +214,14 @@
             return Err(BadRequest(401, "Idempotency-Key needs an API key"))
         return Ok(identity)
 
+    def _read_key_digest(
+        self, source: ServerExchange, relay: RelayTicket | None
+    ) -> Result[str | None, NotAuthenticated]:
+        """Return the digest of the caller's API key, which a relay carries itself."""
+        if relay is not None:
+            return Ok(relay.key_digest)
+        return read_key_digest(source.headers, scheme=self.dialect.key_scheme)
+
     def _signed_identity(
         self, source: ServerExchange, request: CallerRequest
     ) -> Identity | None:
@@ -201,7 +250,7 @@
         return directory
 
     def _resolve_routed_request(
-        self, source: ServerExchange
+        self, source: ServerExchange, relay: RelayTicket | None
     ) -> Result[ResolvedRequest, BadRequest]:
         path = source.target.partition("?")[0]
         found = self.node.routes.find(host=_host_of(source), path=path)
@@ -210,7 +259,7 @@
         timeout = read_integer_header(source.headers, self.dialect.timeout)
         if timeout.is_err():
             return Err(timeout.unwrap_err())
-        identified = self._identify_routed(source, found.route)
+        identified = self._identify_routed(source, found.route, relay)
         if identified.is_err():
             return Err(identified.unwrap_err())
         identity = identified.unwrap()
@@ -222,7 +271,7 @@
         )
 
     def _identify_routed(
-        self, source: ServerExchange, route: Route
+        self, source: ServerExchange, route: Route, relay: RelayTicket | None
     ) -> Result[Identity, BadRequest]:
         """Return the caller of a request on a route.
 
@@ -234,7 +283,7 @@
         anonymous = directory.anonymous_identity(route.priority_class)
         if not directory.has_workspaces:
             return Ok(anonymous)
-        digest = read_key_digest(source.headers, scheme=self.dialect.key_scheme)
+        digest = self._read_key_digest(source, relay)
         if digest == Ok(None):
             identified: Result[Identity, NotAuthenticated] = Err(
                 NotAuthenticated(
--- a/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/request_service.py
@@ -3,76 +3,54 @@
 from __future__ import annotations
 
 import time
-from itertools import count
 from typing import TYPE_CHECKING
 
-from attrs import field
+from result import Err
+from result import Ok
+from result import Result
 
 from plankspindle_core import header_names
 from plankspindle_core.classes import define
-from plankspindle_core.classes import frozen
 from plankspindle_core.http.headers import find_header
 from plankspindle_core.http.server_exchange import CallerDisconnectedError
 from plankspindle_core.outcome import Outcome
 from plankspindle_core.steady_clock import monotonic
-from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.exchange.answers import answer_with_outcome
 from plankspindle_daemon.exchange.answers import refuse
-from plankspindle_daemon.exchange.attempt import OutgoingRequest
-from plankspindle_daemon.exchange.caller_request import SERVICES_PREFIX
 from plankspindle_daemon.exchange.caller_request import BadRequest
 from plankspindle_daemon.exchange.dialect import Dialect
-from plankspindle_daemon.exchange.exchange import Exchange
 from plankspindle_daemon.exchange.messages import AnswerCaller
-from plankspindle_daemon.exchange.messages import ExecutionPolicy
-from plankspindle_daemon.exchange.messages import Route
 from plankspindle_daemon.exchange.messages import ToPeer
-from plankspindle_daemon.exchange.messages import ToUpstream
-from plankspindle_daemon.exchange.request_admission import RequestAdmission
 from plankspindle_daemon.exchange.request_body import read_request_body
-from plankspindle_daemon.exchange.request_runner import RequestRunner
 from plankspindle_daemon.idempotency import verdicts
 from plankspindle_daemon.idempotency.fingerprint import fingerprint_of
-from plankspindle_daemon.idempotency.request_records import NoRecord
-from plankspindle_daemon.idempotency.request_records import RequestRecord
 from plankspindle_daemon.listeners.idempotency_checker import AnsweredWithoutRunning
 from plankspindle_daemon.listeners.idempotency_checker import IdempotencyChecker
 from plankspindle_daemon.listeners.idempotency_checker import RunRequest
 from plankspindle_daemon.listeners.idempotency_checker import SendHome
-from plankspindle_daemon.listeners.outgoing_headers import OutgoingHeaders
 from plankspindle_daemon.listeners.request_deadline import RequestDeadline
 from plankspindle_daemon.listeners.request_resolver import RequestResolver
 from plankspindle_daemon.listeners.request_resolver import ResolvedRequest
-from plankspindle_daemon.node.dispatch_runner import DispatchRunner
+from plankspindle_daemon.listeners.runner_factory import RoutingDecision
+from plankspindle_daemon.listeners.runner_factory import RunnerFactory
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.node.pause_monitor import PauseMonitor
-from plankspindle_daemon.node.quota_runner import QuotaRunner
 from plankspindle_daemon.observability.request_metrics import RequestMetrics
-from plankspindle_daemon.quarantine.crash_detector import CrashDetector
-from plankspindle_daemon.quarantine.request_identity import RequestIdentity
+from plankspindle_daemon.reachability.relay_ticket import RelayTicket
 from plankspindle_daemon.settings.daemon_settings import DaemonSettings
 from plankspindle_daemon.shifts.shift_meter import Move
 from plankspindle_daemon.traces.request_trace import Completion
 from plankspindle_daemon.traces.request_trace import RequestTrace
 from plankspindle_daemon.traces.request_trace_log import RequestTraceLog
 from plankspindle_daemon.traces.steps import ClaimDecided
+from plankspindle_daemon.traces.steps import RelayAccepted
 from plankspindle_daemon.traces.steps import Routed
-from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
 
 if TYPE_CHECKING:
     from plankspindle_core.http.server_exchange import ServerExchange
-    from plankspindle_daemon.admission.caller_directory import Identity
-    from plankspindle_daemon.exchange.caller_request import CallerRequest
     from plankspindle_daemon.exchange.request_body import RequestBody
     from plankspindle_daemon.headroom.grant_table import HeldGrant
-
-
-@frozen(kw_only=True)
-class _RoutingDecision:
-    route: Route
-    record: RequestRecord = field(factory=NoRecord)
-    grant: int | None = None
-    may_have_run_elsewhere: bool = False
+    from plankspindle_daemon.reachability.relay_admission import DeclineReason
 
 
 @define(kw_only=True)
@@ -85,12 +63,8 @@
         Settings of the process.
     node : Node
         Decision logic and state of this entry VM.
-    dispatch : DispatchRunner
-        Assigns upstreams to requests.
-    quotas : QuotaRunner
-        Provides tokens of the quotas of workspaces.
-    pool : ConnectionPool
-        Connections to upstreams and other entry VMs.
+    runners : RunnerFactory
+        Creates the runners of requests.
     idempotency_checker : IdempotencyChecker
         Decides on request ids and idempotency keys.
     metrics : RequestMetrics
@@ -101,8 +75,6 @@
         Header names.
     trace_log : RequestTraceLog
         Logs completed requests.
-    crash_detector : CrashDetector
-        Records crashes of upstreams during requests.
     pause_monitor : PauseMonitor
         Detects that the process was paused.
     running : int
@@ -111,18 +83,14 @@
 
     settings: DaemonSettings
     node: Node
-    dispatch: DispatchRunner
-    quotas: QuotaRunner
-    pool: ConnectionPool
+    runners: RunnerFactory
     idempotency_checker: IdempotencyChecker
     metrics: RequestMetrics
     resolver: RequestResolver
     dialect: Dialect
     trace_log: RequestTraceLog
-    crash_detector: CrashDetector
     pause_monitor: PauseMonitor
     running: int = 0
-    _ticket_numbers: count[int] = field(factory=count)
 
     async def serve(self, source: ServerExchange) -> None:
         """Serve one request, and count and log it however it completes."""
@@ -150,7 +118,53 @@
         return find_header(source.headers, name)
 
     async def _serve_counted(self, source: ServerExchange, trace: RequestTrace) -> None:
-        read = self.resolver.resolve(source)
+        relay = self._admit_relay(source)
+        if relay.is_err():
+            declined = _not_run(relay.unwrap_err().value)
+            await answer_with_outcome(source, declined, self.dialect, trace)
+            return
+        ticket = relay.unwrap()
+        if ticket is None:
+            await self._serve_resolved(source, trace, None)
+            return
+        admission = self.node.relay_admission
+        admission.in_flight += 1
+        try:
+            await self._serve_resolved(source, trace, ticket)
+        finally:
+            admission.in_flight -= 1
+
+    def _admit_relay(
+        self, source: ServerExchange
+    ) -> Result[RelayTicket | None, DeclineReason]:
+        """Admit a request that another entry VM relays here, if it is one.
+
+        Returns
+        -------
+        Result
+            Its ticket, or None if no entry VM relayed it; or why it is declined.
+        """
+        sealed = find_header(source.headers, header_names.RELAY)
+        if sealed is None:
+            return Ok(None)
+        ticket = RelayTicket.open(
+            sealed,
+            self.resolver.signer,
+            target=source.target,
+            wall_ms=int(time.time() * 1000),
+        )
+        reason = self.node.relay_admission.admit(
+            ticket,
+            reach=self.node.reach,
+            readiness=self.node.readiness(),
+            version=self.node.version,
+        )
+        return Ok(ticket) if reason is None else Err(reason)
+
+    async def _serve_resolved(
+        self, source: ServerExchange, trace: RequestTrace, relay: RelayTicket | None
+    ) -> None:
+        read = self.resolver.resolve(source, relay)
         if read.is_err():
             scheme = self.dialect.key_scheme
             await refuse(source, read.unwrap_err(), trace, key_scheme=scheme)
@@ -188,7 +202,7 @@
             operation=resolved.operation_name,
             rank=resolved.identity.rank,
             idempotent=resolved.operation.idempotent,
-            max_attempts=resolved.max_attempts,
+            max_attempts=resolved.attempts_allowed,
             timeout_ms=resolved.operation.timeout_ms,
             left_ms=round((deadline.monotonic_s - now) * 1000),
             version=in_force.version.number,
@@ -197,6 +211,10 @@
             version_age_ms=in_force.age_ms(now),
         )
         trace.record(step, now)
+        if resolved.relay is not None:
+            relay = resolved.relay
+            accepted = RelayAccepted(sender=relay.sender, attempts=relay.attempts)
+            trace.record(accepted, now)
 
     async def _serve_body(
         self,
@@ -207,11 +225,11 @@
     ) -> None:
         limit = self.settings.requests.max_keyed_body_bytes
         body = await read_request_body(source, max_bytes=limit)
-        if body is None or (body.content is None and _has_id_or_key(resolved.request)):
+        if body is None or (body.content is None and resolved.is_recorded):
             too_long = BadRequest(413, f"send at most {limit} bytes")
             await refuse(source, too_long, trace)
             return
-        grant = self._acquire_move_grant(source, resolved.request, resolved.identity)
+        grant = self._acquire_move_grant(source, resolved)
         try:
             routing = await self._choose_route(
                 source, resolved, body, deadline, grant, trace
@@ -219,8 +237,14 @@
             if isinstance(routing, AnsweredWithoutRunning):
                 await self._answer(source, routing, trace)
             else:
-                await self._make_runner(
-                    source, resolved, body, deadline, routing, trace
+                await self.runners.make(
+                    source,
+                    resolved,
+                    body,
+                    deadline,
+                    routing,
+                    trace,
+                    self.settings.requests,
                 ).run()
         finally:
             if grant is not None:
@@ -234,15 +258,15 @@
         deadline: RequestDeadline,
         held_grant: HeldGrant | None,
         trace: RequestTrace,
-    ) -> _RoutingDecision | AnsweredWithoutRunning:
+    ) -> RoutingDecision | AnsweredWithoutRunning:
         """Decide where the request is sent and where its outcome is recorded."""
         request = resolved.request
         if held_grant is not None:
             may_stay = request.idempotency_key is None
             route = ToPeer(endpoint=held_grant.endpoint, may_run_locally=may_stay)
-            return _RoutingDecision(route=route, grant=held_grant.request_id)
-        if not _has_id_or_key(request):
-            return _RoutingDecision(route=ToUpstream())
+            return RoutingDecision(route=route, grant=held_grant.request_id)
+        if not resolved.is_recorded:
+            return RoutingDecision()
         fingerprint = fingerprint_of(
             caller=resolved.identity.caller,
             service=request.service,
@@ -263,100 +287,20 @@
         trace.record(claim, monotonic())
         match decided:
             case RunRequest(record=record):
-                return _RoutingDecision(route=ToUpstream(), record=record)
+                return RoutingDecision(record=record)
             case SendHome(endpoint=endpoint):
                 route = ToPeer(endpoint=endpoint, may_run_locally=False)
-                return _RoutingDecision(route=route, may_have_run_elsewhere=True)
+                return RoutingDecision(route=route, may_have_run_elsewhere=True)
             case AnsweredWithoutRunning():
                 return decided
 
-    def _make_runner(
-        self,
-        source: ServerExchange,
-        resolved: ResolvedRequest,
-        body: RequestBody,
-        deadline: RequestDeadline,
-        routing: _RoutingDecision,
-        trace: RequestTrace,
-    ) -> RequestRunner:
-        operation, request = resolved.operation, resolved.request
-        settings = self.settings.requests
-        headers = OutgoingHeaders(
-            source=source,
-            identity=resolved.identity,
-            dialect=self.dialect,
-            signer=self.resolver.signer,
-        )
-        return RequestRunner(
-            vm=self.settings.vm,
-            service=request.service,
-            outgoing=OutgoingRequest(
-                source=source,
-                path=request.path,
-                upstream_headers=headers.for_upstream(),
-                peer_headers=headers.for_peer(routing.route, grant=routing.grant),
-                body=body,
-                deadline=deadline.monotonic_s,
-                deadline_ms=deadline.wall_ms,
-                dialect=self.dialect,
-                max_idle_non_idempotent_s=settings.max_idle_unrepeatable_ms / 1000,
-                max_buffered_answer_bytes=settings.hold_answer_bytes,
-            ),
-            exchange=Exchange(
-                policy=ExecutionPolicy(
-                    idempotent=operation.idempotent and not _has_id_or_key(request),
-                    resendable=body.content is not None,
-                    recorded=_has_id_or_key(request),
-                    may_have_run_elsewhere=routing.may_have_run_elsewhere,
-                    max_attempts=resolved.max_attempts,
-                ),
-                route=routing.route,
-                budget=self.node.services.budgets_by_service[request.service],
-            ),
-            ticket=self._make_ticket(resolved, deadline),
-            record=routing.record,
-            dispatch=self.dispatch,
-            pool=self.pool,
-            trace=trace,
-            max_recorded_bytes=settings.max_recorded_answer_bytes,
-            identity=RequestIdentity(
-                caller=resolved.identity.caller,
-                method=source.method,
-                target=source.target,
-                headers=source.headers,
-                names_service=source.target.startswith(SERVICES_PREFIX),
-                body=body.content,
-            ),
-            crash_detector=self.crash_detector,
-            contact=self.node.contact,
-            admission=RequestAdmission(
-                identity=resolved.identity,
-                node=self.node,
-                quotas=self.quotas,
-                trace=trace,
-            ),
-        )
-
-    def _make_ticket(
-        self, resolved: ResolvedRequest, deadline: RequestDeadline
-    ) -> Ticket:
-        return Ticket(
-            id=next(self._ticket_numbers),
-            rank=resolved.identity.rank,
-            operation=resolved.operation_name,
-            deadline=deadline.monotonic_s,
-            expected_s=resolved.operation.expected_ms / 1000,
-            affinity=resolved.affinity,
-            bulky=resolved.bulky,
-            allowed_regions=resolved.allowed_regions,
-            queue_deadline=resolved.queue_deadline,
-        )
-
     def _acquire_move_grant(
-        self, source: ServerExchange, request: CallerRequest, identity: Identity
+        self, source: ServerExchange, resolved: ResolvedRequest
     ) -> HeldGrant | None:
         """Count a request for the shifts, and acquire a grant if it is to move."""
-        if request.forwarded or request.request_id is not None:
+        request, identity = resolved.request, resolved.identity
+        is_from_peer = request.forwarded or resolved.relay is not None
+        if is_from_peer or request.request_id is not None:
             return None
         meter, now = self.node.shift_meter, monotonic()
         caller_key = identity.caller or source.peer_host
@@ -391,9 +335,5 @@
                 await answer_with_outcome(source, answered.answer, self.dialect, trace)
 
 
-def _has_id_or_key(request: CallerRequest) -> bool:
-    return request.idempotency_key is not None or request.request_id is not None
-
-
 def _not_run(reason: str) -> AnswerCaller:
     return AnswerCaller(status=503, outcome=Outcome.NOT_RUN, reason=reason)
--- a/packages/daemon/src/plankspindle_daemon/membership/member.py
+++ b/packages/daemon/src/plankspindle_daemon/membership/member.py
@@ -57,6 +57,8 @@
         Whether the platform lists it as leaving.
     suspected_by : set of str
         Watchers that have suspected it since its last heartbeat here.
+    is_cut_off : bool
+        Whether it reported that it reaches no upstream.
     """
 
     name: str
@@ -73,6 +75,7 @@
     configuration_version: ConfigurationVersion = NO_VERSION
     listed_leaving: bool = False
     suspected_by: set[str] = Factory(set)
+    is_cut_off: bool = False
 
     def is_silent(self, *, now: float, suspect_after_s: float) -> bool:
         """Return whether no heartbeat arrived here within the allowed time."""
@@ -98,6 +101,7 @@
             self.last_heartbeat_at is None
             or bool(self.suspected_by)
             or self.readiness is not heartbeat.readiness
+            or self.is_cut_off is not heartbeat.is_cut_off
             or self.caller_endpoint != heartbeat.caller_endpoint
             or self.failure_domain != heartbeat.failure_domain
         )
@@ -110,6 +114,7 @@
         self.caller_endpoint = heartbeat.caller_endpoint
         self.failure_domain = heartbeat.failure_domain
         self.readiness = heartbeat.readiness
+        self.is_cut_off = heartbeat.is_cut_off
         self.view_digest = heartbeat.view_digest
         self.over_share = frozenset(heartbeat.over_share)
         self.configuration_version = heartbeat.configuration_version
--- a/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
@@ -10,6 +10,7 @@
 from curio import Event
 
 from plankspindle_core.classes import define
+from plankspindle_core.http.client_connection import ClientConnection
 from plankspindle_core.http.errors import ConnectFailed
 from plankspindle_core.http.fetch import fetch
 from plankspindle_core.steady_clock import monotonic
@@ -36,6 +37,7 @@
     from plankspindle_daemon.admission.ticket import Ticket
     from plankspindle_daemon.dispatch.messages import DispatchEvent
     from plankspindle_daemon.node.effects import NodeEffect
+    from plankspindle_daemon.reachability.upstream_reach import ProbeConnection
     from plankspindle_daemon.traces.request_trace import RequestTrace
     from plankspindle_daemon.upstreams.load_report import LoadReport
 
@@ -198,6 +200,23 @@
             case GrantSlots(grant=grant, to=to):
                 await self.peers.send(grant, to)
 
+    async def probe_connection(self, probe: ProbeConnection) -> None:
+        """Open a connection to an upstream in a task, and record whether it did."""
+        await self.supervisor.spawn(self._contain_probe, probe)
+
+    async def _contain_probe(self, probe: ProbeConnection) -> None:
+        await self.supervisor.contain(self._connect, probe)
+
+    async def _connect(self, probe: ProbeConnection) -> None:
+        connection = ClientConnection(endpoint=probe.endpoint)
+        started = await connection.start(timeout_s=PROBE_TIMEOUT_S)
+        await connection.close()
+        reach, now = self.node.reach, monotonic()
+        if started.is_ok():
+            reach.record_connected(probe.upstream, now)
+        else:
+            reach.record_connect_failed(probe.upstream, started.unwrap_err(), now)
+
     async def _probe(self, service: str, probe: SendProbe) -> None:
         await self.supervisor.contain(self._fetch_load_report, service, probe)
 
--- a/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
@@ -39,6 +39,7 @@
 from plankspindle_daemon.peer_messages.suspicion import Suspicion
 from plankspindle_daemon.quotas.messages import TokenRefused
 from plankspindle_daemon.quotas.messages import TokenTaken
+from plankspindle_daemon.reachability.upstream_reach import ProbeConnection
 
 if TYPE_CHECKING:
     from plankspindle_core.endpoint import Endpoint
@@ -92,6 +93,8 @@
                     self.leave(reason)
                 case TokenTaken() | TokenRefused():
                     await self.quotas.deliver_decision(effect)
+                case ProbeConnection():
+                    await self.dispatch.probe_connection(effect)
                 case _:
                     pass
         await self.dispatch.perform(effects)
--- a/packages/daemon/src/plankspindle_daemon/node/effects.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effects.py
@@ -11,6 +11,7 @@
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.quotas.messages import TokenRefused
 from plankspindle_daemon.quotas.messages import TokenTaken
+from plankspindle_daemon.reachability.upstream_reach import ProbeConnection
 
 
 @frozen
@@ -35,6 +36,7 @@
     | SendToPeer
     | TokenTaken
     | TokenRefused
+    | ProbeConnection
 )
 
 
--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -29,6 +29,7 @@
 from plankspindle_daemon.node.limited_dispatch import LimitedDispatch
 from plankspindle_daemon.node.node_reporting import make_self_report
 from plankspindle_daemon.node.node_reporting import make_steering_updater
+from plankspindle_daemon.node.reach_ticker import ReachTicker
 from plankspindle_daemon.node.self_report import SelfReport
 from plankspindle_daemon.node.shared_slots import SharedSlots
 from plankspindle_daemon.node.steering_updater import SteeringUpdater
@@ -39,7 +40,9 @@
 from plankspindle_daemon.quarantine.quarantine import Quarantine
 from plankspindle_daemon.quotas.quota_options import QuotaOptions
 from plankspindle_daemon.quotas.quotas import Quotas
-from plankspindle_daemon.reachability.contact_record import ContactRecord
+from plankspindle_daemon.reachability.relay_admission import RelayAdmission
+from plankspindle_daemon.reachability.relay_selector import RelaySelector
+from plankspindle_daemon.reachability.upstream_reach import UpstreamReach
 from plankspindle_daemon.rollouts.rollouts import Rollouts
 from plankspindle_daemon.routes.route_table import RouteTable
 from plankspindle_daemon.settings.daemon_settings import RolloutSettings
@@ -103,8 +106,10 @@
     ----------
     in_force : ConfigurationInForce
         The version of the configuration in force.
-    contact : ContactRecord
-        Connections of this VM to upstreams.
+    reach : UpstreamReach
+        Whether this VM reaches upstreams.
+    relays, relay_admission : RelaySelector, RelayAdmission
+        Requests that other VMs serve for this one, and the other way round.
     """
 
     vm: str
@@ -125,7 +130,6 @@
     quota_options: QuotaOptions = Factory(QuotaOptions)
     rollout_settings: RolloutSettings = Factory(RolloutSettings)
     in_force: ConfigurationInForce = Factory(ConfigurationInForce)
-    contact: ContactRecord = Factory(ContactRecord)
     directory: CallerDirectory | None = None
     routes: RouteTable = Factory(lambda: RouteTable(routes_by_name={}))
     services: ServiceRegistry = field(init=False)
@@ -141,8 +145,12 @@
     limited_dispatch: LimitedDispatch = field(init=False)
     shared_reads: SharedReads = field(init=False)
     rollouts: Rollouts = field(init=False)
+    reach: UpstreamReach = field(init=False)
+    relays: RelaySelector = field(init=False)
+    relay_admission: RelayAdmission = Factory(RelayAdmission)
     self_report: SelfReport = field(init=False)
     steering_updater: SteeringUpdater = field(init=False)
+    _reach_ticker: ReachTicker = field(init=False)
     _next_refresh_at: float = 0.0
     _wall_offset_s: float = 0.0
 
@@ -196,9 +204,18 @@
             ramping_from=self.started_at + self.settle_s,
             listed=ListedUpstreams(recovery_s=self.recovery_s),
         )
+        self.reach = UpstreamReach(services=self.services, random=self.random)
+        self.relays = RelaySelector(
+            failure_domain=self.failure_domain,
+            membership=self.membership,
+            random=self.random,
+        )
         self.limited_dispatch = LimitedDispatch(
             services=self.services, quotas=self.quotas
         )
+        self._reach_ticker = ReachTicker(
+            reach=self.reach, handle_dispatch=self.limited_dispatch.handle
+        )
         self.vm_drains = VmDrains(
             vm=self.vm,
             failure_domain=self.failure_domain,
@@ -317,6 +334,7 @@
             self.steering_updater.announce_readiness(self.version, now)
             self.ids.expire(now)
             self.shared_slots.expire_removals(self.configuration, now)
+        effects += self._reach_ticker.tick(self.dispatchers_by_service, now)
         effects += self.versions.tick(now)
         effects += self.quarantine.tick(now)
         effects += self.rollouts.tick(now)
@@ -338,6 +356,7 @@
     def _apply_drains(self, *, now: float, wall: float) -> None:
         self.services.apply_drains(now=now, wall=wall)
         self.vm_drains.refresh(now=now, wall=wall)
+        self.relays.drained_vms = self.vm_drains.drained_vms
 
     def accepts(self, now: float) -> bool:
         """Return whether this VM accepts new requests."""
@@ -358,6 +377,7 @@
         self.shared_reads.invalidate()
         self.headroom.grants.discard_all()
         self.rollouts.recover_from_pause(now)
+        self.reach.recover_from_pause()
         effects = self.handle_membership(membership.ProcessPaused(), now=now, wall=wall)
         for service in self.dispatchers_by_service:
             effects += self.handle_dispatch(service, dispatch.ProcessPaused(), now)
--- a/packages/daemon/src/plankspindle_daemon/node/node_reporting.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node_reporting.py
@@ -26,6 +26,7 @@
         vm_drains=node.vm_drains,
         head=node.versions.head,
         quarantine=node.quarantine,
+        reach=node.reach,
     )
 
 
--- a/packages/daemon/src/plankspindle_daemon/node/self_report.py
+++ b/packages/daemon/src/plankspindle_daemon/node/self_report.py
@@ -19,6 +19,7 @@
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
 from plankspindle_daemon.peer_messages.readiness import Readiness
 from plankspindle_daemon.quarantine.quarantine import Quarantine
+from plankspindle_daemon.reachability.upstream_reach import UpstreamReach
 from plankspindle_daemon.steering.steering import EntryVm
 
 MAX_OVER_SHARE_NAMED = 16
@@ -54,6 +55,8 @@
         When any entry VM last read the head of the configuration.
     quarantine : Quarantine
         Quarantined requests.
+    reach : UpstreamReach
+        Whether this VM reaches upstreams.
 
     Attributes
     ----------
@@ -73,6 +76,7 @@
     vm_drains: VmDrains
     head: HeadFreshness
     quarantine: Quarantine
+    reach: UpstreamReach
     list_read_at: float | None = None
     _sequence: int = 0
 
@@ -112,6 +116,7 @@
             failure_domain=self.failure_domain,
             endpoint=self.caller_endpoint,
             usable=self.readiness(version) is Readiness.READY,
+            is_cut_off=self.reach.is_cut_off,
         )
 
     def heartbeat(
@@ -148,6 +153,7 @@
             silent_incarnations=tuple(each.incarnation for each in unresponsive),
             is_watched=is_watched,
             quarantine_digest=self.quarantine.quarantine_list.digest,
+            is_cut_off=self.reach.is_cut_off,
         )
 
     def _over_share(self, now: float) -> tuple[str, ...]:
--- a/packages/daemon/src/plankspindle_daemon/node/steering_updater.py
+++ b/packages/daemon/src/plankspindle_daemon/node/steering_updater.py
@@ -52,7 +52,7 @@
     self_report: SelfReport
     steering: Steering | None = None
     _entry_vms: KnownEntryVms = field(init=False)
-    _was_accepting: bool = False
+    _announced: tuple[bool, bool] = (False, False)
     _applied_state: tuple[object, ...] = ()
     _next_refresh_at: float = 0.0
 
@@ -92,6 +92,8 @@
     def announce_readiness(self, version: ConfigurationVersion, now: float) -> None:
         """Announce to all members that this VM starts or stops taking requests.
 
+        The same goes for reaching upstreams, on which depends what is relayed.
+
         Parameters
         ----------
         version : ConfigurationVersion
@@ -107,6 +109,7 @@
         """
         readiness = self.self_report.readiness(version)
         is_accepting = readiness in (Readiness.READY, Readiness.OVERLOADED)
-        if is_accepting is not self._was_accepting:
-            self._was_accepting = is_accepting
+        announced = (is_accepting, self.self_report.reach.is_cut_off)
+        if announced != self._announced:
+            self._announced = announced
             self.membership.schedule_heartbeat_round(now)
--- a/packages/daemon/src/plankspindle_daemon/observability/instruments.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/instruments.py
@@ -55,6 +55,9 @@
         self._add_counter("software_version_requests", self._version_requests)
         self._add_counter("software_version_bad_answers", self._version_bad_answers)
         self._add_counter("upstream_connects", self._upstream_connects)
+        self._add_counter("relays", self._relays)
+        self._add_gauge("reaches_upstreams", self._reaches_upstreams)
+        self._add_gauge("members_cut_off", self._members_cut_off)
         self._add_gauge("rollout_stage", self._rollout_stages)
         self._add_gauge("rollout_exposed_requests", self._rollout_exposed)
         self._add_gauge("rollout_seconds_to_deadline", self._rollout_deadlines)
@@ -212,12 +215,29 @@
         return [Observation(len(quarantine_list.entries_by_identity))]
 
     def _upstream_connects(self) -> Iterable[Observation]:
-        contact = self._sources.node.contact
+        contact = self._sources.node.reach.contact
         return [
             Observation(contact.connects, {"outcome": "established"}),
             Observation(contact.failed_connects, {"outcome": "failed"}),
         ]
 
+    def _relays(self) -> Iterable[Observation]:
+        node = self._sources.node
+        relays, admission = node.relays, node.relay_admission
+        return [
+            Observation(relays.sent, {"side": "sender", "outcome": "sent"}),
+            Observation(relays.declined, {"side": "sender", "outcome": "declined"}),
+            Observation(admission.accepted, {"side": "server", "outcome": "accepted"}),
+            Observation(admission.declined, {"side": "server", "outcome": "declined"}),
+        ]
+
+    def _reaches_upstreams(self) -> Iterable[Observation]:
+        return [Observation(int(not self._sources.node.reach.is_cut_off))]
+
+    def _members_cut_off(self) -> Iterable[Observation]:
+        members = self._sources.node.membership.members_by_name.values()
+        return [Observation(sum(member.is_cut_off for member in members))]
+
     def _log_lines_dropped(self) -> Iterable[Observation]:
         return [Observation(self._sources.log_lines_dropped)]
 
--- a/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
+++ b/packages/daemon/src/plankspindle_daemon/observability/state_dump.py
@@ -82,14 +82,19 @@
 
 def _dump_contact(node: Node, now: float) -> dict[str, Any]:
     """Dump the connections of this VM to all upstreams together."""
-    contact = node.contact
+    contact = node.reach.contact
     return {
+        "state": type(node.reach.state).__name__,
         "answered_s_ago": _age_s(contact.answered_at, now),
         "connected_s_ago": _age_s(contact.connected_at, now),
         "connects": contact.connects,
         "failed_connects": contact.failed_connects,
         "failed_since": sorted(contact.failed_at_by_upstream),
-        "last_failure": contact.last_failure,
+        "last_failure": contact.last_failure_text,
+        "relayed_to": node.relays.in_flight_by_vm(),
+        "relays_sent": node.relays.sent,
+        "relays_accepted": node.relay_admission.accepted,
+        "relays_in_flight_here": node.relay_admission.in_flight,
     }
 
 
@@ -158,6 +163,7 @@
                 else round(now - member.last_heartbeat_at, 3),
                 "suspected": membership.is_silent(member, now),
                 "suspected_by": sorted(member.suspected_by),
+                "cut_off": member.is_cut_off,
                 "agrees": member.view_digest == membership.view_digest(),
                 "over_share": sorted(member.over_share),
                 "configuration_version": member.configuration_version.number,
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/heartbeat.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/heartbeat.py
@@ -48,6 +48,8 @@
     quarantine_digest : int
         Digest of the requests in the sender's quarantine, 64 bits; zero if there are
         none.
+    is_cut_off : bool
+        Whether the sender reaches no upstream.
     """
 
     sender: str
@@ -65,3 +67,4 @@
     silent_incarnations: tuple[int, ...] = ()
     is_watched: bool = False
     quarantine_digest: int = 0
+    is_cut_off: bool = False
--- a/packages/daemon/src/plankspindle_daemon/reachability/contact_record.py
+++ b/packages/daemon/src/plankspindle_daemon/reachability/contact_record.py
@@ -7,6 +7,7 @@
 from attrs import Factory
 
 from plankspindle_core.classes import define
+from plankspindle_core.http.errors import ConnectFailed
 
 
 @define(kw_only=True)
@@ -24,7 +25,7 @@
         When the first connection to each upstream failed since then.
     connects, failed_connects : int
         Number of new connections that were established, and that were not.
-    last_failure : str, optional
+    last_failure : ConnectFailed, optional
         How the last one failed.
     """
 
@@ -33,7 +34,7 @@
     failed_at_by_upstream: dict[str, float] = Factory(dict)
     connects: int = 0
     failed_connects: int = 0
-    last_failure: str | None = None
+    last_failure: ConnectFailed | None = None
 
     def record_answered(self, now: float) -> None:
         """Record that an upstream answered a request.
@@ -51,12 +52,24 @@
         self.connected_at = now
         self.failed_at_by_upstream.clear()
 
-    def record_connect_failed(self, upstream: str, detail: str, now: float) -> None:
+    def record_connect_failed(
+        self, upstream: str, failure: ConnectFailed, now: float
+    ) -> None:
         """Record that a new connection to an upstream was not established."""
         self.failed_connects += 1
-        self.last_failure = detail
+        self.last_failure = failure
         self.failed_at_by_upstream.setdefault(upstream, now)
 
+    @property
+    def last_failure_text(self) -> str | None:
+        """How the last connection failed, for the log."""
+        return None if self.last_failure is None else self.last_failure.detail
+
+    @property
+    def fails_at_once(self) -> bool:
+        """Whether the last connection failed without a wait."""
+        return self.last_failure is not None and not self.last_failure.is_timeout
+
     def failing_for_s(self, now: float) -> float:
         """Return the time since the first of the failures, in seconds; zero if none."""
         first = min(self.failed_at_by_upstream.values(), default=now)
--- a/packages/daemon/src/plankspindle_daemon/status_changes/contact_monitor.py
+++ b/packages/daemon/src/plankspindle_daemon/status_changes/contact_monitor.py
@@ -1,4 +1,4 @@
-"""Detects that no upstream accepts connections of this VM any more."""
+"""Detects that this VM reaches no upstream any more, and that it does again."""
 
 from __future__ import annotations
 
@@ -11,40 +11,43 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from plankspindle_daemon.reachability.contact_record import ContactRecord
-
-MIN_FAILED_UPSTREAMS = 3
-"""Upstreams that must have failed, without a connection to any other, to log it."""
+    from plankspindle_daemon.reachability.upstream_reach import UpstreamReach
 
 
 @define(kw_only=True)
 class ContactMonitor:
-    """Report when connections to all upstreams begin and cease to fail."""
+    """Report when this VM is cut off from all upstreams, and when no longer."""
 
     _is_lost: bool = False
+    _lost_at: float = 0.0
 
-    def observe(self, contact: ContactRecord, now: float) -> Iterator[StatusChange]:
+    def observe(self, reach: UpstreamReach, now: float) -> Iterator[StatusChange]:
         """Yield the change since the previous call, if any.
 
         Parameters
         ----------
-        contact : ContactRecord
-            Connections of this VM to upstreams.
+        reach : UpstreamReach
+            Whether this VM reaches upstreams.
         now : float
             Monotonic seconds.
         """
-        failed = len(contact.failed_at_by_upstream)
-        is_lost = failed >= MIN_FAILED_UPSTREAMS or (self._is_lost and failed > 0)
-        if is_lost == self._is_lost:
+        if reach.is_cut_off == self._is_lost:
             return
-        self._is_lost = is_lost
+        self._is_lost = reach.is_cut_off
+        lost_ms = None
+        if self._is_lost:
+            self._lost_at = now
+        else:
+            lost_ms = round(1000 * (now - self._lost_at))
+        contact = reach.contact
         fields = {
-            "now": "lost" if is_lost else "regained",
-            "failed": failed,
+            "now": "lost" if self._is_lost else "regained",
+            "lost_ms": lost_ms,
+            "failed": ",".join(sorted(contact.failed_at_by_upstream)) or None,
             "failing_ms": round(1000 * contact.failing_for_s(now)),
             "connected_ms_ago": _age_ms(contact.connected_at, now),
             "answered_ms_ago": _age_ms(contact.answered_at, now),
-            "seen": contact.last_failure,
+            "seen": contact.last_failure_text,
         }
         yield StatusChange(event="upstream_contact", fields=fields)
 
--- a/packages/daemon/src/plankspindle_daemon/status_changes/member_monitor.py
+++ b/packages/daemon/src/plankspindle_daemon/status_changes/member_monitor.py
@@ -31,6 +31,7 @@
     heartbeat_status: HeartbeatStatus
     incarnation: int
     failure_domain: str | None
+    is_cut_off: bool
 
 
 @define(kw_only=True)
@@ -74,10 +75,14 @@
             and previous.heartbeat_status is heartbeat_status
             and previous.incarnation == member.incarnation
             and previous.failure_domain == member.failure_domain
+            and previous.is_cut_off is member.is_cut_off
         ):
             return previous
         return _ObservedMember(
-            heartbeat_status, member.incarnation, member.failure_domain
+            heartbeat_status,
+            member.incarnation,
+            member.failure_domain,
+            member.is_cut_off,
         )
 
     def _member_changes(
@@ -101,6 +106,7 @@
                 "restarted": previous is not None
                 and previous.incarnation != observed.incarnation,
                 "listed": name in membership.listed_by_name,
+                "cut_off": observed.is_cut_off or None,
                 "suspected_by": ",".join(sorted(member.suspected_by)) or None,
                 "silent_ms": None
                 if last_heartbeat_at is None
--- a/packages/daemon/src/plankspindle_daemon/status_changes/status_monitor.py
+++ b/packages/daemon/src/plankspindle_daemon/status_changes/status_monitor.py
@@ -68,7 +68,7 @@
             *self.upstreams.observe(node.dispatchers_by_service, now),
             *self.members.observe(node.membership, now),
             *self.plans.observe(node.dispatchers_by_service),
-            *self.contact.observe(node.contact, now),
+            *self.contact.observe(node.reach, now),
             *self._platform_changes(calls, now),
             *self._drain_changes(node),
             *self._own_changes(node),
--- a/packages/daemon/src/plankspindle_daemon/steering/known_entry_vms.py
+++ b/packages/daemon/src/plankspindle_daemon/steering/known_entry_vms.py
@@ -67,6 +67,7 @@
                     member.failure_domain or self.membership.options.failure_domain,
                     member.caller_endpoint,
                     usable=not is_silent and _is_usable(member, drained),
+                    is_cut_off=member.is_cut_off,
                 )
         self._by_name = entries
         return dict(entries)
@@ -83,18 +84,29 @@
             )
 
     def _same_or_new(
-        self, name: str, failure_domain: str, endpoint: Endpoint, *, usable: bool
+        self,
+        name: str,
+        failure_domain: str,
+        endpoint: Endpoint,
+        *,
+        usable: bool,
+        is_cut_off: bool = False,
     ) -> EntryVm:
         known = self._by_name.get(name)
         if (
             known is not None
             and known.usable is usable
+            and known.is_cut_off is is_cut_off
             and known.endpoint == endpoint
             and known.failure_domain == failure_domain
         ):
             return known
         return EntryVm(
-            name=name, failure_domain=failure_domain, endpoint=endpoint, usable=usable
+            name=name,
+            failure_domain=failure_domain,
+            endpoint=endpoint,
+            usable=usable,
+            is_cut_off=is_cut_off,
         )
 
 
--- a/packages/daemon/src/plankspindle_daemon/steering/steering.py
+++ b/packages/daemon/src/plankspindle_daemon/steering/steering.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from enum import Enum
 from typing import TYPE_CHECKING
 from zlib import crc32
 
 from attrs import Factory
+from attrs import evolve
 from attrs import field
 
 from plankspindle_core.classes import define
@@ -28,6 +30,8 @@
 
 If there are at least this many, no VMs of other failure domains are named.
 """
+MIN_SERVING_SHARE = 0.5
+"""Share of the usable VMs of a region that must reach upstreams to be named alone."""
 CALLER_BUCKETS = 256
 """Number of groups of callers that get the same VMs in the same order."""
 
@@ -54,12 +58,15 @@
         Its caller listener.
     usable : bool
         Whether it is ready, not leaving and not overloaded, as far as known.
+    is_cut_off : bool
+        Whether it reaches no upstream, and has requests served by other entry VMs.
     """
 
     name: str
     failure_domain: str
     endpoint: Endpoint
     usable: bool = True
+    is_cut_off: bool = False
 
 
 @frozen(kw_only=True)
@@ -119,7 +126,7 @@
 
     def update_vms(self, vms: Iterable[EntryVm]) -> None:
         """Replace the set of entry VMs, and invalidate cached answers if it changed."""
-        by_name = {each.name: each for each in vms}
+        by_name = self._without_cut_off({each.name: each for each in vms})
         if by_name == self._vms_by_name:
             return
         self._vms_by_name = by_name
@@ -131,6 +138,29 @@
             if vm.usable:
                 self._names_by_domain.setdefault(vm.failure_domain, []).append(vm.name)
 
+    def _without_cut_off(self, by_name: dict[str, EntryVm]) -> dict[str, EntryVm]:
+        """Mark VMs that are cut off as not usable in regions where enough others are.
+
+        Where only few serve, those that are cut off stay named: callers would all go to
+        the few, which bound the requests that are relayed to them but not callers.
+        """
+        if not any(vm.is_cut_off for vm in by_name.values()):
+            return by_name
+        usable, serving = Counter[str](), Counter[str]()
+        for vm in by_name.values():
+            region = self._region_of(vm)
+            usable[region] += vm.usable
+            serving[region] += vm.usable and not vm.is_cut_off
+        return {
+            name: evolve(vm, usable=False)
+            if vm.is_cut_off and _is_majority(serving, usable, self._region_of(vm))
+            else vm
+            for name, vm in by_name.items()
+        }
+
+    def _region_of(self, vm: EntryVm) -> str:
+        return self.configuration.region_of(vm.failure_domain) or vm.failure_domain
+
     def _ring_of(self, domain: str) -> HashRing | None:
         """Return the ring of a failure domain, or None if no VM of it is usable.
 
@@ -269,3 +299,8 @@
             domains,
             key=lambda each: (self.configuration.distance_ms(home, each), each),
         )
+
+
+def _is_majority(serving: Counter[str], usable: Counter[str], region: str) -> bool:
+    """Return whether enough VMs of a region serve without those that are cut off."""
+    return serving[region] >= MIN_SERVING_SHARE * usable[region]
--- a/packages/daemon/src/plankspindle_daemon/ticker.py
+++ b/packages/daemon/src/plankspindle_daemon/ticker.py
@@ -88,6 +88,7 @@
             await self._wait_for_tick()
             self.supervisor.raise_if_failed()
             await self.pauses.check()
+            await self._measure_loop_lag()
             now = monotonic()
             await self.effects.perform(self.node.tick(now=now, wall=time.time()))
             await self.quarantine.wake_if_needed()
@@ -100,6 +101,12 @@
                 await self.effects.send_final_heartbeats()
                 return
 
+    async def _measure_loop_lag(self) -> None:
+        """Measure how long all tasks that are ready now take to have their turn."""
+        began_at = monotonic()
+        await sleep(0)
+        self.node.relay_admission.record_loop_lag(monotonic() - began_at)
+
     async def _wait_for_tick(self) -> None:
         request_queued = self.dispatch.request_queued
         if not self.dispatch.has_waiting_requests and not self.node.leave.is_leaving:
--- a/packages/daemon/src/plankspindle_daemon/traces/steps.py
+++ b/packages/daemon/src/plankspindle_daemon/traces/steps.py
@@ -73,6 +73,40 @@
     platform_available: bool
 
 
+@frozen(kw_only=True)
+class Relayed:
+    """The request goes to another entry VM, as this one reaches no upstream.
+
+    Parameters
+    ----------
+    to : str
+        Name of that VM.
+    asked_before : int
+        Entry VMs that were asked before and did not serve it.
+    """
+
+    EVENT: ClassVar[str] = "request_relayed"
+    to: str
+    asked_before: int
+
+
+@frozen(kw_only=True)
+class RelayAccepted:
+    """Another entry VM, which reaches no upstream, relayed the request to this one.
+
+    Parameters
+    ----------
+    sender : str
+        Name of that VM.
+    attempts : int
+        Attempts that may still be made.
+    """
+
+    EVENT: ClassVar[str] = "relay_accepted"
+    sender: str
+    attempts: int
+
+
 @frozen(kw_only=True)
 class Queued:
     """The request waits for an upstream.
@@ -323,6 +357,8 @@
 
 Step = (
     Routed
+    | RelayAccepted
+    | Relayed
     | ClaimDecided
     | Queued
     | Placed
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -28,6 +28,7 @@
   quarantineDigest @13 :UInt64;
   configurationRevision @14 :UInt64;
   configurationEra @15 :UInt32;
+  isCutOff @16 :Bool;
 }
 
 struct SlotRequest {
--- /dev/null
+++ b/packages/daemon/tests/reachability/test_relay_admission.py
@@ -0,0 +1,123 @@
+"""Tests of tickets of relayed requests, and of their admission."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from plankspindle_core.http.errors import ConnectFailed
+from plankspindle_daemon.admission.identity_signer import MAX_TOKEN_AGE_MS
+from plankspindle_daemon.admission.identity_signer import IdentitySigner
+from plankspindle_daemon.peer_messages.readiness import Readiness
+from plankspindle_daemon.reachability.relay_admission import MAX_IN_FLIGHT
+from plankspindle_daemon.reachability.relay_admission import MAX_LOOP_LAG_S
+from plankspindle_daemon.reachability.relay_admission import DeclineReason
+from plankspindle_daemon.reachability.relay_ticket import RelayTicket
+from plankspindle_testkit.fleet_node import Fleet
+from plankspindle_testkit.fleet_node import build_fleet_node
+from plankspindle_testkit.versions import build_version
+
+if TYPE_CHECKING:
+    from plankspindle_daemon.node.node import Node
+
+SIGNER = IdentitySigner(keys=[b"k" * 16])
+TARGET = "/plates/1?full=yes"
+TICKET = RelayTicket(
+    sender="edge-1",
+    key_digest="ab" * 32,
+    attempts=2,
+    is_idempotent=False,
+    version=build_version(1),
+)
+NOW = 100.0
+
+
+def open_ticket(
+    sealed: bytes, *, target: str = TARGET, wall_ms: int = 1_000
+) -> RelayTicket | None:
+    return RelayTicket.open(sealed, SIGNER, target=target, wall_ms=wall_ms)
+
+
+def test_ticket_is_read_as_it_was_sealed() -> None:
+    sealed = TICKET.seal(SIGNER, target=TARGET, wall_ms=1_000)
+    assert open_ticket(sealed) == TICKET
+
+
+def test_ticket_of_another_request_time_or_key_is_invalid() -> None:
+    sealed = TICKET.seal(SIGNER, target=TARGET, wall_ms=1_000)
+    assert open_ticket(sealed, target="/plates/2") is None
+    assert open_ticket(sealed, wall_ms=1_001 + MAX_TOKEN_AGE_MS) is None
+    other = IdentitySigner(keys=[b"o" * 16])
+    assert open_ticket(TICKET.seal(other, target=TARGET, wall_ms=1_000)) is None
+
+
+@pytest.mark.parametrize("forged", [b"", b".", b"x.y", b"e30=.e30=", b"\xff"])
+def test_forged_ticket_is_invalid(forged: bytes) -> None:
+    assert open_ticket(forged) is None
+
+
+def test_signed_identity_is_no_ticket() -> None:
+    identity = SIGNER.sign("garage", target=TARGET, wall_ms=1_000)
+    assert open_ticket(identity) is None
+
+
+def build_node() -> Node:
+    return build_fleet_node(Fleet(vms=9, upstreams=18), now=NOW)
+
+
+def admit(node: Node, ticket: RelayTicket | None = TICKET) -> DeclineReason | None:
+    return node.relay_admission.admit(
+        ticket, reach=node.reach, readiness=node.readiness(), version=node.version
+    )
+
+
+def test_ready_vm_accepts_relays() -> None:
+    node = build_node()
+    assert node.readiness() is Readiness.READY
+    assert admit(node) is None
+    assert node.relay_admission.accepted == 1
+
+
+def test_invalid_ticket_is_declined() -> None:
+    assert admit(build_node(), None) is DeclineReason.INVALID_TICKET
+
+
+def test_vm_that_is_cut_off_declines_so_that_no_request_goes_round() -> None:
+    node = build_node()
+    for number in range(3):
+        node.reach.record_connect_failed(f"u{number}", ConnectFailed("any"), NOW)
+    assert admit(node) is DeclineReason.CUT_OFF
+
+
+def test_vm_that_leaves_declines() -> None:
+    node = build_node()
+    node.leave.begin(NOW)
+    assert admit(node) is DeclineReason.NOT_READY
+
+
+def test_vm_with_an_older_configuration_declines() -> None:
+    node = build_node()
+    newer = RelayTicket(
+        sender="edge-1",
+        key_digest=None,
+        attempts=1,
+        is_idempotent=True,
+        version=build_version(2),
+    )
+    assert admit(node, newer) is DeclineReason.OLDER_CONFIGURATION
+
+
+def test_vm_whose_event_loop_lags_declines_until_it_has_caught_up() -> None:
+    node = build_node()
+    node.relay_admission.record_loop_lag(4 * MAX_LOOP_LAG_S)
+    assert admit(node) is DeclineReason.BUSY
+    for _ in range(2):
+        node.relay_admission.record_loop_lag(0.0)
+    assert admit(node) is None
+
+
+def test_number_of_relays_in_flight_is_bounded() -> None:
+    node = build_node()
+    node.relay_admission.in_flight = MAX_IN_FLIGHT
+    assert admit(node) is DeclineReason.BUSY
--- a/packages/daemon/tests/steering/test_steering.py
+++ b/packages/daemon/tests/steering/test_steering.py
@@ -111,3 +111,46 @@
 def test_nearest_vms_are_never_empty_while_any_vm_is_known() -> None:
     steering = build_domain_steering(ba1_a=False, ke1_a=False)
     assert nearest(steering, "ke-1")
+
+
+def build_region(*, cut_off: int, serving: int) -> Steering:
+    """Build lookups of one region with VMs that reach no upstream, and others."""
+    steering = build_steering()
+    steering.update_vms(
+        EntryVm(
+            name=f"ba_{number}",
+            failure_domain="ba-1",
+            endpoint=Endpoint("127.0.0.1", 7000 + number),
+            is_cut_off=number < cut_off,
+        )
+        for number in range(cut_off + serving)
+    )
+    return steering
+
+
+def names_near(steering: Steering) -> set[str]:
+    return {vm.name for vm in steering.nearest_vms("ba-1")}
+
+
+def test_vm_that_reaches_no_upstream_is_left_out_while_most_others_do() -> None:
+    assert names_near(build_region(cut_off=1, serving=2)) == {"ba_1", "ba_2"}
+    assert names_near(build_region(cut_off=2, serving=2)) == {"ba_2", "ba_3"}
+
+
+def test_vms_that_reach_no_upstream_stay_named_where_few_others_do() -> None:
+    """The few would get the callers of all, whom they cannot decline as relays."""
+    assert len(names_near(build_region(cut_off=2, serving=1))) == 3
+    assert len(names_near(build_region(cut_off=3, serving=0))) == 3
+
+
+def test_vm_that_reaches_upstreams_again_is_named_again() -> None:
+    steering = build_region(cut_off=1, serving=2)
+    steering.update_vms(
+        EntryVm(
+            name=f"ba_{number}",
+            failure_domain="ba-1",
+            endpoint=Endpoint("127.0.0.1", 7000 + number),
+        )
+        for number in range(3)
+    )
+    assert len(names_near(steering)) == 3
--- a/packages/daemon/tests/wire/test_wire.py
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -58,6 +58,7 @@
         silent_upstreams=("u3",),
         silent_incarnations=(1_790_000_000_123,),
         is_watched=True,
+        is_cut_off=True,
         quarantine_digest=2**64 - 1,
     ),
     Suspicion(
--- a/packages/testkit/src/plankspindle_testkit/upstream_partition.py
+++ b/packages/testkit/src/plankspindle_testkit/upstream_partition.py
@@ -53,8 +53,13 @@
 
 
 def write_mode(path: Path, mode: PartitionMode) -> None:
-    """Set the mode of the process that reads a file."""
-    path.write_bytes(bytes([mode]))
+    """Set the mode of the process that reads a file.
+
+    The file is written in place: a process that has mapped it must not find it empty.
+    """
+    path.touch()
+    with path.open("r+b") as file:
+        file.write(bytes([mode]))
 
 
 @define(kw_only=True)
@@ -85,7 +90,7 @@
             match partition.read_mode():
                 case PartitionMode.HANG:
                     await sleep(timeout_s)
-                    return Err(ConnectFailed("TaskTimeout: partitioned"))
+                    return Err(ConnectFailed("partitioned", is_timeout=True))
                 case PartitionMode.RESET:
                     return Err(ConnectFailed("ConnectionResetError: partitioned"))
                 case PartitionMode.REFUSE_NEW:
