Entry VMs that reach no upstream hint at none to others

Three VMs that are cut off, in three failure domains, would name up to eight upstreams each as answering nobody; two domains that agree make others avoid an upstream that has not answered them within a second. A VM whose contact is in doubt now sends no hints, and those of a VM that says it is cut off are passed over. The test fails without the change.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/unresponsive_hint_relay.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/unresponsive_hint_relay.py
@@ -46,7 +46,12 @@
         return tuple(silent[:MAX_HINTS])
 
     def apply(self, heartbeat: Heartbeat, now: float) -> None:
-        """Apply an entry VM's hints on current incarnations of upstreams."""
+        """Apply an entry VM's hints on current incarnations of upstreams.
+
+        Those of a VM that reaches no upstream tell nothing of any one of them.
+        """
+        if heartbeat.is_cut_off:
+            return
         names, incarnations = heartbeat.silent_upstreams, heartbeat.silent_incarnations
         hints = zip(names, incarnations or (0,) * len(names), strict=False)
         for name, incarnation in hints:
--- a/packages/daemon/src/plankspindle_daemon/node/self_report.py
+++ b/packages/daemon/src/plankspindle_daemon/node/self_report.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from plankspindle_daemon.upstreams.upstream_state import UpstreamState
     from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
 from plankspindle_core.classes import define
@@ -136,7 +137,7 @@
             Whether the recipient watches this VM.
         """
         self._sequence += 1
-        unresponsive = UnresponsiveHintRelay(services=self.services).collect(now)
+        unresponsive = self._unresponsive_upstreams(now)
         return Heartbeat(
             sender=self.vm,
             incarnation=self.incarnation,
@@ -156,6 +157,12 @@
             is_cut_off=self.reach.is_cut_off,
         )
 
+    def _unresponsive_upstreams(self, now: float) -> tuple[UpstreamState, ...]:
+        """Return upstreams to hint at; none while it may be this VM that is cut off."""
+        if self.reach.is_doubtful:
+            return ()
+        return UnresponsiveHintRelay(services=self.services).collect(now)
+
     def _over_share(self, now: float) -> tuple[str, ...]:
         names = self.services.upstreams_over_share(now)
         if len(names) > MAX_OVER_SHARE_NAMED:
--- a/packages/daemon/tests/reachability/test_upstream_reach.py
+++ b/packages/daemon/tests/reachability/test_upstream_reach.py
@@ -156,3 +156,22 @@
     for number in range(3):
         reach.record_connect_failed(f"u{number}", failure, 101.0)
     assert reach.allows_attempt(101.0) is allowed
+
+
+def test_cut_off_vm_says_so_and_hints_at_no_upstream() -> None:
+    """Hints of VMs in two failure domains count against an upstream.
+
+    Guards against VMs that are cut off condemning upstreams that serve all others.
+    """
+    node = build_fleet_node(Fleet(vms=9, upstreams=18), now=STARTED_AT)
+    assert not node.heartbeat(now=101.0).is_cut_off
+    for dispatcher in node.dispatchers_by_service.values():
+        for upstream in dispatcher.upstreams_by_name.values():
+            upstream.health.record_failure(101.0)
+    assert node.heartbeat(now=103.0).silent_upstreams
+    fail(node.reach, 1, at=103.0)
+    assert not node.heartbeat(now=103.0).silent_upstreams
+    fail(node.reach, 2, 3, at=103.1)
+    heartbeat = node.heartbeat(now=103.2)
+    assert heartbeat.is_cut_off
+    assert not heartbeat.silent_upstreams
