Entry VMs that reach no upstream grant no headroom

A shift moves requests to a VM of another region that granted headroom; one that is cut off granted it by the slots that it knows of. It now grants none. The test fails without the change.

--- a/packages/daemon/src/plankspindle_daemon/node/node.py
+++ b/packages/daemon/src/plankspindle_daemon/node/node.py
@@ -367,7 +367,7 @@
     ) -> list[NodeEffect]:
         """Grant headroom, unless this VM rejects requests."""
         dispatcher = self.dispatchers_by_service.get(request.service)
-        if dispatcher is None or not self.accepts(now):
+        if dispatcher is None or not self.accepts(now) or self.reach.is_cut_off:
             return []
         return [*self.headroom.handle_request(request, dispatcher, reply_to, now)]
 
--- a/packages/daemon/tests/reachability/test_upstream_reach.py
+++ b/packages/daemon/tests/reachability/test_upstream_reach.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.errors import ConnectFailed
+from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 from plankspindle_daemon.reachability.upstream_reach import MIN_FAILED_WHILE_ANSWERED
 from plankspindle_daemon.reachability.upstream_reach import PROBE_PERIOD_S
 from plankspindle_daemon.reachability.upstream_reach import SILENCE_S
@@ -175,3 +177,20 @@
     heartbeat = node.heartbeat(now=103.2)
     assert heartbeat.is_cut_off
     assert not heartbeat.silent_upstreams
+
+
+def test_cut_off_vm_grants_no_headroom_for_moved_requests() -> None:
+    """Guards against shifts that move requests to a VM which cannot serve them."""
+    node = build_fleet_node(Fleet(vms=9, upstreams=18), now=STARTED_AT)
+    request = HeadroomRequest(
+        sender="vm-0001",
+        request_id=1,
+        service="registry",
+        count=2,
+        duration_ms=1_000,
+        incarnation=1,
+    )
+    reply_to = Endpoint("127.0.0.1", 1)
+    assert node.handle_headroom_request(request, reply_to, 101.0)
+    fail(node.reach, 1, 2, 3, at=101.0)
+    assert not node.handle_headroom_request(request, reply_to, 101.1)
