A crash of an upstream counts only where others are reached

A partition that resets connections looks like a crash of each upstream under the requests in flight there: the connection is lost and the port refuses new ones. Three VMs that are cut off like this would have had the requests that they share quarantined at all VMs. Before a crash is reported, another upstream must accept a connection now. test_no_crash_is_reported_by_vm_that_reaches_no_upstream fails without the change.

--- a/packages/daemon/src/plankspindle_daemon/daemon.py
+++ b/packages/daemon/src/plankspindle_daemon/daemon.py
@@ -159,6 +159,7 @@
             pool=self._pool,
             supervisor=self._supervisor,
             send_messages=self._send_messages,
+            reaches_others=self._dispatch.reaches_others,
         )
         self._quarantine = QuarantineStore(
             quarantine=self.node.quarantine, platform=self._platform, random=random
--- a/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
@@ -34,6 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from plankspindle_core.endpoint import Endpoint
     from plankspindle_daemon.admission.ticket import Ticket
     from plankspindle_daemon.dispatch.messages import DispatchEvent
     from plankspindle_daemon.node.effects import NodeEffect
@@ -207,6 +208,18 @@
     async def _contain_probe(self, probe: ProbeConnection) -> None:
         await self.supervisor.contain(self._connect, probe)
 
+    async def reaches_others(self, endpoint: Endpoint) -> bool:
+        """Return whether another upstream than that at an endpoint is reached now.
+
+        Also true if there is no other one to ask.
+        """
+        probes = self.node.reach.choose_others(endpoint, monotonic())
+        for probe in probes:
+            await self._connect(probe)
+            if probe.upstream not in self.node.reach.contact.failed_at_by_upstream:
+                return True
+        return not probes
+
     async def _connect(self, probe: ProbeConnection) -> None:
         connection = ClientConnection(endpoint=probe.endpoint)
         started = await connection.start(timeout_s=PROBE_TIMEOUT_S)
--- a/packages/daemon/src/plankspindle_daemon/quarantine/crash_detector.py
+++ b/packages/daemon/src/plankspindle_daemon/quarantine/crash_detector.py
@@ -12,6 +12,7 @@
 from curio import sleep
 
 from plankspindle_core.classes import define
+from plankspindle_core.endpoint import Endpoint
 from plankspindle_core.http.client_connection import ClientConnection
 from plankspindle_core.logs.key_value_destination import log_event
 from plankspindle_core.steady_clock import monotonic
@@ -22,7 +23,6 @@
 from plankspindle_daemon.upstreams.connection_pool import ConnectionPool
 
 if TYPE_CHECKING:
-    from plankspindle_core.endpoint import Endpoint
     from plankspindle_daemon.dispatch.messages import Assign
 
 CONNECT_TIMEOUT_S = 0.5
@@ -60,6 +60,8 @@
         Starts tasks.
     send_messages : callable
         Sends messages to other entry VMs.
+    reaches_others : callable
+        Verifies that this VM reaches other upstreams than the one at an endpoint.
 
     Notes
     -----
@@ -68,12 +70,15 @@
     connections, idle ones included, and its port refuses new ones until it is back some
     seconds later. One connection attempt is therefore made if no idle connection is
     left. An attempt without any answer does not indicate a crash caused by a request.
+    Nor does a refusal while this VM reaches no upstream: a partition that resets
+    connections would look like a crash of many upstreams under the same requests.
     """
 
     quarantine: Quarantine
     pool: ConnectionPool
     supervisor: Supervisor
     send_messages: Callable[[list[SendToPeer]], Awaitable[None]]
+    reaches_others: Callable[[Endpoint], Awaitable[bool]]
     _lost_by_incarnation: dict[str, list[_LostRequest]] = Factory(dict)
     _crashed: OrderedDict[str, None] = Factory(OrderedDict)
 
@@ -132,7 +137,9 @@
         started = await connection.start(timeout_s=CONNECT_TIMEOUT_S)
         await connection.close()
         failure = started.err()
-        return failure is not None and failure.is_refused
+        if failure is None or not failure.is_refused:
+            return False
+        return await self.reaches_others(endpoint)
 
     async def _report(self, incarnation_id: str, lost: list[_LostRequest]) -> None:
         for each in lost:
--- a/packages/daemon/src/plankspindle_daemon/reachability/upstream_reach.py
+++ b/packages/daemon/src/plankspindle_daemon/reachability/upstream_reach.py
@@ -226,6 +226,12 @@
         self._next_probe_at = now + max(SILENCE_S, now - self._unanswered_since)
         return self._choose_probes(SILENCE_PROBES, now)
 
+    def choose_others(self, endpoint: Endpoint, now: float) -> list[ProbeConnection]:
+        """Choose upstreams at other addresses, to verify that they are reached."""
+        probes = self._choose_probes(len(self._endpoints(now)), now)
+        others = [probe for probe in probes if probe.endpoint != endpoint]
+        return others[:VERIFYING_PROBES]
+
     def _choose_probes(self, count: int, now: float) -> list[ProbeConnection]:
         """Choose upstreams at random, first in domains without a failure."""
         endpoints = self._endpoints(now)
--- a/packages/daemon/tests/exchange/test_event_loop_stall.py
+++ b/packages/daemon/tests/exchange/test_event_loop_stall.py
@@ -111,6 +111,10 @@
     return None
 
 
+async def reach_others(endpoint: Endpoint) -> bool:
+    return True
+
+
 def build_runner(dispatch: FakeDispatch, source: FakeSource) -> RequestRunner:
     deadline = monotonic() + DEADLINE_S
     pool = ConnectionPool(max_per_endpoint=4, connect_timeout_s=5.0)
@@ -150,6 +154,7 @@
             pool=pool,
             supervisor=Supervisor(),
             send_messages=ignore_effect,
+            reaches_others=reach_others,
         ),
         quarantine=QuarantineCheck(
             quarantine=quarantine, identity=identity, trace=trace
--- a/packages/daemon/tests/quarantine/test_crash_detector.py
+++ b/packages/daemon/tests/quarantine/test_crash_detector.py
@@ -24,7 +24,9 @@
 SETTLED_S = 0.1
 
 
-async def lose_requests(*, listening: bool, idle: bool) -> Quarantine:
+async def lose_requests(
+    *, listening: bool, idle: bool, reaches_others: bool = True
+) -> Quarantine:
     """Lose the connections of two requests at an upstream, listening or not."""
     endpoint = Endpoint(loopback_host(7, 31), next(_PORTS))
     pool = ConnectionPool(max_per_endpoint=4, connect_timeout_s=1.0)
@@ -36,8 +38,15 @@
     async def hold(client: Any, _: Any) -> None:
         await client.recv(100)
 
+    async def reach_others(_: Endpoint) -> bool:
+        return reaches_others
+
     detector = CrashDetector(
-        quarantine=quarantine, pool=pool, supervisor=Supervisor(), send_messages=send
+        quarantine=quarantine,
+        pool=pool,
+        supervisor=Supervisor(),
+        send_messages=send,
+        reaches_others=reach_others,
     )
     server = None
     if listening or idle:
@@ -77,3 +86,13 @@
         curio.run(partial(lose_requests, listening=True, idle=idle)).crashes_reported
         == 0
     )
+
+
+def test_no_crash_is_reported_by_vm_that_reaches_no_upstream() -> None:
+    """Connections are reset and new ones refused, at all upstreams.
+
+    Guards against taking a partition of this VM for crashes: the requests that were in
+    flight at several upstreams would be quarantined at all entry VMs.
+    """
+    lose = partial(lose_requests, listening=False, idle=False, reaches_others=False)
+    assert curio.run(lose).crashes_reported == 0
