--- a/packages/daemon/tests/reachability/test_upstream_reach.py
+++ b/packages/daemon/tests/reachability/test_upstream_reach.py
@@ -182,15 +182,18 @@
 def test_cut_off_vm_grants_no_headroom_for_moved_requests() -> None:
     """Guards against shifts that move requests to a VM which cannot serve them."""
     node = build_fleet_node(Fleet(vms=9, upstreams=18), now=STARTED_AT)
-    request = HeadroomRequest(
-        sender="vm-0001",
-        request_id=1,
-        service="registry",
-        count=2,
-        duration_ms=1_000,
-        incarnation=1,
-    )
     reply_to = Endpoint("127.0.0.1", 1)
-    assert node.handle_headroom_request(request, reply_to, 101.0)
+    first, second = (
+        HeadroomRequest(
+            sender=f"vm-000{number}",
+            request_id=number,
+            service="registry",
+            count=2,
+            duration_ms=1_000,
+            incarnation=number,
+        )
+        for number in (1, 2)
+    )
+    assert node.handle_headroom_request(first, reply_to, 101.0)
     fail(node.reach, 1, 2, 3, at=101.0)
-    assert not node.handle_headroom_request(request, reply_to, 101.1)
+    assert not node.handle_headroom_request(second, reply_to, 101.1)
