A single lost keep-alive probe no longer ends a connection

With TCP_USER_TIMEOUT set, Linux ends a connection whose probes have gone unanswered for that long, whatever TCP_KEEPCNT says. At 1.5 s that was the second look, 2 s after the last byte and one unanswered probe: a link that loses a packet then cut off a request that waited for its answer for 2 s. At 2.5 s two probes must go unanswered, and a silent connection still ends after 3 s. Sent bytes that are not acknowledged now end a connection after 2.5 s, 1.5 s before.

test_one_lost_probe_does_not_end_a_connection computes the kernel's rule from the options of a real connection; it fails at 1.5 s. No packet was dropped in a test.

--- a/packages/core/src/plankspindle_core/http/client_connection.py
+++ b/packages/core/src/plankspindle_core/http/client_connection.py
@@ -25,11 +25,12 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 """Keep-alive probes end an idle connection after 3 s without an answer or reset."""
-TCP_USER_TIMEOUT_MS = 1_500
+TCP_USER_TIMEOUT_MS = 2_500
 """Longest time that sent bytes may stay unacknowledged, in milliseconds.
 
-TCP retransmits lost packets after 0.2, 0.6 and 1.4 s, so the connection survives three
-consecutive losses.
+Linux also ends a connection whose keep-alive probes have gone unanswered for this long,
+whatever their number. It must be longer than the time to the last but one look, so that
+a single lost probe ends no connection whose request is waiting for its answer.
 """
 RECEIVE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
--- a/packages/core/tests/http/test_unresponsive_server.py
+++ b/packages/core/tests/http/test_unresponsive_server.py
@@ -56,10 +56,40 @@
     return curio.run(run)  # type: ignore[no-any-return]
 
 
+def unanswered_probes(options: dict[int, int]) -> tuple[int, float]:
+    """Return how many probes go unanswered before an idle connection ends, and when.
+
+    Linux looks once an interval, from the first probe on. Where a user timeout is set,
+    that alone decides once a probe is out; otherwise the number of probes does.
+    """
+    user_timeout_s = options[socket.TCP_USER_TIMEOUT] / 1_000
+    probes, silent_s = 1, float(options[socket.TCP_KEEPIDLE])
+    while True:
+        silent_s += options[socket.TCP_KEEPINTVL]
+        if user_timeout_s:
+            is_ended = silent_s >= user_timeout_s
+        else:
+            is_ended = probes >= options[socket.TCP_KEEPCNT]
+        if is_ended:
+            return probes, silent_s
+        probes += 1
+
+
 def test_idle_connection_is_probed_by_tcp_keepalive(options: dict[int, int]) -> None:
     assert options[-1] == 1
-    probes = options[socket.TCP_KEEPCNT] * options[socket.TCP_KEEPINTVL]
-    assert 0 < options[socket.TCP_KEEPIDLE] + probes <= MOST_S
+    _, ended_after_s = unanswered_probes(options)
+    assert 0 < ended_after_s <= MOST_S
+
+
+def test_one_lost_probe_does_not_end_a_connection(options: dict[int, int]) -> None:
+    """A request waits for its answer while the link loses single packets.
+
+    Guards against a user timeout that is shorter than the probes take: it also decides
+    when they give up, whatever their count, so that each lost probe cut a request off.
+    """
+    probes, _ = unanswered_probes(options)
+    assert probes >= 2
+    assert probes == options[socket.TCP_KEEPCNT]
 
 
 def test_unacknowledged_bytes_end_the_connection(
