Lab: entry VMs that are cut off from all upstreams, at 9 to 300 VMs

The lab runs the daemon's decisions on reach, relays and their admission: connections of a VM hang or are refused, requests travel to the VM that serves them, and first tries are compared as the users do, from 3 s after a cut began. Callers stay at such VMs all the time.

--- a/packages/testkit/src/plankspindle_testkit/lab/event_scheduler.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/event_scheduler.py
@@ -15,6 +15,7 @@
 from plankspindle_testkit.lab.simulated_clock import SimulatedClock
 
 if TYPE_CHECKING:
+    from plankspindle_testkit.lab.lab_vm import LabVm
     from plankspindle_testkit.lab.modelled_upstream import ModelledUpstream
 
 _UPSTREAM_KINDS = (
@@ -64,7 +65,10 @@
         match event.kind:
             case EventKind.END:
                 for upstream in affected:
-                    self.simulator.crash_upstream(upstream)
+                    self.simulator.crash_simulator.crash(upstream)
+            case EventKind.CUT:
+                for vm in self._cut_vms(event):
+                    self.simulator.relays.begin_cut(vm, hangs=event.hangs)
             case EventKind.DRAIN:
                 self.deployment.drained_domains.add(event.domain or "")
                 self._apply_pattern()
@@ -91,9 +95,22 @@
                 self._apply_pattern()
             case EventKind.RESTART:
                 self.deployment.start_vms(self.clock.now)
+            case EventKind.CUT:
+                for vm in self._cut_vms(event):
+                    self.simulator.relays.end_cut(vm)
             case _:
                 pass
 
+    def _cut_vms(self, event: PatternEvent) -> list[LabVm]:
+        """Return the entry VMs that an event cuts off, the same at its end."""
+        vms = [
+            vm
+            for vm in self.deployment.vms_by_name.values()
+            if event.domain in (None, vm.domain)
+        ]
+        random = Random(f"{self.seed} {event.at_s} {event.kind.value}")
+        return random.sample(vms, round(event.share * len(vms)))
+
     def _affected(self, event: PatternEvent) -> list[ModelledUpstream]:
         if event.kind not in _UPSTREAM_KINDS:
             return []
--- a/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_run.py
@@ -32,6 +32,7 @@
 if TYPE_CHECKING:
     from plankspindle_core.endpoint import Endpoint
     from plankspindle_daemon.quotas.quotas import QuotaMessage
+    from plankspindle_testkit.lab.cut_record import CutRecord
     from plankspindle_testkit.lab.lab_vm import LabVm
     from plankspindle_testkit.lab.modelled_upstream import ModelledUpstream
     from plankspindle_testkit.lab.pattern import ModelOperation
@@ -149,6 +150,10 @@
         """Return the upstreams."""
         return list(self._deployment.upstreams_by_name.values())
 
+    def cuts(self) -> CutRecord:
+        """Return the record of first tries while entry VMs were cut off."""
+        return self._simulator.relays.cuts
+
     def _schedule_arrival(self, name: str, operation: ModelOperation) -> None:
         now = self._clock.now
         rate = operation.per_s * self.pattern.load_factor(now)
@@ -206,6 +211,7 @@
     def _tick(self) -> None:
         self._clock.schedule(TICK_PERIOD_S, self._tick)
         for vm in self._deployment.running_vms():
+            self._simulator.relays.tick(vm)
             for service in vm.registry.dispatchers_by_service:
                 self._simulator.handle(vm, service, TimePassed())
             self.network.send(vm, vm.quarantine.tick(self._clock.now))
--- a/packages/testkit/src/plankspindle_testkit/lab/lab_vm.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/lab_vm.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from attrs import Factory
 from attrs import define
 
 from plankspindle_core.configuration.configuration import Configuration
@@ -16,6 +17,7 @@
 from plankspindle_core.configuration.service import SlotSharing
 from plankspindle_core.configuration.upstream import Upstream
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_core.http.errors import ConnectFailed
 from plankspindle_daemon.dispatch.service_registry import ServiceRegistry
 from plankspindle_daemon.membership.membership import Membership
 from plankspindle_daemon.membership.membership_options import MembershipOptions
@@ -26,6 +28,9 @@
 from plankspindle_daemon.quarantine.quarantine import Quarantine
 from plankspindle_daemon.quotas.quota_options import QuotaOptions
 from plankspindle_daemon.quotas.quotas import Quotas
+from plankspindle_daemon.reachability.relay_admission import RelayAdmission
+from plankspindle_daemon.reachability.relay_selector import RelaySelector
+from plankspindle_daemon.reachability.upstream_reach import UpstreamReach
 from plankspindle_testkit.builders import build_member
 from plankspindle_testkit.versions import build_version
 
@@ -57,8 +62,18 @@
         Quarantine of requests that crash upstreams.
     limited : LimitedDispatch
         Dispatch subject to the rate limits that upstreams report.
+    configuration : Configuration
+        Configuration in force.
+    reach : UpstreamReach
+        Whether it reaches upstreams, as far as it knows.
+    relays, relay_admission : RelaySelector, RelayAdmission
+        Requests that other VMs serve for it, and the other way round.
     is_up : bool
         Whether it runs.
+    cut_failure : ConnectFailed, optional
+        How its connections to upstreams fail while it is cut off.
+    was_cut_off : bool
+        Whether it knew that it was cut off at the last tick.
     """
 
     name: str
@@ -66,7 +81,13 @@
     registry: ServiceRegistry
     quarantine: Quarantine
     limited: LimitedDispatch
+    configuration: Configuration
+    reach: UpstreamReach
+    relays: RelaySelector
+    relay_admission: RelayAdmission = Factory(RelayAdmission)
     is_up: bool = True
+    cut_failure: ConnectFailed | None = None
+    was_cut_off: bool = False
 
     @classmethod
     def start(
@@ -121,6 +142,11 @@
             registry=registry,
             quarantine=quarantine,
             limited=LimitedDispatch(services=registry, quotas=quotas),
+            configuration=configuration_of(pattern, drained),
+            reach=UpstreamReach(services=registry, random=Random(seed)),
+            relays=RelaySelector(
+                failure_domain=domain, membership=membership, random=Random(seed)
+            ),
         )
         vm.apply_pattern(pattern, drained, now)
         return vm
@@ -129,7 +155,7 @@
         self, pattern: Pattern, drained: Iterable[str], now: float
     ) -> None:
         """Apply the configuration of a pattern with the current drains."""
-        configuration = configuration_of(pattern, drained)
+        configuration = self.configuration = configuration_of(pattern, drained)
         version = int(now * 1000) + 2
         self.limited.quotas.update_configuration(configuration)
         self.registry.apply_configuration(
@@ -137,6 +163,12 @@
         )
         self.registry.apply_drains(now=now, wall=now)
 
+    def record_cut_off(self, vm: str, is_cut_off: bool) -> None:
+        """Record what another VM says of itself in its heartbeats."""
+        membership = self.registry.membership
+        membership.members_by_name[vm].is_cut_off = is_cut_off
+        membership.change_count += 1
+
     def read_list(
         self, upstreams: Iterable[ModelledUpstream], now: float, *, era: int
     ) -> None:
@@ -180,6 +212,7 @@
             member = build_member(other, failure_domain=domain, last_heartbeat_at=0.0)
             member.peer_endpoint = peer_endpoint_of(other)
             member.readiness = Readiness.READY
+            member.caller_endpoint = peer_endpoint_of(other)
             membership.members_by_name[other] = member
     return membership
 
--- a/packages/testkit/src/plankspindle_testkit/lab/pattern.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/pattern.py
@@ -42,6 +42,7 @@
     LEAVE = "leave"
     REST = "rest"
     STORE_RETURN = "store-return"
+    CUT = "cut"
 
 
 @frozen(kw_only=True)
@@ -58,7 +59,8 @@
         Share of the upstreams that are affected, chosen by the seed. With ``crash``
         they become unresponsive; with ``end`` they abort running requests and refuse
         connections; with ``store-return`` the platform's store has returned from a copy
-        without their entries, which are back at the end of the event.
+        without their entries, which are back at the end of the event. With ``cut`` it
+        is the share of the entry VMs, which are cut off from all upstreams.
     factor : float
         Factor on the load or on the processing time; for ``shed`` the share of requests
         that is shed, for ``limit`` the rate limit that each upstream states in requests
@@ -73,6 +75,8 @@
         Rate of the crashing request, per second.
     down_s : float
         Time from a crash to the restart of the upstream, in seconds.
+    hangs : bool
+        Whether connections of a cut hang; otherwise they are refused.
     """
 
     kind: EventKind = field(converter=EventKind)
@@ -84,6 +88,7 @@
     operation: str | None = None
     per_s: float = field(default=1.0, validator=_POSITIVE)
     down_s: float = field(default=3.0, validator=_POSITIVE)
+    hangs: bool = True
 
     def is_on(self, now: float) -> bool:
         """Return whether the event is active at a time, in seconds from the start."""
--- a/packages/testkit/src/plankspindle_testkit/lab/request_simulator.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/request_simulator.py
@@ -15,29 +15,30 @@
 from plankspindle_daemon.dispatch.messages import AttemptCompleted
 from plankspindle_daemon.dispatch.messages import AttemptOutcome
 from plankspindle_daemon.dispatch.messages import Reject
+from plankspindle_daemon.dispatch.messages import RejectReason
 from plankspindle_daemon.dispatch.messages import RequestArrived
 from plankspindle_daemon.dispatch.messages import RequestWithdrawn
-from plankspindle_daemon.exchange import attempt_timeout
 from plankspindle_daemon.node.effects import ServiceEffect
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.quarantine.quarantine_list import QuarantineEntry
+from plankspindle_testkit.lab.attempt_checks import AttemptChecks
 from plankspindle_testkit.lab.completions import answer_completion_of
 from plankspindle_testkit.lab.completions import completion_of
 from plankspindle_testkit.lab.completions import statement_event_of
 from plankspindle_testkit.lab.completions import unsent_completion_of
 from plankspindle_testkit.lab.crash_record import CrashRecord
+from plankspindle_testkit.lab.crash_simulator import CrashSimulator
 from plankspindle_testkit.lab.deployment import Deployment
 from plankspindle_testkit.lab.modelled_upstream import Work
 from plankspindle_testkit.lab.oracle import Oracle
 from plankspindle_testkit.lab.outcomes import Outcome
 from plankspindle_testkit.lab.peer_network import PeerNetwork
+from plankspindle_testkit.lab.relay_simulator import RelaySimulator
 from plankspindle_testkit.lab.requests import MAX_ATTEMPTS
 from plankspindle_testkit.lab.requests import NO_ATTEMPT
 from plankspindle_testkit.lab.requests import ActiveRequest
 from plankspindle_testkit.lab.requests import AnswerHead
-from plankspindle_testkit.lab.requests import Crash
 from plankspindle_testkit.lab.requests import Request
-from plankspindle_testkit.lab.requests import may_abandon
 from plankspindle_testkit.lab.requests import ticket_of
 from plankspindle_testkit.lab.simulated_clock import SimulatedClock
 from plankspindle_testkit.lab.statement_record import StatementRecord
@@ -80,10 +81,32 @@
     statements: StatementRecord
     network: PeerNetwork
     oracle: Oracle | None = None
+    relays: RelaySimulator = field(init=False)
+    crash_simulator: CrashSimulator = field(init=False)
+    attempt_checks: AttemptChecks = field(init=False)
     _numbers: count[int] = field(factory=count)
     _by_ticket: dict[int, ActiveRequest] = Factory(dict)
     _by_attempt: dict[int, ActiveRequest] = Factory(dict)
 
+    def __attrs_post_init__(self) -> None:
+        self.relays = RelaySimulator(
+            clock=self.clock,
+            deployment=self.deployment,
+            place=self._place,
+            refuse=self._refuse,
+            handle=self.handle,
+            by_attempt=self._by_attempt,
+        )
+        self.attempt_checks = AttemptChecks(clock=self.clock, abandon=self._abandon)
+        self.crash_simulator = CrashSimulator(
+            clock=self.clock,
+            deployment=self.deployment,
+            network=self.network,
+            crashes=self.crashes,
+            by_attempt=self._by_attempt,
+            lose=self._lose,
+        )
+
     def accept(self, request: Request, vm: LabVm) -> None:
         """Handle a request that arrives at an entry VM."""
         if not vm.is_up:
@@ -102,6 +125,8 @@
             ),
             service=operation.service,
         )
+        if request.retry_count == 0:
+            active.first_tries = self.relays.cuts.group_of(vm.name, self.clock.now)
         self._by_ticket[active.ticket.id] = active
         left_s = max(0.0, active.ticket.deadline - self.clock.now)
         self.clock.schedule(left_s, partial(self._expire, active))
@@ -129,6 +154,8 @@
             return
         if isinstance(decision, Assign):
             self._send(active, decision.upstream, decision.incarnation)
+        elif decision.reason is RejectReason.CUT_OFF:
+            self._place(active)
         else:
             self._refuse(active, decision.retry_after_s)
 
@@ -159,7 +186,8 @@
         if self._is_quarantined(active, quarantine.blocking_entry):
             return
         if self.oracle is None:
-            self._dispatch(active, RequestArrived(active.ticket))
+            if not self.relays.relay(active):
+                self._dispatch(active, RequestArrived(active.ticket))
             return
         upstream = self.oracle.choose(
             active.request.operation,
@@ -179,15 +207,21 @@
     ) -> None:
         self.handle(active.vm, active.service, event)
 
-    def _refuse(self, active: ActiveRequest, retry_after_s: float) -> None:
+    def _end(self, active: ActiveRequest, *, is_served: bool) -> None:
         active.is_completed = True
         self._by_ticket.pop(active.ticket.id, None)
+        self.relays.end(active)
+        if active.first_tries is not None:
+            active.first_tries.sent += 1
+            active.first_tries.served += is_served
+
+    def _refuse(self, active: ActiveRequest, retry_after_s: float) -> None:
+        self._end(active, is_served=False)
         retry = partial(self.schedule_retry, active.request, retry_after_s)
         self.clock.schedule(self._to_caller_s(), retry)
 
     def _complete(self, active: ActiveRequest, outcome: Outcome) -> None:
-        active.is_completed = True
-        self._by_ticket.pop(active.ticket.id, None)
+        self._end(active, is_served=outcome in (Outcome.ON_TIME, Outcome.LATE))
         self.finish(active.request, outcome)
 
     def _send(self, active: ActiveRequest, upstream: str, incarnation: int) -> None:
@@ -199,9 +233,14 @@
         active.attempt = next(self._numbers)
         active.sent_at = self.clock.now
         self._by_attempt[active.attempt] = active
+        failure = active.vm.cut_failure
+        if failure is not None:
+            self.relays.schedule_connect_failure(active, failure)
+            return
+        active.vm.reach.record_sent(self.clock.now)
         is_idempotent = self._operation_of(active.request).idempotent
         if is_idempotent and self.oracle is None:
-            self._schedule_check(active, active.attempt)
+            self.attempt_checks.schedule(active, active.attempt)
         # Requests that are not idempotent open a new connection: one more round trip.
         trips = 1 if is_idempotent else 3
         work = Work(
@@ -219,24 +258,6 @@
         other = self.deployment.upstreams_by_name[upstream].domain
         return self.deployment.one_way_s(active.vm.domain, other)
 
-    def _schedule_check(self, active: ActiveRequest, attempt: int) -> None:
-        dispatcher = active.vm.registry.dispatchers_by_service[active.service]
-        expected_s = dispatcher.expected_duration_s(active.ticket)
-        wait_s = max(
-            attempt_timeout.MIN_ATTEMPT_TIMEOUT_S,
-            attempt_timeout.ATTEMPT_TIMEOUT_FACTOR * expected_s,
-        )
-        self.clock.schedule(wait_s, partial(self._check, active, attempt))
-
-    def _check(self, active: ActiveRequest, attempt: int) -> None:
-        """Abandon an unresponsive upstream, as the daemon's exchange does."""
-        if active.is_completed or active.attempt != attempt:
-            return
-        if may_abandon(active, self.clock.now):
-            self._abandon(active, AttemptOutcome.TIMED_OUT)
-        else:
-            self._schedule_check(active, attempt)
-
     def _abandon(
         self, active: ActiveRequest, outcome: AttemptOutcome, load: int | None = None
     ) -> None:
@@ -281,6 +302,7 @@
         if active.is_completed or active.attempt != work.number:
             return
         target = self.deployment.upstreams_by_name[upstream]
+        active.vm.reach.record_connected(upstream, self.clock.now)
         self.statements.record_arrival(upstream, active.vm.name, self.clock.now)
         if target.refuses_connections:
             loss = partial(self._lose, active, work.number, AttemptOutcome.UNREACHABLE)
@@ -309,39 +331,18 @@
             return
         work, incarnation = started.work, upstream.incarnation
         if work.crash is not None:
-            crash = partial(self._crash, upstream, work, work.crash, incarnation)
-            self.clock.schedule(work.crash.after_s, crash)
+            self.crash_simulator.schedule(upstream, work, work.crash)
             return
         completion = partial(self._finish, upstream, work, incarnation)
         self.clock.schedule(started.duration_s, completion)
 
-    def _crash(
-        self, upstream: ModelledUpstream, work: Work, crash: Crash, incarnation: int
-    ) -> None:
-        """Crash an upstream that runs a crashing request."""
-        if upstream.incarnation != incarnation or not upstream.has_attempt(work.number):
-            return
-        crashing = self._by_attempt.get(work.number)
-        if crashing is not None:
-            self.crashes.record_crash(crashing.request.identity, self.clock.now)
-        self.crash_upstream(upstream)
-        self.clock.schedule(crash.down_s, lambda: upstream.restart(self.clock.now))
-
-    def crash_upstream(self, upstream: ModelledUpstream) -> None:
-        """Crash an upstream; the connections of all its requests are lost."""
-        for number in upstream.crash():
-            active = self._by_attempt.get(number)
-            if active is not None:
-                loss = partial(self._lose, active, number, AttemptOutcome.FAILED)
-                self.clock.schedule(self._one_way_s(active, upstream.name), loss)
-
     def _lose(self, active: ActiveRequest, attempt: int, cause: AttemptOutcome) -> None:
         """Handle the loss of the connection of an attempt."""
         if active.is_completed or active.attempt != attempt:
             return
         if cause is AttemptOutcome.FAILED:
             active.may_have_run = True
-            self._report_crash(active)
+            self.crash_simulator.report(active)
         is_idempotent = self._operation_of(active.request).idempotent
         if is_idempotent or cause is AttemptOutcome.UNREACHABLE:
             self._abandon(active, cause)
@@ -372,23 +373,17 @@
         self.handle(vm, active.service, statement_event_of(active, upstream, statement))
         self.statements.record_statement(upstream, vm.name, statement, self.clock.now)
 
-    def _report_crash(self, active: ActiveRequest) -> None:
-        """Report a crash to the quarantine, as the entry VM's upstream probe does."""
-        updates = active.vm.quarantine.record_crash(
-            active.request.identity,
-            f"{active.upstream}#{active.incarnation}",
-            at=self.clock.now,
-            now=self.clock.now,
-        )
-        self.network.send(active.vm, updates)
-
     def _answer(self, active: ActiveRequest, attempt: int, head: AnswerHead) -> None:
         upstream = active.upstream
         if active.is_completed or active.attempt != attempt or upstream is None:
             return
+        if active.vm.cut_failure is not None:
+            return
+        active.vm.reach.record_answered(self.clock.now)
         self._relay(active, head.statement)
         target_s = self._operation_of(active.request).target_ms / 1000
         total_s = self.clock.now - active.request.first_at + self._to_caller_s()
+        total_s += self.relays.delay_s(active)
         self._complete(active, Outcome.ON_TIME if total_s <= target_s else Outcome.LATE)
         connect_s = 2 * self._one_way_s(active, upstream)
         event = answer_completion_of(active, upstream, head, connect_s, self.clock.now)
--- a/packages/testkit/src/plankspindle_testkit/lab/requests.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/requests.py
@@ -10,6 +10,7 @@
 from plankspindle_daemon.admission.ticket import Ticket
 from plankspindle_daemon.listeners import request_resolver
 from plankspindle_daemon.upstreams.upstream_statement import UpstreamStatement
+from plankspindle_testkit.lab.cut_record import FirstTries
 from plankspindle_testkit.lab.lab_vm import LabVm
 
 if TYPE_CHECKING:
@@ -97,6 +98,12 @@
         Whether a connection was lost while it was in flight.
     is_completed : bool
         Whether the entry VM has completed the request.
+    relayed_from : LabVm, optional
+        Entry VM that relayed it to the one that handles it.
+    asked_vms : frozenset of str
+        Entry VMs that declined to serve it.
+    first_tries : FirstTries, optional
+        Group of first tries that it counts for.
     """
 
     request: Request
@@ -110,6 +117,9 @@
     sent_at: float = 0.0
     may_have_run: bool = False
     is_completed: bool = False
+    relayed_from: LabVm | None = None
+    asked_vms: frozenset[str] = frozenset()
+    first_tries: FirstTries | None = None
 
 
 @frozen(kw_only=True)
@@ -160,5 +170,8 @@
         upstream is not None
         and active.attempts < MAX_ATTEMPTS
         and registry.budgets_by_service[active.service].can_retry()
-        and dispatcher.could_place_elsewhere(active.ticket, upstream, now)
+        and (
+            active.vm.reach.is_cut_off
+            or dispatcher.could_place_elsewhere(active.ticket, upstream, now)
+        )
     )
