--- a/packages/daemon/src/plankspindle_daemon/status_changes/status_monitor.py
+++ b/packages/daemon/src/plankspindle_daemon/status_changes/status_monitor.py
@@ -8,6 +8,7 @@
 
 from plankspindle_core.classes import define
 from plankspindle_daemon.status_changes.contact_monitor import ContactMonitor
+from plankspindle_daemon.status_changes.limit_monitor import LimitMonitor
 from plankspindle_daemon.status_changes.member_monitor import MemberMonitor
 from plankspindle_daemon.status_changes.plan_monitor import PlanMonitor
 from plankspindle_daemon.status_changes.quarantine_changes import pop_changes
@@ -38,12 +39,15 @@
         Monitor of the affinity keys that leave the region.
     contact : ContactMonitor
         Monitor of the connections to all upstreams together.
+    limits : LimitMonitor
+        Monitor of the limits of upstreams.
     """
 
     upstreams: UpstreamMonitor = field(factory=UpstreamMonitor)
     members: MemberMonitor = field(factory=MemberMonitor)
     plans: PlanMonitor = field(factory=PlanMonitor)
     contact: ContactMonitor = field(factory=ContactMonitor)
+    limits: LimitMonitor = field(factory=LimitMonitor)
     _readiness: str | None = None
     _reader_role: str | None = None
     _remote_share: float = 0.0
@@ -69,6 +73,7 @@
             *self.members.observe(node.membership, now),
             *self.plans.observe(node.dispatchers_by_service),
             *self.contact.observe(node.reach, now),
+            *self.limits.observe(node.quotas.limits, now),
             *self._platform_changes(calls, now),
             *self._drain_changes(node),
             *self._own_changes(node),
