Entry VMs ask others whether a limit of an upstream has ended

Cause: only VMs that keep a limit told others of answers without one. Who had none, restarted or done with it, told nobody; the VM that kept it alone had one token in 16 s, and needs four answers.

A VM whose requests want tokens of a limit that was not announced for a second now asks three others, who answer with their last answer without a limit, or with a later announcement. The limit still ends by four answers over a second.

--- a/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/dispatch_runner.py
@@ -29,6 +29,7 @@
 from plankspindle_daemon.node.node import Node
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.traces.steps import Queued
+from plankspindle_daemon.upstreams.fleet_limiter import incarnation_id_of
 from plankspindle_daemon.upstreams.load_report import parse_load_report
 
 if TYPE_CHECKING:
@@ -162,6 +163,9 @@
         state = None if upstreams is None else upstreams.get(stated.upstream)
         if state is None:
             return
+        if stated.statement.is_empty:
+            incarnation_id = incarnation_id_of(stated.upstream, stated.incarnation)
+            state.statements.record_unlimited(incarnation_id, stated.sent_at)
         is_unchanged = stated.statement.is_empty and state.last_statement.is_empty
         if not is_unchanged or state.fleet_limiter() is not None:
             await self.handle(service, stated)
--- a/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/node/effect_runner.py
@@ -26,6 +26,7 @@
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
 from plankspindle_daemon.peer_messages.limit_news import LimitNews
+from plankspindle_daemon.peer_messages.limit_question import LimitQuestion
 from plankspindle_daemon.peer_messages.list_news import ListNews
 from plankspindle_daemon.peer_messages.load_digest import LoadDigest
 from plankspindle_daemon.peer_messages.quota_messages import ShareClaim
@@ -132,6 +133,7 @@
                 | TokenRequest()
                 | TokenGrant()
                 | LimitNews()
+                | LimitQuestion()
             ):
                 effects = self.node.limited_dispatch.receive(
                     message, sender, monotonic()
--- a/packages/daemon/src/plankspindle_daemon/node/limited_dispatch.py
+++ b/packages/daemon/src/plankspindle_daemon/node/limited_dispatch.py
@@ -44,6 +44,9 @@
         self.services.fleet_limiter_by_incarnation = (
             self.quotas.limits.limiter_by_incarnation
         )
+        self.quotas.limits.questions.unlimited_sent_at = (
+            self.services.statements.unlimited_sent_at
+        )
 
     def handle(
         self, service: str, event: DispatchEvent, now: float
--- a/packages/daemon/src/plankspindle_daemon/peer_messages/peer_message.py
+++ b/packages/daemon/src/plankspindle_daemon/peer_messages/peer_message.py
@@ -11,6 +11,7 @@
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
 from plankspindle_daemon.peer_messages.limit_news import LimitNews
+from plankspindle_daemon.peer_messages.limit_question import LimitQuestion
 from plankspindle_daemon.peer_messages.list_news import ListNews
 from plankspindle_daemon.peer_messages.load_digest import LoadDigest
 from plankspindle_daemon.peer_messages.quota_messages import ShareClaim
@@ -40,6 +41,7 @@
     | TokenRequest
     | TokenGrant
     | LimitNews
+    | LimitQuestion
     | RolloutReport
     | RolloutDirective
 )
--- a/packages/daemon/src/plankspindle_daemon/quotas/quotas.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/quotas.py
@@ -13,6 +13,7 @@
 from plankspindle_core.endpoint import Endpoint
 from plankspindle_daemon.membership.membership import Membership
 from plankspindle_daemon.peer_messages.limit_news import LimitNews
+from plankspindle_daemon.peer_messages.limit_question import LimitQuestion
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.peer_messages.quota_messages import ShareClaim
 from plankspindle_daemon.peer_messages.quota_messages import ShareLease
@@ -43,7 +44,9 @@
 """Maximum time between updates of the VMs that may hold shares, in seconds."""
 _HOLDER_READINESS = (Readiness.READY, Readiness.OVERLOADED)
 
-QuotaMessage = ShareClaim | ShareLease | TokenRequest | TokenGrant | LimitNews
+QuotaMessage = (
+    ShareClaim | ShareLease | TokenRequest | TokenGrant | LimitNews | LimitQuestion
+)
 QuotaEffect = TokenTaken | TokenRefused | LimitEffect
 
 
@@ -169,6 +172,10 @@
             case LimitNews():
                 self.limits.handle_update(message, now)
                 return []
+            case LimitQuestion():
+                limiter = self.limits.limiter_by_incarnation.get(message.life)
+                answer = self.limits.questions.answer
+                return [*answer(message, limiter, reply_to, now)]
 
     def tick(
         self, *, readiness: Readiness, has_list: bool, now: float
--- a/packages/daemon/src/plankspindle_daemon/quotas/upstream_limits.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/upstream_limits.py
@@ -17,6 +17,7 @@
 from plankspindle_daemon.peer_messages.resend_queue import ResendQueue
 from plankspindle_daemon.quotas.limit_holder import FleetLimit
 from plankspindle_daemon.quotas.limit_holder import LimitHolder
+from plankspindle_daemon.quotas.limit_questions import LimitQuestions
 from plankspindle_daemon.quotas.messages import TokenRefused
 from plankspindle_daemon.quotas.messages import TokenTaken
 from plankspindle_daemon.quotas.token_requester import TokenRequester
@@ -90,6 +91,8 @@
     ----------
     limiter_by_incarnation : dict of str to FleetLimiter
         Upstreams that announce a limit.
+    questions : LimitQuestions
+        Questions to other VMs whether a limit has ended, and answers to theirs.
 
     Notes
     -----
@@ -107,6 +110,7 @@
     holder: LimitHolder
     token_requester: TokenRequester
     limiter_by_incarnation: dict[str, FleetLimiter] = Factory(dict)
+    questions: LimitQuestions = field(init=False)
     _lifted_at_by_incarnation: dict[str, float] = Factory(dict)
     _last_broadcast_by_incarnation: dict[str, _LastBroadcast] = Factory(dict)
     _pending_by_ticket: dict[int, _PendingRequest] = Factory(dict)
@@ -115,6 +119,13 @@
     _seen_updates: OrderedDict[int, None] = Factory(OrderedDict)
     _next_cleanup: float = 0.0
 
+    def __attrs_post_init__(self) -> None:
+        self.questions = LimitQuestions(
+            vm=self.vm,
+            membership=self.membership,
+            random=self.token_requester.random,
+        )
+
     @property
     def is_needed(self) -> bool:
         """Whether there are tokens to grant or request, or updates to send again.
@@ -122,7 +133,7 @@
         A limit whose tokens are not requested costs no messages.
         """
         has_tokens = len(self.holder) > 0 or bool(self._pending_by_ticket)
-        return has_tokens or len(self._outbox) > 0
+        return has_tokens or len(self._outbox) > 0 or bool(self.limiter_by_incarnation)
 
     def limit_of(self, incarnation_id: str) -> FleetLimit | None:
         """Return the limit of an upstream, as far as this VM knows."""
@@ -214,6 +225,7 @@
     def tick(self, now: float) -> list[LimitEffect]:
         """Handle timeouts, resend updates and remove expired entries."""
         effects: list[LimitEffect] = [*self._outbox.pop_due(now)]
+        effects += self.questions.ask(self.limiter_by_incarnation, now)
         if now >= self._next_cleanup:
             self._next_cleanup = now + CLEANUP_PERIOD_S
             self._clean_up(now)
--- a/packages/daemon/src/plankspindle_daemon/upstreams/fleet_limiter.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/fleet_limiter.py
@@ -20,6 +20,13 @@
 A single such answer is weak evidence: an upstream may omit the limit when a request
 fails.
 """
+WANTED_S = 2.0
+"""Time for which a request that lacked a token keeps the limit in question, in s."""
+QUESTION_AFTER_S = 1.0
+"""Age of the last announcement from which other VMs are asked, in seconds."""
+MIN_QUESTION_GAP_S = 0.5
+MAX_QUESTION_GAP_S = 4.0
+"""Time between two questions, in seconds. It doubles while the limit stands."""
 TOKEN_LIFETIME_S = 0.5
 """Lifetime of an unused token, in seconds.
 
@@ -53,6 +60,9 @@
     _sent_at_by_answer_without_limit: dict[int, float] = Factory(dict)
     _pending_until: float = 0.0
     _blocked_until: float = 0.0
+    _wanted_until: float = 0.0
+    _next_question_at: float = 0.0
+    _question_gap_s: float = MIN_QUESTION_GAP_S
 
     @property
     def has_answers_without_limit(self) -> bool:
@@ -78,6 +88,28 @@
         """
         if sent_at > self.announced_at:
             self._sent_at_by_answer_without_limit[number] = sent_at
+            self._question_gap_s = MIN_QUESTION_GAP_S
+            self._next_question_at = sent_at + MIN_QUESTION_GAP_S
+
+    def lacks_token(self, now: float) -> bool:
+        """Return whether a request that wants a token now has none, and record it."""
+        if self.has_token(now):
+            return False
+        self._wanted_until = now + WANTED_S
+        return True
+
+    def is_question_due(self, now: float) -> bool:
+        """Return whether to ask other VMs now whether the limit has ended."""
+        return (
+            now < self._wanted_until
+            and now >= self._next_question_at
+            and now - self.announced_at >= QUESTION_AFTER_S
+        )
+
+    def record_question(self, now: float) -> None:
+        """Record that other VMs were asked."""
+        self._next_question_at = now + self._question_gap_s
+        self._question_gap_s = min(MAX_QUESTION_GAP_S, 2 * self._question_gap_s)
 
     def is_lifted(self) -> bool:
         """Return whether enough consecutive answers have announced no limit."""
--- a/packages/daemon/src/plankspindle_daemon/upstreams/statement_store.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/statement_store.py
@@ -26,6 +26,7 @@
 
     _leaving: OrderedDict[str, None] = Factory(OrderedDict)
     _retry_at: OrderedDict[str, float] = Factory(OrderedDict)
+    _unlimited_sent_at: OrderedDict[str, float] = Factory(OrderedDict)
 
     def record_leaving(self, incarnation_id: str) -> None:
         """Record that an upstream has announced that it is leaving."""
@@ -51,6 +52,16 @@
             self._retry_at.popitem(last=False)
         return until
 
+    def record_unlimited(self, incarnation_id: str, sent_at: float) -> None:
+        """Record when a request was sent whose answer announced no limit."""
+        self._unlimited_sent_at[incarnation_id] = sent_at
+        if len(self._unlimited_sent_at) > MAX_INCARNATIONS:
+            self._unlimited_sent_at.popitem(last=False)
+
+    def unlimited_sent_at(self, incarnation_id: str) -> float | None:
+        """Return when the last such request was sent, monotonic s; None if none was."""
+        return self._unlimited_sent_at.get(incarnation_id)
+
     def retry_at(self, incarnation_id: str) -> float:
         """Return the end of an upstream's retry-after period, monotonic seconds."""
         return self._retry_at.get(incarnation_id, -inf)
--- a/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
+++ b/packages/daemon/src/plankspindle_daemon/upstreams/upstream_state.py
@@ -178,7 +178,7 @@
     def lacks_token(self, now: float) -> bool:
         """Return whether a limit is announced for which this VM has no token."""
         limiter = self.fleet_limiter()
-        return limiter is not None and not limiter.has_token(now)
+        return limiter is not None and limiter.lacks_token(now)
 
     def available_at(self, now: float) -> float:
         """Return when the next request is accepted, as far as known, monotonic s."""
--- a/packages/daemon/src/plankspindle_daemon/wire/codec.py
+++ b/packages/daemon/src/plankspindle_daemon/wire/codec.py
@@ -25,6 +25,7 @@
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
 from plankspindle_daemon.peer_messages.limit_news import LimitNews
+from plankspindle_daemon.peer_messages.limit_question import LimitQuestion
 from plankspindle_daemon.peer_messages.list_news import ListNews
 from plankspindle_daemon.peer_messages.list_news import ToldUpstream
 from plankspindle_daemon.peer_messages.load_digest import LoadDigest
@@ -172,6 +173,7 @@
     "tokenRequest": TokenRequest,
     "tokenGrant": TokenGrant,
     "limitNews": LimitNews,
+    "limitQuestion": LimitQuestion,
     "rolloutReport": RolloutReport,
     "rolloutDirective": RolloutDirective,
 }
--- a/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
+++ b/packages/daemon/src/plankspindle_daemon/wire/peer.capnp
@@ -202,6 +202,11 @@
   agoMs @4 :UInt64;
 }
 
+struct LimitQuestion {
+  life @0 :Text;
+  agoMs @1 :UInt64;
+}
+
 struct VersionOutcomes {
   operation @0 :Text;
   failureDomain @1 :Text;
@@ -265,5 +270,6 @@
     limitNews @16 :LimitNews;
     rolloutReport @17 :RolloutReport;
     rolloutDirective @18 :RolloutDirective;
+    limitQuestion @19 :LimitQuestion;
   }
 }
--- a/packages/daemon/tests/wire/test_wire.py
+++ b/packages/daemon/tests/wire/test_wire.py
@@ -18,6 +18,7 @@
 from plankspindle_daemon.peer_messages.crash_news import Quarantined
 from plankspindle_daemon.peer_messages.heartbeat import Heartbeat
 from plankspindle_daemon.peer_messages.limit_news import LimitNews
+from plankspindle_daemon.peer_messages.limit_question import LimitQuestion
 from plankspindle_daemon.peer_messages.list_news import ListNews
 from plankspindle_daemon.peer_messages.list_news import ToldUpstream
 from plankspindle_daemon.peer_messages.quota_messages import TokenGrant
@@ -129,6 +130,7 @@
         ends_in_ms=-300,
         reason="canary passed",
     ),
+    LimitQuestion(sender="ba-1-a", life="u1#5", ago_ms=2**40),
     LimitNews(
         sender="a",
         life="u#5",
--- a/packages/testkit/src/plankspindle_testkit/lab/request_simulator.py
+++ b/packages/testkit/src/plankspindle_testkit/lab/request_simulator.py
@@ -21,6 +21,7 @@
 from plankspindle_daemon.node.effects import ServiceEffect
 from plankspindle_daemon.peer_messages.peer_message import SendToPeer
 from plankspindle_daemon.quarantine.quarantine_list import QuarantineEntry
+from plankspindle_daemon.upstreams.fleet_limiter import incarnation_id_of
 from plankspindle_testkit.lab.attempt_checks import AttemptChecks
 from plankspindle_testkit.lab.completions import answer_completion_of
 from plankspindle_testkit.lab.completions import completion_of
@@ -370,7 +371,11 @@
         upstream, vm = active.upstream, active.vm
         if upstream is None or self.oracle is not None:
             return
-        self.handle(vm, active.service, statement_event_of(active, upstream, statement))
+        event = statement_event_of(active, upstream, statement)
+        if statement.is_empty:
+            incarnation_id = incarnation_id_of(upstream, event.incarnation)
+            vm.registry.statements.record_unlimited(incarnation_id, event.sent_at)
+        self.handle(vm, active.service, event)
         self.statements.record_statement(upstream, vm.name, statement, self.clock.now)
 
     def _answer(self, active: ActiveRequest, attempt: int, head: AnswerHead) -> None:
--- a/packages/testkit/src/plankspindle_testkit/quota_fleet.py
+++ b/packages/testkit/src/plankspindle_testkit/quota_fleet.py
@@ -77,6 +77,7 @@
     membership: FakeMembership
     is_running: bool = True
     next_tick: float = 0.0
+    unlimited_sent_at_by_incarnation: dict[str, float] = Factory(dict)
 
 
 @define(kw_only=True)
@@ -197,7 +198,7 @@
         if not running.is_running:
             return
         limiter = running.quotas.limits.limiter_by_incarnation.get(incarnation)
-        if limiter is not None and not limiter.has_token(self.now):
+        if limiter is not None and limiter.lacks_token(self.now):
             self._waiting_by_vm_and_incarnation[vm, incarnation] += 1
             if limiter.may_request_token(self.now):
                 limiter.record_token_request(self.now)
@@ -218,8 +219,11 @@
             limit_per_s=self.limit_by_incarnation.get(incarnation)
         )
         # The answer must be later than its request, or a lifted limit goes unnoticed.
+        sent_at = self.now - UPSTREAM_ANSWER_S
+        if statement.limit_per_s is None:
+            vm.unlimited_sent_at_by_incarnation[incarnation] = sent_at
         messages = vm.quotas.limits.apply_statement(
-            incarnation, statement, sent_at=self.now - UPSTREAM_ANSWER_S, now=self.now
+            incarnation, statement, sent_at=sent_at, now=self.now
         )
         self._perform(vm, [*messages])
 
@@ -307,9 +311,13 @@
             options=QuotaOptions(slack_requests=self.slack_requests),
         )
         quotas.update_configuration(self._configuration())
-        self.vms_by_name[name] = QuotaFleetVm(
+        vm = QuotaFleetVm(
             name=name, region=region, quotas=quotas, membership=membership
         )
+        quotas.limits.questions.unlimited_sent_at = (
+            vm.unlimited_sent_at_by_incarnation.get
+        )
+        self.vms_by_name[name] = vm
 
     def _update_members(self, vm: QuotaFleetVm) -> None:
         vm.membership.change_count += 1
