A statement of an upstream counts at the VM that relays its answer, too

It had the answer by a relay, and read statements only in answers of its own connections. Answers to relayed requests now name their upstream, and what it states is applied where they arrive.

--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
@@ -35,6 +35,7 @@
 from plankspindle_daemon.exchange.messages import Refused
 from plankspindle_daemon.exchange.messages import UpstreamUnresponsive
 from plankspindle_daemon.exchange.outgoing_request import OutgoingRequest
+from plankspindle_daemon.exchange.relaying import AnsweringUpstream
 from plankspindle_daemon.exchange.relaying import Relaying
 from plankspindle_daemon.exchange.relaying import is_declined
 from plankspindle_daemon.idempotency.request_records import RequestRecord
@@ -85,6 +86,8 @@
         Head of the answer.
     statement : UpstreamStatement
         Statement of the upstream about itself in its answer.
+    answered_by : AnsweringUpstream or None
+        The upstream that answered, from here or to a VM that served for this one.
     sent_at : float
         When the request was sent, monotonic seconds.
     connection_was_lost : bool
@@ -106,6 +109,7 @@
     attempts_left: int = 1
     head: h11.Response | None = None
     statement: UpstreamStatement = NO_STATEMENT
+    answered_by: AnsweringUpstream | None = None
     sent_at: float = 0.0
     connection_was_lost: bool = False
     connect_failure: http_errors.ConnectFailed | None = None
@@ -221,6 +225,9 @@
             if refused is not None:
                 return self._handle_refusal(refused)
             proves_not_run = False
+            self.answered_by = self.relay.read_upstream(headers)
+            dialect = self.outgoing.dialect
+            self.statement = dialect.read_statement(head.status_code, headers)
         elif self.assigned is None:
             proves_not_run = _peer_proves_not_run(headers)
         else:
@@ -232,6 +239,9 @@
                 return ConnectionBroken(bytes_handed_over=True)
             if not dialect.is_misdirected(head.status_code):
                 self.statement = dialect.read_statement(head.status_code, headers)
+            self.answered_by = AnsweringUpstream(
+                name=self.assigned.upstream, incarnation=self.assigned.incarnation
+            )
         if proves_not_run:
             self._executed = Executed.NO
             self._observed = f"status {head.status_code}, stating that it was not run"
--- a/packages/daemon/src/plankspindle_daemon/exchange/relaying.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/relaying.py
@@ -7,6 +7,7 @@
 
 from plankspindle_core import header_names
 from plankspindle_core.classes import define
+from plankspindle_core.classes import frozen
 from plankspindle_core.http.headers import find_header
 from plankspindle_core.outcome import Outcome
 from plankspindle_core.steady_clock import monotonic
@@ -19,11 +20,13 @@
 from plankspindle_daemon.reachability.relay_ticket import RelayTicket
 from plankspindle_daemon.traces.request_trace import RequestTrace
 from plankspindle_daemon.traces.steps import Relayed
+from plankspindle_daemon.upstreams.fleet_limiter import incarnation_id_of
 from plankspindle_daemon.versions.configuration_version import ConfigurationVersion
 
 if TYPE_CHECKING:
     from plankspindle_core.http.headers import HeaderList
     from plankspindle_daemon.admission.ticket import Ticket
+    from plankspindle_daemon.dispatch.messages import Assign
 
 CUT_OFF = DeclineReason.CUT_OFF.value
 MAX_RELAYS_TRIED = 3
@@ -40,6 +43,22 @@
 """Reasons of declining that hold for other requests, too."""
 
 
+@frozen(kw_only=True)
+class AnsweringUpstream:
+    """The upstream that an answer is from.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    incarnation : int
+        Its incarnation; zero if unknown.
+    """
+
+    name: str
+    incarnation: int
+
+
 @define(kw_only=True)
 class Relaying:
     """Decide on the relays of one request, and keep account of them.
@@ -176,6 +195,16 @@
             status=status,
         )
 
+    def read_upstream(self, headers: HeaderList) -> AnsweringUpstream | None:
+        """Return the upstream whose answer another VM passed on, if it names one."""
+        text = find_header(headers, header_names.RELAY_UPSTREAM)
+        if text is None:
+            return None
+        name, _, incarnation = text.decode("latin-1").rpartition("#")
+        if not incarnation.isdigit():
+            return None
+        return AnsweringUpstream(name=name, incarnation=int(incarnation))
+
     def _record_version(self, headers: HeaderList) -> None:
         text = find_header(headers, header_names.RELAY_VERSION)
         version = None if text is None else _parse_version(text)
@@ -183,6 +212,11 @@
             self.node.relays.version_floor.record(version, monotonic())
 
 
+def format_upstream(assigned: Assign) -> bytes:
+    """Return an upstream in the form of the header of answers to relayed requests."""
+    return incarnation_id_of(assigned.upstream, assigned.incarnation).encode()
+
+
 def is_declined(refused: Refused) -> bool:
     """Return whether another entry VM may be asked after a refusal."""
     return refused.reason in DECLINE_REASONS
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -47,6 +47,7 @@
 from plankspindle_daemon.exchange.outgoing_request import OutgoingRequest
 from plankspindle_daemon.exchange.quarantine_check import QuarantineCheck
 from plankspindle_daemon.exchange.relaying import Relaying
+from plankspindle_daemon.exchange.relaying import format_upstream
 from plankspindle_daemon.exchange.relaying import format_version
 from plankspindle_daemon.exchange.request_admission import RequestAdmission
 from plankspindle_daemon.idempotency.recorded_answer import RecordedAnswer
@@ -63,6 +64,11 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+_NOT_FOR_CALLERS = frozenset(
+    {header_names.OUTCOME, header_names.RELAY_VERSION, header_names.RELAY_UPSTREAM}
+)
+"""Headers of an answer that are set anew, or meant for this VM."""
+
 
 @define(kw_only=True)
 class RequestRunner:
@@ -208,15 +214,23 @@
         event = await self._attempt.send()
         if not self._attempt.may_have_run:
             self.admission.record_not_run()
-        if self._assigned is not None and self._attempt.head is not None:
-            self.relaying.node.reach.record_answered(monotonic())
-            await self._apply_statement(self._attempt, self._assigned)
+        if self._attempt.head is not None:
+            if self._assigned is not None:
+                self.relaying.node.reach.record_answered(monotonic())
+            await self._apply_statement(self._attempt)
         return event
 
-    async def _apply_statement(self, attempt: Attempt, assigned: Assign) -> None:
+    async def _apply_statement(self, attempt: Attempt) -> None:
+        """Apply the statement in an answer, also in one that came by a relay.
+
+        This VM passes the answer on, and must comply once it reaches upstreams again.
+        """
+        answered_by = attempt.answered_by
+        if answered_by is None:
+            return
         stated = StatementReceived(
-            upstream=assigned.upstream,
-            incarnation=assigned.incarnation,
+            upstream=answered_by.name,
+            incarnation=answered_by.incarnation,
             statement=attempt.statement,
             sent_at=attempt.sent_at,
         )
@@ -347,7 +361,7 @@
         headers = [
             each
             for each in as_header_list(without_hop_by_hop(attempt.head.headers))
-            if each[0] not in (header_names.OUTCOME, header_names.RELAY_VERSION)
+            if each[0] not in _NOT_FOR_CALLERS
         ]
         outcome = find_header(attempt.head.headers, header_names.OUTCOME)
         if attempt.assigned is not None or outcome is None:
@@ -359,6 +373,9 @@
         if self.is_relayed:
             version = format_version(self.relaying.node.version)
             headers.append((header_names.RELAY_VERSION, version))
+            if attempt.assigned is not None:
+                upstream = format_upstream(attempt.assigned)
+                headers.append((header_names.RELAY_UPSTREAM, upstream))
         return headers
 
     async def _answer(self, answer: AnswerCaller) -> None:
--- a/tests/fleet/test_statement_checks.py
+++ b/tests/fleet/test_statement_checks.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from random import Random
 
 from soak.checks import Checks
 from soak.checks import ObservedRequest
+from soak.cuts import Cuts
 from soak.history import Disturbances
 from soak.history import History
 from soak.history import Span
@@ -45,6 +47,11 @@
             checks=self.checks,
             upstreams=self.upstreams,
             process_pauses=ProcessPauses(),
+            cuts=Cuts(
+                checks=self.checks,
+                layout=Layout(vms=3, first_port=29_100),
+                folder=Path(),
+            ),
             seed=1,
         )
         self.at = Upstream(
