Failures at a VM that may reach no upstream judge no software version

What ends without an answer while the VM is in doubt is no longer judged, for either version; what is reset before it is in doubt still counts. The test fails without the change.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
@@ -69,6 +69,9 @@
         Incarnation of the upstream that the attempt ran on; zero if unknown.
     status : int, optional
         Status of the answer; None if no head of an answer arrived.
+    is_in_doubt : bool
+        Whether this VM may reach no upstream, so that a failure tells nothing of this
+        one.
     cause : str
         Observed failure of the upstream, for the log.
     """
@@ -83,6 +86,7 @@
     waited_s: float | None = None
     incarnation: int = 0
     status: int | None = None
+    is_in_doubt: bool = False
     cause: str = field(default="", eq=False)
 
 
--- a/packages/daemon/src/plankspindle_daemon/dispatch/version_outcomes.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/version_outcomes.py
@@ -218,6 +218,8 @@
 def _has_failed(completed: AttemptCompleted) -> bool | None:
     """Return whether an attempt failed; None if its outcome is not judged."""
     match completed.outcome:
+        case AttemptOutcome.FAILED | AttemptOutcome.TIMED_OUT if completed.is_in_doubt:
+            return None
         case AttemptOutcome.FAILED | AttemptOutcome.TIMED_OUT:
             return True
         case AttemptOutcome.ANSWERED:
--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
@@ -320,13 +320,17 @@
     def _left_ms(self) -> int:
         return max(1, int((self.outgoing.deadline - monotonic()) * 1000))
 
-    async def end(self, outcome: AttemptOutcome) -> AttemptCompleted | None:
+    async def end(
+        self, outcome: AttemptOutcome, *, is_in_doubt: bool
+    ) -> AttemptCompleted | None:
         """Complete the attempt, and return its completion for the dispatcher.
 
         Parameters
         ----------
         outcome : AttemptOutcome
             Outcome of the attempt; any other than ``ANSWERED`` closes the connection.
+        is_in_doubt : bool
+            Whether this VM may reach no upstream.
 
         Returns
         -------
@@ -350,6 +354,7 @@
             waited_s=now - self.sent_at if self.head is None else None,
             incarnation=self.assigned.incarnation,
             status=None if self.head is None else self.head.status_code,
+            is_in_doubt=is_in_doubt,
             cause=self._observed,
         )
 
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -309,7 +309,8 @@
         # Both stay set until attempt.end returns, so that the slot is still released
         # if that is interrupted.
         attempt, assigned = self._attempt, self._assigned
-        completed = await attempt.end(outcome)
+        reach = self.relaying.node.reach
+        completed = await attempt.end(outcome, is_in_doubt=reach.is_doubtful)
         self._attempt = self._assigned = None
         self.relaying.end()
         if completed is not None:
--- a/packages/daemon/tests/dispatch/test_version_outcomes.py
+++ b/packages/daemon/tests/dispatch/test_version_outcomes.py
@@ -47,6 +47,7 @@
     is_comparable: bool = True,
     is_capped: bool = True,
     upstream: str = "u",
+    is_in_doubt: bool = False,
 ) -> None:
     started = StartedAttempt(
         upstream=upstream,
@@ -61,6 +62,7 @@
         outcome=outcome,
         head_s=head_s,
         status=status,
+        is_in_doubt=is_in_doubt,
     )
     tally.record_completed(completed, is_capped=is_capped)
 
@@ -81,6 +83,23 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("outcome", "counted"),
+    [
+        (d.AttemptOutcome.FAILED, (0, 0, 0, 0)),
+        (d.AttemptOutcome.TIMED_OUT, (0, 0, 0, 0)),
+        (ANSWERED, (1, 1, 0, 0)),
+    ],
+)
+def test_failure_at_vm_that_may_reach_no_upstream_is_not_judged(
+    outcome: d.AttemptOutcome, counted: tuple[int, int, int, int]
+) -> None:
+    """Guards against partitions that hide a bad version among failures of both."""
+    tally = VersionTally()
+    answer(tally, outcome=outcome, status=500, is_in_doubt=True)
+    assert judged(tally) == counted
+
+
 @pytest.mark.parametrize(
     ("outcome", "status", "expected"),
     [
