--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
@@ -321,7 +321,7 @@
         return max(1, int((self.outgoing.deadline - monotonic()) * 1000))
 
     async def end(
-        self, outcome: AttemptOutcome, *, is_in_doubt: bool
+        self, outcome: AttemptOutcome, *, is_in_doubt: bool = False
     ) -> AttemptCompleted | None:
         """Complete the attempt, and return its completion for the dispatcher.
 
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -50,7 +50,7 @@
 from plankspindle_daemon.exchange.relaying import format_upstream
 from plankspindle_daemon.exchange.relaying import format_version
 from plankspindle_daemon.exchange.request_admission import RequestAdmission
-from plankspindle_daemon.idempotency.recorded_answer import RecordedAnswer
+from plankspindle_daemon.idempotency.recorded_answer import build_recorded_answer
 from plankspindle_daemon.idempotency.request_records import RequestRecord
 from plankspindle_daemon.node.dispatch_runner import DispatchRunner
 from plankspindle_daemon.quarantine.crash_detector import CrashDetector
@@ -293,10 +293,11 @@
     def _record_contact(self, attempt: Attempt) -> None:
         """Record whether a new connection was established."""
         failure, assigned, now = attempt.connect_failure, self._assigned, monotonic()
+        if assigned is None and failure is not None:
+            self.relaying.record_unreachable()
         if assigned is None:
-            if failure is not None:
-                self.relaying.record_unreachable()
-        elif attempt.opened_connection:
+            return
+        if attempt.opened_connection:
             self.relaying.node.reach.record_connected(assigned.upstream, now)
         elif failure is not None and failure.was_attempted:
             self.relaying.node.reach.record_connect_failed(
@@ -341,7 +342,7 @@
             if recorded is not None:
                 recorded.append(data)
             await self._send_to_caller(partial(source.send_data, data))
-        self.record.finish(_build_recorded_answer(status, headers, recorded))
+        self.record.finish(build_recorded_answer(status, headers, recorded))
         await self._send_to_caller(source.finish)
         self.trace.complete(Completion.SERVED, status=status)
         return AnswerRelayed()
@@ -388,14 +389,3 @@
             source.abort()
             return
         await answer_with_outcome(source, answer, self.outgoing.dialect, self.trace)
-
-
-def _build_recorded_answer(
-    status: int, headers: HeaderList, chunks: list[bytes] | None
-) -> RecordedAnswer | None:
-    if chunks is None:
-        return None
-    kept_headers = [
-        each for each in headers if each[0] not in (b"content-length", b"date")
-    ]
-    return RecordedAnswer(status=status, headers=kept_headers, body=b"".join(chunks))
--- a/packages/daemon/src/plankspindle_daemon/idempotency/recorded_answer.py
+++ b/packages/daemon/src/plankspindle_daemon/idempotency/recorded_answer.py
@@ -59,3 +59,25 @@
         )
     except (KeyError, TypeError, ValueError, OverflowError) as error:
         return Err(Unreadable(repr(error)))
+
+
+def build_recorded_answer(
+    status: int, headers: HeaderList, chunks: list[bytes] | None
+) -> RecordedAnswer | None:
+    """Build the record of a relayed answer.
+
+    Parameters
+    ----------
+    status : int
+        Its status.
+    headers : list of (bytes, bytes)
+        Its headers.
+    chunks : list of bytes, optional
+        Its body; None if it is too long to be kept.
+    """
+    if chunks is None:
+        return None
+    kept_headers = [
+        each for each in headers if each[0] not in (b"content-length", b"date")
+    ]
+    return RecordedAnswer(status=status, headers=kept_headers, body=b"".join(chunks))
--- a/packages/daemon/tests/exchange/test_event_loop_stall.py
+++ b/packages/daemon/tests/exchange/test_event_loop_stall.py
@@ -206,7 +206,7 @@
 
 
 async def fail_step(monkeypatch: pytest.MonkeyPatch, step: str) -> FakeDispatch:
-    async def raise_unexpected(self: Attempt, *_: object) -> None:
+    async def raise_unexpected(self: Attempt, *_: object, **__: object) -> None:
         raise UnexpectedError
 
     endpoint = Endpoint(loopback_host(7, 11), next(_PORTS))
