--- a/packages/daemon/src/plankspindle_daemon/reachability/relay_selector.py
+++ b/packages/daemon/src/plankspindle_daemon/reachability/relay_selector.py
@@ -22,8 +22,11 @@
 
 DECLINED_S = 0.5
 """Time for which a VM that declined a relay is not asked again, in seconds."""
-REFRESH_PERIOD_S = 0.25
-"""Period of looking through the members; a pass over 300 takes about 0.3 ms."""
+REFRESH_PERIOD_S = 1.0
+"""Longest time for which a pass through the members is kept, in seconds.
+
+Only their silence shows by time alone; all else that they report ends it at once.
+"""
 
 
 @frozen(kw_only=True)
--- a/packages/daemon/src/plankspindle_daemon/reachability/upstream_reach.py
+++ b/packages/daemon/src/plankspindle_daemon/reachability/upstream_reach.py
@@ -14,6 +14,7 @@
 from plankspindle_daemon.reachability.contact_record import ContactRecord
 
 if TYPE_CHECKING:
+    from plankspindle_core.configuration.upstream import Upstream
     from plankspindle_core.http.errors import ConnectFailed
 
 MIN_FAILED = 3
@@ -167,7 +168,7 @@
         regained = self._regained_at_by_upstream
         regained[upstream] = now
         recent = [at for at in regained.values() if now - at <= 2 * PROBE_PERIOD_S]
-        if len(recent) >= min(MIN_REGAINED, len(self._endpoints(now))):
+        if len(recent) >= min(MIN_REGAINED, len(self._candidates(now))):
             self._end_verification()
             regained.clear()
 
@@ -194,14 +195,14 @@
             MIN_FAILING_WHILE_ANSWERED_S
         ):
             return False
-        domain_by_upstream = self._domains(now)
+        candidates = self._candidates(now)
         failed_domains = [
-            domain for name, domain in domain_by_upstream.items() if name in failed
+            each.failure_domain for name, each in candidates.items() if name in failed
         ]
-        domains = len(set(domain_by_upstream.values()))
+        domains = {each.failure_domain for each in candidates.values()}
         return bool(failed_domains) and (
-            len(failed_domains) >= min(needed, len(domain_by_upstream))
-            and len(set(failed_domains)) >= min(MIN_DOMAINS, domains)
+            len(failed_domains) >= min(needed, len(candidates))
+            and len(set(failed_domains)) >= min(MIN_DOMAINS, len(domains))
         )
 
     def recover_from_pause(self) -> None:
@@ -241,35 +242,34 @@
 
     def choose_others(self, endpoint: Endpoint, now: float) -> list[ProbeConnection]:
         """Choose upstreams at other addresses, to verify that they are reached."""
-        probes = self._choose_probes(len(self._endpoints(now)), now)
+        probes = self._choose_probes(len(self._candidates(now)), now)
         others = [probe for probe in probes if probe.endpoint != endpoint]
         return others[:VERIFYING_PROBES]
 
     def _choose_probes(self, count: int, now: float) -> list[ProbeConnection]:
         """Choose upstreams at random, first in domains without a failure."""
-        endpoints = self._endpoints(now)
-        domains = self._domains(now)
+        candidates = self._candidates(now)
         failed = self.contact.failed_at_by_upstream
-        failed_domains = {domains[name] for name in failed if name in domains}
-        names = sorted(endpoints)
+        failed_domains = {
+            candidates[name].failure_domain for name in failed if name in candidates
+        }
+        names = sorted(candidates)
         self.random.shuffle(names)
-        names.sort(key=lambda name: (name in failed, domains[name] in failed_domains))
+        names.sort(
+            key=lambda name: (
+                name in failed,
+                candidates[name].failure_domain in failed_domains,
+            )
+        )
         return [
-            ProbeConnection(upstream=name, endpoint=endpoints[name])
+            ProbeConnection(upstream=name, endpoint=candidates[name].endpoint)
             for name in names[:count]
         ]
 
-    def _endpoints(self, now: float) -> dict[str, Endpoint]:
-        return {
-            name: upstream.upstream.endpoint
-            for dispatcher in self.services.dispatchers_by_service.values()
-            for name, upstream in dispatcher.upstreams_by_name.items()
-            if not upstream.rejects_new_work(now)
-        }
-
-    def _domains(self, now: float) -> dict[str, str]:
+    def _candidates(self, now: float) -> dict[str, Upstream]:
+        """Return the declarations of all upstreams that may get requests, by name."""
         return {
-            name: upstream.upstream.failure_domain
+            name: upstream.upstream
             for dispatcher in self.services.dispatchers_by_service.values()
             for name, upstream in dispatcher.upstreams_by_name.items()
             if not upstream.rejects_new_work(now)
