Probes of a verification have longer than a connect timeout to fail

A round began every 0.5 s and a probe that hangs fails after 0.5 s, so that rounds could overlap without end and a VM whose connections hang conclude nothing. test_probes_that_hang_for_their_whole_timeout_show_a_cut fails at 0.5 s.

--- a/packages/daemon/src/plankspindle_daemon/reachability/upstream_reach.py
+++ b/packages/daemon/src/plankspindle_daemon/reachability/upstream_reach.py
@@ -31,6 +31,11 @@
 VERIFY_AFTER_S = 0.25
 """Time from a first failure to the probes, in which a request may settle it."""
 PROBE_PERIOD_S = 0.5
+VERIFY_PERIOD_S = 1.0
+"""Period of the probes of a verification, in seconds.
+
+It is longer than a connect timeout: the probes of one round must all have failed.
+"""
 SILENCE_S = 1.0
 """Time without any answer or new connection after which a VM with requests under way
 probes an upstream, in seconds. It doubles while upstreams prove to be only slow."""
@@ -221,9 +226,9 @@
                 self._next_probe_at = now + PROBE_PERIOD_S
                 return self._choose_probes(CUT_OFF_PROBES, now)
             case Verifying():
-                self._next_probe_at = now + PROBE_PERIOD_S
+                self._next_probe_at = now + VERIFY_PERIOD_S
                 probes = self._choose_probes(VERIFYING_PROBES, now)
-                self._awaited_probes |= {probe.upstream for probe in probes}
+                self._awaited_probes = {probe.upstream for probe in probes}
                 self._was_probed = True
                 return probes
             case Reaching():
--- a/packages/daemon/tests/reachability/test_upstream_reach.py
+++ b/packages/daemon/tests/reachability/test_upstream_reach.py
@@ -8,6 +8,7 @@
 import pytest
 
 from plankspindle_core.endpoint import Endpoint
+from plankspindle_daemon.node.dispatch_runner import PROBE_TIMEOUT_S
 from plankspindle_daemon.peer_messages.headroom_messages import HeadroomRequest
 from plankspindle_daemon.reachability.upstream_reach import MIN_FAILED_WHILE_ANSWERED
 from plankspindle_daemon.reachability.upstream_reach import PROBE_PERIOD_S
@@ -65,6 +66,18 @@
     assert not reach.is_doubtful
 
 
+def test_probes_that_hang_for_their_whole_timeout_show_a_cut() -> None:
+    """Guards against rounds of probes that begin before the last one has failed."""
+    reach = build_reach()
+    fail(reach, 1, 2, 3, at=101.0)
+    probed = probe(reach, 101.0 + VERIFY_AFTER_S)
+    fails_at = 101.0 + VERIFY_AFTER_S + PROBE_TIMEOUT_S
+    assert probe(reach, fails_at) == set()
+    for upstream in probed:
+        reach.record_connect_failed(upstream, TIMED_OUT, fails_at + 0.01)
+    assert reach.is_cut_off
+
+
 def test_upstreams_of_one_failure_domain_that_fail_show_no_cut() -> None:
     reach = build_reach()
     fail(reach, 1, 10, 1, 10, at=101.0)
