Questions about limits cost nothing while no token is wanted

Only answers without a limit are told now, and questions alone need no claims. test_limit_loads and test_ended_limits pass.

--- a/packages/daemon/src/plankspindle_daemon/quotas/limit_questions.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/limit_questions.py
@@ -89,7 +89,7 @@
         reply_to: Endpoint,
         now: float,
     ) -> list[SendToPeer]:
-        """Answer with what this VM heard of an upstream later than the asking VM.
+        """Answer with a later answer of the upstream that announced no limit.
 
         Parameters
         ----------
@@ -102,20 +102,16 @@
         now : float
             Monotonic seconds.
         """
-        if limiter is not None:
-            heard_at, limit_per_s = limiter.announced_at, limiter.limit_per_s
-        else:
-            heard_at = self.unlimited_sent_at(question.life) or -math.inf
-            limit_per_s = 0.0
-        if heard_at <= now - question.ago_ms / 1000:
+        heard_at = self.unlimited_sent_at(question.life) or -math.inf
+        if limiter is not None or heard_at <= now - question.ago_ms / 1000:
             return []
         # The number stands for one answer, which counts once however often it is told.
         number = stable_hash(f"{self.vm} {question.life} {heard_at}") >> 1
         answer = LimitNews(
             sender=self.vm,
             life=question.life,
-            limit_per_s=limit_per_s,
-            is_silent=limiter is None,
+            limit_per_s=0.0,
+            is_silent=True,
             number=number,
             ago_ms=math.ceil(1000 * (now - heard_at)),
         )
--- a/packages/daemon/src/plankspindle_daemon/quotas/quotas.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/quotas.py
@@ -194,9 +194,10 @@
         """
         self._may_hold = readiness in _HOLDER_READINESS
         self._has_list = has_list
+        questions = self.limits.questions.ask(self.limits.limiter_by_incarnation, now)
         if not (self._has_quotas or self.limits.is_needed):
-            return []
-        effects = [*self.token_requester.tick(now), *self.limits.tick(now)]
+            return [*questions]
+        effects = [*questions, *self.token_requester.tick(now), *self.limits.tick(now)]
         current = (self.membership.change_count, self._may_hold)
         if now >= self._next_refresh or current != self._refreshed_for:
             self._refresh(now)
--- a/packages/daemon/src/plankspindle_daemon/quotas/upstream_limits.py
+++ b/packages/daemon/src/plankspindle_daemon/quotas/upstream_limits.py
@@ -133,7 +133,7 @@
         A limit whose tokens are not requested costs no messages.
         """
         has_tokens = len(self.holder) > 0 or bool(self._pending_by_ticket)
-        return has_tokens or len(self._outbox) > 0 or bool(self.limiter_by_incarnation)
+        return has_tokens or len(self._outbox) > 0
 
     def limit_of(self, incarnation_id: str) -> FleetLimit | None:
         """Return the limit of an upstream, as far as this VM knows."""
@@ -225,7 +225,6 @@
     def tick(self, now: float) -> list[LimitEffect]:
         """Handle timeouts, resend updates and remove expired entries."""
         effects: list[LimitEffect] = [*self._outbox.pop_due(now)]
-        effects += self.questions.ask(self.limiter_by_incarnation, now)
         if now >= self._next_cleanup:
             self._next_cleanup = now + CLEANUP_PERIOD_S
             self._clean_up(now)
