Derive what relays state twice, and move probe results out of the dispatcher

Cause: a reading of the whole change.

Change: one field, one call, one word; results of probes are applied next to their schedule. Tests only follow the names; no check, bound or expectation changes.

--- a/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/dispatcher.py
@@ -36,6 +36,7 @@
 from plankspindle_daemon.dispatch.placement_choice import NeedsToken
 from plankspindle_daemon.dispatch.placement_explanation import explain_choice
 from plankspindle_daemon.dispatch.probe_schedule import ProbeSchedule
+from plankspindle_daemon.dispatch.probe_schedule import apply_probe
 from plankspindle_daemon.dispatch.rejections import Rejections
 from plankspindle_daemon.dispatch.slot_lending import SlotLending
 from plankspindle_daemon.dispatch.time_limits import TimeLimits
@@ -153,7 +154,7 @@
                 self.apply_statement(event, now)
                 return []
             case ProbeCompleted():
-                self._apply_probe(event, now)
+                apply_probe(event, self.upstreams_by_name, now)
                 return self._assign_all(now)
             case SlotsRequested():
                 return [*self.lending.lend(event, self.upstreams_by_name, now)]
@@ -387,15 +388,6 @@
             upstream.apply_statement(stated.statement, now)
             self.statements_unreadable += len(stated.statement.unreadable)
 
-    def _apply_probe(self, probed: ProbeCompleted, now: float) -> None:
-        upstream = self.upstreams_by_name.get(probed.upstream)
-        if upstream is None:
-            return
-        if probed.report is None:
-            upstream.record_probe_failure(reached=probed.reached, now=now)
-        else:
-            upstream.record_probe_report(probed.report, now=now, wall_time=probed.wall)
-
     def _probes(self, now: float, *, at_once: bool = False) -> list[DispatchEffect]:
         if self.placement is not None:
             return []
--- a/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/messages.py
@@ -69,7 +69,7 @@
         Incarnation of the upstream that the attempt ran on; zero if unknown.
     status : int, optional
         Status of the answer; None if no head of an answer arrived.
-    is_in_doubt : bool
+    is_doubtful : bool
         Whether this VM may reach no upstream, so that a failure tells nothing of this
         one.
     cause : str
@@ -86,7 +86,7 @@
     waited_s: float | None = None
     incarnation: int = 0
     status: int | None = None
-    is_in_doubt: bool = False
+    is_doubtful: bool = False
     cause: str = field(default="", eq=False)
 
 
--- a/packages/daemon/src/plankspindle_daemon/dispatch/probe_schedule.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/probe_schedule.py
@@ -1,4 +1,4 @@
-"""Schedule of probes that read the load reports of upstreams with divided slots."""
+"""Probes that read the load reports of upstreams with divided slots."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from plankspindle_daemon.dispatch.messages import ProbeCompleted
     from plankspindle_daemon.upstreams.upstream_state import UpstreamState
 
 MIN_PROBE_GAP_S = 0.05
@@ -57,3 +58,16 @@
     def _may_end_back_off(self, name: str, upstream: UpstreamState, now: float) -> bool:
         last = self._last_by_name.get(name, 0.0)
         return upstream.health.is_probe_due(now) and now - last >= MIN_PROBE_GAP_S
+
+
+def apply_probe(
+    probed: ProbeCompleted, by_name: Mapping[str, UpstreamState], now: float
+) -> None:
+    """Apply the result of a probe, if its upstream is still listed."""
+    upstream = by_name.get(probed.upstream)
+    if upstream is None:
+        return
+    if probed.report is None:
+        upstream.record_probe_failure(reached=probed.reached, now=now)
+    else:
+        upstream.record_probe_report(probed.report, now=now, wall_time=probed.wall)
--- a/packages/daemon/src/plankspindle_daemon/dispatch/version_outcomes.py
+++ b/packages/daemon/src/plankspindle_daemon/dispatch/version_outcomes.py
@@ -218,7 +218,7 @@
 def _has_failed(completed: AttemptCompleted) -> bool | None:
     """Return whether an attempt failed; None if its outcome is not judged."""
     match completed.outcome:
-        case AttemptOutcome.FAILED | AttemptOutcome.TIMED_OUT if completed.is_in_doubt:
+        case AttemptOutcome.FAILED | AttemptOutcome.TIMED_OUT if completed.is_doubtful:
             return None
         case AttemptOutcome.FAILED | AttemptOutcome.TIMED_OUT:
             return True
--- a/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/attempt.py
@@ -321,7 +321,7 @@
         return max(1, int((self.outgoing.deadline - monotonic()) * 1000))
 
     async def end(
-        self, outcome: AttemptOutcome, *, is_in_doubt: bool = False
+        self, outcome: AttemptOutcome, *, is_doubtful: bool = False
     ) -> AttemptCompleted | None:
         """Complete the attempt, and return its completion for the dispatcher.
 
@@ -329,7 +329,7 @@
         ----------
         outcome : AttemptOutcome
             Outcome of the attempt; any other than ``ANSWERED`` closes the connection.
-        is_in_doubt : bool
+        is_doubtful : bool
             Whether this VM may reach no upstream.
 
         Returns
@@ -354,7 +354,7 @@
             waited_s=now - self.sent_at if self.head is None else None,
             incarnation=self.assigned.incarnation,
             status=None if self.head is None else self.head.status_code,
-            is_in_doubt=is_in_doubt,
+            is_doubtful=is_doubtful,
             cause=self._observed,
         )
 
--- a/packages/daemon/src/plankspindle_daemon/exchange/relaying.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/relaying.py
@@ -75,8 +75,8 @@
         Digest of the caller's API key.
     is_idempotent : bool
         Whether the request may run more than once.
-    is_permitted : bool
-        Whether it may be relayed: another VM must not have relayed it here.
+    was_relayed_here : bool
+        Whether another VM relayed it to this one, which must not relay it again.
     """
 
     node: Node
@@ -84,13 +84,13 @@
     trace: RequestTrace
     key_digest: str | None
     is_idempotent: bool
-    is_permitted: bool
+    was_relayed_here: bool
     _vm: str | None = None
 
     def choose(
         self, ticket: Ticket, excluded: frozenset[str]
     ) -> RelayAssigned | Refused | None:
-        """Choose an entry VM if this one reaches no upstream.
+        """Choose an entry VM if this one reaches no upstream, and record the relay.
 
         Parameters
         ----------
@@ -111,7 +111,8 @@
         target = None
         configuration = self.node.configuration
         is_tried_out = len(excluded) >= MAX_RELAYS_TRIED
-        if self.is_permitted and configuration is not None and not is_tried_out:
+        may_relay = not (self.was_relayed_here or is_tried_out)
+        if may_relay and configuration is not None:
             target = self.node.relays.choose(
                 configuration=configuration,
                 allowed_regions=ticket.allowed_regions,
@@ -120,17 +121,14 @@
             )
         if target is not None:
             self.trace.record(Relayed(to=target.vm, asked_before=len(excluded)), now)
+            self._vm = target.vm
+            self.node.relays.record_started(target.vm)
             return RelayAssigned(vm=target.vm, endpoint=target.endpoint)
-        if self.is_permitted and reach.allows_attempt(now):
+        if not self.was_relayed_here and reach.allows_attempt(now):
             return None
         wait_s = RETRY_AFTER_S * self.node.random.uniform(1.0, 2.0)
         return Refused(reason=CUT_OFF, retry_after_s=wait_s)
 
-    def start(self, vm: str) -> None:
-        """Record that the request is relayed to a VM."""
-        self._vm = vm
-        self.node.relays.record_started(vm)
-
     def end(self) -> None:
         """Record that the relay ended, if there is one."""
         vm, self._vm = self._vm, None
--- a/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
+++ b/packages/daemon/src/plankspindle_daemon/exchange/request_runner.py
@@ -40,7 +40,6 @@
 from plankspindle_daemon.exchange.messages import OpenConnection
 from plankspindle_daemon.exchange.messages import Refused
 from plankspindle_daemon.exchange.messages import RelayAnswer
-from plankspindle_daemon.exchange.messages import RelayAssigned
 from plankspindle_daemon.exchange.messages import ReleaseUpstream
 from plankspindle_daemon.exchange.messages import SendRequest
 from plankspindle_daemon.exchange.messages import WithdrawTicket
@@ -104,8 +103,6 @@
         Checks the request against the quarantine before each sending.
     relaying : Relaying
         Decides on relays to other entry VMs.
-    is_relayed : bool
-        Whether another entry VM relayed the request to this one.
     """
 
     vm: str
@@ -123,7 +120,6 @@
     admission: RequestAdmission
     quarantine: QuarantineCheck
     relaying: Relaying
-    is_relayed: bool = False
     _assigned: Assign | None = None
     _attempt: Attempt | None = None
     _caller_gone: bool = False
@@ -242,8 +238,6 @@
         if quarantined is not None:
             return quarantined
         relay = self.relaying.choose(self.ticket, self.exchange.excluded_relays)
-        if isinstance(relay, RelayAssigned):
-            self.relaying.start(relay.vm)
         if relay is not None:
             return relay
         refused = await self.admission.admit()
@@ -311,7 +305,7 @@
         # if that is interrupted.
         attempt, assigned = self._attempt, self._assigned
         reach = self.relaying.node.reach
-        completed = await attempt.end(outcome, is_in_doubt=reach.is_doubtful)
+        completed = await attempt.end(outcome, is_doubtful=reach.is_doubtful)
         self._attempt = self._assigned = None
         self.relaying.end()
         if completed is not None:
@@ -372,7 +366,7 @@
         if attempt.assigned is not None:
             served_by = f"{self.vm}/{attempt.assigned.upstream}"
             headers.append((header_names.SERVED_BY, served_by.encode()))
-        if self.is_relayed:
+        if self.relaying.was_relayed_here:
             version = format_version(self.relaying.node.version)
             headers.append((header_names.RELAY_VERSION, version))
             if attempt.assigned is not None:
--- a/packages/daemon/src/plankspindle_daemon/listeners/runner_factory.py
+++ b/packages/daemon/src/plankspindle_daemon/listeners/runner_factory.py
@@ -174,9 +174,8 @@
                 trace=trace,
                 key_digest=resolved.identity.key_digest,
                 is_idempotent=resolved.is_idempotent,
-                is_permitted=resolved.relay is None,
+                was_relayed_here=resolved.relay is not None,
             ),
-            is_relayed=resolved.relay is not None,
         )
 
     def _outgoing(
--- a/packages/daemon/tests/dispatch/test_version_outcomes.py
+++ b/packages/daemon/tests/dispatch/test_version_outcomes.py
@@ -47,7 +47,7 @@
     is_comparable: bool = True,
     is_capped: bool = True,
     upstream: str = "u",
-    is_in_doubt: bool = False,
+    is_doubtful: bool = False,
 ) -> None:
     started = StartedAttempt(
         upstream=upstream,
@@ -62,7 +62,7 @@
         outcome=outcome,
         head_s=head_s,
         status=status,
-        is_in_doubt=is_in_doubt,
+        is_doubtful=is_doubtful,
     )
     tally.record_completed(completed, is_capped=is_capped)
 
@@ -96,7 +96,7 @@
 ) -> None:
     """Guards against partitions that hide a bad version among failures of both."""
     tally = VersionTally()
-    answer(tally, outcome=outcome, status=500, is_in_doubt=True)
+    answer(tally, outcome=outcome, status=500, is_doubtful=True)
     assert judged(tally) == counted
 
 
--- a/packages/daemon/tests/exchange/test_event_loop_stall.py
+++ b/packages/daemon/tests/exchange/test_event_loop_stall.py
@@ -165,7 +165,7 @@
             trace=trace,
             key_digest=None,
             is_idempotent=True,
-            is_permitted=True,
+            was_relayed_here=False,
         ),
         admission=RequestAdmission(
             identity=Identity(caller=None, rank=0),
--- a/packages/daemon/tests/reachability/test_relay_admission.py
+++ b/packages/daemon/tests/reachability/test_relay_admission.py
@@ -141,7 +141,7 @@
         ),
         key_digest=None,
         is_idempotent=True,
-        is_permitted=True,
+        was_relayed_here=False,
     )
     assigned = Assign(
         ticket=build_ticket(1),
