--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -51,8 +51,9 @@
         return time.monotonic() - self._began
 
     def add(self, text: str) -> None:
-        self._file.write(f"{self.now():8.3f} s  {text}\n")
-        self._file.flush()
+        if not self._file.closed:
+            self._file.write(f"{self.now():8.3f} s  {text}\n")
+            self._file.flush()
 
     def close(self) -> None:
         self._file.close()
