--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -148,6 +148,7 @@
     def __init__(self, host: str, port: int) -> None:
         super().__init__(host, port)
         self.version = 0
+        self.is_away = False
         self.rows: dict[tuple[str, str], tuple[int, str | None]] = {}
         self._changed = asyncio.Event()
 
@@ -156,6 +157,11 @@
         value = base64.b64encode(json.dumps(document).encode()).decode()
         self._apply([(table, key, value)])
 
+    def drop(self, table: str) -> None:
+        """Remove all rows of a table, as when the leases of backends run out."""
+        keys = [key for key, (_, value) in self.rows.items() if value is not None]
+        self._apply([(table, key, None) for each, key in keys if each == table])
+
     def _apply(self, changes: list[tuple[str, str, str | None]]) -> None:
         self.version += 1
         for table, key, value in changes:
@@ -172,6 +178,8 @@
         self, method: str, target: str, headers: dict[str, str], body: bytes
     ) -> tuple[int, dict[str, str], bytes]:
         await asyncio.sleep(0.004)
+        if self.is_away:
+            return 503, {}, b""
         split = urlsplit(target)
         query = {key: each[0] for key, each in parse_qs(split.query).items()}
         status, answer = 200, {}
@@ -247,6 +255,8 @@
         super().__init__(host, port)
         self.name, self.service, self.zone = name, service, zone
         self.work_s = work_s
+        self.version = "v1"
+        self.beats_from = 0.0
         self.runs: list[dict[str, str]] = []
         self._store, self._record = store, record
         self._running = 0
@@ -265,11 +275,13 @@
         sequence = 0
         while True:
             sequence += 1
-            info = {"service": self.service, "config_version": "v1", "zone": self.zone}
+            info = {"service": self.service, "zone": self.zone}
+            info["config_version"] = self.version
             state = {"state": "ready", "sequence": sequence, "cold_remaining": "0ms"}
             entry = {"address": self.address, "info": {**info, "slots": 9}}
-            self._store.put("servers", self.name, {**entry, "status": state})
-            await asyncio.sleep(BEAT_S)
+            if not self._store.is_away and time.monotonic() >= self.beats_from:
+                self._store.put("servers", self.name, {**entry, "status": state})
+            await asyncio.sleep(BEAT_S if time.monotonic() >= self.beats_from else 0.02)
 
     async def handle(
         self, method: str, target: str, headers: dict[str, str], body: bytes
@@ -308,6 +320,9 @@
         bounds: dict[str, object],
     ) -> None:
         self._bounds = bounds
+        self.contracts = [
+            "base", "drain", "config", "cost", "retry", "recover", "places", "platform",
+        ]
         self.name = f"edge-{number}"
         self.ip = f"{network}.{10 + number}"
         self.front = (self.ip, port)
@@ -344,10 +359,7 @@
                 },
             },
             "terms": {
-                "contracts": [
-                    "base", "drain", "config", "cost", "retry", "recover", "places",
-                    "platform",
-                ],
+                "contracts": self.contracts,
                 "fault_tolerance": {"machines": 1, "zones": 1, "regions": 1},
                 "bounds": self._bounds,
             },
@@ -486,10 +498,11 @@
 
 
 class Deployment:
-    """Store, backends and three entry VMs on loopback, for one script."""
+    """Store, backends and a few entry VMs on loopback, for one script."""
 
     def __init__(
-        self, folder: Path, *, port: int = 18_100, bounds: dict[str, object] = BOUNDS
+        self, folder: Path, *, port: int = 18_100, vms: int = 3,
+        bounds: dict[str, object] = BOUNDS,
     ) -> None:
         self.record = Record(folder / "record.txt")
         self.is_troubled = os.environ.get("TROUBLE", "1") != "0"
@@ -498,7 +511,7 @@
         self.store = Store(f"{self._network}.2", port)
         self.vms = [
             EntryVm(n, self._network, port, self.store, self._folder, bounds)
-            for n in range(3)
+            for n in range(vms)
         ]
         self.backends: list[Backend] = []
         self._port = port
@@ -565,7 +578,9 @@
         self._guard.close()
 
 
-def run(scenario, folder: Path, *, bounds: dict[str, object] = BOUNDS) -> None:
+def run(
+    scenario, folder: Path, *, vms: int = 3, bounds: dict[str, object] = BOUNDS
+) -> None:
     """Run a scenario; exit with 1 if the rule broke, 0 if it held, 2 if it couldn't run.
 
     A scenario is a coroutine function that gets the deployment, and returns the list of
@@ -573,7 +588,7 @@
     """
 
     async def play() -> int:
-        deployment = Deployment(folder, bounds=bounds)
+        deployment = Deployment(folder, vms=vms, bounds=bounds)
         try:
             broken = await asyncio.wait_for(scenario(deployment), 110.0)
             if broken is None:
