--- a/review/5/case.py
+++ b/review/5/case.py
@@ -24,8 +24,10 @@
 TARGET_MS = 1_500
 LEAVE_AFTER_S = TARGET_MS / 2 / 1000
 LEAVING_SHARE_PERCENT = 30
-REQUESTS = 120
-PAUSE_S = 0.125
+REQUESTS = 160
+PAUSE_S = 0.0625
+LEAVING = range(40, 120)
+"""Requests of 5 s, among which clients leave."""
 LONG, SHORT = 1_200_000, 900_000
 """Bodies on both sides of 1 MiB; the operator's limits allow 64 MiB."""
 LATE_S = 0.5
@@ -35,7 +37,8 @@
 async def send_one(fleet: Fleet, number: int, left_at: dict[str, float], trouble: bool) -> int | None:
     machine = fleet.machines[number % len(fleet.machines)]
     size = LONG if number % 2 else SHORT
-    leaves = trouble and number // 2 % 10 < LEAVING_SHARE_PERCENT // 10
+    is_chosen = number // 2 % 10 < LEAVING_SHARE_PERCENT // 10
+    leaves = trouble and number in LEAVING and is_chosen
     answer = await send(
         fleet,
         machine,
